--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Every target sets up what it needs; `make test` and `make demo` work on a fresh machine.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format types check clean
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev,load]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python scripts/demo.py
+
+test: $(STAMP)
+	$(BIN)/python scripts/run_tests.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check src tests scripts
+	$(BIN)/ruff check src tests scripts
+
+format: $(STAMP)
+	$(BIN)/ruff format src tests scripts
+	$(BIN)/ruff check --fix src tests scripts
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+check: lint types test
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/lotushill/console/__init__.py
@@ -0,0 +1,3 @@
+"""The console layer: argument parsing for each program."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lotushill/dispatch/upstream_state.py
@@ -0,0 +1,79 @@
+"""What a dispatcher knows of one upstream: its own grants there, exactly, and its health."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from lotushill.upstreams.health import Health
+from lotushill.upstreams.health import Phase
+from lotushill.upstreams.prefix_memory import PrefixMemory
+
+if TYPE_CHECKING:
+    from lotushill.dispatch.waiting_room import Waiting
+    from lotushill.upstreams.adaptive_cap import AdaptiveCap
+
+
+@dataclass
+class Running:
+    """One attempt that was granted and has not ended."""
+
+    waiting: Waiting
+    attempt: int
+    upstream: str
+    started: float
+    in_lane: bool
+    """Whether it runs in the room set aside for progress."""
+    preempted: bool = False
+
+    @property
+    def tier(self) -> int:
+        """Return the tier of the request."""
+        return self.waiting.ask.tier
+
+
+@dataclass
+class UpstreamState:
+    """One upstream of a cell."""
+
+    name: str
+    address: str
+    hall: str
+    cap: AdaptiveCap
+    leaving: bool = False
+    reachable: bool = True
+    running: dict[str, Running] = field(default_factory=dict)
+    health: Health = field(default_factory=Health)
+    prefixes: PrefixMemory = field(default_factory=PrefixMemory)
+
+    def usable(self, now: float) -> bool:
+        """Return whether the upstream may be given new work at all."""
+        self.health.refresh(now)
+        if self.leaving or not self.reachable or self.health.phase is Phase.OPEN:
+            return False
+        return self.health.phase is Phase.SERVING or not self.running
+
+    def count(self, tier: int) -> int:
+        """Return how many of a tier and higher ones run outside the lane."""
+        return sum(1 for item in self.running.values() if item.tier <= tier and not item.in_lane)
+
+    def total(self) -> int:
+        """Return how many run outside the lane."""
+        return sum(1 for item in self.running.values() if not item.in_lane)
+
+    def lane(self) -> int:
+        """Return how many run in the lane."""
+        return sum(1 for item in self.running.values() if item.in_lane)
+
+    def least_done_below(self, tier: int) -> Running | None:
+        """Return the attempt to stop for a request of `tier`: lowest tier, least time spent."""
+        below = [
+            item
+            for item in self.running.values()
+            if item.tier > tier
+            and item.waiting.ask.resumable
+            and not item.in_lane
+            and not item.preempted
+        ]
+        return max(below, key=lambda item: (item.tier, item.started), default=None)
--- /dev/null
+++ b/src/lotushill/links/__init__.py
@@ -0,0 +1,3 @@
+"""Connections and codecs between processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lotushill/links/channel.py
@@ -0,0 +1,99 @@
+"""A TCP connection between two processes that carries sealed frames both ways.
+
+Each end opens with a random challenge; every code covers the other end's challenge and the
+frame's number, so frames cannot be replayed, reordered or reflected.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+import anyio
+
+from lotushill.links.codec import Message
+from lotushill.links.codec import decode
+from lotushill.links.codec import encode
+from lotushill.links.exceptions import FrameTooLargeError
+from lotushill.links.exceptions import LinkClosedError
+from lotushill.links.seal import CODE_BYTES
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+
+    from lotushill.links.seal import Seal
+
+CHALLENGE_BYTES = 16
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+_HEAD = struct.Struct("!I")
+_NUMBER = struct.Struct("!Q")
+_READ_BYTES = 65_536
+
+
+class Channel:
+    """One connection; frames come out in the order they went in."""
+
+    def __init__(self, stream: ByteStream, seal: Seal, own: bytes, other: bytes) -> None:
+        self._stream = stream
+        self._seal = seal
+        self._out_context = other + own
+        self._in_context = own + other
+        self._sent = 0
+        self._received = 0
+        self._buffer = bytearray()
+        self._lock = anyio.Lock()
+
+    @classmethod
+    async def open(cls, stream: ByteStream, seal: Seal, challenge: bytes) -> Channel:
+        """Exchange challenges over a fresh connection; raise LinkClosedError if it ends."""
+        try:
+            await stream.send(challenge)
+            other = b""
+            while len(other) < CHALLENGE_BYTES:
+                other += await stream.receive(CHALLENGE_BYTES - len(other))
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise LinkClosedError from error
+        return cls(stream, seal, challenge, other)
+
+    async def send(self, *messages: Message) -> None:
+        """Send messages in one write; raise LinkClosedError if the other end has gone."""
+        async with self._lock:
+            data = b"".join(self._frame(message) for message in messages)
+            try:
+                await self._stream.send(data)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                raise LinkClosedError from error
+
+    async def receive(self) -> Message:
+        """Return the next message; raise a LinkError when the connection is of no more use."""
+        size = _HEAD.unpack(await self._take(_HEAD.size))[0]
+        if not CODE_BYTES <= size <= MAX_FRAME_BYTES:
+            raise FrameTooLargeError(size, MAX_FRAME_BYTES)
+        sealed = await self._take(size)
+        context = self._in_context + _NUMBER.pack(self._received)
+        self._received += 1
+        return decode(self._seal.open(sealed, context))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def _frame(self, message: Message) -> bytes:
+        context = self._out_context + _NUMBER.pack(self._sent)
+        self._sent += 1
+        sealed = self._seal.sign(encode(message), context)
+        return _HEAD.pack(len(sealed)) + sealed
+
+    async def _take(self, size: int) -> bytes:
+        while len(self._buffer) < size:
+            try:
+                self._buffer += await self._stream.receive(_READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ) as error:
+                raise LinkClosedError from error
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
--- /dev/null
+++ b/src/lotushill/links/codec.py
@@ -0,0 +1,185 @@
+"""From typed messages to packed Cap'n Proto frames and back."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from dataclasses import fields
+from dataclasses import is_dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Any
+from typing import get_args
+from typing import get_origin
+from typing import get_type_hints
+
+import capnp
+
+from lotushill.dispatch.messages import Ask
+from lotushill.dispatch.messages import Cancel
+from lotushill.dispatch.messages import End
+from lotushill.dispatch.messages import Grant
+from lotushill.dispatch.messages import Preemption
+from lotushill.dispatch.messages import Refusal
+from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import Heartbeat
+from lotushill.links.messages import Held
+from lotushill.links.messages import Ping
+from lotushill.links.messages import Pong
+from lotushill.links.messages import Pull
+from lotushill.links.messages import Pulled
+
+Message = (
+    Ask
+    | Grant
+    | Refusal
+    | Preemption
+    | End
+    | Cancel
+    | Held
+    | Pull
+    | Pulled
+    | Heartbeat
+    | Ping
+    | Pong
+)
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
+_TRAVERSAL_LIMIT_WORDS = 1 << 22
+"""Bound on what a reader follows, so that a small hostile frame cannot cost much."""
+
+
+@dataclass(frozen=True)
+class _Plain:
+    """A number, truth value or text, carried as it is."""
+
+    def encode(self, value: Any) -> Any:
+        return value
+
+    def decode(self, value: Any) -> Any:
+        return value
+
+
+@dataclass(frozen=True)
+class _Choice:
+    """An enumeration, carried as its text."""
+
+    kind: type[Enum]
+
+    def encode(self, value: Any) -> Any:
+        return value.value
+
+    def decode(self, value: Any) -> Any:
+        return self.kind(value)
+
+
+@dataclass(frozen=True)
+class _Record:
+    """A nested message."""
+
+    shape: _Shape
+
+    def encode(self, value: Any) -> Any:
+        return self.shape.to_plain(value)
+
+    def decode(self, value: Any) -> Any:
+        return self.shape.from_reader(value)
+
+
+@dataclass(frozen=True)
+class _Sequence:
+    """A tuple of any of the above."""
+
+    item: _Plain | _Choice | _Record
+
+    def encode(self, value: Any) -> Any:
+        return [self.item.encode(entry) for entry in value]
+
+    def decode(self, value: Any) -> Any:
+        return tuple(self.item.decode(entry) for entry in value)
+
+
+@dataclass(frozen=True)
+class _Field:
+    name: str
+    wire_name: str
+    kind: _Plain | _Choice | _Record | _Sequence
+
+
+class _Shape:
+    """How one dataclass maps to its struct."""
+
+    def __init__(self, kind: type[Any]) -> None:
+        self.kind = kind
+        hints = get_type_hints(kind)
+        self.fields = tuple(
+            _Field(item.name, _camel(item.name), _field_kind(hints[item.name]))
+            for item in fields(kind)
+        )
+
+    def to_plain(self, message: Any) -> dict[str, Any]:
+        return {
+            item.wire_name: item.kind.encode(getattr(message, item.name)) for item in self.fields
+        }
+
+    def from_reader(self, reader: Any) -> Any:
+        return self.kind(
+            *(item.kind.decode(getattr(reader, item.wire_name)) for item in self.fields)
+        )
+
+
+def _camel(name: str) -> str:
+    return re.sub(r"_([a-z])", lambda match: match[1].upper(), name)
+
+
+def _field_kind(hint: Any) -> _Plain | _Choice | _Record | _Sequence:
+    if get_origin(hint) is tuple:
+        return _Sequence(_item_kind(get_args(hint)[0]))
+    return _item_kind(hint)
+
+
+def _item_kind(hint: Any) -> _Plain | _Choice | _Record:
+    if is_dataclass(hint):
+        return _Record(_Shape(hint))  # type: ignore[arg-type]
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return _Choice(hint)
+    return _Plain()
+
+
+_KINDS: tuple[type[Any], ...] = (
+    Ask,
+    Grant,
+    Refusal,
+    Preemption,
+    End,
+    Cancel,
+    Held,
+    Pull,
+    Pulled,
+    Heartbeat,
+    Ping,
+    Pong,
+)
+_SHAPES = {kind: _Shape(kind) for kind in _KINDS}
+_TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
+_SHAPES_BY_TAG = {_TAGS[kind]: shape for kind, shape in _SHAPES.items()}
+
+
+def encode(message: Message) -> bytes:
+    """Return the packed frame of a message."""
+    kind = type(message)
+    frame = _SCHEMA.Frame.new_message(**{_TAGS[kind]: _SHAPES[kind].to_plain(message)})
+    return bytes(frame.to_bytes_packed())
+
+
+def decode(data: bytes) -> Message:
+    """Return the message of a packed frame; raise MalformedFrameError for anything else."""
+    try:
+        frame = _SCHEMA.Frame.from_bytes_packed(
+            data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+        )
+        tag = frame.which()
+        message: Message = _SHAPES_BY_TAG[str(tag)].from_reader(getattr(frame, str(tag)))
+    except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError, TypeError) as error:
+        raise MalformedFrameError(str(error)) from error
+    return message
--- /dev/null
+++ b/src/lotushill/links/messages.py
@@ -0,0 +1,92 @@
+"""Messages between hosts that are not about dispatch: settings and membership."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from lotushill.dispatch.messages import Ask  # noqa: TC001  (the codec reads it at run time)
+
+
+@dataclass(frozen=True)
+class Held:
+    """One attempt that an entry is running, told to a new dispatcher."""
+
+    ask: Ask
+    upstream: str
+
+
+@dataclass(frozen=True)
+class Pull:
+    """Asks a peer for the accepted objects whose digests are not in `known`."""
+
+    generation: int
+    known: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class AcceptedObject:
+    """One accepted object of the settings tree."""
+
+    name: str
+    digest: str
+    text: str
+
+
+@dataclass(frozen=True)
+class Pulled:
+    """Answer to a pull: the head that the peer holds and the objects that were missing."""
+
+    generation: int
+    head: str
+    objects: tuple[AcceptedObject, ...]
+
+
+class MemberPhase(Enum):
+    """What is held of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    LOST = "lost"
+
+
+@dataclass(frozen=True)
+class MemberState:
+    """What one member says, or passes on, of a member."""
+
+    name: str
+    address: str
+    hall: str
+    region: str
+    incarnation: int
+    phase: MemberPhase
+    generation: int
+    """Generation of the settings that the member has in force."""
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """A member's own state first, then some others' states passed on."""
+
+    sender: str
+    sequence: int
+    members: tuple[MemberState, ...]
+
+
+@dataclass(frozen=True)
+class Ping:
+    """A probe; with a target, a request to probe that member on the sender's behalf."""
+
+    sender: str
+    sequence: int
+    target: str
+
+
+@dataclass(frozen=True)
+class Pong:
+    """Answer to a ping; with a target, that member answered."""
+
+    sender: str
+    sequence: int
+    target: str
--- /dev/null
+++ b/src/lotushill/load/__init__.py
@@ -0,0 +1,3 @@
+"""Load and experiments."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lotushill/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for the platform, engines and plain services, for tests and the demo."""
+
+from __future__ import annotations
