--- a/scripts/tally.py
+++ b/scripts/tally.py
@@ -22,7 +22,7 @@
         name = event.test.id()
         if event.outcome == "skipped":
             self.skipped.add(name)
-        elif (event.outcome == "passed" and event.expected) or (event.outcome != "passed" and event.expected):
+        elif event.expected:
             self.passed.add(name)
         else:
             self.failed.add(name)
--- a/tests/dispatch/test_cell_history.py
+++ b/tests/dispatch/test_cell_history.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import unittest
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -9,6 +11,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
+from hypothesis.stateful import run_state_machine_as_test
 
 from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.messages import Decision
@@ -183,13 +186,12 @@
 HISTORY_SETTINGS = settings(max_examples=80, stateful_step_count=40)
 
 
-class TestPause(CellHistory.TestCase):  # type: ignore[name-defined,misc]
-    settings = HISTORY_SETTINGS
-
-
-class TestPreempt(PreemptHistory.TestCase):  # type: ignore[name-defined,misc]
-    settings = HISTORY_SETTINGS
+class TestHistories(unittest.TestCase):
+    def test_lower_tiers_are_paused(self) -> None:
+        run_state_machine_as_test(CellHistory, settings=HISTORY_SETTINGS)
 
+    def test_lower_tiers_are_preempted(self) -> None:
+        run_state_machine_as_test(PreemptHistory, settings=HISTORY_SETTINGS)
 
-class TestQueue(QueueHistory.TestCase):  # type: ignore[name-defined,misc]
-    settings = HISTORY_SETTINGS
+    def test_lower_tiers_end_first(self) -> None:
+        run_state_machine_as_test(QueueHistory, settings=HISTORY_SETTINGS)
