--- a/src/lotushill/hosts/follower.py
+++ b/src/lotushill/hosts/follower.py
@@ -63,6 +63,7 @@
         self._head_text = ""
         self._head_version = ABSENT
         self._pulled_at = float("-inf")
+        self._pull_failed = False
         self._asked_platform = False
         self.book: Book | None = None
         self.installed_at = 0.0
@@ -86,9 +87,15 @@
         """Pull from a peer that says it has a newer generation, if there is one."""
         if now - self._pulled_at < _PULL_SECONDS:
             return
-        newer = [item for item in self._membership.live() if item.generation > self.generation]
+        own = self._membership.own.name
+        newer = [
+            item
+            for item in self._membership.live()
+            if item.generation > self.generation and item.name != own
+        ]
         if not newer:
             return
+        self._pull_failed = self._pulled_at != float("-inf")
         self._pulled_at = now
         self._post(self._best_peer(newer).name, Pull(self.generation, tuple(self._texts)))
 
@@ -104,9 +111,9 @@
 
     def take_pulled(self, pulled: Pulled) -> None:
         """Take in a peer's answer; one that is not newer, or not whole, changes nothing."""
-        self._pulled_at = float("-inf")
         if not pulled.head or pulled.generation <= self.generation:
             return
+        self._pulled_at = float("-inf")
         texts = {item.digest: item.text for item in pulled.objects}
         if any(digest_text(text) != digest for digest, text in texts.items()):
             log.warning("Dropped a pulled generation. error=wrong-digest")
@@ -119,8 +126,9 @@
         return own.name in ranked(f"readers/{own.hall}", near or [own.name], READERS_PER_HALL)
 
     def _best_peer(self, newer: list[MemberState]) -> MemberState:
+        """Return a peer of the own hall, or any after a pull that brought nothing."""
         near = [item for item in newer if item.hall == self._membership.own.hall]
-        return self._rng.choice(near or newer)
+        return self._rng.choice(newer if self._pull_failed or not near else near)
 
     async def _read_platform(self) -> None:
         try:
--- /dev/null
+++ b/tests/hosts/network.py
@@ -0,0 +1,82 @@
+"""A few members on a virtual network with a virtual clock."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from lotushill.hosts.membership import Membership
+from lotushill.hosts.membership import MembershipOptions
+from lotushill.hosts.membership import Outgoing
+from lotushill.links.messages import MemberPhase
+from lotushill.links.messages import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+STEP = 0.05
+
+
+class Network:
+    """Delivers packets within the step, unless they are lost or cut off."""
+
+    def __init__(self, count: int, seed: int = 1, loss: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.members: dict[str, Membership] = {}
+        self.down: set[str] = set()
+        self.cut: set[str] = set()
+        """Members that can be reached only by one another."""
+        self.packets = 0
+        for index in range(count):
+            self.add(index)
+
+    def add(self, index: int, incarnation: int = 1) -> Membership:
+        """Start a member, or start one again."""
+        name = f"entry-{index}"
+        hall = f"hall-{index % 2}"
+        own = MemberState(
+            name, f"10.0.0.{index}:1", hall, "region", incarnation, MemberPhase.ALIVE, 0
+        )
+        rng = random.Random(self.rng.random())
+        member = Membership(own, ["10.0.0.0:1", "10.0.0.1:1"], MembershipOptions(), rng)
+        self.members[name] = member
+        self.down.discard(name)
+        return member
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            for name, member in self.members.items():
+                if name not in self.down:
+                    self.send(name, member.tick(self.now))
+
+    def send(self, sender: str, packets: Iterable[Outgoing]) -> None:
+        """Deliver packets and the answers to them."""
+        for packet in packets:
+            self.packets += 1
+            receiver = self._by_address(packet.address)
+            if receiver is None or self.rng.random() < self.loss:
+                continue
+            if (sender in self.cut) != (receiver.own.name in self.cut):
+                continue
+            source = self.members[sender].own.address
+            answers = receiver.receive(packet.message, source, self.now)
+            self.send(receiver.own.name, answers)
+
+    def views(self) -> dict[str, set[str]]:
+        """Return the live members that each running member sees."""
+        return {
+            name: {state.name for state in member.live()}
+            for name, member in self.members.items()
+            if name not in self.down
+        }
+
+    def _by_address(self, address: str) -> Membership | None:
+        for name, member in self.members.items():
+            if member.own.address == address and name not in self.down:
+                return member
+        return None
--- /dev/null
+++ b/tests/hosts/test_membership.py
@@ -0,0 +1,135 @@
+"""Membership under loss, crashes, cuts, restarts and planned leaves."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lotushill.hosts.rendezvous import owner
+from lotushill.links.messages import MemberPhase
+from lotushill.links.messages import Ping
+from tests.hosts.network import Network
+
+SECONDS_TO_NOTICE = 4.0
+"""Within so long everybody knows of a change, in a fleet as small as these."""
+
+
+class TestMembership(unittest.TestCase):
+    def check_agreement(self, network: Network, expected: set[str]) -> None:
+        for name, view in network.views().items():
+            self.assertEqual(view, expected, f"view of {name}")
+
+    @settings(max_examples=15)
+    @given(count=st.integers(2, 9), seed=st.integers(0, 99))
+    def test_all_find_one_another(self, count: int, seed: int) -> None:
+        network = Network(count, seed)
+        network.run(SECONDS_TO_NOTICE)
+        self.check_agreement(network, set(network.members))
+
+    @settings(max_examples=15)
+    @given(count=st.integers(3, 9), seed=st.integers(0, 99), loss=st.sampled_from([0.0, 0.1]))
+    def test_a_crashed_member_is_noticed(self, count: int, seed: int, loss: float) -> None:
+        network = Network(count, seed, loss)
+        network.run(SECONDS_TO_NOTICE)
+        network.down.add("entry-1")
+        network.run(SECONDS_TO_NOTICE + count * 0.2)
+        network.loss = 0.0
+        network.run(SECONDS_TO_NOTICE)
+        self.check_agreement(network, set(network.members) - {"entry-1"})
+
+    @settings(max_examples=10)
+    @given(count=st.integers(4, 8), seed=st.integers(0, 99))
+    def test_a_cut_is_noticed_by_both_sides_and_healed(self, count: int, seed: int) -> None:
+        network = Network(count, seed)
+        network.run(SECONDS_TO_NOTICE)
+        network.cut = {"entry-0", "entry-2"}
+        network.run(2 * SECONDS_TO_NOTICE)
+        views = network.views()
+        self.assertEqual(views["entry-0"], {"entry-0", "entry-2"})
+        self.assertEqual(views["entry-1"], set(network.members) - network.cut)
+        network.cut = set()
+        network.run(4 * SECONDS_TO_NOTICE)
+        self.check_agreement(network, set(network.members))
+        owners = {owner("pool@region", view) for view in network.views().values()}
+        self.assertEqual(len(owners), 1, "members do not agree on the dispatcher")
+
+    def test_a_leaving_member_is_known_to_leave_at_once(self) -> None:
+        network = Network(5)
+        network.run(SECONDS_TO_NOTICE)
+        leaver = network.members["entry-3"]
+        network.send("entry-3", leaver.leave())
+        self.check_agreement(network, set(network.members) - {"entry-3"})
+        network.run(SECONDS_TO_NOTICE)
+        held = network.members["entry-0"].find("entry-3")
+        assert held is not None
+        self.assertIs(held.phase, MemberPhase.LEAVING)
+
+    def test_a_member_that_comes_back_is_taken_in_again(self) -> None:
+        network = Network(4)
+        network.run(SECONDS_TO_NOTICE)
+        network.down.add("entry-2")
+        network.run(2 * SECONDS_TO_NOTICE)
+        network.add(2, incarnation=1000)
+        network.run(2 * SECONDS_TO_NOTICE)
+        self.check_agreement(network, set(network.members))
+
+    def test_a_member_whose_clock_jumped_back_is_taken_in_again(self) -> None:
+        network = Network(4)
+        network.run(SECONDS_TO_NOTICE)
+        network.down.add("entry-2")
+        network.run(2 * SECONDS_TO_NOTICE)
+        network.add(2, incarnation=0)
+        network.run(3 * SECONDS_TO_NOTICE)
+        self.check_agreement(network, set(network.members))
+
+    def test_loss_alone_makes_nobody_lost(self) -> None:
+        network = Network(6, seed=5)
+        network.run(SECONDS_TO_NOTICE)
+        network.loss = 0.05
+        lost = 0
+        for _ in range(100):
+            network.run(0.3)
+            lost += sum(len(view) < 6 for view in network.views().values())
+        self.assertLessEqual(lost, 6)
+
+    def test_generations_ride_on_heartbeats(self) -> None:
+        network = Network(6)
+        network.run(SECONDS_TO_NOTICE)
+        network.send("entry-0", network.members["entry-0"].announce_generation(7))
+        network.run(SECONDS_TO_NOTICE)
+        for member in network.members.values():
+            held = member.find("entry-0")
+            assert held is not None
+            self.assertEqual(held.generation, 7)
+
+    def test_a_replayed_packet_is_counted_and_dropped(self) -> None:
+        network = Network(2)
+        network.run(1.0)
+        receiver = network.members["entry-1"]
+        sender = network.members["entry-0"]
+        ping = Ping("entry-0", 42, "", (sender.own,))
+        self.assertTrue(receiver.receive(ping, sender.own.address, network.now))
+        before = receiver.dropped
+        self.assertEqual(receiver.receive(ping, sender.own.address, network.now), [])
+        self.assertEqual(receiver.dropped, before + 1)
+
+    def test_a_packet_in_anothers_name_is_dropped(self) -> None:
+        network = Network(2)
+        network.run(1.0)
+        receiver = network.members["entry-1"]
+        ping = Ping("entry-7", 42, "", (network.members["entry-0"].own,))
+        self.assertEqual(receiver.receive(ping, "10.0.0.7:1", network.now), [])
+        self.assertEqual(receiver.dropped, 1)
+
+    def test_load_does_not_grow_with_the_fleet(self) -> None:
+        rates: list[float] = []
+        for count in (10, 40):
+            network = Network(count)
+            network.run(10.0)
+            network.packets = 0
+            network.run(5.0)
+            rates.append(network.packets / count / 5.0)
+        self.assertLess(rates[1], 1.5 * rates[0])
--- /dev/null
+++ b/tests/links/test_codec.py
@@ -0,0 +1,81 @@
+"""Frames: every message survives the way, and hostile bytes are typed errors."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lotushill.dispatch.messages import Ask
+from lotushill.dispatch.messages import Cancel
+from lotushill.dispatch.messages import End
+from lotushill.dispatch.messages import Grant
+from lotushill.dispatch.messages import Preemption
+from lotushill.dispatch.messages import Refusal
+from lotushill.links.codec import decode
+from lotushill.links.codec import encode
+from lotushill.links.exceptions import ForgedFrameError
+from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import Held
+from lotushill.links.messages import Ping
+from lotushill.links.messages import Pong
+from lotushill.links.messages import Pull
+from lotushill.links.messages import Pulled
+from lotushill.links.seal import Seal
+
+TEXTS = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=12)
+SMALL = st.integers(0, 255)
+st.register_type_strategy(str, TEXTS)
+st.register_type_strategy(int, SMALL)
+st.register_type_strategy(float, st.floats(0, 1000, width=32))
+KINDS: list[Any] = [Ask, Grant, Refusal, Preemption, End, Cancel, Held, Pull, Pulled, Ping, Pong]
+
+
+class TestCodec(unittest.TestCase):
+    @settings(max_examples=200)
+    @given(st.sampled_from(KINDS).flatmap(st.from_type))
+    def test_each_message_comes_out_as_it_went_in(self, message: Any) -> None:
+        self.assertEqual(decode(encode(message)), message)
+
+    @settings(max_examples=300)
+    @given(st.binary(max_size=200))
+    def test_other_bytes_are_malformed(self, data: bytes) -> None:
+        try:
+            decode(data)
+        except MalformedFrameError:
+            pass
+
+    @settings(max_examples=300)
+    @given(st.data())
+    def test_damaged_frames_are_malformed_or_another_message(self, data: st.DataObject) -> None:
+        frame = bytearray(encode(Ping("entry-0", 7, "entry-1", ())))
+        index = data.draw(st.integers(0, len(frame) - 1))
+        frame[index] ^= data.draw(st.integers(1, 255))
+        try:
+            decode(bytes(frame))
+        except MalformedFrameError:
+            pass
+
+
+class TestSeal(unittest.TestCase):
+    OLD, NEW = b"old-old-old-old-", b"new-new-new-new-"
+
+    def test_keys_rotate_without_a_stop(self) -> None:
+        before, during, after = Seal((self.OLD,)), Seal((self.NEW, self.OLD)), Seal((self.NEW,))
+        self.assertEqual(during.open(before.sign(b"x")), b"x")
+        self.assertEqual(after.open(during.sign(b"x")), b"x")
+        with self.assertRaises(ForgedFrameError):
+            after.open(before.sign(b"x"))
+
+    @given(st.binary(max_size=60))
+    def test_foreign_bytes_are_forged(self, data: bytes) -> None:
+        with self.assertRaises(ForgedFrameError):
+            Seal((self.OLD,)).open(data)
+
+    def test_a_frame_fits_only_its_place(self) -> None:
+        seal = Seal((self.OLD,))
+        with self.assertRaises(ForgedFrameError):
+            seal.open(seal.sign(b"x", b"1"), b"2")
