--- /dev/null
+++ b/src/lotushill/console/load.py
@@ -0,0 +1,62 @@
+"""The program `lotushill-load`: load and experiments."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from lotushill.console.program import EXIT_OK
+from lotushill.console.program import new_parser
+
+if TYPE_CHECKING:
+    import argparse
+
+
+def main() -> None:
+    """Run one experiment."""
+    parser = new_parser("lotushill-load", "Load and experiments, with results as JSON.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    _add_policy(commands)
+    arguments = parser.parse_args()
+    sys.exit(arguments.run(arguments))
+
+
+def _add_policy(commands: Any) -> None:
+    parser = commands.add_parser("policy", help="compare policies in virtual time")
+    parser.add_argument("--shape", choices=("croatia", "jalisco"), required=True)
+    parser.add_argument("--overload", type=float, default=1.0, help="offered over capacity")
+    parser.add_argument("--seed", type=int, action="append", help="may be given several times")
+    parser.add_argument("--seconds", type=float, default=60.0, help="length of the arrivals")
+    parser.add_argument("--crashes", action="store_true", help="crash an engine a minute")
+    parser.add_argument("--variants", action="store_true", help="variants of lotushill itself")
+    parser.add_argument("--only", action="append", help="only policies of this name")
+    parser.add_argument("--json", type=Path, help="write the figures to this file")
+    parser.set_defaults(run=_run_policy)
+
+
+def _run_policy(arguments: argparse.Namespace) -> int:
+    # Imported late: the other commands need none of it.
+    from lotushill.load.policy_report import compare
+    from lotushill.load.policy_report import table
+
+    report = compare(
+        arguments.shape,
+        arguments.overload,
+        tuple(arguments.seed or (1,)),
+        arguments.seconds,
+        arguments.crashes,
+        arguments.variants,
+        tuple(arguments.only or ()),
+    )
+    print(table(report))
+    if arguments.json:
+        arguments.json.parent.mkdir(parents=True, exist_ok=True)
+        arguments.json.write_text(json.dumps(report, indent=1), encoding="utf-8")
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    main()
