Start only what can finish; a cap that stays out of the engine's queue

Change: a request starts only if the 0.97 quantile of its class still fits before its deadline and if what the higher tiers leave over carries what runs below them; what was begun goes first; the cap grows only by answers of the lowest tier present that began as promptly as the best, and neither cap nor speed is learned from attempts that may have been paused. Also: the fake engine let a request join in mid-step and the waste left out late answers.

--- a/src/lotushill/dispatch/cell.py
+++ b/src/lotushill/dispatch/cell.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.dispatch.demand import Demand
 from lotushill.dispatch.limits import Limits
 from lotushill.dispatch.messages import Ask
 from lotushill.dispatch.messages import Cancel
@@ -39,6 +40,8 @@
 
 _SHORTEST_RETRY_AFTER = 1.0
 _LONGEST_RETRY_AFTER = 30.0
+_TRUST_SECONDS = 5.0
+"""A class without a start for so long is started whatever is estimated of its run."""
 
 
 @dataclass(frozen=True)
@@ -49,6 +52,10 @@
     max_slots: int = 64
     max_waiting: int = 10_000
     lane_share: float = 0.03
+    finish_quantile: float = 0.97
+    """A request is started only while this share of its class's answers would still be whole."""
+    finish_share: float = 0.5
+    """Share of the time left that a lower tier's run may be expected to take."""
     contention: Contention = Contention.PAUSE
     tokens_per_load: float = 4000.0
     adapt: bool = True
@@ -70,6 +77,13 @@
         self._retries = RetryBudget(reserve=2.0 * options.max_slots)
         self._lengths: dict[ClassKey, LengthEstimate] = {}
         self._ends = Throughput()
+        self._gap = 0.0
+        """Usual seconds between tokens, 0 while unknown."""
+        self._slowest = 0.0
+        """Seconds between tokens on the slowest upstream, 0 while unknown."""
+        self._stopped: set[str] = set()
+        """Requests that were preempted and have not asked again."""
+        self._demand = Demand()
 
     # Upstreams
 
@@ -113,8 +127,8 @@
         running = self.running.get(ask.request)
         if running is not None and running.attempt == ask.attempt:
             return [self._grant_again(running)]
-        self._drop(ask.request)
-        if ask.attempt > 0 and not self._retries.spend():
+        self._drop(ask.request, now)
+        if ask.attempt > 0 and not self._was_preempted(ask) and not self._retries.spend():
             return [self._refuse(ask, RefusalReason.RETRY_BUDGET, now)]
         return self._admit(self._waiting(ask, now), now)
 
@@ -129,13 +143,13 @@
         running = self.running.get(end.request)
         if running is None or running.attempt != end.attempt:
             return self._advance(now)
-        self._settle(running, end.output_tokens)
+        self._settle(running, end.output_tokens, now)
         self._learn(running, end, now)
         return self._advance(now)
 
     def cancel(self, cancel: Cancel, now: float) -> list[Decision]:
         """Drop a request whose caller has gone."""
-        self._drop(cancel.request)
+        self._drop(cancel.request, now)
         return self._advance(now)
 
     def drop_entry(self, entry: str, now: float) -> list[Decision]:
@@ -144,12 +158,14 @@
         asks += [item.ask for item in self.waiting]
         for ask in asks:
             if ask.entry == entry:
-                self._drop(ask.request)
+                self._drop(ask.request, now)
         return self._advance(now)
 
     def tick(self, now: float) -> list[Decision]:
         """Give up what has expired and place what can be placed."""
-        return self._advance(now)
+        decisions = self._advance(now)
+        self._note_demand(now)
+        return decisions
 
     # Figures
 
@@ -170,12 +186,20 @@
     # Admission
 
     def _waiting(self, ask: Ask, now: float) -> Waiting:
-        expires = now + ask.time_left
+        length = self._length((ask.team, ask.service, ask.klass))
+        remaining = max(1.0, length.mean(ask.output_limit) - ask.resumed_tokens)
+        latest = ask.time_left
         if ask.refuse_early and ask.target and not ask.resumed_tokens:
-            expires = min(expires, now + ask.target)
-        expected = self._length((ask.team, ask.service, ask.klass)).mean(ask.output_limit)
-        remaining = max(1.0, expected - ask.resumed_tokens)
-        return Waiting(ask, now, expires, ask.prompt_tokens + remaining)
+            latest = min(latest, ask.target)
+        return Waiting(ask, now, now + latest, ask.prompt_tokens + remaining)
+
+    def _run_seconds(self, ask: Ask) -> float:
+        """Return the seconds that most answers of the class take, 0 while unknown."""
+        length = self._length((ask.team, ask.service, ask.klass))
+        if not length.known():
+            return 0.0
+        tokens = length.quantile(self.options.finish_quantile, ask.output_limit)
+        return max(0, tokens - ask.resumed_tokens) * self._slowest
 
     def _admit(self, waiting: Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
@@ -204,10 +228,17 @@
         if self.options.contention is Contention.QUEUE:
             return False
         return any(
-            item.tier > tier and item.waiting.ask.resumable and not item.in_lane
-            for item in self.running.values()
+            self._yields(upstream, tier) and upstream.least_done_below(tier) is not None
+            for upstream in self.upstreams.values()
         )
 
+    def _yields(self, upstream: UpstreamState, tier: int) -> bool:
+        """Return whether stopping a lower one there, and nothing less, makes room for `tier`."""
+        higher = upstream.count(tier)
+        if higher >= upstream.cap.slots or upstream.total() == higher:
+            return False
+        return not self._room(upstream, tier)
+
     def _shed(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         while len(self.waiting) > self.options.max_waiting:
@@ -221,6 +252,15 @@
 
     # Placing
 
+    def _note_demand(self, now: float) -> None:
+        """Note how many slots each tier asks for, running and waiting together."""
+        asked: dict[int, int] = {}
+        for item in self.running.values():
+            asked[item.tier] = asked.get(item.tier, 0) + 1
+        for tier in self.waiting.tiers():
+            asked[tier] = asked.get(tier, 0) + self.waiting.size(tier)
+        self._demand.note(asked, now)
+
     def _advance(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         for waiting in self.waiting.expired(now):
@@ -248,15 +288,53 @@
                 return decisions
             decisions.append(placed)
 
-    def _place_next(self, tier: int, open_ones: list[UpstreamState], now: float) -> Grant | None:
+    def _place_next(
+        self, tier: int, open_ones: list[UpstreamState], now: float
+    ) -> Grant | Refusal | None:
         for waiting in self.waiting.heads(tier):
             if self._limits.ready_at(waiting.class_key, waiting.ask, now) > now:
                 continue
+            if self._too_late(waiting, now):
+                return self._give_up(waiting, now)
+            if not self._can_finish(waiting, now):
+                continue
             choice = self._choose(waiting.ask, open_ones, now)
             if choice is not None:
                 return self._grant(waiting, choice, False, now)
         return None
 
+    def _too_late(self, waiting: Waiting, now: float) -> bool:
+        """Return whether most answers of the class would no longer be whole in time."""
+        if self._lane.idle_for(waiting.class_key, now) >= _TRUST_SECONDS:
+            # An estimate that lets nothing start would never be put right.
+            return False
+        time_left = waiting.since + waiting.ask.time_left - now
+        return time_left < self._run_seconds(waiting.ask)
+
+    def _give_up(self, waiting: Waiting, now: float) -> Refusal:
+        self.waiting.remove(waiting.ask.request)
+        return self._refuse(waiting.ask, RefusalReason.DEADLINE, now)
+
+    def _can_finish(self, waiting: Waiting, now: float) -> bool:
+        """Return whether a request would likely be whole in time beside the higher tiers.
+
+        What the higher tiers leave over, as they have been asking of late, is shared by the
+        lower ones that run. Work that would be paused until its deadline is better not begun.
+        """
+        ask = waiting.ask
+        higher = self._demand.level(ask.tier)
+        running = sum(item.total() - item.count(ask.tier - 1) for item in self.upstreams.values())
+        left_over = self.slots() - higher
+        if ask.tier == 0 or running + 1 <= left_over:
+            return True
+        tokens = self._length(waiting.class_key).mean(ask.output_limit) - ask.resumed_tokens
+        run = max(1.0, tokens) * self._gap
+        if not run:
+            return True
+        time_left = waiting.since + ask.time_left - now
+        allowed = left_over * self.options.finish_share * time_left / run
+        return running + 1 <= allowed
+
     def _place_lane(self, usable: list[UpstreamState], now: float) -> list[Decision]:
         decisions: list[Decision] = []
         in_lane = sum(item.lane() for item in usable)
@@ -267,6 +345,9 @@
             waiting = self.waiting.head(tier, key)
             if waiting is None or self._limits.ready_at(key, waiting.ask, now) > now:
                 continue
+            if self._too_late(waiting, now):
+                decisions.append(self._give_up(waiting, now))
+                continue
             choice = self._choose(waiting.ask, free, now)
             if choice is not None:
                 decisions.append(self._grant(waiting, choice, True, now))
@@ -282,8 +363,7 @@
             item.name not in ask.excluded and item.usable(now) for item in self.upstreams.values()
         ):
             return None
-        gap = usual_gap(self.upstreams.values())
-        return choose(ask, fresh or open_ones, gap, self.options.tokens_per_load)
+        return choose(ask, fresh or open_ones, self._gap, self.options.tokens_per_load)
 
     def _grant(self, waiting: Waiting, choice: Choice, in_lane: bool, now: float) -> Grant:
         ask = waiting.ask
@@ -302,7 +382,8 @@
         ask = waiting.ask
         running = Running(waiting, ask.attempt, upstream.name, now, in_lane)
         self.running[ask.request] = running
-        upstream.running[ask.request] = running
+        upstream.start(running, now)
+        running.filled = upstream.total() == upstream.cap.slots
         upstream.prefixes.add(ask.prefix)
         self.waiting.charge(waiting, waiting.expected_tokens)
         self._limits.start(waiting.class_key, ask, waiting.expected_tokens, now)
@@ -327,29 +408,34 @@
     def _preempt_for(self, tier: int, usable: list[UpstreamState], now: float) -> list[Decision]:
         if self.options.contention is Contention.QUEUE:
             return []
+        if not self._lower_can_yield(tier):
+            return []
         decisions: list[Decision] = []
         pending = sum(item.preempted for item in self.running.values())
         for waiting in list(self.waiting.heads(tier))[pending:]:
             if self._limits.ready_at(waiting.class_key, waiting.ask, now) > now:
                 continue
-            victims = [item.least_done_below(tier) for item in usable]
+            if not self._can_finish(waiting, now):
+                continue
+            victims = [item.least_done_below(tier) for item in usable if self._yields(item, tier)]
             found = [item for item in victims if item is not None]
             if not found:
                 return decisions
             victim = max(found, key=lambda item: (item.tier, item.started))
             victim.preempted = True
             request = victim.waiting.ask.request
+            self._stopped.add(request)
             decisions.append(Preemption(request, victim.attempt, victim.upstream))
         return decisions
 
     # Ends
 
-    def _settle(self, running: Running, output_tokens: int) -> None:
+    def _settle(self, running: Running, output_tokens: int, now: float) -> None:
         """Take an attempt off the books and correct what was charged for it."""
         waiting = running.waiting
         del self.running[waiting.ask.request]
         upstream = self.upstreams[running.upstream]
-        upstream.running.pop(waiting.ask.request, None)
+        upstream.finish(waiting.ask.request, now)
         correction = waiting.ask.prompt_tokens + output_tokens - waiting.expected_tokens
         self.waiting.charge(waiting, correction)
         self._limits.end(waiting.class_key, correction)
@@ -363,26 +449,39 @@
         if end.kind is EndKind.COMPLETED:
             self._ends.add(now)
             key = running.waiting.class_key
+            self._gap = usual_gap(self.upstreams.values())
+            self._slowest = max(item.health.gap for item in self.upstreams.values())
             self._length(key).add(end.output_tokens + running.waiting.ask.resumed_tokens)
-            if upstream.health.succeed(end.between_tokens):
+            undisturbed = upstream.undisturbed(running)
+            if upstream.health.succeed(end.between_tokens if undisturbed else 0.0):
                 upstream.cap.restart()
                 upstream.prefixes.clear()
-            self._adapt(upstream, running.waiting.ask, end, now)
+            self._adapt(upstream, running, end, now)
         elif end.kind in (EndKind.NOT_SENT, EndKind.BROKEN, EndKind.REJECTED):
             upstream.health.fail(end.kind is EndKind.NOT_SENT, now)
 
-    def _adapt(self, upstream: UpstreamState, ask: Ask, end: End, now: float) -> None:
-        if not self.options.adapt or not ask.target or not end.first_token:
+    def _adapt(self, upstream: UpstreamState, running: Running, end: End, now: float) -> None:
+        ask = running.waiting.ask
+        if not self.options.adapt or not end.first_token:
+            return
+        if not upstream.undisturbed(running):
             return
-        within = end.first_token <= ask.target
-        was_full = upstream.count(ask.tier) + 1 >= upstream.cap.slots
-        upstream.cap.observe(within, was_full, now)
+        lowest = upstream.count(ask.tier) == upstream.total()
+        may_grow = lowest and running.filled
+        upstream.cap.observe(end.first_token, ask.target, may_grow, now)
+
+    def _was_preempted(self, ask: Ask) -> bool:
+        """Return whether this ask follows a preemption, which costs no retry."""
+        if ask.request not in self._stopped:
+            return False
+        self._stopped.discard(ask.request)
+        return True
 
-    def _drop(self, request: str) -> None:
+    def _drop(self, request: str, now: float) -> None:
         self.waiting.remove(request)
         running = self.running.get(request)
         if running is not None:
-            self._settle(running, 0)
+            self._settle(running, 0, now)
 
     # Refusals
 
@@ -397,4 +496,7 @@
         return Refusal(ask.request, ask.attempt, reason, retry_after)
 
     def _length(self, key: ClassKey) -> LengthEstimate:
-        return self._lengths.setdefault(key, LengthEstimate())
+        found = self._lengths.get(key)
+        if found is None:
+            found = self._lengths[key] = LengthEstimate()
+        return found
--- a/src/lotushill/dispatch/progress_lane.py
+++ b/src/lotushill/dispatch/progress_lane.py
@@ -32,6 +32,10 @@
         """Note that a class started a request, in the lane or not."""
         self._last_start[key] = now
 
+    def idle_for(self, key: ClassKey, now: float) -> float:
+        """Return the seconds since a class last started a request."""
+        return now - self._last_start.setdefault(key, now)
+
     def order(self, waiting: list[tuple[int, ClassKey]], now: float) -> list[tuple[int, ClassKey]]:
         """Return the waiting classes in need of the lane, the longest without a start first."""
         needy: list[tuple[float, int, ClassKey]] = []
--- a/src/lotushill/dispatch/upstream_state.py
+++ b/src/lotushill/dispatch/upstream_state.py
@@ -26,6 +26,8 @@
     in_lane: bool
     """Whether it runs in the room set aside for progress."""
     preempted: bool = False
+    filled: bool = False
+    """Whether it took the last of the cap's slots."""
 
     @property
     def tier(self) -> int:
@@ -46,6 +48,10 @@
     running: dict[str, Running] = field(default_factory=dict)
     health: Health = field(default_factory=Health)
     prefixes: PrefixMemory = field(default_factory=PrefixMemory)
+    _by_tier: dict[int, int] = field(default_factory=dict)
+    _lane: int = 0
+    _crowded_at: float = float("-inf")
+    """When more than the cap's slots were last in use."""
 
     def usable(self, now: float) -> bool:
         """Return whether the upstream may be given new work at all."""
@@ -54,17 +60,48 @@
             return False
         return self.health.phase is Phase.SERVING or not self.running
 
+    def start(self, item: Running, now: float) -> None:
+        """Take an attempt on the books."""
+        self.running[item.waiting.ask.request] = item
+        if item.in_lane:
+            self._lane += 1
+        else:
+            self._by_tier[item.tier] = self._by_tier.get(item.tier, 0) + 1
+        self._note_crowd(now)
+
+    def finish(self, request: str, now: float) -> None:
+        """Take an attempt off the books."""
+        self._note_crowd(now)
+        item = self.running.pop(request, None)
+        if item is None:
+            return
+        if item.in_lane:
+            self._lane -= 1
+        else:
+            self._by_tier[item.tier] -= 1
+
+    def undisturbed(self, item: Running) -> bool:
+        """Return whether an attempt ran all its time without being paused for others.
+
+        Over the cap lower ones are paused; their timing says nothing of the upstream.
+        """
+        return item.started > self._crowded_at
+
+    def _note_crowd(self, now: float) -> None:
+        if self.total() > self.cap.slots:
+            self._crowded_at = now
+
     def count(self, tier: int) -> int:
         """Return how many of a tier and higher ones run outside the lane."""
-        return sum(1 for item in self.running.values() if item.tier <= tier and not item.in_lane)
+        return sum(number for rank, number in self._by_tier.items() if rank <= tier)
 
     def total(self) -> int:
         """Return how many run outside the lane."""
-        return sum(1 for item in self.running.values() if not item.in_lane)
+        return len(self.running) - self._lane
 
     def lane(self) -> int:
         """Return how many run in the lane."""
-        return sum(1 for item in self.running.values() if item.in_lane)
+        return self._lane
 
     def least_done_below(self, tier: int) -> Running | None:
         """Return the attempt to stop for a request of `tier`: lowest tier, least time spent."""
--- a/src/lotushill/dispatch/waiting_room.py
+++ b/src/lotushill/dispatch/waiting_room.py
@@ -104,7 +104,11 @@
         if key not in classes:
             shares = queue.class_shares.setdefault(ask.team, FairShare())
             shares.enter(key, list(classes))
-        classes.setdefault(key, OrderedDict())[ask.request] = waiting
+        members = classes.setdefault(key, OrderedDict())
+        members[ask.request] = waiting
+        if ask.resumed_tokens:
+            # What has been begun goes on first: only whole answers are worth anything.
+            members.move_to_end(ask.request, last=False)
         queue.size += 1
         self._class_sizes[key] = self._class_sizes.get(key, 0) + 1
         self._by_request[ask.request] = waiting
--- a/src/lotushill/load/fake_engine.py
+++ b/src/lotushill/load/fake_engine.py
@@ -42,6 +42,7 @@
         self.batch = Batch(shape.slots, PREFILL_PER_STEP)
         self.runs: dict[str, Run] = {}
         self.step_scheduled = False
+        self._joining: list[tuple[str, int, float, int, int]] = []
         self.prefilled = 0.0
         """Prompt tokens read so far."""
         self._honours_priority = honours_priority
@@ -52,11 +53,20 @@
         prefill = max(0.0, request.prompt - self._cached(request.prefix))
         self.prefilled += prefill + already
         level = priority if self._honours_priority else 0
-        self.batch.add(request.name, level, prefill, request.output, already)
+        self._joining.append((request.name, level, prefill, request.output, already))
+        if not self.step_scheduled:
+            self._join()
         run = Run(request, attempt, now, already)
         self.runs[request.name] = run
         return run
 
+    def _join(self) -> None:
+        """Let in what came during a step; it takes part from the next one on."""
+        for name, priority, prefill, length, already in self._joining:
+            if name in self.runs or not self.step_scheduled:
+                self.batch.add(name, priority, prefill, length, already)
+        self._joining.clear()
+
     def remove(self, name: str) -> Run | None:
         """Take a request out before its end."""
         self.batch.remove(name)
@@ -73,6 +83,7 @@
                 run.first_token = now
             if sequence.done:
                 ended.append(self.runs.pop(sequence.request))
+        self._join()
         return ended
 
     def crash(self) -> list[Run]:
@@ -81,6 +92,7 @@
         lost = list(self.runs.values())
         self.runs.clear()
         self.batch.sequences.clear()
+        self._joining.clear()
         self._cache.clear()
         return lost
 
--- a/src/lotushill/load/policy.py
+++ b/src/lotushill/load/policy.py
@@ -80,14 +80,16 @@
 
     classes: dict[str, ClassResult] = field(default_factory=dict)
     good_tokens: int = 0
+    """Of answers that were whole before the arrivals ended."""
+    whole_tokens: int = 0
+    """Of all answers that were whole, late in the run or not."""
     wasted_tokens: int = 0
-    useful_prefill: float = 0.0
     team_tokens: dict[str, int] = field(default_factory=dict)
 
     @property
     def wasted_share(self) -> float:
         """Return wasted tokens over all that were produced."""
-        total = self.good_tokens + self.wasted_tokens
+        total = self.whole_tokens + self.wasted_tokens
         return self.wasted_tokens / total if total else 0.0
 
 
@@ -180,8 +182,9 @@
             self._at(self.now + engine.shape.step, lambda: self._step(engine))
 
     def _step(self, engine: FakeEngine) -> None:
+        ended = engine.step(self.now)
         engine.step_scheduled = False
-        for run in engine.step(self.now):
+        for run in ended:
             self._complete(run)
         self._schedule(engine)
 
@@ -255,6 +258,7 @@
                 continue
             figures.completed += 1
             figures.attained += _in_time(fate)
+            result.whole_tokens += request.output
             if _WARM_UP <= fate.ended <= until:
                 result.good_tokens += request.output
                 tokens[request.team] += request.output
@@ -302,6 +306,10 @@
     Policy("queue", _cell(contention=Contention.QUEUE)),
     Policy("no-prefix", _cell(tokens_per_load=0.0)),
     Policy("fixed-cap", _cell(adapt=False)),
+    Policy("finish-0.7", _cell(finish_quantile=0.7)),
+    Policy("finish-0.9", _cell(finish_quantile=0.9)),
+    Policy("finish-0.97", _cell(finish_quantile=0.97)),
+    Policy("finish-0.99", _cell(finish_quantile=0.99)),
     Policy("no-lane", _cell(lane_share=0.0)),
     Policy("hall-cells", _hall_cells),
 )
--- a/src/lotushill/upstreams/length_estimate.py
+++ b/src/lotushill/upstreams/length_estimate.py
@@ -18,13 +18,15 @@
     def __init__(self) -> None:
         self._old = _histogram()
         self._new = _histogram()
-        self._sum = 0.0
         self._mean = 0.0
+        self._known: dict[float, int] = {}
+        """Quantiles already worked out since the last answer."""
 
     def add(self, tokens: int) -> None:
         """Learn the length of one whole answer."""
         if self._new.get_total_count() >= _HALF_LIFE:
             self._old, self._new = self._new, _histogram()
+        self._known.clear()
         self._new.record_value(max(1, min(tokens, _LONGEST)))
         weight = 1.0 / min(_HALF_LIFE, self.count())
         self._mean += weight * (tokens - self._mean)
@@ -33,18 +35,26 @@
         """Return how many answers are remembered."""
         return int(self._old.get_total_count() + self._new.get_total_count())
 
+    def known(self) -> bool:
+        """Return whether enough answers were seen to say anything of the next."""
+        return self.count() >= _FEWEST
+
     def mean(self, limit: int) -> float:
         """Return the expected length; `limit` stands in until enough is known."""
-        if self.count() < _FEWEST:
+        if not self.known():
             return limit / 4
         return min(self._mean, float(limit))
 
     def quantile(self, share: float, limit: int) -> int:
         """Return the length that `share` of answers stay below, at most `limit`."""
-        if self.count() < _FEWEST:
+        if not self.known():
             return limit
-        full = self._new if self._new.get_total_count() >= _FEWEST else self._old
-        return min(limit, int(full.get_value_at_percentile(share * 100)))
+        found = self._known.get(share)
+        if found is None:
+            enough = self._new.get_total_count() >= _FEWEST
+            source = self._new if enough else self._old
+            found = self._known[share] = int(source.get_value_at_percentile(share * 100))
+        return min(limit, found)
 
 
 def _histogram() -> HdrHistogram:
--- a/tests/dispatch/test_cell_progress.py
+++ b/tests/dispatch/test_cell_progress.py
@@ -11,6 +11,7 @@
 
 from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.messages import Decision
+from lotushill.dispatch.messages import End
 from lotushill.dispatch.messages import EndKind
 from lotushill.dispatch.messages import Grant
 from lotushill.dispatch.messages import Refusal
@@ -264,3 +265,45 @@
         driver.cell.adopt(make_ask("old"), "up-0", driver.now)
         driver.ask(make_ask("new"))
         self.assertEqual(driver.granted, {})
+
+
+class TestEstimates(unittest.TestCase):
+    def test_an_estimate_that_forbids_all_starts_is_not_believed_for_ever(self) -> None:
+        """A class whose answers seem to take longer than its deadline still gets starts."""
+        driver = CellDriver(CellOptions(slots=2, max_slots=2, lane_share=0.0), upstreams=1)
+        for index in range(12):
+            driver.ask(make_ask(f"slow-{index}", output_limit=100_000))
+            driver.now += 1.0
+            driver.end(f"slow-{index}", tokens=50_000)
+        started = 0
+        for index in range(100):
+            driver.ask(make_ask(f"next-{index}", output_limit=100_000, time_left=30.0))
+            if f"next-{index}" in driver.granted:
+                started += 1
+                driver.end(f"next-{index}", tokens=50_000)
+            driver.pass_time(1.0)
+        self.assertGreaterEqual(started, 10)
+        self.assertLessEqual(started, 30)
+
+    def test_what_was_begun_goes_on_before_what_was_not(self) -> None:
+        driver = CellDriver(CellOptions(slots=1, max_slots=1, lane_share=0.0), upstreams=1)
+        for name in ("running", "new"):
+            driver.ask(make_ask(name))
+        driver.ask(make_ask("begun", attempt=1, resumed_tokens=40))
+        driver.end("running")
+        self.assertEqual(set(driver.granted), {"begun"})
+
+    def test_the_cap_does_not_grow_into_the_engines_own_queue(self) -> None:
+        driver = CellDriver(CellOptions(slots=4, max_slots=64, lane_share=0.0), upstreams=1)
+        for index in range(400):
+            driver.ask(make_ask(f"r{index}"))
+        upstream = driver.cell.upstreams["up-0"]
+        for _ in range(300):
+            driver.now += 0.05
+            request, grant = next(iter(driver.granted.items()))
+            # Four sequences run at a time; what is over them waits inside the engine.
+            waited = 0.02 if upstream.total() <= 4 else 0.5
+            del driver.granted[request]
+            end = End(request, 0, grant.cell, grant.upstream, EndKind.COMPLETED, 50, waited, 0.01)
+            driver.take(driver.cell.end(end, driver.now))
+        self.assertLessEqual(upstream.cap.slots, 6)
