Survive the loss and the silence of a dispatcher

Cause: an entry whose dispatcher was gone dialled it again and again until membership had made up its mind (0.75 s), and in that time no request of any tier was placed; a dispatcher that had been frozen went on with books that nobody kept any more. Change: a broken link makes the entry pass over that member at once; an owner that is silent for 0.2 s no longer holds up the top tier, which the entry places within its own share; a member that hears it was taken for lost forgets its cells; cells decided elsewhere are forgotten after 2 s; attempts long past their deadline are dropped. Ruled out: waiting for membership alone; a top tier with a target of 0.5 s misses it.

--- a/src/lotushill/dispatch/cell.py
+++ b/src/lotushill/dispatch/cell.py
@@ -40,6 +40,8 @@
 
 _SHORTEST_RETRY_AFTER = 1.0
 _LONGEST_RETRY_AFTER = 30.0
+_CHECK_SECONDS = 1.0
+_OVERDUE_SECONDS = 10.0
 _TRUST_SECONDS = 5.0
 """A class without a start for so long is started whatever is estimated of its run."""
 
@@ -77,6 +79,7 @@
         self._retries = RetryBudget(reserve=2.0 * options.max_slots)
         self._lengths: dict[ClassKey, LengthEstimate] = {}
         self._ends = Throughput()
+        self._next_check = 0.0
         self._gap = 0.0
         """Usual seconds between tokens, 0 while unknown."""
         self._slowest = 0.0
@@ -163,10 +166,20 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Give up what has expired and place what can be placed."""
+        self._drop_overdue(now)
         decisions = self._advance(now)
         self._note_demand(now)
         return decisions
 
+    def _drop_overdue(self, now: float) -> None:
+        """Drop attempts long past their deadline: the report of their end was lost."""
+        if now < self._next_check:
+            return
+        self._next_check = now + _CHECK_SECONDS
+        for request, item in list(self.running.items()):
+            if now - item.waiting.since > item.waiting.ask.time_left + _OVERDUE_SECONDS:
+                self._drop(request, now)
+
     # Figures
 
     def slots(self) -> int:
--- a/src/lotushill/dispatch/dispatcher.py
+++ b/src/lotushill/dispatch/dispatcher.py
@@ -24,6 +24,10 @@
 """A new dispatcher hears what is already running for so long before it grants anything."""
 
 
+HAND_OVER_SECONDS = 2.0
+"""A cell that another member decides for is kept so long, for entries that do not know yet."""
+
+
 @dataclass(frozen=True)
 class Routed:
     """A decision and the entry host that it goes to."""
@@ -47,6 +51,8 @@
         """Entry of each request that waits or runs."""
         self._upstreams: tuple[HostRecord, ...] = ()
         self._halls: frozenset[str] | None = None
+        self._unowned: dict[str, float] = {}
+        """Since when another member decides for a cell that is still held here."""
         self._leaving: frozenset[str] = frozenset()
         """Upstreams that say of themselves that they are leaving."""
 
@@ -68,6 +74,7 @@
 
     def tick(self, now: float) -> list[Routed]:
         """Do what time brings in every cell."""
+        self._drop_unowned(now)
         decisions = [item for cell in self.cells.values() for item in cell.tick(now)]
         self._forget()
         return self._route(decisions)
@@ -98,6 +105,26 @@
         for cell in self.cells.values():
             self._supply(cell)
 
+    def reset(self) -> None:
+        """Forget every cell; entries tell what runs and waits to whoever decides now."""
+        self.cells.clear()
+        self._entries.clear()
+        self._unowned.clear()
+
+    def keep_cells(self, owned: Callable[[str], bool], now: float) -> None:
+        """Forget cells that another member has been deciding for long enough."""
+        for name in list(self.cells):
+            if owned(name):
+                self._unowned.pop(name, None)
+            else:
+                self._unowned.setdefault(name, now)
+
+    def _drop_unowned(self, now: float) -> None:
+        for name, since in list(self._unowned.items()):
+            if now - since >= HAND_OVER_SECONDS:
+                self.cells.pop(name, None)
+                del self._unowned[name]
+
     def _cell(self, name: str, now: float) -> Cell:
         cell = self.cells.get(name)
         if cell is None:
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -28,6 +28,7 @@
 from lotushill.hosts.heartbeat import Heartbeat
 from lotushill.hosts.membership import Membership
 from lotushill.hosts.membership import MembershipOptions
+from lotushill.hosts.rendezvous import owner
 from lotushill.hosts.upstream_watch import UpstreamWatch
 from lotushill.links.address import split_address
 from lotushill.links.asgi import send_json
@@ -35,6 +36,8 @@
 from lotushill.links.messages import Held
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
+from lotushill.links.messages import Ping
+from lotushill.links.messages import Pong
 from lotushill.links.messages import Pull
 from lotushill.links.messages import Pulled
 from lotushill.links.peer_links import PeerLinks
@@ -86,12 +89,16 @@
             settings.name, seal, self._peer_address, self._on_message, self._on_link_down
         )
         self.dispatcher = Dispatcher(self._cell_options)
-        self.dispatch = DispatchClient(settings.name, self.dispatcher, self.links.post)
+        self.dispatch = DispatchClient(
+            settings.name, self.dispatcher, self.links.post, time.monotonic, self._slots_of
+        )
         self.follower = Follower(
             self.platform, self.membership, self.links.post, self._on_generation, rng
         )
         self.upstreams = UpstreamClient()
-        self.watch = UpstreamWatch(self.platform, self.dispatcher, rng)
+        self.watch = UpstreamWatch(
+            self.platform, self.dispatcher, self.dispatch.fallback, settings.region, rng
+        )
         self.journal = Journal()
         self.front_door = FrontDoor(
             FrontDoorParts(
@@ -108,6 +115,7 @@
         self.callers_server = HttpServer(self.front_door, settings.callers)
         self.status_server = HttpServer(self._serve_status, settings.status)
         self._live: frozenset[str] = frozenset()
+        self._taken_for_lost = 0
         self._group: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -175,6 +183,7 @@
         while True:
             await anyio.sleep(_TICK_SECONDS)
             self._carry_out(self.dispatcher.tick(time.monotonic()))
+            self.dispatch.tick()
             self.follower.hear(time.monotonic())
 
     def _book(self) -> Book | None:
@@ -187,6 +196,9 @@
         found = book.pool(pool)
         return CellOptions(slots=found.slots, max_slots=found.max_slots)
 
+    def _slots_of(self, cell: str) -> int:
+        return self._cell_options(cell.partition("@")[0]).slots
+
     def _peer_address(self, name: str) -> str | None:
         member = self.membership.find(name)
         return member.address if member else None
@@ -206,10 +218,18 @@
             if member is None or member.phase is MemberPhase.LOST:
                 self._carry_out(self.dispatcher.drop_entry(gone, time.monotonic()))
         self._live = names
+        if self.membership.taken_for_lost != self._taken_for_lost:
+            # Others have moved on to another dispatcher; what is on the books here is stale.
+            self._taken_for_lost = self.membership.taken_for_lost
+            self.dispatcher.reset()
         self.dispatch.follow(sorted(names))
+        self.dispatcher.keep_cells(
+            lambda cell: owner(cell, names) in (None, self.settings.name), time.monotonic()
+        )
         self.follower.hear(time.monotonic())
 
     def _on_message(self, sender: str, message: Message) -> None:
+        self.dispatch.hear(sender)
         if isinstance(message, Ask | End | Cancel | Held):
             now = time.monotonic()
             self._carry_out(self.dispatcher.handle(sender, message, now))
@@ -219,10 +239,12 @@
             self.links.post(sender, self.follower.answer_pull(message))
         elif isinstance(message, Pulled):
             self.follower.take_pulled(message)
+        elif isinstance(message, Ping):
+            self.links.post(sender, Pong(self.settings.name, message.sequence, "", ()))
 
     def _on_link_down(self, peer: str) -> None:
         if peer in self._live:
-            self.dispatch.repeat_to(peer)
+            self.dispatch.avoid(peer)
 
     def _carry_out(self, routed: list[Routed]) -> None:
         for item in routed:
--- a/src/lotushill/hosts/membership.py
+++ b/src/lotushill/hosts/membership.py
@@ -117,6 +117,8 @@
         self._seen: OrderedDict[tuple[str, int, bool, str], None] = OrderedDict()
         self._next_ping = 0.0
         self._changes: list[MemberChange] = []
+        self.taken_for_lost = 0
+        """Times that this member heard that others had taken it for lost."""
         self.dropped = 0
         """Packets dropped as replayed or addressed wrongly."""
 
@@ -300,6 +302,8 @@
     def _refute(self, state: MemberState) -> None:
         newer = state.incarnation > self.own.incarnation
         wrong = state.incarnation == self.own.incarnation and state.phase is not self.own.phase
+        if state.phase is MemberPhase.LOST and (newer or wrong):
+            self.taken_for_lost += 1
         if newer or wrong:
             self.own = replace(self.own, incarnation=state.incarnation + 1)
 
--- a/src/lotushill/hosts/upstream_watch.py
+++ b/src/lotushill/hosts/upstream_watch.py
@@ -17,6 +17,7 @@
     import random
 
     from lotushill.dispatch.dispatcher import Dispatcher
+    from lotushill.dispatch.fallback import Fallback
     from lotushill.platform.objects import HostList
     from lotushill.platform.objects import HostRecord
 
@@ -31,9 +32,18 @@
 class UpstreamWatch:
     """Keeps a dispatcher's upstreams up to date; an outage keeps what was last known."""
 
-    def __init__(self, hosts: HostList, dispatcher: Dispatcher, rng: random.Random) -> None:
+    def __init__(
+        self,
+        hosts: HostList,
+        dispatcher: Dispatcher,
+        fallback: Fallback,
+        region: str,
+        rng: random.Random,
+    ) -> None:
         self._hosts = hosts
         self._dispatcher = dispatcher
+        self._fallback = fallback
+        self._region = region
         self._rng = rng
         self._pool = httpcore.AsyncConnectionPool(max_connections=256)
         self.records: tuple[HostRecord, ...] = ()
@@ -46,11 +56,20 @@
                 self.records = await self._hosts.hosts()
                 self.known = True
                 self._dispatcher.set_upstreams(self.records)
+                self._fallback.follow(self.records, self._cells())
             except UnavailableError as error:
                 log.info("Host list gives no answer. error=%r", error)
             pause = _OWNER_SECONDS if self._dispatcher.cells else _OTHER_SECONDS
             await anyio.sleep((pause if self.known else 0.3) * self._rng.uniform(0.8, 1.2))
 
+    def _cells(self) -> dict[str, str]:
+        """Return the cell of each upstream of the own region."""
+        return {
+            record.name: cell_name(record.pool, record.region)
+            for record in self.records
+            if record.pool and record.region == self._region
+        }
+
     async def follow_health(self) -> None:
         """Ask the upstreams of this member's cells for their health, for ever."""
         while True:
--- a/tests/callers/rig.py
+++ b/tests/callers/rig.py
@@ -107,7 +107,7 @@
         self._store = await self._listen(group, self.platform)
         self.dispatcher = Dispatcher(lambda pool: self.options)
         self.dispatcher.set_upstreams(self.records)
-        self.dispatch = DispatchClient("entry-0", self.dispatcher, lambda *_: None)
+        self.dispatch = DispatchClient("entry-0", self.dispatcher, lambda *_: None, time.monotonic)
         self.upstreams = UpstreamClient()
         self.objects = HttpPlatform(f"http://{self._store}")
         parts = FrontDoorParts(
