--- a/src/lotushill/upstreams/client.py
+++ b/src/lotushill/upstreams/client.py
@@ -9,6 +9,8 @@
 
 import httpcore
 
+from lotushill.links.direct_stream import DirectBackend
+from lotushill.links.direct_stream import DirectStream
 from lotushill.upstreams.exceptions import BrokenError
 from lotushill.upstreams.exceptions import NotSentError
 from lotushill.upstreams.exceptions import RejectedError
@@ -46,34 +48,42 @@
 class UpstreamAnswer:
     """An answer that has begun."""
 
-    def __init__(self, response: httpcore.Response) -> None:
+    def __init__(self, response: httpcore.Response, silence: float) -> None:
         self._response = response
+        self._silence = silence
         self.status = response.status
         self.headers: list[tuple[bytes, bytes]] = response.headers
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes; raise BrokenError if it does not come whole."""
+        stream = self._response.extensions.get("network_stream")
         try:
-            async for chunk in self._response.aiter_stream():
-                yield chunk
+            if isinstance(stream, DirectStream) and self._is_chunked():
+                async for chunk in stream.chunked_body(self._silence):
+                    yield chunk
+            else:
+                async for chunk in self._response.aiter_stream():
+                    yield chunk
         except _FAILURES as error:
             raise BrokenError(repr(error), True) from error
 
+    def _is_chunked(self) -> bool:
+        return any(
+            name.lower() == b"transfer-encoding" and value.strip().lower() == b"chunked"
+            for name, value in self.headers
+        )
+
 
 class UpstreamClient:
     """Connections to all upstreams."""
 
-    def __init__(
-        self,
-        max_connections: int = 10_000,
-        backend: httpcore.AsyncNetworkBackend | None = None,
-    ) -> None:
+    def __init__(self, max_connections: int = 10_000) -> None:
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
             max_keepalive_connections=256,
             keepalive_expiry=_KEEP_ALIVE_SECONDS,
             retries=0,
-            network_backend=backend,
+            network_backend=DirectBackend(),
         )
 
     async def close(self) -> None:
@@ -89,7 +99,7 @@
         trace = _SendTrace()
         response = await self._head(request, trace)
         try:
-            yield UpstreamAnswer(response)
+            yield UpstreamAnswer(response, request.silence)
         finally:
             await response.aclose()
 
--- a/tests/callers/rig.py
+++ b/tests/callers/rig.py
@@ -195,4 +195,5 @@
         async with open_rig(rig):
             await scenario(rig)
 
-    anyio.run(main)
+    # The same loop as in the programs: its transports differ from asyncio's.
+    anyio.run(main, backend_options={"use_uvloop": True})
