--- /dev/null
+++ b/src/lotushill/contracts/merge.py
@@ -0,0 +1,69 @@
+"""Three-way merging of settings: edits of different values go together, others conflict."""
+
+from __future__ import annotations
+
+import copy
+from dataclasses import dataclass
+from typing import Any
+
+_ABSENT = object()
+
+
+@dataclass(frozen=True)
+class Clash:
+    """A value that two edits changed differently; None stands for removed."""
+
+    path: str
+    base: Any
+    ours: Any
+    theirs: Any
+
+    def __str__(self) -> str:
+        return f"{self.path}: was {self.base!r}, ours {self.ours!r}, theirs {self.theirs!r}"
+
+
+@dataclass(frozen=True)
+class Merged:
+    """The outcome of a merge; with clashes, the data holds their side of each."""
+
+    data: Any
+    clashes: tuple[Clash, ...]
+
+
+def merge(base: Any, ours: Any, theirs: Any) -> Merged:
+    """Merge two edits of one base."""
+    clashes: list[Clash] = []
+    data = _merge("", base, ours, theirs, clashes)
+    return Merged(None if data is _ABSENT else data, tuple(clashes))
+
+
+def _merge(path: str, base: Any, ours: Any, theirs: Any, clashes: list[Clash]) -> Any:
+    if ours in (theirs, base):
+        return copy.deepcopy(theirs) if theirs is not _ABSENT else _ABSENT
+    if theirs == base:
+        return copy.deepcopy(ours) if ours is not _ABSENT else _ABSENT
+    if isinstance(ours, dict) and isinstance(theirs, dict):
+        return _merge_levels(path, base if isinstance(base, dict) else {}, ours, theirs, clashes)
+    clashes.append(Clash(path or "(document)", _shown(base), _shown(ours), _shown(theirs)))
+    return theirs
+
+
+def _merge_levels(
+    path: str,
+    base: dict[str, Any],
+    ours: dict[str, Any],
+    theirs: dict[str, Any],
+    clashes: list[Clash],
+) -> dict[str, Any]:
+    merged: dict[str, Any] = {}
+    for key in [*theirs, *(key for key in ours if key not in theirs)]:
+        inner = f"{path}.{key}" if path else key
+        was, mine, other = (side.get(key, _ABSENT) for side in (base, ours, theirs))
+        value = _merge(inner, was, mine, other, clashes)
+        if value is not _ABSENT:
+            merged[key] = value
+    return merged
+
+
+def _shown(value: Any) -> Any:
+    return None if value is _ABSENT else value
--- /dev/null
+++ b/src/lotushill/contracts/paths.py
@@ -0,0 +1,54 @@
+"""Reading and changing plain settings data by a dotted path."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+from lotushill.contracts.exceptions import UnknownPathError
+
+
+def find(data: Any, path: str) -> Any:
+    """Return the value at a path; raise UnknownPathError if there is none."""
+    value = data
+    for part in path.split("."):
+        if not isinstance(value, dict) or part not in value:
+            raise UnknownPathError(path)
+        value = value[part]
+    return value
+
+
+def put(data: dict[str, Any], path: str, value: Any) -> dict[str, Any]:
+    """Return a copy with the value at a path set, and the levels above it made."""
+    changed = copy.deepcopy(data)
+    *above, last = path.split(".")
+    level = changed
+    for part in above:
+        inner = level.setdefault(part, {})
+        if not isinstance(inner, dict):
+            raise UnknownPathError(path)
+        level = inner
+    level[last] = value
+    return changed
+
+
+def remove(data: dict[str, Any], path: str) -> dict[str, Any]:
+    """Return a copy without the value at a path; raise UnknownPathError if there is none."""
+    find(data, path)
+    changed = copy.deepcopy(data)
+    *above, last = path.split(".")
+    level = changed
+    for part in above:
+        level = level[part]
+    del level[last]
+    return changed
+
+
+def flatten(data: Any, prefix: str = "") -> dict[str, Any]:
+    """Return every leaf by its path; an empty level is a leaf of its own."""
+    if not isinstance(data, dict) or not data:
+        return {prefix: data}
+    found: dict[str, Any] = {}
+    for key, value in data.items():
+        found.update(flatten(value, f"{prefix}.{key}" if prefix else str(key)))
+    return found
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -25,6 +25,7 @@
 from lotushill.dispatch.messages import Preemption
 from lotushill.dispatch.messages import Refusal
 from lotushill.hosts.follower import Follower
+from lotushill.hosts.hall_status import HallStatus
 from lotushill.hosts.heartbeat import Heartbeat
 from lotushill.hosts.membership import Membership
 from lotushill.hosts.membership import MembershipOptions
@@ -132,6 +133,7 @@
             group.start_soon(self.watch.follow_health)
             group.start_soon(self.status_server.serve)
             group.start_soon(self.callers_server.serve)
+            group.start_soon(HallStatus(self.membership, self.platform).run)
             group.start_soon(self._tick)
             log.info("Started. name=%s hall=%s", self.settings.name, self.settings.hall)
             await self._wait_for_stop()
