Split the cell into ledger, estimates and placer; decide for less

Cause: each decision went over every upstream for each grant, sorted all teams and looked for victims where none could help; 720 us an ask with 33 engines, 2,236 us with 1,000 waiting. Change: open upstreams are found once a tier, teams are kept in the order of their shares, the lane is looked at on ticks only, victims only where an upstream is at its ceiling; the module of 590 lines is four with one job each. Ruled out: fewer candidates (power of choices), which would give up exactness for cost.

--- /dev/null
+++ b/scripts/break_rules.py
@@ -0,0 +1,292 @@
+"""Breaks one rule at a time in a scratch copy and shows that its proof fails.
+
+Each line of the table names the rule, the file, the code that keeps it, what it is replaced by,
+and the tests that must fail then. Run outside CI: `python scripts/break_rules.py`.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+_SECONDS = 240
+_PARALLEL = 4
+
+
+@dataclass(frozen=True)
+class Break:
+    """One rule, broken."""
+
+    rule: str
+    file: str
+    code: str
+    broken: str
+    tests: str
+
+
+BREAKS = (
+    Break(
+        "a higher tier is never shed for a lower one",
+        "dispatch/cell.py",
+        "lowest = self.waiting.tiers()[-1]",
+        "lowest = self.waiting.tiers()[0]",
+        "tests.dispatch.test_cell_history",
+    ),
+    Break(
+        "only a lower tier is preempted",
+        "dispatch/upstream_state.py",
+        "if item.tier > tier",
+        "if item.tier >= tier",
+        "tests.dispatch.test_cell_history",
+    ),
+    Break(
+        "what cannot be taken up again is not preempted",
+        "dispatch/upstream_state.py",
+        "and item.waiting.ask.resumable\n",
+        "and True\n",
+        "tests.dispatch.test_cell_history",
+    ),
+    Break(
+        "every class makes progress",
+        "dispatch/progress_lane.py",
+        "return max(1, round(self._share * total_slots)) if self._share else 0",
+        "return 0",
+        "tests.dispatch.test_cell_progress",
+    ),
+    Break(
+        "grants never exceed a cap",
+        "dispatch/placement.py",
+        "upstream.count(tier) < upstream.cap.slots and total < upstream.cap.ceiling",
+        "upstream.count(tier) < upstream.cap.slots + 1",
+        "tests.dispatch.test_cell_history",
+    ),
+    Break(
+        "a repeated ask changes nothing",
+        "dispatch/cell.py",
+        "if running is not None and running.attempt == ask.attempt:",
+        "if running is not None and running.attempt != ask.attempt:",
+        "tests.dispatch",
+    ),
+    Break(
+        "a leaving upstream gets no new work",
+        "dispatch/upstream_state.py",
+        "if self.leaving or not self.reachable",
+        "if not self.reachable",
+        "tests.dispatch",
+    ),
+    Break(
+        "an upstream's own word that it leaves counts",
+        "dispatch/dispatcher.py",
+        "if record.state is HostState.LEAVING or record.name in self._leaving:",
+        "if record.state is HostState.LEAVING:",
+        "tests.dispatch.test_client",
+    ),
+    Break(
+        "engines out of reach get no grants",
+        "dispatch/dispatcher.py",
+        "upstream.reachable = upstream.hall in self._halls",
+        "upstream.reachable = True",
+        "tests.dispatch.test_client",
+    ),
+    Break(
+        "limits hold",
+        "dispatch/limits.py",
+        "if ask.concurrency and use.running >= ask.concurrency:",
+        "if False:",
+        "tests.dispatch",
+    ),
+    Break(
+        "shares follow weights",
+        "dispatch/fair_share.py",
+        "+ tokens / weight",
+        "+ tokens",
+        "tests.dispatch.test_cell_progress",
+    ),
+    Break(
+        "a silent dispatcher holds up no top tier",
+        "dispatch/client.py",
+        "if quiet < SILENT_SECONDS:",
+        "if True:",
+        "tests.dispatch.test_client",
+    ),
+    Break(
+        "a new dispatcher hears what runs and waits",
+        "dispatch/client.py",
+        "self._send(new, Held(holding.ask, holding.upstream))",
+        "pass",
+        "tests.dispatch.test_client",
+    ),
+    Break(
+        "each caller gets the whole answer",
+        "callers/runner.py",
+        "if not transcript.done:",
+        "if False:",
+        "tests.callers",
+    ),
+    Break(
+        "a resumed answer repeats nothing",
+        "callers/runner.py",
+        'content["resume_text"] = self.progress.transcript.text()',
+        "pass",
+        "tests.callers",
+    ),
+    Break(
+        "an answer that is not whole ends visibly",
+        "callers/answer.py",
+        '"body": event, "more_body": True})\n            return',
+        '"body": event})\n            return',
+        "tests.callers",
+    ),
+    Break(
+        "not repeatable is sent at most once",
+        "callers/runner.py",
+        "if kind is EndKind.BROKEN and not self._may_repeat():",
+        "if False:",
+        "tests.callers",
+    ),
+    Break(
+        "a keyed resend is recognised",
+        "callers/claims.py",
+        "return Claim(ClaimResult.TAKEN, key)\n        except UnknownEffectError",
+        "return Claim(ClaimResult.OURS, key)\n        except UnknownEffectError",
+        "tests.callers",
+    ),
+    Break(
+        "an unconfirmed claim runs nothing",
+        "callers/claims.py",
+        "return Claim(ClaimResult.UNCONFIRMED, key)\n        return Claim(ClaimResult.OURS",
+        "return Claim(ClaimResult.OURS, key)\n        return Claim(ClaimResult.OURS",
+        "tests.callers",
+    ),
+    Break(
+        "refused means not run",
+        "callers/runner.py",
+        "if self.progress.sent:\n            return self._not_whole(refusal",
+        "if False:\n            return self._not_whole(refusal",
+        "tests.callers",
+    ),
+    Break(
+        "a faulty edit is never in force",
+        "keeper/judgement.py",
+        "team = check(Team, parse(item.text, item.name), item.name)",
+        "team = Team.model_construct(**parse(item.text, item.name))",
+        "tests.keeper",
+    ),
+    Break(
+        "a root that breaks a team is turned down",
+        "keeper/judgement.py",
+        "_expect_teams_fit(root, desired, held)\n            verdict",
+        "verdict",
+        "tests.keeper",
+    ),
+    Break(
+        "the head moves only by its version",
+        "standin/object_store.py",
+        "if version != expected:",
+        "if False:",
+        "tests.keeper",
+    ),
+    Break(
+        "a lease is not taken before it lapsed",
+        "keeper/lease.py",
+        "return now - self._seen.since >= self.options.duration",
+        "return True",
+        "tests.keeper",
+    ),
+    Break(
+        "a holder stops before others start",
+        "keeper/lease.py",
+        "began + self.options.duration - self.options.margin",
+        "began + 3 * self.options.duration",
+        "tests.keeper",
+    ),
+    Break(
+        "a follower never goes back a generation",
+        "hosts/follower.py",
+        "if head.generation <= self.generation or not _covers(held, head):",
+        "if not _covers(held, head):",
+        "tests.hosts.test_follower",
+    ),
+    Break(
+        "a healed cut is noticed",
+        "hosts/membership.py",
+        "self._round = alive + self._rng.sample(lost, min(1, len(lost)))",
+        "self._round = alive",
+        "tests.hosts.test_membership",
+    ),
+    Break(
+        "a member taken for lost speaks up",
+        "hosts/membership.py",
+        "if newer or wrong:\n            self.own",
+        "if False:\n            self.own",
+        "tests.hosts.test_membership",
+    ),
+    Break(
+        "a replayed packet is dropped",
+        "hosts/membership.py",
+        "if self._repeated(message):",
+        "if False:",
+        "tests.hosts.test_membership",
+    ),
+    Break(
+        "a forged frame is dropped",
+        "links/seal.py",
+        "if hmac.compare_digest(code, _code(key, data, context)):",
+        "if True:",
+        "tests.links",
+    ),
+    Break(
+        "racing edits of one value conflict",
+        "contracts/merge.py",
+        "clashes.append(",
+        "list().append(",
+        "tests.contracts",
+    ),
+)
+
+
+def proof_fails(item: Break) -> tuple[bool, str]:
+    """Return whether the tests fail on a copy with the rule broken, and their last line."""
+    with tempfile.TemporaryDirectory(prefix="lotushill-break-") as folder:
+        copy = Path(folder)
+        for part in ("src", "tests", "scripts"):
+            shutil.copytree(ROOT / part, copy / part)
+        target = copy / "src" / "lotushill" / item.file
+        text = target.read_text(encoding="utf-8")
+        if item.code not in text:
+            return False, "the code to break is not there"
+        target.write_text(text.replace(item.code, item.broken), encoding="utf-8")
+        done = subprocess.run(
+            [sys.executable, str(copy / "scripts" / "run_tests.py"), item.tests],
+            capture_output=True,
+            text=True,
+            timeout=_SECONDS,
+            check=False,
+            cwd=copy,
+            env=os.environ | {"PYTHONPATH": str(copy / "src")},
+        )
+        last = (done.stdout.strip().splitlines() or ["nothing printed"])[-1]
+        return done.returncode == 1 and " failed" in last and not last.endswith(" 0 failed"), last
+
+
+def main() -> int:
+    """Break every rule and print a table; exit 1 if any proof still passes."""
+    chosen = [item for item in BREAKS if not sys.argv[1:] or sys.argv[1] in item.rule]
+    with ThreadPoolExecutor(_PARALLEL) as pool:
+        results = list(pool.map(proof_fails, chosen))
+    print("| rule | broken in | proof | fails |\n|---|---|---|---|")
+    for item, (fails, last) in zip(chosen, results, strict=True):
+        word = "yes" if fails else f"NO: {last}"
+        print(f"| {item.rule} | `{item.file}` | `{item.tests}` | {word} |")
+    return 0 if all(fails for fails, _ in results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/lotushill/console/load.py
+++ b/src/lotushill/console/load.py
@@ -20,6 +20,7 @@
     parser = new_parser("lotushill-load", "Load and experiments, with results as JSON.")
     commands = parser.add_subparsers(dest="command", required=True)
     _add_policy(commands)
+    _add_slopes(commands)
     arguments = parser.parse_args()
     sys.exit(arguments.run(arguments))
 
@@ -58,5 +59,23 @@
     return EXIT_OK
 
 
+def _add_slopes(commands: Any) -> None:
+    parser = commands.add_parser("slopes", help="measure what each role costs by itself")
+    parser.add_argument("--json", type=Path, help="write the figures to this file")
+    parser.set_defaults(run=_run_slopes)
+
+
+def _run_slopes(arguments: argparse.Namespace) -> int:
+    from lotushill.load.slopes import measure
+    from lotushill.load.slopes import to_plain
+
+    text = json.dumps(to_plain(measure()), indent=1)
+    print(text)
+    if arguments.json:
+        arguments.json.parent.mkdir(parents=True, exist_ok=True)
+        arguments.json.write_text(text, encoding="utf-8")
+    return EXIT_OK
+
+
 if __name__ == "__main__":
     main()
--- a/src/lotushill/dispatch/dispatcher.py
+++ b/src/lotushill/dispatch/dispatcher.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from lotushill.dispatch.cell import CellOptions
+    from lotushill.dispatch.options import CellOptions
     from lotushill.platform.objects import HostRecord
 
 GATHER_SECONDS = 0.3
--- a/src/lotushill/dispatch/placement.py
+++ b/src/lotushill/dispatch/placement.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass
 from enum import Enum
+from operator import itemgetter
 from statistics import median_low
 from typing import TYPE_CHECKING
 
@@ -15,6 +17,8 @@
 
 TOKENS_PER_LOAD = 4000.0
 """Cached prompt tokens that are worth as much as one whole engine's load."""
+_RUNNERS_UP = 2
+"""Upstreams named in the decision log beside the one chosen."""
 _LOWER_TIER_LOAD = 0.25
 """How much of a slot a request of a lower tier takes from a higher one."""
 
@@ -48,8 +52,10 @@
 def has_room(upstream: UpstreamState, tier: int, contention: Contention) -> bool:
     """Return whether an upstream may take one more request of a tier."""
     total = upstream.total()
+    if total < upstream.cap.slots:
+        return True
     if contention is not Contention.PAUSE:
-        return total < upstream.cap.slots
+        return False
     return upstream.count(tier) < upstream.cap.slots and total < upstream.cap.ceiling
 
 
@@ -60,17 +66,15 @@
     tokens_per_load: float = TOKENS_PER_LOAD,
 ) -> Choice | None:
     """Return the upstream with the least load after counting prompt tokens it likely holds."""
-    scored = sorted(
-        (
-            (_score(ask, upstream, usual_gap, tokens_per_load), upstream.name, upstream)
-            for upstream in candidates
-        ),
-        key=lambda entry: (entry[0], entry[1]),
+    scores = (
+        (_score(ask, upstream, usual_gap, tokens_per_load), upstream.name, upstream)
+        for upstream in candidates
     )
+    scored = heapq.nsmallest(1 + _RUNNERS_UP, scores, key=itemgetter(0, 1))
     if not scored:
         return None
     score, _, best = scored[0]
-    others = tuple(f"{name}:{value:.2f}" for value, name, _ in scored[1:3])
+    others = tuple(f"{name}:{value:.2f}" for value, name, _ in scored[1:])
     return Choice(best, score, best.prefixes.matched_tokens(ask.prefix), others)
 
 
--- a/src/lotushill/dispatch/upstream_state.py
+++ b/src/lotushill/dispatch/upstream_state.py
@@ -44,6 +44,8 @@
     hall: str
     cap: AdaptiveCap
     leaving: bool = False
+    removed: bool = False
+    """Whether it is off the host list, and to be forgotten once nothing runs there."""
     reachable: bool = True
     running: dict[str, Running] = field(default_factory=dict)
     health: Health = field(default_factory=Health)
@@ -93,7 +95,11 @@
 
     def count(self, tier: int) -> int:
         """Return how many of a tier and higher ones run outside the lane."""
-        return sum(number for rank, number in self._by_tier.items() if rank <= tier)
+        found = 0
+        for rank, number in self._by_tier.items():
+            if rank <= tier:
+                found += number
+        return found
 
     def total(self) -> int:
         """Return how many run outside the lane."""
--- a/src/lotushill/dispatch/waiting_room.py
+++ b/src/lotushill/dispatch/waiting_room.py
@@ -12,6 +12,7 @@
 from lotushill.dispatch.fair_share import FairShare
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterator
 
     from lotushill.dispatch.messages import Ask
@@ -44,6 +45,8 @@
 
     teams: dict[str, dict[ClassKey, OrderedDict[str, Waiting]]] = field(default_factory=dict)
     team_shares: FairShare[str] = field(default_factory=FairShare)
+    order: SortedList[tuple[float, str]] = field(default_factory=SortedList)
+    """The teams that have someone waiting, by the level of their share."""
     class_shares: dict[str, FairShare[ClassKey]] = field(default_factory=dict)
     size: int = 0
 
@@ -98,7 +101,9 @@
         ask = waiting.ask
         queue = self._tiers.setdefault(ask.tier, _Tier())
         if ask.team not in queue.teams:
-            queue.team_shares.enter(ask.team, list(queue.teams))
+            lowest = [queue.order[0][1]] if queue.order else []
+            queue.team_shares.enter(ask.team, lowest)
+            queue.order.add((queue.team_shares.level(ask.team), ask.team))
         classes = queue.teams.setdefault(ask.team, {})
         key = waiting.class_key
         if key not in classes:
@@ -127,7 +132,9 @@
         if not classes[key]:
             del classes[key]
         if not classes:
-            del queue.teams[waiting.ask.team]
+            team = waiting.ask.team
+            del queue.teams[team]
+            queue.order.remove((queue.team_shares.level(team), team))
         queue.size -= 1
         self._class_sizes[key] -= 1
         if not self._class_sizes[key]:
@@ -136,14 +143,18 @@
         return waiting
 
     def heads(self, tier: int) -> Iterator[Waiting]:
-        """Yield the first of each class of a tier, the class next in its share first."""
+        """Yield the first of each class of a tier, the class next in its share first.
+
+        Stop iterating before anything is put, removed or charged.
+        """
         queue = self._tiers.get(tier)
         if queue is None:
             return
-        for team in sorted(queue.teams, key=lambda name: (queue.team_shares.level(name), name)):
-            shares = queue.class_shares[team]
-            for key in sorted(queue.teams[team], key=lambda name: (shares.level(name), name)):
-                yield next(iter(queue.teams[team][key].values()))
+        for index in range(len(queue.order)):
+            team = queue.order[index][1]
+            classes = queue.teams[team]
+            for key in _by_share(queue.class_shares[team], classes):
+                yield next(iter(classes[key].values()))
 
     def head(self, tier: int, key: ClassKey) -> Waiting | None:
         """Return the first of one class, or None."""
@@ -165,7 +176,12 @@
         """Charge tokens to the team and class of a request; negative tokens correct."""
         ask = waiting.ask
         queue = self._tiers.setdefault(ask.tier, _Tier())
+        busy = ask.team in queue.teams
+        if busy:
+            queue.order.remove((queue.team_shares.level(ask.team), ask.team))
         queue.team_shares.charge(ask.team, tokens, ask.team_weight)
+        if busy:
+            queue.order.add((queue.team_shares.level(ask.team), ask.team))
         shares = queue.class_shares.setdefault(ask.team, FairShare())
         shares.charge(waiting.class_key, tokens, ask.class_weight)
 
@@ -187,3 +203,10 @@
         waiting = [item for members in queue.teams[team].values() for item in members.values()]
         weight = waiting[0].ask.team_weight
         return sum(item.expected_tokens for item in waiting) / weight
+
+
+def _by_share(shares: FairShare[ClassKey], classes: Collection[ClassKey]) -> list[ClassKey]:
+    """Return classes in the order of their shares."""
+    if len(classes) == 1:
+        return list(classes)
+    return sorted(classes, key=lambda name: (shares.level(name), name))
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -15,7 +15,6 @@
 from lotushill.callers.front_door import FrontDoor
 from lotushill.callers.front_door import FrontDoorParts
 from lotushill.callers.journal import Journal
-from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.client import DispatchClient
 from lotushill.dispatch.dispatcher import Dispatcher
 from lotushill.dispatch.messages import Ask
@@ -24,6 +23,7 @@
 from lotushill.dispatch.messages import Grant
 from lotushill.dispatch.messages import Preemption
 from lotushill.dispatch.messages import Refusal
+from lotushill.dispatch.options import CellOptions
 from lotushill.hosts.follower import Follower
 from lotushill.hosts.hall_status import HallStatus
 from lotushill.hosts.heartbeat import Heartbeat
--- a/src/lotushill/load/policy.py
+++ b/src/lotushill/load/policy.py
@@ -10,8 +10,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.messages import EndKind
+from lotushill.dispatch.options import CellOptions
 from lotushill.dispatch.placement import Contention
 from lotushill.load.arrivals import Request
 from lotushill.load.arrivals import draw
--- a/src/lotushill/load/routers.py
+++ b/src/lotushill/load/routers.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from lotushill.dispatch.cell import CellOptions
+    from lotushill.dispatch.options import CellOptions
     from lotushill.load.arrivals import Request
     from lotushill.load.fake_engine import FakeEngine
 
--- a/tests/callers/rig.py
+++ b/tests/callers/rig.py
@@ -21,9 +21,9 @@
 from lotushill.contracts.book import hash_key
 from lotushill.contracts.tree import Root
 from lotushill.contracts.tree import Team
-from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.client import DispatchClient
 from lotushill.dispatch.dispatcher import Dispatcher
+from lotushill.dispatch.options import CellOptions
 from lotushill.links.http_server import HttpServer
 from lotushill.load.caller import Caller
 from lotushill.load.caller import Order
--- a/tests/dispatch/test_cell_progress.py
+++ b/tests/dispatch/test_cell_progress.py
@@ -9,13 +9,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.messages import Decision
 from lotushill.dispatch.messages import End
 from lotushill.dispatch.messages import EndKind
 from lotushill.dispatch.messages import Grant
 from lotushill.dispatch.messages import Refusal
 from lotushill.dispatch.messages import RefusalReason
+from lotushill.dispatch.options import CellOptions
 from tests.dispatch.cell_driver import CellDriver
 from tests.dispatch.cell_driver import make_ask
 
@@ -92,6 +92,7 @@
         self.assertEqual(next((item.request, item.tier) for item in granted), ("high-2", 0))
         driver.ask(make_ask("high-3", tier=0))
         driver.end("high-2")
+        driver.pass_time(1.5)
         self.assertEqual(driver.granted["low"].tier, 0)
 
     def test_without_a_lane_a_low_class_waits_for_ever(self) -> None:
--- a/tests/dispatch/test_client.py
+++ b/tests/dispatch/test_client.py
@@ -8,7 +8,6 @@
 
 import anyio
 
-from lotushill.dispatch.cell import CellOptions
 from lotushill.dispatch.client import DispatchClient
 from lotushill.dispatch.dispatcher import Dispatcher
 from lotushill.dispatch.messages import Ask
@@ -18,6 +17,7 @@
 from lotushill.dispatch.messages import Grant
 from lotushill.dispatch.messages import Preemption
 from lotushill.dispatch.messages import Refusal
+from lotushill.dispatch.options import CellOptions
 from lotushill.hosts.rendezvous import owner
 from lotushill.links.messages import Held
 from lotushill.platform.objects import HostRecord
