--- a/src/lotushill/console/standin.py
+++ b/src/lotushill/console/standin.py
@@ -28,7 +28,7 @@
     """Run one stand-in."""
     description = "Stand in for the platform, an engine or a plain service."
     settings = read_settings(StandinSettings, parse_config_option("lotushill-standin", description))
-    start_logs("WARNING")
+    start_logs("INFO")
     run(_serve, settings)
 
 
--- a/src/lotushill/standin/engine_app.py
+++ b/src/lotushill/standin/engine_app.py
@@ -8,7 +8,9 @@
 
 import contextlib
 import json
+import logging
 import re
+import time
 from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import field
@@ -30,6 +32,8 @@
     from lotushill.links.asgi import Scope
     from lotushill.links.asgi import Send
 
+log = logging.getLogger("standin")
+
 _MAX_BODY = 8_000_000
 _BODY_SECONDS = 10.0
 _LENGTH = re.compile(r"length=(\d+)")
@@ -57,6 +61,8 @@
     request: str
     attempt: str
     priority: int
+    at: float
+    """Seconds since the epoch at which it began."""
     tokens: int = 0
     ended: str = "running"
 
@@ -144,8 +150,10 @@
         key = f"{headers.get('lotushill-request', 'direct')}/{self._serial}"
         priority = int(headers.get("lotushill-priority", "0"))
         attempt = headers.get("lotushill-attempt", "0")
-        record = RunRecord(headers.get("lotushill-request", "direct"), attempt, priority)
+        name = headers.get("lotushill-request", "direct")
+        record = RunRecord(name, attempt, priority, time.time())
         self.records.append(record)
+        log.info("ran %s", json.dumps(asdict(record)))
         sink, source = anyio.create_memory_object_stream[int](1_000_000)
         self._jobs[key] = _Job(record, sink, prompt)
         self.batch.add(key, priority, len(prompt) / _CHARS_PER_TOKEN, length, done)
--- a/src/lotushill/standin/service_app.py
+++ b/src/lotushill/standin/service_app.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import logging
+import time
 from dataclasses import asdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -18,6 +20,8 @@
     from lotushill.links.asgi import Scope
     from lotushill.links.asgi import Send
 
+log = logging.getLogger("standin")
+
 _MAX_BODY = 8_000_000
 _BODY_SECONDS = 10.0
 _OK = 200
@@ -31,6 +35,8 @@
     attempt: str
     path: str
     body: str
+    at: float
+    """Seconds since the epoch at which it began."""
 
 
 class ServiceApp:
@@ -65,7 +71,9 @@
         request = headers.get("lotushill-request", "direct")
         attempt = headers.get("lotushill-attempt", "0")
         text = body.decode("utf-8", "replace")
-        self.records.append(CallRecord(request, attempt, path, text))
+        record = CallRecord(request, attempt, path, text, time.time())
+        self.records.append(record)
+        log.info("ran %s", json.dumps(asdict(record)))
         await anyio.sleep(self.work)
         if self.cut:
             scope[CUT]()
