--- a/scripts/tally.py
+++ b/scripts/tally.py
@@ -7,7 +7,7 @@
 from nose2.events import Plugin
 
 
-class Tally(Plugin):
+class Tally(Plugin):  # type: ignore[misc]
     """Collects the ids of tests by outcome."""
 
     configSection = "tally"  # noqa: N815
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -93,13 +93,18 @@
         self.dispatch = DispatchClient(
             settings.name, self.dispatcher, self.links.post, time.monotonic, self._slots_of
         )
-        self.follower = Follower(
-            self.platform, self.membership, self.links.post, self._on_generation, rng
-        )
         self.upstreams = UpstreamClient()
         self.watch = UpstreamWatch(
             self.platform, self.dispatcher, self.dispatch.fallback, settings.region, rng
         )
+        self.follower = Follower(
+            self.platform,
+            self.membership,
+            self.links.post,
+            self._on_generation,
+            self.watch,
+            rng,
+        )
         self.journal = Journal()
         self.front_door = FrontDoor(
             FrontDoorParts(
--- a/src/lotushill/hosts/follower.py
+++ b/src/lotushill/hosts/follower.py
@@ -28,6 +28,7 @@
 
     from lotushill.contracts.book import Book
     from lotushill.hosts.membership import Membership
+    from lotushill.hosts.upstream_watch import UpstreamWatch
     from lotushill.links.codec import Message
     from lotushill.links.messages import MemberState
     from lotushill.platform.objects import ObjectApi
@@ -51,12 +52,14 @@
         membership: Membership,
         post: Callable[[str, Message], None],
         on_generation: Callable[[int], None],
+        watch: UpstreamWatch,
         rng: random.Random,
     ) -> None:
         self._objects = objects
         self._membership = membership
         self._post = post
         self._on_generation = on_generation
+        self._watch = watch
         self._rng = rng
         self._builder = BookBuilder()
         self._texts: dict[str, str] = {}
@@ -107,12 +110,13 @@
             for name, digest in self._head_objects().items()
             if digest not in known
         )
-        return Pulled(self.generation, self._head_text, missing)
+        return Pulled(self.generation, self._head_text, missing, self._watch.to_text())
 
     def take_pulled(self, pulled: Pulled) -> None:
         """Take in a peer's answer; one that is not newer, or not whole, changes nothing."""
         if not pulled.head:
             return
+        self._watch.learn(pulled.hosts)
         texts = {item.digest: item.text for item in pulled.objects}
         if any(digest_text(text) != digest for digest, text in texts.items()):
             log.warning("Dropped a pulled generation. error=wrong-digest")
--- a/src/lotushill/hosts/upstream_watch.py
+++ b/src/lotushill/hosts/upstream_watch.py
@@ -11,6 +11,8 @@
 
 from lotushill.dispatch.dispatcher import cell_name
 from lotushill.platform.exceptions import UnavailableError
+from lotushill.platform.http_platform import host_from_plain
+from lotushill.platform.http_platform import host_to_plain
 from lotushill.platform.objects import HostState
 
 if TYPE_CHECKING:
@@ -53,15 +55,31 @@
         """Read the host list for ever, often while this member decides for any cell."""
         while True:
             try:
-                self.records = await self._hosts.hosts()
-                self.known = True
-                self._dispatcher.set_upstreams(self.records)
-                self._fallback.follow(self.records, self._cells())
+                self._take(await self._hosts.hosts())
             except UnavailableError as error:
                 log.info("Host list gives no answer. error=%r", error)
             pause = _OWNER_SECONDS if self._dispatcher.cells else _OTHER_SECONDS
             await anyio.sleep((pause if self.known else 0.3) * self._rng.uniform(0.8, 1.2))
 
+    def to_text(self) -> str:
+        """Return the host list as last read, for a peer that starts in an outage."""
+        return json.dumps([host_to_plain(item) for item in self.records]) if self.known else ""
+
+    def learn(self, text: str) -> None:
+        """Take a peer's host list, as long as nothing came from the platform itself."""
+        if self.known or not text:
+            return
+        try:
+            self._take(tuple(host_from_plain(item) for item in json.loads(text)))
+        except (UnavailableError, ValueError, TypeError) as error:
+            log.warning("Dropped a peer's host list. error=%r", error)
+
+    def _take(self, records: tuple[HostRecord, ...]) -> None:
+        self.records = records
+        self.known = True
+        self._dispatcher.set_upstreams(records)
+        self._fallback.follow(records, self._cells())
+
     def _cells(self) -> dict[str, str]:
         """Return the cell of each upstream of the own region."""
         return {
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -90,6 +90,7 @@
   generation @0 :UInt64;
   head @1 :Text;
   objects @2 :List(AcceptedObject);
+  hosts @3 :Text;
 }
 
 struct MemberState {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -40,6 +40,8 @@
     generation: int
     head: str
     objects: tuple[AcceptedObject, ...]
+    hosts: str
+    """The host list as the peer last read it, in JSON; empty if it never has."""
 
 
 class MemberPhase(Enum):
--- a/src/lotushill/platform/http_platform.py
+++ b/src/lotushill/platform/http_platform.py
@@ -67,7 +67,7 @@
     async def hosts(self) -> tuple[HostRecord, ...]:
         """Return every host that the platform lists."""
         _, body = await self._read("/hosts", _ANSWER_SECONDS)
-        return tuple(_host(item) for item in body)
+        return tuple(host_from_plain(item) for item in body)
 
     async def put_host(self, record: HostRecord) -> None:
         """Tell the stand-in of a host; the real platform fills its list by itself."""
@@ -141,7 +141,8 @@
         raise UnavailableError("an answer that is no object") from error
 
 
-def _host(body: Any) -> HostRecord:
+def host_from_plain(body: Any) -> HostRecord:
+    """Return a host record from plain data; raise UnavailableError for anything else."""
     try:
         return HostRecord(
             name=str(body["name"]),
--- a/tests/hosts/test_follower.py
+++ b/tests/hosts/test_follower.py
@@ -16,7 +16,11 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from lotushill.contracts.generation import HEAD_KEY
+from lotushill.dispatch.dispatcher import Dispatcher
+from lotushill.dispatch.fallback import Fallback
+from lotushill.dispatch.options import CellOptions
 from lotushill.hosts.follower import Follower
+from lotushill.hosts.upstream_watch import UpstreamWatch
 from lotushill.links.messages import Pull
 from lotushill.links.messages import Pulled
 from lotushill.platform.exceptions import UnavailableError
@@ -35,6 +39,11 @@
 FOLLOWERS = 3
 
 
+def no_options(pool: str) -> CellOptions:
+    """Return the options of a cell."""
+    return CellOptions()
+
+
 class FollowHistory(RuleBasedStateMachine):
     """Edits are accepted while followers read, pull, miss answers and start again."""
 
@@ -64,7 +73,10 @@
             self.network.send(membership.own.name, packets)
 
         objects = FakeObjects(self.store)
-        return Follower(objects, membership, post, announce, random.Random(index))
+        watch = UpstreamWatch(
+            objects, Dispatcher(no_options), Fallback(), "region", random.Random(1)
+        )
+        return Follower(objects, membership, post, announce, watch, random.Random(index))
 
     @rule(team=st.integers(0, 2))
     def accept(self, team: int = 0) -> None:
--- a/tests/platform/fake_objects.py
+++ b/tests/platform/fake_objects.py
@@ -12,6 +12,7 @@
 from lotushill.platform.exceptions import UnknownEffectError
 
 if TYPE_CHECKING:
+    from lotushill.platform.objects import HostRecord
     from lotushill.platform.objects import StoredObject
     from lotushill.standin.object_store import ObjectStore
 
@@ -65,6 +66,11 @@
         await anyio.sleep(0)
         return self.store.changes(prefix, after)
 
+    async def hosts(self) -> tuple[HostRecord, ...]:
+        """Return the host list."""
+        self._read()
+        return tuple(self.store.hosts.values())
+
     def _next(self) -> Trouble:
         return self.troubles.popleft() if self.troubles else Trouble.NONE
 
