Write the fault matrix and the settings reference from the code, and hold them to it

Found on the way: the pool's setting resume was read by nobody; a started stream of a pool that cannot resume now ends visibly, and such requests are not preempted.

--- /dev/null
+++ b/scripts/write_pages.py
@@ -0,0 +1,137 @@
+"""Writes the pages that come from the code: the settings reference and the fault matrix."""
+
+from __future__ import annotations
+
+import ast
+import inspect
+import sys
+import textwrap
+import types
+import typing
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from tests import fault_matrix  # noqa: E402
+
+from lotushill.contracts.effective import BUILT_IN  # noqa: E402
+from lotushill.contracts.policy import Limits  # noqa: E402
+from lotushill.contracts.policy import Policy  # noqa: E402
+from lotushill.contracts.policy import Target  # noqa: E402
+from lotushill.contracts.tree import Pool  # noqa: E402
+from lotushill.contracts.tree import Root  # noqa: E402
+from lotushill.contracts.tree import Service  # noqa: E402
+from lotushill.contracts.tree import ServiceClass  # noqa: E402
+from lotushill.contracts.tree import Team  # noqa: E402
+from lotushill.hosts.settings import EntrySettings  # noqa: E402
+from lotushill.hosts.settings import KeeperSettings  # noqa: E402
+from lotushill.standin.settings import StandinSettings  # noqa: E402
+
+_TREE: tuple[type[BaseModel], ...] = (
+    Root,
+    Pool,
+    Team,
+    Service,
+    ServiceClass,
+    Policy,
+    Target,
+    Limits,
+)
+_PROGRAMS: tuple[type[BaseModel], ...] = (EntrySettings, KeeperSettings, StandinSettings)
+
+
+def pages() -> dict[str, str]:
+    """Return each page by its path."""
+    return {
+        "docs/configuration.md": _configuration(),
+        "docs/fault-matrix.md": fault_matrix.page(),
+    }
+
+
+def _configuration() -> str:
+    lines = [
+        "# Configuration",
+        "",
+        "Written from the settings' own definitions by `python scripts/write_pages.py`, and held",
+        "against them in CI. Unknown keys are errors, and each fault is told by its path.",
+        "",
+        "## The settings tree",
+        "",
+        "Operators edit one object `root` and one object `team/NAME` for each team. Values are",
+        "inherited from the root to the team, its services and their classes; the nearest level",
+        "that sets a value wins. `lotushill get team/NAME --effective SERVICE/CLASS` shows each",
+        "value with the level that it comes from.",
+        "",
+    ]
+    for model in _TREE:
+        lines += _table(model)
+    lines += ["Where no level sets a value, these hold:", ""]
+    built_in = BUILT_IN.model_dump(exclude_none=True, exclude_defaults=True)
+    lines += [f"- `{name}`: `{value}`" for name, value in built_in.items()]
+    lines += ["", "## The programs' own settings files", ""]
+    for model in _PROGRAMS:
+        lines += _table(model)
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def _table(model: type[BaseModel]) -> list[str]:
+    notes = _attribute_notes(model)
+    lines = [f"### {model.__name__}", "", (model.__doc__ or "").strip(), ""]
+    lines += ["| key | type | default | meaning |", "|---|---|---|---|"]
+    for name, item in model.model_fields.items():
+        default = "required" if item.is_required() else f"`{_shown(item.default)}`"
+        lines.append(f"| `{name}` | {_kind(item.annotation)} | {default} | {notes.get(name, '')} |")
+    return [*lines, ""]
+
+
+def _shown(value: Any) -> str:
+    if isinstance(value, BaseModel):
+        return "{}"
+    return "none" if value is None else str(value)
+
+
+def _kind(annotation: Any) -> str:
+    """Return a type as an operator reads it."""
+    origin = typing.get_origin(annotation)
+    if origin is typing.Annotated:
+        return _kind(typing.get_args(annotation)[0])
+    if origin is typing.Literal:
+        return ", ".join(f"`{choice}`" for choice in typing.get_args(annotation))
+    if origin in (typing.Union, types.UnionType):
+        kinds = [item for item in typing.get_args(annotation) if item is not type(None)]
+        return " or ".join(_kind(item) for item in kinds)
+    if origin is tuple:
+        return f"list of {_kind(typing.get_args(annotation)[0])}"
+    if origin is dict:
+        key, value = typing.get_args(annotation)
+        return f"map of {_kind(key)} to {_kind(value)}"
+    names = {str: "text", int: "whole number", float: "number", bool: "true or false"}
+    return names.get(annotation, getattr(annotation, "__name__", str(annotation)))
+
+
+def _attribute_notes(model: type[BaseModel]) -> dict[str, str]:
+    """Return the texts that stand under the fields in the source."""
+    tree = ast.parse(textwrap.dedent(inspect.getsource(model))).body[0]
+    assert isinstance(tree, ast.ClassDef)
+    notes: dict[str, str] = {}
+    for field, note in zip(tree.body, tree.body[1:], strict=False):
+        if not isinstance(field, ast.AnnAssign) or not isinstance(field.target, ast.Name):
+            continue
+        if isinstance(note, ast.Expr) and isinstance(note.value, ast.Constant):
+            notes[field.target.id] = " ".join(str(note.value.value).split())
+    return notes
+
+
+def main() -> None:
+    """Write every page."""
+    for path, text in pages().items():
+        (ROOT / path).write_text(text, encoding="utf-8")
+        print(path)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lotushill/callers/call.py
+++ b/src/lotushill/callers/call.py
@@ -60,6 +60,8 @@
     repeatable: bool
     idempotency_key: str
     stream: bool
+    resumable: bool
+    """Whether another engine can go on from the text that the caller has been given."""
     prompt_tokens: int
     output_limit: int
     prefix: tuple[int, ...]
@@ -79,6 +81,7 @@
         raise CallError(CallFault.UNKNOWN_PATH, f"pool {contract.pool} does not serve {path}")
     content = _content(body, contract, book) if completion else None
     prompt = _prompt(content) if content is not None else ""
+    stream = bool(content and content.get("stream"))
     return Call(
         request=request,
         method=method,
@@ -90,7 +93,8 @@
         deadline=_deadline(named, contract),
         repeatable=_repeatable(named, contract),
         idempotency_key=_idempotency_key(named),
-        stream=bool(content and content.get("stream")),
+        stream=stream,
+        resumable=stream and book.pool(contract.pool).resume,
         prompt_tokens=max(1, len(prompt) // _CHARS_PER_TOKEN),
         output_limit=_output_limit(content, contract),
         prefix=hash_blocks(prompt),
--- a/src/lotushill/callers/runner.py
+++ b/src/lotushill/callers/runner.py
@@ -145,7 +145,7 @@
             time_left=max(0.0, call.deadline - spent),
             target=contract.first_token or 0.0,
             refuse_early=contract.refuse_early,
-            resumable=call.repeatable,
+            resumable=call.repeatable and call.resumable,
             rate=contract.rate or 0.0,
             concurrency=contract.concurrency or 0,
             tokens=contract.tokens or 0.0,
@@ -282,7 +282,7 @@
         return None
 
     def _may_repeat(self) -> bool:
-        return self.call.repeatable and (not self._answer.started or self.call.content is not None)
+        return self.call.repeatable and (not self._answer.started or self.call.resumable)
 
     def _refused(self, refusal: Refusal) -> Outcome:
         status = _STATUS[refusal.reason]
--- a/tests/callers/test_request_path.py
+++ b/tests/callers/test_request_path.py
@@ -92,6 +92,19 @@
 
         run_with(make_rig(), scenario)
 
+    def test_a_started_stream_of_a_pool_that_cannot_resume_ends_visibly(self) -> None:
+        async def scenario(rig: Rig) -> None:
+            for engine in rig.engines:
+                engine.faults.cut = True
+            reply = await rig.caller.call(rig.letter("dispute length=30"))
+            self.assertEqual(reply.outcome, "failed")
+            self.assertEqual(rig.runs(), 1)
+
+        rig = make_rig()
+        pool = rig.book.root.pools["disputes"].model_copy(update={"resume": False})
+        rig.book.root.pools["disputes"] = pool
+        run_with(rig, scenario)
+
     def test_an_engine_that_dies_before_a_whole_answer_is_replaced(self) -> None:
         async def scenario(rig: Rig) -> None:
             rig.engines[0].faults.cut = True
