--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -120,7 +120,7 @@
         "# The fault matrix",
         "",
         "Rows are the steps of the work, columns the faults that may come at them. A letter is a",
-        "proof, a digit a reason why the fault cannot come there, `?` a cell that is not proved yet.",
+        "proof, a digit a reason why the fault cannot come there, `?` a cell not proved yet.",
         "The page is written by `python scripts/write_pages.py` from `tests/fault_matrix.py`",
         "and held against the tests in CI.",
         "",
