Write frames field by field; look less often at rest

Cause: building a frame from a mapping cost 50 to 94 us, most of it conversion; an entry at rest looked 50 times a second through all members and all requests. Change: fields are set on the builder, zero and empty ones left out; members are looked through four times a second, requests once. Ruled out: unpacked frames, which are larger and no cheaper here.

--- a/src/lotushill/callers/runner.py
+++ b/src/lotushill/callers/runner.py
@@ -294,6 +294,7 @@
     def _not_whole(self, code: str, status: int, retry_after: float = 1.0) -> Outcome:
         """Return the outcome of a request that will not be whole, by what may have run."""
         progress = self.progress
+        progress.wasted_tokens = progress.transcript.tokens
         if progress.answered or self._answer.started:
             kind = OutcomeKind.FAILED
         elif progress.sent:
--- a/src/lotushill/dispatch/dispatcher.py
+++ b/src/lotushill/dispatch/dispatcher.py
@@ -24,6 +24,7 @@
 """A new dispatcher hears what is already running for so long before it grants anything."""
 
 
+_FORGET_SECONDS = 1.0
 HAND_OVER_SECONDS = 2.0
 """A cell that another member decides for is kept so long, for entries that do not know yet."""
 
@@ -51,6 +52,7 @@
         """Entry of each request that waits or runs."""
         self._upstreams: tuple[HostRecord, ...] = ()
         self._halls: frozenset[str] | None = None
+        self._next_forget = 0.0
         self._unowned: dict[str, float] = {}
         """Since when another member decides for a cell that is still held here."""
         self._leaving: frozenset[str] = frozenset()
@@ -76,8 +78,11 @@
         """Do what time brings in every cell."""
         self._drop_unowned(now)
         decisions = [item for cell in self.cells.values() for item in cell.tick(now)]
-        self._forget()
-        return self._route(decisions)
+        routed = self._route(decisions)
+        if now >= self._next_forget:
+            self._next_forget = now + _FORGET_SECONDS
+            self._forget()
+        return routed
 
     def drop_entry(self, entry: str, now: float) -> list[Routed]:
         """Drop all requests of a lost entry host."""
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -61,6 +61,7 @@
 log = logging.getLogger("entry")
 
 _TICK_SECONDS = 0.02
+_HEAR_SECONDS = 0.25
 _LEAVE_SECONDS = 0.3
 _OK = 200
 _NOT_FOUND = 404
@@ -187,11 +188,15 @@
     # Wiring
 
     async def _tick(self) -> None:
+        next_hear = 0.0
         while True:
             await anyio.sleep(_TICK_SECONDS)
-            self._carry_out(self.dispatcher.tick(time.monotonic()))
+            now = time.monotonic()
+            self._carry_out(self.dispatcher.tick(now))
             self.dispatch.tick()
-            self.follower.hear(time.monotonic())
+            if now >= next_hear:
+                next_hear = now + _HEAR_SECONDS
+                self.follower.hear(now)
 
     def _book(self) -> Book | None:
         return self.follower.book
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -39,8 +39,13 @@
 class _Plain:
     """A number, truth value or text, carried as it is."""
 
-    def encode(self, value: Any) -> Any:
-        return value
+    def put(self, builder: Any, name: str, value: Any) -> None:
+        # What is left out reads as zero or empty, which costs nothing on the wire.
+        if value:
+            setattr(builder, name, value)
+
+    def put_item(self, items: Any, index: int, value: Any) -> None:
+        items[index] = value
 
     def decode(self, value: Any) -> Any:
         return value
@@ -52,8 +57,11 @@
 
     kind: type[Enum]
 
-    def encode(self, value: Any) -> Any:
-        return value.value
+    def put(self, builder: Any, name: str, value: Any) -> None:
+        setattr(builder, name, value.value)
+
+    def put_item(self, items: Any, index: int, value: Any) -> None:
+        items[index] = value.value
 
     def decode(self, value: Any) -> Any:
         return self.kind(value)
@@ -65,8 +73,11 @@
 
     shape: _Shape
 
-    def encode(self, value: Any) -> Any:
-        return self.shape.to_plain(value)
+    def put(self, builder: Any, name: str, value: Any) -> None:
+        self.shape.fill(builder.init(name), value)
+
+    def put_item(self, items: Any, index: int, value: Any) -> None:
+        self.shape.fill(items[index], value)
 
     def decode(self, value: Any) -> Any:
         return self.shape.from_reader(value)
@@ -78,8 +89,12 @@
 
     item: _Plain | _Choice | _Record
 
-    def encode(self, value: Any) -> Any:
-        return [self.item.encode(entry) for entry in value]
+    def put(self, builder: Any, name: str, value: Any) -> None:
+        if not value:
+            return
+        items = builder.init(name, len(value))
+        for index, entry in enumerate(value):
+            self.item.put_item(items, index, entry)
 
     def decode(self, value: Any) -> Any:
         return tuple(self.item.decode(entry) for entry in value)
@@ -103,12 +118,13 @@
             for item in fields(kind)
         )
 
-    def to_plain(self, message: Any) -> dict[str, Any]:
-        return {
-            item.wire_name: item.kind.encode(getattr(message, item.name)) for item in self.fields
-        }
+    def fill(self, builder: Any, message: Any) -> None:
+        """Write a message into a builder, field by field: far cheaper than from a mapping."""
+        for item in self.fields:
+            item.kind.put(builder, item.wire_name, getattr(message, item.name))
 
     def from_reader(self, reader: Any) -> Any:
+        """Return the message that a reader holds."""
         return self.kind(
             *(item.kind.decode(getattr(reader, item.wire_name)) for item in self.fields)
         )
@@ -153,7 +169,8 @@
 def encode(message: Message) -> bytes:
     """Return the packed frame of a message."""
     kind = type(message)
-    frame = _SCHEMA.Frame.new_message(**{_TAGS[kind]: _SHAPES[kind].to_plain(message)})
+    frame = _SCHEMA.Frame.new_message()
+    _SHAPES[kind].fill(frame.init(_TAGS[kind]), message)
     return bytes(frame.to_bytes_packed())
 
 
