--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -133,7 +133,7 @@
     Break(
         "a resumed answer repeats nothing",
         "callers/runner.py",
-        'content["resume_text"] = self.progress.transcript.text()',
+        "content[RESUME_FIELD] = self.progress.transcript.text()",
         "pass",
         "tests.callers",
     ),
--- a/src/lotushill/callers/call.py
+++ b/src/lotushill/callers/call.py
@@ -17,6 +17,7 @@
     from lotushill.contracts.policy import Contract
 
 COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+RESUME_FIELD = "resume_text"
 _CHARS_PER_TOKEN = 4
 _MAX_HEAD_BYTES = 32 * 1024
 _MAX_KEY_CHARS = 255
@@ -128,6 +129,8 @@
         raise CallError(CallFault.MALFORMED, "the body is no JSON") from error
     if not isinstance(content, dict):
         raise CallError(CallFault.MALFORMED, "the body is no JSON object")
+    # Ours alone: it tells an engine what the caller has been given of an answer.
+    content.pop(RESUME_FIELD, None)
     model = book.pool(contract.pool).model
     if model is not None and content.get("model") != model:
         raise CallError(CallFault.UNKNOWN_MODEL, f"the class is served by model {model}")
--- a/src/lotushill/callers/runner.py
+++ b/src/lotushill/callers/runner.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from lotushill.callers.call import RESUME_FIELD
 from lotushill.callers.outcome import Outcome
 from lotushill.callers.outcome import OutcomeKind
 from lotushill.dispatch.dispatcher import cell_name
@@ -255,7 +256,7 @@
             return call.body
         content = call.content | {"max_tokens": call.output_limit}
         if self.progress.transcript.tokens:
-            content["resume_text"] = self.progress.transcript.text()
+            content[RESUME_FIELD] = self.progress.transcript.text()
         return json.dumps(content).encode()
 
     def _note_failure(self, grant: Grant, error: Exception) -> None:
--- a/src/lotushill/upstreams/prefix_memory.py
+++ b/src/lotushill/upstreams/prefix_memory.py
@@ -20,7 +20,9 @@
     hashes: list[int] = []
     whole = min(len(prompt) // BLOCK_CHARS, MAX_BLOCKS)
     for index in range(whole):
-        digest.update(prompt[index * BLOCK_CHARS : (index + 1) * BLOCK_CHARS].encode())
+        block = prompt[index * BLOCK_CHARS : (index + 1) * BLOCK_CHARS]
+        # JSON may hold half of a surrogate pair, which has no plain encoding.
+        digest.update(block.encode("utf-8", "surrogatepass"))
         hashes.append(digest.intdigest())
     return tuple(hashes)
 
--- /dev/null
+++ b/tests/contracts/test_document_fuzz.py
@@ -0,0 +1,62 @@
+"""Settings files that nobody planned: good, or faults with paths."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lotushill.contracts.document import check
+from lotushill.contracts.document import parse
+from lotushill.contracts.document import write
+from lotushill.contracts.exceptions import SettingsError
+from lotushill.contracts.generation import parse_head
+from lotushill.contracts.tree import Root
+from lotushill.contracts.tree import Team
+
+SCALARS = st.none() | st.booleans() | st.integers(-5, 10**12) | st.text("ab:{-", max_size=6)
+KEYS = st.sampled_from(
+    ["team", "keys", "policy", "services", "classes", "tiers", "pools", "weight", "limits", "tier"]
+)
+TREES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(KEYS, inner, max_size=4),
+    max_leaves=12,
+)
+
+
+class TestDocuments(unittest.TestCase):
+    @settings(max_examples=200)
+    @given(st.text(max_size=80))
+    def test_any_text_is_parsed_or_a_typed_fault(self, text: str) -> None:
+        try:
+            parse(text, "x")
+        except SettingsError as error:
+            self.assertTrue(error.faults)
+
+    @settings(max_examples=200)
+    @given(TREES)
+    def test_any_tree_is_good_or_has_faults_with_paths(self, tree: Any) -> None:
+        for model in (Root, Team):
+            try:
+                check(model, tree, "x")
+            except SettingsError as error:
+                self.assertTrue(all(fault.path and fault.reason for fault in error.faults))
+
+    @given(TREES)
+    def test_what_is_written_is_read_back(self, tree: Any) -> None:
+        self.assertEqual(parse(write(tree), "x"), tree)
+
+    @given(st.text(max_size=60))
+    def test_any_head_is_good_or_a_typed_fault(self, text: str) -> None:
+        try:
+            parse_head(text)
+        except SettingsError:
+            pass
+
+    def test_deep_nesting_is_a_fault_and_no_crash(self) -> None:
+        with self.assertRaises(SettingsError):
+            parse("[" * 20_000, "x")
