Never call a request refused that may have run; settle in before asking the platform

Cause: a request counted as sent only once the head of an answer was there. A call whose deadline passed before that, or one cut off by a fault inside, was told refused though the upstream ran it, and a claimed key was given back, so a resend would have run it again. Change: it counts as sent from before the first byte, unless the client says that nothing went out. A fault inside the system ends in an outcome as well. Tests fail on the former code. Standby keepers look every 4 s in place of every second.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -165,6 +165,13 @@
         "return Claim(ClaimResult.OURS, key)\n        return Claim(ClaimResult.OURS",
         "tests.callers",
     ),
+    Break(
+        "sent counts from the first byte, not from the answer",
+        "callers/runner.py",
+        "progress.sent, before = True, progress.sent",
+        "before = progress.sent",
+        "tests.callers",
+    ),
     Break(
         "refused means not run",
         "callers/runner.py",
--- a/src/lotushill/callers/front_door.py
+++ b/src/lotushill/callers/front_door.py
@@ -133,7 +133,7 @@
         outcome: Outcome | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_caller, receive, group.cancel_scope)
-            outcome = await runner.run()
+            outcome = await self._bring_to_outcome(runner)
             group.cancel_scope.cancel()
         if outcome is None:
             self._note_gone(runner)
@@ -144,6 +144,14 @@
             await answer.give_up(outcome)
         self._note(runner, outcome)
 
+    async def _bring_to_outcome(self, runner: Runner) -> Outcome:
+        try:
+            return await runner.run()
+        except Exception:
+            # A fault of ours must not leave a caller without an outcome.
+            log.exception("Failed inside. request=%s", runner.call.request)
+            return runner.break_off()
+
     async def _turn_away(self, answer: Answer, error: CallError) -> None:
         retry_after = _NOT_READY_RETRY if error.fault.status == 503 else 0.0
         kind = OutcomeKind.REFUSED
--- a/src/lotushill/callers/runner.py
+++ b/src/lotushill/callers/runner.py
@@ -124,6 +124,10 @@
                     return outcome
         return self._not_whole("deadline", _GATEWAY_TIMEOUT)
 
+    def break_off(self) -> Outcome:
+        """Return the outcome of a request that failed for a fault inside the system."""
+        return self._not_whole("internal", _SERVER_ERROR)
+
     # Asking
 
     def _ask(self) -> Ask:
@@ -185,20 +189,23 @@
     async def _relay(self, grant: Grant, timing: Timing) -> EndKind:
         progress = self.progress
         try:
-            async with self._upstreams.send(self._request(grant)) as answer:
-                progress.sent = True
+            request = self._request(grant)
+            # Until the client says otherwise, it has to be taken that bytes went out.
+            progress.sent, before = True, progress.sent
+            async with self._upstreams.send(request) as answer:
                 if self.call.stream and answer.status < 400:
                     await self._relay_stream(answer, timing)
                 else:
                     await self._relay_whole(answer, timing)
         except NotSentError as error:
+            progress.sent = before
             self._note_failure(grant, error)
             return EndKind.NOT_SENT
         except RejectedError as error:
+            progress.sent = before
             self._note_failure(grant, error)
             return EndKind.REJECTED
         except BrokenError as error:
-            progress.sent = True
             progress.answered = progress.answered or error.answered
             self._note_failure(grant, error)
             return EndKind.BROKEN
--- a/src/lotushill/hosts/follower.py
+++ b/src/lotushill/hosts/follower.py
@@ -40,7 +40,12 @@
 _RETRY_SECONDS = 1.0
 _CHECK_SECONDS = 0.25
 _PULL_SECONDS = 1.0
+_START_SECONDS = 0.5
 _START_JITTER_SECONDS = 0.2
+_CHECKS_BEFORE_ASKING = 12
+"""Times that a member without settings looks for a peer before it asks the platform itself."""
+_LIST_FROM = 8
+"""From so many missing objects on, all are read in one call."""
 
 
 class Follower:
@@ -67,6 +72,7 @@
         self._head_version = ABSENT
         self._pulled_at = float("-inf")
         self._pull_failed = False
+        self._checks = 0
         self._asked_platform = False
         self.book: Book | None = None
         self.installed_at = 0.0
@@ -79,9 +85,10 @@
 
     async def run(self) -> None:
         """Follow for ever."""
-        await anyio.sleep(self._rng.uniform(0, _START_JITTER_SECONDS))
+        # Time to find the others: when all restart at once, only readers ask the platform.
+        await anyio.sleep(_START_SECONDS + self._rng.uniform(0, _START_JITTER_SECONDS))
         while True:
-            if self._is_reader() or not self._asked_platform:
+            if self._is_reader() or self._must_ask():
                 await self._read_platform()
             else:
                 await anyio.sleep(_CHECK_SECONDS)
@@ -124,6 +131,13 @@
         if self._install(pulled.head, texts, "peer"):
             self._pulled_at = float("-inf")
 
+    def _must_ask(self) -> bool:
+        """Return whether this member has no settings and nobody to get them from."""
+        if self.book is not None or self._asked_platform:
+            return False
+        self._checks += 1
+        return self._checks > _CHECKS_BEFORE_ASKING
+
     def _is_reader(self) -> bool:
         own = self._membership.own
         near = [item.name for item in self._membership.live() if item.hall == own.hall]
@@ -151,13 +165,21 @@
         head = parse_head(head_text)
         if head.generation <= self.generation:
             return
+        missing = sorted(set(head.objects.values()) - set(self._texts))
+        texts = await self._read_objects(missing)
+        self._install(head_text, texts, "platform")
+
+    async def _read_objects(self, digests: list[str]) -> dict[str, str]:
+        if len(digests) >= _LIST_FROM:
+            stored = await self._objects.list(OBJECT_PREFIX)
+            return {item.key.removeprefix(OBJECT_PREFIX): item.value for item in stored}
         texts: dict[str, str] = {}
-        for digest in sorted(set(head.objects.values()) - set(self._texts)):
-            stored = await self._objects.get(OBJECT_PREFIX + digest)
-            if stored is None:
+        for digest in digests:
+            found = await self._objects.get(OBJECT_PREFIX + digest)
+            if found is None:
                 raise UnavailableError(f"accepted object {digest} is not there")
-            texts[digest] = stored.value
-        self._install(head_text, texts, "platform")
+            texts[digest] = found.value
+        return texts
 
     def _install(self, head_text: str, texts: dict[str, str], source: str) -> bool:
         """Put a newer generation in force, whole or not at all; return whether it was."""
--- a/src/lotushill/keeper/keeper.py
+++ b/src/lotushill/keeper/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
 log = logging.getLogger("keeper")
 
 _REFRESH_SECONDS = 1.0
+_STANDBY_SECONDS = 4.0
+"""Standbys look seldom: there is one on every host, and each look is a call of the object API."""
 _WATCH_SECONDS = 5.0
 _PAUSE_SECONDS = 0.5
 
@@ -43,7 +46,8 @@
                 if now_held != held:
                     held = now_held
                     log.info("Lease changed. held=%s token=%d", held, self.lease.token)
-                await anyio.sleep(_REFRESH_SECONDS)
+                pause = _REFRESH_SECONDS if held else _STANDBY_SECONDS
+                await anyio.sleep(pause * random.uniform(0.8, 1.2))
         finally:
             with anyio.CancelScope(shield=True), anyio.move_on_after(_PAUSE_SECONDS):
                 await self.lease.release()
--- a/tests/callers/test_request_path.py
+++ b/tests/callers/test_request_path.py
@@ -157,6 +157,33 @@
 
         run_with(make_rig(), scenario)
 
+    def test_a_fault_of_ours_still_ends_in_an_outcome(self) -> None:
+        async def scenario(rig: Rig) -> None:
+            def fail(end: object) -> None:
+                raise ZeroDivisionError
+
+            rig.dispatch.end = fail  # type: ignore[method-assign]
+            reply = await rig.caller.call(rig.letter("dispute length=3", stream=False))
+            # Its answer had come whole, and went out before the fault.
+            self.assertEqual(reply.outcome, "completed")
+            rig.upstreams.send = fail  # type: ignore[assignment,method-assign]
+            reply = await rig.caller.call(rig.letter("dispute length=3", stream=False))
+            self.assertEqual((reply.status, reply.outcome), (500, "unknown"))
+            self.assertEqual(reply.code, "internal")
+
+        run_with(make_rig(), scenario)
+
+    def test_a_deadline_while_connecting_is_not_called_refused(self) -> None:
+        """Bytes may have gone out when the deadline cuts a request off before its head came."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.services[0].work = 5.0
+            reply = await rig.caller.send(rig.note(deadline=0.8), b"refund 1")
+            self.assertEqual((reply.outcome, reply.code), ("unknown", "deadline"))
+            self.assertEqual(rig.runs(), 1)
+
+        run_with(make_rig(), scenario)
+
     def test_a_dead_engine_costs_a_caller_nothing(self) -> None:
         async def scenario(rig: Rig) -> None:
             prompt = "dispute length=5"
