--- a/src/lotushill/callers/claims.py
+++ b/src/lotushill/callers/claims.py
@@ -22,7 +22,10 @@
     from lotushill.platform.objects import ObjectApi
 
 PREFIX = "claims/"
-LIFETIME_SECONDS = 24 * 3600.0
+LIFETIME_SECONDS = 2 * 3600.0
+"""A resend is recognised for so long."""
+_DIGEST_CHARS = 40
+_SHARD_CHARS = 2
 
 
 class ClaimResult(Enum):
@@ -48,7 +51,20 @@
 def claim_key(team: str, idempotency_key: str) -> str:
     """Return the object key of a claim."""
     digest = hashlib.sha256(f"{team}\0{idempotency_key}".encode()).hexdigest()
-    return f"{PREFIX}{digest[:40]}"
+    return f"{PREFIX}{digest[:_SHARD_CHARS]}/{digest[:_DIGEST_CHARS]}"
+
+
+def shards() -> tuple[str, ...]:
+    """Return the prefixes that claims are spread over, so that none is large to list."""
+    return tuple(f"{PREFIX}{number:0{_SHARD_CHARS}x}/" for number in range(16**_SHARD_CHARS))
+
+
+def has_expired(value: str, now: float) -> bool:
+    """Return whether a claim's time is over; one that cannot be read counts as expired."""
+    try:
+        return float(json.loads(value)["expires"]) <= now
+    except (ValueError, KeyError, TypeError):
+        return True
 
 
 class Claims:
--- a/src/lotushill/console/load.py
+++ b/src/lotushill/console/load.py
@@ -21,6 +21,8 @@
     commands = parser.add_subparsers(dest="command", required=True)
     _add_policy(commands)
     _add_slopes(commands)
+    _add_capacity(commands)
+    _add_plot(commands)
     arguments = parser.parse_args()
     sys.exit(arguments.run(arguments))
 
@@ -77,5 +79,33 @@
     return EXIT_OK
 
 
+def _add_capacity(commands: Any) -> None:
+    parser = commands.add_parser("capacity", help="work out the capacity page from figures")
+    parser.add_argument("--figures", type=Path, required=True, help="folder with the JSON files")
+    parser.set_defaults(run=_run_capacity)
+
+
+def _run_capacity(arguments: argparse.Namespace) -> int:
+    from lotushill.load.capacity_page import write_page
+
+    print(write_page(arguments.figures), end="")
+    return EXIT_OK
+
+
+def _add_plot(commands: Any) -> None:
+    parser = commands.add_parser("plot", help="draw attainment and waste over load")
+    parser.add_argument("--figures", type=Path, required=True, help="folder with policy-*.json")
+    parser.add_argument("--out", type=Path, required=True, help="folder for the PNG files")
+    parser.set_defaults(run=_run_plot)
+
+
+def _run_plot(arguments: argparse.Namespace) -> int:
+    from lotushill.load.plots import draw_policies
+
+    for path in draw_policies(arguments.figures, arguments.out):
+        print(path)
+    return EXIT_OK
+
+
 if __name__ == "__main__":
     main()
--- a/src/lotushill/keeper/keeper.py
+++ b/src/lotushill/keeper/keeper.py
@@ -11,6 +11,7 @@
 
 from lotushill.keeper.acceptor import Acceptor
 from lotushill.keeper.lease import Lease
+from lotushill.keeper.sweeper import Sweeper
 from lotushill.platform.exceptions import PlatformError
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 """Standbys look seldom: there is one on every host, and each look is a call of the object API."""
 _WATCH_SECONDS = 5.0
 _PAUSE_SECONDS = 0.5
+_SWEEP_SECONDS = 10.0
 
 
 class Keeper:
@@ -31,11 +33,13 @@
     def __init__(self, name: str, objects: ObjectApi) -> None:
         self.lease = Lease("accept", name, objects, time.monotonic)
         self._acceptor = Acceptor(objects, self.lease)
+        self._sweeper = Sweeper(objects)
 
     async def run(self) -> None:
         """Do the duty for ever."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._keep_lease)
+            group.start_soon(self._sweep)
             await self._accept()
 
     async def _keep_lease(self) -> None:
@@ -63,6 +67,16 @@
                 log.info("Could not accept. error=%r", error)
                 await anyio.sleep(_PAUSE_SECONDS)
 
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(_SWEEP_SECONDS)
+            if not self.lease.held():
+                continue
+            try:
+                await self._sweeper.sweep(time.time())
+            except PlatformError as error:
+                log.info("Could not sweep. error=%r", error)
+
     async def _serve_term(self) -> None:
         await self._acceptor.start()
         await self._acceptor.accept()
