Keep a text that comes back into force while it is being swept

Cause: the acceptor took a text that was there for written; a sweeper that had found it unnamed twice deleted it in the moment in which a head named it again. Change: such a text is written again, so that the sweeper's conditional delete fails. The test shows the loss before the change.

--- a/src/lotushill/keeper/acceptor.py
+++ b/src/lotushill/keeper/acceptor.py
@@ -20,7 +20,6 @@
 from lotushill.keeper.judgement import Desired
 from lotushill.keeper.judgement import Judge
 from lotushill.keeper.judgement import Verdict
-from lotushill.platform.exceptions import ConflictError
 from lotushill.platform.exceptions import UnavailableError
 from lotushill.platform.exceptions import UnknownEffectError
 from lotushill.platform.objects import ABSENT
@@ -120,11 +119,10 @@
         return generation
 
     async def _write_object(self, digest: str, text: str) -> None:
-        try:
-            await self._objects.put(OBJECT_PREFIX + digest, text, ABSENT)
-        except ConflictError:
-            # Named by its content, an object that is there already is the same one.
-            return
+        """Write a text, or write it again: its new version tells a sweeper to leave it."""
+        key = OBJECT_PREFIX + digest
+        found = await self._objects.get(key)
+        await self._objects.put(key, text, found.version if found else ABSENT)
 
     async def _move_head(self, head: Head, expected: int) -> None:
         try:
