--- a/src/lotushill/load/policy.py
+++ b/src/lotushill/load/policy.py
@@ -80,7 +80,7 @@
 
     classes: dict[str, ClassResult] = field(default_factory=dict)
     good_tokens: int = 0
-    """Of answers that were whole before the arrivals ended."""
+    """Of answers that became whole between the warm-up and the end of the arrivals."""
     whole_tokens: int = 0
     """Of all answers that were whole, late in the run or not."""
     wasted_tokens: int = 0
@@ -248,6 +248,9 @@
         tokens: dict[str, int] = defaultdict(int)
         for fate in self._fates.values():
             request = fate.request
+            if fate.outcome == "completed" and _WARM_UP <= fate.ended <= until:
+                result.good_tokens += request.output
+                tokens[request.team] += request.output
             if request.at < _WARM_UP:
                 continue
             figures = result.classes.setdefault(request.klass.name, ClassResult())
@@ -259,9 +262,6 @@
             figures.completed += 1
             figures.attained += _in_time(fate)
             result.whole_tokens += request.output
-            if _WARM_UP <= fate.ended <= until:
-                result.good_tokens += request.output
-                tokens[request.team] += request.output
         result.team_tokens = dict(tokens)
         return result
 
