--- a/src/lotushill/callers/runner.py
+++ b/src/lotushill/callers/runner.py
@@ -46,7 +46,6 @@
     RefusalReason.DEADLINE: 504,
     RefusalReason.NO_UPSTREAM: 503,
     RefusalReason.RETRY_BUDGET: 503,
-    RefusalReason.NOT_DISPATCHER: 503,
 }
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
--- a/src/lotushill/dispatch/fair_share.py
+++ b/src/lotushill/dispatch/fair_share.py
@@ -36,7 +36,3 @@
     def level(self, member: K) -> float:
         """Return the tokens charged to a member over its weight."""
         return self._charged.get(member, self._floor)
-
-    def forget(self, member: K) -> None:
-        """Drop the counter of a member that left the settings."""
-        self._charged.pop(member, None)
--- a/src/lotushill/dispatch/messages.py
+++ b/src/lotushill/dispatch/messages.py
@@ -21,8 +21,6 @@
     """No upstream of the pool can be given work."""
     RETRY_BUDGET = "retry-budget"
     """It failed before, and the cell's budget for retries is spent."""
-    NOT_DISPATCHER = "not-dispatcher"
-    """The member asked does not decide for the cell; ask the one that does."""
 
 
 class EndKind(Enum):
--- a/src/lotushill/dispatch/waiting_room.py
+++ b/src/lotushill/dispatch/waiting_room.py
@@ -194,10 +194,6 @@
             found.append(self._by_request[request])
         return found
 
-    def next_expiry(self) -> float:
-        """Return the earliest time at which someone is given up, infinity for never."""
-        return float(self._expiries[0][0]) if self._expiries else _NO_EXPIRY
-
     @staticmethod
     def _load(queue: _Tier, team: str) -> float:
         waiting = [item for members in queue.teams[team].values() for item in members.values()]
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import time
-from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 import anyio
@@ -16,6 +15,7 @@
 from lotushill.callers.front_door import FrontDoorParts
 from lotushill.callers.journal import Journal
 from lotushill.dispatch.client import DispatchClient
+from lotushill.dispatch.decision_log import log_decision
 from lotushill.dispatch.dispatcher import Dispatcher
 from lotushill.dispatch.messages import Ask
 from lotushill.dispatch.messages import Cancel
@@ -30,9 +30,9 @@
 from lotushill.hosts.membership import Membership
 from lotushill.hosts.membership import MembershipOptions
 from lotushill.hosts.rendezvous import owner
+from lotushill.hosts.status_page import StatusPage
 from lotushill.hosts.upstream_watch import UpstreamWatch
 from lotushill.links.address import split_address
-from lotushill.links.asgi import send_json
 from lotushill.links.http_server import HttpServer
 from lotushill.links.messages import Held
 from lotushill.links.messages import MemberPhase
@@ -53,9 +53,6 @@
     from lotushill.contracts.book import Book
     from lotushill.dispatch.dispatcher import Routed
     from lotushill.hosts.settings import EntrySettings
-    from lotushill.links.asgi import Receive
-    from lotushill.links.asgi import Scope
-    from lotushill.links.asgi import Send
     from lotushill.links.codec import Message
 
 log = logging.getLogger("entry")
@@ -63,9 +60,6 @@
 _TICK_SECONDS = 0.02
 _HEAR_SECONDS = 0.25
 _LEAVE_SECONDS = 0.3
-_OK = 200
-_NOT_FOUND = 404
-_NOT_READY = 503
 
 
 class EntryHost:
@@ -120,7 +114,7 @@
             )
         )
         self.callers_server = HttpServer(self.front_door, settings.callers)
-        self.status_server = HttpServer(self._serve_status, settings.status)
+        self.status_server = HttpServer(StatusPage(self), settings.status)
         self._live: frozenset[str] = frozenset()
         self._taken_for_lost = 0
         self._group: TaskGroup | None = None
@@ -260,95 +254,5 @@
 
     def _carry_out(self, routed: list[Routed]) -> None:
         for item in routed:
-            decision = item.decision
-            if isinstance(decision, Grant):
-                log.info(
-                    "Granted. request=%s attempt=%d entry=%s upstream=%s tier=%d waited=%.3f %s",
-                    decision.request,
-                    decision.attempt,
-                    item.entry,
-                    decision.upstream,
-                    decision.tier,
-                    decision.waited,
-                    decision.why,
-                )
-            elif isinstance(decision, Refusal):
-                log.info(
-                    "Refused. request=%s entry=%s reason=%s retry_after=%.1f",
-                    decision.request,
-                    item.entry,
-                    decision.reason.value,
-                    decision.retry_after,
-                )
-            else:
-                log.info(
-                    "Preempted. request=%s entry=%s upstream=%s",
-                    decision.request,
-                    item.entry,
-                    decision.upstream,
-                )
+            log_decision(item)
         self.dispatch.carry_out(routed)
-
-    # Status
-
-    async def _serve_status(self, scope: Scope, receive: Receive, send: Send) -> None:
-        path = str(scope["path"])
-        if path == "/livez":
-            await send_json(send, _OK, {"live": True})
-        elif path == "/readyz":
-            ready = self.ready()
-            await send_json(send, _OK if ready else _NOT_READY, {"ready": ready})
-        elif path == "/status":
-            await send_json(send, _OK, self._status())
-        elif path.startswith("/explain/"):
-            events = self.journal.find(path.removeprefix("/explain/"))
-            await send_json(send, _OK if events else _NOT_FOUND, [asdict(item) for item in events])
-        else:
-            await send_json(send, _NOT_FOUND, {})
-
-    def _status(self) -> dict[str, object]:
-        members = {
-            item.name: {
-                "hall": item.hall,
-                "phase": item.phase.value,
-                "generation": item.generation,
-            }
-            for item in self.membership.all()
-        }
-        cells = {
-            cell.name: {
-                "waiting": len(cell.waiting),
-                "running": len(cell.running),
-                "upstreams": {
-                    item.name: {
-                        "hall": item.hall,
-                        "cap": item.cap.slots,
-                        "running": len(item.running),
-                        "phase": item.health.phase.value,
-                        "leaving": item.leaving,
-                        "reachable": item.reachable,
-                    }
-                    for item in cell.upstreams.values()
-                },
-            }
-            for cell in self.dispatcher.cells.values()
-        }
-        return {
-            "name": self.settings.name,
-            "generation": self.follower.generation,
-            "installed_at": self.follower.installed_at,
-            "in_progress": self.front_door.in_progress,
-            "platform_calls": self.platform.calls,
-            "members": members,
-            "cells": cells,
-            "dropped": {
-                "forged": self.heartbeat.forged,
-                "malformed": self.heartbeat.malformed,
-                "replayed": self.membership.dropped,
-                "connections": self.links.dropped,
-            },
-            "heartbeats": {
-                "packets": self.heartbeat.packets_sent,
-                "bytes": self.heartbeat.bytes_sent,
-            },
-        }
--- a/src/lotushill/hosts/membership.py
+++ b/src/lotushill/hosts/membership.py
@@ -12,6 +12,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lotushill.hosts.news import PER_PACKET
+from lotushill.hosts.news import News
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.links.messages import Ping
@@ -28,9 +30,6 @@
     MemberPhase.LOST: 3,
 }
 """Which of two claims about one incarnation wins."""
-_REPEATS = 6
-"""Times that each news item is passed on."""
-_NEWS_PER_PACKET = 12
 _REPLAY_MEMORY = 1024
 _MAX_RELAYS = 256
 _SEQUENCE_BITS = 62
@@ -109,7 +108,7 @@
         self._seeds = [seed for seed in seeds if seed != own.address]
         self._rng = rng
         self._entries: dict[str, _Entry] = {}
-        self._news: dict[str, int] = {}
+        self._news = News()
         self._round: list[str] = []
         self._probe: _Probe | None = None
         self._relays: dict[int, _Relay] = {}
@@ -239,14 +238,9 @@
             entry = self._entries.get(self._round.pop())
             if entry is not None:
                 return entry.state
-        alive = [
-            name
-            for name, entry in self._entries.items()
-            if entry.state.phase is not MemberPhase.LOST
-        ]
-        lost = [
-            name for name, entry in self._entries.items() if entry.state.phase is MemberPhase.LOST
-        ]
+        phases = {name: entry.state.phase for name, entry in self._entries.items()}
+        alive = [name for name, phase in phases.items() if phase is not MemberPhase.LOST]
+        lost = [name for name, phase in phases.items() if phase is MemberPhase.LOST]
         self._round = alive + self._rng.sample(lost, min(1, len(lost)))
         self._rng.shuffle(self._round)
         if not alive and self._seeds and self._rng.random() < 0.5:
@@ -315,7 +309,7 @@
         self._note(state, former)
 
     def _note(self, state: MemberState, former: MemberPhase | None) -> None:
-        self._news[state.name] = _REPEATS
+        self._news.add(state.name)
         self._changes.append(MemberChange(state, former))
 
     def _repeated(self, message: Ping | Pong) -> bool:
@@ -347,8 +341,8 @@
     def _introduce(self, address: str) -> list[Outgoing]:
         states = [entry.state for entry in self._entries.values()]
         packets: list[Outgoing] = []
-        for start in range(0, len(states), _NEWS_PER_PACKET):
-            part = tuple(states[start : start + _NEWS_PER_PACKET])
+        for start in range(0, len(states), PER_PACKET):
+            part = tuple(states[start : start + PER_PACKET])
             message = Pong(self.own.name, self._next_sequence(), "", (self.own, *part))
             packets.append(Outgoing(address, message))
         return packets
@@ -358,11 +352,7 @@
         passed: dict[str, MemberState] = {self.own.name: self.own}
         for state in self._doubted(address):
             passed[state.name] = state
-        names = sorted(self._news, key=lambda name: -self._news[name])[:_NEWS_PER_PACKET]
-        for name in names:
-            self._news[name] -= 1
-            if not self._news[name]:
-                del self._news[name]
+        for name in self._news.take():
             if name in self._entries:
                 passed[name] = self._entries[name].state
         return tuple(passed.values())
--- a/src/lotushill/load/fake_engine.py
+++ b/src/lotushill/load/fake_engine.py
@@ -28,7 +28,6 @@
     already: int
     """Output tokens that an earlier attempt produced."""
     first_token: float = 0.0
-    last_token: float = 0.0
     produced: int = 0
     """Output tokens that this attempt produced."""
 
@@ -43,15 +42,12 @@
         self.runs: dict[str, Run] = {}
         self.step_scheduled = False
         self._joining: list[tuple[str, int, float, int, int]] = []
-        self.prefilled = 0.0
-        """Prompt tokens read so far."""
         self._honours_priority = honours_priority
         self._cache: OrderedDict[int, None] = OrderedDict()
 
     def add(self, request: Request, attempt: int, priority: int, already: int, now: float) -> Run:
         """Take in a request."""
         prefill = max(0.0, request.prompt - self._cached(request.prefix))
-        self.prefilled += prefill + already
         level = priority if self._honours_priority else 0
         self._joining.append((request.name, level, prefill, request.output, already))
         if not self.step_scheduled:
@@ -78,7 +74,6 @@
         for sequence in self.batch.step():
             run = self.runs[sequence.request]
             run.produced += 1
-            run.last_token = now
             if not run.first_token:
                 run.first_token = now
             if sequence.done:
--- a/src/lotushill/platform/http_platform.py
+++ b/src/lotushill/platform/http_platform.py
@@ -69,11 +69,6 @@
         _, body = await self._read("/hosts", _ANSWER_SECONDS)
         return tuple(host_from_plain(item) for item in body)
 
-    async def put_host(self, record: HostRecord) -> None:
-        """Tell the stand-in of a host; the real platform fills its list by itself."""
-        content = json.dumps(host_to_plain(record)).encode()
-        await self._send("PUT", "/hosts", content, _ANSWER_SECONDS)
-
     async def _read(self, path: str, patience: float) -> tuple[int, Any]:
         try:
             status, content = await self._send("GET", path, b"", patience)
