--- a/src/lotushill/callers/runner.py
+++ b/src/lotushill/callers/runner.py
@@ -84,6 +84,11 @@
     upstream: str = ""
     transcript: Transcript = field(default_factory=Transcript)
 
+    @property
+    def good_tokens(self) -> int:
+        """Return the output tokens of a whole answer."""
+        return self.transcript.tokens - self.wasted_tokens
+
 
 class Runner:
     """Runs one call."""
--- a/src/lotushill/metrics.py
+++ b/src/lotushill/metrics.py
@@ -6,6 +6,8 @@
 
 from statsd import StatsClient
 
+from lotushill.callers.attainment import has_target
+from lotushill.callers.attainment import met_target
 from lotushill.links.address import split_address
 
 if TYPE_CHECKING:
@@ -34,10 +36,10 @@
             pipe.timing(f"{name}.queue_wait", progress.waited * 1000)
             pipe.timing(f"{name}.whole", (now - progress.arrived) * 1000)
             pipe.incr(f"{name}.wasted_tokens", progress.wasted_tokens)
+            pipe.incr(f"{name}.good_tokens", progress.good_tokens)
             if progress.first_token_at:
                 first = progress.first_token_at - progress.arrived
                 pipe.timing(f"{name}.first_token", first * 1000)
-                if contract.first_token is not None:
-                    met = "met" if first <= contract.first_token else "missed"
-                    pipe.incr(f"{name}.target.{met}")
-            pipe.incr(f"{name}.output_tokens", progress.transcript.tokens)
+            if has_target(contract):
+                met = met_target(contract, outcome, progress, now)
+                pipe.incr(f"{name}.target.{'met' if met else 'missed'}")
