Wait at a planned stop until every answer is written out, not only produced

An answer counted as finished once the application had given it to the server, which may still hold some of it for a caller that reads slowly. The host now waits for the connections as well. The test with a slow caller passes on the former code too: the kernel took all of 240 KB; so this is argued from the code and not shown by a failure.

--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -163,11 +163,12 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._cut_on_second_signal, group.cancel_scope)
             with anyio.move_on_after(self.settings.drain_seconds) as scope:
-                while self.front_door.in_progress:
+                while self.front_door.in_progress or self.callers_server.connections():
                     await anyio.sleep(_TICK_SECONDS)
             if scope.cancelled_caught:
                 log.warning("Cut off requests. count=%d", self.front_door.in_progress)
             group.cancel_scope.cancel()
+        log.info("Finished all requests.")
         await anyio.sleep(_LEAVE_SECONDS)
 
     async def _cut_on_second_signal(self, scope: anyio.CancelScope) -> None:
--- a/src/lotushill/links/http_server.py
+++ b/src/lotushill/links/http_server.py
@@ -64,6 +64,10 @@
         """Take no more connections, and end `serve` when all responses are finished."""
         self._server.should_exit = True
 
+    def connections(self) -> int:
+        """Return how many connections are open; one closes when all it owes is written."""
+        return len(self._server.server_state.connections)
+
     def abort(self) -> None:
         """End `serve` without waiting for responses in progress."""
         self._server.force_exit = True
--- a/tests/console/test_programs.py
+++ b/tests/console/test_programs.py
@@ -4,9 +4,11 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -86,12 +88,12 @@
 
 
 class TestFleet(unittest.TestCase):
-    def start(self, fleet: Fleet, entries: int) -> list[Process]:
+    def start(self, fleet: Fleet, entries: int, **engine: Any) -> list[Process]:
         fleet.start_platform()
         fleet.put_object("desired/root", root_text())
         fleet.put_object("desired/team/bodas", team_text())
         for index in range(2):
-            fleet.start_upstream(f"engine-{index}", "engine", "drafts", "hall", REGION)
+            fleet.start_upstream(f"engine-{index}", "engine", "drafts", "hall", REGION, **engine)
         fleet.start_keeper("keeper", "hall")
         started: list[Process] = []
         for index in range(entries):
@@ -130,6 +132,38 @@
             group.start_soon(call, entries[0], "late")
         await caller.close()
 
+    def test_a_planned_stop_waits_for_a_caller_that_reads_slowly(self) -> None:
+        length = 4000
+        prompt = f"wording length={length}"
+        body = json.dumps(
+            {"model": "m", "stream": True, "messages": [{"role": "user", "content": prompt}]}
+        )
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n"
+            f"authorization: Bearer {KEY}\r\nlotushill-service: rsvp\r\n"
+            f"lotushill-class: answer\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        with Fleet() as fleet:
+            (entry,) = self.start(fleet, 1, step=0.0002)
+            host, port = str(entry.settings["callers"]).split(":")
+            with socket.socket() as caller:
+                # The answer does not fit into what the kernel holds for the caller.
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect((host, int(port)))
+                caller.sendall((head + body).encode())
+                caller.recv(1024)
+                entry.handle.send_signal(signal.SIGTERM)
+                fleet.wait(lambda: "Finished all requests." in entry.log.read_text())
+                time.sleep(1.0)
+                received = b""
+                caller.settimeout(10.0)
+                while chunk := caller.recv(65536):
+                    received += chunk
+            self.assertEqual(entry.handle.wait(20), 0)
+        self.assertIn(b"data: [DONE]", received)
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+        self.assertIn(f"-{length - 1} ".encode(), received)
+
     def test_an_edit_comes_into_force_everywhere_and_a_faulty_one_nowhere(self) -> None:
         with Fleet() as fleet:
             entries = self.start(fleet, 3)
