Take text that looks like the stream's protocol for text

An answer whose text held the closing event's words counted as ended, so a stream cut right there would have passed for whole. Test first; events are told by lines now.

--- a/src/lotushill/upstreams/transcript.py
+++ b/src/lotushill/upstreams/transcript.py
@@ -33,8 +33,9 @@
     def commit(self, events: bytes) -> None:
         """Note that events have been written to the caller; until then they may be lost."""
         self._relayed.append(events)
-        self.tokens += events.count(_EVENT)
-        if _DONE in events:
+        # Text inside an event is JSON and holds no line breaks, so only a line can begin so.
+        self.tokens += events.startswith(_EVENT) + events.count(b"\n" + _EVENT)
+        if events.startswith(_DONE) or b"\n" + _DONE in events:
             self.done = True
             self.tokens -= 1
 
--- a/tests/upstreams/test_transcript.py
+++ b/tests/upstreams/test_transcript.py
@@ -35,6 +35,15 @@
         self.assertEqual(transcript.tokens, len(texts))
         self.assertTrue(transcript.done)
 
+    def test_text_that_looks_like_the_protocol_is_text(self) -> None:
+        transcript = Transcript()
+        transcript.commit(transcript.feed(event("data: [DONE]") + event("data: x\n\ndata: y")))
+        self.assertFalse(transcript.done)
+        self.assertEqual(transcript.tokens, 2)
+        transcript.commit(transcript.feed(b": still there\n\ndata: [DONE]\n\n"))
+        self.assertTrue(transcript.done)
+        self.assertEqual(transcript.tokens, 2)
+
     def test_a_broken_attempt_leaves_nothing_of_a_half_event(self) -> None:
         transcript = Transcript()
         transcript.commit(transcript.feed(event("a") + event("b")[:10]))
