--- a/src/lotushill/platform/http_platform.py
+++ b/src/lotushill/platform/http_platform.py
@@ -22,6 +22,8 @@
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
+_NOT_TAKEN = (429, 503)
+"""With these the platform says that it did not begin on a write; other errors say nothing."""
 
 
 class HttpPlatform:
@@ -47,12 +49,15 @@
     async def list(self, prefix: str) -> tuple[StoredObject, ...]:
         """Return all objects whose key starts with a prefix, by key."""
         _, body = await self._read(f"/list/{quote(prefix)}", _ANSWER_SECONDS)
-        return tuple(_stored(item) for item in body)
+        return tuple(_stored(item) for item in _items(body))
 
     async def put(self, key: str, value: str, expected: int) -> StoredObject:
         """Write against a version."""
         body = await self._write("PUT", key, value, expected)
-        return _stored(body)
+        try:
+            return _stored(body)
+        except UnavailableError as error:
+            raise UnknownEffectError(str(error)) from error
 
     async def delete(self, key: str, expected: int) -> None:
         """Delete against a version."""
@@ -62,12 +67,12 @@
         """Wait until objects under a prefix are newer than `after`."""
         path = f"/watch/{quote(prefix)}?after={after}&patience={patience}"
         _, body = await self._read(path, patience + _ANSWER_SECONDS)
-        return tuple(_stored(item) for item in body)
+        return tuple(_stored(item) for item in _items(body))
 
     async def hosts(self) -> tuple[HostRecord, ...]:
         """Return every host that the platform lists."""
         _, body = await self._read("/hosts", _ANSWER_SECONDS)
-        return tuple(host_from_plain(item) for item in body)
+        return tuple(host_from_plain(item) for item in _items(body))
 
     async def _read(self, path: str, patience: float) -> tuple[int, Any]:
         try:
@@ -88,11 +93,17 @@
             raise UnavailableError(str(error)) from error
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             raise UnknownEffectError(str(error)) from error
-        if status == _CONFLICT:
-            raise ConflictError(key, expected, int(_parse(answer)["version"]))
-        if status != _OK:
+        if status in _NOT_TAKEN:
             raise UnavailableError(f"status {status}")
-        return _parse(answer)
+        try:
+            body = _parse(answer)
+            if status == _CONFLICT:
+                raise ConflictError(key, expected, int(body["version"]))
+        except (UnavailableError, TypeError, KeyError, ValueError) as error:
+            raise UnknownEffectError("an answer that says nothing") from error
+        if status != _OK:
+            raise UnknownEffectError(f"status {status}")
+        return body
 
     async def _send(
         self, method: str, path: str, content: bytes, patience: float
@@ -128,6 +139,12 @@
         raise UnavailableError("an answer that is no JSON") from error
 
 
+def _items(body: Any) -> list[Any]:
+    if not isinstance(body, list):
+        raise UnavailableError("an answer that is no list")
+    return body
+
+
 def _stored(body: Any) -> StoredObject:
     try:
         deleted = bool(body.get("deleted", False))
