--- a/src/lotushill/hosts/heartbeat.py
+++ b/src/lotushill/hosts/heartbeat.py
@@ -73,7 +73,7 @@
             try:
                 async with self._sending:
                     await self._socket.sendto(data, *split_address(packet.address))
-            except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            except (OSError, ValueError, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 log.debug("Could not send. address=%s", packet.address)
 
     async def _receive(self, udp: UDPSocket) -> None:
--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -120,7 +120,7 @@
                     channel = await self._open(stream)
                     await channel.send(Ping(self._own_name, 0, "", ()))
                 await self._pump(peer, channel, inbox)
-        except (OSError, TimeoutError, LinkError):
+        except (OSError, ValueError, LinkError):
             log.info("Lost a link. peer=%s", peer)
         finally:
             inbox.close()
