--- a/src/lotushill/load/policy.py
+++ b/src/lotushill/load/policy.py
@@ -17,6 +17,7 @@
 from lotushill.load.arrivals import draw
 from lotushill.load.fake_engine import FakeEngine
 from lotushill.load.fake_engine import Run
+from lotushill.load.lost_dispatcher import LostDispatcherRouter
 from lotushill.load.routers import Action
 from lotushill.load.routers import CellRouter
 from lotushill.load.routers import Drop
@@ -292,6 +293,13 @@
     return CellRouter(engines, CellOptions(), by_hall=True)
 
 
+def _lost(seconds: float, fallback: bool) -> Callable[[dict[str, FakeEngine], int], Router]:
+    def make(engines: dict[str, FakeEngine], seed: int) -> Router:
+        return LostDispatcherRouter(engines, CellOptions(), seconds, fallback)
+
+    return make
+
+
 POLICIES = (
     Policy("lotushill", _cell()),
     Policy("round-robin-fcfs", RoundRobin, honours_priority=False, resumes=False),
@@ -312,6 +320,10 @@
     Policy("finish-0.99", _cell(finish_quantile=0.99)),
     Policy("no-lane", _cell(lane_share=0.0)),
     Policy("hall-cells", _hall_cells),
+    Policy("lost-1s", _lost(1.0, False)),
+    Policy("lost-3s", _lost(3.0, False)),
+    Policy("lost-1s-fallback", _lost(1.0, True)),
+    Policy("lost-3s-fallback", _lost(3.0, True)),
 )
 
 
--- a/src/lotushill/load/routers.py
+++ b/src/lotushill/load/routers.py
@@ -78,21 +78,36 @@
     """The dispatch code itself: one cell for all engines, or one for each hall."""
 
     def __init__(
-        self, engines: Mapping[str, FakeEngine], options: CellOptions, by_hall: bool = False
+        self,
+        engines: Mapping[str, FakeEngine],
+        options: CellOptions,
+        by_hall: bool = False,
+        opens_at: float = 0.0,
     ) -> None:
         self._by_hall = by_hall
         self._cells: dict[str, Cell] = {}
         self._asks: dict[str, tuple[Ask, float, str, str]] = {}
         for name, engine in engines.items():
             key = engine.shape.hall if by_hall else "region"
-            cell = self._cells.setdefault(key, Cell(key, options))
+            cell = self._cells.setdefault(key, Cell(key, options, opens_at))
             cell.add_upstream(name, "127.0.0.1:1", engine.shape.hall)
 
     def ask(self, request: Request, attempt: int, already: int, now: float) -> list[Action]:
         """Ask the cell."""
+        ask = self._ask(request, attempt, already, now)
+        self._asks[request.name] = (ask, now, ask.cell, "")
+        return self._act(self._cells[ask.cell].ask(ask, now), now)
+
+    def adopt(self, request: Request, attempt: int, already: int, engine: str, now: float) -> None:
+        """Tell the cell of an attempt that runs already."""
+        ask = self._ask(request, attempt, already, now)
+        self._asks[request.name] = (ask, now, ask.cell, engine)
+        self._cells[ask.cell].adopt(ask, engine, now)
+
+    def _ask(self, request: Request, attempt: int, already: int, now: float) -> Ask:
         klass = request.klass
         key = request.hall if self._by_hall else "region"
-        ask = Ask(
+        return Ask(
             request=request.name,
             attempt=attempt,
             entry="entry",
@@ -116,8 +131,6 @@
             queued=100_000,
             prefix=request.prefix,
         )
-        self._asks[request.name] = (ask, now, key, "")
-        return self._act(self._cells[key].ask(ask, now), now)
 
     def end(
         self, request: Request, attempt: int, kind: EndKind, tokens: int, first: float, now: float
