--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,23 +24,30 @@
 
 _START_SECONDS = 20.0
 _STOP_SECONDS = 10.0
+_FIRST_PORT = 10_240
+_LAST_PORT = 32_000
 PEER_KEY = "00112233445566778899aabbccddeeff"
 _taken: set[int] = set()
 
 
 def free_address() -> str:
-    """Return an address on loopback whose TCP and UDP ports are both free."""
+    """Return an address on loopback whose TCP and UDP ports are both free.
+
+    From below the range that the kernel gives to outgoing connections, which could take the port
+    before the program that it is meant for.
+    """
     while True:
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
+        if port in _taken:
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            if port not in _taken:
-                _taken.add(port)
-                return f"127.0.0.1:{port}"
+        _taken.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def request(method: str, address: str, path: str, body: Any = None) -> Any:
