Take a recovered engine back in seconds, and learn pace while lower tiers are paused

Change: probes wait at most 4 s, one that runs for a second is a good one; below the configured slots each prompt answer adds one; an attempt is disturbed only if its own and higher tiers overfill the cap. Ruled out: retries for want of budget (none were refused), resuming (its tokens are kept).

--- a/src/lotushill/dispatch/cell.py
+++ b/src/lotushill/dispatch/cell.py
@@ -225,8 +225,7 @@
         if end.kind is EndKind.COMPLETED:
             undisturbed = upstream.undisturbed(running)
             if upstream.health.succeed(end.between_tokens if undisturbed else 0.0):
-                upstream.cap.restart()
-                upstream.prefixes.clear()
+                upstream.recover()
             ask = running.waiting.ask
             self._estimates.learn(ask, end.output_tokens, self.upstreams.values(), now)
             if undisturbed:
--- a/src/lotushill/dispatch/upstream_state.py
+++ b/src/lotushill/dispatch/upstream_state.py
@@ -14,6 +14,9 @@
     from lotushill.dispatch.waiting_room import Waiting
     from lotushill.upstreams.adaptive_cap import AdaptiveCap
 
+_PROBE_SECONDS = 1.0
+"""A probe that runs for so long without breaking is a good one, however long its answer is."""
+
 
 @dataclass
 class Running:
@@ -52,16 +55,28 @@
     prefixes: PrefixMemory = field(default_factory=PrefixMemory)
     _by_tier: dict[int, int] = field(default_factory=dict)
     _lane: int = 0
-    _crowded_at: float = float("-inf")
-    """When more than the cap's slots were last in use."""
+    _crowded_at: dict[int, float] = field(default_factory=dict)
+    """When a tier and those above it last had more than the cap's slots."""
 
     def usable(self, now: float) -> bool:
         """Return whether the upstream may be given new work at all."""
         self.health.refresh(now)
+        if self.health.phase is Phase.PROBING and self._probe_holds(now):
+            self.recover()
         if self.leaving or not self.reachable or self.health.phase is Phase.OPEN:
             return False
         return self.health.phase is Phase.SERVING or not self.running
 
+    def recover(self) -> None:
+        """Take the upstream back into service after it had been down."""
+        self.health.close()
+        self.cap.restart()
+        self.prefixes.clear()
+
+    def _probe_holds(self, now: float) -> bool:
+        """Return whether a probe has run for a while; a dead upstream breaks it at once."""
+        return any(now - item.started >= _PROBE_SECONDS for item in self.running.values())
+
     def start(self, item: Running, now: float) -> None:
         """Take an attempt on the books."""
         self.running[item.waiting.ask.request] = item
@@ -85,13 +100,19 @@
     def undisturbed(self, item: Running) -> bool:
         """Return whether an attempt ran all its time without being paused for others.
 
-        Over the cap lower ones are paused; their timing says nothing of the upstream.
+        Over the cap lower ones are paused; their timing says nothing of the upstream. What runs in
+        the lane has the highest priority, like the top tier.
         """
-        return item.started > self._crowded_at
+        tier = 0 if item.in_lane else item.tier
+        return item.started > self._crowded_at.get(tier, float("-inf"))
 
     def _note_crowd(self, now: float) -> None:
-        if self.total() > self.cap.slots:
-            self._crowded_at = now
+        """Note for which tiers the cap's slots do not suffice; higher ones do not notice."""
+        if self.total() <= self.cap.slots:
+            return
+        for tier in self._by_tier:
+            if self.count(tier) > self.cap.slots:
+                self._crowded_at[tier] = now
 
     def count(self, tier: int) -> int:
         """Return how many of a tier and higher ones run outside the lane."""
--- a/src/lotushill/upstreams/adaptive_cap.py
+++ b/src/lotushill/upstreams/adaptive_cap.py
@@ -54,7 +54,9 @@
         if first_token > (target or _LATE_SECONDS):
             self._fall(now)
         elif may_grow and first_token <= _PROMPT_FACTOR * self.best + _PROMPT_MARGIN:
-            self.value = min(float(self.ceiling), self.value + 1.0 / max(1.0, self.value))
+            # Below the configured slots it is a slow start, which doubles; above, a careful try.
+            step = 1.0 if self.value < self.start else 1.0 / self.value
+            self.value = min(float(self.ceiling), self.value + step)
 
     def _fall(self, now: float) -> None:
         if now - self.fell_at < _HOLD_SECONDS:
--- a/src/lotushill/upstreams/health.py
+++ b/src/lotushill/upstreams/health.py
@@ -8,7 +8,7 @@
 _BREAKS_TO_OPEN = 2
 """Broken answers in a row after which an upstream is given no work for a while."""
 _FIRST_PAUSE = 0.5
-_LONGEST_PAUSE = 10.0
+_LONGEST_PAUSE = 4.0
 _SMOOTHING = 0.1
 _WORST_SLOWNESS = 8.0
 
@@ -42,14 +42,18 @@
     def succeed(self, between_tokens: float) -> bool:
         """Note a whole answer; True if this closed the breaker again."""
         recovered = self.phase is not Phase.SERVING
-        self.phase = Phase.SERVING
-        self.breaks = 0
-        self.pause = _FIRST_PAUSE
+        self.close()
         if between_tokens > 0:
             known = self.gap or between_tokens
             self.gap = known + _SMOOTHING * (between_tokens - known)
         return recovered
 
+    def close(self) -> None:
+        """Close the breaker."""
+        self.phase = Phase.SERVING
+        self.breaks = 0
+        self.pause = _FIRST_PAUSE
+
     def fail(self, certain: bool, now: float) -> bool:
         """Note a broken answer; `certain` means that nobody listens. True if it opened."""
         self.breaks += 1
--- a/tests/dispatch/test_cell_progress.py
+++ b/tests/dispatch/test_cell_progress.py
@@ -308,3 +308,41 @@
             end = End(request, 0, grant.cell, grant.upstream, EndKind.COMPLETED, 50, waited, 0.01)
             driver.take(driver.cell.end(end, driver.now))
         self.assertLessEqual(upstream.cap.slots, 6)
+
+
+class TestRecovery(unittest.TestCase):
+    def test_a_probe_need_not_be_whole_to_be_good(self) -> None:
+        driver = CellDriver(CellOptions(slots=8, max_slots=8), upstreams=1)
+        driver.ask(make_ask("first"))
+        driver.end("first", EndKind.NOT_SENT)
+        driver.pass_time(0.6)
+        for index in range(12):
+            driver.ask(make_ask(f"r{index}"))
+        self.assertEqual(len(driver.granted), 1)
+        driver.pass_time(1.1)
+        self.assertGreaterEqual(len(driver.granted), 4)
+
+    def test_a_slow_start_is_over_after_a_few_answers(self) -> None:
+        driver = CellDriver(CellOptions(slots=16, max_slots=16, lane_share=0.0), upstreams=1)
+        upstream = driver.cell.upstreams["up-0"]
+        upstream.recover()
+        self.assertEqual(upstream.cap.slots, 8)
+        for index in range(40):
+            driver.ask(make_ask(f"r{index}"))
+        for _ in range(16):
+            driver.now += 0.1
+            driver.end(next(iter(driver.granted)))
+        self.assertEqual(upstream.cap.slots, 16)
+
+    def test_pace_is_learned_from_the_top_tier_while_lower_ones_are_paused(self) -> None:
+        driver = CellDriver(CellOptions(slots=2, max_slots=8, lane_share=0.0), upstreams=1)
+        for index in range(2):
+            driver.ask(make_ask(f"low-{index}", tier=2))
+        for index in range(2):
+            driver.ask(make_ask(f"top-{index}", tier=0))
+        driver.now += 1.0
+        driver.end("top-0")
+        self.assertAlmostEqual(driver.cell.upstreams["up-0"].health.gap, 0.01)
+        driver.cell.upstreams["up-0"].health.gap = 0.0
+        driver.end("low-0")
+        self.assertEqual(driver.cell.upstreams["up-0"].health.gap, 0.0)
