--- a/src/lotushill/load/capacity_page.py
+++ b/src/lotushill/load/capacity_page.py
@@ -76,14 +76,17 @@
   {aimed.requests * each * 1e-6 / aimed.nodes:.2%} of a core on each of {aimed.nodes} nodes, but
   {aimed.cells} nodes would carry it alone. Cells must be divided: with 3 engines in a part a
   request costs {small:.0f} us, and what is left of a node's budget carries {rate:.0f} requests a
-  second, while each of 200 such parts gets {aimed.requests / 200:.0f}. An engine belongs to one
-  part, and parts lend to each other. This is not built.
+  second, while each of 200 such parts gets {aimed.requests / 200:.0f}: with {aimed.nodes} nodes and
+  200 parts that fits only if an entry at rest comes down to some 1.6% of a core. Frames of a whole
+  cell are {aimed.requests / aimed.cells * 451 / 1000:.0f} KB a second against 25, of such a part
+  {aimed.requests / 200 * 451 / 1000:.0f}. An engine belongs to one part, and parts lend to each
+  other. Division is not built.
 - **Memory.** An entry has {costs.entry_mb:.0f} MB resident and a keeper {costs.keeper_mb:.0f} MB,
   most of it imports. Both share one budget of 32 MB, which neither keeps alone. The keeper without
   an HTTP server of its own, and with settings parsed by a smaller library, comes nearer; the budget
   is best met by making the keeper a part of the entry, whose other imports serve callers anyway.
-- **Standby keepers** make most of the object API's reads. Two candidates a hall by rendezvous hash,
-  as for readers, would leave a twentieth.
+- **Host lists and standby keepers** make nine in ten of the object API's reads, an eighth of what it
+  bears. Two readers and two candidates a hall by rendezvous hash would leave a twentieth of them.
 
 ## What breaks first
 
