--- a/src/lotushill/load/capacity_page.py
+++ b/src/lotushill/load/capacity_page.py
@@ -85,8 +85,8 @@
   most of it imports. Both share one budget of 32 MB, which neither keeps alone. The keeper without
   an HTTP server of its own, and with settings parsed by a smaller library, comes nearer; the budget
   is best met by making the keeper a part of the entry, whose other imports serve callers anyway.
-- **Host lists and standby keepers** make nine in ten of the object API's reads, an eighth of what it
-  bears. Two readers and two candidates a hall by rendezvous hash would leave a twentieth of them.
+- **Host lists and standby keepers** make nine in ten of the object API's reads, an eighth of what
+  it bears. Two readers and two candidates a hall by rendezvous hash would leave a twentieth of them.
 
 ## What breaks first
 
