--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -27,6 +27,7 @@
 import anyio.to_thread
 from fleet import Fleet
 from fleet import Process
+from fleet import print_report
 from fleet import request
 
 from lotushill.contracts.book import hash_key
@@ -616,11 +617,7 @@
         anyio.run(run.run, arguments.minutes * 60, backend_options={"use_uvloop": True})
         figures = run.check()
     figures |= {"shape": arguments.shape, "minutes": arguments.minutes, "seed": arguments.seed}
-    text = json.dumps(figures, indent=1)
-    print(text)
-    if arguments.json:
-        arguments.json.parent.mkdir(parents=True, exist_ok=True)
-        arguments.json.write_text(text, encoding="utf-8")
+    print_report(figures, arguments.json)
     return 1 if figures["broken_promises"] else 0
 
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -58,6 +58,15 @@
         return json.loads(response.read() or b"null")
 
 
+def print_report(report: dict[str, Any], path: Path | None) -> None:
+    """Print a report as JSON, and write it to a file if one is named."""
+    text = json.dumps(report, indent=1)
+    print(text)
+    if path is not None:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text, encoding="utf-8")
+
+
 @dataclass
 class Process:
     """One started program."""
--- a/scripts/measure_fleet.py
+++ b/scripts/measure_fleet.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import signal
 import sys
 import time
@@ -17,6 +16,7 @@
 import psutil
 from fleet import Fleet
 from fleet import Process
+from fleet import print_report
 from fleet import request
 
 from lotushill.contracts.book import hash_key
@@ -186,11 +186,7 @@
             for how in ("kill", "freeze")
         }
         report["restart_of_all"] = measure_restart(fleet, entries)
-    text = json.dumps(report, indent=1)
-    print(text)
-    if arguments.json:
-        arguments.json.parent.mkdir(parents=True, exist_ok=True)
-        arguments.json.write_text(text, encoding="utf-8")
+    print_report(report, arguments.json)
     return 0
 
 
--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import os
 import sys
 import time
@@ -19,6 +18,7 @@
 import psutil
 from fleet import Fleet
 from fleet import Process
+from fleet import print_report
 
 from lotushill.contracts.book import hash_key
 from lotushill.contracts.document import write
@@ -167,11 +167,7 @@
             engine = fleet.processes[f"{entries[0].name}-engine-0"]
             found["direct"] = measure_direct(str(engine.settings["address"]), arguments.calls)
             report["rounds"].append(found)
-    text = json.dumps(report, indent=1)
-    print(text)
-    if arguments.json:
-        arguments.json.parent.mkdir(parents=True, exist_ok=True)
-        arguments.json.write_text(text, encoding="utf-8")
+    print_report(report, arguments.json)
     return 0
 
 
--- a/src/lotushill/load/capacity_page.py
+++ b/src/lotushill/load/capacity_page.py
@@ -86,7 +86,7 @@
   an HTTP server of its own, and with settings parsed by a smaller library, comes nearer; the budget
   is best met by making the keeper a part of the entry, whose other imports serve callers anyway.
 - **Host lists and standby keepers** make nine in ten of the object API's reads, an eighth of what
-  it bears. Two readers and two candidates a hall by rendezvous hash would leave a twentieth of them.
+  it bears. Two readers and two candidates a hall by rendezvous hash would leave a twentieth.
 
 ## What breaks first
 
