Close three holes that broken rules showed in later code

Cause: the cap was checked against the ceiling only, repeated asks only while they waited, and a late older answer was never whole in the histories, so three rules could be broken unseen after code had moved. Change: grants are checked against the cap of their tier, repeats after a grant as well, and a whole older answer comes late in a test of its own.

--- a/tests/dispatch/test_cell_history.py
+++ b/tests/dispatch/test_cell_history.py
@@ -93,6 +93,15 @@
         if waiting:
             self.follow(self.driver.ask(data.draw(st.sampled_from(waiting))))
 
+    @precondition(lambda self: self.driver.granted)
+    @rule(data=st.data())
+    def ask_repeated_after_its_grant(self, data: st.DataObject) -> None:
+        request = data.draw(st.sampled_from(sorted(self.driver.granted)))
+        before = self.driver.granted[request]
+        decisions = self.driver.ask(self.driver.cell.running[request].waiting.ask)
+        assert [(item.request, item.attempt) for item in decisions] == [(request, before.attempt)]
+        assert self.driver.granted[request].upstream == before.upstream, "granted twice"
+
     @rule(seconds=st.sampled_from([0.01, 0.3, 1.1, 12.0]))
     def time_passes(self, seconds: float) -> None:
         self.follow(self.driver.pass_time(seconds))
@@ -122,6 +131,9 @@
     def check_grant(self, grant: Grant) -> None:
         upstream = self.driver.cell.upstreams[grant.upstream]
         assert not upstream.leaving, "granted work on an upstream that is leaving"
+        running = self.driver.cell.running[grant.request]
+        if not running.in_lane:
+            assert upstream.count(running.tier) <= upstream.cap.slots, "granted over the cap"
 
     def check_preemption(self, preemption: Preemption) -> None:
         running = self.driver.cell.running[preemption.request]
--- a/tests/hosts/test_follower.py
+++ b/tests/hosts/test_follower.py
@@ -165,3 +165,17 @@
         run_state_machine_as_test(
             FollowHistory, settings=settings(max_examples=25, stateful_step_count=20)
         )
+
+    def test_a_whole_older_answer_that_comes_late_changes_nothing(self) -> None:
+        history = FollowHistory()
+        history.start()
+        source, follower = history.followers[0], history.followers[1]
+        history.read_platform(0, fails_at=99)
+        older = source.answer_pull(Pull(0, ()))
+        history.accept(1)
+        history.read_platform(0, fails_at=99)
+        newer = source.answer_pull(Pull(0, ()))
+        follower.take_pulled(newer)
+        follower.take_pulled(older)
+        self.assertEqual(follower.generation, newer.generation)
+        self.assertGreater(newer.generation, older.generation)
