Learn lengths by class over all teams; give up thousands in one step without recursion

And giving up hopeless requests called itself once for each: a few hundred at once ended in a RecursionError, which in an entry would have ended the process. Change: lengths by service and class.

--- a/src/lotushill/dispatch/estimates.py
+++ b/src/lotushill/dispatch/estimates.py
@@ -13,7 +13,6 @@
 
     from lotushill.dispatch.messages import Ask
     from lotushill.dispatch.upstream_state import UpstreamState
-    from lotushill.dispatch.waiting_room import ClassKey
 
 
 class Estimates:
@@ -21,7 +20,8 @@
 
     def __init__(self, finish_quantile: float) -> None:
         self._finish_quantile = finish_quantile
-        self._lengths: dict[ClassKey, LengthEstimate] = {}
+        self._lengths: dict[tuple[str, str], LengthEstimate] = {}
+        """By service and class."""
         self.ends = Throughput()
         self.gap = 0.0
         """Usual seconds between tokens, 0 while unknown."""
@@ -55,7 +55,9 @@
         return max(0, tokens - ask.resumed_tokens) * self._slowest
 
     def _length(self, ask: Ask) -> LengthEstimate:
-        key = (ask.team, ask.service, ask.klass)
+        # Teams share what is known of a class: a few long answers of one team must not make its
+        # requests look hopeless.
+        key = (ask.service, ask.klass)
         found = self._lengths.get(key)
         if found is None:
             found = self._lengths[key] = LengthEstimate()
--- a/src/lotushill/dispatch/placer.py
+++ b/src/lotushill/dispatch/placer.py
@@ -15,6 +15,7 @@
 from lotushill.dispatch.placement import choose
 from lotushill.dispatch.placement import has_room
 from lotushill.dispatch.progress_lane import ProgressLane
+from lotushill.dispatch.waiting_room import Waiting
 
 if TYPE_CHECKING:
     from lotushill.dispatch.estimates import Estimates
@@ -22,7 +23,6 @@
     from lotushill.dispatch.options import CellOptions
     from lotushill.dispatch.upstream_state import Running
     from lotushill.dispatch.upstream_state import UpstreamState
-    from lotushill.dispatch.waiting_room import Waiting
 
 _TRUST_SECONDS = 5.0
 """A class without a start for so long is started whatever is estimated of its run."""
@@ -106,13 +106,22 @@
         self, tier: int, open_ones: list[UpstreamState], hopeless: list[Waiting], now: float
     ) -> tuple[Waiting, Choice] | None:
         """Return the next request of a tier that may start, and where."""
+        while True:
+            found = self._first(tier, open_ones, now)
+            if not isinstance(found, Waiting):
+                return found
+            self._ledger.waiting.remove(found.ask.request)
+            hopeless.append(found)
+
+    def _first(
+        self, tier: int, open_ones: list[UpstreamState], now: float
+    ) -> tuple[Waiting, Choice] | Waiting | None:
+        """Return the first that may start with its place, or the first that is past hope."""
         for waiting in self._ledger.waiting.heads(tier):
             if not self._allowed(waiting, now):
                 continue
             if self._too_late(waiting, now):
-                self._ledger.waiting.remove(waiting.ask.request)
-                hopeless.append(waiting)
-                return self._next(tier, open_ones, hopeless, now)
+                return waiting
             if not self.can_finish(waiting, now):
                 continue
             choice = self._choose(waiting.ask, open_ones, now)
--- a/tests/dispatch/test_cell_progress.py
+++ b/tests/dispatch/test_cell_progress.py
@@ -286,6 +286,19 @@
         self.assertGreaterEqual(started, 10)
         self.assertLessEqual(started, 30)
 
+    def test_thousands_past_hope_are_given_up_in_one_step(self) -> None:
+        driver = CellDriver(CellOptions(slots=1, max_slots=1, lane_share=0.0), upstreams=1)
+        for index in range(10):
+            driver.ask(make_ask(f"known-{index}"))
+            driver.now += 1.0
+            driver.end(f"known-{index}", tokens=100)
+        driver.ask(make_ask("running"))
+        for index in range(3000):
+            driver.ask(make_ask(f"r{index}", time_left=4.0, queued=5000))
+        driver.now += 3.9
+        refused = [item for item in driver.end("running") if isinstance(item, Refusal)]
+        self.assertEqual(len(refused), 3000)
+
     def test_what_was_begun_goes_on_before_what_was_not(self) -> None:
         driver = CellDriver(CellOptions(slots=1, max_slots=1, lane_share=0.0), upstreams=1)
         for name in ("running", "new"):
