--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -28,7 +28,7 @@
 from lotushill.hosts.hall_status import HallStatus
 from lotushill.hosts.heartbeat import Heartbeat
 from lotushill.hosts.membership import Membership
-from lotushill.hosts.membership import MembershipOptions
+from lotushill.hosts.membership_options import MembershipOptions
 from lotushill.hosts.rendezvous import owner
 from lotushill.hosts.status_page import StatusPage
 from lotushill.hosts.upstream_watch import UpstreamWatch
--- a/src/lotushill/hosts/membership.py
+++ b/src/lotushill/hosts/membership.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lotushill.hosts.member_claim import beats
 from lotushill.hosts.news import PER_PACKET
 from lotushill.hosts.news import News
 from lotushill.links.messages import MemberPhase
@@ -23,36 +24,13 @@
     import random
     from collections.abc import Iterable
 
-_RANK = {
-    MemberPhase.ALIVE: 0,
-    MemberPhase.SUSPECT: 1,
-    MemberPhase.LEAVING: 2,
-    MemberPhase.LOST: 3,
-}
-"""Which of two claims about one incarnation wins."""
+    from lotushill.hosts.membership_options import MembershipOptions
+
 _REPLAY_MEMORY = 1024
 _MAX_RELAYS = 256
 _SEQUENCE_BITS = 62
 
 
-@dataclass(frozen=True)
-class MembershipOptions:
-    """Timing, in seconds."""
-
-    period: float = 0.2
-    """Between two pings of one member."""
-    probe_timeout: float = 0.1
-    """Without an answer for so long, others are asked to probe."""
-    suspect_after: float = 0.25
-    """Without any answer for so long, a member is suspected."""
-    lost_after: float = 0.5
-    """A member suspected for so long is taken for lost."""
-    forget_after: float = 600.0
-    """A lost member is probed now and then for so long, so that a healed cut is noticed."""
-    helpers: int = 2
-    """Members asked to probe on one's behalf."""
-
-
 @dataclass(frozen=True)
 class Outgoing:
     """A packet to send."""
@@ -290,7 +268,7 @@
                 self._entries[state.name] = entry = _Entry(state, now)
                 self._note(state, None)
             return
-        if _beats(state, entry.state):
+        if beats(state, entry.state):
             self._set(entry, state, now)
 
     def _refute(self, state: MemberState) -> None:
@@ -367,9 +345,3 @@
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
-
-
-def _beats(new: MemberState, old: MemberState) -> bool:
-    if new.incarnation != old.incarnation:
-        return new.incarnation > old.incarnation
-    return _RANK[new.phase] > _RANK[old.phase]
--- a/src/lotushill/load/slopes.py
+++ b/src/lotushill/load/slopes.py
@@ -28,7 +28,7 @@
 from lotushill.dispatch.messages import Grant
 from lotushill.dispatch.options import CellOptions
 from lotushill.hosts.membership import Membership
-from lotushill.hosts.membership import MembershipOptions
+from lotushill.hosts.membership_options import MembershipOptions
 from lotushill.keeper.judgement import Desired
 from lotushill.keeper.judgement import Judge
 from lotushill.links.codec import decode
--- a/tests/hosts/network.py
+++ b/tests/hosts/network.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from lotushill.hosts.membership import Membership
-from lotushill.hosts.membership import MembershipOptions
 from lotushill.hosts.membership import Outgoing
+from lotushill.hosts.membership_options import MembershipOptions
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 
