Work out the memory of contracts in one place on the capacity page

Read the change once more: the reader's and the follower's rows said the same sum twice. The page comes out the same to the letter.

--- a/src/lotushill/load/capacity.py
+++ b/src/lotushill/load/capacity.py
@@ -192,7 +192,7 @@
         1 / _WATCH_SECONDS + 2 * edits,
         edits * 2 * head,
         edits * _install_us(size, costs) * _MICRO,
-        f"{size.teams * costs.slopes['team_bytes'] / 2**20:.1f} MB of contracts",
+        _contracts_memory(size, costs),
         "fits",
     )
 
@@ -207,7 +207,7 @@
         2 * edits,
         edits * head,
         edits * _install_us(size, costs) * _MICRO,
-        f"{size.teams * costs.slopes['team_bytes'] / 2**20:.1f} MB of contracts",
+        _contracts_memory(size, costs),
         "fits",
     )
 
@@ -255,6 +255,10 @@
     )
 
 
+def _contracts_memory(size: Size, costs: Costs) -> str:
+    return f"{size.teams * costs.slopes['team_bytes'] / 2**20:.1f} MB of contracts"
+
+
 def _install_us(size: Size, costs: Costs) -> float:
     return _nearest(costs.slopes["install"], size.teams)
 
