--- a/src/lotushill/callers/claims.py
+++ b/src/lotushill/callers/claims.py
@@ -13,13 +13,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.exceptions import UnknownEffectError
-from lotushill.platform.objects import ABSENT
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.exceptions import UnknownEffectError
+from lotushill.objectapi.objects import ABSENT
 
 if TYPE_CHECKING:
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 PREFIX = "claims/"
 LIFETIME_SECONDS = 2 * 3600.0
--- /dev/null
+++ b/src/lotushill/console/gateway.py
@@ -0,0 +1,56 @@
+"""The program `lotushill-gateway`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lotushill.console.program import EXIT_BAD_SETTINGS
+from lotushill.console.program import new_parser
+from lotushill.console.program import run
+from lotushill.console.program import start_logs
+from lotushill.contracts.document import read
+from lotushill.contracts.exceptions import SettingsError
+from lotushill.gateway.gateway import Gateway
+from lotushill.gateway.settings import GatewaySettings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CONFIG_VARIABLE = "LOTUSHILL_NODE_FILE"
+"""Names the settings file where no `--config` is given."""
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run one gateway."""
+    parser = new_parser("lotushill-gateway", "Route requests on one node.")
+    parser.add_argument(
+        "--config",
+        type=Path,
+        default=os.environ.get(CONFIG_VARIABLE),
+        help=f"settings file (YAML); default: ${CONFIG_VARIABLE}",
+    )
+    path = parser.parse_args(arguments).config
+    if path is None:
+        parser.error(f"--config or ${CONFIG_VARIABLE} is needed")
+    start_logs("INFO")
+    run(_serve, _read(Path(path)))
+
+
+def _read(path: Path) -> GatewaySettings:
+    try:
+        return read(GatewaySettings, path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{error.source}: {fault}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+
+
+async def _serve(settings: GatewaySettings) -> None:
+    await Gateway(settings).run()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lotushill/console/keeper.py
+++ b/src/lotushill/console/keeper.py
@@ -17,7 +17,7 @@
 from lotushill.links.asgi import Send
 from lotushill.links.asgi import send_json
 from lotushill.links.http_server import HttpServer
-from lotushill.platform.http_platform import HttpPlatform
+from lotushill.objectapi.http_platform import HttpPlatform
 
 
 def main() -> None:
--- a/src/lotushill/console/operator.py
+++ b/src/lotushill/console/operator.py
@@ -20,7 +20,7 @@
 from lotushill.contracts.editor import EditConflictError
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.contracts.exceptions import UnknownPathError
-from lotushill.platform.exceptions import PlatformError
+from lotushill.objectapi.exceptions import PlatformError
 
 if TYPE_CHECKING:
     import argparse
--- a/src/lotushill/console/operator_commands.py
+++ b/src/lotushill/console/operator_commands.py
@@ -35,7 +35,7 @@
 from lotushill.contracts.tree import Team
 from lotushill.hosts.hall_status import PREFIX as HALL_PREFIX
 from lotushill.keeper.acceptor import STATUS_KEY
-from lotushill.platform.http_platform import HttpPlatform
+from lotushill.objectapi.http_platform import HttpPlatform
 
 if TYPE_CHECKING:
     import argparse
--- a/src/lotushill/contracts/editor.py
+++ b/src/lotushill/contracts/editor.py
@@ -19,13 +19,13 @@
 from lotushill.contracts.merge import merge
 from lotushill.contracts.tree import Root
 from lotushill.contracts.tree import Team
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.exceptions import UnknownEffectError
-from lotushill.platform.objects import ABSENT
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.exceptions import UnknownEffectError
+from lotushill.objectapi.objects import ABSENT
 
 if TYPE_CHECKING:
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 _TRIES = 5
 
--- a/src/lotushill/dispatch/dispatcher.py
+++ b/src/lotushill/dispatch/dispatcher.py
@@ -12,14 +12,14 @@
 from lotushill.dispatch.messages import Decision
 from lotushill.dispatch.messages import End
 from lotushill.links.messages import Held
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.objects import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from lotushill.dispatch.options import CellOptions
-    from lotushill.platform.objects import HostRecord
+    from lotushill.objectapi.objects import HostRecord
 
 log = logging.getLogger("upstreams")
 
--- a/src/lotushill/dispatch/fallback.py
+++ b/src/lotushill/dispatch/fallback.py
@@ -10,13 +10,13 @@
 from typing import TYPE_CHECKING
 
 from lotushill.dispatch.messages import Grant
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.objects import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lotushill.dispatch.messages import Ask
-    from lotushill.platform.objects import HostRecord
+    from lotushill.objectapi.objects import HostRecord
 
 TOP_TIER = 0
 
--- /dev/null
+++ b/src/lotushill/gateway/attempt.py
@@ -0,0 +1,204 @@
+"""One attempt: a request sent to one backend, and its answer passed on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lotushill.gateway.attempt_end import AttemptEnd
+from lotushill.gateway.attempt_end import EndKind
+from lotushill.gateway.exceptions import BackendError
+from lotushill.gateway.exceptions import NotSentError
+from lotushill.gateway.exceptions import SilentBackendError
+from lotushill.platform import request_head
+from lotushill.routing.route import RouteKind
+
+if TYPE_CHECKING:
+    from lotushill.gateway.backend_connection import AnswerHead
+    from lotushill.gateway.backend_connection import BackendConnection
+    from lotushill.gateway.client_answer import ClientAnswer
+    from lotushill.gateway.event_stream import EventSplitter
+    from lotushill.gateway.parts import GatewayParts
+    from lotushill.gateway.request import Request
+    from lotushill.placement.fleet import Choice
+
+_SUCCESS = range(200, 300)
+_SILENCE_SECONDS = 0.8
+_SILENCE_PREDICTED = 4.0
+"""A backend that takes so many times longer than predicted is taken for silent."""
+
+
+class Attempt:
+    """Runs to one of the ends of `EndKind`; a cancelled one closes its connection."""
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        request: Request,
+        choice: Choice,
+        answer: ClientAnswer,
+        splitter: EventSplitter,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._choice = choice
+        self._answer = answer
+        self._splitter = splitter
+        self._loop = asyncio.get_running_loop()
+        self.sent_at = 0.0
+        self.first_at = 0.0
+        self.last_at = 0.0
+
+    async def run(self) -> AttemptEnd:
+        """Send the request and pass the answer on."""
+        backend = self._choice.backend
+        load = self._parts.fleet.load(backend.id)
+        try:
+            connection = await self._parts.pool.take(backend)
+        except NotSentError as error:
+            load.note_unreachable(self._loop.time())
+            return AttemptEnd(EndKind.NOT_SENT, str(error))
+        try:
+            end = await self._exchange(connection)
+            self._parts.pool.give_back(backend, connection)
+        except BackendError as error:
+            connection.close()
+            end = AttemptEnd(EndKind.BROKEN, repr(error))
+        except BaseException:
+            connection.close()
+            raise
+        self._learn(end)
+        return end
+
+    async def _exchange(self, connection: BackendConnection) -> AttemptEnd:
+        self.sent_at = self._loop.time()
+        connection.send(self._request.demand.request_id, self._request.method, self._wire())
+        head = await self._read_head(connection)
+        self._parts.fleet.load(self._choice.backend.id).note_reached()
+        if request_head.not_executed(head.status, head.headers):
+            await self._read_all(connection)
+            return AttemptEnd(EndKind.REJECTED, str(head.status))
+        if head.status not in _SUCCESS:
+            body = await self._read_all(connection)
+            return AttemptEnd(EndKind.FAILED, str(head.status), head, body)
+        if any(name == b"content-encoding" for name, _ in head.headers):
+            connection.close()
+            return AttemptEnd(EndKind.BROKEN, "content-encoding")
+        if self._request.route.kind is not RouteKind.STREAM:
+            return await self._pass_whole(connection, head)
+        if self._request.route.resumable:
+            return await self._pass_events(connection, head)
+        return await self._pass_stream(connection, head)
+
+    async def _read_head(self, connection: BackendConnection) -> AnswerHead:
+        """Return the head; a repeatable request does not wait for a silent backend."""
+        patience = max(_SILENCE_SECONDS, _SILENCE_PREDICTED * self._choice.first)
+        try:
+            async with asyncio.timeout(patience):
+                return await connection.read_head()
+        except TimeoutError as error:
+            self._parts.fleet.load(self._choice.backend.id).failures.note(True, self._loop.time())
+            if self._request.route.repeatable:
+                raise SilentBackendError("no head") from error
+        return await connection.read_head()
+
+    async def _read_all(self, connection: BackendConnection) -> bytes:
+        pieces = []
+        while piece := await connection.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    async def _pass_whole(self, connection: BackendConnection, head: AnswerHead) -> AttemptEnd:
+        """Pass a plain answer on once it is whole, so that one cut off is never begun."""
+        body = await self._read_all(connection)
+        self._note_event()
+        await self._answer.start(head.status, _with_length(head, body))
+        await self._answer.finish(body)
+        return AttemptEnd(EndKind.WHOLE)
+
+    async def _pass_stream(self, connection: BackendConnection, head: AnswerHead) -> AttemptEnd:
+        """Pass each piece on as it comes."""
+        while piece := await connection.read():
+            self._note_event()
+            if not self._answer.started:
+                await self._answer.start(head.status, head.headers)
+            await self._answer.write(piece)
+        if not self._answer.started:
+            await self._answer.start(head.status, head.headers)
+        await self._answer.finish()
+        return AttemptEnd(EndKind.WHOLE)
+
+    async def _pass_events(self, connection: BackendConnection, head: AnswerHead) -> AttemptEnd:
+        """Pass whole events on, so that another backend can go on after any of them."""
+        patience = max(_SILENCE_SECONDS, 4 * self._request.route.target_gap)
+        while piece := await connection.read(patience if self.first_at else None):
+            whole = self._splitter.feed(piece)
+            if not whole:
+                continue
+            self._note_event()
+            await self._start_chunked(head)
+            await self._answer.write(whole)
+        await self._start_chunked(head)
+        await self._answer.finish(self._splitter.partial)
+        return AttemptEnd(EndKind.WHOLE)
+
+    async def _start_chunked(self, head: AnswerHead) -> None:
+        """Start without a length: what another backend adds is not known."""
+        if not self._answer.started:
+            headers = [item for item in head.headers if item[0] != b"content-length"]
+            await self._answer.start(head.status, headers)
+
+    # The request on the wire
+
+    def _wire(self) -> bytes:
+        request = self._request
+        headers = request.headers
+        last_event_id = self._splitter.last_id if self._splitter.events else ""
+        if last_event_id:
+            headers = request_head.without_last_event_id(headers)
+        own = request_head.attempt_headers(
+            self._choice.backend.id,
+            request.ends - self._loop.time(),
+            request.priority,
+            request.tenant,
+            last_event_id,
+        )
+        lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
+        for name, value in [*headers, *own]:
+            lines += (name, b": ", value, b"\r\n")
+        lines += (b"\r\n", request.body)
+        return b"".join(lines)
+
+    # What is learned
+
+    def _note_event(self) -> None:
+        now = self._loop.time()
+        pace = self._parts.fleet.pace(self._request.service.name)
+        if not self.first_at:
+            self.first_at = now
+            self._note_first(now)
+        elif self._request.route.kind is RouteKind.STREAM:
+            pace.note_gap(now - self.last_at)
+        self.last_at = now
+
+    def _note_first(self, now: float) -> None:
+        taken = now - self.sent_at
+        choice = self._choice
+        load = self._parts.fleet.load(choice.backend.id)
+        load.note_pace(taken / max(0.001, choice.first), now)
+        pace = self._parts.fleet.pace(self._request.service.name)
+        if self._request.service.engine is None:
+            pace.note_answer(taken)
+        else:
+            pace.note_first_event(choice.ahead, taken)
+
+    def _learn(self, end: AttemptEnd) -> None:
+        load = self._parts.fleet.load(self._choice.backend.id)
+        failed = end.kind in (EndKind.FAILED, EndKind.BROKEN, EndKind.REJECTED)
+        load.failures.note(failed, self._loop.time())
+
+
+def _with_length(head: AnswerHead, body: bytes) -> list[tuple[bytes, bytes]]:
+    """Return headers with the length of a body that is at hand whole."""
+    kept = [item for item in head.headers if item[0] != b"content-length"]
+    return [*kept, (b"content-length", str(len(body)).encode())]
--- /dev/null
+++ b/src/lotushill/gateway/attempt_end.py
@@ -0,0 +1,35 @@
+"""How one attempt at a backend ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.gateway.backend_connection import AnswerHead
+
+
+class EndKind(Enum):
+    """What is known of the run."""
+
+    WHOLE = "whole"
+    """The client has the whole answer."""
+    NOT_SENT = "not-sent"
+    """No byte was written."""
+    REJECTED = "rejected"
+    """The backend says that it did not run the request."""
+    FAILED = "failed"
+    """The backend answered with a failure of its own."""
+    BROKEN = "broken"
+    """No whole answer came; it may have run."""
+
+
+@dataclass(frozen=True)
+class AttemptEnd:
+    """The end of an attempt, with the whole answer of one that failed."""
+
+    kind: EndKind
+    detail: str = ""
+    head: AnswerHead | None = None
+    body: bytes = b""
--- /dev/null
+++ b/src/lotushill/gateway/backend_pool.py
@@ -0,0 +1,76 @@
+"""Connections to backends, kept for reuse while they rest."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lotushill.gateway.backend_connection import BackendConnection
+from lotushill.gateway.exceptions import NotSentError
+from lotushill.links.address import split_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.gateway.backend_connection import Headers
+    from lotushill.routing.backend import Backend
+
+CONNECT_SECONDS = 0.35
+"""Opening takes a few milliseconds; what takes so long is cut off or overrun."""
+_MOST_IDLE = 32
+
+
+class BackendPool:
+    """Opens connections when none rests, and uses the one that rested shortest first."""
+
+    def __init__(self, answered_id: Callable[[Headers], str]) -> None:
+        self._answered_id = answered_id
+        self._idle: dict[str, list[BackendConnection]] = {}
+        self.opened = 0
+        """Connections opened so far."""
+
+    async def take(self, backend: Backend) -> BackendConnection:
+        """Return a connection that carries nothing; raise NotSentError if none can be had."""
+        loop = asyncio.get_running_loop()
+        kept = self._idle.get(backend.id, [])
+        while kept:
+            connection = kept.pop()
+            if connection.open and loop.time() - connection.idle_since < connection.idle_seconds:
+                return connection
+            connection.close()
+        return await self._open(backend)
+
+    def give_back(self, backend: Backend, connection: BackendConnection) -> None:
+        """Keep a connection whose answer was whole, or end it."""
+        kept = self._idle.setdefault(backend.id, [])
+        if not connection.reusable or len(kept) >= _MOST_IDLE:
+            connection.close()
+            return
+        connection.rest(asyncio.get_running_loop().time())
+        kept.append(connection)
+
+    def sweep(self, known: set[str]) -> None:
+        """Close connections that rested too long or lead to backends that are gone."""
+        now = asyncio.get_running_loop().time()
+        for backend_id, kept in list(self._idle.items()):
+            for connection in list(kept):
+                fresh = now - connection.idle_since < connection.idle_seconds
+                if backend_id in known and connection.open and fresh:
+                    continue
+                connection.close()
+                kept.remove(connection)
+            if not kept:
+                del self._idle[backend_id]
+
+    async def _open(self, backend: Backend) -> BackendConnection:
+        host, port = split_address(backend.address)
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(self._answered_id), host, port
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(repr(error)) from error
+        return connection
--- /dev/null
+++ b/src/lotushill/gateway/event_log.py
@@ -0,0 +1,80 @@
+"""Structured lines on standard output: bounded in rate, and never waited for."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_LINES_A_SECOND = 200
+_BURST_LINES = 400
+
+
+class EventLog:
+    """Writes one JSON object a line; what exceeds the rate is counted and left out."""
+
+    def __init__(
+        self,
+        name: str,
+        write: Callable[[bytes], None] | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._name = name
+        self._write = write or _StandardOutput().write
+        self._clock = clock
+        self._credit = float(_BURST_LINES)
+        self._at = clock()
+        self.left_out = 0
+        """Lines left out since the last one written."""
+
+    def note(self, event: str, **fields: object) -> None:
+        """Write one event with its fields, if the rate allows."""
+        now = self._clock()
+        self._credit = min(_BURST_LINES, self._credit + (now - self._at) * _LINES_A_SECOND)
+        self._at = now
+        if self._credit < 1.0:
+            self.left_out += 1
+            return
+        self._credit -= 1.0
+        line: dict[str, object] = {"t": round(now, 3), "node": self._name, "event": event}
+        if self.left_out:
+            line["left_out"] = self.left_out
+            self.left_out = 0
+        line |= fields
+        self._write(json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n")
+
+
+class _StandardOutput:
+    """Standard output without blocking: a full pipe loses lines, and says how many."""
+
+    def __init__(self) -> None:
+        self._lost = 0
+        self._rest = b""
+        try:
+            os.set_blocking(1, False)
+        except OSError:
+            pass
+
+    def write(self, line: bytes) -> None:
+        if self._rest and not self._put(self._rest):
+            self._lost += 1
+            return
+        if self._lost:
+            line = line[:-2] + f',"lost":{self._lost}}}\n'.encode()
+        if self._put(line):
+            self._lost = 0
+
+    def _put(self, data: bytes) -> bool:
+        """Write what fits; return whether all of it did, and keep the rest for next time."""
+        try:
+            written = os.write(1, data)
+        except (BlockingIOError, BrokenPipeError, OSError):
+            if data is not self._rest:
+                self._lost += 1
+            return False
+        self._rest = data[written:]
+        return not self._rest
--- /dev/null
+++ b/src/lotushill/gateway/exchange.py
@@ -0,0 +1,174 @@
+"""The life of one request: choose a backend, run, and again where that is allowed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lotushill.gateway.attempt import Attempt
+from lotushill.gateway.attempt_end import EndKind
+from lotushill.gateway.event_stream import EventSplitter
+from lotushill.placement.fleet import Choice
+from lotushill.placement.messages import Placed
+
+if TYPE_CHECKING:
+    from lotushill.gateway.attempt_end import AttemptEnd
+    from lotushill.gateway.client_answer import ClientAnswer
+    from lotushill.gateway.parts import GatewayParts
+    from lotushill.gateway.request import Request
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_TIMED_OUT = 504
+_MOST_UNSENT = 4
+_MOST_REJECTED = 3
+_RETRY_SECONDS = 0.5
+_LEAST_SECONDS = 0.05
+"""With less time left than this no backend is tried."""
+
+
+class Exchange:
+    """Brings one request to its answer."""
+
+    def __init__(self, parts: GatewayParts, request: Request, answer: ClientAnswer) -> None:
+        self._parts = parts
+        self._request = request
+        self._answer = answer
+        self._splitter = EventSplitter()
+        self._loop = asyncio.get_running_loop()
+        self._excluded: set[str] = set()
+        self._unsent = 0
+        self._rejected = 0
+        self.runs = 0
+        """Backends that may have run the request."""
+        self.outcome = "open"
+        self.backend = ""
+        self.sending = False
+
+    async def run(self) -> None:
+        """Try backends until there is an answer."""
+        self._parts.budgets.note_request(self._request.service.name, self._loop.time())
+        while True:
+            choice = self._choose()
+            if choice is None:
+                return await self._give_up("no backend", None)
+            end = await self._attempt(choice)
+            if end.kind is EndKind.WHOLE:
+                self.outcome = "whole"
+                return None
+            if not self._may_repeat(end):
+                return await self._give_up(end.detail, end)
+            self._excluded.add(choice.backend.id)
+
+    async def time_out(self) -> None:
+        """Answer a request whose time is up."""
+        self.outcome = "timed-out"
+        if self.runs:
+            await self._answer.give(_TIMED_OUT)
+        else:
+            await self._answer.give(_UNAVAILABLE, _RETRY_SECONDS)
+
+    # Backends
+
+    def _choose(self) -> Choice | None:
+        request = self._request
+        now = self._loop.time()
+        if request.ends - now < _LEAST_SECONDS:
+            return None
+        found = self._parts.fleet.choose(
+            request.need,
+            request.service,
+            self._parts.backends.of(request.service.name),
+            frozenset(self._excluded),
+            now,
+        )
+        if isinstance(found, Choice):
+            return found
+        self._note("placement.none", reason=found.reason, retry_after=found.retry_after)
+        self._retry_after = found.retry_after
+        return None
+
+    async def _attempt(self, choice: Choice) -> AttemptEnd:
+        self.backend = choice.backend.id
+        placed = self._placed(choice)
+        self._note(
+            "placement.chosen",
+            backend=choice.backend.id,
+            service=self._request.service.name,
+            cost=round(choice.cost, 4),
+            first_ms=round(choice.first * 1000, 1),
+            reading=choice.reading,
+            run=self.runs,
+            view=self._parts.backends.revision,
+        )
+        self._parts.shared_load.start(placed, self._request.service)
+        self.runs += 1
+        attempt = Attempt(self._parts, self._request, choice, self._answer, self._splitter)
+        try:
+            end = await attempt.run()
+        finally:
+            self._parts.shared_load.end(placed.request)
+        if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
+            self.runs -= 1
+        if end.kind is not EndKind.WHOLE:
+            self._note("attempt.ended", backend=self.backend, kind=end.kind.value, why=end.detail)
+        return end
+
+    def _placed(self, choice: Choice) -> Placed:
+        need = self._request.need
+        stream = self._request.service.engine is not None
+        attempt = f"{self._request.key}.{self.runs + self._unsent + self._rejected}"
+        return Placed(
+            request=attempt,
+            backend=choice.backend.id,
+            reading=choice.reading,
+            memory=need.prompt_tokens + need.output_tokens if stream else 0,
+            gap=need.gap,
+            seconds=choice.seconds,
+            age=0.0,
+            part_ids=tuple(part.id for part in need.parts),
+            part_tokens=tuple(part.tokens for part in need.parts),
+        )
+
+    # Repeats
+
+    def _may_repeat(self, end: AttemptEnd) -> bool:
+        now = self._loop.time()
+        service = self._request.service.name
+        if end.kind is EndKind.NOT_SENT:
+            self._unsent += 1
+            return self._unsent < _MOST_UNSENT
+        if end.kind is EndKind.REJECTED:
+            self._rejected += 1
+            return self._rejected < _MOST_REJECTED and self._parts.budgets.spend(service, now)
+        route = self._request.route
+        if not route.repeatable or self.runs >= route.max_attempts:
+            return False
+        if self._answer.started and not self._splitter.events:
+            return False
+        return self._parts.budgets.spend(service, now)
+
+    async def _give_up(self, why: str, end: AttemptEnd | None) -> None:
+        self.outcome = f"given-up:{why}"
+        if self._answer.started:
+            # What the client has is visibly cut off: the connection ends without its end.
+            return
+        if end is not None and end.kind is EndKind.FAILED and end.head is not None:
+            self.outcome = f"failed:{end.detail}"
+            await self._answer.start(end.head.status, _with_length(end))
+            await self._answer.finish(end.body)
+        elif self.runs:
+            await self._answer.give(_BAD_GATEWAY)
+        else:
+            await self._answer.give(_UNAVAILABLE, self._retry_after)
+
+    _retry_after = _RETRY_SECONDS
+
+    def _note(self, event: str, **fields: object) -> None:
+        self._parts.log.note(event, request=self._request.demand.request_id, **fields)
+
+
+def _with_length(end: AttemptEnd) -> list[tuple[bytes, bytes]]:
+    assert end.head is not None
+    kept = [item for item in end.head.headers if item[0] != b"content-length"]
+    return [*kept, (b"content-length", str(len(end.body)).encode())]
--- /dev/null
+++ b/src/lotushill/gateway/front.py
@@ -0,0 +1,201 @@
+"""The ASGI application that clients reach: checks a request and brings it to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+from typing import cast
+
+import anyio
+
+from lotushill.gateway.client_answer import ClientAnswer
+from lotushill.gateway.client_protocol import CONNECTION
+from lotushill.gateway.client_protocol import TARGET
+from lotushill.gateway.exchange import Exchange
+from lotushill.gateway.request import Request
+from lotushill.links.asgi import BodyTooLargeError
+from lotushill.links.asgi import CallerGoneError
+from lotushill.links.asgi import SlowSenderError
+from lotushill.links.asgi import read_body
+from lotushill.placement.need import Need
+from lotushill.platform import request_head
+from lotushill.routing.route import RouteKind
+
+if TYPE_CHECKING:
+    from lotushill.gateway.client_protocol import ClientProtocol
+    from lotushill.gateway.demand import Demand
+    from lotushill.gateway.parts import GatewayParts
+    from lotushill.links.asgi import Receive
+    from lotushill.links.asgi import Scope
+    from lotushill.links.asgi import Send
+    from lotushill.routing.route import Route
+    from lotushill.routing.table import RoutingTable
+    from lotushill.routing.tenant import Tenant
+
+_BODY_SECONDS = 10.0
+_NOT_READY_SECONDS = 0.5
+_UNKNOWN_OUTPUT_SHARE = 0.5
+"""Of the most that an answer may have, what is expected when the client gives no hint."""
+
+
+class _TurnedAwayError(Exception):
+    """A request that is answered without a backend."""
+
+    def __init__(self, status: int, retry_after: float | None = None) -> None:
+        super().__init__(status)
+        self.status = status
+        self.retry_after = retry_after
+
+
+class Front:
+    """Takes in requests."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self._numbers = itertools.count()
+        self.in_progress = 0
+        self.closing = False
+        """Whether connections end after their answer, since the process is stopping."""
+        self.open = True
+        """False when new requests are turned away, since they could not be finished."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        self.in_progress += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        arrived = asyncio.get_running_loop().time()
+        demand = request_head.read_demand(scope["headers"])
+        answer = ClientAnswer(send, demand.request_id)
+        answer.closing = self.closing
+        try:
+            request = await self._check(scope, receive, demand, arrived)
+        except CallerGoneError:
+            return
+        except _TurnedAwayError as error:
+            self._parts.log.note(
+                "request.turned_away",
+                request=demand.request_id,
+                status=error.status,
+                host=demand.host,
+                target=scope[TARGET].decode("latin-1")[:80],
+                configuration=self._parts.configuration.revision,
+            )
+            await answer.give(error.status, error.retry_after)
+            return
+        await self._bring_to_answer(scope, request, answer)
+
+    async def _bring_to_answer(self, scope: Scope, request: Request, answer: ClientAnswer) -> None:
+        loop = asyncio.get_running_loop()
+        connection = cast("ClientProtocol", scope[CONNECTION])
+        exchange = Exchange(self._parts, request, answer)
+        with anyio.CancelScope(deadline=request.ends) as cancel:
+            connection.on_lost = cancel.cancel
+            try:
+                await exchange.run()
+            except Exception as error:
+                # A fault of ours must not leave a client without an answer.
+                exchange.outcome = f"fault:{error!r}"
+                await answer.give(502 if exchange.runs else 503, _NOT_READY_SECONDS)
+        connection.on_lost = None
+        if cancel.cancelled_caught:
+            if loop.time() < request.ends:
+                exchange.outcome = "client-gone"
+            else:
+                await exchange.time_out()
+        self._parts.log.note(
+            "request.ended",
+            request=request.demand.request_id,
+            route=request.route.name,
+            tenant=request.tenant,
+            outcome=exchange.outcome,
+            backend=exchange.backend,
+            runs=exchange.runs,
+            ms=round((loop.time() - request.arrived) * 1000, 1),
+            configuration=self._parts.configuration.revision,
+        )
+
+    # Checks
+
+    async def _check(
+        self, scope: Scope, receive: Receive, demand: Demand, arrived: float
+    ) -> Request:
+        table = self._parts.configuration.table
+        if table is None or not self.open:
+            raise _TurnedAwayError(503, _NOT_READY_SECONDS)
+        headers = list(scope["headers"])
+        if sum(len(name) + len(value) + 4 for name, value in headers) > table.limits.header_bytes:
+            raise _TurnedAwayError(431)
+        route = self._route(table, demand, scope)
+        tenant = self._tenant(table, route, demand)
+        body = await _read(receive, table)
+        has_body = any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+        service = table.services[route.service_for(self._parts.rng.random())]
+        limit = min(demand.time_left or route.timeout, route.timeout)
+        priority = route.priority
+        if tenant is not None and tenant.priority is not None:
+            priority = tenant.priority
+        return Request(
+            key=f"{self._parts.name}/{next(self._numbers)}",
+            demand=demand,
+            method=str(scope["method"]).encode(),
+            target=scope[TARGET],
+            headers=request_head.forwarded(headers, body if has_body else None),
+            body=body,
+            route=route,
+            service=service,
+            need=_need(route, demand, service.name, limit),
+            tenant=tenant.name if tenant else "",
+            priority=priority,
+            arrived=arrived,
+            ends=arrived + limit,
+        )
+
+    def _route(self, table: RoutingTable, demand: Demand, scope: Scope) -> Route:
+        path = scope[TARGET].partition(b"?")[0].decode("latin-1")
+        route = table.find(demand.host, path)
+        if route is None:
+            raise self._unknown(404)
+        return route
+
+    def _tenant(self, table: RoutingTable, route: Route, demand: Demand) -> Tenant | None:
+        tenant = table.tenant(demand.api_key) if demand.api_key else None
+        if tenant is None and table.needs_keys and not route.public:
+            raise self._unknown(401)
+        return tenant
+
+    def _unknown(self, status: int) -> _TurnedAwayError:
+        """Return what to say of an unknown route or key: it may be new while the view is old."""
+        if not self._parts.view_is_fresh():
+            return _TurnedAwayError(503, _NOT_READY_SECONDS)
+        return _TurnedAwayError(status)
+
+
+async def _read(receive: Receive, table: RoutingTable) -> bytes:
+    try:
+        return await read_body(receive, table.limits.body_bytes, _BODY_SECONDS)
+    except BodyTooLargeError as error:
+        raise _TurnedAwayError(413) from error
+    except SlowSenderError as error:
+        raise _TurnedAwayError(400) from error
+
+
+def _need(route: Route, demand: Demand, service: str, limit: float) -> Need:
+    expected = demand.output_hint or int(demand.output_limit * _UNKNOWN_OUTPUT_SHARE)
+    return Need(
+        service=service,
+        target=route.target,
+        gap=route.target_gap,
+        time_left=limit,
+        stream=route.kind is RouteKind.STREAM,
+        prompt_tokens=demand.prompt_tokens,
+        output_tokens=min(expected, demand.output_limit) if demand.output_limit else expected,
+        parts=demand.parts,
+    )
--- /dev/null
+++ b/src/lotushill/gateway/gateway.py
@@ -0,0 +1,180 @@
+"""One gateway: the parts of `lotushill-gateway` put together."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import time
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+
+from lotushill.gateway.backend_pool import BackendPool
+from lotushill.gateway.client_protocol import ClientProtocol
+from lotushill.gateway.event_log import EventLog
+from lotushill.gateway.front import Front
+from lotushill.gateway.parts import GatewayParts
+from lotushill.gateway.peers import Peers
+from lotushill.gateway.registration import Registration
+from lotushill.gateway.retry_budgets import RetryBudgets
+from lotushill.gateway.shared_load import SharedLoad
+from lotushill.gateway.status_app import StatusApp
+from lotushill.gateway.store_views import StoreViews
+from lotushill.links.http_server import HttpServer
+from lotushill.placement.fleet import Fleet
+from lotushill.platform import request_head
+from lotushill.platform.object_store import ObjectStore
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from lotushill.gateway.settings import GatewaySettings
+    from lotushill.routing.service import Service
+
+_SWEEP_SECONDS = 0.5
+_BALANCER_SECONDS = 3.0
+"""So long after it stops being ready a gateway may still be sent new connections."""
+_LAST_SECONDS = 0.4
+"""Kept of the time to stop, so that the process ends by itself."""
+_TICK_SECONDS = 0.05
+
+
+class Gateway:
+    """Everything that runs in one gateway process."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.log = EventLog(settings.name)
+        rng = random.Random()
+        self.store = ObjectStore(settings.store)
+        self.views = StoreViews(self.store, rng, self.log, self._on_configuration)
+        self.fleet = Fleet(settings.zone)
+        self.peers = Peers(
+            settings,
+            self.log,
+            rng,
+            on_load=lambda load: self.shared_load.receive(load),
+            on_gone=lambda name: self.shared_load.drop_sender(name),
+            view_revision=self.views.revision,
+            view_text=self.views.text,
+            on_view=self.views.take_from_peer,
+        )
+        self.shared_load = SharedLoad(
+            settings.name, self.fleet, time.monotonic, self._service_of, self.peers.tell_load
+        )
+        self.pool = BackendPool(request_head.answered_id)
+        self.registration = Registration(settings, self.store, self.peers, self.log, rng)
+        self.front = Front(
+            GatewayParts(
+                name=settings.name,
+                configuration=self.views.configuration,
+                backends=self.views.backends,
+                fleet=self.fleet,
+                shared_load=self.shared_load,
+                pool=self.pool,
+                budgets=RetryBudgets(settings.retry, self.peers.count),
+                log=self.log,
+                rng=rng,
+                view_is_fresh=self.views.fresh,
+            )
+        )
+        self.clients = HttpServer(self.front, settings.clients, protocol=ClientProtocol)
+        self.status = HttpServer(StatusApp(self.ready, self._status), settings.readiness)
+        self._stopping = False
+
+    def ready(self) -> bool:
+        """Return whether clients may be sent here."""
+        known = self.views.configuration.table is not None and self.views.backends.known
+        return known and not self._stopping
+
+    async def run(self) -> None:
+        """Serve until a signal says to stop, and then finish what is in progress."""
+        async with anyio.create_task_group() as group:
+            self._start(group)
+            self.log.note("process.started", pid=os.getpid(), zone=self.settings.zone)
+            await self._wait_for_stop()
+            await self._drain()
+            group.cancel_scope.cancel()
+        self.log.note("process.stopped")
+
+    def _start(self, group: TaskGroup) -> None:
+        group.start_soon(self.status.serve)
+        group.start_soon(self.clients.serve)
+        group.start_soon(self.peers.run, group)
+        group.start_soon(self.views.run, group)
+        group.start_soon(self.registration.run)
+        group.start_soon(self._sweep)
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(_SWEEP_SECONDS)
+            known = {backend.id for backend in self.views.backends.all()}
+            self.pool.sweep(known)
+            self.fleet.forget(known)
+            self.shared_load.expire()
+            self.peers.tell_load(self.shared_load.whole())
+
+    # Stopping
+
+    async def _wait_for_stop(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                self.log.note("process.reload")
+
+    async def _drain(self) -> None:
+        """Be taken out by the balancer first, then finish every request in progress."""
+        ends = time.monotonic() + self.settings.grace_seconds - _LAST_SECONDS
+        self._stopping = True
+        self.front.closing = True
+        self.log.note("process.stopping", in_progress=self.front.in_progress)
+        await anyio.sleep(_BALANCER_SECONDS)
+        self.front.open = False
+        self.clients.stop()
+        while self.front.in_progress and time.monotonic() < ends:
+            await anyio.sleep(_TICK_SECONDS)
+        self.peers.leave()
+        if self.front.in_progress:
+            self.log.note("process.cut", in_progress=self.front.in_progress)
+
+    # Wiring
+
+    def _service_of(self, backend_id: str) -> Service | None:
+        backend = self.views.backends.find(backend_id)
+        table = self.views.configuration.table
+        if backend is None or table is None:
+            return None
+        return table.services.get(backend.service)
+
+    def _on_configuration(self) -> None:
+        table = self.views.configuration.table
+        if table is not None:
+            self.clients.set_idle_seconds(table.limits.idle_seconds)
+
+    def _status(self) -> dict[str, object]:
+        table = self.views.configuration.table
+        return {
+            "name": self.settings.name,
+            "ready": self.ready(),
+            "configuration": {
+                "revision": self.views.configuration.revision,
+                "version": table.version if table else None,
+            },
+            "backends": {
+                "revision": self.views.backends.revision,
+                "known": [asdict(item) for item in self.views.backends.all()],
+            },
+            "members": [_member(item) for item in self.peers.membership.all()],
+            "in_progress": self.front.in_progress,
+            "store_calls": self.store.calls,
+            "connections_opened": self.pool.opened,
+            "peer_bytes": self.peers.bytes_sent,
+        }
+
+
+def _member(member: Any) -> dict[str, object]:
+    return {"name": member.name, "zone": member.hall, "phase": member.phase.value}
--- /dev/null
+++ b/src/lotushill/gateway/parts.py
@@ -0,0 +1,35 @@
+"""What the request path works with."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lotushill.gateway.backend_pool import BackendPool
+    from lotushill.gateway.event_log import EventLog
+    from lotushill.gateway.retry_budgets import RetryBudgets
+    from lotushill.gateway.shared_load import SharedLoad
+    from lotushill.placement.fleet import Fleet
+    from lotushill.views.backend_view import BackendView
+    from lotushill.views.configuration_view import ConfigurationView
+
+
+@dataclass
+class GatewayParts:
+    """Shared by all requests of one gateway."""
+
+    name: str
+    configuration: ConfigurationView
+    backends: BackendView
+    fleet: Fleet
+    shared_load: SharedLoad
+    pool: BackendPool
+    budgets: RetryBudgets
+    log: EventLog
+    rng: random.Random
+    view_is_fresh: Callable[[], bool]
+    """Whether the store or a peer has lately confirmed what is known."""
--- /dev/null
+++ b/src/lotushill/gateway/peers.py
@@ -0,0 +1,239 @@
+"""The other gateways: heartbeats and load by datagrams, views by connections."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+
+from lotushill.hosts.membership import Membership
+from lotushill.hosts.membership_options import MembershipOptions
+from lotushill.links.address import split_address
+from lotushill.links.codec import decode
+from lotushill.links.codec import encode
+from lotushill.links.exceptions import ForgedFrameError
+from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import MemberPhase
+from lotushill.links.messages import MemberState
+from lotushill.links.messages import Ping
+from lotushill.links.messages import Pong
+from lotushill.links.messages import ViewKind
+from lotushill.links.messages import ViewPage
+from lotushill.links.messages import ViewPull
+from lotushill.links.peer_links import PeerLinks
+from lotushill.links.seal import Seal
+from lotushill.placement.messages import Load
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from anyio.abc import TaskGroup
+
+    from lotushill.gateway.event_log import EventLog
+    from lotushill.gateway.settings import GatewaySettings
+    from lotushill.hosts.membership import Outgoing
+    from lotushill.links.codec import Message
+
+_TICK_SECONDS = 0.05
+_CONTEXT = b"gateway"
+_PULL_AFTER_SECONDS = 0.3
+"""A view that is behind a peer's for so long is pulled: the own watch had its chance."""
+_PULL_AGAIN_SECONDS = 0.5
+_MOST_PLACED = 10
+"""Requests told in one datagram."""
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Knows which gateways are there and passes messages between them."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: EventLog,
+        rng: random.Random,
+        on_load: Callable[[Load], None],
+        on_gone: Callable[[str], None],
+        view_revision: Callable[[ViewKind], int],
+        view_text: Callable[[ViewKind], tuple[int, str]],
+        on_view: Callable[[ViewKind, int, Any], None],
+    ) -> None:
+        """Make the parts; `view_text` and `on_view` hand views over as JSON."""
+        self._log = log
+        self._on_load = on_load
+        self._on_gone = on_gone
+        self._view_revision = view_revision
+        self._view_text = view_text
+        self._on_view = on_view
+        self._address = settings.peers
+        # The platform hands out no secret: this key only keeps frames of other fleets out.
+        digest = hashlib.blake2b(settings.store.encode(), digest_size=16).digest()
+        self._seal = Seal((digest,))
+        own = MemberState(
+            name=settings.name,
+            address=settings.peers,
+            hall=settings.zone,
+            region=settings.region,
+            incarnation=time.time_ns() // 1_000_000,
+            phase=MemberPhase.ALIVE,
+            generation=-1,
+            backends=-1,
+        )
+        self.membership = Membership(own, (), MembershipOptions(), rng)
+        self.links = PeerLinks(
+            settings.name, self._seal, self._address_of, self._on_message, self._on_link_down
+        )
+        self._transport: asyncio.DatagramTransport | None = None
+        self._behind: dict[ViewKind, float] = {}
+        self.malformed = 0
+        """Packets dropped because they could not be read."""
+        self.bytes_sent = 0
+
+    async def run(self, group: TaskGroup) -> None:
+        """Bind, and keep the membership going for ever."""
+        host, port = split_address(self._address)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+        self._transport = transport
+        self.links.start(group)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        group.start_soon(listener.serve, self.links.accept)
+        while True:
+            self._tick(loop.time())
+            await anyio.sleep(_TICK_SECONDS)
+
+    def count(self) -> int:
+        """Return how many gateways have been seen, those that are lost included."""
+        return len(self.membership.all())
+
+    def zones(self) -> frozenset[str]:
+        """Return the zones of the gateways that can be reached, the own included."""
+        return frozenset(member.hall for member in self.membership.live())
+
+    def leave(self) -> None:
+        """Tell the others that this gateway stops."""
+        self._send_all(self.membership.leave())
+
+    def tell_load(self, load: Load) -> None:
+        """Tell every live gateway of requests placed and ended."""
+        parts = _split(load)
+        data = [self._seal.sign(encode(part), _CONTEXT) for part in parts]
+        for member in self.membership.live():
+            if member.name == self.membership.own.name:
+                continue
+            for packet in data:
+                self._send(packet, member.address)
+
+    # The edge
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """Take in a datagram."""
+        try:
+            message = decode(self._seal.open(data, _CONTEXT))
+        except (ForgedFrameError, MalformedFrameError):
+            self.malformed += 1
+            return
+        if isinstance(message, Load):
+            self._on_load(message)
+        elif isinstance(message, Ping | Pong):
+            now = asyncio.get_running_loop().time()
+            source = f"{addr[0]}:{addr[1]}"
+            self._send_all(self.membership.receive(message, source, now))
+            self._follow_changes()
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over the news that an earlier datagram did not arrive."""
+
+    def _send_all(self, packets: Iterable[Outgoing]) -> None:
+        for packet in packets:
+            self._send(self._seal.sign(encode(packet.message), _CONTEXT), packet.address)
+
+    def _send(self, data: bytes, address: str) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self.bytes_sent += len(data)
+        try:
+            self._transport.sendto(data, split_address(address))
+        except (OSError, ValueError):
+            pass
+
+    # Members
+
+    def _tick(self, now: float) -> None:
+        revisions = {kind: self._view_revision(kind) for kind in ViewKind}
+        self.membership.set_revisions(
+            revisions[ViewKind.CONFIGURATION], revisions[ViewKind.BACKENDS]
+        )
+        self._send_all(self.membership.tick(now))
+        self._follow_changes()
+        for kind in ViewKind:
+            self._catch_up(kind, revisions[kind], now)
+
+    def _follow_changes(self) -> None:
+        for change in self.membership.take_changes():
+            member = change.member
+            if change.former is member.phase:
+                continue
+            self._log.note(
+                "member.changed",
+                member=member.name,
+                zone=member.hall,
+                phase=member.phase.value,
+                incarnation=member.incarnation,
+            )
+            if member.phase in (MemberPhase.LOST, MemberPhase.LEAVING):
+                self._on_gone(member.name)
+
+    def _address_of(self, name: str) -> str | None:
+        member = self.membership.find(name)
+        return member.address if member else None
+
+    # Views
+
+    def _catch_up(self, kind: ViewKind, revision: int, now: float) -> None:
+        ahead = [item for item in self.membership.live() if _revision(item, kind) > revision]
+        if not ahead:
+            self._behind.pop(kind, None)
+            return
+        since = self._behind.setdefault(kind, now)
+        # Without any view there is nothing to wait for.
+        if revision >= 0 and now - since < _PULL_AFTER_SECONDS:
+            return
+        self._behind[kind] = now + _PULL_AGAIN_SECONDS - _PULL_AFTER_SECONDS
+        best = max(ahead, key=lambda item: _revision(item, kind))
+        self.links.post(best.name, ViewPull(kind, revision))
+
+    def _on_message(self, peer: str, message: Message) -> None:
+        if isinstance(message, ViewPull):
+            revision, text = self._view_text(message.kind)
+            if revision > message.revision:
+                self.links.post(peer, ViewPage(message.kind, revision, text))
+        elif isinstance(message, ViewPage):
+            try:
+                self._on_view(message.kind, message.revision, json.loads(message.text))
+            except ValueError:
+                self.malformed += 1
+
+    def _on_link_down(self, peer: str) -> None:
+        del peer
+
+
+def _revision(member: MemberState, kind: ViewKind) -> int:
+    return member.generation if kind is ViewKind.CONFIGURATION else member.backends
+
+
+def _split(load: Load) -> list[Load]:
+    """Return a load in parts that each fit a datagram."""
+    if len(load.placed) <= _MOST_PLACED:
+        return [load]
+    # A list in parts is no longer the whole list, and must not be taken for it.
+    return [
+        Load(load.sender, False, load.placed[start : start + _MOST_PLACED], ())
+        for start in range(0, len(load.placed), _MOST_PLACED)
+    ]
--- /dev/null
+++ b/src/lotushill/gateway/request.py
@@ -0,0 +1,35 @@
+"""One client request, checked against the configuration in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.gateway.backend_connection import Headers
+    from lotushill.gateway.demand import Demand
+    from lotushill.placement.need import Need
+    from lotushill.routing.route import Route
+    from lotushill.routing.service import Service
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request that may be sent to a backend; times are on the loop's clock."""
+
+    key: str
+    """Unique over all gateways."""
+    demand: Demand
+    method: bytes
+    target: bytes
+    headers: Headers
+    """The client's headers that travel on."""
+    body: bytes
+    route: Route
+    service: Service
+    need: Need
+    tenant: str
+    priority: int
+    arrived: float
+    ends: float
+    """When its client or its route no longer waits."""
--- /dev/null
+++ b/src/lotushill/gateway/retry_budget.py
@@ -0,0 +1,38 @@
+"""A gateway's part of the fleet's budget for sending a request once more."""
+
+from __future__ import annotations
+
+from collections import deque
+
+_RATIO_SHARE = 0.8
+_SLACK_SHARE = 0.8
+"""What of the budget is used: the rest is for counts that differ at the edges of a window."""
+
+
+class RetryBudget:
+    """Counts requests and repeats of one service in a sliding window."""
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio * _RATIO_SHARE
+        self._slack = slack * _SLACK_SHARE
+        self._window = window
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Note a client's request."""
+        self._requests.append(now)
+
+    def spend(self, gateways: int, now: float) -> bool:
+        """Take one repeat, if this gateway's part of the budget has one left."""
+        self._forget(self._requests, now)
+        self._forget(self._repeats, now)
+        allowed = self._ratio * len(self._requests) + self._slack / max(1, gateways)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, times: deque[float], now: float) -> None:
+        while times and times[0] < now - self._window:
+            times.popleft()
--- /dev/null
+++ b/src/lotushill/gateway/retry_budgets.py
@@ -0,0 +1,37 @@
+"""The retry budgets of all services, as one gateway's part of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.gateway.retry_budget import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.gateway.settings import RetrySettings
+
+
+class RetryBudgets:
+    """A budget a service, divided by the number of gateways."""
+
+    def __init__(self, settings: RetrySettings, gateways: Callable[[], int]) -> None:
+        self._settings = settings
+        self._gateways = gateways
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def note_request(self, service: str, now: float) -> None:
+        """Note a client's request for a service."""
+        self._of(service).note_request(now)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Take one repeat if there is one left."""
+        return self._of(service).spend(self._gateways(), now)
+
+    def _of(self, service: str) -> RetryBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            settings = self._settings
+            found = RetryBudget(settings.ratio, settings.slack, settings.window_seconds)
+            self._budgets[service] = found
+        return found
--- /dev/null
+++ b/src/lotushill/gateway/settings.py
@@ -0,0 +1,51 @@
+"""The settings file of `lotushill-gateway`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+from lotushill.hosts.settings import Address
+
+Seconds = Annotated[float, Field(gt=0)]
+
+
+class Section(BaseModel):
+    """A part of the settings; fields that are not known are passed over."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
+
+
+class RetrySettings(Section):
+    """The budget that all gateways share for sending a request to a second backend."""
+
+    ratio: Annotated[float, Field(ge=0)] = 0.2
+    """Repeats for each request."""
+    slack: Annotated[float, Field(ge=0)] = 10.0
+    """Repeats beyond that in one window."""
+    window_seconds: Seconds = 10.0
+
+
+class GatewaySettings(Section):
+    """Settings of one gateway."""
+
+    name: Annotated[str, Field(min_length=1)]
+    """Name of the node, unique in the fleet."""
+    zone: Annotated[str, Field(min_length=1)]
+    region: Annotated[str, Field(min_length=1)]
+    clients: Address
+    """Where clients connect."""
+    readiness: Address
+    """Where readiness, status and metrics are served."""
+    peers: Address
+    """Where other gateways send datagrams and open connections."""
+    store: Address
+    """The platform's store."""
+    grace_seconds: Seconds = 8.0
+    """How long after the first signal to stop the process is ended."""
+    drain_seconds: Seconds = 2.0
+    """How soon a backend that is leaving gets no more requests."""
+    retry: RetrySettings = RetrySettings()
--- /dev/null
+++ b/src/lotushill/gateway/shared_load.py
@@ -0,0 +1,109 @@
+"""What this gateway runs, told to the others, and what they run, told by them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from lotushill.placement.messages import Load
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.placement.fleet import Fleet
+    from lotushill.placement.messages import Placed
+    from lotushill.routing.service import Service
+
+_SILENT_SECONDS = 1.0
+"""A request of a gateway that was silent for so long is kept for its expected time only."""
+_YOUNG_SECONDS = 0.3
+"""A request as young as this may be missing from a list that was on its way."""
+
+
+class SharedLoad:
+    """Keeps the fleet's model in step over all gateways; pure, with the clock passed in."""
+
+    def __init__(
+        self,
+        name: str,
+        fleet: Fleet,
+        clock: Callable[[], float],
+        service_of: Callable[[str], Service | None],
+        tell: Callable[[Load], None],
+    ) -> None:
+        """Follow the load of `fleet`; `service_of` finds a backend's service by its id."""
+        self._name = name
+        self._fleet = fleet
+        self._clock = clock
+        self._service_of = service_of
+        self._tell = tell
+        self._own: dict[str, tuple[Placed, float]] = {}
+        self._others: dict[str, dict[str, float]] = {}
+        self._ends_by: dict[str, float] = {}
+
+    def start(self, placed: Placed, service: Service) -> None:
+        """Count in a request of this gateway and tell the others."""
+        now = self._clock()
+        self._own[placed.request] = (placed, now)
+        self._fleet.start(placed, service, now)
+        self._fleet.pace(service.name).note_reading(placed.reading)
+        self._tell(Load(self._name, False, (placed,), ()))
+
+    def end(self, request: str) -> None:
+        """Count out a request of this gateway and tell the others."""
+        if self._own.pop(request, None) is not None:
+            self._fleet.end(request)
+            self._tell(Load(self._name, False, (), (request,)))
+
+    def whole(self) -> Load:
+        """Return all that this gateway runs, which repairs what others have missed."""
+        now = self._clock()
+        placed = tuple(
+            replace(item, age=now - since, part_ids=(), part_tokens=())
+            for item, since in self._own.values()
+        )
+        return Load(self._name, True, placed, ())
+
+    def receive(self, load: Load) -> None:
+        """Take in what another gateway tells."""
+        if load.sender == self._name:
+            return
+        now = self._clock()
+        held = self._others.setdefault(load.sender, {})
+        for placed in load.placed:
+            self._count_in(placed, held, now)
+        for request in load.ended:
+            self._count_out(request, held)
+        if load.whole:
+            told = {placed.request for placed in load.placed}
+            for request, since in list(held.items()):
+                if request not in told and now - since > _YOUNG_SECONDS:
+                    self._count_out(request, held)
+
+    def expire(self) -> None:
+        """Drop requests whose end was never told, long after they should have ended."""
+        now = self._clock()
+        for held in self._others.values():
+            for request in [item for item in held if self._ends_by[item] < now]:
+                self._count_out(request, held)
+
+    def drop_sender(self, name: str) -> None:
+        """Drop all requests of a gateway that has gone."""
+        held = self._others.pop(name, {})
+        for request in list(held):
+            self._count_out(request, held)
+
+    def _count_in(self, placed: Placed, held: dict[str, float], now: float) -> None:
+        service = self._service_of(placed.backend)
+        if service is None or placed.request in held:
+            return
+        held[placed.request] = now
+        self._ends_by[placed.request] = now + 2 * placed.seconds + _SILENT_SECONDS
+        self._fleet.start(placed, service, now)
+        if not placed.age:
+            self._fleet.pace(service.name).note_reading(placed.reading)
+
+    def _count_out(self, request: str, held: dict[str, float]) -> None:
+        held.pop(request, None)
+        self._ends_by.pop(request, None)
+        self._fleet.end(request)
--- a/src/lotushill/hosts/entry_host.py
+++ b/src/lotushill/hosts/entry_host.py
@@ -44,7 +44,7 @@
 from lotushill.links.peer_links import PeerLinks
 from lotushill.links.seal import Seal
 from lotushill.metrics import Metrics
-from lotushill.platform.http_platform import HttpPlatform
+from lotushill.objectapi.http_platform import HttpPlatform
 from lotushill.upstreams.client import UpstreamClient
 
 if TYPE_CHECKING:
--- a/src/lotushill/hosts/follower.py
+++ b/src/lotushill/hosts/follower.py
@@ -19,8 +19,8 @@
 from lotushill.links.messages import AcceptedObject
 from lotushill.links.messages import Pull
 from lotushill.links.messages import Pulled
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.objects import ABSENT
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.objects import ABSENT
 
 if TYPE_CHECKING:
     import random
@@ -31,7 +31,7 @@
     from lotushill.hosts.upstream_watch import UpstreamWatch
     from lotushill.links.codec import Message
     from lotushill.links.messages import MemberState
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 log = logging.getLogger("settings")
 
--- a/src/lotushill/hosts/hall_status.py
+++ b/src/lotushill/hosts/hall_status.py
@@ -11,12 +11,12 @@
 import anyio
 
 from lotushill.hosts.rendezvous import owner
-from lotushill.platform.exceptions import PlatformError
-from lotushill.platform.objects import ABSENT
+from lotushill.objectapi.exceptions import PlatformError
+from lotushill.objectapi.objects import ABSENT
 
 if TYPE_CHECKING:
     from lotushill.hosts.membership import Membership
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 log = logging.getLogger("status")
 
--- a/src/lotushill/hosts/membership.py
+++ b/src/lotushill/hosts/membership.py
@@ -135,6 +135,16 @@
         near = [state for state in self.live() if state.hall == self.own.hall]
         return [self._ping(state.address) for state in near if state.name != self.own.name]
 
+    def set_revisions(self, generation: int, backends: int) -> None:
+        """Let the next packets tell which views are held."""
+        if (generation, backends) != (self.own.generation, self.own.backends):
+            self._set_own(replace(self.own, generation=generation, backends=backends))
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Take addresses of other members that were learned after the start."""
+        known = {self.own.address, *self._seeds}
+        self._seeds += [address for address in addresses if address not in known]
+
     def leave(self) -> list[Outgoing]:
         """Tell every live member that this one takes no more work."""
         self._set_own(replace(self.own, phase=MemberPhase.LEAVING))
--- a/src/lotushill/hosts/upstream_watch.py
+++ b/src/lotushill/hosts/upstream_watch.py
@@ -10,18 +10,18 @@
 import httpcore
 
 from lotushill.dispatch.dispatcher import cell_name
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.http_platform import host_from_plain
-from lotushill.platform.http_platform import host_to_plain
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.http_platform import host_from_plain
+from lotushill.objectapi.http_platform import host_to_plain
+from lotushill.objectapi.objects import HostState
 
 if TYPE_CHECKING:
     import random
 
     from lotushill.dispatch.dispatcher import Dispatcher
     from lotushill.dispatch.fallback import Fallback
-    from lotushill.platform.objects import HostList
-    from lotushill.platform.objects import HostRecord
+    from lotushill.objectapi.objects import HostList
+    from lotushill.objectapi.objects import HostRecord
 
 log = logging.getLogger("upstreams")
 
--- a/src/lotushill/keeper/acceptor.py
+++ b/src/lotushill/keeper/acceptor.py
@@ -20,15 +20,15 @@
 from lotushill.keeper.judgement import Desired
 from lotushill.keeper.judgement import Judge
 from lotushill.keeper.judgement import Verdict
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.exceptions import UnknownEffectError
-from lotushill.platform.objects import ABSENT
-from lotushill.platform.objects import StoredObject
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.exceptions import UnknownEffectError
+from lotushill.objectapi.objects import ABSENT
+from lotushill.objectapi.objects import StoredObject
 
 if TYPE_CHECKING:
     from lotushill.contracts.exceptions import Fault
     from lotushill.keeper.lease import Lease
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 log = logging.getLogger("keeper")
 
--- a/src/lotushill/keeper/keeper.py
+++ b/src/lotushill/keeper/keeper.py
@@ -12,10 +12,10 @@
 from lotushill.keeper.acceptor import Acceptor
 from lotushill.keeper.lease import Lease
 from lotushill.keeper.sweeper import Sweeper
-from lotushill.platform.exceptions import PlatformError
+from lotushill.objectapi.exceptions import PlatformError
 
 if TYPE_CHECKING:
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 log = logging.getLogger("keeper")
 
--- a/src/lotushill/keeper/lease.py
+++ b/src/lotushill/keeper/lease.py
@@ -14,16 +14,16 @@
 from lotushill.contracts.document import Document
 from lotushill.contracts.document import check
 from lotushill.contracts.document import parse
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.exceptions import UnknownEffectError
-from lotushill.platform.objects import ABSENT
-from lotushill.platform.objects import StoredObject
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.exceptions import UnknownEffectError
+from lotushill.objectapi.objects import ABSENT
+from lotushill.objectapi.objects import StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lotushill.platform.objects import ObjectApi
+    from lotushill.objectapi.objects import ObjectApi
 
 PREFIX = "leases/"
 
--- a/src/lotushill/keeper/sweeper.py
+++ b/src/lotushill/keeper/sweeper.py
@@ -9,12 +9,12 @@
 from lotushill.contracts.generation import HEAD_KEY
 from lotushill.contracts.generation import OBJECT_PREFIX
 from lotushill.contracts.generation import parse_head
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.exceptions import UnknownEffectError
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.exceptions import UnknownEffectError
 
 if TYPE_CHECKING:
-    from lotushill.platform.objects import ObjectApi
-    from lotushill.platform.objects import StoredObject
+    from lotushill.objectapi.objects import ObjectApi
+    from lotushill.objectapi.objects import StoredObject
 
 _MOST_DELETES = 20
 """Deletes of one round; writes are scarce."""
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -27,8 +27,14 @@
 from lotushill.links.messages import Pong
 from lotushill.links.messages import Pull
 from lotushill.links.messages import Pulled
+from lotushill.links.messages import ViewPage
+from lotushill.links.messages import ViewPull
+from lotushill.placement.messages import Load
 
-Message = Ask | Grant | Refusal | Preemption | End | Cancel | Held | Pull | Pulled | Ping | Pong
+DispatchMessage = Ask | Grant | Refusal | Preemption | End | Cancel | Held
+SettingsMessage = Pull | Pulled | Ping | Pong
+GatewayMessage = ViewPull | ViewPage | Load
+Message = DispatchMessage | SettingsMessage | GatewayMessage
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
 _TRAVERSAL_LIMIT_WORDS = 1 << 22
@@ -160,6 +166,9 @@
     Pulled,
     Ping,
     Pong,
+    ViewPull,
+    ViewPage,
+    Load,
 )
 _SHAPES = {kind: _Shape(kind) for kind in _KINDS}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -100,7 +100,38 @@
   region @3 :Text;
   incarnation @4 :UInt64;
   phase @5 :Text;
-  generation @6 :UInt64;
+  generation @6 :Int64;
+  backends @7 :Int64;
+}
+
+struct ViewPull {
+  kind @0 :Text;
+  revision @1 :Int64;
+}
+
+struct ViewPage {
+  kind @0 :Text;
+  revision @1 :Int64;
+  text @2 :Text;
+}
+
+struct Placed {
+  request @0 :Text;
+  backend @1 :Text;
+  reading @2 :UInt32;
+  memory @3 :UInt32;
+  gap @4 :Float32;
+  seconds @5 :Float32;
+  age @6 :Float32;
+  partIds @7 :List(UInt64);
+  partTokens @8 :List(UInt32);
+}
+
+struct Load {
+  sender @0 :Text;
+  whole @1 :Bool;
+  placed @2 :List(Placed);
+  ended @3 :List(Text);
 }
 
 struct Ping {
@@ -130,5 +161,8 @@
     pulled @8 :Pulled;
     ping @9 :Ping;
     pong @10 :Pong;
+    viewpull @11 :ViewPull;
+    viewpage @12 :ViewPage;
+    load @13 :Load;
   }
 }
--- a/src/lotushill/links/http_server.py
+++ b/src/lotushill/links/http_server.py
@@ -12,6 +12,7 @@
 from lotushill.links.address import split_address
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Iterator
 
     from lotushill.links.asgi import App
@@ -36,7 +37,13 @@
 class HttpServer:
     """One listening address and the application behind it."""
 
-    def __init__(self, app: App, address: str, lets_cut: bool = False) -> None:
+    def __init__(
+        self,
+        app: App,
+        address: str,
+        lets_cut: bool = False,
+        protocol: type[asyncio.Protocol] | None = None,
+    ) -> None:
         """Bind the address; with `lets_cut` the application may cut its connections off."""
         host, port = split_address(address)
         self._socket = socket.create_server((host, port), backlog=_BACKLOG)
@@ -45,7 +52,7 @@
         config = uvicorn.Config(
             self._with_cut(app) if lets_cut else app,
             interface="asgi3",
-            http="httptools",
+            http=protocol or "httptools",
             ws="none",
             lifespan="off",
             log_config=None,
@@ -68,6 +75,12 @@
         """Return how many connections are open; one closes when all it owes is written."""
         return len(self._server.server_state.connections)
 
+    def set_idle_seconds(self, seconds: float) -> None:
+        """Let idle connections rest so long, those included that are open."""
+        self._server.config.timeout_keep_alive = int(seconds)
+        for connection in self._server.server_state.connections:
+            connection.timeout_keep_alive = int(seconds)  # type: ignore[union-attr]
+
     def abort(self) -> None:
         """End `serve` without waiting for responses in progress."""
         self._server.force_exit = True
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -44,6 +44,30 @@
     """The host list as the peer last read it, in JSON; empty if it never has."""
 
 
+class ViewKind(Enum):
+    """A view of the store that gateways pass on to each other."""
+
+    CONFIGURATION = "configuration"
+    BACKENDS = "backends"
+
+
+@dataclass(frozen=True)
+class ViewPull:
+    """Asks a peer for its view, if it is newer than the asker's revision."""
+
+    kind: ViewKind
+    revision: int
+
+
+@dataclass(frozen=True)
+class ViewPage:
+    """A peer's view, as JSON text."""
+
+    kind: ViewKind
+    revision: int
+    text: str
+
+
 class MemberPhase(Enum):
     """What is held of a member."""
 
@@ -64,7 +88,9 @@
     incarnation: int
     phase: MemberPhase
     generation: int
-    """Generation of the settings that the member has in force."""
+    """Generation of the settings, or revision of the configuration, that it has in force."""
+    backends: int = 0
+    """Revision of the member's view of the backends."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/platform/http_platform.py
+++ b/src/lotushill/objectapi/http_platform.py
@@ -9,13 +9,13 @@
 
 import httpcore
 
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.exceptions import UnknownEffectError
-from lotushill.platform.objects import HostRecord
-from lotushill.platform.objects import HostRole
-from lotushill.platform.objects import HostState
-from lotushill.platform.objects import StoredObject
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.exceptions import UnknownEffectError
+from lotushill.objectapi.objects import HostRecord
+from lotushill.objectapi.objects import HostRole
+from lotushill.objectapi.objects import HostState
+from lotushill.objectapi.objects import StoredObject
 
 _CONNECT_SECONDS = 1.0
 _ANSWER_SECONDS = 3.0
--- /dev/null
+++ b/src/lotushill/placement/backend_load.py
@@ -0,0 +1,87 @@
+"""What runs on one backend and how it has been doing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.gateway.demand import PromptPart
+from lotushill.placement.failure_rate import FailureRate
+from lotushill.placement.kept_parts import KeptParts
+
+if TYPE_CHECKING:
+    from lotushill.placement.messages import Placed
+
+_SLOWNESS_WEIGHT = 0.15
+_FORGET_SECONDS = 6.0
+_FIRST_BACK_OFF = 0.5
+_LONGEST_BACK_OFF = 4.0
+
+
+class BackendLoad:
+    """The requests of all gateways on one backend, and its health as seen from here."""
+
+    def __init__(self, memory_tokens: int) -> None:
+        self.running: dict[str, Placed] = {}
+        self.memory = 0
+        """Tokens that the running requests may hold in the end."""
+        self.kept = KeptParts(memory_tokens)
+        self.failures = FailureRate()
+        self._unread = 0.0
+        self._unread_at = 0.0
+        self._slowness = 1.0
+        self._slowness_at = 0.0
+        self._away_until = float("-inf")
+        self._back_off = _FIRST_BACK_OFF
+
+    def start(self, placed: Placed, read_rate: float, now: float) -> None:
+        """Count a request in."""
+        if placed.request in self.running:
+            return
+        self.running[placed.request] = placed
+        self.memory += placed.memory
+        unread = self.unread(read_rate, now)
+        self._unread = unread + max(0.0, placed.reading - placed.age * read_rate)
+        parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
+        self.kept.touch(parts, self.memory)
+
+    def end(self, request: str) -> Placed | None:
+        """Count a request out."""
+        placed = self.running.pop(request, None)
+        if placed is not None:
+            self.memory -= placed.memory
+        return placed
+
+    def unread(self, read_rate: float, now: float) -> float:
+        """Return the prompt tokens that are still to be read, as they drain over time."""
+        drained = (now - self._unread_at) * read_rate / self.slowness(now)
+        self._unread = max(0.0, self._unread - max(0.0, drained))
+        self._unread_at = now
+        return self._unread
+
+    # Health
+
+    def slowness(self, now: float) -> float:
+        """Return how many times slower than its like it works; what is old fades to 1."""
+        age = max(0.0, now - self._slowness_at)
+        fresh = max(0.0, 1.0 - age / _FORGET_SECONDS)
+        return 1.0 + (self._slowness - 1.0) * fresh
+
+    def note_pace(self, ratio: float, now: float) -> None:
+        """Learn from a time measured against what is usual."""
+        current = self.slowness(now)
+        self._slowness = current + _SLOWNESS_WEIGHT * (min(20.0, max(0.3, ratio)) - current)
+        self._slowness_at = now
+
+    def away(self, now: float) -> bool:
+        """Return whether the backend cannot be reached, as far as is known."""
+        return now < self._away_until
+
+    def note_unreachable(self, now: float) -> None:
+        """Note that no connection could be opened; try again after a growing pause."""
+        self._away_until = now + self._back_off
+        self._back_off = min(_LONGEST_BACK_OFF, self._back_off * 2)
+
+    def note_reached(self) -> None:
+        """Note that the backend answers."""
+        self._back_off = _FIRST_BACK_OFF
+        self._away_until = float("-inf")
--- /dev/null
+++ b/src/lotushill/placement/failure_rate.py
@@ -0,0 +1,36 @@
+"""How often a backend fails, from outcomes that fade with time."""
+
+from __future__ import annotations
+
+_HALF_LIFE_SECONDS = 4.0
+_PRIOR_FAILURES = 0.02
+_PRIOR_TOTAL = 1.0
+
+
+class FailureRate:
+    """Outcomes with exponential decay."""
+
+    def __init__(self) -> None:
+        self._failed = 0.0
+        self._total = 0.0
+        self._at = 0.0
+
+    def note(self, failed: bool, now: float, weight: float = 1.0) -> None:
+        """Note one outcome."""
+        self._fade(now)
+        self._total += weight
+        if failed:
+            self._failed += weight
+
+    def rate(self, now: float) -> float:
+        """Return the likely share of failures, in 0 to 1."""
+        self._fade(now)
+        return (self._failed + _PRIOR_FAILURES) / (self._total + _PRIOR_TOTAL)
+
+    def _fade(self, now: float) -> None:
+        if now <= self._at:
+            return
+        left = 0.5 ** ((now - self._at) / _HALF_LIFE_SECONDS)
+        self._failed *= left
+        self._total *= left
+        self._at = now
--- /dev/null
+++ b/src/lotushill/placement/fleet.py
@@ -0,0 +1,213 @@
+"""Chooses the backend of a request by what it would cost, from a model of every backend.
+
+The model is fed by this gateway's own requests and by what the other gateways tell of theirs.
+Costs are shares of one request's credit. Nothing here reads a clock or does I/O.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lotushill.placement.backend_load import BackendLoad
+from lotushill.placement.pace import Pace
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lotushill.placement.messages import Placed
+    from lotushill.placement.need import Need
+    from lotushill.routing.backend import Backend
+    from lotushill.routing.service import Service
+
+_LATE_LOSS = 0.6
+"""What a late answer loses."""
+_GAP_LOSS = 0.6
+"""What a stream loses by one pause that is too long."""
+_FAILURE_LOSS = 0.9
+_REREAD_LOSS_PER_TOKEN = 3e-5
+"""What reading a token again costs that another request has had read."""
+_OTHER_ZONE_LOSS = 0.01
+_FIRST_DELICATE_LOSS = 0.15
+"""What it costs to bring a stream with short pauses to a backend that has none."""
+_LATE_STEEPNESS = 6.0
+_GAP_STEEPNESS = 8.0
+_GAP_MIDDLE = 0.85
+_MEMORY_SHARE = 0.95
+_FULL_MEMORY_LOSS = 1.0
+_CROWDING_LOSS = 0.05
+_SHORTEST_RETRY = 0.2
+_LONGEST_RETRY = 3.0
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Where a request goes, with the figures that decided it."""
+
+    backend: Backend
+    cost: float
+    first: float
+    """Predicted seconds to the first event, or to the whole of a plain answer."""
+    reading: int
+    """Prompt tokens that the backend has to read for it."""
+    ahead: int
+    """Prompt tokens that are read until its first event, those of others included."""
+    seconds: float
+    """Predicted seconds until the answer is whole."""
+
+
+@dataclass(frozen=True)
+class NoChoice:
+    """No backend can serve the request in the time it has."""
+
+    reason: str
+    retry_after: float
+
+
+class Fleet:
+    """The model of all backends."""
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._loads: dict[str, BackendLoad] = {}
+        self._paces: dict[str, Pace] = {}
+        self._where: dict[str, str] = {}
+
+    # Feeding the model
+
+    def load(self, backend_id: str, memory_tokens: int = 0) -> BackendLoad:
+        """Return the load of a backend."""
+        found = self._loads.get(backend_id)
+        if found is None:
+            found = self._loads[backend_id] = BackendLoad(memory_tokens)
+        return found
+
+    def pace(self, service: str) -> Pace:
+        """Return the pace of a service."""
+        found = self._paces.get(service)
+        if found is None:
+            found = self._paces[service] = Pace()
+        return found
+
+    def start(self, placed: Placed, service: Service, now: float) -> None:
+        """Count a request in, of this gateway or of another."""
+        engine = service.engine
+        load = self.load(placed.backend, engine.memory_tokens if engine else 0)
+        load.start(placed, self.pace(service.name).read_rate, now)
+        self._where[placed.request] = placed.backend
+
+    def end(self, request: str) -> None:
+        """Count a request out."""
+        backend_id = self._where.pop(request, None)
+        if backend_id is not None:
+            self._loads[backend_id].end(request)
+
+    def knows(self, request: str) -> bool:
+        """Return whether a request is counted in."""
+        return request in self._where
+
+    def forget(self, known: set[str]) -> None:
+        """Drop idle backends that no view knows any more."""
+        for backend_id, load in list(self._loads.items()):
+            if backend_id not in known and not load.running:
+                del self._loads[backend_id]
+
+    # Choosing
+
+    def choose(
+        self,
+        need: Need,
+        service: Service,
+        backends: Iterable[Backend],
+        excluded: frozenset[str],
+        now: float,
+    ) -> Choice | NoChoice:
+        """Return the cheapest backend that can serve a request, or why there is none."""
+        candidates = [item for item in backends if item.id not in excluded]
+        reachable = [item for item in candidates if not self.load(item.id).away(now)]
+        if not candidates:
+            return NoChoice("no backend", 1.0)
+        choices = [self._weigh(need, service, item, now) for item in reachable or candidates]
+        best = min(choices, key=lambda choice: choice.cost)
+        soonest = min(choices, key=lambda choice: choice.first)
+        if soonest.first > need.patience:
+            wait = soonest.first - need.target
+            return NoChoice("no room in time", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
+        return best if best.first <= need.patience else soonest
+
+    def _weigh(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
+        if service.engine is None:
+            return self._weigh_plain(need, backend, now)
+        return self._weigh_engine(need, service, backend, now)
+
+    def _weigh_plain(self, need: Need, backend: Backend, now: float) -> Choice:
+        load = self.load(backend.id)
+        usual = self.pace(need.service).answer_seconds * load.slowness(now)
+        crowd = (len(load.running) + 1) / backend.slots
+        first = usual * max(1.0, crowd)
+        cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
+        cost += _CROWDING_LOSS * crowd + self._standing_cost(backend, load, now)
+        return Choice(backend, cost, first, 0, 0, first)
+
+    def _weigh_engine(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
+        engine = service.engine
+        assert engine is not None
+        load = self.load(backend.id, engine.memory_tokens)
+        pace = self.pace(need.service)
+        rate = pace.read_rate / load.slowness(now)
+        unread = load.unread(pace.read_rate, now)
+        reading = max(0, need.prompt_tokens - load.kept.matched(need.parts))
+        first = (unread + reading) / rate + pace.event_gap
+        running = len(load.running)
+        events = need.output_tokens / engine.tokens_per_event
+        seconds = first + events * pace.event_gap * load.slowness(now)
+        if running >= engine.slots:
+            first += (running + 1 - engine.slots) * seconds / engine.slots
+        cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
+        cost += self._harm(load, pace, unread / rate, (unread + reading) / rate)
+        cost += self._delicate_cost(need, pace, load)
+        cost += _REREAD_LOSS_PER_TOKEN * reading
+        cost += _CROWDING_LOSS * running / engine.slots
+        if load.memory + need.prompt_tokens + need.output_tokens > (
+            _MEMORY_SHARE * engine.memory_tokens
+        ):
+            cost += _FULL_MEMORY_LOSS
+        cost += self._standing_cost(backend, load, now)
+        return Choice(backend, cost, first, reading, int(unread + reading), seconds)
+
+    def _harm(self, load: BackendLoad, pace: Pace, before: float, after: float) -> float:
+        """Return what reading a prompt costs the streams that run beside it."""
+        harm = 0.0
+        for placed in load.running.values():
+            if placed.gap <= 0:
+                continue
+            allowed = max(0.001, placed.gap - pace.event_gap)
+            harm += _missed(after / allowed) - _missed(before / allowed)
+        return _GAP_LOSS * harm
+
+    def _delicate_cost(self, need: Need, pace: Pace, load: BackendLoad) -> float:
+        """Return what it costs to make a backend unfit for the long prompts of the moment."""
+        if need.gap <= 0 or need.gap - pace.event_gap >= pace.long_reading:
+            return 0.0
+        for placed in load.running.values():
+            if 0 < placed.gap <= need.gap:
+                return 0.0
+        return _FIRST_DELICATE_LOSS
+
+    def _standing_cost(self, backend: Backend, load: BackendLoad, now: float) -> float:
+        cost = _FAILURE_LOSS * load.failures.rate(now)
+        if backend.zone != self._zone:
+            cost += _OTHER_ZONE_LOSS
+        return cost
+
+
+def _missed(share: float) -> float:
+    """Return how likely a pause is too long that takes this share of what is allowed."""
+    return _logistic(_GAP_STEEPNESS * (share - _GAP_MIDDLE))
+
+
+def _logistic(value: float) -> float:
+    if value > 40:
+        return 1.0
+    return 1.0 / (1.0 + math.exp(-value))
--- /dev/null
+++ b/src/lotushill/placement/kept_parts.py
@@ -0,0 +1,53 @@
+"""Which prompt parts a backend still keeps, told by what was sent there."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from lotushill.gateway.demand import PromptPart
+
+_SEED = 0x9E3779B97F4A7C15
+_MASK = (1 << 64) - 1
+
+
+class KeptParts:
+    """Parts by their whole chain, the longest unused first to give way."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._tokens: OrderedDict[int, int] = OrderedDict()
+        self._held = 0
+
+    def matched(self, parts: Iterable[PromptPart]) -> int:
+        """Return how many leading tokens of a prompt are likely kept."""
+        total = 0
+        for key, part in _chained(parts):
+            if key not in self._tokens:
+                return total
+            total += part.tokens
+        return total
+
+    def touch(self, parts: Iterable[PromptPart], running: int) -> None:
+        """Note that a prompt was read, while `running` tokens belong to running requests."""
+        for key, part in _chained(parts):
+            if key in self._tokens:
+                self._tokens.move_to_end(key)
+                continue
+            self._tokens[key] = part.tokens
+            self._held += part.tokens
+        while self._tokens and self._held > max(0, self._capacity - running):
+            _, tokens = self._tokens.popitem(last=False)
+            self._held -= tokens
+
+
+def _chained(parts: Iterable[PromptPart]) -> Iterator[tuple[int, PromptPart]]:
+    """Yield each part with a key that covers all parts before it as well."""
+    key = _SEED
+    for part in parts:
+        key = ((key ^ part.id) * _SEED + part.tokens) & _MASK
+        yield key, part
--- /dev/null
+++ b/src/lotushill/placement/messages.py
@@ -0,0 +1,37 @@
+"""What gateways tell each other of the requests that they run; times are seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Placed:
+    """A request was sent to a backend, or still runs there."""
+
+    request: str
+    """Unique over all gateways."""
+    backend: str
+    reading: int
+    """Prompt tokens that the backend has to read for it."""
+    memory: int
+    """Tokens of prompt and answer that it may hold in the end."""
+    gap: float
+    """Longest pause between its events that is in time, 0 for none."""
+    seconds: float
+    """How long it is expected to run."""
+    age: float
+    """How long it has run already."""
+    part_ids: tuple[int, ...] = ()
+    """The parts of its prompt, in order."""
+    part_tokens: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True)
+class Load:
+    """News of one gateway's requests, or with `whole` all that it runs."""
+
+    sender: str
+    whole: bool
+    placed: tuple[Placed, ...]
+    ended: tuple[str, ...]
--- /dev/null
+++ b/src/lotushill/placement/need.py
@@ -0,0 +1,33 @@
+"""What placement has to know of a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.gateway.demand import PromptPart
+
+
+@dataclass(frozen=True)
+class Need:
+    """One request in search of a backend; times are seconds, lengths tokens."""
+
+    service: str
+    target: float
+    """Time to the answer, or to the first event of a stream, that is in time."""
+    gap: float
+    """Longest pause between events that is in time, 0 for none."""
+    time_left: float
+    stream: bool
+    prompt_tokens: int
+    output_tokens: int
+    """Likely length of the answer."""
+    parts: tuple[PromptPart, ...]
+
+    @property
+    def patience(self) -> float:
+        """Return how long a client waits for the first sign of an answer."""
+        if not self.stream:
+            return self.time_left
+        return min(self.time_left, max(2.0, 4 * self.target, 8 * self.gap))
--- /dev/null
+++ b/src/lotushill/placement/pace.py
@@ -0,0 +1,54 @@
+"""How fast the backends of a service work, learned from what gateways see."""
+
+from __future__ import annotations
+
+_FIRST_READ_RATE = 40_000.0
+_FIRST_EVENT_GAP = 0.03
+_FIRST_ANSWER_SECONDS = 0.1
+_WEIGHT = 0.08
+_SLOW_WEIGHT = 0.02
+_LEAST_READING = 400
+"""Tokens below which the time to the first event says little of the reading rate."""
+_OVERHEAD_SECONDS = 0.012
+_LOWEST_RATE = 2_000.0
+_HIGHEST_RATE = 2_000_000.0
+
+
+class Pace:
+    """Moving averages for one service."""
+
+    def __init__(self) -> None:
+        self.read_rate = _FIRST_READ_RATE
+        """Prompt tokens that one engine reads in a second."""
+        self.event_gap = _FIRST_EVENT_GAP
+        """Seconds between two events of a stream that runs undisturbed."""
+        self.answer_seconds = _FIRST_ANSWER_SECONDS
+        """Seconds that a plain request takes, without waiting."""
+        self.long_reading = 0.0
+        """Seconds that reading the longer prompts of the moment takes."""
+
+    def note_first_event(self, reading: float, seconds: float) -> None:
+        """Learn from a stream's first event, with `reading` tokens read until then."""
+        if reading < _LEAST_READING:
+            return
+        busy = max(0.001, seconds - _OVERHEAD_SECONDS)
+        rate = min(_HIGHEST_RATE, max(_LOWEST_RATE, reading / busy))
+        # A sample below the average may just have waited behind something unseen.
+        weight = _WEIGHT if rate > self.read_rate else _SLOW_WEIGHT
+        self.read_rate += weight * (rate - self.read_rate)
+
+    def note_gap(self, seconds: float) -> None:
+        """Learn from the pause between two events."""
+        weight = _WEIGHT if seconds < self.event_gap else _SLOW_WEIGHT
+        self.event_gap += weight * (seconds - self.event_gap)
+
+    def note_answer(self, seconds: float) -> None:
+        """Learn from a plain answer."""
+        weight = _WEIGHT if seconds < self.answer_seconds else _SLOW_WEIGHT
+        self.answer_seconds += weight * (seconds - self.answer_seconds)
+
+    def note_reading(self, tokens: int) -> None:
+        """Learn the mix of prompts: the level moves quickly up and slowly down."""
+        seconds = tokens / self.read_rate
+        weight = 0.25 if seconds > self.long_reading else 0.01
+        self.long_reading += weight * (seconds - self.long_reading)
--- a/src/lotushill/platform/__init__.py
+++ b/src/lotushill/platform/__init__.py
@@ -1,3 +1,3 @@
-"""The platform's object API and host list, as a port with an adapter."""
+"""The adapter to the users' platform: names, formats and calls, and no decisions."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/lotushill/platform/configuration.py
@@ -0,0 +1,93 @@
+"""From the platform's configuration object to a routing table."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lotushill.routing.exceptions import InvalidTableError
+from lotushill.routing.limits import ClientLimits
+from lotushill.routing.route import Route
+from lotushill.routing.route import RouteKind
+from lotushill.routing.route import WeightedService
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+from lotushill.routing.table import RoutingTable
+from lotushill.routing.tenant import Tenant
+
+_MS = 1000.0
+
+
+def parse_table(spec: Any) -> RoutingTable:
+    """Return the table of a configuration's `spec`; raise InvalidTableError for a bad one."""
+    try:
+        return RoutingTable(
+            int(spec["version"]),
+            [_route(item) for item in spec.get("routes") or ()],
+            [_service(item) for item in spec.get("services") or ()],
+            [_tenant(item) for item in spec.get("tenants") or ()],
+            _limits(spec.get("limits") or {}),
+        )
+    except KeyError as error:
+        raise InvalidTableError(str(error.args[0]), "is missing") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise InvalidTableError("spec", str(error)) from error
+
+
+def _route(item: dict[str, Any]) -> Route:
+    return Route(
+        name=str(item["name"]),
+        host=str(item["host"]),
+        path_prefix=str(item["pathPrefix"]),
+        kind=RouteKind(item["kind"]),
+        services=_services(item),
+        timeout=float(item["timeoutMs"]) / _MS,
+        target=float(item.get("targetLatencyMs") or item["timeoutMs"]) / _MS,
+        target_gap=float(item.get("targetGapMs") or 0.0) / _MS,
+        priority=int(item.get("priority") or 0),
+        max_attempts=max(1, int(item.get("maxAttempts") or 1)),
+        public=bool(item.get("public")),
+        resumable=bool(item.get("streamResume")),
+    )
+
+
+def _services(item: dict[str, Any]) -> tuple[WeightedService, ...]:
+    split = item.get("backends")
+    if split:
+        return tuple(WeightedService(str(part["service"]), float(part["weight"])) for part in split)
+    return (WeightedService(str(item["service"]), 1.0),)
+
+
+def _service(item: dict[str, Any]) -> Service:
+    engine = item.get("engine")
+    return Service(
+        name=str(item["name"]),
+        max_connections=int(item.get("maxConns") or 64),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item: dict[str, Any]) -> EngineProfile:
+    return EngineProfile(
+        slots=int(item["slots"]),
+        memory_tokens=int(item["kvCapacity"]),
+        tokens_per_event=int(item.get("stride") or 1),
+    )
+
+
+def _tenant(item: dict[str, Any]) -> Tenant:
+    priority = item.get("priority")
+    return Tenant(
+        name=str(item["name"]),
+        api_keys=tuple(str(key) for key in item.get("apiKeys") or ()),
+        priority=None if priority is None else int(priority),
+    )
+
+
+def _limits(item: dict[str, Any]) -> ClientLimits:
+    usual = ClientLimits()
+    return ClientLimits(
+        header_bytes=int(item.get("maxHeaderBytes", usual.header_bytes)),
+        body_bytes=int(item.get("maxBodyBytes", usual.body_bytes)),
+        header_seconds=float(item.get("headerTimeoutMs", usual.header_seconds * _MS)) / _MS,
+        idle_seconds=float(item.get("idleTimeoutMs", usual.idle_seconds * _MS)) / _MS,
+    )
--- /dev/null
+++ b/src/lotushill/platform/names.py
@@ -0,0 +1,32 @@
+"""Names of the platform's headers, kinds and objects."""
+
+from __future__ import annotations
+
+# Headers of requests, in lower case.
+REQUEST_ID = "attempt-id"
+DEADLINE_MS = "deadline-ms"
+PROMPT_PARTS = "prompt-prefix"
+TOKEN_USAGE = "token-usage"
+LENGTH_HINT = "length-hint"
+LAST_EVENT_ID = "last-event-id"
+AUTHORIZATION = "authorization"
+TENANT = "tenant"
+TARGET_INSTANCE = "target-instance"
+PRIORITY = "request-priority"
+HOLD = "hold"
+PIN_MS = "pin-ms"
+EXPECT_VERSION = "expect-version"
+KV_BACKUP = "kv-backup"
+KV_FETCH = "kv-fetch"
+KV_FROM = "kv-from"
+
+# Headers of answers, in lower case.
+SIGNATURE = "response-signature"
+NOT_EXECUTED = "not-executed"
+RETRY_AFTER = "retry-after"
+
+# Kinds and objects of the store.
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+BACKEND_KIND = "servers"
+DRAINING = "draining"
--- /dev/null
+++ b/src/lotushill/platform/request_head.py
@@ -0,0 +1,164 @@
+"""What the platform's headers say of a request, and the headers that a backend gets."""
+
+from __future__ import annotations
+
+from lotushill.gateway.demand import Demand
+from lotushill.gateway.demand import PromptPart
+from lotushill.platform import names
+
+_MS = 1000.0
+_BEARER = "bearer "
+Headers = list[tuple[bytes, bytes]]
+
+_ONE_CONNECTION = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+        b"proxy-authorization",
+    )
+)
+"""Headers that concern one connection only, and the length, which is told anew."""
+_OWN = frozenset(
+    name.encode()
+    for name in (
+        names.AUTHORIZATION,
+        names.DEADLINE_MS,
+        names.TENANT,
+        names.TARGET_INSTANCE,
+        names.PRIORITY,
+        names.HOLD,
+        names.PIN_MS,
+        names.EXPECT_VERSION,
+        names.KV_BACKUP,
+        names.KV_FETCH,
+        names.KV_FROM,
+    )
+)
+"""Headers that only this system may set."""
+_ANSWER_DROPPED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"upgrade"))
+
+
+def read_demand(headers: Headers) -> Demand:
+    """Return what a request asks for; what cannot be read counts as not said."""
+    named = {name.decode("latin-1"): value.decode("latin-1") for name, value in headers}
+    usage = named.get(names.TOKEN_USAGE, "").split(",")
+    return Demand(
+        request_id=named.get(names.REQUEST_ID, ""),
+        host=named.get("host", "").partition(":")[0],
+        api_key=_api_key(named.get(names.AUTHORIZATION, "")),
+        time_left=_milliseconds(named.get(names.DEADLINE_MS, "")),
+        prompt_tokens=_whole(usage[0]),
+        output_limit=_whole(usage[1]) if len(usage) > 1 else 0,
+        output_hint=_whole(named.get(names.LENGTH_HINT, "")),
+        parts=_parts(named.get(names.PROMPT_PARTS, "")),
+        last_event_id=named.get(names.LAST_EVENT_ID, ""),
+    )
+
+
+def forwarded(headers: Headers, body: bytes | None) -> Headers:
+    """Return the client's headers that travel on, with the length of the body."""
+    named = dict(headers)
+    dropped = _ONE_CONNECTION | _OWN | _tokens(named.get(b"connection", b""))
+    kept = [(name, value) for name, value in headers if name not in dropped]
+    if body is not None:
+        kept.append((b"content-length", str(len(body)).encode()))
+    return kept
+
+
+def attempt_headers(
+    instance: str, seconds_left: float, priority: int, tenant: str, last_event_id: str
+) -> Headers:
+    """Return the headers of one attempt that this system sets."""
+    left = max(1, int(seconds_left * _MS))
+    out = [
+        (names.TARGET_INSTANCE.encode(), instance.encode()),
+        (names.DEADLINE_MS.encode(), str(left).encode()),
+        (names.PRIORITY.encode(), str(min(9, max(0, priority))).encode()),
+    ]
+    if tenant:
+        out.append((names.TENANT.encode(), tenant.encode("latin-1")))
+    if last_event_id:
+        out.append((names.LAST_EVENT_ID.encode(), last_event_id.encode("latin-1")))
+    return out
+
+
+def without_last_event_id(headers: Headers) -> Headers:
+    """Return headers without the place where a stream goes on."""
+    return [item for item in headers if item[0] != names.LAST_EVENT_ID.encode()]
+
+
+def answered_id(headers: Headers) -> str:
+    """Return the id of the request that an answer belongs to."""
+    return _value(headers, names.REQUEST_ID)
+
+
+def not_executed(status: int, headers: Headers) -> bool:
+    """Return whether a backend says that it did not run the request."""
+    return status == 421 or bool(_value(headers, names.NOT_EXECUTED))
+
+
+def relayed(headers: Headers) -> Headers:
+    """Return the headers of an answer that travel on to the client."""
+    return [item for item in headers if item[0] not in _ANSWER_DROPPED]
+
+
+def retry_after(seconds: float) -> tuple[bytes, bytes]:
+    """Return the header that tells a client when to come back."""
+    return names.RETRY_AFTER.encode(), f"{seconds:.2f}".encode()
+
+
+def own_answer_headers(request_id: str) -> Headers:
+    """Return the headers of an answer that this system gives by itself."""
+    return [(names.REQUEST_ID.encode(), request_id.encode("latin-1"))] if request_id else []
+
+
+def _value(headers: Headers, name: str) -> str:
+    wanted = name.encode()
+    for key, value in headers:
+        if key == wanted:
+            return value.decode("latin-1")
+    return ""
+
+
+def _tokens(value: bytes) -> frozenset[bytes]:
+    return frozenset(item.strip().lower() for item in value.split(b",") if item.strip())
+
+
+def _api_key(value: str) -> str:
+    if value[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return value[len(_BEARER) :].strip()
+
+
+def _milliseconds(value: str) -> float | None:
+    try:
+        return max(0.0, float(value) / _MS)
+    except ValueError:
+        return None
+
+
+def _whole(value: str) -> int:
+    try:
+        return max(0, int(float(value)))
+    except (ValueError, OverflowError):
+        return 0
+
+
+def _parts(value: str) -> tuple[PromptPart, ...]:
+    found = []
+    for item in value.split(","):
+        name, _, tokens = item.strip().partition(":")
+        if not name:
+            continue
+        try:
+            found.append(PromptPart(int(name, 16) & 0xFFFFFFFFFFFFFFFF, int(tokens)))
+        except ValueError:
+            return ()
+    return tuple(found)
--- /dev/null
+++ b/src/lotushill/routing/exceptions.py
@@ -0,0 +1,12 @@
+"""Errors of routing."""
+
+from __future__ import annotations
+
+
+class InvalidTableError(Exception):
+    """A configuration that cannot be used, with the path of the value at fault."""
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
--- /dev/null
+++ b/src/lotushill/routing/route.py
@@ -0,0 +1,62 @@
+"""A route: which requests it takes, what they may cost, and which services answer them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RouteKind(Enum):
+    """What a request on a route is, and so how often it may run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """One of the services of a route, with its share of the requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """One route; times are seconds."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout: float
+    """The longest that a request is held."""
+    target: float
+    """The time to the answer, or to a stream's first event, that earns full credit."""
+    target_gap: float
+    """The longest pause between events of a stream that is still in time; 0 for none."""
+    priority: int
+    """0 is the most urgent."""
+    max_attempts: int
+    """Most backends that may run one request."""
+    public: bool
+    """Whether a request needs no API key."""
+    resumable: bool
+    """Whether a stream may be continued on another backend."""
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+    def service_for(self, point: float) -> str:
+        """Return the service for a point in [0, 1): each gets its share of all points."""
+        total = sum(item.weight for item in self.services)
+        left = point * total
+        for item in self.services:
+            left -= item.weight
+            if left < 0:
+                return item.service
+        return self.services[-1].service
--- /dev/null
+++ b/src/lotushill/routing/service.py
@@ -0,0 +1,27 @@
+"""A service: a set of backends that are alike."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class EngineProfile:
+    """What is told of a service's model engines."""
+
+    slots: int
+    """Requests that run in one batch."""
+    memory_tokens: int
+    """Tokens of running requests and kept prompt parts that fit one engine."""
+    tokens_per_event: int
+    """Tokens that one event of a stream carries, at most."""
+
+
+@dataclass(frozen=True)
+class Service:
+    """One service; `engine` is None for a plain service."""
+
+    name: str
+    max_connections: int
+    """Connections that one backend accepts from all gateways together."""
+    engine: EngineProfile | None
--- /dev/null
+++ b/src/lotushill/routing/table.py
@@ -0,0 +1,66 @@
+"""The routing table: everything that one version of the configuration says."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from lotushill.routing.exceptions import InvalidTableError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lotushill.routing.limits import ClientLimits
+    from lotushill.routing.route import Route
+    from lotushill.routing.service import Service
+    from lotushill.routing.tenant import Tenant
+
+
+class RoutingTable:
+    """Finds the route, the tenant and the service of a request; never changes."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[Service],
+        tenants: Iterable[Tenant],
+        limits: ClientLimits,
+    ) -> None:
+        self.version = version
+        self.limits = limits
+        self.services = {service.name: service for service in services}
+        self.tenants = tuple(tenants)
+        self._by_host: dict[str, dict[str, Route]] = defaultdict(dict)
+        for route in routes:
+            self._add(route)
+        self._by_key = {key: tenant for tenant in self.tenants for key in tenant.api_keys}
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path, None without one."""
+        routes = self._by_host.get(host.lower())
+        if routes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = routes.get(path[: end + 1])
+            if found is not None:
+                return found
+        return None
+
+    def tenant(self, api_key: str) -> Tenant | None:
+        """Return the tenant that holds an API key."""
+        return self._by_key.get(api_key)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether requests on routes that are not public need a key."""
+        return bool(self.tenants)
+
+    def _add(self, route: Route) -> None:
+        if not route.services:
+            raise InvalidTableError(f"routes.{route.name}", "names no service")
+        for item in route.services:
+            if item.service not in self.services:
+                raise InvalidTableError(f"routes.{route.name}", f"no service {item.service!r}")
+        self._by_host[route.host.lower()][route.path_prefix] = route
--- /dev/null
+++ b/src/lotushill/routing/tenant.py
@@ -0,0 +1,14 @@
+"""A tenant: whose request it is, told by its API key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Tenant:
+    """One tenant; a priority, if it has one, overrules that of the route."""
+
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int | None
--- a/src/lotushill/standin/object_store.py
+++ b/src/lotushill/standin/object_store.py
@@ -6,10 +6,10 @@
 from dataclasses import field
 from enum import Enum
 
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.objects import ABSENT
-from lotushill.platform.objects import HostRecord
-from lotushill.platform.objects import StoredObject
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.objects import ABSENT
+from lotushill.objectapi.objects import HostRecord
+from lotushill.objectapi.objects import StoredObject
 
 
 class StoreFault(Enum):
--- a/src/lotushill/standin/platform_app.py
+++ b/src/lotushill/standin/platform_app.py
@@ -13,11 +13,11 @@
 from lotushill.links.asgi import read_body
 from lotushill.links.asgi import send_json
 from lotushill.links.http_server import CUT
-from lotushill.platform.exceptions import ConflictError
-from lotushill.platform.http_platform import host_to_plain
-from lotushill.platform.objects import HostRecord
-from lotushill.platform.objects import HostRole
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.exceptions import ConflictError
+from lotushill.objectapi.http_platform import host_to_plain
+from lotushill.objectapi.objects import HostRecord
+from lotushill.objectapi.objects import HostRole
+from lotushill.objectapi.objects import HostState
 from lotushill.standin.object_store import ObjectStore
 from lotushill.standin.object_store import StoreFault
 
--- /dev/null
+++ b/src/lotushill/views/configuration_view.py
@@ -0,0 +1,27 @@
+"""The configuration in force, which never goes back; a pure state machine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.routing.table import RoutingTable
+
+
+class ConfigurationView:
+    """The newest routing table known, with the store's revision of it."""
+
+    def __init__(self) -> None:
+        self.revision = -1
+        """Revision of the configuration object; below 0 while there is none."""
+        self.table: RoutingTable | None = None
+
+    def take(self, table: RoutingTable, revision: int) -> bool:
+        """Put a table in force if it is newer; return whether it was."""
+        if revision <= self.revision:
+            return False
+        if self.table is not None and table.version < self.table.version:
+            return False
+        self.revision = revision
+        self.table = table
+        return True
--- a/tests/callers/rig.py
+++ b/tests/callers/rig.py
@@ -28,10 +28,10 @@
 from lotushill.load.caller import Caller
 from lotushill.load.caller import Order
 from lotushill.metrics import Metrics
-from lotushill.platform.http_platform import HttpPlatform
-from lotushill.platform.objects import HostRecord
-from lotushill.platform.objects import HostRole
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.http_platform import HttpPlatform
+from lotushill.objectapi.objects import HostRecord
+from lotushill.objectapi.objects import HostRole
+from lotushill.objectapi.objects import HostState
 from lotushill.standin.engine_app import EngineApp
 from lotushill.standin.engine_app import EngineOptions
 from lotushill.standin.platform_app import PlatformApp
--- a/tests/contracts/test_editor.py
+++ b/tests/contracts/test_editor.py
@@ -14,11 +14,11 @@
 from lotushill.contracts.editor import Editor
 from lotushill.contracts.merge import merge
 from lotushill.contracts.paths import put
-from lotushill.platform.exceptions import UnknownEffectError
+from lotushill.objectapi.exceptions import UnknownEffectError
 from lotushill.standin.object_store import ObjectStore
 from tests.contracts.documents import team_text
-from tests.platform.fake_objects import FakeObjects
-from tests.platform.fake_objects import Trouble
+from tests.objectapi.fake_objects import FakeObjects
+from tests.objectapi.fake_objects import Trouble
 
 NAME = "team/bodas"
 VALUES = st.recursive(
--- a/tests/dispatch/test_client.py
+++ b/tests/dispatch/test_client.py
@@ -20,9 +20,9 @@
 from lotushill.dispatch.options import CellOptions
 from lotushill.hosts.rendezvous import owner
 from lotushill.links.messages import Held
-from lotushill.platform.objects import HostRecord
-from lotushill.platform.objects import HostRole
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.objects import HostRecord
+from lotushill.objectapi.objects import HostRole
+from lotushill.objectapi.objects import HostState
 from tests.dispatch.cell_driver import make_ask
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.gateway."""
+
+from __future__ import annotations
--- a/tests/hosts/test_follower.py
+++ b/tests/hosts/test_follower.py
@@ -23,15 +23,15 @@
 from lotushill.hosts.upstream_watch import UpstreamWatch
 from lotushill.links.messages import Pull
 from lotushill.links.messages import Pulled
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.objects import ABSENT
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.objects import ABSENT
 from lotushill.standin.object_store import ObjectStore
 from tests.contracts.documents import root_text
 from tests.contracts.documents import team_text
 from tests.hosts.network import Network
 from tests.keeper.test_lease_protocol import Actor
-from tests.platform.fake_objects import FakeObjects
-from tests.platform.fake_objects import Trouble
+from tests.objectapi.fake_objects import FakeObjects
+from tests.objectapi.fake_objects import Trouble
 
 if TYPE_CHECKING:
     from lotushill.links.codec import Message
--- a/tests/hosts/test_upstream_watch.py
+++ b/tests/hosts/test_upstream_watch.py
@@ -11,8 +11,8 @@
 from lotushill.dispatch.fallback import Fallback
 from lotushill.dispatch.options import CellOptions
 from lotushill.hosts.upstream_watch import UpstreamWatch
-from lotushill.platform.objects import HostRecord
-from lotushill.platform.objects import HostState
+from lotushill.objectapi.objects import HostRecord
+from lotushill.objectapi.objects import HostState
 from tests.dispatch.cell_driver import make_ask
 from tests.dispatch.test_client import records
 
--- a/tests/keeper/test_lease_protocol.py
+++ b/tests/keeper/test_lease_protocol.py
@@ -22,13 +22,13 @@
 from lotushill.keeper.acceptor import Acceptor
 from lotushill.keeper.lease import Lease
 from lotushill.keeper.lease import LeaseOptions
-from lotushill.platform.exceptions import PlatformError
-from lotushill.platform.objects import ABSENT
+from lotushill.objectapi.exceptions import PlatformError
+from lotushill.objectapi.objects import ABSENT
 from lotushill.standin.object_store import ObjectStore
 from tests.contracts.documents import root_text
 from tests.contracts.documents import team_text
-from tests.platform.fake_objects import FakeObjects
-from tests.platform.fake_objects import Trouble
+from tests.objectapi.fake_objects import FakeObjects
+from tests.objectapi.fake_objects import Trouble
 
 OPTIONS = LeaseOptions(duration=5.0, margin=1.0)
 
--- a/tests/keeper/test_sweeper.py
+++ b/tests/keeper/test_sweeper.py
@@ -13,13 +13,13 @@
 from lotushill.contracts.generation import OBJECT_PREFIX
 from lotushill.contracts.generation import parse_head
 from lotushill.keeper.sweeper import Sweeper
-from lotushill.platform.objects import ABSENT
-from lotushill.platform.objects import StoredObject
+from lotushill.objectapi.objects import ABSENT
+from lotushill.objectapi.objects import StoredObject
 from lotushill.standin.object_store import ObjectStore
 from tests.contracts.documents import root_text
 from tests.contracts.documents import team_text
 from tests.keeper.test_lease_protocol import Actor
-from tests.platform.fake_objects import FakeObjects
+from tests.objectapi.fake_objects import FakeObjects
 
 ROUNDS = 256
 
--- /dev/null
+++ b/tests/objectapi/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `lotushill.objectapi`."""
+
+from __future__ import annotations
--- a/tests/platform/fake_objects.py
+++ b/tests/objectapi/fake_objects.py
@@ -8,12 +8,12 @@
 
 import anyio
 
-from lotushill.platform.exceptions import UnavailableError
-from lotushill.platform.exceptions import UnknownEffectError
+from lotushill.objectapi.exceptions import UnavailableError
+from lotushill.objectapi.exceptions import UnknownEffectError
 
 if TYPE_CHECKING:
-    from lotushill.platform.objects import HostRecord
-    from lotushill.platform.objects import StoredObject
+    from lotushill.objectapi.objects import HostRecord
+    from lotushill.objectapi.objects import StoredObject
     from lotushill.standin.object_store import ObjectStore
 
 
--- /dev/null
+++ b/tests/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.placement."""
+
+from __future__ import annotations
--- a/tests/platform/__init__.py
+++ b/tests/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Tests of `lotushill.platform`."""
+"""Tests of lotushill.platform."""
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.routing."""
+
+from __future__ import annotations
--- a/tests/upstreams/test_client_fuzz.py
+++ b/tests/upstreams/test_client_fuzz.py
@@ -12,8 +12,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from lotushill.platform.exceptions import PlatformError
-from lotushill.platform.http_platform import HttpPlatform
+from lotushill.objectapi.exceptions import PlatformError
+from lotushill.objectapi.http_platform import HttpPlatform
 from lotushill.upstreams.client import UpstreamClient
 from lotushill.upstreams.client import UpstreamRequest
 from lotushill.upstreams.exceptions import UpstreamError
