Count prompts as unread until their first event, and refuse long prompts first under overload

Change: gateways tell each other of first events; the unread prompts of a backend are those without one. A long prompt is refused when half its target would pass in waiting or when it would cost the streams beside it more than one of them. An unfinished event is dropped before a resume. Ruled out: pauses between events of 32-bit precision on the wire were compared with 64-bit ones, so that streams of peers did not count as delicate; mended as well.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -14,6 +14,8 @@
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lotushill.gateway.backend_connection import AnswerHead
     from lotushill.gateway.backend_connection import BackendConnection
     from lotushill.gateway.client_answer import ClientAnswer
@@ -38,12 +40,14 @@
         choice: Choice,
         answer: ClientAnswer,
         splitter: EventSplitter,
+        on_first: Callable[[], None],
     ) -> None:
         self._parts = parts
         self._request = request
         self._choice = choice
         self._answer = answer
         self._splitter = splitter
+        self._on_first = on_first
         self._loop = asyncio.get_running_loop()
         self.sent_at = 0.0
         self.first_at = 0.0
@@ -176,6 +180,7 @@
         pace = self._parts.fleet.pace(self._request.service.name)
         if not self.first_at:
             self.first_at = now
+            self._on_first()
             self._note_first(now)
         elif self._request.route.kind is RouteKind.STREAM:
             pace.note_gap(now - self.last_at)
--- a/src/lotushill/gateway/event_stream.py
+++ b/src/lotushill/gateway/event_stream.py
@@ -25,6 +25,10 @@
             self._note(whole)
         return whole
 
+    def drop_partial(self) -> None:
+        """Forget the event that a broken run left unfinished: the next run sends it whole."""
+        self._rest = b""
+
     @property
     def partial(self) -> bytes:
         """Return the bytes of an event that is not whole."""
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -43,7 +43,8 @@
         """Backends that may have run the request."""
         self.outcome = "open"
         self.backend = ""
-        self.sending = False
+        self.first_ms = 0.0
+        """Milliseconds from sending to the first event of the last attempt; below 0 for none."""
 
     async def run(self) -> None:
         """Try backends until there is an answer."""
@@ -59,6 +60,7 @@
             if not self._may_repeat(end):
                 return await self._give_up(end.detail, end)
             self._excluded.add(choice.backend.id)
+            self._splitter.drop_partial()
 
     async def time_out(self) -> None:
         """Answer a request whose time is up."""
@@ -98,16 +100,26 @@
             cost=round(choice.cost, 4),
             first_ms=round(choice.first * 1000, 1),
             reading=choice.reading,
+            ahead=choice.ahead,
+            running=choice.running,
             run=self.runs,
             view=self._parts.backends.revision,
         )
         self._parts.shared_load.start(placed, self._request.service)
         self.runs += 1
-        attempt = Attempt(self._parts, self._request, choice, self._answer, self._splitter)
+        attempt = Attempt(
+            self._parts,
+            self._request,
+            choice,
+            self._answer,
+            self._splitter,
+            on_first=lambda: self._parts.shared_load.begin(placed.request),
+        )
         try:
             end = await attempt.run()
         finally:
             self._parts.shared_load.end(placed.request)
+            self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
         if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
             self.runs -= 1
         if end.kind is not EndKind.WHOLE:
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -118,6 +118,7 @@
             outcome=exchange.outcome,
             backend=exchange.backend,
             runs=exchange.runs,
+            first_ms=exchange.first_ms,
             ms=round((loop.time() - request.arrived) * 1000, 1),
             configuration=self._parts.configuration.revision,
         )
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -234,6 +234,6 @@
         return [load]
     # A list in parts is no longer the whole list, and must not be taken for it.
     return [
-        Load(load.sender, False, load.placed[start : start + _MOST_PLACED], ())
+        Load(load.sender, False, load.placed[start : start + _MOST_PLACED])
         for start in range(0, len(load.placed), _MOST_PLACED)
     ]
--- a/src/lotushill/gateway/shared_load.py
+++ b/src/lotushill/gateway/shared_load.py
@@ -47,13 +47,21 @@
         self._own[placed.request] = (placed, now)
         self._fleet.start(placed, service, now)
         self._fleet.pace(service.name).note_reading(placed.reading)
-        self._tell(Load(self._name, False, (placed,), ()))
+        self._tell(Load(self._name, False, placed=(placed,)))
+
+    def begin(self, request: str) -> None:
+        """Note the first event of a request of this gateway and tell the others."""
+        known = self._own.get(request)
+        if known is not None:
+            self._own[request] = (replace(known[0], began=True), known[1])
+            self._fleet.begin(request, self._clock())
+            self._tell(Load(self._name, False, began=(request,)))
 
     def end(self, request: str) -> None:
         """Count out a request of this gateway and tell the others."""
         if self._own.pop(request, None) is not None:
             self._fleet.end(request)
-            self._tell(Load(self._name, False, (), (request,)))
+            self._tell(Load(self._name, False, ended=(request,)))
 
     def whole(self) -> Load:
         """Return all that this gateway runs, which repairs what others have missed."""
@@ -62,7 +70,7 @@
             replace(item, age=now - since, part_ids=(), part_tokens=())
             for item, since in self._own.values()
         )
-        return Load(self._name, True, placed, ())
+        return Load(self._name, True, placed=placed)
 
     def receive(self, load: Load) -> None:
         """Take in what another gateway tells."""
@@ -72,6 +80,8 @@
         held = self._others.setdefault(load.sender, {})
         for placed in load.placed:
             self._count_in(placed, held, now)
+        for request in load.began:
+            self._fleet.begin(request, now)
         for request in load.ended:
             self._count_out(request, held)
         if load.whole:
@@ -94,8 +104,12 @@
             self._count_out(request, held)
 
     def _count_in(self, placed: Placed, held: dict[str, float], now: float) -> None:
+        if placed.request in held:
+            if placed.began:
+                self._fleet.begin(placed.request, now)
+            return
         service = self._service_of(placed.backend)
-        if service is None or placed.request in held:
+        if service is None:
             return
         held[placed.request] = now
         self._ends_by[placed.request] = now + 2 * placed.seconds + _SILENT_SECONDS
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -120,18 +120,20 @@
   backend @1 :Text;
   reading @2 :UInt32;
   memory @3 :UInt32;
-  gap @4 :Float32;
-  seconds @5 :Float32;
-  age @6 :Float32;
+  gap @4 :Float64;
+  seconds @5 :Float64;
+  age @6 :Float64;
   partIds @7 :List(UInt64);
   partTokens @8 :List(UInt32);
+  began @9 :Bool;
 }
 
 struct Load {
   sender @0 :Text;
   whole @1 :Bool;
   placed @2 :List(Placed);
-  ended @3 :List(Text);
+  began @3 :List(Text);
+  ended @4 :List(Text);
 }
 
 struct Ping {
--- a/src/lotushill/placement/backend_load.py
+++ b/src/lotushill/placement/backend_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lotushill.gateway.demand import PromptPart
@@ -26,37 +27,64 @@
         """Tokens that the running requests may hold in the end."""
         self.kept = KeptParts(memory_tokens)
         self.failures = FailureRate()
-        self._unread = 0.0
-        self._unread_at = 0.0
+        self.gaps: Counter[float] = Counter()
+        """Streams by the longest pause that is in time for them."""
+        self._unread: dict[str, int] = {}
+        self._unread_total = 0
+        self._reading_since = 0.0
         self._slowness = 1.0
         self._slowness_at = 0.0
         self._away_until = float("-inf")
         self._back_off = _FIRST_BACK_OFF
 
-    def start(self, placed: Placed, read_rate: float, now: float) -> None:
+    def start(self, placed: Placed, now: float) -> None:
         """Count a request in."""
         if placed.request in self.running:
             return
         self.running[placed.request] = placed
         self.memory += placed.memory
-        unread = self.unread(read_rate, now)
-        self._unread = unread + max(0.0, placed.reading - placed.age * read_rate)
+        if placed.gap > 0:
+            self.gaps[placed.gap] += 1
+        if not placed.began:
+            if not self._unread:
+                self._reading_since = now - placed.age
+            self._unread[placed.request] = placed.reading
+            self._unread_total += placed.reading
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.kept.touch(parts, self.memory)
 
+    def begin(self, request: str, now: float) -> None:
+        """Note that the prompt of a request has been read."""
+        if self._drop_unread(request):
+            self._reading_since = now
+
     def end(self, request: str) -> Placed | None:
         """Count a request out."""
         placed = self.running.pop(request, None)
-        if placed is not None:
-            self.memory -= placed.memory
+        if placed is None:
+            return None
+        self._drop_unread(request)
+        self.memory -= placed.memory
+        if placed.gap > 0:
+            self.gaps[placed.gap] -= 1
+            if not self.gaps[placed.gap]:
+                del self.gaps[placed.gap]
         return placed
 
     def unread(self, read_rate: float, now: float) -> float:
-        """Return the prompt tokens that are still to be read, as they drain over time."""
-        drained = (now - self._unread_at) * read_rate / self.slowness(now)
-        self._unread = max(0.0, self._unread - max(0.0, drained))
-        self._unread_at = now
-        return self._unread
+        """Return the prompt tokens still to be read, less what the oldest has had read."""
+        if not self._unread:
+            return 0.0
+        oldest = next(iter(self._unread.values()))
+        done = max(0.0, now - self._reading_since) * read_rate
+        return self._unread_total - min(float(oldest), done)
+
+    def _drop_unread(self, request: str) -> bool:
+        reading = self._unread.pop(request, None)
+        if reading is None:
+            return False
+        self._unread_total -= reading
+        return True
 
     # Health
 
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -37,6 +37,9 @@
 _MEMORY_SHARE = 0.95
 _FULL_MEMORY_LOSS = 1.0
 _CROWDING_LOSS = 0.05
+_LONG_SHARE = 0.5
+_LONG_WAIT = 0.5
+"""Of its target, how long a long request may wait until its prompt is read."""
 _SHORTEST_RETRY = 0.2
 _LONGEST_RETRY = 3.0
 
@@ -55,6 +58,12 @@
     """Prompt tokens that are read until its first event, those of others included."""
     seconds: float
     """Predicted seconds until the answer is whole."""
+    wait: float = 0.0
+    """Predicted seconds until its own prompt is begun."""
+    harm: float = 0.0
+    """What it costs the streams that run beside it."""
+    running: int = 0
+    """Requests that run there already, of all gateways."""
 
 
 @dataclass(frozen=True)
@@ -94,9 +103,15 @@
         """Count a request in, of this gateway or of another."""
         engine = service.engine
         load = self.load(placed.backend, engine.memory_tokens if engine else 0)
-        load.start(placed, self.pace(service.name).read_rate, now)
+        load.start(placed, now)
         self._where[placed.request] = placed.backend
 
+    def begin(self, request: str, now: float) -> None:
+        """Note the first event of a request."""
+        backend_id = self._where.get(request)
+        if backend_id is not None:
+            self._loads[backend_id].begin(request, now)
+
     def end(self, request: str) -> None:
         """Count a request out."""
         backend_id = self._where.pop(request, None)
@@ -130,12 +145,24 @@
             return NoChoice("no backend", 1.0)
         choices = [self._weigh(need, service, item, now) for item in reachable or candidates]
         best = min(choices, key=lambda choice: choice.cost)
+        if self._is_long(need, best) and (best.wait > _LONG_WAIT * need.target or best.harm > 1):
+            wait = max(best.wait - _LONG_WAIT * need.target, best.reading / 1e5)
+            return NoChoice("overload", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
         soonest = min(choices, key=lambda choice: choice.first)
         if soonest.first > need.patience:
             wait = soonest.first - need.target
             return NoChoice("no room in time", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
         return best if best.first <= need.patience else soonest
 
+    def _is_long(self, need: Need, choice: Choice) -> bool:
+        """Return whether a request is among those whose prompts take longest to read.
+
+        Under overload these are refused first: each leaves room for many short ones, and a
+        short one is never refused while longer ones begin.
+        """
+        pace = self.pace(need.service)
+        return choice.reading / pace.read_rate > _LONG_SHARE * pace.long_reading > 0
+
     def _weigh(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
         if service.engine is None:
             return self._weigh_plain(need, backend, now)
@@ -148,7 +175,7 @@
         first = usual * max(1.0, crowd)
         cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
         cost += _CROWDING_LOSS * crowd + self._standing_cost(backend, load, now)
-        return Choice(backend, cost, first, 0, 0, first)
+        return Choice(backend, cost, first, 0, 0, first, running=len(load.running))
 
     def _weigh_engine(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
         engine = service.engine
@@ -156,7 +183,7 @@
         load = self.load(backend.id, engine.memory_tokens)
         pace = self.pace(need.service)
         rate = pace.read_rate / load.slowness(now)
-        unread = load.unread(pace.read_rate, now)
+        unread = load.unread(rate, now)
         reading = max(0, need.prompt_tokens - load.kept.matched(need.parts))
         first = (unread + reading) / rate + pace.event_gap
         running = len(load.running)
@@ -165,7 +192,8 @@
         if running >= engine.slots:
             first += (running + 1 - engine.slots) * seconds / engine.slots
         cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
-        cost += self._harm(load, pace, unread / rate, (unread + reading) / rate)
+        harm = self._harm(load, pace, unread / rate, (unread + reading) / rate)
+        cost += harm
         cost += self._delicate_cost(need, pace, load)
         cost += _REREAD_LOSS_PER_TOKEN * reading
         cost += _CROWDING_LOSS * running / engine.slots
@@ -174,25 +202,32 @@
         ):
             cost += _FULL_MEMORY_LOSS
         cost += self._standing_cost(backend, load, now)
-        return Choice(backend, cost, first, reading, int(unread + reading), seconds)
+        return Choice(
+            backend,
+            cost,
+            first,
+            reading,
+            int(unread + reading),
+            seconds,
+            unread / rate,
+            harm,
+            running,
+        )
 
     def _harm(self, load: BackendLoad, pace: Pace, before: float, after: float) -> float:
         """Return what reading a prompt costs the streams that run beside it."""
         harm = 0.0
-        for placed in load.running.values():
-            if placed.gap <= 0:
-                continue
-            allowed = max(0.001, placed.gap - pace.event_gap)
-            harm += _missed(after / allowed) - _missed(before / allowed)
+        for gap, count in load.gaps.items():
+            allowed = max(0.001, gap - pace.event_gap)
+            harm += count * (_missed(after / allowed) - _missed(before / allowed))
         return _GAP_LOSS * harm
 
     def _delicate_cost(self, need: Need, pace: Pace, load: BackendLoad) -> float:
         """Return what it costs to make a backend unfit for the long prompts of the moment."""
         if need.gap <= 0 or need.gap - pace.event_gap >= pace.long_reading:
             return 0.0
-        for placed in load.running.values():
-            if 0 < placed.gap <= need.gap:
-                return 0.0
+        if any(gap <= need.gap for gap in load.gaps):
+            return 0.0
         return _FIRST_DELICATE_LOSS
 
     def _standing_cost(self, backend: Backend, load: BackendLoad, now: float) -> float:
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -25,6 +25,8 @@
     part_ids: tuple[int, ...] = ()
     """The parts of its prompt, in order."""
     part_tokens: tuple[int, ...] = ()
+    began: bool = False
+    """Whether its first event has come, so that its prompt has been read."""
 
 
 @dataclass(frozen=True)
@@ -33,5 +35,7 @@
 
     sender: str
     whole: bool
-    placed: tuple[Placed, ...]
-    ended: tuple[str, ...]
+    placed: tuple[Placed, ...] = ()
+    began: tuple[str, ...] = ()
+    """Requests whose first event has come."""
+    ended: tuple[str, ...] = ()
