--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -48,7 +48,9 @@
 
     async def run(self) -> None:
         """Try backends until there is an answer."""
-        self._parts.budgets.note_request(self._request.service.name, self._loop.time())
+        request = self._request
+        self._parts.budgets.note_request(request.service.name, self._loop.time())
+        self._parts.fleet.sizes.note(request.need.route, request.need.size)
         while True:
             choice = self._choose()
             if choice is None:
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -192,6 +192,7 @@
     expected = demand.output_hint or int(demand.output_limit * _UNKNOWN_OUTPUT_SHARE)
     return Need(
         service=service,
+        route=route.name,
         target=route.target,
         gap=route.target_gap,
         time_left=limit,
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -51,7 +51,7 @@
         rng = random.Random()
         self.store = ObjectStore(settings.store)
         self.views = StoreViews(self.store, rng, self.log, self._on_configuration)
-        self.fleet = Fleet(settings.zone)
+        self.fleet = Fleet(settings.zone, settings.recent_seconds)
         self.peers = Peers(
             settings,
             self.log,
@@ -113,7 +113,7 @@
             await anyio.sleep(_SWEEP_SECONDS)
             known = {backend.id for backend in self.views.backends.all()}
             self.pool.sweep(known)
-            self.fleet.forget(known)
+            self.fleet.forget(known, time.monotonic())
             self.shared_load.expire()
             self.peers.tell_load(self.shared_load.whole())
 
--- a/src/lotushill/gateway/settings.py
+++ b/src/lotushill/gateway/settings.py
@@ -48,4 +48,6 @@
     """How long after the first signal to stop the process is ended."""
     drain_seconds: Seconds = 2.0
     """How soon a backend that is leaving gets no more requests."""
+    recent_seconds: Seconds = 10.0
+    """A shared prompt part used within so long is worth being found again."""
     retry: RetrySettings = RetrySettings()
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.gateway.demand import PromptPart
 from lotushill.placement.backend_load import BackendLoad
 from lotushill.placement.pace import Pace
+from lotushill.placement.recent_parts import RecentParts
+from lotushill.placement.usual_size import UsualSize
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,10 +29,16 @@
 _GAP_LOSS = 0.6
 """What a stream loses by one pause that is too long."""
 _FAILURE_LOSS = 0.9
-_REREAD_LOSS_PER_TOKEN = 3e-5
-"""What reading a token again costs that another request has had read."""
+_REREAD_LOSS_PER_TOKEN = 1.2e-4
+"""What reading a shared token again costs that some backend has read of late."""
+_READING_LOSS_PER_TOKEN = 1e-5
+"""What reading any token costs, since it keeps others waiting."""
+_PACKING_LOSS = 0.08
+"""What it costs to bring a stream with short pauses to a backend with few of them."""
+_PACKED_SHARE = 0.6
+"""Of the slots; beyond it such streams are spread."""
 _OTHER_ZONE_LOSS = 0.01
-_FIRST_DELICATE_LOSS = 0.15
+_FIRST_DELICATE_LOSS = 0.2
 """What it costs to bring a stream with short pauses to a backend that has none."""
 _LATE_STEEPNESS = 6.0
 _GAP_STEEPNESS = 8.0
@@ -38,7 +47,9 @@
 _FULL_MEMORY_LOSS = 1.0
 _CROWDING_LOSS = 0.05
 _LONG_SHARE = 0.5
-_LONG_WAIT = 0.5
+_MOST_HARM = 0.8
+_LONG_RETRY = 1.0
+_LONG_WAIT = 0.75
 """Of its target, how long a long request may wait until its prompt is read."""
 _SHORTEST_RETRY = 0.2
 _LONGEST_RETRY = 3.0
@@ -77,8 +88,11 @@
 class Fleet:
     """The model of all backends."""
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, recent_seconds: float = 10.0) -> None:
+        """Make a model seen from `zone`; parts used within `recent_seconds` are worth keeping."""
         self._zone = zone
+        self.recent = RecentParts(recent_seconds)
+        self.sizes = UsualSize()
         self._loads: dict[str, BackendLoad] = {}
         self._paces: dict[str, Pace] = {}
         self._where: dict[str, str] = {}
@@ -104,6 +118,8 @@
         engine = service.engine
         load = self.load(placed.backend, engine.memory_tokens if engine else 0)
         load.start(placed, now)
+        parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
+        self.recent.note(parts, now)
         self._where[placed.request] = placed.backend
 
     def begin(self, request: str, now: float) -> None:
@@ -122,8 +138,9 @@
         """Return whether a request is counted in."""
         return request in self._where
 
-    def forget(self, known: set[str]) -> None:
-        """Drop idle backends that no view knows any more."""
+    def forget(self, known: set[str], now: float) -> None:
+        """Drop what is no longer of use: idle backends that no view knows, and old parts."""
+        self.recent.forget(now)
         for backend_id, load in list(self._loads.items()):
             if backend_id not in known and not load.running:
                 del self._loads[backend_id]
@@ -145,9 +162,9 @@
             return NoChoice("no backend", 1.0)
         choices = [self._weigh(need, service, item, now) for item in reachable or candidates]
         best = min(choices, key=lambda choice: choice.cost)
-        if self._is_long(need, best) and (best.wait > _LONG_WAIT * need.target or best.harm > 1):
-            wait = max(best.wait - _LONG_WAIT * need.target, best.reading / 1e5)
-            return NoChoice("overload", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
+        if self._is_long(need, best) and self._overloaded(need, best):
+            wait = max(_LONG_RETRY, best.wait)
+            return NoChoice("overload", min(_LONGEST_RETRY, wait))
         soonest = min(choices, key=lambda choice: choice.first)
         if soonest.first > need.patience:
             wait = soonest.first - need.target
@@ -163,6 +180,11 @@
         pace = self.pace(need.service)
         return choice.reading / pace.read_rate > _LONG_SHARE * pace.long_reading > 0
 
+    def _overloaded(self, need: Need, choice: Choice) -> bool:
+        """Return whether even the best place keeps a request waiting or harms others more."""
+        weight = self.sizes.weight(need.route, need.size)
+        return choice.wait > _LONG_WAIT * need.target or choice.harm > _MOST_HARM * weight
+
     def _weigh(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
         if service.engine is None:
             return self._weigh_plain(need, backend, now)
@@ -192,11 +214,12 @@
         if running >= engine.slots:
             first += (running + 1 - engine.slots) * seconds / engine.slots
         cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
+        cost *= self.sizes.weight(need.route, need.size)
         harm = self._harm(load, pace, unread / rate, (unread + reading) / rate)
         cost += harm
-        cost += self._delicate_cost(need, pace, load)
-        cost += _REREAD_LOSS_PER_TOKEN * reading
-        cost += _CROWDING_LOSS * running / engine.slots
+        cost += self._packing_cost(need, pace, load, running / engine.slots)
+        again = self.recent.again(need.parts, need.prompt_tokens - reading, now)
+        cost += _REREAD_LOSS_PER_TOKEN * again + _READING_LOSS_PER_TOKEN * reading
         if load.memory + need.prompt_tokens + need.output_tokens > (
             _MEMORY_SHARE * engine.memory_tokens
         ):
@@ -222,13 +245,18 @@
             harm += count * (_missed(after / allowed) - _missed(before / allowed))
         return _GAP_LOSS * harm
 
-    def _delicate_cost(self, need: Need, pace: Pace, load: BackendLoad) -> float:
-        """Return what it costs to make a backend unfit for the long prompts of the moment."""
+    def _packing_cost(self, need: Need, pace: Pace, load: BackendLoad, crowd: float) -> float:
+        """Return what it costs to leave fewer backends fit for the long prompts of the moment.
+
+        Streams with short pauses go together, as long as there are slots; others are spread.
+        """
         if need.gap <= 0 or need.gap - pace.event_gap >= pace.long_reading:
-            return 0.0
-        if any(gap <= need.gap for gap in load.gaps):
-            return 0.0
-        return _FIRST_DELICATE_LOSS
+            return _CROWDING_LOSS * crowd
+        first = not any(gap <= need.gap for gap in load.gaps)
+        cost = _FIRST_DELICATE_LOSS if first else 0.0
+        if crowd < _PACKED_SHARE:
+            return cost + _PACKING_LOSS * (1.0 - crowd / _PACKED_SHARE)
+        return cost + (crowd - _PACKED_SHARE)
 
     def _standing_cost(self, backend: Backend, load: BackendLoad, now: float) -> float:
         cost = _FAILURE_LOSS * load.failures.rate(now)
--- a/src/lotushill/placement/kept_parts.py
+++ b/src/lotushill/placement/kept_parts.py
@@ -26,7 +26,7 @@
     def matched(self, parts: Iterable[PromptPart]) -> int:
         """Return how many leading tokens of a prompt are likely kept."""
         total = 0
-        for key, part in _chained(parts):
+        for key, part in chained(parts):
             if key not in self._tokens:
                 return total
             total += part.tokens
@@ -34,7 +34,7 @@
 
     def touch(self, parts: Iterable[PromptPart], running: int) -> None:
         """Note that a prompt was read, while `running` tokens belong to running requests."""
-        for key, part in _chained(parts):
+        for key, part in chained(parts):
             if key in self._tokens:
                 self._tokens.move_to_end(key)
                 continue
@@ -45,7 +45,7 @@
             self._held -= tokens
 
 
-def _chained(parts: Iterable[PromptPart]) -> Iterator[tuple[int, PromptPart]]:
+def chained(parts: Iterable[PromptPart]) -> Iterator[tuple[int, PromptPart]]:
     """Yield each part with a key that covers all parts before it as well."""
     key = _SEED
     for part in parts:
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -9,11 +9,16 @@
     from lotushill.gateway.demand import PromptPart
 
 
+_OUTPUT_WORTH = 10.0
+"""A token of an answer counts as so many of a prompt."""
+
+
 @dataclass(frozen=True)
 class Need:
     """One request in search of a backend; times are seconds, lengths tokens."""
 
     service: str
+    route: str
     target: float
     """Time to the answer, or to the first event of a stream, that is in time."""
     gap: float
@@ -24,6 +29,12 @@
     output_tokens: int
     """Likely length of the answer."""
     parts: tuple[PromptPart, ...]
+    """The last one is the request's own; the others may be shared."""
+
+    @property
+    def size(self) -> float:
+        """Return the work that the request is worth, in prompt tokens."""
+        return self.prompt_tokens + _OUTPUT_WORTH * self.output_tokens
 
     @property
     def patience(self) -> float:
--- /dev/null
+++ b/src/lotushill/placement/recent_parts.py
@@ -0,0 +1,39 @@
+"""Which shared prompt parts any backend has used of late."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.placement.kept_parts import chained
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lotushill.gateway.demand import PromptPart
+
+
+class RecentParts:
+    """When each part was last used anywhere; reading such a part again is wasted work."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._used: dict[int, float] = {}
+
+    def note(self, parts: Sequence[PromptPart], now: float) -> None:
+        """Note that a prompt is being read; its last part is nobody else's."""
+        for key, _ in chained(parts[:-1]):
+            self._used[key] = now
+
+    def again(self, parts: Sequence[PromptPart], matched: int, now: float) -> int:
+        """Return the shared tokens behind the first `matched` that were read of late."""
+        position = 0
+        total = 0
+        for key, part in chained(parts[:-1]):
+            position += part.tokens
+            if position > matched and now - self._used.get(key, float("-inf")) < self._seconds:
+                total += part.tokens
+        return total
+
+    def forget(self, now: float) -> None:
+        """Drop parts that were not used of late."""
+        self._used = {key: used for key, used in self._used.items() if now - used < self._seconds}
