--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -24,11 +24,11 @@
 
 if TYPE_CHECKING:
     from lotushill.gateway.client_protocol import ClientProtocol
-    from lotushill.gateway.demand import Demand
     from lotushill.gateway.parts import GatewayParts
     from lotushill.links.asgi import Receive
     from lotushill.links.asgi import Scope
     from lotushill.links.asgi import Send
+    from lotushill.routing.demand import Demand
     from lotushill.routing.route import Route
     from lotushill.routing.table import RoutingTable
     from lotushill.routing.tenant import Tenant
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -12,9 +12,9 @@
 
 import anyio
 
+from lotushill.event_log import EventLog
 from lotushill.gateway.backend_pool import BackendPool
 from lotushill.gateway.client_protocol import ClientProtocol
-from lotushill.gateway.event_log import EventLog
 from lotushill.gateway.front import Front
 from lotushill.gateway.parts import GatewayParts
 from lotushill.gateway.peers import Peers
@@ -29,6 +29,8 @@
 from lotushill.platform.object_store import ObjectStore
 
 if TYPE_CHECKING:
+    import asyncio
+
     from anyio.abc import TaskGroup
 
     from lotushill.gateway.settings import GatewaySettings
@@ -84,6 +86,7 @@
         self.clients = HttpServer(self.front, settings.clients, protocol=ClientProtocol)
         self.status = HttpServer(StatusApp(self.ready, self._status), settings.readiness)
         self._stopping = False
+        self._following: list[asyncio.Task[None]] = []
 
     def ready(self) -> bool:
         """Return whether clients may be sent here."""
@@ -98,13 +101,15 @@
             await self._wait_for_stop()
             await self._drain()
             group.cancel_scope.cancel()
+            for task in self._following:
+                task.cancel()
         self.log.note("process.stopped")
 
     def _start(self, group: TaskGroup) -> None:
         group.start_soon(self.status.serve)
         group.start_soon(self.clients.serve)
         group.start_soon(self.peers.run, group)
-        group.start_soon(self.views.run, group)
+        self._following = self.views.tasks()
         group.start_soon(self.registration.run)
         group.start_soon(self._sweep)
 
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -9,8 +9,8 @@
     import random
     from collections.abc import Callable
 
+    from lotushill.event_log import EventLog
     from lotushill.gateway.backend_pool import BackendPool
-    from lotushill.gateway.event_log import EventLog
     from lotushill.gateway.retry_budgets import RetryBudgets
     from lotushill.gateway.shared_load import SharedLoad
     from lotushill.placement.fleet import Fleet
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -36,7 +36,7 @@
 
     from anyio.abc import TaskGroup
 
-    from lotushill.gateway.event_log import EventLog
+    from lotushill.event_log import EventLog
     from lotushill.gateway.settings import GatewaySettings
     from lotushill.hosts.membership import Outgoing
     from lotushill.links.codec import Message
--- a/src/lotushill/gateway/registration.py
+++ b/src/lotushill/gateway/registration.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     import random
 
-    from lotushill.gateway.event_log import EventLog
+    from lotushill.event_log import EventLog
     from lotushill.gateway.peers import Peers
     from lotushill.gateway.settings import GatewaySettings
     from lotushill.platform.object_store import ObjectStore
--- a/src/lotushill/gateway/request.py
+++ b/src/lotushill/gateway/request.py
@@ -7,8 +7,8 @@
 
 if TYPE_CHECKING:
     from lotushill.gateway.backend_connection import Headers
-    from lotushill.gateway.demand import Demand
     from lotushill.placement.need import Need
+    from lotushill.routing.demand import Demand
     from lotushill.routing.route import Route
     from lotushill.routing.service import Service
 
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING
 from typing import Any
@@ -19,9 +20,7 @@
     import random
     from collections.abc import Callable
 
-    from anyio.abc import TaskGroup
-
-    from lotushill.gateway.event_log import EventLog
+    from lotushill.event_log import EventLog
     from lotushill.routing.backend import Backend
     from lotushill.views.stored_object import Change
     from lotushill.views.stored_object import ObjectList
@@ -68,10 +67,10 @@
             _BACKENDS_INTERVAL,
         )
 
-    async def run(self, group: TaskGroup) -> None:
-        """Follow the store for ever."""
-        group.start_soon(self._watch_configuration.run)
-        group.start_soon(self._watch_backends.run)
+    def tasks(self) -> list[asyncio.Task[None]]:
+        """Start to follow the store, for ever."""
+        watchers = (self._watch_configuration, self._watch_backends)
+        return [asyncio.create_task(watcher.run()) for watcher in watchers]
 
     def fresh(self) -> bool:
         """Return whether the store answers about the configuration."""
--- a/src/lotushill/links/http_server.py
+++ b/src/lotushill/links/http_server.py
@@ -59,6 +59,7 @@
             access_log=False,
             server_header=False,
             date_header=False,
+            proxy_headers=False,
             timeout_keep_alive=_KEEP_ALIVE_SECONDS,
         )
         self._server = _QuietServer(config)
--- a/src/lotushill/placement/backend_load.py
+++ b/src/lotushill/placement/backend_load.py
@@ -5,9 +5,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from lotushill.gateway.demand import PromptPart
 from lotushill.placement.failure_rate import FailureRate
 from lotushill.placement.kept_parts import KeptParts
+from lotushill.routing.demand import PromptPart
 
 if TYPE_CHECKING:
     from lotushill.placement.messages import Placed
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from lotushill.gateway.demand import PromptPart
 from lotushill.placement.backend_load import BackendLoad
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
 from lotushill.placement.usual_size import UsualSize
+from lotushill.routing.demand import PromptPart
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/lotushill/placement/kept_parts.py
+++ b/src/lotushill/placement/kept_parts.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
-    from lotushill.gateway.demand import PromptPart
+    from lotushill.routing.demand import PromptPart
 
 _SEED = 0x9E3779B97F4A7C15
 _MASK = (1 << 64) - 1
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lotushill.gateway.demand import PromptPart
+    from lotushill.routing.demand import PromptPart
 
 
 _OUTPUT_WORTH = 10.0
--- a/src/lotushill/placement/pace.py
+++ b/src/lotushill/placement/pace.py
@@ -10,6 +10,8 @@
 _LEAST_READING = 400
 """Tokens below which the time to the first event says little of the reading rate."""
 _OVERHEAD_SECONDS = 0.012
+_LONG_RISE = 0.5
+_LONG_FALL = 0.01
 _LOWEST_RATE = 2_000.0
 _HIGHEST_RATE = 2_000_000.0
 
@@ -50,5 +52,5 @@
     def note_reading(self, tokens: int) -> None:
         """Learn the mix of prompts: the level moves quickly up and slowly down."""
         seconds = tokens / self.read_rate
-        weight = 0.25 if seconds > self.long_reading else 0.01
+        weight = _LONG_RISE if seconds > self.long_reading else _LONG_FALL
         self.long_reading += weight * (seconds - self.long_reading)
--- a/src/lotushill/placement/recent_parts.py
+++ b/src/lotushill/placement/recent_parts.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lotushill.gateway.demand import PromptPart
+    from lotushill.routing.demand import PromptPart
 
 
 class RecentParts:
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from lotushill.gateway.demand import Demand
-from lotushill.gateway.demand import PromptPart
 from lotushill.platform import names
+from lotushill.routing.demand import Demand
+from lotushill.routing.demand import PromptPart
 
 _MS = 1000.0
 _BEARER = "bearer "
--- /dev/null
+++ b/src/lotushill/standin/metadata_app.py
@@ -0,0 +1,94 @@
+"""The stand-in of the platform's store over HTTP, with the troubles that it may have."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import unquote
+
+from lotushill.links.asgi import read_body
+from lotushill.links.asgi import send_json
+from lotushill.standin.metadata_store import StoreStatusError
+
+if TYPE_CHECKING:
+    from lotushill.links.asgi import Receive
+    from lotushill.links.asgi import Scope
+    from lotushill.links.asgi import Send
+    from lotushill.standin.metadata_store import MetadataStore
+
+_ROOT = "/objects/"
+_MAX_BODY = 2 * 1024 * 1024
+_BODY_SECONDS = 5.0
+_MS = 1000.0
+
+
+class Trouble(Enum):
+    """What is wrong with the store."""
+
+    NONE = "none"
+    BUSY = "busy"
+    """Answers 503, and does nothing."""
+    MANY = "many"
+    """Answers 429, and does nothing."""
+    SILENT = "silent"
+    """Takes calls and never answers."""
+    LOST = "lost"
+    """Does what is asked and never answers."""
+
+
+class MetadataApp:
+    """ASGI application around a store; `trouble` may be changed at any time."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self.store = store
+        self.trouble = Trouble.NONE
+        self.calls: list[str] = []
+        """Every call so far, as method and path with its query."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        query = scope["query_string"].decode("latin-1")
+        self.calls.append(f"{scope['method']} {scope['path']}?{query}")
+        if self.trouble in (Trouble.BUSY, Trouble.MANY):
+            await send_json(send, 503 if self.trouble is Trouble.BUSY else 429, {})
+            return
+        if self.trouble is Trouble.SILENT:
+            await asyncio.Event().wait()
+        status, body = await self._answer(scope, receive, query)
+        if self.trouble is Trouble.LOST:
+            await asyncio.Event().wait()
+        await send_json(send, status, body)
+
+    async def _answer(self, scope: Scope, receive: Receive, query: str) -> tuple[int, Any]:
+        text = await read_body(receive, _MAX_BODY, _BODY_SECONDS)
+        kind, _, name = unquote(str(scope["path"]).removeprefix(_ROOT)).partition("/")
+        options = {key: values[-1] for key, values in parse_qs(query).items()}
+        try:
+            content = json.loads(text) if text else {}
+            return 200, await self._do(str(scope["method"]), kind, name, options, content)
+        except StoreStatusError as error:
+            return error.status, error.body
+        except (ValueError, KeyError, TypeError) as error:
+            return 400, {"error": repr(error)}
+
+    async def _do(
+        self, method: str, kind: str, name: str, options: dict[str, str], content: Any
+    ) -> Any:
+        revision = int(options["revision"]) if "revision" in options else None
+        if method == "GET" and "watch" in options:
+            seconds = float(options.get("waitMs", "0")) / _MS
+            return await self.store.watch(kind, int(options["watch"]), seconds)
+        if method == "GET" and not name:
+            return self.store.list_kind(kind, options.get("sinceRev", ""))
+        if method == "GET":
+            return self.store.get(kind, name)
+        if method == "POST":
+            return self.store.create(kind, content["metadata"]["name"], content["spec"])
+        if method == "PUT":
+            at = content["metadata"].get("revision", revision)
+            return self.store.replace(kind, name, content["spec"], at)
+        return self.store.delete(kind, name, revision)
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -14,7 +14,7 @@
     import random
     from collections.abc import Callable
 
-    from lotushill.gateway.event_log import EventLog
+    from lotushill.event_log import EventLog
     from lotushill.views.stored_object import Change
     from lotushill.views.stored_object import ObjectList
 
--- /dev/null
+++ b/tests/gateway/rig.py
@@ -0,0 +1,316 @@
+"""A gateway's request path in this process, before backends that follow a script."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import struct
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from lotushill.event_log import EventLog
+from lotushill.gateway.backend_pool import BackendPool
+from lotushill.gateway.client_protocol import ClientProtocol
+from lotushill.gateway.front import Front
+from lotushill.gateway.parts import GatewayParts
+from lotushill.gateway.retry_budgets import RetryBudgets
+from lotushill.gateway.settings import RetrySettings
+from lotushill.gateway.shared_load import SharedLoad
+from lotushill.links.http_server import HttpServer
+from lotushill.placement.fleet import Fleet
+from lotushill.platform import request_head
+from lotushill.routing.backend import Backend
+from lotushill.routing.limits import ClientLimits
+from lotushill.routing.route import Route
+from lotushill.routing.route import RouteKind
+from lotushill.routing.route import WeightedService
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+from lotushill.routing.table import RoutingTable
+from lotushill.routing.tenant import Tenant
+from lotushill.views.backend_view import BackendView
+from lotushill.views.configuration_view import ConfigurationView
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+HOST = "a.example"
+KEY = "secret-key"
+TENANT = "bakery"
+SIGNED = "Response-Signature: s1\r\n"
+
+
+@dataclass
+class Seen:
+    """A request as a backend saw it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    id: str = ""
+
+    def __post_init__(self) -> None:
+        self.id = self.headers.get("attempt-id", "")
+
+    def answer(self, head: str, body: bytes = b"", request_id: str | None = None) -> None:
+        """Write a head with the id of the request, and a body as it is."""
+        wanted = self.id if request_id is None else request_id
+        text = f"HTTP/1.1 {head}Attempt-Id: {wanted}\r\n\r\n"
+        self.writer.write(text.encode() + body)
+
+    def whole(self, body: bytes = b"done", status: str = "200 OK") -> None:
+        """Write a whole signed answer."""
+        self.answer(f"{status}\r\nContent-Length: {len(body)}\r\n{SIGNED}", body)
+
+    def start_events(self) -> None:
+        """Write the head of a stream of events."""
+        self.answer(f"200 OK\r\nTransfer-Encoding: chunked\r\n{SIGNED}")
+
+    def event(self, number: int) -> None:
+        """Write one event."""
+        self.chunk(event(number))
+
+    def chunk(self, data: bytes) -> None:
+        """Write one chunk."""
+        self.writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end_events(self) -> None:
+        """Write the end of the stream."""
+        self.writer.write(b"0\r\n\r\n")
+
+    def reset(self) -> None:
+        """End the connection with a reset."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+Script = "Callable[[Seen], Awaitable[None]]"
+
+
+def event(number: int) -> bytes:
+    """Return the bytes of one event."""
+    return f"id: {number}\ndata: piece-{number}\n\n".encode()
+
+
+@dataclass
+class ScriptedBackend:
+    """A backend that answers each request by the next script; the last one repeats."""
+
+    scripts: list[Callable[[Seen], Awaitable[None]]]
+    seen: list[Seen] = field(default_factory=list)
+    connections: int = 0
+    closed: int = 0
+    address: str = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Take no more connections."""
+        self._server.close()
+
+    async def end(self) -> None:
+        """End the connections as well."""
+        self.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while True:
+                seen = await _read_request(reader, writer)
+                self.seen.append(seen)
+                script = self.scripts[min(len(self.seen), len(self.scripts)) - 1]
+                await script(seen)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self.closed += 1
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.strip().split("\r\n")
+    headers = {
+        name.lower(): value.strip() for name, _, value in (item.partition(":") for item in rest)
+    }
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Seen(line, headers, body, reader, writer)
+
+
+@dataclass(frozen=True)
+class Got:
+    """What a client got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    """Whether the answer ended as its framing says."""
+
+
+class Rig:
+    """The request path with `backends` behind one route."""
+
+    def __init__(
+        self,
+        backends: list[ScriptedBackend],
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+        resumable: bool = False,
+        max_attempts: int = 2,
+        timeout: float = 5.0,
+        engine: bool = False,
+        slack: float = 100.0,
+    ) -> None:
+        self.backends = backends
+        self.route = Route(
+            "r", HOST, "/p/", kind, (WeightedService("s", 1.0),), timeout, 0.4, 0.0, 2,
+            max_attempts, False, resumable,
+        )  # fmt: skip
+        profile = EngineProfile(8, 100_000, 1) if engine else None
+        self.service = Service("s", 50, profile)
+        self.configuration = ConfigurationView()
+        self.view = BackendView()
+        self.fresh = True
+        self.slack = slack
+        self.lines: list[bytes] = []
+
+    async def __aenter__(self) -> Rig:
+        """Start everything."""
+        for backend in self.backends:
+            await backend.start()
+        fleet = Fleet("z")
+        loop = asyncio.get_running_loop()
+        self.take_table(1)
+        self.view.replace(
+            [
+                Backend(f"b{n}", "s", item.address, "z", 8, False)
+                for n, item in enumerate(self.backends)
+            ],
+            1,
+        )
+        self.parts = GatewayParts(
+            name="gw",
+            configuration=self.configuration,
+            backends=self.view,
+            fleet=fleet,
+            shared_load=SharedLoad("gw", fleet, loop.time, lambda _: self.service, lambda _: None),
+            pool=BackendPool(request_head.answered_id),
+            budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
+            log=EventLog("gw", self.lines.append),
+            rng=random.Random(1),
+            view_is_fresh=lambda: self.fresh,
+        )
+        self.front = Front(self.parts)
+        self.server = HttpServer(self.front, "127.0.0.1:0", protocol=ClientProtocol)
+        self._task = asyncio.create_task(self.server.serve())
+        await self.server.wait_started()
+        return self
+
+    def take_table(self, version: int, routes: bool = True) -> None:
+        """Put another configuration in force."""
+        tenants = [Tenant(TENANT, (KEY,), 1)]
+        table = RoutingTable(
+            version, [self.route] if routes else [], [self.service], tenants, ClientLimits()
+        )
+        self.configuration.take(table, version)
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything."""
+        self.server.abort()
+        await self._task
+        for backend in self.backends:
+            await backend.end()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a client connection."""
+        host, _, port = self.server.address.partition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def call(
+        self, request_id: str = "r1", headers: str = "", body: bytes = b"", path: str = "/p/x"
+    ) -> Got:
+        """Make one request on a connection of its own."""
+        reader, writer = await self.connect()
+        try:
+            return await self.call_on(reader, writer, request_id, headers, body, path)
+        finally:
+            writer.close()
+
+    async def call_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request_id: str = "r1",
+        headers: str = "",
+        body: bytes = b"",
+        path: str = "/p/x",
+    ) -> Got:
+        """Make one request on an open connection."""
+        writer.write(request_bytes(request_id, headers, body, path))
+        return await read_answer(reader)
+
+
+def request_bytes(
+    request_id: str = "r1", headers: str = "", body: bytes = b"", path: str = "/p/x"
+) -> bytes:
+    """Return a client's request."""
+    authorization = "" if "Authorization" in headers else f"Authorization: Bearer {KEY}\r\n"
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\n"
+        f"{authorization}{headers}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Got:
+    """Read one answer, as far as it comes."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Got(0, {}, b"", False)
+    first, *rest = head.strip().split("\r\n")
+    headers = {
+        name.lower(): value.strip() for name, _, value in (item.partition(":") for item in rest)
+    }
+    body = bytearray()
+    whole = await _read_body(reader, headers, body)
+    return Got(int(first.split()[1]), headers, bytes(body), whole)
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str], body: bytearray
+) -> bool:
+    try:
+        if "content-length" in headers:
+            body += await reader.readexactly(int(headers["content-length"]))
+            return True
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            data = await reader.readexactly(size + 2)
+            body += data[:size]
+            if not size:
+                return True
+    except asyncio.IncompleteReadError as error:
+        body += error.partial
+        return False
+    except ConnectionError:
+        return False
--- /dev/null
+++ b/tests/gateway/test_event_stream.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.gateway.event_stream import EventSplitter
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: {'x' * (number % 7)}\n\n".encode()
+
+
+class TestEventSplitter(unittest.TestCase):
+    @given(st.integers(0, 8), st.lists(st.integers(1, 12), min_size=1), st.integers(0, 5))
+    def test_only_whole_events_come_out_whatever_the_pieces(
+        self, count: int, sizes: list[int], extra: int
+    ) -> None:
+        whole = b"".join(event(number) for number in range(count))
+        data = whole + event(99)[:extra]
+        splitter = EventSplitter()
+        out = b""
+        position = index = 0
+        while position < len(data):
+            size = sizes[index % len(sizes)]
+            out += splitter.feed(data[position : position + size])
+            position += size
+            index += 1
+        self.assertEqual(whole, out)
+        self.assertEqual(data[len(whole) :], splitter.partial)
+        self.assertEqual(str(count - 1) if count else "", splitter.last_id)
+
+    @given(st.integers(1, 5), st.integers(1, 10))
+    def test_a_resumed_run_does_not_repeat_what_a_broken_one_left(
+        self, before: int, cut: int
+    ) -> None:
+        splitter = EventSplitter()
+        out = splitter.feed(b"".join(event(n) for n in range(before)) + event(before)[:cut])
+        splitter.drop_partial()
+        out += splitter.feed(event(before) + event(before + 1))
+        self.assertEqual(b"".join(event(n) for n in range(before + 2)), out)
--- /dev/null
+++ b/tests/gateway/test_request_path.py
@@ -0,0 +1,348 @@
+"""What clients and backends see of the request path, over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from lotushill.routing.route import RouteKind
+from tests.gateway.rig import KEY
+from tests.gateway.rig import SIGNED
+from tests.gateway.rig import TENANT
+from tests.gateway.rig import Rig
+from tests.gateway.rig import ScriptedBackend
+from tests.gateway.rig import Seen
+from tests.gateway.rig import event
+from tests.gateway.rig import read_answer
+from tests.gateway.rig import request_bytes
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+async def reset(seen: Seen) -> None:
+    seen.reset()
+
+
+async def rejects(seen: Seen) -> None:
+    seen.answer("503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n")
+
+
+async def fails(seen: Seen) -> None:
+    seen.whole(b"oops", "500 Error")
+
+
+async def silent(seen: Seen) -> None:
+    del seen
+    await asyncio.sleep(30)
+
+
+class TestForwarding(unittest.IsolatedAsyncioTestCase):
+    async def test_method_target_and_body_are_unchanged_and_the_key_stays_here(self) -> None:
+        backend = ScriptedBackend([whole])
+        async with Rig([backend]) as rig:
+            got = await rig.call(
+                "r7",
+                "Tenant: forged\r\nX-Own: 1\r\nDeadline-Ms: 900\r\n",
+                b"body",
+                "/p/a%20b?q=%2F&",
+            )
+        seen = backend.seen[0]
+        self.assertEqual(
+            (200, b"done", "s1"), (got.status, got.body, got.headers["response-signature"])
+        )
+        self.assertEqual("POST /p/a%20b?q=%2F& HTTP/1.1", seen.line)
+        self.assertEqual((b"body", "r7", "1"), (seen.body, seen.id, seen.headers["x-own"]))
+        self.assertEqual((TENANT, "b0"), (seen.headers["tenant"], seen.headers["target-instance"]))
+        self.assertNotIn(KEY, str(seen.headers))
+        self.assertLessEqual(int(seen.headers["deadline-ms"]), 900)
+
+    async def test_a_chunked_body_arrives_whole(self) -> None:
+        backend = ScriptedBackend([whole])
+        async with Rig([backend]) as rig:
+            reader, writer = await rig.connect()
+            head = request_bytes().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            writer.write(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            got = await read_answer(reader)
+            writer.close()
+        self.assertEqual((200, b"abcde"), (got.status, backend.seen[0].body))
+
+    async def test_connections_to_backends_are_used_again(self) -> None:
+        backend = ScriptedBackend([whole])
+        async with Rig([backend]) as rig:
+            for number in range(4):
+                await rig.call(f"r{number}")
+        self.assertEqual((4, 1), (len(backend.seen), backend.connections))
+
+
+class TestTurnedAway(unittest.IsolatedAsyncioTestCase):
+    async def test_unknown_routes_and_keys_are_told_apart(self) -> None:
+        backend = ScriptedBackend([whole])
+        async with Rig([backend]) as rig:
+            self.assertEqual(404, (await rig.call(path="/q/x")).status)
+            got = await rig.call(headers="Authorization: Bearer other\r\n")
+            self.assertEqual(401, got.status)
+        self.assertEqual([], backend.seen)
+
+    async def test_while_the_view_may_be_old_the_unknown_is_asked_to_come_back(self) -> None:
+        async with Rig([ScriptedBackend([whole])]) as rig:
+            rig.fresh = False
+            got = await rig.call(path="/q/x")
+        self.assertEqual(503, got.status)
+        self.assertGreater(float(got.headers["retry-after"]), 0)
+
+    async def test_bodies_and_headers_over_the_limits(self) -> None:
+        backend = ScriptedBackend([whole])
+        async with Rig([backend]) as rig:
+            self.assertEqual(431, (await rig.call(headers=f"X-Long: {'x' * 17000}\r\n")).status)
+            self.assertEqual(413, (await rig.call(body=b"x" * 4_300_000)).status)
+        self.assertEqual([], backend.seen)
+
+    async def test_without_a_configuration_nothing_is_denied(self) -> None:
+        async with Rig([ScriptedBackend([whole])]) as rig:
+            rig.configuration.table = None
+            got = await rig.call()
+        self.assertEqual(503, got.status)
+
+
+class TestAtMostOnce(unittest.IsolatedAsyncioTestCase):
+    async def test_after_a_reset_what_may_not_be_repeated_is_not(self) -> None:
+        backends = [ScriptedBackend([reset]), ScriptedBackend([reset])]
+        async with Rig(backends, RouteKind.NON_IDEMPOTENT) as rig:
+            got = await rig.call()
+        self.assertEqual(502, got.status)
+        self.assertEqual(1, sum(len(item.seen) for item in backends))
+
+    async def test_what_may_be_repeated_is_sent_to_another_backend(self) -> None:
+        backends = [ScriptedBackend([reset, whole]), ScriptedBackend([reset, whole])]
+        backends[1].scripts = [whole]
+        backends[0].scripts = [reset]
+        async with Rig(backends) as rig:
+            statuses = [(await rig.call(f"r{n}")).status for n in range(6)]
+        self.assertEqual([200] * 6, statuses)
+
+    async def test_a_rejection_is_tried_elsewhere_and_then_told_as_not_run(self) -> None:
+        backends = [ScriptedBackend([rejects]), ScriptedBackend([rejects])]
+        async with Rig(backends, RouteKind.NON_IDEMPOTENT) as rig:
+            got = await rig.call()
+        self.assertEqual(503, got.status)
+        self.assertNotIn("response-signature", got.headers)
+        self.assertIn("retry-after", got.headers)
+        self.assertEqual([1, 1], [len(item.seen) for item in backends])
+
+    async def test_never_more_backends_than_the_route_allows(self) -> None:
+        backends = [ScriptedBackend([fails]) for _ in range(4)]
+        async with Rig(backends, max_attempts=2) as rig:
+            got = await rig.call()
+        self.assertEqual(
+            (500, b"oops", "s1"), (got.status, got.body, got.headers["response-signature"])
+        )
+        self.assertEqual(2, sum(len(item.seen) for item in backends))
+
+    async def test_without_budget_nothing_is_repeated(self) -> None:
+        backends = [ScriptedBackend([fails]) for _ in range(2)]
+        async with Rig(backends, slack=0.0) as rig:
+            await rig.call()
+        self.assertEqual(1, sum(len(item.seen) for item in backends))
+
+    async def test_a_dead_backend_costs_no_repeat(self) -> None:
+        backends = [ScriptedBackend([whole]), ScriptedBackend([whole])]
+        async with Rig(backends, RouteKind.NON_IDEMPOTENT, slack=0.0) as rig:
+            backends[0].stop()
+            await asyncio.sleep(0)
+            statuses = [(await rig.call(f"r{n}")).status for n in range(4)]
+        self.assertEqual([200] * 4, statuses)
+
+
+class TestWholeAnswers(unittest.IsolatedAsyncioTestCase):
+    async def assert_not_whole(self, script: object) -> None:
+        backend = ScriptedBackend([script])  # type: ignore[list-item]
+        async with Rig([backend], RouteKind.NON_IDEMPOTENT) as rig:
+            got = await rig.call()
+        self.assertEqual(502, got.status)
+        self.assertNotIn("response-signature", got.headers)
+
+    async def test_an_answer_cut_short_is_no_success(self) -> None:
+        async def cut(seen: Seen) -> None:
+            seen.answer(f"200 OK\r\nContent-Length: 100\r\n{SIGNED}", b"half")
+            await seen.writer.drain()
+            seen.writer.close()
+
+        await self.assert_not_whole(cut)
+
+    async def test_bytes_that_are_no_answer_are_no_success(self) -> None:
+        async def garbage(seen: Seen) -> None:
+            seen.writer.write(b"\x00\x01 nonsense\r\n\r\n")
+
+        await self.assert_not_whole(garbage)
+
+    async def test_an_encoded_body_is_not_the_backends(self) -> None:
+        async def encoded(seen: Seen) -> None:
+            seen.answer(f"200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n{SIGNED}", b"x")
+
+        await self.assert_not_whole(encoded)
+
+    async def test_an_answer_without_length_ends_with_its_connection(self) -> None:
+        async def unframed(seen: Seen) -> None:
+            seen.answer(f"200 OK\r\n{SIGNED}", b"all of it")
+            await seen.writer.drain()
+            seen.writer.close()
+
+        async with Rig([ScriptedBackend([unframed])]) as rig:
+            got = await rig.call()
+        self.assertEqual((200, b"all of it", True), (got.status, got.body, got.whole))
+
+    async def test_an_answer_without_length_that_is_reset_is_not_whole(self) -> None:
+        async def unframed(seen: Seen) -> None:
+            seen.answer(f"200 OK\r\n{SIGNED}", b"some of it")
+            await asyncio.sleep(0.05)
+            seen.reset()
+
+        await self.assert_not_whole(unframed)
+
+    async def test_a_surplus_answer_is_not_given_to_the_next_request(self) -> None:
+        async def twice(seen: Seen) -> None:
+            seen.whole(b"first")
+            seen.whole(b"again")
+
+        backend = ScriptedBackend([twice, whole])
+        async with Rig([backend]) as rig:
+            first = await rig.call("r1")
+            second = await rig.call("r2")
+        self.assertEqual((b"first", b"done"), (first.body, second.body))
+
+    async def test_a_late_surplus_answer_in_the_place_of_the_next_is_passed_over(self) -> None:
+        async def late(seen: Seen) -> None:
+            seen.answer(f"200 OK\r\nContent-Length: 3\r\n{SIGNED}", b"old", request_id="r0")
+            seen.whole(b"own")
+
+        async with Rig([ScriptedBackend([late])], RouteKind.NON_IDEMPOTENT) as rig:
+            got = await rig.call("r1")
+        self.assertEqual((200, b"own"), (got.status, got.body))
+
+    async def test_two_requests_on_one_connection_get_their_own_answers(self) -> None:
+        async def echo(seen: Seen) -> None:
+            await asyncio.sleep(0.05 if seen.id == "r1" else 0)
+            seen.whole(seen.id.encode())
+
+        async with Rig([ScriptedBackend([echo])]) as rig:
+            reader, writer = await rig.connect()
+            writer.write(request_bytes("r1") + request_bytes("r2"))
+            bodies = [(await read_answer(reader)).body for _ in range(2)]
+            writer.close()
+        self.assertEqual([b"r1", b"r2"], bodies)
+
+
+class TestStreams(unittest.IsolatedAsyncioTestCase):
+    def rig(self, backends: list[ScriptedBackend], resumable: bool = True) -> Rig:
+        return Rig(backends, RouteKind.STREAM, resumable, engine=True)
+
+    async def test_each_event_is_passed_on_as_it_comes(self) -> None:
+        step = asyncio.Event()
+
+        async def stream(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(0)
+            await step.wait()
+            seen.event(1)
+            seen.end_events()
+
+        for resumable in (True, False):
+            step.clear()
+            async with self.rig([ScriptedBackend([stream])], resumable) as rig:
+                reader, writer = await rig.connect()
+                writer.write(request_bytes())
+                await reader.readuntil(b"piece-0\n\n")
+                step.set()
+                rest = await reader.readuntil(b"0\r\n\r\n")
+                self.assertIn(b"piece-1", rest)
+                writer.close()
+
+    async def test_a_stream_goes_on_after_the_last_whole_event(self) -> None:
+        async def breaks(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(0)
+            seen.chunk(event(1)[:7])
+            await seen.writer.drain()
+            await asyncio.sleep(0.05)
+            seen.reset()
+
+        async def goes_on(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(1)
+            seen.event(2)
+            seen.end_events()
+
+        backends = [ScriptedBackend([breaks]), ScriptedBackend([breaks])]
+        for index, item in enumerate(backends):
+            other = backends[1 - index]
+
+            async def either(seen: Seen, other: ScriptedBackend = other) -> None:
+                await (goes_on if other.seen else breaks)(seen)
+
+            item.scripts = [either]
+        async with self.rig(backends) as rig:
+            got = await rig.call()
+        self.assertTrue(got.whole)
+        self.assertEqual(b"".join(event(n) for n in range(3)), got.body)
+        second = min(
+            (seen for item in backends for seen in item.seen),
+            key=lambda seen: len(seen.headers) * -1,
+        )
+        self.assertEqual("0", second.headers["last-event-id"])
+
+    async def test_a_stream_that_may_not_be_resumed_is_visibly_cut_off(self) -> None:
+        async def breaks(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(0)
+            await seen.writer.drain()
+            await asyncio.sleep(0.05)
+            seen.reset()
+
+        backends = [ScriptedBackend([breaks]), ScriptedBackend([breaks])]
+        async with self.rig(backends, resumable=False) as rig:
+            got = await rig.call()
+        self.assertEqual((200, False), (got.status, got.whole))
+        self.assertEqual(1, sum(len(item.seen) for item in backends))
+
+
+class TestTime(unittest.IsolatedAsyncioTestCase):
+    async def test_a_client_that_leaves_ends_the_work_of_the_backend(self) -> None:
+        backend = ScriptedBackend([silent])
+        async with Rig([backend], RouteKind.NON_IDEMPOTENT) as rig:
+            _, writer = await rig.connect()
+            writer.write(request_bytes())
+            while not backend.seen:
+                await asyncio.sleep(0.005)
+            writer.close()
+            seen = backend.seen[0]
+            async with asyncio.timeout(2):
+                self.assertEqual(b"", await seen.reader.read())
+            self.assertEqual({}, rig.parts.fleet.load("b0").running)
+
+    async def test_when_time_is_up_the_answer_does_not_promise_that_nothing_ran(self) -> None:
+        async with Rig([ScriptedBackend([silent])], RouteKind.NON_IDEMPOTENT, timeout=0.2) as rig:
+            got = await rig.call()
+        self.assertEqual(504, got.status)
+
+    async def test_the_clients_deadline_counts_if_it_is_shorter(self) -> None:
+        async with Rig([ScriptedBackend([silent])], RouteKind.NON_IDEMPOTENT) as rig:
+            async with asyncio.timeout(3):
+                got = await rig.call(headers="Deadline-Ms: 200\r\n")
+        self.assertEqual(504, got.status)
+
+    async def test_while_stopping_connections_end_with_their_answer(self) -> None:
+        async with Rig([ScriptedBackend([whole])]) as rig:
+            rig.front.closing = True
+            got = await rig.call()
+        self.assertEqual((200, "close"), (got.status, got.headers["connection"]))
+
+
+class TestLog(unittest.IsolatedAsyncioTestCase):
+    async def test_each_decision_on_a_request_can_be_found_by_its_id(self) -> None:
+        async with Rig([ScriptedBackend([whole])]) as rig:
+            await rig.call("r42")
+        events = [line for line in rig.lines if b'"request":"r42"' in line]
+        self.assertTrue(any(b"placement.chosen" in line for line in events))
+        self.assertTrue(any(b'"outcome":"whole"' in line for line in events))
--- /dev/null
+++ b/tests/gateway/test_shared_load.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass
+from dataclasses import field
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.gateway.shared_load import SharedLoad
+from lotushill.placement.fleet import Fleet
+from lotushill.placement.messages import Load
+from lotushill.placement.messages import Placed
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+
+SERVICE = Service("llm", 100, EngineProfile(32, 400_000, 5))
+
+
+def placed(name: str) -> Placed:
+    return Placed(name, "b", 1000, 1200, 0.15, 1.0, 0.0)
+
+
+@dataclass
+class Node:
+    """One gateway's part, with what it told."""
+
+    name: str
+    clock: list[float]
+    told: list[Load] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.fleet = Fleet("z")
+        self.load = SharedLoad(
+            self.name, self.fleet, lambda: self.clock[0], lambda _: SERVICE, self.told.append
+        )
+
+    def running(self) -> set[str]:
+        return set(self.fleet.load("b").running)
+
+
+_STEPS = st.lists(
+    st.tuples(st.sampled_from(["start", "begin", "end"]), st.integers(0, 8), st.booleans()),
+    max_size=60,
+)
+
+
+class TestSharedLoad(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = [0.0]
+        self.one = Node("one", self.clock)
+        self.other = Node("other", self.clock)
+
+    @given(_STEPS)
+    def test_after_a_whole_list_both_agree_whatever_was_lost(
+        self, steps: list[tuple[str, int, bool]]
+    ) -> None:
+        self.setUp()
+        for what, number, arrives in steps:
+            self.clock[0] += 0.01
+            name = f"one/{number}"
+            if what == "start":
+                self.one.load.start(placed(name), SERVICE)
+            elif what == "begin":
+                self.one.load.begin(name)
+            else:
+                self.one.load.end(name)
+            for told in self.one.told:
+                if arrives:
+                    self.other.load.receive(told)
+            self.one.told.clear()
+        self.clock[0] += 0.5
+        self.other.load.receive(self.one.load.whole())
+        self.assertEqual(self.one.running(), self.other.running())
+        unread = [
+            node.fleet.load("b").unread(0.0, self.clock[0]) for node in (self.one, self.other)
+        ]
+        self.assertEqual(unread[0], unread[1])
+
+    def test_a_request_whose_end_is_never_told_is_dropped_in_time(self) -> None:
+        self.other.load.receive(Load("one", False, placed=(placed("one/1"),)))
+        self.clock[0] = 2.0
+        self.other.load.expire()
+        self.assertEqual({"one/1"}, self.other.running())
+        self.clock[0] = 4.0
+        self.other.load.expire()
+        self.assertEqual(set(), self.other.running())
+
+    def test_requests_of_a_lost_gateway_are_dropped(self) -> None:
+        self.other.load.receive(Load("one", False, placed=(placed("one/1"),)))
+        self.other.load.drop_sender("one")
+        self.assertEqual(set(), self.other.running())
+
+    def test_a_young_request_survives_a_list_that_was_on_its_way(self) -> None:
+        whole = self.one.load.whole()
+        self.other.load.receive(Load("one", False, placed=(placed("one/1"),)))
+        self.other.load.receive(whole)
+        self.assertEqual({"one/1"}, self.other.running())
--- /dev/null
+++ b/tests/placement/test_backend_load.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.placement.backend_load import BackendLoad
+from lotushill.placement.messages import Placed
+
+RATE = 1000.0
+
+
+def placed(name: str, reading: int = 500, **changes: object) -> Placed:
+    item = Placed(name, "b", reading, reading + 100, 0.15, 1.0, 0.0)
+    return replace(item, **changes)  # type: ignore[arg-type]
+
+
+_OPERATIONS = st.lists(
+    st.tuples(st.sampled_from(["start", "begin", "end"]), st.integers(0, 6), st.floats(0, 1)),
+    max_size=60,
+)
+
+
+class TestBackendLoad(unittest.TestCase):
+    @given(_OPERATIONS)
+    def test_counts_hold_over_any_history_and_end_at_nothing(
+        self, operations: list[tuple[str, int, float]]
+    ) -> None:
+        load = BackendLoad(100_000)
+        now = 0.0
+        running: dict[str, bool] = {}
+        for what, number, pause in operations:
+            now += pause
+            name = str(number)
+            if what == "start":
+                load.start(placed(name), now)
+                running.setdefault(name, False)
+            elif what == "begin":
+                load.begin(name, now)
+                if name in running:
+                    running[name] = True
+            else:
+                load.end(name)
+                running.pop(name, None)
+            unread = sum(500 for began in running.values() if not began)
+            self.assertEqual(set(running), set(load.running))
+            self.assertEqual(600 * len(running), load.memory)
+            self.assertLessEqual(load.unread(RATE, now), unread)
+            self.assertGreaterEqual(load.unread(RATE, now), unread - 500)
+        for name in list(running):
+            load.end(name)
+        self.assertEqual((0, 0.0, {}), (load.memory, load.unread(RATE, now), dict(load.gaps)))
+
+    def test_a_prompt_counts_as_unread_until_its_first_event(self) -> None:
+        load = BackendLoad(100_000)
+        load.start(placed("a", 500), 0.0)
+        load.start(placed("b", 2000), 0.0)
+        self.assertEqual(2000.0, load.unread(RATE, 60.0))
+        load.begin("a", 60.0)
+        self.assertEqual(2000.0, load.unread(RATE, 60.0))
+        load.begin("b", 61.0)
+        self.assertEqual(0.0, load.unread(RATE, 61.0))
+
+    def test_slowness_fades_when_nothing_is_seen(self) -> None:
+        load = BackendLoad(1)
+        for _ in range(50):
+            load.note_pace(4.0, 10.0)
+        self.assertGreater(load.slowness(10.0), 3.0)
+        self.assertEqual(1.0, load.slowness(30.0))
+
+    def test_an_unreachable_backend_is_tried_again_and_forgiven(self) -> None:
+        load = BackendLoad(1)
+        load.note_unreachable(0.0)
+        self.assertTrue(load.away(0.1))
+        self.assertFalse(load.away(5.0))
+        load.note_unreachable(5.0)
+        load.note_reached()
+        self.assertFalse(load.away(5.1))
--- /dev/null
+++ b/tests/placement/test_fleet.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from lotushill.placement.fleet import Choice
+from lotushill.placement.fleet import Fleet
+from lotushill.placement.fleet import NoChoice
+from lotushill.placement.messages import Placed
+from lotushill.placement.need import Need
+from lotushill.routing.backend import Backend
+from lotushill.routing.demand import PromptPart
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+
+ENGINE = Service("llm", 100, EngineProfile(32, 400_000, 5))
+PLAIN = Service("app", 100, None)
+NOTHING: frozenset[str] = frozenset()
+
+
+def backends(service: str, count: int = 3) -> list[Backend]:
+    return [Backend(f"b{n}", service, f"10.0.0.{n}:80", "z", 4, False) for n in range(count)]
+
+
+def short(**changes: object) -> Need:
+    parts = (PromptPart(1, 200), PromptPart(99, 600))
+    need = Need("llm", "chat", 0.25, 0.15, 12.0, True, 800, 250, parts)
+    return replace(need, **changes)  # type: ignore[arg-type]
+
+
+def long(own: int = 50) -> Need:
+    parts = (PromptPart(7, 5000), PromptPart(own, 6500))
+    return Need("llm", "letter", 2.0, 0.6, 15.0, True, 11_500, 320, parts)
+
+
+class Driver:
+    """Places requests as a gateway does."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet("z")
+        self.count = 0
+
+    def place(self, need: Need, service: Service, among: list[Backend], now: float) -> str:
+        choice = self.fleet.choose(need, service, among, NOTHING, now)
+        assert isinstance(choice, Choice), choice
+        self.count += 1
+        request = str(self.count)
+        self.fleet.pace(service.name).note_reading(choice.reading)
+        self.fleet.start(
+            Placed(
+                request,
+                choice.backend.id,
+                choice.reading,
+                need.prompt_tokens + need.output_tokens,
+                need.gap,
+                choice.seconds,
+                0.0,
+                tuple(part.id for part in need.parts),
+                tuple(part.tokens for part in need.parts),
+            ),
+            service,
+            now,
+        )
+        return choice.backend.id
+
+    def place_and_begin(self, need: Need, among: list[Backend], now: float) -> str:
+        found = self.place(need, ENGINE, among, now)
+        self.fleet.begin(str(self.count), now + 0.03)
+        return found
+
+
+class TestEngines(unittest.TestCase):
+    def test_long_prompts_stay_away_from_streams_with_short_pauses(self) -> None:
+        driver = Driver()
+        among = backends("llm")
+        driver.place(long(1), ENGINE, among, 0.0)
+        delicate = {driver.place_and_begin(short(), among, 0.05 * n) for n in range(12)}
+        far = {driver.place(long(100 + n), ENGINE, among, 0.7) for n in range(2)}
+        self.assertFalse(delicate & far)
+
+    def test_streams_with_short_pauses_go_together_while_long_prompts_come(self) -> None:
+        driver = Driver()
+        among = backends("llm", 6)
+        driver.place(long(1), ENGINE, among, 0.0)
+        for n in range(10):
+            driver.place_and_begin(short(), among, 0.05 * n)
+        used = {item.id for item in among if driver.fleet.load(item.id).gaps.get(short().gap)}
+        self.assertEqual(1, len(used))
+
+    def test_a_prompt_goes_where_its_shared_part_is_kept(self) -> None:
+        driver = Driver()
+        among = backends("llm", 5)
+        first = driver.place(long(1), ENGINE, among, 0.0)
+        driver.fleet.begin("1", 0.3)
+        driver.fleet.end("1")
+        self.assertEqual(first, driver.place(long(2), ENGINE, among, 2.0))
+
+    def test_under_overload_long_prompts_are_refused_and_short_ones_are_not(self) -> None:
+        driver = Driver()
+        among = backends("llm", 2)
+        refused = None
+        for n in range(200):
+            need = replace(long(n), parts=(PromptPart(n, 11_500),))
+            found = driver.fleet.choose(need, ENGINE, among, NOTHING, 0.0)
+            if isinstance(found, NoChoice):
+                refused = found
+                break
+            driver.place(need, ENGINE, among, 0.0)
+        assert refused is not None
+        self.assertGreater(refused.retry_after, 0.0)
+        self.assertIsInstance(driver.fleet.choose(short(), ENGINE, among, NOTHING, 0.0), Choice)
+
+    def test_a_backend_that_fails_is_passed_over_and_forgiven(self) -> None:
+        driver = Driver()
+        among = backends("llm", 2)
+        for _ in range(6):
+            driver.fleet.load("b0").failures.note(True, 0.0)
+        found = driver.fleet.choose(short(), ENGINE, among, NOTHING, 0.1)
+        assert isinstance(found, Choice)
+        self.assertEqual("b1", found.backend.id)
+        self.assertLess(driver.fleet.load("b0").failures.rate(60.0), 0.1)
+
+    def test_nothing_is_chosen_among_excluded_backends(self) -> None:
+        found = Fleet("z").choose(short(), ENGINE, backends("llm", 1), frozenset({"b0"}), 0.0)
+        self.assertIsInstance(found, NoChoice)
+
+    def test_a_fleet_that_cannot_be_reached_is_tried_all_the_same(self) -> None:
+        fleet = Fleet("z")
+        for item in backends("llm"):
+            fleet.load(item.id).note_unreachable(0.0)
+        found = fleet.choose(short(), ENGINE, backends("llm"), NOTHING, 0.0)
+        self.assertIsInstance(found, Choice)
+
+
+class TestPlainServices(unittest.TestCase):
+    def test_requests_are_spread_by_what_runs(self) -> None:
+        driver = Driver()
+        among = backends("app", 3)
+        need = Need("app", "note", 0.4, 0.0, 1.5, False, 0, 0, ())
+        for _ in range(9):
+            driver.place(need, PLAIN, among, 0.0)
+        self.assertEqual([3, 3, 3], [len(driver.fleet.load(item.id).running) for item in among])
--- /dev/null
+++ b/tests/placement/test_kept_parts.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.placement.kept_parts import KeptParts
+from lotushill.placement.recent_parts import RecentParts
+from lotushill.routing.demand import PromptPart
+
+_PROMPT = st.lists(
+    st.builds(PromptPart, st.integers(0, 3), st.integers(1, 50)), min_size=1, max_size=4
+)
+
+
+class TestKeptParts(unittest.TestCase):
+    @given(st.lists(_PROMPT, max_size=20), st.integers(0, 400))
+    def test_never_more_is_matched_than_fits_and_than_was_sent(
+        self, prompts: list[list[PromptPart]], capacity: int
+    ) -> None:
+        kept = KeptParts(capacity)
+        for prompt in prompts:
+            kept.touch(prompt, 0)
+            matched = kept.matched(prompt)
+            self.assertLessEqual(matched, min(capacity, sum(part.tokens for part in prompt)))
+
+    def test_a_part_behind_another_part_is_another_part(self) -> None:
+        kept = KeptParts(1000)
+        kept.touch([PromptPart(1, 10), PromptPart(2, 10)], 0)
+        self.assertEqual(0, kept.matched([PromptPart(2, 10)]))
+        self.assertEqual(10, kept.matched([PromptPart(1, 10), PromptPart(3, 10)]))
+
+    def test_the_longest_unused_gives_way(self) -> None:
+        kept = KeptParts(30)
+        for name in (1, 2, 3):
+            kept.touch([PromptPart(name, 10)], 0)
+        kept.touch([PromptPart(1, 10)], 0)
+        kept.touch([PromptPart(4, 10)], 0)
+        self.assertEqual(10, kept.matched([PromptPart(1, 10)]))
+        self.assertEqual(0, kept.matched([PromptPart(2, 10)]))
+
+
+class TestRecentParts(unittest.TestCase):
+    def test_only_shared_parts_used_of_late_count(self) -> None:
+        recent = RecentParts(10.0)
+        prompt = [PromptPart(1, 100), PromptPart(2, 200), PromptPart(3, 300)]
+        recent.note(prompt, 0.0)
+        self.assertEqual(300, recent.again(prompt, 0, 5.0))
+        self.assertEqual(200, recent.again(prompt, 100, 5.0))
+        self.assertEqual(0, recent.again(prompt, 300, 5.0))
+        self.assertEqual(0, recent.again(prompt, 0, 20.0))
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import copy
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.platform.backends import parse_backend
+from lotushill.platform.configuration import parse_table
+from lotushill.routing.exceptions import InvalidTableError
+from lotushill.routing.route import RouteKind
+
+SPEC: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-one",
+            "host": "shop.example",
+            "pathPrefix": "/one/",
+            "kind": "stream",
+            "timeoutMs": 12000,
+            "targetLatencyMs": 250,
+            "priority": 0,
+            "service": "llm",
+            "maxAttempts": 2,
+            "public": False,
+            "sessionAffinity": True,
+            "streamResume": True,
+            "targetGapMs": 150,
+        },
+        {
+            "name": "r-two",
+            "host": "shop.example",
+            "pathPrefix": "/two/",
+            "kind": "non_idempotent",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 400,
+            "priority": 2,
+            "backends": [{"service": "llm", "weight": 90}, {"service": "app", "weight": 10}],
+            "maxAttempts": 1,
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "healthPath": "/health",
+            "maxConns": 310,
+            "engine": {"slots": 48, "kvCapacity": 532839, "stride": 6, "models": [{"name": "m"}]},
+        },
+        {"name": "app", "healthPath": "/health", "maxConns": 110},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "bakery", "apiKeys": ["k1", "k2"], "priority": 1}, {"name": "kiosk"}],
+    "something": {"unknown": True},
+}
+
+
+class TestTable(unittest.TestCase):
+    def test_every_field_finds_its_place(self) -> None:
+        table = parse_table(SPEC)
+        one = table.find("shop.example", "/one/x")
+        two = table.find("shop.example", "/two/x")
+        assert one is not None and two is not None
+        self.assertEqual(
+            (RouteKind.STREAM, True, 12.0, 0.25, 0.15),
+            (one.kind, one.resumable, one.timeout, one.target, one.target_gap),
+        )
+        self.assertEqual((2, 0, False), (one.max_attempts, one.priority, one.public))
+        self.assertTrue(one.repeatable)
+        self.assertFalse(two.repeatable)
+        self.assertEqual(["llm", "app"], [item.service for item in two.services])
+        engine = table.services["llm"].engine
+        assert engine is not None
+        self.assertEqual(
+            (48, 532839, 6), (engine.slots, engine.memory_tokens, engine.tokens_per_event)
+        )
+        self.assertIsNone(table.services["app"].engine)
+        self.assertEqual((16384, 15.0), (table.limits.header_bytes, table.limits.idle_seconds))
+        tenant = table.tenant("k2")
+        self.assertEqual(("bakery", 1), (tenant.name, tenant.priority) if tenant else None)
+
+    @given(st.sampled_from(["version", "name", "kind", "pathPrefix", "timeoutMs", "host"]))
+    def test_a_missing_value_is_named(self, field: str) -> None:
+        spec = copy.deepcopy(SPEC)
+        spec.pop(field, None)
+        spec["routes"][0].pop(field, None)
+        with self.assertRaises(InvalidTableError) as caught:
+            parse_table(spec)
+        self.assertIn(field, str(caught.exception))
+
+    @given(st.recursive(st.none() | st.integers() | st.text(max_size=3), st.lists, max_leaves=5))
+    def test_anything_else_is_an_error_of_its_type(self, spec: Any) -> None:
+        with self.assertRaises(InvalidTableError):
+            parse_table(spec)
+
+
+class TestBackend(unittest.TestCase):
+    SPEC = {
+        "service": "llm",
+        "address": "10.0.0.9:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 48,
+        "state": "ready",
+        "coldRemainingMs": 1500,
+        "seqNo": 4,
+    }
+
+    def test_every_field_finds_its_place(self) -> None:
+        backend = parse_backend("i-1", self.SPEC)
+        assert backend is not None
+        self.assertEqual(("i-1", "llm", "10.0.0.9:80", "z", 48, False, 1.5), (
+            backend.id, backend.service, backend.address, backend.zone, backend.slots,
+            backend.draining, backend.slow_seconds,
+        ))  # fmt: skip
+
+    def test_a_backend_that_leaves(self) -> None:
+        backend = parse_backend("i-1", {**self.SPEC, "state": "draining"})
+        self.assertTrue(backend and backend.draining)
+
+    def test_an_entry_that_cannot_be_read_is_passed_over(self) -> None:
+        self.assertIsNone(parse_backend("i-1", {"service": "llm"}))
+        self.assertIsNone(parse_backend("i-1", None))
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,34 @@
+"""The platform's names are known in one folder only."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+SOURCE = Path(__file__).resolve().parents[2] / "src" / "lotushill"
+ADAPTER = SOURCE / "platform"
+STAND_INS = SOURCE / "standin"
+_NAMES = re.compile(
+    r"Attempt-Id|Target-Instance|Not-Executed|Deadline-Ms|coldRemainingMs|pathPrefix"
+    r"|Response-Signature|Prompt-Prefix|Token-Usage|Length-Hint|Request-Priority"
+    r"|sinceRev|waitMs|apiKeys|timeoutMs|targetLatencyMs|maxAttempts|kvCapacity",
+    re.IGNORECASE,
+)
+
+
+class TestNames(unittest.TestCase):
+    def test_no_other_folder_names_them(self) -> None:
+        found = [
+            f"{path.relative_to(SOURCE)}: {match.group()}"
+            for path in sorted(SOURCE.rglob("*.py"))
+            if ADAPTER not in path.parents and STAND_INS not in path.parents
+            for match in _NAMES.finditer(path.read_text(encoding="utf-8"))
+        ]
+        self.assertEqual([], found)
+
+    def test_the_adapter_stays_small(self) -> None:
+        lines = sum(
+            len(path.read_text(encoding="utf-8").splitlines()) for path in ADAPTER.glob("*.py")
+        )
+        self.assertLess(lines, 700)
--- /dev/null
+++ b/tests/platform/test_object_store.py
@@ -0,0 +1,186 @@
+"""The client of the store and what follows it, against the stand-in over a socket."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+from lotushill.event_log import EventLog
+from lotushill.gateway.store_views import StoreViews
+from lotushill.links.http_server import HttpServer
+from lotushill.links.messages import ViewKind
+from lotushill.platform.object_store import ObjectStore
+from lotushill.standin.metadata_app import MetadataApp
+from lotushill.standin.metadata_app import Trouble
+from lotushill.standin.metadata_store import MetadataStore
+from lotushill.views.exceptions import HistoryGoneError
+from lotushill.views.exceptions import RevisionConflictError
+from lotushill.views.exceptions import StoreUnavailableError
+from tests.platform.test_configuration import SPEC
+
+BACKEND = {"service": "llm", "address": "127.0.0.1:9", "zone": "z", "slots": 4, "state": "ready"}
+
+
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore(page=3)
+        self.app = MetadataApp(self.store)
+        self.server = HttpServer(self.app, "127.0.0.1:0")
+        self.task = asyncio.create_task(self.server.serve())
+        await self.server.wait_started()
+        self.client = ObjectStore(self.server.address)
+
+    async def asyncTearDown(self) -> None:
+        self.server.abort()
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+class TestObjectStore(StoreCase):
+    async def test_a_list_of_several_pages_is_whole(self) -> None:
+        for number in range(8):
+            self.store.create("k", f"n{number}", {"number": number})
+        listed = await self.client.list_kind("k")
+        self.assertEqual([f"n{n}" for n in range(8)], [item.name for item in listed.objects])
+        self.assertEqual(8, listed.revision)
+
+    async def test_a_watch_brings_changes_and_where_to_go_on(self) -> None:
+        self.store.create("k", "a", 1)
+        self.store.delete("k", "a")
+        changes, revision = await self.client.watch("k", 0, 1.0)
+        self.assertEqual([("a", False), ("a", True)], [(c.object.name, c.gone) for c in changes])
+        self.assertEqual(2, revision)
+
+    async def test_errors_have_types(self) -> None:
+        self.store.create("k", "a", 1)
+        with self.assertRaises(RevisionConflictError):
+            await self.client.create("k", "a", 2)
+        with self.assertRaises(RevisionConflictError):
+            await self.client.replace("k", "a", 2, revision=99)
+        self.store.compact()
+        with self.assertRaises(HistoryGoneError):
+            await self.client.watch("k", 0, 0.1)
+        for trouble in (Trouble.BUSY, Trouble.MANY):
+            self.app.trouble = trouble
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.list_kind("k")
+
+    async def test_one_object_or_none(self) -> None:
+        self.store.create("k", "a", {"x": 1})
+        found = await self.client.get("k", "a")
+        self.assertEqual({"x": 1}, found.spec if found else None)
+        self.assertIsNone(await self.client.get("k", "b"))
+
+
+class TestStoreViews(StoreCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.lines: list[bytes] = []
+        self.views = StoreViews(
+            self.client, random.Random(1), EventLog("gw", self.lines.append), lambda: None
+        )
+
+    def put_version(self, version: int) -> None:
+        self.store.put("config", "main", {**SPEC, "version": version})
+
+    async def follow(self, *conditions: Any) -> None:
+        """Run the views until each condition has held, one after the other."""
+        tasks = self.views.tasks()
+        try:
+            async with asyncio.timeout(10):
+                for condition in conditions:
+                    while not condition():
+                        await asyncio.sleep(0.01)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def version(self) -> int:
+        table = self.views.configuration.table
+        return table.version if table else 0
+
+    async def test_list_and_changes_are_followed(self) -> None:
+        self.put_version(1)
+        self.store.create("servers", "i-1", BACKEND)
+
+        def known() -> bool:
+            return self.version() == 1 and self.views.backends.known
+
+        def change() -> bool:
+            self.put_version(2)
+            self.store.put("servers", "i-1", {**BACKEND, "state": "draining"})
+            return True
+
+        await self.follow(
+            known,
+            change,
+            lambda: self.version() == 2,
+            lambda: not self.views.backends.of("llm"),
+        )
+
+    async def test_after_a_gap_in_the_history_a_list_is_read(self) -> None:
+        self.put_version(1)
+
+        def change() -> bool:
+            self.put_version(2)
+            self.store.compact()
+            self.put_version(3)
+            return True
+
+        await self.follow(lambda: self.version() == 1, change, lambda: self.version() == 3)
+
+    async def test_an_outage_changes_nothing_and_is_told_once_each_way(self) -> None:
+        self.put_version(1)
+
+        def fail() -> bool:
+            self.app.trouble = Trouble.BUSY
+            self.store.put("config", "other", {})
+            return True
+
+        def recover() -> bool:
+            self.put_version(2)
+            self.app.trouble = Trouble.NONE
+            return True
+
+        await self.follow(
+            lambda: self.version() == 1,
+            fail,
+            lambda: not self.views.fresh(),
+            lambda: self.version() == 1,
+            recover,
+            lambda: self.version() == 2,
+            lambda: self.views.fresh(),
+        )
+        lost = [line for line in self.lines if b"dependency.lost" in line and b'"config"' in line]
+        self.assertEqual(1, len(lost))
+
+    async def test_a_configuration_that_cannot_be_read_leaves_the_last_one_in_force(self) -> None:
+        self.put_version(1)
+
+        def spoil() -> bool:
+            self.store.put("config", "main", {"version": 2, "routes": [{"name": "broken"}]})
+            return True
+
+        await self.follow(
+            lambda: self.version() == 1,
+            spoil,
+            lambda: any(b"configuration.rejected" in line for line in self.lines),
+        )
+        self.assertEqual(1, self.version())
+
+    async def test_a_peers_view_is_taken_only_if_it_is_newer(self) -> None:
+        self.views.take_from_peer(ViewKind.CONFIGURATION, 5, {**SPEC, "version": 5})
+        self.views.take_from_peer(ViewKind.CONFIGURATION, 4, {**SPEC, "version": 6})
+        self.assertEqual(5, self.version())
+        self.views.take_from_peer(ViewKind.BACKENDS, 9, {"i-1": BACKEND})
+        self.views.take_from_peer(ViewKind.BACKENDS, 8, {})
+        self.assertEqual(["i-1"], [item.id for item in self.views.backends.of("llm")])
+
+    async def test_nothing_a_peer_sends_can_break_a_view(self) -> None:
+        values: tuple[Any, ...] = (None, [], "x", {"version": None}, {"i-1": None}, 3)
+        for value in values:
+            self.views.take_from_peer(ViewKind.CONFIGURATION, 5, value)
+        self.assertEqual(0, self.version())
--- /dev/null
+++ b/tests/platform/test_request_head.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.platform import request_head
+from lotushill.routing.demand import PromptPart
+
+HEADERS = [
+    (b"host", b"shop.example:80"),
+    (b"attempt-id", b"9c41"),
+    (b"model", b"m"),
+    (b"token-usage", b"1460,80"),
+    (b"prompt-prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"length-hint", b"60"),
+    (b"deadline-ms", b"15000"),
+    (b"authorization", b"Bearer the-key"),
+    (b"tenant", b"forged"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-kept", b"2"),
+]
+
+
+class TestDemand(unittest.TestCase):
+    def test_every_header_finds_its_place(self) -> None:
+        demand = request_head.read_demand(HEADERS)
+        self.assertEqual(
+            ("9c41", "shop.example", "the-key"), (demand.request_id, demand.host, demand.api_key)
+        )
+        self.assertEqual(
+            (15.0, 1460, 80, 60),
+            (demand.time_left, demand.prompt_tokens, demand.output_limit, demand.output_hint),
+        )
+        self.assertEqual(
+            (PromptPart(0x5C1E07A2, 800), PromptPart(0x91BD3F06, 410), PromptPart(0xE4402B7D, 250)),
+            demand.parts,
+        )
+
+    @given(st.sampled_from([name for name, _ in HEADERS]), st.binary(max_size=20))
+    def test_nonsense_counts_as_not_said(self, name: bytes, value: bytes) -> None:
+        request_head.read_demand([(name, value)])
+
+
+class TestForwarded(unittest.TestCase):
+    def test_the_key_the_forged_tenant_and_the_hop_stay_here(self) -> None:
+        kept = dict(request_head.forwarded(HEADERS, b"body"))
+        for name in (b"authorization", b"tenant", b"x-hop", b"connection", b"deadline-ms"):
+            self.assertNotIn(name, kept)
+        self.assertEqual(
+            (b"2", b"m", b"4"), (kept[b"x-kept"], kept[b"model"], kept[b"content-length"])
+        )
+
+    def test_what_an_attempt_adds(self) -> None:
+        added = dict(request_head.attempt_headers("i-7", 1.25, 12, "bakery", "41"))
+        self.assertEqual(
+            {
+                b"target-instance": b"i-7",
+                b"deadline-ms": b"1250",
+                b"request-priority": b"9",
+                b"tenant": b"bakery",
+                b"last-event-id": b"41",
+            },
+            added,
+        )
+
+
+class TestAnswers(unittest.TestCase):
+    def test_what_promises_that_nothing_ran(self) -> None:
+        self.assertTrue(request_head.not_executed(503, [(b"not-executed", b"1")]))
+        self.assertTrue(request_head.not_executed(421, []))
+        self.assertFalse(request_head.not_executed(503, []))
+        self.assertFalse(request_head.not_executed(500, []))
+
+    def test_the_signature_travels_and_the_hop_does_not(self) -> None:
+        kept = request_head.relayed(
+            [(b"response-signature", b"s"), (b"connection", b"close"), (b"keep-alive", b"x")]
+        )
+        self.assertEqual([(b"response-signature", b"s")], kept)
--- /dev/null
+++ b/tests/views/test_views.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.routing.backend import Backend
+from lotushill.routing.limits import ClientLimits
+from lotushill.routing.table import RoutingTable
+from lotushill.views.backend_view import BackendView
+from lotushill.views.configuration_view import ConfigurationView
+
+
+def table(version: int) -> RoutingTable:
+    return RoutingTable(version, (), (), (), ClientLimits())
+
+
+def backend(name: str, draining: bool = False) -> Backend:
+    return Backend(name, "s", "10.0.0.1:80", "z", 4, draining)
+
+
+class TestConfigurationView(unittest.TestCase):
+    @given(st.lists(st.integers(0, 50), max_size=30))
+    def test_whatever_comes_in_any_order_it_never_goes_back(self, revisions: list[int]) -> None:
+        view = ConfigurationView()
+        held = -1
+        for revision in revisions:
+            taken = view.take(table(revision), revision)
+            self.assertEqual(revision > held, taken)
+            held = max(held, revision)
+            self.assertEqual(held, view.revision)
+
+    def test_a_lower_version_at_a_higher_revision_is_not_taken(self) -> None:
+        view = ConfigurationView()
+        view.take(table(5), 10)
+        self.assertFalse(view.take(table(4), 11))
+
+
+class TestBackendView(unittest.TestCase):
+    def test_an_older_list_changes_nothing(self) -> None:
+        view = BackendView()
+        view.replace([backend("a")], 5)
+        self.assertFalse(view.replace([backend("b")], 4))
+        self.assertEqual(["a"], [item.id for item in view.of("s")])
+
+    def test_a_draining_backend_gets_nothing_and_never_comes_back(self) -> None:
+        view = BackendView()
+        view.replace([backend("a", draining=True)], 1)
+        view.replace([backend("a")], 2)
+        self.assertEqual([], view.of("s"))
+
+    def test_a_backend_that_is_not_listed_any_more_is_gone(self) -> None:
+        view = BackendView()
+        view.replace([backend("a"), backend("b")], 1)
+        view.replace([backend("b")], 2)
+        self.assertIsNone(view.find("a"))
+
+    def test_nothing_is_known_before_the_first_list(self) -> None:
+        self.assertFalse(BackendView().known)
