--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -73,6 +73,8 @@
     """Predicted seconds until its own prompt is begun."""
     harm: float = 0.0
     """What it costs the streams that run beside it."""
+    again: int = 0
+    """Shared prompt tokens that are read again."""
     running: int = 0
     """Requests that run there already, of all gateways."""
 
