Count the streams that come while a long prompt is read as harmed by it

Change: the harm of a prompt also counts the streams that come while it is read; a long prompt waits at most half its target; the reading rate is learned evenly up and down. Ruled out: the order of admission at the engine (by tenant priority, then first come) was as expected.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -200,7 +200,10 @@
     def _learn(self, end: AttemptEnd) -> None:
         load = self._parts.fleet.load(self._choice.backend.id)
         failed = end.kind in (EndKind.FAILED, EndKind.BROKEN, EndKind.REJECTED)
-        load.failures.note(failed, self._loop.time())
+        now = self._loop.time()
+        load.failures.note(failed, now)
+        if end.kind is EndKind.WHOLE and self._request.route.kind is RouteKind.STREAM:
+            self._parts.fleet.pace(self._request.service.name).note_stream(now - self.sent_at)
 
 
 def _with_length(head: AnswerHead, body: bytes) -> list[tuple[bytes, bytes]]:
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -105,6 +105,7 @@
             harm=round(choice.harm, 3),
             reading=choice.reading,
             again=choice.again,
+            priority=self._request.priority,
             ahead=choice.ahead,
             running=choice.running,
             run=self.runs,
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -49,7 +49,7 @@
 _LONG_SHARE = 0.5
 _MOST_HARM = 0.8
 _LONG_RETRY = 1.0
-_LONG_WAIT = 0.75
+_LONG_WAIT = 0.5
 """Of its target, how long a long request may wait until its prompt is read."""
 _SHORTEST_RETRY = 0.2
 _LONGEST_RETRY = 3.0
@@ -217,7 +217,7 @@
             first += (running + 1 - engine.slots) * seconds / engine.slots
         cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
         cost *= self.sizes.weight(need.route, need.size)
-        harm = self._harm(load, pace, unread / rate, (unread + reading) / rate)
+        harm = self._harm(load, pace, unread / rate, reading / rate)
         cost += harm
         cost += self._packing_cost(need, pace, load, running / engine.slots)
         again = self.recent.again(need.parts, need.prompt_tokens - reading, now)
@@ -239,12 +239,19 @@
             running,
         )
 
-    def _harm(self, load: BackendLoad, pace: Pace, before: float, after: float) -> float:
-        """Return what reading a prompt costs the streams that run beside it."""
+    def _harm(self, load: BackendLoad, pace: Pace, before: float, reading: float) -> float:
+        """Return what reading a prompt for so many seconds costs the streams beside it.
+
+        Those that run may miss a pause now. As many come again while the prompt is read, and
+        they miss theirs also where those that run have missed one already.
+        """
         harm = 0.0
+        coming = min(1.0, reading / pace.stream_seconds)
         for gap, count in load.gaps.items():
             allowed = max(0.001, gap - pace.event_gap)
-            harm += count * (_missed(after / allowed) - _missed(before / allowed))
+            missed = _missed((before + reading) / allowed)
+            harm += count * (missed - _missed(before / allowed))
+            harm += count * coming * missed
         return _GAP_LOSS * harm
 
     def _packing_cost(self, need: Need, pace: Pace, load: BackendLoad, crowd: float) -> float:
--- a/src/lotushill/placement/pace.py
+++ b/src/lotushill/placement/pace.py
@@ -7,6 +7,9 @@
 _FIRST_ANSWER_SECONDS = 0.1
 _WEIGHT = 0.08
 _SLOW_WEIGHT = 0.02
+_RATE_WEIGHT = 0.04
+_LIKELY = 2.0
+_FIRST_STREAM_SECONDS = 2.0
 _LEAST_READING = 400
 """Tokens below which the time to the first event says little of the reading rate."""
 _OVERHEAD_SECONDS = 0.012
@@ -29,15 +32,22 @@
         self.long_reading = 0.0
         """Seconds that reading the longer prompts of the moment takes."""
 
+        self.stream_seconds = _FIRST_STREAM_SECONDS
+        """Seconds that a stream runs."""
+
+    def note_stream(self, seconds: float) -> None:
+        """Learn from a whole stream."""
+        self.stream_seconds += _RATE_WEIGHT * (seconds - self.stream_seconds)
+
     def note_first_event(self, reading: float, seconds: float) -> None:
         """Learn from a stream's first event, with `reading` tokens read until then."""
         if reading < _LEAST_READING:
             return
         busy = max(0.001, seconds - _OVERHEAD_SECONDS)
         rate = min(_HIGHEST_RATE, max(_LOWEST_RATE, reading / busy))
-        # A sample below the average may just have waited behind something unseen.
-        weight = _WEIGHT if rate > self.read_rate else _SLOW_WEIGHT
-        self.read_rate += weight * (rate - self.read_rate)
+        # One far from the average waited behind, or overtook, what the model does not see.
+        rate = min(_LIKELY * self.read_rate, max(self.read_rate / _LIKELY, rate))
+        self.read_rate += _RATE_WEIGHT * (rate - self.read_rate)
 
     def note_gap(self, seconds: float) -> None:
         """Learn from the pause between two events."""
