Wait a fifth of the target for a place before a long prompt is refused; price of reading again as it is

Change: a request without a place is tried again every 0.03 s for a fifth of its target; a shared token read again weighs 2e-4; the memory of kept parts no longer counts running prompts twice.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -5,10 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import anyio
+
 from lotushill.gateway.attempt import Attempt
 from lotushill.gateway.attempt_end import EndKind
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.placement.fleet import Choice
+from lotushill.placement.fleet import NoChoice
 from lotushill.placement.messages import Placed
 
 if TYPE_CHECKING:
@@ -23,6 +26,9 @@
 _MOST_UNSENT = 4
 _MOST_REJECTED = 3
 _RETRY_SECONDS = 0.5
+_WAIT_SHARE = 0.2
+"""Of its target, how long a request waits here before it is refused as not run."""
+_POLL_SECONDS = 0.03
 _LEAST_SECONDS = 0.05
 """With less time left than this no backend is tried."""
 
@@ -52,7 +58,7 @@
         self._parts.budgets.note_request(request.service.name, self._loop.time())
         self._parts.fleet.sizes.note(request.need.route, request.need.size)
         while True:
-            choice = self._choose()
+            choice = await self._find()
             if choice is None:
                 return await self._give_up("no backend", None)
             end = await self._attempt(choice)
@@ -74,23 +80,38 @@
 
     # Backends
 
-    def _choose(self) -> Choice | None:
+    async def _find(self) -> Choice | None:
+        """Return a backend, waiting for one for a small share of the target at most."""
         request = self._request
-        now = self._loop.time()
-        if request.ends - now < _LEAST_SECONDS:
-            return None
-        found = self._parts.fleet.choose(
+        gives_up = min(
+            request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
+        )
+        while True:
+            found = self._choose()
+            if isinstance(found, Choice):
+                return found
+            pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+            if self._loop.time() + pause > gives_up:
+                break
+            await anyio.sleep(pause)
+        self._note(
+            "placement.none",
+            reason=found.reason,
+            retry_after=found.retry_after,
+            waited_ms=round((self._loop.time() - request.arrived) * 1000, 1),
+        )
+        self._retry_after = found.retry_after
+        return None
+
+    def _choose(self) -> Choice | NoChoice:
+        request = self._request
+        return self._parts.fleet.choose(
             request.need,
             request.service,
             self._parts.backends.of(request.service.name),
             frozenset(self._excluded),
-            now,
+            self._loop.time(),
         )
-        if isinstance(found, Choice):
-            return found
-        self._note("placement.none", reason=found.reason, retry_after=found.retry_after)
-        self._retry_after = found.retry_after
-        return None
 
     async def _attempt(self, choice: Choice) -> AttemptEnd:
         self.backend = choice.backend.id
@@ -103,6 +124,7 @@
             first_ms=round(choice.first * 1000, 1),
             wait_ms=round(choice.wait * 1000, 1),
             harm=round(choice.harm, 3),
+            prompt=self._request.need.prompt_tokens,
             reading=choice.reading,
             again=choice.again,
             priority=self._request.priority,
--- a/src/lotushill/placement/backend_load.py
+++ b/src/lotushill/placement/backend_load.py
@@ -25,6 +25,8 @@
         self.running: dict[str, Placed] = {}
         self.memory = 0
         """Tokens that the running requests may hold in the end."""
+        self._answers = 0
+        """Of the memory, what is not parts of prompts."""
         self.kept = KeptParts(memory_tokens)
         self.failures = FailureRate()
         self.gaps: Counter[float] = Counter()
@@ -51,7 +53,8 @@
             self._unread[placed.request] = placed.reading
             self._unread_total += placed.reading
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
-        self.kept.touch(parts, self.memory)
+        self._answers += max(0, placed.memory - sum(placed.part_tokens))
+        self.kept.touch(parts, self._answers)
 
     def begin(self, request: str, now: float) -> None:
         """Note that the prompt of a request has been read."""
@@ -65,6 +68,7 @@
             return None
         self._drop_unread(request)
         self.memory -= placed.memory
+        self._answers -= max(0, placed.memory - sum(placed.part_tokens))
         if placed.gap > 0:
             self.gaps[placed.gap] -= 1
             if not self.gaps[placed.gap]:
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -29,7 +29,7 @@
 _GAP_LOSS = 0.6
 """What a stream loses by one pause that is too long."""
 _FAILURE_LOSS = 0.9
-_REREAD_LOSS_PER_TOKEN = 1.2e-4
+_REREAD_LOSS_PER_TOKEN = 2.0e-4
 """What reading a shared token again costs that some backend has read of late."""
 _READING_LOSS_PER_TOKEN = 1e-5
 """What reading any token costs, since it keeps others waiting."""
@@ -47,7 +47,7 @@
 _FULL_MEMORY_LOSS = 1.0
 _CROWDING_LOSS = 0.05
 _LONG_SHARE = 0.5
-_MOST_HARM = 0.8
+_MOST_HARM = 1.2
 _LONG_RETRY = 1.0
 _LONG_WAIT = 0.5
 """Of its target, how long a long request may wait until its prompt is read."""
@@ -234,9 +234,10 @@
             reading,
             int(unread + reading),
             seconds,
-            unread / rate,
-            harm,
-            running,
+            wait=unread / rate,
+            harm=harm,
+            again=again,
+            running=running,
         )
 
     def _harm(self, load: BackendLoad, pace: Pace, before: float, reading: float) -> float:
--- a/src/lotushill/placement/kept_parts.py
+++ b/src/lotushill/placement/kept_parts.py
@@ -33,7 +33,7 @@
         return total
 
     def touch(self, parts: Iterable[PromptPart], running: int) -> None:
-        """Note that a prompt was read, while `running` tokens belong to running requests."""
+        """Note that a prompt was read, while answers of `running` tokens are being made."""
         for key, part in chained(parts):
             if key in self._tokens:
                 self._tokens.move_to_end(key)
