Refuse by route, so that large requests are served as often as small ones; pass over cut zones

A request was taken for long by its own prompt, so that small ones of the same route were never refused and large ones nearly always. In zone cuts requests went to engines out of reach for seconds. Change: a route is long by what is usually read for it, and overload is judged by its usual request; a zone of whose gateways none is heard costs as much as a failure.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -56,7 +56,7 @@
         """Try backends until there is an answer."""
         request = self._request
         self._parts.budgets.note_request(request.service.name, self._loop.time())
-        self._parts.fleet.sizes.note(request.need.route, request.need.size)
+        self._parts.fleet.usual.note_size(request.need.route, request.need.size)
         while True:
             choice = await self._find()
             if choice is None:
@@ -98,6 +98,8 @@
             "placement.none",
             reason=found.reason,
             retry_after=found.retry_after,
+            route=request.route.name,
+            prompt=request.need.prompt_tokens,
             waited_ms=round((self._loop.time() - request.arrived) * 1000, 1),
         )
         self._retry_after = found.retry_after
@@ -134,6 +136,9 @@
             view=self._parts.backends.revision,
         )
         self._parts.shared_load.start(placed, self._request.service)
+        self._parts.fleet.usual.note_reading(
+            self._request.service.name, self._request.route.name, choice.reading
+        )
         self.runs += 1
         attempt = Attempt(
             self._parts,
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -53,7 +53,9 @@
         rng = random.Random()
         self.store = ObjectStore(settings.store)
         self.views = StoreViews(self.store, rng, self.log, self._on_configuration)
-        self.fleet = Fleet(settings.zone, settings.recent_seconds)
+        self.fleet = Fleet(
+            settings.zone, settings.recent_seconds, lambda zone: self.peers.is_cut_off(zone)
+        )
         self.peers = Peers(
             settings,
             self.log,
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -112,9 +112,11 @@
         """Return how many gateways have been seen, those that are lost included."""
         return len(self.membership.all())
 
-    def zones(self) -> frozenset[str]:
-        """Return the zones of the gateways that can be reached, the own included."""
-        return frozenset(member.hall for member in self.membership.live())
+    def is_cut_off(self, zone: str) -> bool:
+        """Return whether gateways of a zone are known, and none of them is heard."""
+        phases = [item.phase for item in self.membership.all() if item.hall == zone]
+        heard = any(phase in (MemberPhase.ALIVE, MemberPhase.LEAVING) for phase in phases)
+        return bool(phases) and not heard
 
     def leave(self) -> None:
         """Tell the others that this gateway stops."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -13,10 +13,11 @@
 from lotushill.placement.backend_load import BackendLoad
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
-from lotushill.placement.usual_size import UsualSize
+from lotushill.placement.usual_request import UsualRequests
 from lotushill.routing.demand import PromptPart
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from lotushill.placement.messages import Placed
@@ -38,6 +39,8 @@
 _PACKED_SHARE = 0.6
 """Of the slots; beyond it such streams are spread."""
 _OTHER_ZONE_LOSS = 0.01
+_CUT_ZONE_LOSS = 1.0
+"""What it costs to try a zone of whose gateways none is heard."""
 _FIRST_DELICATE_LOSS = 0.2
 """What it costs to bring a stream with short pauses to a backend that has none."""
 _LATE_STEEPNESS = 6.0
@@ -73,6 +76,8 @@
     """Predicted seconds until its own prompt is begun."""
     harm: float = 0.0
     """What it costs the streams that run beside it."""
+    pressure: float = 0.0
+    """What a usual request of its route would cost them."""
     again: int = 0
     """Shared prompt tokens that are read again."""
     running: int = 0
@@ -90,11 +95,21 @@
 class Fleet:
     """The model of all backends."""
 
-    def __init__(self, zone: str, recent_seconds: float = 10.0) -> None:
-        """Make a model seen from `zone`; parts used within `recent_seconds` are worth keeping."""
+    def __init__(
+        self,
+        zone: str,
+        recent_seconds: float = 10.0,
+        is_cut_off: Callable[[str], bool] = lambda _: False,
+    ) -> None:
+        """Make a model seen from `zone`.
+
+        Parts used within `recent_seconds` are worth keeping; `is_cut_off` tells whether a zone
+        seems out of reach.
+        """
         self._zone = zone
+        self._is_cut_off = is_cut_off
         self.recent = RecentParts(recent_seconds)
-        self.sizes = UsualSize()
+        self.usual = UsualRequests()
         self._loads: dict[str, BackendLoad] = {}
         self._paces: dict[str, Pace] = {}
         self._where: dict[str, str] = {}
@@ -164,7 +179,7 @@
             return NoChoice("no backend", 1.0)
         choices = [self._weigh(need, service, item, now) for item in reachable or candidates]
         best = min(choices, key=lambda choice: choice.cost)
-        if self._is_long(need, best) and self._overloaded(need, best):
+        if self._is_long(need) and self._overloaded(need, best):
             wait = max(_LONG_RETRY, best.wait)
             return NoChoice("overload", min(_LONGEST_RETRY, wait))
         soonest = min(choices, key=lambda choice: choice.first)
@@ -173,19 +188,19 @@
             return NoChoice("no room in time", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
         return best if best.first <= need.patience else soonest
 
-    def _is_long(self, need: Need, choice: Choice) -> bool:
-        """Return whether a request is among those whose prompts take longest to read.
+    def _is_long(self, need: Need) -> bool:
+        """Return whether a request's route has the longest prompts of its service.
 
         Under overload these are refused first: each leaves room for many short ones, and a
-        short one is never refused while longer ones begin.
+        short one is never refused while longer ones begin. The route decides and not the
+        request, so that the large ones of a route are served as often as the small ones.
         """
-        pace = self.pace(need.service)
-        return choice.reading / pace.read_rate > _LONG_SHARE * pace.long_reading > 0
+        usual = self.usual.reading(need.service, need.route)
+        return usual > _LONG_SHARE * self.usual.longest(need.service)
 
     def _overloaded(self, need: Need, choice: Choice) -> bool:
         """Return whether even the best place keeps a request waiting or harms others more."""
-        weight = self.sizes.weight(need.route, need.size)
-        return choice.wait > _LONG_WAIT * need.target or choice.harm > _MOST_HARM * weight
+        return choice.wait > _LONG_WAIT * need.target or choice.pressure > _MOST_HARM
 
     def _weigh(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
         if service.engine is None:
@@ -216,9 +231,11 @@
         if running >= engine.slots:
             first += (running + 1 - engine.slots) * seconds / engine.slots
         cost = _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / need.target - 1.0))
-        cost *= self.sizes.weight(need.route, need.size)
+        cost *= self.usual.weight(need.route, need.size)
         harm = self._harm(load, pace, unread / rate, reading / rate)
         cost += harm
+        usual = self.usual.reading(need.service, need.route)
+        pressure = self._harm(load, pace, unread / rate, usual / rate)
         cost += self._packing_cost(need, pace, load, running / engine.slots)
         again = self.recent.again(need.parts, need.prompt_tokens - reading, now)
         cost += _REREAD_LOSS_PER_TOKEN * again + _READING_LOSS_PER_TOKEN * reading
@@ -236,6 +253,7 @@
             seconds,
             wait=unread / rate,
             harm=harm,
+            pressure=pressure,
             again=again,
             running=running,
         )
@@ -271,7 +289,7 @@
     def _standing_cost(self, backend: Backend, load: BackendLoad, now: float) -> float:
         cost = _FAILURE_LOSS * load.failures.rate(now)
         if backend.zone != self._zone:
-            cost += _OTHER_ZONE_LOSS
+            cost += _CUT_ZONE_LOSS if self._is_cut_off(backend.zone) else _OTHER_ZONE_LOSS
         return cost
 
 
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -46,6 +46,7 @@
         self.count += 1
         request = str(self.count)
         self.fleet.pace(service.name).note_reading(choice.reading)
+        self.fleet.usual.note_reading(need.service, need.route, choice.reading)
         self.fleet.start(
             Placed(
                 request,
@@ -110,6 +111,33 @@
         self.assertGreater(refused.retry_after, 0.0)
         self.assertIsInstance(driver.fleet.choose(short(), ENGINE, among, NOTHING, 0.0), Choice)
 
+    def test_large_and_small_ones_of_a_route_are_refused_alike(self) -> None:
+        driver = Driver()
+        among = backends("llm", 2)
+        sizes = (2_000, 11_500, 40_000)
+        for n in range(300):
+            tokens = sizes[n % 3]
+            need = replace(long(n), prompt_tokens=tokens, parts=(PromptPart(n, tokens),))
+            if isinstance(driver.fleet.choose(need, ENGINE, among, NOTHING, 0.0), NoChoice):
+                break
+            driver.place(need, ENGINE, among, 0.0)
+        for tokens in sizes:
+            need = replace(long(999), prompt_tokens=tokens, parts=(PromptPart(999, tokens),))
+            found = driver.fleet.choose(need, ENGINE, among, NOTHING, 0.0)
+            self.assertIsInstance(found, NoChoice)
+
+    def test_a_zone_that_is_cut_off_is_passed_over_while_another_serves(self) -> None:
+        fleet = Fleet("z", is_cut_off=lambda zone: zone == "far")
+        near, far = backends("llm", 2)
+        far = replace(far, zone="far")
+        for _ in range(3):
+            fleet.load(near.id).failures.note(True, 0.0)
+        found = fleet.choose(short(), ENGINE, [near, far], NOTHING, 0.0)
+        assert isinstance(found, Choice)
+        self.assertEqual(near.id, found.backend.id)
+        alone = fleet.choose(short(), ENGINE, [far], NOTHING, 0.0)
+        self.assertIsInstance(alone, Choice)
+
     def test_a_backend_that_fails_is_passed_over_and_forgiven(self) -> None:
         driver = Driver()
         among = backends("llm", 2)
