--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -84,7 +84,9 @@
             changes, revision = await self._store.watch(self._kind, self._revision, _WATCH_SECONDS)
             if changes:
                 self._on_changes(changes, revision)
-            self._revision = max(self._revision, revision)
+                self._revision = max(self._revision, revision)
+            # Without changes it goes on from where it was: a store in trouble may hold events
+            # back while its revision moves on, and would never tell of them again.
         self._note_answer()
         await anyio.sleep(self._jitter(self._interval))
 
--- /dev/null
+++ b/tests/views/test_watcher.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from lotushill.event_log import EventLog
+from lotushill.views.exceptions import HistoryGoneError
+from lotushill.views.exceptions import StoreUnavailableError
+from lotushill.views.stored_object import Change
+from lotushill.views.stored_object import ObjectList
+from lotushill.views.stored_object import StoredObject
+from lotushill.views.watcher import Watcher
+
+
+class ScriptedStore:
+    """A store whose watches and lists follow a script; then it is silent."""
+
+    def __init__(self, *steps: object) -> None:
+        self.steps = list(steps)
+        self.watched: list[int] = []
+        self.lists = 0
+        self.done = asyncio.Event()
+
+    async def list_kind(self, kind: str, stale: bool = False) -> ObjectList:
+        del kind, stale
+        self.lists += 1
+        return ObjectList((), 10)
+
+    async def watch(self, kind: str, revision: int, seconds: float) -> tuple[list[Change], int]:
+        del kind, seconds
+        self.watched.append(revision)
+        if not self.steps:
+            self.done.set()
+            await asyncio.Event().wait()
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        assert isinstance(step, tuple)
+        return step
+
+
+def change(name: str, revision: int) -> Change:
+    return Change(StoredObject(name, revision, {}), False)
+
+
+class TestWatcher(unittest.IsolatedAsyncioTestCase):
+    async def follow(self, store: ScriptedStore) -> list[str]:
+        seen: list[str] = []
+        watcher = Watcher(
+            store,
+            "k",
+            lambda listed: seen.append(f"list@{listed.revision}"),
+            lambda changes, at: seen.append(f"{[item.object.name for item in changes]}@{at}"),
+            random.Random(1),
+            EventLog("gw", lambda line: None),
+            0.001,
+        )
+        task = asyncio.create_task(watcher.run())
+        async with asyncio.timeout(5):
+            await store.done.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return seen
+
+    async def test_it_goes_on_from_the_last_change(self) -> None:
+        store = ScriptedStore(([change("a", 12)], 14), ([change("b", 15)], 15))
+        self.assertEqual(["list@10", "['a']@14", "['b']@15"], await self.follow(store))
+        self.assertEqual([10, 14, 15], store.watched)
+
+    async def test_a_revision_that_moved_on_without_events_skips_nothing(self) -> None:
+        store = ScriptedStore(([], 13), ([change("held back", 12)], 13))
+        self.assertEqual(["list@10", "['held back']@13"], await self.follow(store))
+        self.assertEqual([10, 10, 13], store.watched)
+
+    async def test_after_a_gap_it_lists_and_after_an_outage_it_goes_on(self) -> None:
+        store = ScriptedStore(
+            HistoryGoneError(), StoreUnavailableError("x"), ([change("a", 12)], 12)
+        )
+        self.assertEqual(["list@10", "list@10", "['a']@12"], await self.follow(store))
+        self.assertEqual((2, [10, 10, 10, 12]), (store.lists, store.watched))
