Test the gateway as a process; bound resting connections; leave a second of the grace time

Change: a stop ends a second before the grace time; the wait for the balancer is a setting; each gateway rests at most half its part of a backend's connections; the headers of a body at hand whole are made in one place.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -116,7 +116,7 @@
         """Pass a plain answer on once it is whole, so that one cut off is never begun."""
         body = await self._read_all(connection)
         self._note_event()
-        await self._answer.start(head.status, _with_length(head, body))
+        await self._answer.start(head.status, head.headers_for(body))
         await self._answer.finish(body)
         return AttemptEnd(EndKind.WHOLE)
 
@@ -204,9 +204,3 @@
         load.failures.note(failed, now)
         if end.kind is EndKind.WHOLE and self._request.route.kind is RouteKind.STREAM:
             self._parts.fleet.pace(self._request.service.name).note_stream(now - self.sent_at)
-
-
-def _with_length(head: AnswerHead, body: bytes) -> list[tuple[bytes, bytes]]:
-    """Return headers with the length of a body that is at hand whole."""
-    kept = [item for item in head.headers if item[0] != b"content-length"]
-    return [*kept, (b"content-length", str(len(body)).encode())]
--- a/src/lotushill/gateway/backend_connection.py
+++ b/src/lotushill/gateway/backend_connection.py
@@ -40,6 +40,11 @@
     status: int
     headers: Headers
 
+    def headers_for(self, body: bytes) -> Headers:
+        """Return the headers with the length of a body that is at hand whole."""
+        kept = [item for item in self.headers if item[0] != b"content-length"]
+        return [*kept, (b"content-length", str(len(body)).encode())]
+
 
 class BackendConnection(asyncio.Protocol):
     """Carries one request at a time."""
--- a/src/lotushill/gateway/backend_pool.py
+++ b/src/lotushill/gateway/backend_pool.py
@@ -23,8 +23,14 @@
 class BackendPool:
     """Opens connections when none rests, and uses the one that rested shortest first."""
 
-    def __init__(self, answered_id: Callable[[Headers], str]) -> None:
+    def __init__(
+        self,
+        answered_id: Callable[[Headers], str],
+        most_idle: Callable[[Backend], int] = lambda _: _MOST_IDLE,
+    ) -> None:
+        """Make an empty pool; `most_idle` bounds the connections that rest at a backend."""
         self._answered_id = answered_id
+        self._most_idle = most_idle
         self._idle: dict[str, list[BackendConnection]] = {}
         self.opened = 0
         """Connections opened so far."""
@@ -43,7 +49,7 @@
     def give_back(self, backend: Backend, connection: BackendConnection) -> None:
         """Keep a connection whose answer was whole, or end it."""
         kept = self._idle.setdefault(backend.id, [])
-        if not connection.reusable or len(kept) >= _MOST_IDLE:
+        if not connection.reusable or len(kept) >= min(_MOST_IDLE, self._most_idle(backend)):
             connection.close()
             return
         connection.rest(asyncio.get_running_loop().time())
--- a/src/lotushill/gateway/client_answer.py
+++ b/src/lotushill/gateway/client_answer.py
@@ -30,7 +30,6 @@
         self._send = send
         self._request_id = request_id
         self.started = False
-        self.finished = False
         self.closing = False
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -47,7 +46,6 @@
 
     async def finish(self, data: bytes = b"") -> None:
         """End the answer as whole."""
-        self.finished = True
         await self._send({"type": "http.response.body", "body": data})
 
     async def give(self, status: int, retry_after: float | None = None) -> None:
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -43,6 +43,7 @@
         self._splitter = EventSplitter()
         self._loop = asyncio.get_running_loop()
         self._excluded: set[str] = set()
+        self._retry_after = _RETRY_SECONDS
         self._unsent = 0
         self._rejected = 0
         self.runs = 0
@@ -200,20 +201,12 @@
             return
         if end is not None and end.kind is EndKind.FAILED and end.head is not None:
             self.outcome = f"failed:{end.detail}"
-            await self._answer.start(end.head.status, _with_length(end))
+            await self._answer.start(end.head.status, end.head.headers_for(end.body))
             await self._answer.finish(end.body)
         elif self.runs:
             await self._answer.give(_BAD_GATEWAY)
         else:
             await self._answer.give(_UNAVAILABLE, self._retry_after)
 
-    _retry_after = _RETRY_SECONDS
-
     def _note(self, event: str, **fields: object) -> None:
         self._parts.log.note(event, request=self._request.demand.request_id, **fields)
-
-
-def _with_length(end: AttemptEnd) -> list[tuple[bytes, bytes]]:
-    assert end.head is not None
-    kept = [item for item in end.head.headers if item[0] != b"content-length"]
-    return [*kept, (b"content-length", str(len(end.body)).encode())]
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -34,12 +34,11 @@
     from anyio.abc import TaskGroup
 
     from lotushill.gateway.settings import GatewaySettings
+    from lotushill.routing.backend import Backend
     from lotushill.routing.service import Service
 
 _SWEEP_SECONDS = 0.5
-_BALANCER_SECONDS = 3.0
-"""So long after it stops being ready a gateway may still be sent new connections."""
-_LAST_SECONDS = 0.4
+_LAST_SECONDS = 1.0
 """Kept of the time to stop, so that the process ends by itself."""
 _TICK_SECONDS = 0.05
 
@@ -69,7 +68,7 @@
         self.shared_load = SharedLoad(
             settings.name, self.fleet, time.monotonic, self._service_of, self.peers.tell_load
         )
-        self.pool = BackendPool(request_head.answered_id)
+        self.pool = BackendPool(request_head.answered_id, self._most_idle)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
         self.front = Front(
             GatewayParts(
@@ -139,7 +138,7 @@
         self._stopping = True
         self.front.closing = True
         self.log.note("process.stopping", in_progress=self.front.in_progress)
-        await anyio.sleep(_BALANCER_SECONDS)
+        await anyio.sleep(self.settings.leave_seconds)
         self.front.open = False
         self.clients.stop()
         while self.front.in_progress and time.monotonic() < ends:
@@ -157,6 +156,13 @@
             return None
         return table.services.get(backend.service)
 
+    def _most_idle(self, backend: Backend) -> int:
+        """Return this gateway's part of the connections that a backend accepts."""
+        service = self._service_of(backend.id)
+        if service is None:
+            return 0
+        return max(1, service.max_connections // (2 * max(1, self.peers.count())))
+
     def _on_configuration(self) -> None:
         table = self.views.configuration.table
         if table is not None:
--- a/src/lotushill/gateway/settings.py
+++ b/src/lotushill/gateway/settings.py
@@ -46,8 +46,8 @@
     """The platform's store."""
     grace_seconds: Seconds = 8.0
     """How long after the first signal to stop the process is ended."""
-    drain_seconds: Seconds = 2.0
-    """How soon a backend that is leaving gets no more requests."""
+    leave_seconds: Annotated[float, Field(ge=0)] = 3.0
+    """How long after a signal to stop the balancer may still send new connections."""
     recent_seconds: Seconds = 10.0
     """A shared prompt part used within so long is worth being found again."""
     retry: RetrySettings = RetrySettings()
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -60,8 +60,6 @@
         self._pause = _FIRST_PAUSE_SECONDS
         self.failing = False
         """Whether the last call brought no answer."""
-        self.heard_at = float("-inf")
-        """When the store last answered, on the loop's clock."""
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -91,7 +89,6 @@
         await anyio.sleep(self._jitter(self._interval))
 
     def _note_answer(self) -> None:
-        self.heard_at = anyio.current_time()
         self._pause = _FIRST_PAUSE_SECONDS
         if self.failing:
             self.failing = False
--- /dev/null
+++ b/tests/console/test_gateway_program.py
@@ -0,0 +1,165 @@
+"""The program `lotushill-gateway` as a process of its own, before stand-ins on the loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from lotushill.links.http_server import HttpServer
+from lotushill.standin.metadata_app import MetadataApp
+from lotushill.standin.metadata_store import MetadataStore
+from tests.gateway.rig import ScriptedBackend
+from tests.gateway.rig import Seen
+from tests.gateway.rig import read_answer
+
+_MODULE = "lotushill.console.gateway"
+_PATIENCE = 30.0
+
+SPEC = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "a.example",
+            "pathPrefix": "/p/",
+            "kind": "non_idempotent",
+            "timeoutMs": 5000,
+            "targetLatencyMs": 400,
+            "service": "app",
+            "maxAttempts": 1,
+        }
+    ],
+    "services": [{"name": "app", "healthPath": "/health", "maxConns": 50}],
+    "tenants": [{"name": "bakery", "apiKeys": ["secret-key"]}],
+}
+
+
+def free_address() -> str:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        host, port = found.getsockname()
+        return f"{host}:{port}"
+
+
+async def get_status(address: str, path: str) -> int:
+    host, _, port = address.partition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return 0
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    got = await read_answer(reader)
+    writer.close()
+    return got.status
+
+
+class TestGatewayProgram(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore()
+        self.server = HttpServer(MetadataApp(self.store), "127.0.0.1:0")
+        self.task = asyncio.create_task(self.server.serve())
+        await self.server.wait_started()
+        self.proceed = asyncio.Event()
+        self.backend = ScriptedBackend([self.answer])
+        await self.backend.start()
+        self.store.create("config", "main", SPEC)
+        entry = {"service": "app", "address": self.backend.address, "zone": "z", "slots": 4}
+        self.store.create("servers", "i-1", {**entry, "state": "ready"})
+        self.folder = tempfile.TemporaryDirectory()
+        self.clients, self.readiness = free_address(), free_address()
+
+    async def asyncTearDown(self) -> None:
+        self.server.abort()
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.backend.end()
+        self.folder.cleanup()
+
+    async def answer(self, seen: Seen) -> None:
+        await self.proceed.wait()
+        seen.whole()
+
+    async def start(self, **changes: object) -> asyncio.subprocess.Process:
+        settings = {
+            "name": "gw-1",
+            "zone": "z",
+            "region": "r",
+            "clients": self.clients,
+            "readiness": self.readiness,
+            "peers": free_address(),
+            "store": self.server.address,
+            "leave_seconds": 0.2,
+            "a field of tomorrow": 1,
+            **changes,
+        }
+        path = Path(self.folder.name) / "settings.yaml"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            _MODULE,
+            env={**os.environ, "LOTUSHILL_NODE_FILE": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    async def ready(self) -> None:
+        while await get_status(self.readiness, "/readyz") != 200:
+            await asyncio.sleep(0.05)
+
+    async def test_a_planned_stop_finishes_what_is_in_progress(self) -> None:
+        async with asyncio.timeout(_PATIENCE):
+            process = await self.start()
+            await self.ready()
+            host, _, port = self.clients.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r1\r\n"
+                b"Authorization: Bearer secret-key\r\nContent-Length: 0\r\n\r\n"
+            )
+            while not self.backend.seen:
+                await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGTERM)
+            while await get_status(self.readiness, "/readyz") == 200:
+                await asyncio.sleep(0.02)
+            self.proceed.set()
+            got = await read_answer(reader)
+            writer.close()
+            output, errors = await process.communicate()
+        self.assertEqual((200, b"done"), (got.status, got.body))
+        self.assertEqual((0, b""), (process.returncode, errors))
+        events = [json.loads(line)["event"] for line in output.splitlines()]
+        self.assertEqual("process.started", events[0])
+        self.assertIn("process.stopping", events)
+        self.assertEqual("process.stopped", events[-1])
+        registered = self.store.list_kind("lotushill-gateways")["items"]
+        self.assertEqual(["gw-1"], [item["metadata"]["name"] for item in registered])
+
+    async def test_without_a_configuration_it_is_not_ready(self) -> None:
+        self.store.delete("config", "main")
+        async with asyncio.timeout(_PATIENCE):
+            process = await self.start()
+            while (status := await get_status(self.readiness, "/readyz")) == 0:
+                await asyncio.sleep(0.05)
+            self.assertEqual(503, status)
+            self.store.create("config", "main", SPEC)
+            await self.ready()
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+
+    async def test_a_wrong_value_is_named_by_its_path(self) -> None:
+        async with asyncio.timeout(_PATIENCE):
+            process = await self.start(store="nowhere", retry={"ratio": -1})
+            _, errors = await process.communicate()
+        lines = errors.decode().splitlines()
+        self.assertEqual(2, process.returncode)
+        self.assertEqual(2, len(lines), lines)
+        self.assertTrue(any("store" in line for line in lines))
+        self.assertTrue(any("retry.ratio" in line for line in lines))
