Fill backends from both ends of a shared order; remember kept prompt parts from the first request

And a gateway that asked for a backend's load before anything was placed there made it with room for no parts, so that it never knew what that backend kept. Change: streams with short pauses prefer one end of an order of backends made by rendezvous hash, long prompts the other. The room for parts comes with each request.

--- a/src/lotushill/placement/backend_load.py
+++ b/src/lotushill/placement/backend_load.py
@@ -21,13 +21,13 @@
 class BackendLoad:
     """The requests of all gateways on one backend, and its health as seen from here."""
 
-    def __init__(self, memory_tokens: int) -> None:
+    def __init__(self) -> None:
         self.running: dict[str, Placed] = {}
         self.memory = 0
         """Tokens that the running requests may hold in the end."""
         self._answers = 0
         """Of the memory, what is not parts of prompts."""
-        self.kept = KeptParts(memory_tokens)
+        self.kept = KeptParts()
         self.failures = FailureRate()
         self.gaps: Counter[float] = Counter()
         """Streams by the longest pause that is in time for them."""
@@ -39,8 +39,8 @@
         self._away_until = float("-inf")
         self._back_off = _FIRST_BACK_OFF
 
-    def start(self, placed: Placed, now: float) -> None:
-        """Count a request in."""
+    def start(self, placed: Placed, memory_tokens: int, now: float) -> None:
+        """Count a request in, on a backend with so much memory."""
         if placed.request in self.running:
             return
         self.running[placed.request] = placed
@@ -54,7 +54,7 @@
             self._unread_total += placed.reading
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self._answers += max(0, placed.memory - sum(placed.part_tokens))
-        self.kept.touch(parts, self._answers)
+        self.kept.touch(parts, memory_tokens - self._answers)
 
     def begin(self, request: str, now: float) -> None:
         """Note that the prompt of a request has been read."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.hosts.rendezvous import ranked
 from lotushill.placement.backend_load import BackendLoad
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
@@ -34,15 +35,13 @@
 """What reading a shared token again costs that some backend has read of late."""
 _READING_LOSS_PER_TOKEN = 1e-5
 """What reading any token costs, since it keeps others waiting."""
-_PACKING_LOSS = 0.08
-"""What it costs to bring a stream with short pauses to a backend with few of them."""
 _PACKED_SHARE = 0.6
 """Of the slots; beyond it such streams are spread."""
 _OTHER_ZONE_LOSS = 0.01
 _CUT_ZONE_LOSS = 1.0
 """What it costs to try a zone of whose gateways none is heard."""
-_FIRST_DELICATE_LOSS = 0.2
-"""What it costs to bring a stream with short pauses to a backend that has none."""
+_ORDER_LOSS = 0.5
+"""What the farther end of the order of backends costs."""
 _LATE_STEEPNESS = 6.0
 _GAP_STEEPNESS = 8.0
 _GAP_MIDDLE = 0.85
@@ -54,6 +53,7 @@
 _LONG_RETRY = 1.0
 _LONG_WAIT = 0.5
 """Of its target, how long a long request may wait until its prompt is read."""
+_MOST_RANKED = 10_000
 _SHORTEST_RETRY = 0.2
 _LONGEST_RETRY = 3.0
 
@@ -116,11 +116,11 @@
 
     # Feeding the model
 
-    def load(self, backend_id: str, memory_tokens: int = 0) -> BackendLoad:
+    def load(self, backend_id: str) -> BackendLoad:
         """Return the load of a backend."""
         found = self._loads.get(backend_id)
         if found is None:
-            found = self._loads[backend_id] = BackendLoad(memory_tokens)
+            found = self._loads[backend_id] = BackendLoad()
         return found
 
     def pace(self, service: str) -> Pace:
@@ -133,8 +133,8 @@
     def start(self, placed: Placed, service: Service, now: float) -> None:
         """Count a request in, of this gateway or of another."""
         engine = service.engine
-        load = self.load(placed.backend, engine.memory_tokens if engine else 0)
-        load.start(placed, now)
+        load = self.load(placed.backend)
+        load.start(placed, engine.memory_tokens if engine else 0, now)
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
         self._where[placed.request] = placed.backend
@@ -173,11 +173,16 @@
         now: float,
     ) -> Choice | NoChoice:
         """Return the cheapest backend that can serve a request, or why there is none."""
-        candidates = [item for item in backends if item.id not in excluded]
+        known = {item.id: item for item in backends}
+        ranks = _ranks(need.service, known) if service.engine else {}
+        candidates = [item for item in known.values() if item.id not in excluded]
         reachable = [item for item in candidates if not self.load(item.id).away(now)]
         if not candidates:
             return NoChoice("no backend", 1.0)
-        choices = [self._weigh(need, service, item, now) for item in reachable or candidates]
+        choices = [
+            self._weigh(need, service, item, ranks.get(item.id, 0.0), now)
+            for item in reachable or candidates
+        ]
         best = min(choices, key=lambda choice: choice.cost)
         if self._is_long(need) and self._overloaded(need, best):
             wait = max(_LONG_RETRY, best.wait)
@@ -202,10 +207,12 @@
         """Return whether even the best place keeps a request waiting or harms others more."""
         return choice.wait > _LONG_WAIT * need.target or choice.pressure > _MOST_HARM
 
-    def _weigh(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
+    def _weigh(
+        self, need: Need, service: Service, backend: Backend, rank: float, now: float
+    ) -> Choice:
         if service.engine is None:
             return self._weigh_plain(need, backend, now)
-        return self._weigh_engine(need, service, backend, now)
+        return self._weigh_engine(need, service, backend, rank, now)
 
     def _weigh_plain(self, need: Need, backend: Backend, now: float) -> Choice:
         load = self.load(backend.id)
@@ -216,10 +223,12 @@
         cost += _CROWDING_LOSS * crowd + self._standing_cost(backend, load, now)
         return Choice(backend, cost, first, 0, 0, first, running=len(load.running))
 
-    def _weigh_engine(self, need: Need, service: Service, backend: Backend, now: float) -> Choice:
+    def _weigh_engine(
+        self, need: Need, service: Service, backend: Backend, rank: float, now: float
+    ) -> Choice:
         engine = service.engine
         assert engine is not None
-        load = self.load(backend.id, engine.memory_tokens)
+        load = self.load(backend.id)
         pace = self.pace(need.service)
         rate = pace.read_rate / load.slowness(now)
         unread = load.unread(rate, now)
@@ -236,7 +245,7 @@
         cost += harm
         usual = self.usual.reading(need.service, need.route)
         pressure = self._harm(load, pace, unread / rate, usual / rate)
-        cost += self._packing_cost(need, pace, load, running / engine.slots)
+        cost += self._packing_cost(need, pace, rank, running / engine.slots)
         again = self.recent.again(need.parts, need.prompt_tokens - reading, now)
         cost += _REREAD_LOSS_PER_TOKEN * again + _READING_LOSS_PER_TOKEN * reading
         if load.memory + need.prompt_tokens + need.output_tokens > (
@@ -273,18 +282,19 @@
             harm += count * coming * missed
         return _GAP_LOSS * harm
 
-    def _packing_cost(self, need: Need, pace: Pace, load: BackendLoad, crowd: float) -> float:
+    def _packing_cost(self, need: Need, pace: Pace, rank: float, crowd: float) -> float:
         """Return what it costs to leave fewer backends fit for the long prompts of the moment.
 
-        Streams with short pauses go together, as long as there are slots; others are spread.
+        Streams with short pauses fill the backends from one end of an order that all gateways
+        share, and long prompts from the other, so that each backend keeps its kind of work and
+        its prompt parts while the border moves with the mix.
         """
-        if need.gap <= 0 or need.gap - pace.event_gap >= pace.long_reading:
-            return _CROWDING_LOSS * crowd
-        first = not any(gap <= need.gap for gap in load.gaps)
-        cost = _FIRST_DELICATE_LOSS if first else 0.0
-        if crowd < _PACKED_SHARE:
-            return cost + _PACKING_LOSS * (1.0 - crowd / _PACKED_SHARE)
-        return cost + (crowd - _PACKED_SHARE)
+        spread = max(0.0, crowd - _PACKED_SHARE) + _CROWDING_LOSS * crowd
+        if need.gap > 0 and need.gap - pace.event_gap < pace.long_reading:
+            return _ORDER_LOSS * rank + spread
+        if self._is_long(need):
+            return _ORDER_LOSS * (1.0 - rank) + spread
+        return spread
 
     def _standing_cost(self, backend: Backend, load: BackendLoad, now: float) -> float:
         cost = _FAILURE_LOSS * load.failures.rate(now)
@@ -293,6 +303,13 @@
         return cost
 
 
+def _ranks(service: str, backends: Iterable[str]) -> dict[str, float]:
+    """Return the place of each backend, from 0 to 1, in an order that all gateways share."""
+    order = ranked(service, backends, _MOST_RANKED)
+    last = max(1, len(order) - 1)
+    return {backend: place / last for place, backend in enumerate(order)}
+
+
 def _missed(share: float) -> float:
     """Return how likely a pause is too long that takes this share of what is allowed."""
     return _logistic(_GAP_STEEPNESS * (share - _GAP_MIDDLE))
--- a/src/lotushill/placement/kept_parts.py
+++ b/src/lotushill/placement/kept_parts.py
@@ -18,8 +18,7 @@
 class KeptParts:
     """Parts by their whole chain, the longest unused first to give way."""
 
-    def __init__(self, capacity: int) -> None:
-        self._capacity = capacity
+    def __init__(self) -> None:
         self._tokens: OrderedDict[int, int] = OrderedDict()
         self._held = 0
 
@@ -32,15 +31,15 @@
             total += part.tokens
         return total
 
-    def touch(self, parts: Iterable[PromptPart], running: int) -> None:
-        """Note that a prompt was read, while answers of `running` tokens are being made."""
+    def touch(self, parts: Iterable[PromptPart], room: int) -> None:
+        """Note that a prompt was read, where parts of `room` tokens in all can be kept."""
         for key, part in chained(parts):
             if key in self._tokens:
                 self._tokens.move_to_end(key)
                 continue
             self._tokens[key] = part.tokens
             self._held += part.tokens
-        while self._tokens and self._held > max(0, self._capacity - running):
+        while self._tokens and self._held > room:
             _, tokens = self._tokens.popitem(last=False)
             self._held -= tokens
 
--- a/tests/placement/test_backend_load.py
+++ b/tests/placement/test_backend_load.py
@@ -28,14 +28,14 @@
     def test_counts_hold_over_any_history_and_end_at_nothing(
         self, operations: list[tuple[str, int, float]]
     ) -> None:
-        load = BackendLoad(100_000)
+        load = BackendLoad()
         now = 0.0
         running: dict[str, bool] = {}
         for what, number, pause in operations:
             now += pause
             name = str(number)
             if what == "start":
-                load.start(placed(name), now)
+                load.start(placed(name), 100_000, now)
                 running.setdefault(name, False)
             elif what == "begin":
                 load.begin(name, now)
@@ -54,9 +54,9 @@
         self.assertEqual((0, 0.0, {}), (load.memory, load.unread(RATE, now), dict(load.gaps)))
 
     def test_a_prompt_counts_as_unread_until_its_first_event(self) -> None:
-        load = BackendLoad(100_000)
-        load.start(placed("a", 500), 0.0)
-        load.start(placed("b", 2000), 0.0)
+        load = BackendLoad()
+        load.start(placed("a", 500), 100_000, 0.0)
+        load.start(placed("b", 2000), 100_000, 0.0)
         self.assertEqual(2000.0, load.unread(RATE, 60.0))
         load.begin("a", 60.0)
         self.assertEqual(2000.0, load.unread(RATE, 60.0))
@@ -64,14 +64,14 @@
         self.assertEqual(0.0, load.unread(RATE, 61.0))
 
     def test_slowness_fades_when_nothing_is_seen(self) -> None:
-        load = BackendLoad(1)
+        load = BackendLoad()
         for _ in range(50):
             load.note_pace(4.0, 10.0)
         self.assertGreater(load.slowness(10.0), 3.0)
         self.assertEqual(1.0, load.slowness(30.0))
 
     def test_an_unreachable_backend_is_tried_again_and_forgiven(self) -> None:
-        load = BackendLoad(1)
+        load = BackendLoad()
         load.note_unreachable(0.0)
         self.assertTrue(load.away(0.1))
         self.assertFalse(load.away(5.0))
--- a/tests/placement/test_kept_parts.py
+++ b/tests/placement/test_kept_parts.py
@@ -19,24 +19,24 @@
     def test_never_more_is_matched_than_fits_and_than_was_sent(
         self, prompts: list[list[PromptPart]], capacity: int
     ) -> None:
-        kept = KeptParts(capacity)
+        kept = KeptParts()
         for prompt in prompts:
-            kept.touch(prompt, 0)
+            kept.touch(prompt, capacity)
             matched = kept.matched(prompt)
             self.assertLessEqual(matched, min(capacity, sum(part.tokens for part in prompt)))
 
     def test_a_part_behind_another_part_is_another_part(self) -> None:
-        kept = KeptParts(1000)
-        kept.touch([PromptPart(1, 10), PromptPart(2, 10)], 0)
+        kept = KeptParts()
+        kept.touch([PromptPart(1, 10), PromptPart(2, 10)], 1000)
         self.assertEqual(0, kept.matched([PromptPart(2, 10)]))
         self.assertEqual(10, kept.matched([PromptPart(1, 10), PromptPart(3, 10)]))
 
     def test_the_longest_unused_gives_way(self) -> None:
-        kept = KeptParts(30)
+        kept = KeptParts()
         for name in (1, 2, 3):
-            kept.touch([PromptPart(name, 10)], 0)
-        kept.touch([PromptPart(1, 10)], 0)
-        kept.touch([PromptPart(4, 10)], 0)
+            kept.touch([PromptPart(name, 10)], 30)
+        kept.touch([PromptPart(1, 10)], 30)
+        kept.touch([PromptPart(4, 10)], 30)
         self.assertEqual(10, kept.matched([PromptPart(1, 10)]))
         self.assertEqual(0, kept.matched([PromptPart(2, 10)]))
 
