--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -34,9 +34,14 @@
             window_requests = sum(1 for at in requests if at > now - WINDOW)
             self.assertLessEqual(window_repeats, RATIO * window_requests + SLACK)
 
+    def test_gateways_that_each_take_all_they_can_stay_within_it_together(self) -> None:
+        budgets = [RetryBudget(RATIO, SLACK, WINDOW) for _ in range(GATEWAYS)]
+        granted = sum(budget.spend(GATEWAYS, 0.0) for budget in budgets for _ in range(100))
+        self.assertTrue(0 < granted <= SLACK)
+
     def test_a_spent_budget_comes_back_with_time(self) -> None:
         budget = RetryBudget(0.0, 10.0, WINDOW)
-        while budget.spend(1, 0.0):
-            pass
+        granted = sum(budget.spend(1, 0.0) for _ in range(100))
+        self.assertTrue(0 < granted <= 10)
         self.assertFalse(budget.spend(1, WINDOW / 2))
         self.assertTrue(budget.spend(1, WINDOW * 1.5))
--- a/tests/gateway/test_shared_load.py
+++ b/tests/gateway/test_shared_load.py
@@ -77,6 +77,15 @@
         ]
         self.assertEqual(unread[0], unread[1])
 
+    def test_a_lost_end_and_a_lost_start_are_repaired_by_the_whole_list(self) -> None:
+        self.one.load.start(placed("one/1"), SERVICE)
+        self.other.load.receive(self.one.told.pop())
+        self.one.load.end("one/1")
+        self.one.load.start(placed("one/2"), SERVICE)
+        self.clock[0] = 1.0
+        self.other.load.receive(self.one.load.whole())
+        self.assertEqual({"one/2"}, self.other.running())
+
     def test_a_request_whose_end_is_never_told_is_dropped_in_time(self) -> None:
         self.other.load.receive(Load("one", False, placed=(placed("one/1"),)))
         self.clock[0] = 2.0
