--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,203 +1,195 @@
-"""The demo: real processes, real streams, an entry and an engine killed on the way."""
+"""The demo: a fleet on stand-ins, with an engine killed and a gateway stopped on the way."""
 
 from __future__ import annotations
 
-import sys
+import asyncio
+import random
+import signal
+import time
 from collections import Counter
-from collections import defaultdict
 from dataclasses import dataclass
-from pathlib import Path
+from dataclasses import field
 
-import anyio
+import httpcore
 from fleet import Fleet
-from fleet import Process
+from fleet import Program
 
-from lotushill.contracts.book import hash_key
-from lotushill.contracts.document import write
-from lotushill.load.caller import Caller
-from lotushill.load.caller import Order
-from lotushill.load.caller import Reply
-from lotushill.load.caller import expected_text
-
-REGION = "jalisco"
-HALLS = ("hall-zapopan", "hall-tlaque")
-TEAMS = ("bodas", "bautizos")
-ROUNDS = 25
-KILL_ENGINE_AT = 10
-KILL_ENTRY_AT = 18
+ZONES = ("hall-zapopan", "hall-tlaque")
+SECONDS = 12.0
+KILL_ENGINE_AT = 4.0
+STOP_GATEWAY_AT = 7.0
+EDIT_AT = 2.0
+KEY = "key-bodas"
+HOST = "demo.example"
+MAX_TRIES = 2
 
 
 @dataclass(frozen=True)
-class Class:
-    """One class that the demo calls."""
+class Kind:
+    """One kind of request that the demo makes."""
 
-    service: str
-    klass: str
-    tier: str
-    length: int
-    per_round: int
+    route: str
+    a_second: float
+    prompt: int
+    shared: int
+    output: int
 
 
-CLASSES = (
-    Class("wording", "counter", "counter", 16, 2),
-    Class("rsvp", "answer", "desk", 24, 4),
-    Class("cards", "batch", "batch", 48, 6),
+KINDS = (
+    Kind("guest-query", 12.0, 600, 200, 40),
+    Kind("suite-wording", 2.5, 6000, 4000, 80),
+    Kind("order-lookup", 5.0, 0, 0, 0),
 )
 
 
-def root_document() -> str:
-    """Return the root of the demo's settings tree."""
-    return write(
-        {
-            "tiers": ["counter", "desk", "batch"],
-            "pools": {
-                "drafts": {"kind": "engine", "model": "drafts-8b", "slots": 8, "max_slots": 16},
-                "orders": {"kind": "service"},
-            },
-            "policy": {"pool": "drafts", "deadline": 20.0, "target": {"first_token": 0.5}},
+def configuration() -> dict[str, object]:
+    """Return what the operator of the platform hands out."""
+
+    def route(name: str, service: str, kind: str, **more: object) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeoutMs": 10_000,
+            "maxAttempts": 2,
+            **more,
         }
-    )
-
-
-def team_document(team: str) -> str:
-    """Return the settings of one team."""
-    services: dict[str, object] = {
-        item.service: {"classes": {item.klass: {"policy": {"tier": item.tier}}}} for item in CLASSES
-    }
-    services["ledger"] = {
-        "policy": {"pool": "orders", "tier": "counter", "repeatable": False},
-        "classes": {"print": {}},
-    }
-    return write({"team": team, "keys": [hash_key(f"key-{team}")], "services": services})
-
-
-def start(fleet: Fleet) -> list[Process]:
-    """Start the stand-ins, three entry hosts and a keeper, and write the settings."""
-    fleet.start_platform()
-    for index in range(4):
-        hall = HALLS[index % 2]
-        fleet.start_upstream(
-            f"engine-{index}", "engine", "drafts", hall, REGION, slots=8, step=0.02
-        )
-    fleet.start_upstream("ledger-0", "service", "orders", HALLS[0], REGION)
-    fleet.put_object("desired/root", root_document())
-    for team in TEAMS:
-        fleet.put_object(f"desired/team/{team}", team_document(team))
-    fleet.start_keeper("keeper-0", HALLS[0])
-    entries: list[Process] = []
-    for index in range(3):
-        seeds = [entry.settings["peers"] for entry in entries]
-        entries.append(fleet.start_entry(f"entry-{index}", HALLS[index % 2], REGION, seeds))
-    fleet.wait_ready(*entries)
-    return entries
+
+    return {
+        "version": 1,
+        "routes": [
+            route("guest-query", "drafts", "stream", targetLatencyMs=300, targetGapMs=200,
+                  priority=0, streamResume=True),
+            route("suite-wording", "drafts", "stream", targetLatencyMs=2000, targetGapMs=500,
+                  priority=2),
+            route("order-lookup", "orders", "non_idempotent", targetLatencyMs=400, priority=1),
+        ],
+        "services": [
+            {"name": "drafts", "maxConns": 200,
+             "engine": {"slots": 16, "kvCapacity": 400_000, "stride": 4}},
+            {"name": "orders", "maxConns": 50},
+        ],
+        "tenants": [{"name": "bodas", "apiKeys": [KEY]}],
+    }  # fmt: skip
+
+
+@dataclass
+class Tally:
+    """What clients got."""
+
+    ends: Counter[str] = field(default_factory=Counter)
+    first: dict[str, list[float]] = field(default_factory=dict)
+    refused: str = ""
+    """A request that was refused or failed."""
 
 
 class Demo:
-    """Calls the fleet round by round and tallies what comes back."""
-
-    def __init__(self, fleet: Fleet, entries: list[Process]) -> None:
-        self.fleet = fleet
-        self.entries = entries
-        self.caller = Caller()
-        self.replies: dict[str, list[Reply]] = defaultdict(list)
-        self.wrong = 0
+    """Makes requests at the gateways and disturbs the fleet."""
+
+    def __init__(self, fleet: Fleet, gateways: list[Program], engine: Program) -> None:
+        self._fleet = fleet
+        self._gateways = gateways
+        self._engine = engine
+        self._open = list(gateways)
+        self._rng = random.Random(7)
         self._serial = 0
+        self.tally = Tally()
 
     async def run(self) -> None:
-        """Make all calls."""
-        async with anyio.create_task_group() as group:
-            for number in range(ROUNDS):
-                self._disturb(number)
-                for team in TEAMS:
-                    for item in CLASSES:
-                        for _ in range(item.per_round):
-                            group.start_soon(self._draft, team, item)
-                    group.start_soon(self._print, team)
-                await anyio.sleep(0.4)
-        await self.caller.close()
-
-    def _disturb(self, number: int) -> None:
-        if number == KILL_ENGINE_AT:
-            print("demo: killing engine-1 with streams in progress")
-            self.fleet.processes["engine-1"].kill()
-        if number == KILL_ENTRY_AT:
-            print("demo: killing entry-2 with streams in progress")
-            self.fleet.processes["entry-2"].kill()
-            self.entries.pop()
-
-    def _order(self, team: str, item: Class, prompt: str) -> Order:
+        """Make all requests."""
+        async with httpcore.AsyncConnectionPool(max_connections=200) as pool:
+            calls = [asyncio.create_task(self._disturb())]
+            calls += [asyncio.create_task(self._arrive(pool, kind)) for kind in KINDS]
+            await asyncio.gather(*calls)
+
+    async def _disturb(self) -> None:
+        await asyncio.sleep(EDIT_AT)
+        edit = ("set", "team/bodas", "services.drafts.classes.suite-wording.policy.tier", "3")
+        print("edit:", await asyncio.to_thread(self._fleet.operator, *edit))
+        await asyncio.sleep(KILL_ENGINE_AT - EDIT_AT)
+        print(f"{self._engine.name} is killed")
+        self._engine.signal(signal.SIGKILL)
+        await asyncio.sleep(STOP_GATEWAY_AT - KILL_ENGINE_AT)
+        leaving = self._open.pop()
+        print(f"{leaving.name} is stopped as planned")
+        leaving.signal(signal.SIGTERM)
+
+    async def _arrive(self, pool: httpcore.AsyncConnectionPool, kind: Kind) -> None:
+        ends = time.monotonic() + SECONDS
+        calls = []
+        while time.monotonic() < ends:
+            await asyncio.sleep(self._rng.expovariate(kind.a_second))
+            calls.append(asyncio.create_task(self._call(pool, kind)))
+        await asyncio.gather(*calls)
+
+    async def _call(self, pool: httpcore.AsyncConnectionPool, kind: Kind) -> None:
+        started = time.monotonic()
+        end = "failed"
+        for _ in range(MAX_TRIES):
+            end, first = await self._try(pool, kind)
+            if end == "served":
+                self.tally.first.setdefault(kind.route, []).append(first - started)
+                break
+            await asyncio.sleep(0.3)
+        self.tally.ends[f"{kind.route} {end}"] += 1
+
+    async def _try(self, pool: httpcore.AsyncConnectionPool, kind: Kind) -> tuple[str, float]:
         self._serial += 1
-        entry = self.entries[self._serial % len(self.entries)]
-        address = entry.settings["callers"]
-        key = f"key-{team}"
-        return Order(address, key, item.service, item.klass, "drafts-8b", prompt, deadline=15.0)
-
-    async def _draft(self, team: str, item: Class) -> None:
-        prompt = f"Draft {self._serial} for {team}, length={item.length}"
-        order = self._order(team, item, prompt)
-        reply = await self.caller.call(order)
-        self.replies[item.tier].append(reply)
-        if reply.completed and reply.text != expected_text(prompt):
-            self.wrong += 1
-
-    async def _print(self, team: str) -> None:
-        self._serial += 1
-        entry = self.entries[self._serial % len(self.entries)]
-        order = Order(
-            entry.settings["callers"],
-            f"key-{team}",
-            "ledger",
-            "print",
-            "",
-            "",
-            stream=False,
-            deadline=10.0,
-            repeatable=False,
-            idempotency_key=f"print-{team}-{self._serial}",
-            path="/orders/print",
-        )
-        reply = await self.caller.send(order, f"print {self._serial}".encode())
-        self.replies["ledger"].append(reply)
-
-
-def show(demo: Demo) -> int:
-    """Print the closing table; return the exit code."""
-    print(f"\n{'tier':10} {'calls':>6} {'completed':>10} {'in 0.5 s':>9}  outcomes")
-    for tier, replies in demo.replies.items():
-        done = sum(reply.completed for reply in replies)
-        timely = sum(reply.completed and reply.first_token <= 0.5 for reply in replies)
-        kinds = Counter(f"{reply.outcome}/{reply.code}".rstrip("/") for reply in replies)
-        text = ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items()))
-        print(f"{tier:10} {len(replies):>6} {done:>10} {timely:>9}  {text}")
-    print(f"answers that were not their own or not whole: {demo.wrong}")
-    total = sum(len(replies) for replies in demo.replies.values())
-    done = sum(reply.completed for replies in demo.replies.values() for reply in replies)
-    print(f"completed {done} of {total}")
-    return 0 if not demo.wrong and done >= 0.9 * total else 1
-
-
-def show_decisions(fleet: Fleet) -> None:
-    """Print a few decision log lines of each kind."""
-    print("\ndecisions, as logged:")
-    shown: Counter[str] = Counter()
-    for log in sorted(fleet.folder.glob("entry-*.log")):
-        for line in Path(log).read_text(encoding="utf-8").splitlines():
-            for kind in ("Granted.", "Refused.", "Ended a request.", "Member changed."):
-                if kind in line and shown[kind] < 3:
-                    shown[kind] += 1
-                    print("  " + line)
-
-
-def main() -> int:
-    """Run the demo."""
+        request = f"demo-{self._serial}"
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": request,
+            "Authorization": f"Bearer {KEY}",
+            "Deadline-Ms": "8000",
+        }
+        if kind.prompt:
+            session = self._rng.randrange(40)
+            own = kind.prompt - kind.shared
+            headers["Token-Usage"] = f"{kind.prompt},{kind.output}"
+            headers["Prompt-Prefix"] = f"{session + 1:x}:{kind.shared},{self._serial:x}f:{own}"
+        gateway = self._rng.choice(self._open).settings["clients"]
+        url = f"http://{gateway}/{kind.route}/x"
+        try:
+            async with pool.stream(
+                "POST", url, headers=list(headers.items()), content=b"{}"
+            ) as response:
+                first = 0.0
+                async for _ in response.aiter_stream():
+                    first = first or time.monotonic()
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            return "broken", 0.0
+        if response.status != 200:
+            self.tally.refused = request
+            return f"answered {response.status}", 0.0
+        return "served", first
+
+
+def main() -> None:
+    """Start the fleet, run the demo, and show what became of it."""
     with Fleet() as fleet:
-        entries = start(fleet)
-        print(f"demo: {len(fleet.processes)} processes are up")
-        demo = Demo(fleet, entries)
-        anyio.run(demo.run)
-        show_decisions(fleet)
-        return show(demo)
+        fleet.put("config", "main", configuration())
+        engines = [
+            fleet.start_backend(f"engine-{index}", "engine", "drafts", ZONES[index % 2])
+            for index in range(3)
+        ]
+        fleet.start_backend("ledger-0", "service", "orders", ZONES[0], work=0.02)
+        gateways = [fleet.start_gateway(f"gateway-{index}", ZONES[index % 2]) for index in range(3)]
+        fleet.wait_ready(*gateways)
+        print(f"{len(gateways)} gateways, {len(engines)} engines and a ledger are up")
+        demo = Demo(fleet, gateways, engines[0])
+        asyncio.run(demo.run())
+        for name, count in sorted(demo.tally.ends.items()):
+            print(f"{count:5d}  {name}")
+        for route, times in demo.tally.first.items():
+            times.sort()
+            print(f"first event of {route}: {times[len(times) // 2] * 1000:.0f} ms in the median")
+        print(fleet.operator("get", "team/bodas", "--effective", "drafts/suite-wording"))
+        print(fleet.operator("status"))
+        if demo.tally.refused:
+            print(fleet.operator("explain", demo.tally.refused))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/scripts/write_pages.py
+++ b/scripts/write_pages.py
@@ -18,30 +18,18 @@
 
 from tests import fault_matrix  # noqa: E402
 
-from lotushill.contracts.effective import BUILT_IN  # noqa: E402
-from lotushill.contracts.policy import Limits  # noqa: E402
 from lotushill.contracts.policy import Policy  # noqa: E402
 from lotushill.contracts.policy import Target  # noqa: E402
-from lotushill.contracts.tree import Pool  # noqa: E402
 from lotushill.contracts.tree import Root  # noqa: E402
 from lotushill.contracts.tree import Service  # noqa: E402
 from lotushill.contracts.tree import ServiceClass  # noqa: E402
 from lotushill.contracts.tree import Team  # noqa: E402
-from lotushill.hosts.settings import EntrySettings  # noqa: E402
-from lotushill.hosts.settings import KeeperSettings  # noqa: E402
+from lotushill.gateway.settings import GatewaySettings  # noqa: E402
+from lotushill.gateway.settings import RetrySettings  # noqa: E402
 from lotushill.standin.settings import StandinSettings  # noqa: E402
 
-_TREE: tuple[type[BaseModel], ...] = (
-    Root,
-    Pool,
-    Team,
-    Service,
-    ServiceClass,
-    Policy,
-    Target,
-    Limits,
-)
-_PROGRAMS: tuple[type[BaseModel], ...] = (EntrySettings, KeeperSettings, StandinSettings)
+_TREE: tuple[type[BaseModel], ...] = (Root, Team, Service, ServiceClass, Policy, Target)
+_PROGRAMS: tuple[type[BaseModel], ...] = (GatewaySettings, RetrySettings, StandinSettings)
 
 
 def pages() -> dict[str, str]:
@@ -57,22 +45,23 @@
         "# Configuration",
         "",
         "Written from the settings' own definitions by `python scripts/write_pages.py`, and held",
-        "against them in CI. Unknown keys are errors, and each fault is told by its path.",
+        "against them in CI. Each fault is told by its path.",
         "",
         "## The settings tree",
         "",
-        "Operators edit one object `root` and one object `team/NAME` for each team. Values are",
-        "inherited from the root to the team, its services and their classes; the nearest level",
-        "that sets a value wins. `lotushill get team/NAME --effective SERVICE/CLASS` shows each",
-        "value with the level that it comes from.",
+        "Operators edit one object `root` and one object `team/NAME` for each team, which is a",
+        "tenant of the platform's configuration. A class is a route. Values are inherited from the",
+        "platform's route to the root, its services and their classes, then to the team, its",
+        "services and their classes; the nearest level that sets a value wins.",
+        "`lotushill get team/NAME --effective SERVICE/CLASS` shows each value with the level that",
+        "it comes from. Unknown keys are errors. Edits are in force at all gateways within",
+        "seconds; `lotushill status` shows where.",
         "",
     ]
     for model in _TREE:
         lines += _table(model)
-    lines += ["Where no level sets a value, these hold:", ""]
-    built_in = BUILT_IN.model_dump(exclude_none=True, exclude_defaults=True)
-    lines += [f"- `{name}`: `{value}`" for name, value in built_in.items()]
-    lines += ["", "## The programs' own settings files", ""]
+    lines += ["## The programs' own settings files", ""]
+    lines += ["`lotushill-gateway` passes over keys that it does not know.", ""]
     for model in _PROGRAMS:
         lines += _table(model)
     return "\n".join(lines).rstrip() + "\n"
--- /dev/null
+++ b/src/lotushill/console/fleet_commands.py
@@ -0,0 +1,140 @@
+"""The commands of `lotushill` that ask the gateways of a fleet."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+import httpcore
+
+from lotushill.console.program import EXIT_FAILED
+from lotushill.console.program import EXIT_OK
+from lotushill.console.result import Result
+from lotushill.gateway.registration import KIND
+from lotushill.gateway.status_app import EXPLAIN_PATH
+from lotushill.gateway.status_app import STATUS_PATH
+
+if TYPE_CHECKING:
+    import argparse
+
+    from lotushill.platform.object_store import ObjectStore
+
+_ANSWER_SECONDS = 2.0
+_WATCH_SECONDS = 1.0
+_OK = 200
+
+
+@dataclass(frozen=True)
+class Gateway:
+    """Where a gateway tells its status."""
+
+    name: str
+    zone: str
+    status: str
+    """IP:PORT."""
+
+
+class FleetCommands:
+    """The commands against the gateways that registered in one store."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def status(self, options: argparse.Namespace) -> Result:
+        """Show what is in force at each gateway; exit code 1 unless all agree."""
+        seen = ""
+        while True:
+            result = await self._status()
+            if not options.watch:
+                return result
+            if result.text != seen:
+                seen = result.text
+                print(seen, flush=True)
+            await anyio.sleep(_WATCH_SECONDS)
+
+    async def explain(self, options: argparse.Namespace) -> Result:
+        """Tell what happened to a request, from the gateway that it came through."""
+        answers = await self._ask_all(EXPLAIN_PATH + options.request)
+        for name, events in answers.items():
+            if events:
+                lines = [f"{name}:", *(_event_line(item) for item in events)]
+                return Result("\n".join(lines), {"gateway": name, "events": events})
+        return Result(f"no gateway remembers request {options.request}", None, EXIT_FAILED)
+
+    async def _status(self) -> Result:
+        gateways = await self._gateways()
+        answers = await self._ask_all(STATUS_PATH)
+        rows = {item.name: answers.get(item.name) for item in gateways}
+        silent = [name for name, row in rows.items() if row is None]
+        held = {json.dumps(_in_force(row)) for row in rows.values() if row}
+        agree = len(held) == 1 and not silent
+        lines = [
+            f"{len(rows) - len(silent)} of {len(rows)} gateways answer"
+            + (", all with the same in force" if agree else "")
+        ]
+        lines += [_status_line(item, rows[item.name]) for item in gateways]
+        return Result("\n".join(lines), rows, EXIT_OK if agree else EXIT_FAILED)
+
+    async def _gateways(self) -> list[Gateway]:
+        listed = await self._store.list_kind(KIND)
+        return [
+            Gateway(item.name, str(item.spec.get("zone")), str(item.spec["status"]))
+            for item in listed.objects
+            if isinstance(item.spec, dict) and item.spec.get("status")
+        ]
+
+    async def _ask_all(self, path: str) -> dict[str, Any]:
+        """Return what each gateway answers, None for those that give no good answer."""
+        answers: dict[str, Any] = {}
+
+        async def ask(gateway: Gateway) -> None:
+            answers[gateway.name] = await _ask(pool, gateway.status, path)
+
+        async with httpcore.AsyncConnectionPool() as pool, anyio.create_task_group() as group:
+            for gateway in await self._gateways():
+                group.start_soon(ask, gateway)
+        return answers
+
+
+async def _ask(pool: httpcore.AsyncConnectionPool, address: str, path: str) -> Any:
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), _ANSWER_SECONDS)
+    try:
+        response = await pool.request(
+            "GET", f"http://{address}{path}", extensions={"timeout": timeout}
+        )
+        return json.loads(response.content) if response.status == _OK else None
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+        ValueError,
+    ):
+        return None
+
+
+def _in_force(status: dict[str, Any]) -> list[Any]:
+    return [status["configuration"]["revision"], status["settings"]["in_force"]]
+
+
+def _status_line(gateway: Gateway, status: dict[str, Any] | None) -> str:
+    if status is None:
+        return f"{gateway.name} ({gateway.zone}): no answer"
+    line = (
+        f"{gateway.name} ({gateway.zone}): {'ready' if status['ready'] else 'not ready'}, "
+        f"configuration version {status['configuration']['version']}, "
+        f"settings {status['settings']['in_force']}, "
+        f"{len(status['backends']['known'])} backends, {len(status['members'])} members, "
+        f"{status['in_progress']} in progress"
+    )
+    faults = [f"  {name}: {fault}" for name, fault in status["settings"]["faults"].items()]
+    return "\n".join([line, *faults])
+
+
+def _event_line(event: dict[str, Any]) -> str:
+    rest = {key: value for key, value in event.items() if key not in ("t", "node", "event")}
+    rest.pop("request", None)
+    fields = "  ".join(f"{key}={value}" for key, value in rest.items())
+    return f"  {event['t']:.3f}  {event['event']}  {fields}"
--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import os
-import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from lotushill.console.program import EXIT_BAD_SETTINGS
 from lotushill.console.program import new_parser
+from lotushill.console.program import read_settings
 from lotushill.console.program import run
 from lotushill.console.program import start_logs
 from lotushill.contracts.document import read
-from lotushill.contracts.exceptions import SettingsError
 from lotushill.gateway.gateway import Gateway
 from lotushill.gateway.settings import GatewaySettings
 
@@ -36,20 +34,11 @@
     if path is None:
         parser.error(f"--config or ${CONFIG_VARIABLE} is needed")
     start_logs("INFO")
-    run(_serve, _read(Path(path)))
+    run(_serve, read_settings(GatewaySettings, Path(path)), Path(path))
 
 
-def _read(path: Path) -> GatewaySettings:
-    try:
-        return read(GatewaySettings, path)
-    except SettingsError as error:
-        for fault in error.faults:
-            print(f"{error.source}: {fault}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS) from error
-
-
-async def _serve(settings: GatewaySettings) -> None:
-    await Gateway(settings).run()
+async def _serve(settings: GatewaySettings, path: Path) -> None:
+    await Gateway(settings, lambda: read(GatewaySettings, path)).run()
 
 
 if __name__ == "__main__":
--- a/src/lotushill/console/program.py
+++ b/src/lotushill/console/program.py
@@ -11,9 +11,9 @@
 from typing import TypeVar
 
 import anyio
+from pydantic import BaseModel
 
 from lotushill import __version__
-from lotushill.contracts.document import Document
 from lotushill.contracts.document import read
 from lotushill.contracts.exceptions import SettingsError
 
@@ -27,7 +27,7 @@
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
 
-D = TypeVar("D", bound=Document)
+D = TypeVar("D", bound=BaseModel)
 
 _UNCLEAN_END = "ASGI callable returned without completing response."
 _LOG_FORMAT = "%(asctime)s %(name)s: %(message)s"
--- /dev/null
+++ b/src/lotushill/console/settings_commands.py
@@ -0,0 +1,149 @@
+"""The commands of `lotushill` that read and edit the settings tree."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+from typing import Any
+
+from lotushill.console.program import EXIT_FAILED
+from lotushill.console.program import EXIT_OK
+from lotushill.console.result import Result
+from lotushill.contracts.document import check
+from lotushill.contracts.document import parse
+from lotushill.contracts.document import write
+from lotushill.contracts.editor import Editor
+from lotushill.contracts.editor import check_object
+from lotushill.contracts.effective import trace
+from lotushill.contracts.exceptions import Fault
+from lotushill.contracts.exceptions import SettingsError
+from lotushill.contracts.names import ROOT_NAME
+from lotushill.contracts.names import name_of
+from lotushill.contracts.paths import flatten
+from lotushill.contracts.paths import put
+from lotushill.contracts.paths import remove
+from lotushill.contracts.tree import Root
+from lotushill.contracts.tree import Team
+from lotushill.platform import names
+from lotushill.platform.configuration import parse_table
+
+if TYPE_CHECKING:
+    import argparse
+    from pathlib import Path
+
+    from lotushill.platform.object_store import ObjectStore
+    from lotushill.routing.table import RoutingTable
+
+
+class SettingsCommands:
+    """The commands against one store."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._editor = Editor(store)
+
+    async def validate(self, options: argparse.Namespace) -> Result:
+        """Check files."""
+        for path in options.files:
+            data = _load(path)
+            check(Root if name_of(data) == ROOT_NAME else Team, data, str(path))
+        count = len(options.files)
+        return Result(f"{count} files are good", {"files": count})
+
+    async def apply(self, options: argparse.Namespace) -> Result:
+        """Write files as settings."""
+        base = _load(options.base) if options.base else None
+        revisions: dict[str, int] = {}
+        for path in options.files:
+            data = _load(path)
+            name = name_of(data)
+            revisions[name] = await self._editor.apply(name, data, base)
+        lines = [f"{name} is at revision {revision}" for name, revision in revisions.items()]
+        return Result("\n".join(lines), revisions)
+
+    async def get(self, options: argparse.Namespace) -> Result:
+        """Show one object or all names."""
+        if options.name is None:
+            found = await self._editor.names()
+            return Result("\n".join(found), found)
+        if options.effective:
+            return await self._effective(options.name, options.effective)
+        held = await self._editor.read(options.name)
+        if held is None:
+            return Result(f"no such object: {options.name}", None, EXIT_FAILED)
+        text = f"# {held.name}, revision {held.revision}\n{write(held.data)}".rstrip()
+        return Result(text, {"revision": held.revision, "data": held.data})
+
+    async def diff(self, options: argparse.Namespace) -> Result:
+        """Show what applying a file would change; exit code 1 if anything."""
+        wanted = _load(options.file)
+        name = name_of(wanted)
+        check_object(name, wanted)
+        held = await self._editor.read(name)
+        before, after = flatten(held.data if held else {}), flatten(wanted)
+        changes = {
+            path: {"from": before.get(path), "to": after.get(path)}
+            for path in sorted(before.keys() | after.keys())
+            if before.get(path) != after.get(path)
+        }
+        lines = [f"{path}: {item['from']!r} -> {item['to']!r}" for path, item in changes.items()]
+        code = EXIT_FAILED if changes else EXIT_OK
+        return Result("\n".join(lines) or f"{name} would not change", changes, code)
+
+    async def put(self, options: argparse.Namespace) -> Result:
+        """Set one value; a racing edit of the same value is a conflict."""
+        value = parse(options.value, options.path)
+
+        def change(data: dict[str, Any]) -> dict[str, Any]:
+            return put(_started(options.name, data), options.path, value)
+
+        return await self._edit(options.name, change)
+
+    async def unset(self, options: argparse.Namespace) -> Result:
+        """Remove one value."""
+        return await self._edit(options.name, lambda data: remove(data, options.path))
+
+    async def _edit(self, name: str, change: Any) -> Result:
+        revision = await self._editor.edit(name, change)
+        return Result(f"{name} is at revision {revision}", {"revision": revision})
+
+    async def _effective(self, name: str, wanted: str) -> Result:
+        """Show the values in force for a class: those of the root, or those of a team."""
+        service, _, klass = wanted.partition("/")
+        table = await self._table()
+        route = table.route(klass)
+        if route is None or service not in table.services:
+            return Result(f"no such class: {wanted}", None, EXIT_FAILED)
+        root = await self._editor.read(ROOT_NAME)
+        held = None if name == ROOT_NAME else await self._editor.read(name)
+        team = check(Team, held.data, name) if held else None
+        origins = trace(
+            check(Root, root.data if root else {}, ROOT_NAME),
+            team,
+            route,
+            table.tenant_by_name(name.partition("/")[2]),
+            service,
+        )
+        lines = [f"{path} = {item.value!r}  ({item.level})" for path, item in origins.items()]
+        return Result("\n".join(lines), {path: asdict(item) for path, item in origins.items()})
+
+    async def _table(self) -> RoutingTable:
+        stored = await self._store.get(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME)
+        return parse_table(stored.spec if stored else {"version": 0})
+
+
+def _started(name: str, data: dict[str, Any]) -> dict[str, Any]:
+    """Return an object's data, or what a new object of a team begins with."""
+    team = name.partition("/")[2]
+    return data or ({"team": team} if team else {})
+
+
+def _load(path: Path) -> dict[str, Any]:
+    try:
+        data = parse(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), (Fault("(file)", "file", str(error)),)) from error
+    if not isinstance(data, dict):
+        kind = type(data).__name__
+        raise SettingsError(str(path), (Fault("(document)", kind, "is no mapping"),))
+    return data
--- a/src/lotushill/contracts/__init__.py
+++ b/src/lotushill/contracts/__init__.py
@@ -1,3 +1,3 @@
-"""The settings tree: tiers, teams, services, classes and what is promised to them."""
+"""The settings tree: what teams, services and classes override, and what they end up with."""
 
 from __future__ import annotations
--- a/src/lotushill/contracts/editor.py
+++ b/src/lotushill/contracts/editor.py
@@ -1,4 +1,4 @@
-"""Conditional edits of the desired settings, safe against races and lost answers."""
+"""Conditional edits of the settings tree, safe against races and lost answers."""
 
 from __future__ import annotations
 
@@ -6,65 +6,64 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 from lotushill.contracts.document import check
-from lotushill.contracts.document import parse
-from lotushill.contracts.document import write
+from lotushill.contracts.exceptions import EditConflictError
+from lotushill.contracts.exceptions import EndlessRaceError
 from lotushill.contracts.exceptions import Fault
+from lotushill.contracts.exceptions import MergeClashError
 from lotushill.contracts.exceptions import SettingsError
-from lotushill.contracts.generation import DESIRED_PREFIX
-from lotushill.contracts.generation import ROOT_NAME
-from lotushill.contracts.generation import TEAM_PREFIX
-from lotushill.contracts.merge import Clash
+from lotushill.contracts.exceptions import UnknownEffectError
 from lotushill.contracts.merge import merge
+from lotushill.contracts.names import KIND
+from lotushill.contracts.names import ROOT_NAME
+from lotushill.contracts.names import shown_name
+from lotushill.contracts.names import stored_name
 from lotushill.contracts.tree import Root
 from lotushill.contracts.tree import Team
-from lotushill.objectapi.exceptions import ConflictError
-from lotushill.objectapi.exceptions import UnavailableError
-from lotushill.objectapi.exceptions import UnknownEffectError
-from lotushill.objectapi.objects import ABSENT
+from lotushill.views.exceptions import RevisionConflictError
+from lotushill.views.exceptions import StoreUnavailableError
 
 if TYPE_CHECKING:
-    from lotushill.objectapi.objects import ObjectApi
+    from lotushill.views.stored_object import ObjectList
+    from lotushill.views.stored_object import StoredObject
 
 _TRIES = 5
+ABSENT = -1
+"""Revision of an object that is not there."""
 
 Change = Callable[[dict[str, Any]], dict[str, Any]]
+"""From an object's data to what it should be."""
 
 
-@dataclass(frozen=True)
-class Held:
-    """One desired object as it stands."""
-
-    name: str
-    version: int
-    data: dict[str, Any]
-
+class Store(Protocol):
+    """The calls to the platform's store that an editor makes."""
 
-class ClashError(Exception):
-    """A change that cannot be made on top of what another edit left."""
+    async def list_kind(self, kind: str, stale: bool = False) -> ObjectList:
+        """Return all objects of a kind."""
+        ...
 
-    def __init__(self, clashes: tuple[Clash, ...]) -> None:
-        self.clashes = clashes
-        super().__init__("; ".join(str(clash) for clash in clashes))
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return one object, None if there is none."""
+        ...
 
+    async def create(self, kind: str, name: str, spec: Any) -> None:
+        """Make an object that is not there."""
+        ...
 
-class EditConflictError(Exception):
-    """Another edit changed the same values; both sides are shown."""
+    async def replace(self, kind: str, name: str, spec: Any, revision: int | None = None) -> None:
+        """Replace an object at a revision."""
+        ...
 
-    def __init__(self, name: str, version: int, clashes: tuple[Clash, ...]) -> None:
-        self.name = name
-        self.version = version
-        self.clashes = clashes
-        shown = "; ".join(str(clash) for clash in clashes)
-        super().__init__(f"{name} is at version {version}: {shown}")
 
+@dataclass(frozen=True)
+class Held:
+    """One object of the tree as it stands."""
 
-def name_of(data: Any) -> str:
-    """Return the name of the object that a document describes."""
-    if isinstance(data, dict) and "team" in data:
-        return f"{TEAM_PREFIX}{data['team']}"
-    return ROOT_NAME
+    name: str
+    revision: int
+    data: dict[str, Any]
 
 
 def check_object(name: str, data: Any) -> None:
@@ -73,20 +72,28 @@
 
 
 class Editor:
-    """Reads and writes desired objects."""
+    """Reads and writes the objects of the tree."""
 
-    def __init__(self, objects: ObjectApi) -> None:
-        self._objects = objects
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def names(self) -> list[str]:
+        """Return the names of all objects."""
+        listed = await self._store.list_kind(KIND)
+        return [shown_name(item.name) for item in listed.objects]
 
     async def read(self, name: str) -> Held | None:
         """Return an object, or None if there is none."""
-        stored = await self._objects.get(DESIRED_PREFIX + name)
+        stored = await self._store.get(KIND, stored_name(name))
         if stored is None:
             return None
-        return Held(name, stored.version, _data(stored.value, name))
+        if not isinstance(stored.spec, dict):
+            fault = Fault("(document)", type(stored.spec).__name__, "is no mapping")
+            raise SettingsError(name, (fault,))
+        return Held(name, stored.revision, stored.spec)
 
     async def apply(self, name: str, wanted: dict[str, Any], base: dict[str, Any] | None) -> int:
-        """Bring an object to what is wanted; return its version.
+        """Bring an object to what is wanted; return its revision.
 
         With the base that was edited, a race is merged if the edits are disjoint. Without, the
         object must still be as it was when this call first read it.
@@ -101,51 +108,51 @@
         return await self.edit(name, change)
 
     async def edit(self, name: str, change: Change) -> int:
-        """Change an object by a function of its data; return its version.
+        """Change an object by a function of its data; return its revision.
 
-        The function is called again on whatever a racing edit left, and raises ClashError if
-        it cannot be applied there.
+        The function is called again on whatever a racing edit left, and raises MergeClashError
+        if it cannot be applied there.
         """
         for _ in range(_TRIES):
             held = await self.read(name)
             data = held.data if held else {}
+            revision = held.revision if held else ABSENT
             try:
                 wanted = change(data)
-            except ClashError as error:
-                version = held.version if held else ABSENT
-                raise EditConflictError(name, version, error.clashes) from error
+            except MergeClashError as error:
+                raise EditConflictError(name, revision, error.clashes) from error
             check_object(name, wanted)
             if held is not None and wanted == data:
-                return held.version
-            try:
-                return await self._write(name, wanted, held.version if held else ABSENT)
-            except ConflictError:
-                continue
-        raise UnavailableError(f"{name}: edits race without an end")
-
-    async def _write(self, name: str, data: dict[str, Any], expected: int) -> int:
-        key, text = DESIRED_PREFIX + name, write(data)
+                return held.revision
+            written = await self._write(name, wanted, revision)
+            if written is not None:
+                return written
+        raise EndlessRaceError(name)
+
+    async def _write(self, name: str, data: dict[str, Any], revision: int) -> int | None:
+        """Write at a revision and return the new one, None if another edit came first."""
+        lost: StoreUnavailableError | None = None
         try:
-            return (await self._objects.put(key, text, expected)).version
-        except UnknownEffectError:
-            stored = await self._objects.get(key)
-            if stored is not None and stored.value == text:
-                return stored.version
-            if (stored.version if stored else ABSENT) == expected:
-                # Not there yet, though it may still be on its way: only the caller may decide.
-                raise
-            raise ConflictError(key, expected, stored.version if stored else ABSENT) from None
+            if revision == ABSENT:
+                await self._store.create(KIND, stored_name(name), data)
+            else:
+                await self._store.replace(KIND, stored_name(name), data, revision)
+        except RevisionConflictError:
+            return None
+        except StoreUnavailableError as error:
+            lost = error
+        # The answer of a write says nothing of the new revision, and may have been lost.
+        held = await self.read(name)
+        if held is not None and held.data == data:
+            return held.revision
+        if lost is not None and (held.revision if held else ABSENT) == revision:
+            # Not there yet, though it may still be on its way: only the operator may decide.
+            raise UnknownEffectError(name) from lost
+        return None
 
 
 def _merge(base: dict[str, Any], ours: dict[str, Any], theirs: dict[str, Any]) -> dict[str, Any]:
     merged = merge(base, ours, theirs)
     if merged.clashes:
-        raise ClashError(merged.clashes)
+        raise MergeClashError(merged.clashes)
     return dict(merged.data)
-
-
-def _data(text: str, name: str) -> dict[str, Any]:
-    data = parse(text, name)
-    if not isinstance(data, dict):
-        raise SettingsError(name, (Fault("(document)", type(data).__name__, "is no mapping"),))
-    return data
--- a/src/lotushill/contracts/effective.py
+++ b/src/lotushill/contracts/effective.py
@@ -1,36 +1,29 @@
-"""Inheritance: from the levels of the tree to the values in force for one class."""
+"""Inheritance: from the platform's route over the levels of the tree to the values in force."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
-from lotushill.contracts.exceptions import Fault
-from lotushill.contracts.exceptions import SettingsError
-from lotushill.contracts.policy import Contract
-from lotushill.contracts.policy import Policy
-
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lotushill.contracts.policy import Policy
     from lotushill.contracts.tree import Root
+    from lotushill.contracts.tree import Service
     from lotushill.contracts.tree import Team
+    from lotushill.routing.route import Route
+    from lotushill.routing.tenant import Tenant
 
-BUILT_IN = Policy.model_validate(
-    {
-        "weight": 1.0,
-        "deadline": 60.0,
-        "refuse_early": False,
-        "repeatable": True,
-        "max_output_tokens": 1024,
-        "limits": {"queued": 1000},
-    }
-)
-"""Values in force where no level of the tree sets any."""
+PLATFORM = "platform"
+"""Name of the level below the tree: the configuration that the platform hands out."""
 
 
 @dataclass(frozen=True)
 class Origin:
-    """A value in force and the level of the tree that it comes from."""
+    """A value in force and the level that it comes from."""
 
     path: str
     value: Any
@@ -45,60 +38,72 @@
     policy: Policy
 
 
-def levels(root: Root, team: Team, service: str, klass: str) -> tuple[Level, ...]:
-    """Return the levels that apply to a class, the weakest first."""
-    branch = team.services[service]
-    return (
-        Level("built-in", BUILT_IN),
-        Level("root", root.policy),
-        Level(f"team {team.team}", team.policy),
-        Level(f"service {service}", branch.policy),
-        Level(f"class {klass}", branch.classes[klass].policy),
-    )
+def levels(root: Root, team: Team | None, service: str, klass: str) -> tuple[Level, ...]:
+    """Return the levels of the tree that apply to a class, the weakest first."""
+    found = [Level("root", root.policy)]
+    found += _branch("root", root.services.get(service), service, klass)
+    if team is not None:
+        name = f"team {team.team}"
+        found.append(Level(name, team.policy))
+        found += _branch(name, team.services.get(service), service, klass)
+    return tuple(found)
 
 
-def trace(root: Root, team: Team, service: str, klass: str) -> dict[str, Origin]:
-    """Return every value in force for a class with the level that it comes from."""
-    found: dict[str, Origin] = {}
-    for level in levels(root, team, service, klass):
+def trace(
+    root: Root, team: Team | None, route: Route, tenant: Tenant | None, service: str
+) -> dict[str, Origin]:
+    """Return every value in force for a route, by its path, with its level."""
+    found = {path: Origin(path, value, PLATFORM) for path, value in _given(route, tenant)}
+    for level in levels(root, team, service, route.name):
         for path, value in _set_values(level.policy):
             found[path] = Origin(path, value, level.name)
     return found
 
 
-def resolve(root: Root, team: Team, service: str, klass: str) -> Contract:
-    """Return the contract of a class; raise SettingsError where the levels leave a gap."""
-    origins = trace(root, team, service, klass)
-    values = {path: origin.value for path, origin in origins.items()}
-    where = f"services.{service}.classes.{klass}.policy"
-    faults = _gaps(root, values, where)
-    if faults:
-        raise SettingsError(f"team {team.team}", faults)
-    branch = team.services[service]
-    class_weight = branch.classes[klass].policy.weight or branch.policy.weight
-    return Contract(
-        team=team.team,
-        service=service,
-        klass=klass,
-        pool=values["pool"],
-        tier=values["tier"],
-        tier_rank=root.tiers.index(values["tier"]),
-        team_weight=team.policy.weight or root.policy.weight or 1.0,
-        class_weight=class_weight or 1.0,
-        deadline=values["deadline"],
-        refuse_early=values["refuse_early"],
-        repeatable=values["repeatable"],
-        max_output_tokens=values["max_output_tokens"],
-        first_token=values.get("target.first_token"),
-        between_tokens=values.get("target.between_tokens"),
-        whole=values.get("target.whole"),
-        rate=values.get("limits.rate"),
-        concurrency=values.get("limits.concurrency"),
-        tokens=values.get("limits.tokens"),
-        queued=values["limits.queued"],
+def resolve(
+    root: Root, team: Team | None, route: Route, tenant: Tenant | None, service: str
+) -> Route:
+    """Return a route with the values that are in force for one tenant's requests.
+
+    What may run again, and how often, is only ever narrowed: the tree cannot allow what the
+    platform's configuration forbids.
+    """
+    values = {
+        path: origin.value for path, origin in trace(root, team, route, tenant, service).items()
+    }
+    return replace(
+        route,
+        priority=values["tier"],
+        timeout=values["deadline"],
+        target=values["target.first"],
+        target_gap=values["target.gap"],
+        may_repeat=route.may_repeat and values["repeatable"],
+        max_attempts=min(route.max_attempts, values["max_attempts"]),
     )
 
 
+def _branch(above: str, service: Service | None, name: str, klass: str) -> Iterator[Level]:
+    if service is None:
+        return
+    yield Level(f"{above}, service {name}", service.policy)
+    if klass in service.classes:
+        yield Level(f"{above}, service {name}, class {klass}", service.classes[klass].policy)
+
+
+def _given(route: Route, tenant: Tenant | None) -> list[tuple[str, Any]]:
+    tier = route.priority
+    if tenant is not None and tenant.priority is not None:
+        tier = tenant.priority
+    return [
+        ("tier", tier),
+        ("deadline", route.timeout),
+        ("repeatable", route.may_repeat),
+        ("max_attempts", route.max_attempts),
+        ("target.first", route.target),
+        ("target.gap", route.target_gap),
+    ]
+
+
 def _set_values(policy: Policy) -> list[tuple[str, Any]]:
     found: list[tuple[str, Any]] = []
     for name, value in policy.model_dump(exclude_none=True).items():
@@ -107,19 +112,3 @@
         else:
             found.append((name, value))
     return found
-
-
-def _gaps(root: Root, values: dict[str, Any], where: str) -> tuple[Fault, ...]:
-    faults: list[Fault] = []
-    pool = values.get("pool")
-    if pool not in root.pools:
-        known = ", ".join(sorted(root.pools)) or "none"
-        faults.append(Fault(f"{where}.pool", repr(pool), f"names no pool of the root ({known})"))
-    tier = values.get("tier")
-    if tier not in root.tiers:
-        known = ", ".join(root.tiers)
-        faults.append(Fault(f"{where}.tier", repr(tier), f"names no tier of the root ({known})"))
-    if values["refuse_early"] and "target.first_token" not in values:
-        reason = "refuse_early needs target.first_token"
-        faults.append(Fault(f"{where}.refuse_early", "True", reason))
-    return tuple(faults)
--- a/src/lotushill/contracts/exceptions.py
+++ b/src/lotushill/contracts/exceptions.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.contracts.merge import Clash
 
 
 @dataclass(frozen=True)
@@ -32,3 +36,36 @@
     def __init__(self, path: str) -> None:
         self.path = path
         super().__init__(f"no such path: {path}")
+
+
+class MergeClashError(Exception):
+    """A change that cannot be made on top of what another edit left."""
+
+    def __init__(self, clashes: tuple[Clash, ...]) -> None:
+        self.clashes = clashes
+        super().__init__("; ".join(str(clash) for clash in clashes))
+
+
+class EditConflictError(Exception):
+    """Another edit changed the same values; both sides are shown."""
+
+    def __init__(self, name: str, revision: int, clashes: tuple[Clash, ...]) -> None:
+        self.name = name
+        self.revision = revision
+        self.clashes = clashes
+        shown = "; ".join(str(clash) for clash in clashes)
+        super().__init__(f"{name} is at revision {revision}: {shown}")
+
+
+class EndlessRaceError(Exception):
+    """Other edits came first each time that this one was tried."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"{name}: edits race without an end")
+
+
+class UnknownEffectError(Exception):
+    """A write without an answer, which is not to be seen but may still be done."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"{name}: no answer to the write; it may be done yet, look again")
--- /dev/null
+++ b/src/lotushill/contracts/names.py
@@ -0,0 +1,32 @@
+"""How the objects of the tree are named, for operators and in the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+KIND = "lotushill-settings"
+"""The kind of the platform's store that holds the tree."""
+ROOT_NAME = "root"
+TEAM_PREFIX = "team/"
+_STORED_TEAM_PREFIX = "team."
+
+
+def name_of(data: Any) -> str:
+    """Return the name of the object that a document describes: `root` or `team/NAME`."""
+    if isinstance(data, dict) and "team" in data:
+        return f"{TEAM_PREFIX}{data['team']}"
+    return ROOT_NAME
+
+
+def stored_name(name: str) -> str:
+    """Return an object's name in the store, where a name has no slash."""
+    if name.startswith(TEAM_PREFIX):
+        return _STORED_TEAM_PREFIX + name.removeprefix(TEAM_PREFIX)
+    return name
+
+
+def shown_name(stored: str) -> str:
+    """Return an object's name as operators write it."""
+    if stored.startswith(_STORED_TEAM_PREFIX):
+        return TEAM_PREFIX + stored.removeprefix(_STORED_TEAM_PREFIX)
+    return stored
--- a/src/lotushill/contracts/policy.py
+++ b/src/lotushill/contracts/policy.py
@@ -1,4 +1,4 @@
-"""The values a level of the tree may set, and the whole set that a class ends up with."""
+"""The values that a level of the settings tree may set."""
 
 from __future__ import annotations
 
@@ -9,71 +9,28 @@
 from lotushill.contracts.document import Document
 
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
+Name = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[^\x00-\x1f/]+$")]
+Tier = Annotated[int, Field(ge=0, le=9)]
 
 
 class Target(Document):
     """Latency promised to a class, in seconds; a value not set is inherited."""
 
-    first_token: Seconds | None = None
-    between_tokens: Seconds | None = None
-    whole: Seconds | None = None
-
-
-class Limits(Document):
-    """Upper bounds over all entries together; a value not set is inherited."""
-
-    rate: Annotated[float, Field(gt=0)] | None = None
-    """Requests started a second."""
-    concurrency: Annotated[int, Field(gt=0)] | None = None
-    """Requests in progress at one time."""
-    tokens: Annotated[float, Field(gt=0)] | None = None
-    """Tokens a second, prompt and output together."""
-    queued: Annotated[int, Field(gt=0)] | None = None
-    """Requests waiting at one time in one cell."""
+    first: Seconds | None = None
+    """To the whole answer, or to the first event of a stream."""
+    gap: Seconds | None = None
+    """The longest pause between two events of a stream that is in time."""
 
 
 class Policy(Document):
     """What one level of the tree overrides; a value not set is inherited."""
 
-    pool: Name | None = None
-    """The pool of upstreams that serves the class."""
-    tier: Name | None = None
-    """One of the tiers of the root."""
-    weight: Annotated[float, Field(gt=0, le=1000)] | None = None
-    """Share among the teams of a tier (on a team) or the classes of a team (on a class)."""
+    tier: Tier | None = None
+    """Rank of the requests, 0 being the highest."""
     deadline: Seconds | None = None
-    """Longest time from arrival to the end of the answer, when the caller names none."""
-    refuse_early: bool | None = None
-    """Refuse at once when the first-token target cannot be met, in place of waiting."""
+    """The longest that a request is held; never longer than its client waits."""
     repeatable: bool | None = None
-    """Whether a call may run again when nothing says it ran; callers may only narrow it."""
-    max_output_tokens: Annotated[int, Field(gt=0, le=1_000_000)] | None = None
-    """Output tokens granted to one request."""
+    """`false` forbids to run a request again; `true` never widens what the platform allows."""
+    max_attempts: Annotated[int, Field(ge=1, le=16)] | None = None
+    """Most upstreams that may run one request; never more than the platform allows."""
     target: Target = Target()
-    limits: Limits = Limits()
-
-
-class Contract(Document):
-    """The effective values of one class of one service of one team."""
-
-    team: str
-    service: str
-    klass: str
-    pool: str
-    tier: str
-    tier_rank: int
-    """Place of the tier, 0 being the highest."""
-    team_weight: float
-    class_weight: float
-    deadline: float
-    refuse_early: bool
-    repeatable: bool
-    max_output_tokens: int
-    first_token: float | None
-    between_tokens: float | None
-    whole: float | None
-    rate: float | None
-    concurrency: int | None
-    tokens: float | None
-    queued: int
--- /dev/null
+++ b/src/lotushill/contracts/settings_view.py
@@ -0,0 +1,102 @@
+"""The settings tree as a gateway holds it, as of a revision; a pure state machine."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import xxhash
+
+from lotushill.contracts.document import check
+from lotushill.contracts.effective import resolve
+from lotushill.contracts.exceptions import SettingsError
+from lotushill.contracts.names import ROOT_NAME
+from lotushill.contracts.names import shown_name
+from lotushill.contracts.tree import Root
+from lotushill.contracts.tree import Team
+
+if TYPE_CHECKING:
+    from lotushill.routing.route import Route
+    from lotushill.routing.tenant import Tenant
+
+
+class SettingsView:
+    """The tree; without one, every value is the platform's.
+
+    An object that cannot be read keeps its last good state, so that one faulty edit changes
+    nothing of what is in force.
+    """
+
+    def __init__(self) -> None:
+        self.revision = -1
+        """The store's revision that the view stands at; below 0 while nothing is known."""
+        self.faults: dict[str, SettingsError] = {}
+        """What is wrong with objects, by their name as operators write it."""
+        self._objects: dict[str, Any] = {}
+        self._root = Root()
+        self._teams: dict[str, Team] = {}
+        self._resolved: dict[tuple[str, str, str], Route] = {}
+
+    @property
+    def objects(self) -> dict[str, Any]:
+        """Return the objects as they stand in the store, by their stored name."""
+        return self._objects
+
+    @property
+    def fingerprint(self) -> str:
+        """Return a short text that is alike where the same objects are in force."""
+        text = json.dumps(self._objects, sort_keys=True)
+        return xxhash.xxh32_hexdigest(text) if self._objects else "none"
+
+    def replace(self, objects: dict[str, Any], revision: int) -> bool:
+        """Take all objects of a newer revision; return whether the view is another now."""
+        if revision <= self.revision:
+            return False
+        changed = objects != self._objects
+        self.revision = revision
+        self._objects = objects
+        if changed:
+            self._read(objects)
+        return changed
+
+    def route_for(self, route: Route, tenant: Tenant | None, service: str) -> Route:
+        """Return a route with the values in force for a tenant's requests to a service."""
+        key = (route.name, tenant.name if tenant else "", service)
+        found = self._resolved.get(key)
+        if found is None:
+            team = self._teams.get(tenant.name) if tenant else None
+            found = resolve(self._root, team, route, tenant, service)
+            self._resolved[key] = found
+        return found
+
+    def forget_routes(self) -> None:
+        """Drop what was worked out for routes, as another configuration is in force."""
+        self._resolved = {}
+
+    def _read(self, objects: dict[str, Any]) -> None:
+        self.faults = {}
+        self._resolved = {}
+        former = self._teams
+        self._teams = {}
+        if ROOT_NAME not in objects:
+            self._root = Root()
+        for stored, data in objects.items():
+            name = shown_name(stored)
+            try:
+                self._take(name, data)
+            except SettingsError as error:
+                self.faults[name] = error
+                self._keep(name, former)
+
+    def _take(self, name: str, data: Any) -> None:
+        if name == ROOT_NAME:
+            self._root = check(Root, data, name)
+            return
+        team = check(Team, data, name)
+        self._teams[team.team] = team
+
+    def _keep(self, name: str, former: dict[str, Team]) -> None:
+        team = name.partition("/")[2]
+        if team in former:
+            self._teams[team] = former[team]
--- a/src/lotushill/event_log.py
+++ b/src/lotushill/event_log.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.journal import Journal
+
 _LINES_A_SECOND = 200
 _BURST_LINES = 400
 
@@ -22,31 +24,43 @@
         name: str,
         write: Callable[[bytes], None] | None = None,
         clock: Callable[[], float] = time.monotonic,
+        journal: Journal | None = None,
     ) -> None:
+        """Write lines of the node `name`; `journal` keeps the last ones about requests."""
         self._name = name
         self._write = write or _StandardOutput().write
         self._clock = clock
+        self._journal = journal
         self._credit = float(_BURST_LINES)
         self._at = clock()
         self.left_out = 0
         """Lines left out since the last one written."""
+        self.left_out_in_all = 0
 
     def note(self, event: str, **fields: object) -> None:
         """Write one event with its fields, if the rate allows."""
         now = self._clock()
-        self._credit = min(_BURST_LINES, self._credit + (now - self._at) * _LINES_A_SECOND)
-        self._at = now
-        if self._credit < 1.0:
+        line: dict[str, object] = {"t": round(now, 3), "node": self._name, "event": event}
+        if self._journal is not None and "request" in fields:
+            self._journal.add(str(fields["request"]), {**line, **fields})
+        if not self._allowed(now):
             self.left_out += 1
+            self.left_out_in_all += 1
             return
-        self._credit -= 1.0
-        line: dict[str, object] = {"t": round(now, 3), "node": self._name, "event": event}
         if self.left_out:
             line["left_out"] = self.left_out
             self.left_out = 0
         line |= fields
         self._write(json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n")
 
+    def _allowed(self, now: float) -> bool:
+        self._credit = min(_BURST_LINES, self._credit + (now - self._at) * _LINES_A_SECOND)
+        self._at = now
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
 
 class _StandardOutput:
     """Standard output without blocking: a full pipe loses lines, and says how many."""
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -163,7 +163,7 @@
         own = request_head.attempt_headers(
             self._choice.backend.id,
             request.ends - self._loop.time(),
-            request.priority,
+            request.route.priority,
             request.tenant,
             last_event_id,
         )
@@ -191,6 +191,7 @@
         choice = self._choice
         load = self._parts.fleet.load(choice.backend.id)
         load.note_pace(taken / max(0.001, choice.first), now)
+        self._parts.metrics.note_first(self._request.service.name, taken, choice.first)
         pace = self._parts.fleet.pace(self._request.service.name)
         if self._request.service.engine is None:
             pace.note_answer(taken)
--- a/src/lotushill/gateway/client_protocol.py
+++ b/src/lotushill/gateway/client_protocol.py
@@ -1,4 +1,4 @@
-"""The server's side of a client connection: uvicorn's, with two facts that it keeps to itself."""
+"""The server's side of a client connection: uvicorn's, with what it keeps to itself or lacks."""
 
 from __future__ import annotations
 
@@ -7,25 +7,45 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from lotushill.routing.limits import ClientLimits
+
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
 TARGET = "lotushill.target"
 """Where a scope holds the request target as the client sent it, in bytes."""
 CONNECTION = "lotushill.connection"
 """Where a scope holds its connection."""
+_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 
 
 class ClientProtocol(HttpToolsProtocol):
-    """Tells the request path at once when its client has gone."""
+    """Tells the request path when its client has gone, and bounds what a client may take."""
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
+    def __init__(
+        self, *arguments: Any, limits: Callable[[], ClientLimits] = ClientLimits, **options: Any
+    ) -> None:
+        """Make one connection; `limits` returns the bounds in force."""
         super().__init__(*arguments, **options)
         self.on_lost: Callable[[], None] | None = None
         """Called when the connection is gone."""
+        self._limits = limits
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a connection; one that never says anything is closed in the end."""
+        super().connection_made(transport)  # type: ignore[arg-type]
+        self._set_timer(self._limits().idle_seconds, self.transport.close)
+
+    def on_message_begin(self) -> None:
+        """Take the first byte of a request, whose head has to be whole in time."""
+        super().on_message_begin()
+        self._set_timer(self._limits().header_seconds, self._end_slow_head)
 
     def on_headers_complete(self) -> None:
         """Add the raw target and the connection to the scope."""
+        self._stop_timer()
         scope: dict[str, Any] = self.scope  # type: ignore[assignment]
         scope[TARGET] = bytes(self.url)
         scope[CONNECTION] = self
@@ -33,6 +53,25 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Take the end of the connection."""
+        self._stop_timer()
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost()
+
+    def _end_slow_head(self) -> None:
+        if self.cycle is not None and not self.cycle.response_complete:
+            # An answer to the request before is still going out and comes first.
+            self._set_timer(self._limits().header_seconds, self._end_slow_head)
+            return
+        if not self.transport.is_closing():
+            self.transport.write(_TOO_SLOW)
+            self.transport.close()
+
+    def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(seconds, call)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/src/lotushill/gateway/exceptions.py
+++ b/src/lotushill/gateway/exceptions.py
@@ -17,3 +17,7 @@
 
 class SilentBackendError(BackendError):
     """The backend showed no sign of life for longer than allowed."""
+
+
+class MalformedViewError(Exception):
+    """A view of a peer that cannot be read."""
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -130,7 +130,7 @@
             prompt=self._request.need.prompt_tokens,
             reading=choice.reading,
             again=choice.again,
-            priority=self._request.priority,
+            priority=self._request.route.priority,
             ahead=choice.ahead,
             running=choice.running,
             run=self.runs,
@@ -154,6 +154,7 @@
         finally:
             self._parts.shared_load.end(placed.request)
             self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
+        self._parts.metrics.note_attempt(self._request.service.name, end.kind.value)
         if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
             self.runs -= 1
         if end.kind is not EndKind.WHOLE:
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -80,6 +80,7 @@
         except CallerGoneError:
             return
         except _TurnedAwayError as error:
+            self._parts.metrics.note_turned_away(error.status)
             self._parts.log.note(
                 "request.turned_away",
                 request=demand.request_id,
@@ -110,6 +111,8 @@
                 exchange.outcome = "client-gone"
             else:
                 await exchange.time_out()
+        took = loop.time() - request.arrived
+        self._parts.metrics.note_request(request.service.name, exchange.outcome, took)
         self._parts.log.note(
             "request.ended",
             request=request.demand.request_id,
@@ -119,7 +122,7 @@
             backend=exchange.backend,
             runs=exchange.runs,
             first_ms=exchange.first_ms,
-            ms=round((loop.time() - request.arrived) * 1000, 1),
+            ms=round(took * 1000, 1),
             configuration=self._parts.configuration.revision,
         )
 
@@ -139,10 +142,8 @@
         body = await _read(receive, table)
         has_body = any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
         service = table.services[route.service_for(self._parts.rng.random())]
+        route = self._parts.settings.route_for(route, tenant, service.name)
         limit = min(demand.time_left or route.timeout, route.timeout)
-        priority = route.priority
-        if tenant is not None and tenant.priority is not None:
-            priority = tenant.priority
         return Request(
             key=f"{self._parts.name}/{next(self._numbers)}",
             demand=demand,
@@ -154,7 +155,6 @@
             service=service,
             need=_need(route, demand, service.name, limit),
             tenant=tenant.name if tenant else "",
-            priority=priority,
             arrived=arrived,
             ends=arrived + limit,
         )
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import os
 import random
 import signal
@@ -12,10 +13,12 @@
 
 import anyio
 
+from lotushill.contracts.exceptions import SettingsError
 from lotushill.event_log import EventLog
 from lotushill.gateway.backend_pool import BackendPool
 from lotushill.gateway.client_protocol import ClientProtocol
 from lotushill.gateway.front import Front
+from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
 from lotushill.gateway.peers import Peers
 from lotushill.gateway.registration import Registration
@@ -23,13 +26,16 @@
 from lotushill.gateway.shared_load import SharedLoad
 from lotushill.gateway.status_app import StatusApp
 from lotushill.gateway.store_views import StoreViews
+from lotushill.journal import Journal
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
+from lotushill.routing.limits import ClientLimits
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from anyio.abc import TaskGroup
 
@@ -41,14 +47,22 @@
 _LAST_SECONDS = 1.0
 """Kept of the time to stop, so that the process ends by itself."""
 _TICK_SECONDS = 0.05
+_FIXED_SETTINGS = ("name", "zone", "region", "clients", "readiness", "peers", "store")
+"""Settings that take a restart."""
 
 
 class Gateway:
     """Everything that runs in one gateway process."""
 
-    def __init__(self, settings: GatewaySettings) -> None:
+    def __init__(
+        self, settings: GatewaySettings, read_again: Callable[[], GatewaySettings]
+    ) -> None:
+        """Put the parts together; `read_again` reads the settings file once more."""
         self.settings = settings
-        self.log = EventLog(settings.name)
+        self._read_again = read_again
+        self.journal = Journal()
+        self.metrics = Metrics()
+        self.log = EventLog(settings.name, journal=self.journal)
         rng = random.Random()
         self.store = ObjectStore(settings.store)
         self.views = StoreViews(self.store, rng, self.log, self._on_configuration)
@@ -70,22 +84,30 @@
         )
         self.pool = BackendPool(request_head.answered_id, self._most_idle)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
+        self.budgets = RetryBudgets(settings.retry, self.peers.count)
         self.front = Front(
             GatewayParts(
                 name=settings.name,
                 configuration=self.views.configuration,
                 backends=self.views.backends,
+                settings=self.views.settings,
                 fleet=self.fleet,
                 shared_load=self.shared_load,
                 pool=self.pool,
-                budgets=RetryBudgets(settings.retry, self.peers.count),
+                budgets=self.budgets,
                 log=self.log,
+                metrics=self.metrics,
                 rng=rng,
                 view_is_fresh=self.views.fresh,
             )
         )
-        self.clients = HttpServer(self.front, settings.clients, protocol=ClientProtocol)
-        self.status = HttpServer(StatusApp(self.ready, self._status), settings.readiness)
+        protocol = functools.partial(ClientProtocol, limits=self._client_limits)
+        self.clients = HttpServer(self.front, settings.clients, protocol=protocol)
+        self.status = HttpServer(
+            StatusApp(self.ready, self._status, self.metrics.text, self.journal),
+            settings.readiness,
+        )
+        self._add_gauges()
         self._stopping = False
         self._following: list[asyncio.Task[None]] = []
 
@@ -121,8 +143,25 @@
             self.pool.sweep(known)
             self.fleet.forget(known, time.monotonic())
             self.shared_load.expire()
+            self.views.expire()
             self.peers.tell_load(self.shared_load.whole())
 
+    # Settings
+
+    def _reload(self) -> None:
+        """Read the settings file again; what cannot change in a running process stays."""
+        try:
+            settings = self._read_again()
+        except SettingsError as error:
+            self.log.note("process.reload", outcome="rejected", error=str(error))
+            return
+        fixed = {name: getattr(self.settings, name) for name in _FIXED_SETTINGS}
+        needs_restart = [name for name, value in fixed.items() if getattr(settings, name) != value]
+        self.settings = settings.model_copy(update=fixed)
+        self.budgets.change(self.settings.retry)
+        self.fleet.recent.seconds = self.settings.recent_seconds
+        self.log.note("process.reload", outcome="in force", needs_restart=needs_restart)
+
     # Stopping
 
     async def _wait_for_stop(self) -> None:
@@ -130,7 +169,7 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     return
-                self.log.note("process.reload")
+                self._reload()
 
     async def _drain(self) -> None:
         """Be taken out by the balancer first, then finish every request in progress."""
@@ -149,6 +188,21 @@
 
     # Wiring
 
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge("in_progress", "Requests in progress", lambda: self.front.in_progress)
+        gauge("store_calls", "Calls to the store so far", lambda: self.store.calls)
+        gauge("peer_bytes", "Bytes of datagrams sent so far", lambda: self.peers.bytes_sent)
+        gauge("members", "Gateways that are heard", lambda: len(self.peers.membership.live()))
+        gauge("backends", "Backends that are known", lambda: len(self.views.backends.all()))
+        gauge("connections_opened", "Connections to backends", lambda: self.pool.opened)
+        gauge("log_lines_left_out", "Lines over the rate", lambda: self.log.left_out_in_all)
+        gauge(
+            "configuration_revision",
+            "Revision of the configuration in force",
+            lambda: self.views.configuration.revision,
+        )
+
     def _service_of(self, backend_id: str) -> Service | None:
         backend = self.views.backends.find(backend_id)
         table = self.views.configuration.table
@@ -163,6 +217,10 @@
             return 0
         return max(1, service.max_connections // (2 * max(1, self.peers.count())))
 
+    def _client_limits(self) -> ClientLimits:
+        table = self.views.configuration.table
+        return table.limits if table is not None else ClientLimits()
+
     def _on_configuration(self) -> None:
         table = self.views.configuration.table
         if table is not None:
@@ -181,6 +239,11 @@
                 "revision": self.views.backends.revision,
                 "known": [asdict(item) for item in self.views.backends.all()],
             },
+            "settings": {
+                "revision": self.views.settings.revision,
+                "in_force": self.views.settings.fingerprint,
+                "faults": {name: str(fault) for name, fault in self.views.settings.faults.items()},
+            },
             "members": [_member(item) for item in self.peers.membership.all()],
             "in_progress": self.front.in_progress,
             "store_calls": self.store.calls,
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -9,8 +9,10 @@
     import random
     from collections.abc import Callable
 
+    from lotushill.contracts.settings_view import SettingsView
     from lotushill.event_log import EventLog
     from lotushill.gateway.backend_pool import BackendPool
+    from lotushill.gateway.metrics import Metrics
     from lotushill.gateway.retry_budgets import RetryBudgets
     from lotushill.gateway.shared_load import SharedLoad
     from lotushill.placement.fleet import Fleet
@@ -25,11 +27,13 @@
     name: str
     configuration: ConfigurationView
     backends: BackendView
+    settings: SettingsView
     fleet: Fleet
     shared_load: SharedLoad
     pool: BackendPool
     budgets: RetryBudgets
     log: EventLog
+    metrics: Metrics
     rng: random.Random
     view_is_fresh: Callable[[], bool]
     """Whether the store or a peer has lately confirmed what is known."""
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -4,15 +4,13 @@
 
 import asyncio
 import hashlib
-import json
 import time
 from typing import TYPE_CHECKING
 from typing import Any
 
 import anyio
 
-from lotushill.hosts.membership import Membership
-from lotushill.hosts.membership_options import MembershipOptions
+from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.links.address import split_address
 from lotushill.links.codec import decode
 from lotushill.links.codec import encode
@@ -27,6 +25,8 @@
 from lotushill.links.messages import ViewPull
 from lotushill.links.peer_links import PeerLinks
 from lotushill.links.seal import Seal
+from lotushill.membership.membership import Membership
+from lotushill.membership.membership_options import MembershipOptions
 from lotushill.placement.messages import Load
 
 if TYPE_CHECKING:
@@ -38,8 +38,8 @@
 
     from lotushill.event_log import EventLog
     from lotushill.gateway.settings import GatewaySettings
-    from lotushill.hosts.membership import Outgoing
     from lotushill.links.codec import Message
+    from lotushill.membership.membership import Outgoing
 
 _TICK_SECONDS = 0.05
 _CONTEXT = b"gateway"
@@ -62,9 +62,9 @@
         on_gone: Callable[[str], None],
         view_revision: Callable[[ViewKind], int],
         view_text: Callable[[ViewKind], tuple[int, str]],
-        on_view: Callable[[ViewKind, int, Any], None],
+        on_view: Callable[[ViewKind, int, str], None],
     ) -> None:
-        """Make the parts; `view_text` and `on_view` hand views over as JSON."""
+        """Make the parts; `view_text` and `on_view` hand views over as JSON text."""
         self._log = log
         self._on_load = on_load
         self._on_gone = on_gone
@@ -82,8 +82,6 @@
             region=settings.region,
             incarnation=time.time_ns() // 1_000_000,
             phase=MemberPhase.ALIVE,
-            generation=-1,
-            backends=-1,
         )
         self.membership = Membership(own, (), MembershipOptions(), rng)
         self.links = PeerLinks(
@@ -170,7 +168,9 @@
     def _tick(self, now: float) -> None:
         revisions = {kind: self._view_revision(kind) for kind in ViewKind}
         self.membership.set_revisions(
-            revisions[ViewKind.CONFIGURATION], revisions[ViewKind.BACKENDS]
+            revisions[ViewKind.CONFIGURATION],
+            revisions[ViewKind.BACKENDS],
+            revisions[ViewKind.SETTINGS],
         )
         self._send_all(self.membership.tick(now))
         self._follow_changes()
@@ -218,8 +218,8 @@
                 self.links.post(peer, ViewPage(message.kind, revision, text))
         elif isinstance(message, ViewPage):
             try:
-                self._on_view(message.kind, message.revision, json.loads(message.text))
-            except ValueError:
+                self._on_view(message.kind, message.revision, message.text)
+            except MalformedViewError:
                 self.malformed += 1
 
     def _on_link_down(self, peer: str) -> None:
@@ -227,7 +227,9 @@
 
 
 def _revision(member: MemberState, kind: ViewKind) -> int:
-    return member.generation if kind is ViewKind.CONFIGURATION else member.backends
+    if kind is ViewKind.CONFIGURATION:
+        return member.configuration
+    return member.backends if kind is ViewKind.BACKENDS else member.settings
 
 
 def _split(load: Load) -> list[Load]:
--- a/src/lotushill/gateway/registration.py
+++ b/src/lotushill/gateway/registration.py
@@ -18,6 +18,7 @@
     from lotushill.platform.object_store import ObjectStore
 
 KIND = "lotushill-gateways"
+"""The kind of the platform's store that holds an object of each gateway."""
 _EARLY_SECONDS = (0.3, 1.0, 3.0)
 _LATER_SECONDS = 15.0
 _RETRY_SECONDS = 0.5
@@ -55,7 +56,11 @@
 
     async def _register(self) -> None:
         name = self._settings.name
-        spec = {"peers": self._settings.peers, "zone": self._settings.zone}
+        spec = {
+            "peers": self._settings.peers,
+            "zone": self._settings.zone,
+            "status": self._settings.readiness,
+        }
         while True:
             try:
                 await self._store.create(KIND, name, spec)
--- a/src/lotushill/gateway/request.py
+++ b/src/lotushill/gateway/request.py
@@ -26,10 +26,10 @@
     """The client's headers that travel on."""
     body: bytes
     route: Route
+    """With the values that the settings tree puts in force for its tenant."""
     service: Service
     need: Need
     tenant: str
-    priority: int
     arrived: float
     ends: float
     """When its client or its route no longer waits."""
--- a/src/lotushill/gateway/retry_budget.py
+++ b/src/lotushill/gateway/retry_budget.py
@@ -13,11 +13,15 @@
     """Counts requests and repeats of one service in a sliding window."""
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+        self.change(ratio, slack, window)
+
+    def change(self, ratio: float, slack: float, window: float) -> None:
+        """Use other bounds from now on; `window` is in seconds."""
         self._ratio = ratio * _RATIO_SHARE
         self._slack = slack * _SLACK_SHARE
         self._window = window
-        self._requests: deque[float] = deque()
-        self._repeats: deque[float] = deque()
 
     def note_request(self, now: float) -> None:
         """Note a client's request."""
--- a/src/lotushill/gateway/retry_budgets.py
+++ b/src/lotushill/gateway/retry_budgets.py
@@ -20,6 +20,12 @@
         self._gateways = gateways
         self._budgets: dict[str, RetryBudget] = {}
 
+    def change(self, settings: RetrySettings) -> None:
+        """Use other settings from now on; what was counted so far stays."""
+        self._settings = settings
+        for budget in self._budgets.values():
+            budget.change(settings.ratio, settings.slack, settings.window_seconds)
+
     def note_request(self, service: str, now: float) -> None:
         """Note a client's request for a service."""
         self._of(service).note_request(now)
--- a/src/lotushill/gateway/settings.py
+++ b/src/lotushill/gateway/settings.py
@@ -8,7 +8,7 @@
 from pydantic import ConfigDict
 from pydantic import Field
 
-from lotushill.hosts.settings import Address
+from lotushill.links.address import Address
 
 Seconds = Annotated[float, Field(gt=0)]
 
--- a/src/lotushill/gateway/status_app.py
+++ b/src/lotushill/gateway/status_app.py
@@ -1,4 +1,4 @@
-"""The ASGI application behind the readiness address: readiness, status and metrics."""
+"""The ASGI application behind the readiness address: readiness, status, metrics, requests."""
 
 from __future__ import annotations
 
@@ -10,28 +10,47 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.journal import Journal
     from lotushill.links.asgi import Receive
     from lotushill.links.asgi import Scope
     from lotushill.links.asgi import Send
 
+EXPLAIN_PATH = "/explain/"
+STATUS_PATH = "/status"
+_READY_PATH = "/readyz"
+_METRICS_PATH = "/metrics"
+_METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
 _OK = 200
 _NOT_FOUND = 404
 _NOT_READY = 503
 
 
 class StatusApp:
-    """Answers `/readyz` and `/status`."""
-
-    def __init__(self, ready: Callable[[], bool], status: Callable[[], dict[str, object]]) -> None:
+    """Answers `/readyz`, `/status`, `/metrics` and `/explain/REQUEST`."""
+
+    def __init__(
+        self,
+        ready: Callable[[], bool],
+        status: Callable[[], dict[str, object]],
+        metrics: Callable[[], bytes],
+        journal: Journal,
+    ) -> None:
         self._ready = ready
         self._status = status
+        self._metrics = metrics
+        self._journal = journal
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
         path = str(scope["path"])
-        if path == "/readyz":
+        if path == _READY_PATH:
             await send_whole(send, _OK if self._ready() else _NOT_READY, (), b"")
-        elif path == "/status":
+        elif path == STATUS_PATH:
             await send_json(send, _OK, self._status())
+        elif path == _METRICS_PATH:
+            await send_whole(send, _OK, (_METRICS_TYPE,), self._metrics())
+        elif path.startswith(EXPLAIN_PATH):
+            events = self._journal.of(path.removeprefix(EXPLAIN_PATH))
+            await send_json(send, _OK if events else _NOT_FOUND, events)
         else:
             await send_json(send, _NOT_FOUND, {})
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -1,12 +1,16 @@
-"""The two views that every gateway follows, fed by the store and by peers."""
+"""The views that every gateway follows, fed by the store and by peers."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill.contracts.names import KIND as SETTINGS_KIND
+from lotushill.contracts.settings_view import SettingsView
+from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.links.messages import ViewKind
 from lotushill.platform import names
 from lotushill.platform.backends import parse_backend
@@ -28,6 +32,16 @@
 
 _CONFIGURATION_INTERVAL = 0.05
 _BACKENDS_INTERVAL = 0.4
+_SETTINGS_INTERVAL = 0.5
+_SETTINGS_WATCH_SECONDS = 25.0
+"""Edits of the tree come as soon as they are made; only a silent cut is noticed later."""
+_RELISTED_SECONDS = 2.0
+"""After an outage of the store, living backends have their entries again within so long."""
+_ENTRIES = "entries"
+_LAPSED = "lapsed"
+
+Specs = dict[str, Any]
+"""The specs of all objects of a kind, by name, as the store has them."""
 
 
 class StoreViews:
@@ -39,13 +53,16 @@
         rng: random.Random,
         log: EventLog,
         on_configuration: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Follow `store`; `on_configuration` is called when another one is in force."""
         self.configuration = ConfigurationView()
         self.backends = BackendView()
+        self.settings = SettingsView()
         self._log = log
+        self._clock = clock
         self._on_configuration = on_configuration
-        self._specs: dict[str, Any] = {}
+        self._specs: Specs = {}
         self._configuration_text = ""
         self._rejected = -1
         self._watch_configuration = Watcher(
@@ -56,6 +73,7 @@
             rng,
             log,
             _CONFIGURATION_INTERVAL,
+            clock=clock,
         )
         self._watch_backends = Watcher(
             store,
@@ -65,37 +83,74 @@
             rng,
             log,
             _BACKENDS_INTERVAL,
+            clock=clock,
+        )
+        self._watch_settings = Watcher(
+            store,
+            SETTINGS_KIND,
+            self._on_settings_list,
+            self._on_settings_changes,
+            rng,
+            log,
+            _SETTINGS_INTERVAL,
+            _SETTINGS_WATCH_SECONDS,
+            clock=clock,
         )
 
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start to follow the store, for ever."""
-        watchers = (self._watch_configuration, self._watch_backends)
+        watchers = (self._watch_configuration, self._watch_backends, self._watch_settings)
         return [asyncio.create_task(watcher.run()) for watcher in watchers]
 
     def fresh(self) -> bool:
         """Return whether the store answers about the configuration."""
         return not self._watch_configuration.failing
 
+    def expire(self) -> None:
+        """Take for gone what stayed away for too long after an outage of the store."""
+        for backend in self.backends.expire(self._clock()):
+            self._note_gone(backend, "lapsed")
+
     # Peers
 
     def text(self, kind: ViewKind) -> tuple[int, str]:
         """Return the revision and the JSON text of a view, for a peer."""
         if kind is ViewKind.CONFIGURATION:
             return self.configuration.revision, self._configuration_text
-        return self.backends.revision, json.dumps(self._specs)
+        if kind is ViewKind.SETTINGS:
+            return self.settings.revision, json.dumps(self.settings.objects)
+        now = self._clock()
+        left = {name: until - now for name, until in self.backends.lapsed.items()}
+        page = {_ENTRIES: self._specs, _LAPSED: left}
+        return self.backends.revision, json.dumps(page)
 
     def revision(self, kind: ViewKind) -> int:
         """Return the revision of a view."""
         if kind is ViewKind.CONFIGURATION:
             return self.configuration.revision
+        if kind is ViewKind.SETTINGS:
+            return self.settings.revision
         return self.backends.revision
 
-    def take_from_peer(self, kind: ViewKind, revision: int, value: Any) -> None:
-        """Take a peer's view if it is newer."""
-        if kind is ViewKind.CONFIGURATION:
-            self._take_configuration(value, revision, "peer")
-        elif isinstance(value, dict) and revision > self.backends.revision:
-            self._replace_backends(value, revision, "peer")
+    def take_from_peer(self, kind: ViewKind, revision: int, text: str) -> None:
+        """Take a peer's view if it is newer; raise MalformedViewError if it cannot be read."""
+        try:
+            value = json.loads(text)
+            if kind is ViewKind.CONFIGURATION:
+                self._take_configuration(value, revision, "peer")
+            elif kind is ViewKind.SETTINGS:
+                self._take_settings(dict(value), revision, "peer")
+            else:
+                self._take_backends_of_peer(value, revision)
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            raise MalformedViewError(kind.value) from error
+
+    def _take_backends_of_peer(self, page: Any, revision: int) -> None:
+        if revision <= self.backends.revision:
+            return
+        now = self._clock()
+        keep = {str(name): now + float(left) for name, left in page[_LAPSED].items()}
+        self._replace_backends(dict(page[_ENTRIES]), revision, "peer", keep)
 
     # The configuration
 
@@ -121,34 +176,56 @@
             return
         if self.configuration.take(table, revision):
             self._configuration_text = json.dumps(spec)
+            self.settings.forget_routes()
             self._log.note(
                 "configuration.in_force", revision=revision, version=table.version, source=source
             )
             self._on_configuration()
 
+    # The settings tree
+
+    def _on_settings_list(self, listed: ObjectList) -> None:
+        specs = {item.name: item.spec for item in listed.objects}
+        self._take_settings(specs, listed.revision, "store")
+
+    def _on_settings_changes(self, changes: list[Change], revision: int) -> None:
+        self._take_settings(_changed(self.settings.objects, changes), revision, "store")
+
+    def _take_settings(self, specs: Specs, revision: int, source: str) -> None:
+        if not self.settings.replace(specs, revision):
+            return
+        self._log.note("settings.in_force", revision=revision, objects=len(specs), source=source)
+        for name, error in self.settings.faults.items():
+            self._log.note("settings.rejected", object=name, error=str(error), revision=revision)
+
     # The backends
 
     def _on_backend_list(self, listed: ObjectList) -> None:
         specs = {item.name: item.spec for item in listed.objects}
         if listed.revision > self.backends.revision:
-            self._replace_backends(specs, listed.revision, "store")
+            self._replace_backends(specs, listed.revision, "store", self._kept_after_outage())
 
     def _on_backend_changes(self, changes: list[Change], revision: int) -> None:
         if revision <= self.backends.revision:
             return
-        specs = dict(self._specs)
-        for change in changes:
-            if change.gone:
-                specs.pop(change.object.name, None)
-            else:
-                specs[change.object.name] = change.object.spec
-        self._replace_backends(specs, revision, "store")
+        specs = _changed(self._specs, changes)
+        self._replace_backends(specs, revision, "store", self._kept_after_outage())
+
+    def _kept_after_outage(self) -> dict[str, float]:
+        """Return until when each backend is kept without an entry: none in calm times."""
+        regained = self._watch_backends.regained_at(self._clock())
+        if regained is None or self._clock() - regained >= _RELISTED_SECONDS:
+            return {}
+        until = regained + _RELISTED_SECONDS
+        return {item.id: until for item in self.backends.all()}
 
-    def _replace_backends(self, specs: dict[str, Any], revision: int, source: str) -> None:
+    def _replace_backends(
+        self, specs: Specs, revision: int, source: str, keep: dict[str, float]
+    ) -> None:
         self._specs = specs
         former = {item.id: item.draining for item in self.backends.all()}
         found = [parse_backend(name, spec) for name, spec in specs.items()]
-        self.backends.replace([item for item in found if item is not None], revision)
+        self.backends.replace([item for item in found if item is not None], revision, keep)
         self._note_backends(former, self.backends.all(), source)
 
     def _note_backends(
@@ -168,6 +245,20 @@
                     revision=self.backends.revision,
                 )
         for gone in former.keys() - now.keys():
-            self._log.note(
-                "backend.gone", backend=gone, source=source, revision=self.backends.revision
-            )
+            self._note_gone(gone, source)
+
+    def _note_gone(self, backend: str, source: str) -> None:
+        self._log.note(
+            "backend.gone", backend=backend, source=source, revision=self.backends.revision
+        )
+
+
+def _changed(specs: Specs, changes: list[Change]) -> Specs:
+    """Return specs with changes made."""
+    out = dict(specs)
+    for change in changes:
+        if change.gone:
+            out.pop(change.object.name, None)
+        else:
+            out[change.object.name] = change.object.spec
+    return out
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -15,26 +15,14 @@
 
 import capnp
 
-from lotushill.dispatch.messages import Ask
-from lotushill.dispatch.messages import Cancel
-from lotushill.dispatch.messages import End
-from lotushill.dispatch.messages import Grant
-from lotushill.dispatch.messages import Preemption
-from lotushill.dispatch.messages import Refusal
 from lotushill.links.exceptions import MalformedFrameError
-from lotushill.links.messages import Held
 from lotushill.links.messages import Ping
 from lotushill.links.messages import Pong
-from lotushill.links.messages import Pull
-from lotushill.links.messages import Pulled
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 from lotushill.placement.messages import Load
 
-DispatchMessage = Ask | Grant | Refusal | Preemption | End | Cancel | Held
-SettingsMessage = Pull | Pulled | Ping | Pong
-GatewayMessage = ViewPull | ViewPage | Load
-Message = DispatchMessage | SettingsMessage | GatewayMessage
+Message = Ping | Pong | ViewPull | ViewPage | Load
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
 _TRAVERSAL_LIMIT_WORDS = 1 << 22
@@ -155,15 +143,6 @@
 
 
 _KINDS: tuple[type[Any], ...] = (
-    Ask,
-    Grant,
-    Refusal,
-    Preemption,
-    End,
-    Cancel,
-    Held,
-    Pull,
-    Pulled,
     Ping,
     Pong,
     ViewPull,
--- a/src/lotushill/links/http_server.py
+++ b/src/lotushill/links/http_server.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from lotushill.links.asgi import App
@@ -42,7 +43,7 @@
         app: App,
         address: str,
         lets_cut: bool = False,
-        protocol: type[asyncio.Protocol] | None = None,
+        protocol: Callable[..., asyncio.Protocol] | None = None,
     ) -> None:
         """Bind the address; with `lets_cut` the application may cut its connections off."""
         host, port = split_address(address)
@@ -52,7 +53,7 @@
         config = uvicorn.Config(
             self._with_cut(app) if lets_cut else app,
             interface="asgi3",
-            http=protocol or "httptools",
+            http=protocol or "httptools",  # type: ignore[arg-type]
             ws="none",
             lifespan="off",
             log_config=None,
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -1,54 +1,17 @@
-"""Messages between hosts that are not about dispatch: settings and membership."""
+"""Messages between gateways: membership, and views passed on."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import Enum
 
-from lotushill.dispatch.messages import Ask  # noqa: TC001  (the codec reads it at run time)
-
-
-@dataclass(frozen=True)
-class Held:
-    """One attempt that an entry is running, told to a new dispatcher."""
-
-    ask: Ask
-    upstream: str
-
-
-@dataclass(frozen=True)
-class Pull:
-    """Asks a peer for the accepted objects whose digests are not in `known`."""
-
-    generation: int
-    known: tuple[str, ...]
-
-
-@dataclass(frozen=True)
-class AcceptedObject:
-    """One accepted object of the settings tree."""
-
-    name: str
-    digest: str
-    text: str
-
-
-@dataclass(frozen=True)
-class Pulled:
-    """Answer to a pull: the head that the peer holds and the objects that were missing."""
-
-    generation: int
-    head: str
-    objects: tuple[AcceptedObject, ...]
-    hosts: str
-    """The host list as the peer last read it, in JSON; empty if it never has."""
-
 
 class ViewKind(Enum):
     """A view of the store that gateways pass on to each other."""
 
     CONFIGURATION = "configuration"
     BACKENDS = "backends"
+    SETTINGS = "settings"
 
 
 @dataclass(frozen=True)
@@ -87,10 +50,12 @@
     region: str
     incarnation: int
     phase: MemberPhase
-    generation: int
-    """Generation of the settings, or revision of the configuration, that it has in force."""
-    backends: int = 0
+    configuration: int = -1
+    """Revision of the configuration that it has in force; below 0 for none."""
+    backends: int = -1
     """Revision of the member's view of the backends."""
+    settings: int = -1
+    """Revision of the member's view of the settings tree."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/load/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Load and experiments."""
-
-from __future__ import annotations
--- a/src/lotushill/hosts/membership.py
+++ b/src/lotushill/membership/membership.py
@@ -12,19 +12,19 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from lotushill.hosts.member_claim import beats
-from lotushill.hosts.news import PER_PACKET
-from lotushill.hosts.news import News
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.links.messages import Ping
 from lotushill.links.messages import Pong
+from lotushill.membership.member_claim import beats
+from lotushill.membership.news import PER_PACKET
+from lotushill.membership.news import News
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
-    from lotushill.hosts.membership_options import MembershipOptions
+    from lotushill.membership.membership_options import MembershipOptions
 
 _REPLAY_MEMORY = 1024
 _MAX_RELAYS = 256
@@ -129,16 +129,13 @@
 
     # Own state
 
-    def announce_generation(self, generation: int) -> list[Outgoing]:
-        """Tell every live member of the own hall at once that a generation is in force."""
-        self._set_own(replace(self.own, generation=generation))
-        near = [state for state in self.live() if state.hall == self.own.hall]
-        return [self._ping(state.address) for state in near if state.name != self.own.name]
-
-    def set_revisions(self, generation: int, backends: int) -> None:
-        """Let the next packets tell which views are held."""
-        if (generation, backends) != (self.own.generation, self.own.backends):
-            self._set_own(replace(self.own, generation=generation, backends=backends))
+    def set_revisions(self, configuration: int, backends: int, settings: int) -> bool:
+        """Let the next packets tell which views are held; return whether that is news."""
+        state = replace(self.own, configuration=configuration, backends=backends, settings=settings)
+        if state == self.own:
+            return False
+        self._set_own(state)
+        return True
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Take addresses of other members that were learned after the start."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from lotushill.hosts.rendezvous import ranked
+from lotushill.membership.rendezvous import ranked
 from lotushill.placement.backend_load import BackendLoad
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
--- a/src/lotushill/placement/recent_parts.py
+++ b/src/lotushill/placement/recent_parts.py
@@ -16,7 +16,8 @@
     """When each part was last used anywhere; reading such a part again is wasted work."""
 
     def __init__(self, seconds: float) -> None:
-        self._seconds = seconds
+        self.seconds = seconds
+        """How long a part counts as used of late."""
         self._used: dict[int, float] = {}
 
     def note(self, parts: Sequence[PromptPart], now: float) -> None:
@@ -30,10 +31,10 @@
         total = 0
         for key, part in chained(parts[:-1]):
             position += part.tokens
-            if position > matched and now - self._used.get(key, float("-inf")) < self._seconds:
+            if position > matched and now - self._used.get(key, float("-inf")) < self.seconds:
                 total += part.tokens
         return total
 
     def forget(self, now: float) -> None:
         """Drop parts that were not used of late."""
-        self._used = {key: used for key, used in self._used.items() if now - used < self._seconds}
+        self._used = {key: used for key, used in self._used.items() if now - used < self.seconds}
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -24,9 +24,14 @@
 SIGNATURE = "response-signature"
 NOT_EXECUTED = "not-executed"
 RETRY_AFTER = "retry-after"
+INSTANCE_ID = "instance-id"
 
 # Kinds and objects of the store.
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 BACKEND_KIND = "servers"
 DRAINING = "draining"
+
+# Paths of backends.
+HEALTH_PATH = "/health"
+REPORT_PATH = "/report"
--- a/src/lotushill/routing/route.py
+++ b/src/lotushill/routing/route.py
@@ -45,11 +45,13 @@
     """Whether a request needs no API key."""
     resumable: bool
     """Whether a stream may be continued on another backend."""
+    may_repeat: bool = True
+    """False where the settings tree forbids what the kind of the route allows."""
 
     @property
     def repeatable(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+        return self.may_repeat and (self.kind is RouteKind.IDEMPOTENT or self.resumable)
 
     def service_for(self, point: float) -> str:
         """Return the service for a point in [0, 1): each gets its share of all points."""
--- a/src/lotushill/routing/table.py
+++ b/src/lotushill/routing/table.py
@@ -48,6 +48,18 @@
                 return found
         return None
 
+    def route(self, name: str) -> Route | None:
+        """Return the route of a name."""
+        for routes in self._by_host.values():
+            for route in routes.values():
+                if route.name == name:
+                    return route
+        return None
+
+    def tenant_by_name(self, name: str) -> Tenant | None:
+        """Return the tenant of a name."""
+        return next((tenant for tenant in self.tenants if tenant.name == name), None)
+
     def tenant(self, api_key: str) -> Tenant | None:
         """Return the tenant that holds an API key."""
         return self._by_key.get(api_key)
--- /dev/null
+++ b/src/lotushill/standin/backend_app.py
@@ -0,0 +1,122 @@
+"""What stand-ins of engines and of plain services have in common over HTTP."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from lotushill.links.asgi import read_body
+from lotushill.links.asgi import send_json
+from lotushill.links.asgi import send_whole
+from lotushill.platform import names
+
+if TYPE_CHECKING:
+    from lotushill.links.asgi import Receive
+    from lotushill.links.asgi import Scope
+    from lotushill.links.asgi import Send
+
+_MAX_BODY = 8_000_000
+_BODY_SECONDS = 10.0
+_OTHER_INSTANCE = 421
+_BAD_REQUEST = 400
+_FULL = 503
+_FAULTS_PATH = "/faults/"
+
+
+class Fault(Enum):
+    """What is wrong with a stand-in; set by `PUT /faults/NAME`."""
+
+    NONE = "none"
+    ERRORS = "errors"
+    """Answers each request with 500 after running it."""
+    FULL = "full"
+    """Turns each request away as not run."""
+    HANG = "hang"
+    """Runs requests and never answers."""
+    CUT = "cut"
+    """Ends each answer in the middle."""
+    SURPLUS = "surplus"
+    """Sends bytes behind a whole answer."""
+    OTHER = "other"
+    """Answers with the id of another request."""
+
+
+@dataclass(frozen=True)
+class Run:
+    """One request that a stand-in ran."""
+
+    request: str
+    tenant: str
+    target: str
+
+
+class BackendApp:
+    """Checks a request as the platform's backends do; subclasses serve it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.fault = Fault.NONE
+        self.runs: list[Run] = []
+        """Every request that was run, in order."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive, _MAX_BODY, _BODY_SECONDS)
+        path = str(scope["path"])
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        if path.startswith(_FAULTS_PATH):
+            self.fault = Fault(path.removeprefix(_FAULTS_PATH))
+            await send_whole(send, 200, (), b"")
+        elif path == names.HEALTH_PATH:
+            await send_whole(send, 200, ((names.INSTANCE_ID.encode(), self.name.encode()),), b"")
+        elif path == names.REPORT_PATH:
+            await send_json(send, 200, self.report())
+        else:
+            await self._serve(scope, headers, body, send)
+
+    def report(self) -> dict[str, object]:
+        """Return what the backend tells of its load."""
+        return {}
+
+    async def run(self, headers: dict[str, str], body: bytes, send: Send) -> None:
+        """Serve one request that was let in."""
+        raise NotImplementedError
+
+    def is_full(self) -> bool:
+        """Return whether no request is let in."""
+        return self.fault is Fault.FULL
+
+    async def _serve(self, scope: Scope, headers: dict[str, str], body: bytes, send: Send) -> None:
+        request = headers.get(names.REQUEST_ID, "")
+        wanted = headers.get(names.TARGET_INSTANCE, self.name)
+        if not request:
+            await self._turn_away(send, request, _BAD_REQUEST)
+        elif wanted != self.name:
+            await self._turn_away(send, request, _OTHER_INSTANCE)
+        elif self.is_full():
+            await self._turn_away(send, request, _FULL)
+        else:
+            tenant = headers.get(names.TENANT, "")
+            self.runs.append(Run(request, tenant, str(scope["path"])))
+            await self.run(headers, body, send)
+
+    async def _turn_away(self, send: Send, request: str, status: int) -> None:
+        told = [
+            (names.REQUEST_ID.encode(), request.encode("latin-1")),
+            (names.NOT_EXECUTED.encode(), b"1"),
+        ]
+        await send_whole(send, status, told, b"")
+
+    def answer_headers(self, request: str) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer that was run."""
+        shown = "another" if self.fault is Fault.OTHER else request
+        return [
+            (names.REQUEST_ID.encode(), shown.encode("latin-1")),
+            (names.SIGNATURE.encode(), f"{self.name}.{request}".encode("latin-1")),
+        ]
--- /dev/null
+++ b/src/lotushill/standin/registration.py
@@ -0,0 +1,59 @@
+"""How a stand-in of a backend keeps its entry in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lotushill.platform import names
+from lotushill.platform.object_store import ObjectStore
+from lotushill.views.exceptions import StoreError
+
+if TYPE_CHECKING:
+    from lotushill.standin.settings import StandinSettings
+
+_HEARTBEAT_SECONDS = 1.0
+
+
+class BackendEntry:
+    """Writes the entry, keeps it alive, and says when its backend leaves."""
+
+    def __init__(self, settings: StandinSettings) -> None:
+        assert settings.store is not None
+        self._settings = settings
+        self._store = ObjectStore(settings.store)
+
+    async def keep(self) -> None:
+        """Write the entry for ever."""
+        while True:
+            await self._write("ready")
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def leave(self) -> None:
+        """Say that the backend gets no new requests."""
+        await self._write(names.DRAINING)
+
+    async def remove(self) -> None:
+        """Take the entry away."""
+        try:
+            await self._store.delete(names.BACKEND_KIND, self._settings.name)
+        except StoreError:
+            pass
+
+    async def _write(self, state: str) -> None:
+        settings = self._settings
+        spec = {
+            "service": settings.service,
+            "address": settings.address,
+            "zone": settings.zone,
+            "slots": settings.slots,
+            "state": state,
+        }
+        try:
+            if await self._store.get(names.BACKEND_KIND, settings.name) is None:
+                await self._store.create(names.BACKEND_KIND, settings.name, spec)
+            else:
+                await self._store.replace(names.BACKEND_KIND, settings.name, spec)
+        except StoreError:
+            # The store is away: the next heartbeat tries again.
+            pass
--- a/src/lotushill/standin/settings.py
+++ b/src/lotushill/standin/settings.py
@@ -5,18 +5,27 @@
 from typing import Literal
 
 from lotushill.contracts.document import Document
-from lotushill.hosts.settings import Address
+from lotushill.links.address import Address
 
 
 class StandinSettings(Document):
     """Settings of `lotushill-standin`: one stand-in to a process."""
 
-    kind: Literal["platform", "engine", "service"]
+    kind: Literal["store", "engine", "service"]
+    """The platform's store, a model engine, or an instance of a plain service."""
     name: str
+    """Name, and for a backend its id: another for every start."""
     address: Address
+    store: Address | None = None
+    """Where a backend registers itself."""
+    service: str = ""
+    """Service that a backend belongs to."""
+    zone: str = "zone"
     slots: int = 16
     step: float = 0.01
     """Seconds of one engine step."""
     prefill_per_step: float = 2048.0
+    memory_tokens: int = 400_000
+    tokens_per_event: int = 4
     work: float = 0.005
-    """Seconds that a plain service works on one call."""
+    """Seconds that a plain service works on one request."""
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -19,6 +20,8 @@
     from lotushill.views.stored_object import ObjectList
 
 _WATCH_SECONDS = 4.0
+_LATE_SECONDS = 0.5
+"""A watch answered so long after its time was held up by an outage."""
 _FIRST_PAUSE_SECONDS = 0.05
 _LONGEST_PAUSE_SECONDS = 0.8
 
@@ -47,8 +50,10 @@
         rng: random.Random,
         log: EventLog,
         interval: float,
+        wait: float = _WATCH_SECONDS,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Follow `kind`, with at least `interval` seconds from one watch to the next."""
+        """Follow `kind` by watches of `wait` seconds, at least `interval` seconds apart."""
         self._store = store
         self._kind = kind
         self._on_list = on_list
@@ -56,6 +61,9 @@
         self._rng = rng
         self._log = log
         self._interval = interval
+        self._wait = wait
+        self._clock = clock
+        self._regained_at: float | None = None
         self._revision = -1
         self._pause = _FIRST_PAUSE_SECONDS
         self.failing = False
@@ -76,22 +84,35 @@
     async def _step(self) -> None:
         if self._revision < 0:
             listed = await self._store.list_kind(self._kind)
+            self._note_answer()
             self._revision = listed.revision
             self._on_list(listed)
         else:
-            changes, revision = await self._store.watch(self._kind, self._revision, _WATCH_SECONDS)
+            asked = self._clock()
+            changes, revision = await self._store.watch(self._kind, self._revision, self._wait)
+            self._note_answer()
+            if self._clock() - asked > self._wait + _LATE_SECONDS:
+                # The store was away in between, and its answer is the first one since.
+                self._regained_at = self._clock()
             if changes:
                 self._on_changes(changes, revision)
                 self._revision = max(self._revision, revision)
             # Without changes it goes on from where it was: a store in trouble may hold events
             # back while its revision moves on, and would never tell of them again.
-        self._note_answer()
         await anyio.sleep(self._jitter(self._interval))
 
+    def regained_at(self, now: float) -> float | None:
+        """Return when the store began to answer again, None if it never stopped.
+
+        While it does not answer that is now: an outage is not over.
+        """
+        return now if self.failing else self._regained_at
+
     def _note_answer(self) -> None:
         self._pause = _FIRST_PAUSE_SECONDS
         if self.failing:
             self.failing = False
+            self._regained_at = self._clock()
             self._log.note("dependency.regained", name="store", kind=self._kind)
 
     async def _back_off(self, error: StoreError) -> None:
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -10,10 +10,12 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from lotushill.contracts.settings_view import SettingsView
 from lotushill.event_log import EventLog
 from lotushill.gateway.backend_pool import BackendPool
 from lotushill.gateway.client_protocol import ClientProtocol
 from lotushill.gateway.front import Front
+from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
 from lotushill.gateway.retry_budgets import RetryBudgets
 from lotushill.gateway.settings import RetrySettings
@@ -189,6 +191,7 @@
         self.service = Service("s", 50, profile)
         self.configuration = ConfigurationView()
         self.view = BackendView()
+        self.settings = SettingsView()
         self.fresh = True
         self.slack = slack
         self.lines: list[bytes] = []
@@ -211,11 +214,13 @@
             name="gw",
             configuration=self.configuration,
             backends=self.view,
+            settings=self.settings,
             fleet=fleet,
             shared_load=SharedLoad("gw", fleet, loop.time, lambda _: self.service, lambda _: None),
             pool=BackendPool(request_head.answered_id),
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
             log=EventLog("gw", self.lines.append),
+            metrics=Metrics(),
             rng=random.Random(1),
             view_is_fresh=lambda: self.fresh,
         )
--- /dev/null
+++ b/tests/gateway/test_client_protocol.py
@@ -0,0 +1,58 @@
+"""What a client may take: slow heads and connections that say nothing are ended."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import unittest
+
+from lotushill.gateway.client_protocol import ClientProtocol
+from lotushill.links.asgi import Receive
+from lotushill.links.asgi import Scope
+from lotushill.links.asgi import Send
+from lotushill.links.asgi import send_whole
+from lotushill.links.http_server import HttpServer
+from lotushill.routing.limits import ClientLimits
+
+PATIENCE = 10.0
+
+
+async def answer(scope: Scope, receive: Receive, send: Send) -> None:
+    del scope, receive
+    await send_whole(send, 200, (), b"done")
+
+
+class TestClientProtocol(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        limits = ClientLimits(header_seconds=0.1, idle_seconds=0.3)
+        protocol = functools.partial(ClientProtocol, limits=lambda: limits)
+        self.server = HttpServer(answer, "127.0.0.1:0", protocol=protocol)
+        self.task = asyncio.create_task(self.server.serve())
+        await self.server.wait_started()
+
+    async def asyncTearDown(self) -> None:
+        self.server.abort()
+        await self.task
+
+    async def sent(self, *pieces: bytes) -> bytes:
+        """Return all that the server says until it ends the connection."""
+        host, _, port = self.server.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for piece in pieces:
+            writer.write(piece)
+        async with asyncio.timeout(PATIENCE):
+            got = await reader.read()
+        writer.close()
+        return got
+
+    async def test_a_head_that_never_ends_is_turned_away_as_not_run(self) -> None:
+        got = await self.sent(b"GET / HTTP/1.1\r\nHost: a")
+        self.assertTrue(got.startswith(b"HTTP/1.1 408 "), got)
+
+    async def test_a_connection_that_says_nothing_is_closed(self) -> None:
+        self.assertEqual(b"", await self.sent())
+
+    async def test_a_whole_head_is_served(self) -> None:
+        got = await self.sent(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 "), got)
+        self.assertTrue(got.endswith(b"done"), got)
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,26 @@
+from __future__ import annotations
+
+import unittest
+
+from lotushill.gateway.metrics import Metrics
+
+
+class TestMetrics(unittest.TestCase):
+    def test_ends_times_and_predictions_are_told(self) -> None:
+        metrics = Metrics()
+        metrics.gauge("members", "Gateways that are heard", lambda: 3)
+        metrics.note_request("llm", "given-up:reset", 0.3)
+        metrics.note_attempt("llm", "broken")
+        metrics.note_turned_away(404)
+        metrics.note_first("llm", 0.3, 0.2)
+        text = metrics.text().decode()
+        for line in (
+            'lotushill_requests_total{outcome="given-up",service="llm"} 1.0',
+            'lotushill_attempts_total{end="broken",service="llm"} 1.0',
+            'lotushill_turned_away_total{status="404"} 1.0',
+            'lotushill_request_seconds_bucket{le="0.4",service="llm"} 1.0',
+            'lotushill_prediction_ratio_bucket{le="1.2",service="llm"} 0.0',
+            'lotushill_prediction_ratio_bucket{le="2.0",service="llm"} 1.0',
+            "lotushill_members 3.0",
+        ):
+            self.assertIn(line, text)
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `lotushill.membership`."""
+
+from __future__ import annotations
--- a/tests/views/test_views.py
+++ b/tests/views/test_views.py
@@ -56,5 +56,25 @@
         view.replace([backend("b")], 2)
         self.assertIsNone(view.find("a"))
 
+    def test_a_backend_that_is_kept_stays_until_its_time(self) -> None:
+        view = BackendView()
+        view.replace([backend("a"), backend("b"), backend("c", draining=True)], 1)
+        view.replace([], 2, {"a": 5.0, "c": 5.0})
+        self.assertEqual(["a"], [item.id for item in view.of("s")])
+        view.replace([], 3)
+        self.assertEqual({"a": 5.0}, view.lapsed)
+        self.assertEqual((), view.expire(4.9))
+        self.assertEqual(("a",), view.expire(5.0))
+        self.assertEqual([], view.of("s"))
+
+    def test_a_kept_backend_that_is_listed_again_is_no_longer_lapsed(self) -> None:
+        view = BackendView()
+        view.replace([backend("a")], 1)
+        view.replace([], 2, {"a": 5.0})
+        view.replace([backend("a")], 3)
+        self.assertEqual((), view.expire(9.0))
+        view.replace([], 4)
+        self.assertEqual((), view.all())
+
     def test_nothing_is_known_before_the_first_list(self) -> None:
         self.assertFalse(BackendView().known)
