Let an engine copy a shared prompt part from another in place of reading it again

The configuration tells that engines move memory, and how fast; nothing used it.

Change: placement/fetch.py plans a copy from the upstream that keeps most of the prompt, where that is clearly quicker than reading; the choice weighs the reading that is left. Choice and NoChoice get a module of their own.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -22,7 +22,7 @@
     from lotushill.gateway.request import Request
     from lotushill.gateway.upstream_connection import AnswerHead
     from lotushill.gateway.upstream_connection import UpstreamConnection
-    from lotushill.placement.fleet import Choice
+    from lotushill.placement.choice import Choice
 
 _SUCCESS = range(200, 300)
 _SILENCE_SECONDS = 0.8
@@ -166,6 +166,7 @@
             request.route.priority,
             request.team,
             last_event_id,
+            self._choice.fetch.source.address if self._choice.fetch else "",
         )
         lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
         for name, value in [*headers, *own]:
@@ -196,7 +197,8 @@
         if self._request.service.engine is None:
             pace.note_answer(taken)
         else:
-            pace.note_first_event(choice.ahead, taken)
+            copying = choice.fetch.seconds if choice.fetch else 0.0
+            pace.note_first_event(choice.ahead, taken - copying)
 
     def _learn(self, end: AttemptEnd) -> None:
         load = self._parts.fleet.load(self._choice.upstream.id)
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -10,8 +10,8 @@
 from lotushill.gateway.attempt import Attempt
 from lotushill.gateway.attempt_end import EndKind
 from lotushill.gateway.event_stream import EventSplitter
-from lotushill.placement.fleet import Choice
-from lotushill.placement.fleet import NoChoice
+from lotushill.placement.choice import Choice
+from lotushill.placement.choice import NoChoice
 from lotushill.placement.messages import Placed
 
 if TYPE_CHECKING:
@@ -130,6 +130,8 @@
             prompt=self._request.need.prompt_tokens,
             reading=choice.reading,
             again=choice.again,
+            fetch=choice.fetch.source.id if choice.fetch else "",
+            fetched=choice.fetch.tokens if choice.fetch else 0,
             priority=self._request.route.priority,
             ahead=choice.ahead,
             running=choice.running,
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lotushill.membership.rendezvous import ranked
+from lotushill.placement.choice import Choice
+from lotushill.placement.choice import NoChoice
+from lotushill.placement.fetch import FetchPlanner
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
 from lotushill.placement.upstream_load import UpstreamLoad
@@ -20,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from lotushill.placement.messages import Placed
     from lotushill.placement.need import Need
@@ -35,6 +38,10 @@
 """What reading a shared token again costs that some upstream has read of late."""
 _READING_LOSS_PER_TOKEN = 1e-5
 """What reading any token costs, since it keeps others waiting."""
+_FETCH_LOSS_PER_TOKEN = 2e-5
+"""What copying a token from another upstream costs."""
+_SOUND_RATE = 0.2
+"""Nothing is copied from an upstream that fails more often than this."""
 _PACKED_SHARE = 0.6
 """Of the slots; beyond it such streams are spread."""
 _OTHER_HALL_LOSS = 0.01
@@ -58,40 +65,6 @@
 _LONGEST_RETRY = 3.0
 
 
-@dataclass(frozen=True)
-class Choice:
-    """Where a request goes, with the figures that decided it."""
-
-    upstream: Upstream
-    cost: float
-    first: float
-    """Predicted seconds to the first event, or to the whole of a plain answer."""
-    reading: int
-    """Prompt tokens that the upstream has to read for it."""
-    ahead: int
-    """Prompt tokens that are read until its first event, those of others included."""
-    seconds: float
-    """Predicted seconds until the answer is whole."""
-    wait: float = 0.0
-    """Predicted seconds until its own prompt is begun."""
-    harm: float = 0.0
-    """What it costs the streams that run beside it."""
-    pressure: float = 0.0
-    """What a usual request of its route would cost them."""
-    again: int = 0
-    """Shared prompt tokens that are read again."""
-    running: int = 0
-    """Requests that run there already, of all gateways."""
-
-
-@dataclass(frozen=True)
-class NoChoice:
-    """No upstream can serve the request in the time it has."""
-
-    reason: str
-    retry_after: float
-
-
 class Fleet:
     """The model of all upstreams."""
 
@@ -179,8 +152,9 @@
         reachable = [item for item in candidates if not self.load(item.id).away(now)]
         if not candidates:
             return NoChoice("no upstream", 1.0)
+        kept = self._kept(need, service, reachable, now)
         choices = [
-            self._weigh(need, service, item, ranks.get(item.id, 0.0), now)
+            self._weigh(need, service, item, ranks.get(item.id, 0.0), kept, known, now)
             for item in reachable or candidates
         ]
         best = min(choices, key=lambda choice: choice.cost)
@@ -207,12 +181,33 @@
         """Return whether even the best place keeps a request waiting or harms others more."""
         return choice.wait > _LONG_WAIT * need.target or choice.pressure > _MOST_HARM
 
+    def _kept(
+        self, need: Need, service: Service, sources: Iterable[Upstream], now: float
+    ) -> FetchPlanner | None:
+        """Return what is kept where of a prompt, among upstreams that can be copied from."""
+        if service.engine is None or not service.engine.link_rate:
+            return None
+        kept = {
+            item.id: self.load(item.id).kept.matched(need.parts[:-1])
+            for item in sources
+            if self.load(item.id).failures.rate(now) < _SOUND_RATE
+            and not self._is_cut_off(item.hall)
+        }
+        return FetchPlanner(service.engine, kept)
+
     def _weigh(
-        self, need: Need, service: Service, upstream: Upstream, rank: float, now: float
+        self,
+        need: Need,
+        service: Service,
+        upstream: Upstream,
+        rank: float,
+        planner: FetchPlanner | None,
+        known: Mapping[str, Upstream],
+        now: float,
     ) -> Choice:
         if service.engine is None:
             return self._weigh_plain(need, upstream, now)
-        return self._weigh_engine(need, service, upstream, rank, now)
+        return self._weigh_engine(need, service, upstream, rank, planner, known, now)
 
     def _weigh_plain(self, need: Need, upstream: Upstream, now: float) -> Choice:
         load = self.load(upstream.id)
@@ -224,7 +219,14 @@
         return Choice(upstream, cost, first, 0, 0, first, running=len(load.running))
 
     def _weigh_engine(
-        self, need: Need, service: Service, upstream: Upstream, rank: float, now: float
+        self,
+        need: Need,
+        service: Service,
+        upstream: Upstream,
+        rank: float,
+        planner: FetchPlanner | None,
+        known: Mapping[str, Upstream],
+        now: float,
     ) -> Choice:
         engine = service.engine
         assert engine is not None
@@ -232,8 +234,12 @@
         pace = self.pace(need.service)
         rate = pace.read_rate / load.slowness(now)
         unread = load.unread(rate, now)
-        reading = max(0, need.prompt_tokens - load.kept.matched(need.parts))
-        first = (unread + reading) / rate + pace.event_gap
+        matched = load.kept.matched(need.parts)
+        fetch = planner.plan(upstream, matched, known, rate) if planner else None
+        fetched = fetch.tokens if fetch else 0
+        reading = max(0, need.prompt_tokens - matched - fetched)
+        copying = fetch.seconds if fetch else 0.0
+        first = max(unread / rate, copying) + reading / rate + pace.event_gap
         running = len(load.running)
         events = need.output_tokens / engine.tokens_per_event
         seconds = first + events * pace.event_gap * load.slowness(now)
@@ -248,6 +254,7 @@
         cost += self._packing_cost(need, pace, rank, running / engine.slots)
         again = self.recent.again(need.parts, need.prompt_tokens - reading, now)
         cost += _REREAD_LOSS_PER_TOKEN * again + _READING_LOSS_PER_TOKEN * reading
+        cost += _FETCH_LOSS_PER_TOKEN * fetched
         if load.memory + need.prompt_tokens + need.output_tokens > (
             _MEMORY_SHARE * engine.memory_tokens
         ):
@@ -265,6 +272,7 @@
             pressure=pressure,
             again=again,
             running=running,
+            fetch=fetch,
         )
 
     def _harm(self, load: UpstreamLoad, pace: Pace, before: float, reading: float) -> float:
--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -15,6 +15,7 @@
 from lotushill.routing.team import Team
 
 _MS = 1000.0
+_BYTES_A_MEGABIT = 125_000.0
 
 
 def parse_table(spec: Any) -> RoutingTable:
@@ -71,9 +72,18 @@
         slots=int(item["slots"]),
         memory_tokens=int(item["kvCapacity"]),
         tokens_per_event=int(item.get("stride") or 1),
+        token_bytes=int(item.get("kvTokenBytes") or 0),
+        link_rate=_link_rate(item),
     )
 
 
+def _link_rate(item: dict[str, Any]) -> float:
+    """Return bytes a second between engines, 0 where they move no memory."""
+    if not item.get("moves") or not item.get("kvTokenBytes"):
+        return 0.0
+    return float(item.get("linkMbps") or 0.0) * _BYTES_A_MEGABIT
+
+
 def _team(item: dict[str, Any]) -> Team:
     priority = item.get("priority")
     return Team(
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -73,9 +73,17 @@
 
 
 def attempt_headers(
-    instance: str, seconds_left: float, priority: int, team: str, last_event_id: str
+    instance: str,
+    seconds_left: float,
+    priority: int,
+    team: str,
+    last_event_id: str,
+    fetch_from: str = "",
 ) -> Headers:
-    """Return the headers of one attempt that this system sets."""
+    """Return the headers of one attempt that this system sets.
+
+    `fetch_from` is the address of an engine to take kept prompt parts from.
+    """
     left = max(1, int(seconds_left * _MS))
     out = [
         (names.TARGET_INSTANCE.encode(), instance.encode()),
@@ -84,6 +92,8 @@
     ]
     if team:
         out.append((names.TENANT.encode(), team.encode("latin-1")))
+    if fetch_from:
+        out.append((names.KV_FETCH.encode(), fetch_from.encode()))
     if last_event_id:
         out.append((names.LAST_EVENT_ID.encode(), last_event_id.encode("latin-1")))
     return out
--- a/src/lotushill/routing/service.py
+++ b/src/lotushill/routing/service.py
@@ -15,6 +15,10 @@
     """Tokens of running requests and kept prompt parts that fit one engine."""
     tokens_per_event: int
     """Tokens that one event of a stream carries, at most."""
+    token_bytes: int = 0
+    """Bytes of memory that one token takes."""
+    link_rate: float = 0.0
+    """Bytes a second that go from one engine to another; 0 where memory cannot be moved."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/placement/test_fetch.py
@@ -0,0 +1,63 @@
+"""Copies of kept prompt parts: from where, and when they are worth it."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.placement.fetch import FetchPlanner
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.upstream import Upstream
+
+READ_RATE = 60_000.0
+MOVES = EngineProfile(32, 400_000, 5, token_bytes=160_000, link_rate=3.0e10)
+KEEPS = EngineProfile(32, 400_000, 5)
+
+
+def upstream(name: str, hall: str = "h1") -> Upstream:
+    return Upstream(name, "llm", f"10.0.0.{name[1:]}:80", hall, 8, False)
+
+
+ALL = {item.id: item for item in (upstream("b1"), upstream("b2"), upstream("b3", "h2"))}
+
+
+class TestFetch(unittest.TestCase):
+    def test_what_another_keeps_is_copied_and_the_nearer_one_gives_it(self) -> None:
+        planner = FetchPlanner(MOVES, {"b1": 0, "b2": 5000, "b3": 5000})
+        fetch = planner.plan(ALL["b1"], 0, ALL, READ_RATE)
+        assert fetch is not None
+        self.assertEqual(("b2", 5000), (fetch.source.id, fetch.tokens))
+        self.assertLess(fetch.seconds, 5000 / READ_RATE)
+
+    def test_only_what_the_target_lacks_is_copied(self) -> None:
+        planner = FetchPlanner(MOVES, {"b1": 3000, "b2": 5000})
+        fetch = planner.plan(ALL["b1"], 3000, ALL, READ_RATE)
+        self.assertEqual(2000, fetch.tokens if fetch else 0)
+
+    def test_a_few_tokens_are_read(self) -> None:
+        planner = FetchPlanner(MOVES, {"b2": 200})
+        self.assertIsNone(planner.plan(ALL["b1"], 0, ALL, READ_RATE))
+
+    def test_an_upstream_does_not_copy_from_itself(self) -> None:
+        planner = FetchPlanner(MOVES, {"b1": 5000})
+        self.assertIsNone(planner.plan(ALL["b1"], 0, ALL, READ_RATE))
+
+    def test_without_moves_nothing_is_copied(self) -> None:
+        planner = FetchPlanner(KEEPS, {"b2": 5000})
+        self.assertIsNone(planner.plan(ALL["b1"], 0, ALL, READ_RATE))
+
+    @given(
+        st.dictionaries(st.sampled_from(sorted(ALL)), st.integers(0, 20_000)),
+        st.sampled_from(sorted(ALL)),
+        st.integers(0, 20_000),
+        st.floats(1_000, 1_000_000),
+    )
+    def test_a_copy_never_takes_longer_than_reading(
+        self, kept: dict[str, int], target: str, own: int, rate: float
+    ) -> None:
+        fetch = FetchPlanner(MOVES, kept).plan(ALL[target], own, ALL, rate)
+        if fetch is not None:
+            self.assertLess(fetch.seconds, fetch.tokens / rate)
+            self.assertEqual(kept[fetch.source.id], own + fetch.tokens)
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -3,9 +3,9 @@
 import unittest
 from dataclasses import replace
 
-from lotushill.placement.fleet import Choice
+from lotushill.placement.choice import Choice
+from lotushill.placement.choice import NoChoice
 from lotushill.placement.fleet import Fleet
-from lotushill.placement.fleet import NoChoice
 from lotushill.placement.messages import Placed
 from lotushill.placement.need import Need
 from lotushill.routing.demand import PromptPart
@@ -96,6 +96,19 @@
         driver.fleet.end("1")
         self.assertEqual(first, driver.place(long(2), ENGINE, among, 2.0))
 
+    def test_a_shared_part_kept_on_a_full_upstream_is_copied_to_another(self) -> None:
+        service = Service(
+            "llm", 100, EngineProfile(1, 400_000, 5, token_bytes=160_000, link_rate=3.0e10)
+        )
+        driver = Driver()
+        first = driver.place(long(1), service, upstreams("llm"), 1.0)
+        choice = driver.fleet.choose(long(2), service, upstreams("llm"), NOTHING, 1.1)
+        assert isinstance(choice, Choice)
+        self.assertNotEqual(first, choice.upstream.id)
+        assert choice.fetch is not None
+        self.assertEqual((first, 5000), (choice.fetch.source.id, choice.fetch.tokens))
+        self.assertEqual((0, 6500), (choice.again, choice.reading))
+
     def test_under_overload_long_prompts_are_refused_and_short_ones_are_not(self) -> None:
         driver = Driver()
         among = upstreams("llm", 2)
--- a/tests/platform/test_request_head.py
+++ b/tests/platform/test_request_head.py
@@ -53,6 +53,10 @@
             (b"2", b"m", b"4"), (kept[b"x-kept"], kept[b"model"], kept[b"content-length"])
         )
 
+    def test_where_an_engine_takes_kept_parts_from_is_told(self) -> None:
+        added = dict(request_head.attempt_headers("i-1", 1.0, 0, "", "", "10.0.0.2:80"))
+        self.assertEqual(b"10.0.0.2:80", added[b"kv-fetch"])
+
     def test_what_an_attempt_adds(self) -> None:
         added = dict(request_head.attempt_headers("i-7", 1.25, 12, "bakery", "41"))
         self.assertEqual(
