--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -242,6 +242,22 @@
                 "the store turns this gateway away",
                 (f"{_STORE}.TestStoreViews.test_a_peers_view_is_taken_only_if_it_is_newer",),
             ),
+            Case(
+                "the readers of a hall are turned away",
+                (
+                    "tests.membership.test_readers.TestReaders."
+                    "test_each_hall_has_its_readers_whoever_is_turned_away",
+                    "tests.gateway.test_peers.TestPulls."
+                    "test_a_passive_one_pulls_at_once_from_its_hall_and_a_reader_waits",
+                ),
+            ),
+            Case(
+                "a gateway takes up reading after a rest",
+                (
+                    "tests.views.test_watcher.TestWatcher."
+                    "test_one_that_leaves_reading_to_others_makes_no_call_and_goes_on_from_theirs",
+                ),
+            ),
             Case(
                 "a configuration that cannot be read",
                 (
@@ -310,6 +326,17 @@
                 "datagrams are lost",
                 (f"{_LOAD}.test_after_a_whole_list_both_agree_whatever_was_lost",),
             ),
+            Case(
+                "a collector is lost",
+                (
+                    "tests.gateway.test_peers.TestLoad."
+                    "test_one_that_is_gone_does_not_keep_its_hall_in_the_dark",
+                ),
+            ),
+            Case(
+                "a gateway starts later",
+                (f"{_LOAD}.test_one_that_comes_later_is_told_of_all_that_runs_within_some_lists",),
+            ),
             Case("a gateway is lost", (f"{_LOAD}.test_requests_of_a_lost_gateway_are_dropped",)),
         ),
     ),
