Keep lapsed entries only from the start of the call that failed

What a gateway notices, and when it is answered again, may both be seconds after the store was really away.

Change: entries are kept for 1.8 s from when the call began that the store did not answer. An upstream that left before that call is excused by the outage itself, one that left after it is let go in time.

Tests: what is known of an outage (fails on the former code, which counted from the answer).

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -211,7 +211,7 @@
     Break(
         "gateway: entries that lapsed in an outage are kept for a while",
         "gateway/store_views.py",
-        "        until = regained + _RELISTED_SECONDS",
+        "        return {item.id: away + _RELISTED_SECONDS for item in self.upstreams.all()}",
         "        return {}",
         "tests.platform.test_object_store",
     ),
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -38,8 +38,11 @@
 _SETTINGS_INTERVAL = 0.5
 _SETTINGS_WATCH_SECONDS = 25.0
 """Edits of the tree come as soon as they are made; only a silent cut is noticed later."""
-_RELISTED_SECONDS = 2.0
-"""After an outage of the store, living upstreams have their entries again within so long."""
+_RELISTED_SECONDS = 1.8
+"""After an outage of the store, living upstreams have their entries again within about so long.
+
+Counted from the last call that failed, it is also less than an upstream may serve on after it left.
+"""
 _ENTRIES = "entries"
 _LAPSED = "lapsed"
 
@@ -236,11 +239,10 @@
 
     def _kept_after_outage(self) -> dict[str, float]:
         """Return until when each upstream is kept without an entry: none in calm times."""
-        regained = self._watch_upstreams.regained_at(self._clock())
-        if regained is None or self._clock() - regained >= _RELISTED_SECONDS:
+        away = self._watch_upstreams.away_at
+        if away is None or self._clock() - away >= _RELISTED_SECONDS:
             return {}
-        until = regained + _RELISTED_SECONDS
-        return {item.id: until for item in self.upstreams.all()}
+        return {item.id: away + _RELISTED_SECONDS for item in self.upstreams.all()}
 
     def _replace_upstreams(
         self, specs: Specs, revision: int, source: str, keep: dict[str, float]
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -21,8 +21,6 @@
     from lotushill.views.stored_object import ObjectList
 
 _WATCH_SECONDS = 6.0
-_LATE_SECONDS = 0.5
-"""A watch answered so long after its time was held up by an outage."""
 _FIRST_PAUSE_SECONDS = 0.05
 _LONGEST_PAUSE_SECONDS = 0.8
 _STAND_IN_PAUSE_SECONDS = 4.0
@@ -104,18 +102,21 @@
         self._revision = -1
         self._history_gone = False
         self._pause = _FIRST_PAUSE_SECONDS
-        self._regained_at: float | None = None
+        self._asked_at = 0.0
+        self._away_at: float | None = None
         self.active = False
         """Whether this gateway reads the kind itself."""
         self.failing = False
         """Whether the last call brought no answer."""
 
-    def regained_at(self, now: float) -> float | None:
-        """Return when the store began to answer again, None if it never stopped.
+    @property
+    def away_at(self) -> float | None:
+        """Return when the last call began that the store did not answer, None without any.
 
-        While it does not answer that is now: an outage is not over.
+        Not when the failure was noticed, nor when the store answered again: both may be seconds
+        after its return, and only what lies behind the failed call is known to be outage.
         """
-        return now if self.failing else self._regained_at
+        return self._away_at
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -151,6 +152,7 @@
         await anyio.sleep(self._jitter(kind.interval))
 
     async def _list(self) -> None:
+        self._asked_at = self._clock()
         listed = await self._store.list_kind(self._kind.name)
         self._note_answer()
         self._history_gone = False
@@ -159,12 +161,9 @@
 
     async def _watch(self) -> None:
         kind = self._kind
-        asked = self._clock()
+        self._asked_at = self._clock()
         changes, revision = await self._store.watch(kind.name, self._revision, kind.wait)
         self._note_answer()
-        if self._clock() - asked > kind.wait + _LATE_SECONDS:
-            # The store was away in between, and its answer is the first one since.
-            self._regained_at = self._clock()
         if changes:
             kind.on_changes(changes, revision)
             self._revision = max(self._revision, revision)
@@ -175,10 +174,10 @@
         self._pause = _FIRST_PAUSE_SECONDS
         if self.failing:
             self.failing = False
-            self._regained_at = self._clock()
             self._log.note("dependency.regained", name="store", kind=self._kind.name)
 
     async def _back_off(self, error: StoreError) -> None:
+        self._away_at = self._asked_at
         if not self.failing:
             self.failing = True
             self._log.note("dependency.lost", name="store", kind=self._kind.name, error=repr(error))
--- a/tests/views/test_watcher.py
+++ b/tests/views/test_watcher.py
@@ -22,6 +22,9 @@
     def __init__(self, *steps: object) -> None:
         self.steps = list(steps)
         self.watched: list[int] = []
+        self.now = 0.0
+        self.seconds_a_watch = 0.0
+        """What each watch takes until it is answered, or fails."""
         self.lists = 0
         self.done = asyncio.Event()
 
@@ -37,6 +40,7 @@
             self.done.set()
             await asyncio.Event().wait()
         step = self.steps.pop(0)
+        self.now += self.seconds_a_watch
         if isinstance(step, Exception):
             raise step
         assert isinstance(step, tuple)
@@ -86,7 +90,9 @@
             random.Random(1),
             EventLog("gw", lambda line: None),
             self.reading,
+            lambda: store.now,
         )
+        self.watcher = watcher
         task = asyncio.create_task(watcher.run())
         async with asyncio.timeout(5):
             await store.done.wait()
@@ -124,3 +130,14 @@
         self.reading = Turns(self, [False])
         await self.follow(store)
         self.assertEqual((0, [30, 31]), (store.lists, store.watched))
+
+    async def test_an_outage_is_known_only_from_when_the_call_that_failed_began(self) -> None:
+        store = ScriptedStore(StoreUnavailableError("cut"), ([change("a", 12)], 12))
+        store.seconds_a_watch = 5.0
+        await self.follow(store)
+        # Noticed at 5 s, answered again at 10 s: what left after the start of the call is bound.
+        self.assertEqual((10.0, 0.0), (store.now, self.watcher.away_at))
+
+    async def test_without_a_failed_call_no_outage_is_known(self) -> None:
+        await self.follow(ScriptedStore(([change("a", 12)], 12), HistoryGoneError()))
+        self.assertIsNone(self.watcher.away_at)
