Say 'an upstream', as the rename had left 'a upstream'

Cause: the mechanical rename of the users' words kept the article of the former word. Texts, comments and names of tests only; no behaviour changes. Checked by the tests, lint and types.

--- a/src/lotushill/console/standin.py
+++ b/src/lotushill/console/standin.py
@@ -26,7 +26,7 @@
     from lotushill.links.asgi import App
 
 _LEAVE_SECONDS = 2.0
-"""A upstream that is told to stop serves on for so long after it said that it leaves."""
+"""An upstream that is told to stop serves on for so long after it said that it leaves."""
 
 
 def main() -> None:
--- a/src/lotushill/gateway/__init__.py
+++ b/src/lotushill/gateway/__init__.py
@@ -1,3 +1,3 @@
-"""The request path: from a client to a upstream and back."""
+"""The request path: from a client to an upstream and back."""
 
 from __future__ import annotations
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -27,7 +27,7 @@
 _SUCCESS = range(200, 300)
 _SILENCE_SECONDS = 0.8
 _SILENCE_PREDICTED = 4.0
-"""A upstream that takes so many times longer than predicted is taken for silent."""
+"""An upstream that takes so many times longer than predicted is taken for silent."""
 
 
 class Attempt:
--- a/src/lotushill/gateway/attempt_end.py
+++ b/src/lotushill/gateway/attempt_end.py
@@ -1,4 +1,4 @@
-"""How one attempt at a upstream ended."""
+"""How one attempt at an upstream ended."""
 
 from __future__ import annotations
 
--- a/src/lotushill/gateway/client_answer.py
+++ b/src/lotushill/gateway/client_answer.py
@@ -33,7 +33,7 @@
         self.closing = False
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a upstream's answer."""
+        """Send the head of an upstream's answer."""
         self.started = True
         out = request_head.relayed(list(headers))
         if self.closing:
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -1,4 +1,4 @@
-"""The life of one request: choose a upstream, run, and again where that is allowed."""
+"""The life of one request: choose an upstream, run, and again where that is allowed."""
 
 from __future__ import annotations
 
@@ -83,7 +83,7 @@
     # Upstreams
 
     async def _find(self) -> Choice | None:
-        """Return a upstream, waiting for one for a small share of the target at most."""
+        """Return an upstream, waiting for one for a small share of the target at most."""
         request = self._request
         gives_up = min(
             request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -40,7 +40,7 @@
 
 
 class _TurnedAwayError(Exception):
-    """A request that is answered without a upstream."""
+    """A request that is answered without an upstream."""
 
     def __init__(self, status: int, retry_after: float | None = None) -> None:
         super().__init__(status)
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -216,7 +216,7 @@
         return table.services.get(upstream.service)
 
     def _most_idle(self, upstream: Upstream) -> int:
-        """Return this gateway's part of the connections that a upstream accepts."""
+        """Return this gateway's part of the connections that an upstream accepts."""
         service = self._service_of(upstream.id)
         if service is None:
             return 0
--- a/src/lotushill/gateway/request.py
+++ b/src/lotushill/gateway/request.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class Request:
-    """A request that may be sent to a upstream; times are on the loop's clock."""
+    """A request that may be sent to an upstream; times are on the loop's clock."""
 
     key: str
     """Unique over all gateways."""
--- a/src/lotushill/gateway/shared_load.py
+++ b/src/lotushill/gateway/shared_load.py
@@ -41,7 +41,7 @@
         service_of: Callable[[str], Service | None],
         tell: Callable[[Load], None],
     ) -> None:
-        """Follow the load of `fleet`; `service_of` finds a upstream's service by its id."""
+        """Follow the load of `fleet`; `service_of` finds an upstream's service by its id."""
         self._name = name
         self._fleet = fleet
         self._clock = clock
--- a/src/lotushill/gateway/upstream_connection.py
+++ b/src/lotushill/gateway/upstream_connection.py
@@ -1,4 +1,4 @@
-"""One connection to a upstream, on the HTTP parser itself.
+"""One connection to an upstream, on the HTTP parser itself.
 
 A client library hides what the promises to clients stand on: whether a byte of a request was
 written, whether an answer that names no length ended cleanly, which request an answer belongs
--- a/src/lotushill/gateway/upstream_pool.py
+++ b/src/lotushill/gateway/upstream_pool.py
@@ -28,7 +28,7 @@
         answered_id: Callable[[Headers], str],
         most_idle: Callable[[Upstream], int] = lambda _: _MOST_IDLE,
     ) -> None:
-        """Make an empty pool; `most_idle` bounds the connections that rest at a upstream."""
+        """Make an empty pool; `most_idle` bounds the connections that rest at an upstream."""
         self._answered_id = answered_id
         self._most_idle = most_idle
         self._idle: dict[str, list[UpstreamConnection]] = {}
--- a/src/lotushill/placement/failure_rate.py
+++ b/src/lotushill/placement/failure_rate.py
@@ -1,4 +1,4 @@
-"""How often a upstream fails, from outcomes that fade with time."""
+"""How often an upstream fails, from outcomes that fade with time."""
 
 from __future__ import annotations
 
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -75,7 +75,7 @@
     # Feeding the model
 
     def load(self, upstream_id: str) -> UpstreamLoad:
-        """Return the load of a upstream."""
+        """Return the load of an upstream."""
         found = self._loads.get(upstream_id)
         if found is None:
             found = self._loads[upstream_id] = UpstreamLoad()
--- a/src/lotushill/placement/kept_parts.py
+++ b/src/lotushill/placement/kept_parts.py
@@ -1,4 +1,4 @@
-"""Which prompt parts a upstream still keeps, told by what was sent there."""
+"""Which prompt parts an upstream still keeps, told by what was sent there."""
 
 from __future__ import annotations
 
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True)
 class Placed:
-    """A request was sent to a upstream, or still runs there."""
+    """A request was sent to an upstream, or still runs there."""
 
     request: int
     """Number of the attempt, the same at all gateways and hardly ever that of another."""
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class Need:
-    """One request in search of a upstream; times are seconds, lengths tokens."""
+    """One request in search of an upstream; times are seconds, lengths tokens."""
 
     service: str
     route: str
--- a/src/lotushill/placement/upstream_load.py
+++ b/src/lotushill/placement/upstream_load.py
@@ -40,7 +40,7 @@
         self._back_off = _FIRST_BACK_OFF
 
     def start(self, placed: Placed, memory_tokens: int, now: float) -> None:
-        """Count a request in, on a upstream with so much memory."""
+        """Count a request in, on an upstream with so much memory."""
         if placed.request in self.running:
             return
         self.running[placed.request] = placed
--- a/src/lotushill/placement/usual_request.py
+++ b/src/lotushill/placement/usual_request.py
@@ -34,7 +34,7 @@
         self._sizes[route].note(size)
 
     def note_reading(self, service: str, route: str, tokens: int) -> None:
-        """Note the prompt tokens that a upstream had to read for one request."""
+        """Note the prompt tokens that an upstream had to read for one request."""
         self._readings[service][route].note(tokens)
 
     def weight(self, route: str, size: float) -> float:
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -1,4 +1,4 @@
-"""What the platform's headers say of a request, and the headers that a upstream gets."""
+"""What the platform's headers say of a request, and the headers that an upstream gets."""
 
 from __future__ import annotations
 
@@ -110,7 +110,7 @@
 
 
 def not_executed(status: int, headers: Headers) -> bool:
-    """Return whether a upstream says that it did not run the request."""
+    """Return whether an upstream says that it did not run the request."""
     return status == 421 or bool(_value(headers, names.NOT_EXECUTED))
 
 
--- a/src/lotushill/platform/upstreams.py
+++ b/src/lotushill/platform/upstreams.py
@@ -1,4 +1,4 @@
-"""From the platform's entry of a upstream to the product's own."""
+"""From the platform's entry of an upstream to the product's own."""
 
 from __future__ import annotations
 
--- a/src/lotushill/routing/upstream.py
+++ b/src/lotushill/routing/upstream.py
@@ -1,4 +1,4 @@
-"""A upstream: one running instance of a service, as it tells of itself."""
+"""An upstream: one running instance of a service, as it tells of itself."""
 
 from __future__ import annotations
 
--- a/src/lotushill/standin/registration.py
+++ b/src/lotushill/standin/registration.py
@@ -1,4 +1,4 @@
-"""How a stand-in of a upstream keeps its entry in the platform's store."""
+"""How a stand-in of an upstream keeps its entry in the platform's store."""
 
 from __future__ import annotations
 
--- a/src/lotushill/standin/settings.py
+++ b/src/lotushill/standin/settings.py
@@ -14,12 +14,12 @@
     kind: Literal["store", "engine", "service"]
     """The platform's store, a model engine, or an instance of a plain service."""
     name: str
-    """Name, and for a upstream its id: another for every start."""
+    """Name, and for an upstream its id: another for every start."""
     address: Address
     store: Address | None = None
-    """Where a upstream registers itself."""
+    """Where an upstream registers itself."""
     service: str = ""
-    """Service that a upstream belongs to."""
+    """Service that an upstream belongs to."""
     hall: str = "zone"
     slots: int = 16
     step: float = 0.01
--- a/src/lotushill/views/upstream_view.py
+++ b/src/lotushill/views/upstream_view.py
@@ -47,7 +47,7 @@
         return self._by_service.get(service, [])
 
     def find(self, upstream_id: str) -> Upstream | None:
-        """Return a upstream by its id."""
+        """Return an upstream by its id."""
         return self._upstreams.get(upstream_id)
 
     def id_of(self, number: int) -> str | None:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -87,7 +87,7 @@
         ),
     ),
     Promise(
-        "A upstream runs what the client sent, for the team of the client's key.",
+        "An upstream runs what the client sent, for the team of the client's key.",
         "UNASKED, ROUTE",
         (
             Case(
@@ -117,7 +117,7 @@
                 (f"{_PATH}.TestAtMostOnce.test_after_a_reset_what_may_not_be_repeated_is_not",),
             ),
             Case(
-                "a upstream that is full",
+                "an upstream that is full",
                 (
                     f"{_PATH}.TestAtMostOnce."
                     "test_a_rejection_is_tried_elsewhere_and_then_told_as_not_run",
@@ -189,7 +189,7 @@
         ),
     ),
     Promise(
-        "A upstream that leaves gets no new work, and one that lives is not forgotten.",
+        "An upstream that leaves gets no new work, and one that lives is not forgotten.",
         "DRAIN",
         (
             Case(
@@ -201,7 +201,7 @@
             Case(
                 "its entry goes",
                 (
-                    f"{_STORE}.TestStoreViews.test_a_upstream_that_goes_in_calm_times_is_gone_at_once",
+                    f"{_STORE}.TestStoreViews.test_an_upstream_that_goes_in_calm_times_is_gone_at_once",
                 ),
             ),
             Case(
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -47,7 +47,7 @@
 
 @dataclass
 class Seen:
-    """A request as a upstream saw it."""
+    """A request as an upstream saw it."""
 
     line: str
     headers: dict[str, str]
@@ -102,7 +102,7 @@
 
 @dataclass
 class ScriptedUpstream:
-    """A upstream that answers each request by the next script; the last one repeats."""
+    """An upstream that answers each request by the next script; the last one repeats."""
 
     scripts: list[Callable[[Seen], Awaitable[None]]]
     seen: list[Seen] = field(default_factory=list)
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -151,7 +151,7 @@
         alone = fleet.choose(short(), ENGINE, [far], NOTHING, 0.0)
         self.assertIsInstance(alone, Choice)
 
-    def test_a_upstream_that_fails_is_passed_over_and_forgiven(self) -> None:
+    def test_an_upstream_that_fails_is_passed_over_and_forgiven(self) -> None:
         driver = Driver()
         among = upstreams("llm", 2)
         for _ in range(6):
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -122,7 +122,7 @@
             upstream.draining, upstream.slow_seconds,
         ))  # fmt: skip
 
-    def test_a_upstream_that_leaves(self) -> None:
+    def test_an_upstream_that_leaves(self) -> None:
         upstream = parse_upstream("i-1", {**self.SPEC, "state": "draining"})
         self.assertTrue(upstream and upstream.draining)
 
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -235,7 +235,7 @@
         self.views.expire()
         self.assertEqual((), self.views.upstreams.all())
 
-    async def test_a_upstream_that_goes_in_calm_times_is_gone_at_once(self) -> None:
+    async def test_an_upstream_that_goes_in_calm_times_is_gone_at_once(self) -> None:
         self.store.put("servers", "i-1", UPSTREAM)
 
         def remove() -> bool:
--- a/tests/views/test_views.py
+++ b/tests/views/test_views.py
@@ -50,13 +50,13 @@
         view.replace([upstream("a")], 2)
         self.assertEqual([], view.of("s"))
 
-    def test_a_upstream_that_is_not_listed_any_more_is_gone(self) -> None:
+    def test_an_upstream_that_is_not_listed_any_more_is_gone(self) -> None:
         view = UpstreamView()
         view.replace([upstream("a"), upstream("b")], 1)
         view.replace([upstream("b")], 2)
         self.assertIsNone(view.find("a"))
 
-    def test_a_upstream_that_is_kept_stays_until_its_time(self) -> None:
+    def test_an_upstream_that_is_kept_stays_until_its_time(self) -> None:
         view = UpstreamView()
         view.replace([upstream("a"), upstream("b"), upstream("c", draining=True)], 1)
         view.replace([], 2, {"a": 5.0, "c": 5.0})
