Learn how long a pause beside a reading gets, and hold it as bounded

Change: placement/pauses.py learns from relayed events the quiet pause as a line over what runs, and the bound that a pause reaches beside any amount of reading; an upstream's own speed comes from its quiet pauses. Refusal of the longest prompts goes by the wait where a usual one of the route loses least, and no longer by harm. Long prompts keep to their end of the order more loosely (0.1).

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -52,6 +52,8 @@
         self.sent_at = 0.0
         self.first_at = 0.0
         self.last_at = 0.0
+        self._waiting = 0.0
+        """Seconds of reading that were due at the upstream when the last event came."""
 
     async def run(self) -> AttemptEnd:
         """Send the request and pass the answer on."""
@@ -178,15 +180,29 @@
 
     def _note_event(self) -> None:
         now = self._loop.time()
-        pace = self._parts.fleet.pace(self._request.service.name)
         if not self.first_at:
             self.first_at = now
             self._on_first()
             self._note_first(now)
         elif self._request.route.kind is RouteKind.STREAM:
-            pace.note_gap(now - self.last_at)
+            self._note_pause(now)
+        self._waiting = self._due_reading(now)
         self.last_at = now
 
+    def _note_pause(self, now: float) -> None:
+        load = self._parts.fleet.load(self._choice.upstream.id)
+        pauses = self._parts.fleet.pace(self._request.service.name).pauses
+        slowness = load.step_slowness(now)
+        ratio = pauses.note(now - self.last_at, self._waiting, len(load.running), slowness)
+        if ratio is not None and not self._due_reading(now):
+            load.note_step(ratio, now)
+
+    def _due_reading(self, now: float) -> float:
+        """Return the seconds of reading that are due at the upstream."""
+        load = self._parts.fleet.load(self._choice.upstream.id)
+        rate = self._parts.fleet.pace(self._request.service.name).read_rate
+        return load.unread(rate, now) / rate
+
     def _note_first(self, now: float) -> None:
         taken = now - self.sent_at
         choice = self._choice
@@ -198,7 +214,8 @@
             pace.note_answer(taken)
         else:
             copying = choice.fetch.seconds if choice.fetch else 0.0
-            pace.note_first_event(choice.ahead, taken - copying)
+            slowness = load.step_slowness(now)
+            pace.note_first_event(choice.ahead, (taken - copying) / slowness)
 
     def _learn(self, end: AttemptEnd) -> None:
         load = self._parts.fleet.load(self._choice.upstream.id)
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -136,6 +136,7 @@
             priority=self._request.route.priority,
             ahead=choice.ahead,
             running=choice.running,
+            pause_bound_ms=self._pause_bound_ms(),
             run=self.runs,
             view=self._parts.upstreams.revision,
         )
@@ -164,6 +165,11 @@
             self._note("attempt.ended", upstream=self.upstream, kind=end.kind.value, why=end.detail)
         return end
 
+    def _pause_bound_ms(self) -> float | None:
+        """Return by how much a reading lengthens a pause at most, None while not known."""
+        pauses = self._parts.fleet.pace(self._request.service.name).pauses
+        return round(pauses.bound * 1000, 1) if pauses.bound_known else None
+
     def _placed(self, choice: Choice) -> Placed:
         need = self._request.need
         stream = self._request.service.engine is not None
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -28,8 +28,8 @@
     """Predicted time until its own prompt is begun."""
     harm: float = 0.0
     """What it costs the streams that run beside it."""
-    pressure: float = 0.0
-    """What a usual request of its route would cost them."""
+    usual_loss: float = 0.0
+    """On a route of long prompts, what a usual request would lose there and make others lose."""
     again: int = 0
     """Shared prompt tokens that are read again."""
     running: int = 0
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -40,10 +40,13 @@
 _SOUND_RATE = 0.2
 """Nothing is copied from an upstream that fails more often than this."""
 _LONG_SHARE = 0.5
-_MOST_HARM = 1.2
 _LONG_RETRY = 1.0
 _LONG_WAIT = 0.5
-"""Of its target, how long a long request may wait until its prompt is read."""
+"""Of its target, how long a long request may wait until its prompt is read.
+
+Held against the upstream that is best for a usual request of the route, so that large and small
+ones are refused alike.
+"""
 _MOST_RANKED = 10_000
 _RANKS_KEPT = 32
 _SHORTEST_RETRY = 0.2
@@ -144,9 +147,10 @@
             weigher.weigh(item, self.load(item.id), ranks.get(item.id, 0.0)) for item in weighed
         ]
         best = min(choices, key=lambda choice: choice.cost)
-        if self._is_long(need) and self._overloaded(need, best):
-            wait = max(_LONG_RETRY, best.wait)
-            return NoChoice("overload", min(_LONGEST_RETRY, wait))
+        if self._is_long(need):
+            wait = min(choices, key=lambda choice: choice.usual_loss).wait
+            if wait > _LONG_WAIT * need.target:
+                return NoChoice("overload", min(_LONGEST_RETRY, max(_LONG_RETRY, wait)))
         soonest = min(choices, key=lambda choice: choice.first)
         if soonest.first > need.patience:
             wait = soonest.first - need.target
@@ -163,10 +167,6 @@
         usual = self.usual.reading(need.service, need.route)
         return usual > _LONG_SHARE * self.usual.longest(need.service)
 
-    def _overloaded(self, need: Need, choice: Choice) -> bool:
-        """Return whether even the best place keeps a request waiting or harms others more."""
-        return choice.wait > _LONG_WAIT * need.target or choice.pressure > _MOST_HARM
-
     def _weigher(
         self,
         need: Need,
--- a/src/lotushill/placement/pace.py
+++ b/src/lotushill/placement/pace.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from lotushill.placement.pauses import Pauses
+
 _FIRST_READ_RATE = 40_000.0
-_FIRST_EVENT_GAP = 0.03
 _FIRST_ANSWER_SECONDS = 0.1
 _WEIGHT = 0.08
 _SLOW_WEIGHT = 0.02
@@ -25,8 +26,8 @@
     def __init__(self) -> None:
         self.read_rate = _FIRST_READ_RATE
         """Prompt tokens that one engine reads in a second."""
-        self.event_gap = _FIRST_EVENT_GAP
-        """Seconds between two events of a stream that runs undisturbed."""
+        self.pauses = Pauses()
+        """Between the events of a stream."""
         self.answer_seconds = _FIRST_ANSWER_SECONDS
         """Seconds that a plain request takes, without waiting."""
         self.long_reading = 0.0
@@ -49,11 +50,6 @@
         rate = min(_LIKELY * self.read_rate, max(self.read_rate / _LIKELY, rate))
         self.read_rate += _RATE_WEIGHT * (rate - self.read_rate)
 
-    def note_gap(self, seconds: float) -> None:
-        """Learn from the pause between two events."""
-        weight = _WEIGHT if seconds < self.event_gap else _SLOW_WEIGHT
-        self.event_gap += weight * (seconds - self.event_gap)
-
     def note_answer(self, seconds: float) -> None:
         """Learn from a plain answer."""
         weight = _WEIGHT if seconds < self.answer_seconds else _SLOW_WEIGHT
--- a/src/lotushill/placement/upstream_load.py
+++ b/src/lotushill/placement/upstream_load.py
@@ -14,6 +14,12 @@
 
 _SLOWNESS_WEIGHT = 0.15
 _FORGET_SECONDS = 6.0
+_STEP_WEIGHT = 0.03
+"""Of one pause: some 30 of them count, which a stream or two bring in a second."""
+_STEP_FORGET_SECONDS = 20.0
+"""An upstream that slowed down for a while is tried again; one that is slow by itself shows it."""
+_LEAST_STEP_SLOWNESS = 0.5
+_MOST_STEP_SLOWNESS = 20.0
 _FIRST_BACK_OFF = 0.5
 _LONGEST_BACK_OFF = 4.0
 
@@ -36,6 +42,8 @@
         self._reading_since = 0.0
         self._slowness = 1.0
         self._slowness_at = 0.0
+        self._step_slowness = 1.0
+        self._step_slowness_at = 0.0
         self._away_until = float("-inf")
         self._back_off = _FIRST_BACK_OFF
 
@@ -104,6 +112,18 @@
         self._slowness = current + _SLOWNESS_WEIGHT * (min(20.0, max(0.3, ratio)) - current)
         self._slowness_at = now
 
+    def step_slowness(self, now: float) -> float:
+        """Return how many times slower than its like it steps; what is old fades to 1."""
+        fresh = max(0.0, 1.0 - max(0.0, now - self._step_slowness_at) / _STEP_FORGET_SECONDS)
+        return 1.0 + (self._step_slowness - 1.0) * fresh
+
+    def note_step(self, ratio: float, now: float) -> None:
+        """Learn from a pause between events against what is usual."""
+        current = self.step_slowness(now)
+        bounded = min(_MOST_STEP_SLOWNESS, max(_LEAST_STEP_SLOWNESS, ratio))
+        self._step_slowness = current + _STEP_WEIGHT * (bounded - current)
+        self._step_slowness_at = now
+
     def away(self, now: float) -> bool:
         """Return whether the upstream cannot be reached, as far as is known."""
         return now < self._away_until
--- a/src/lotushill/placement/weigher.py
+++ b/src/lotushill/placement/weigher.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lotushill.placement.choice import Choice
+from lotushill.placement.pauses import logistic
 
 if TYPE_CHECKING:
     from lotushill.placement.fetch import FetchPlanner
@@ -36,15 +36,15 @@
 """What it costs to try a hall of whose gateways none is heard."""
 _ORDER_LOSS = 0.5
 """What the farther end of the order of upstreams costs."""
+_FAR_ORDER_LOSS = 0.1
+"""What the nearer end costs long prompts: less, since what they do to others is weighed itself."""
+_FEW_RUNNING = 8
+"""Requests beside which a pause is held against what is allowed, to tell delicate streams."""
+_DELICATE_MARGIN = 1.05
 _LATE_STEEPNESS = 6.0
-_GAP_STEEPNESS = 8.0
-_GAP_MIDDLE = 0.85
 _MEMORY_SHARE = 0.95
 _FULL_MEMORY_LOSS = 1.0
 _CROWDING_LOSS = 0.05
-_LEAST_SECONDS = 0.001
-_CERTAIN = 40.0
-"""Beyond it the logistic function is 1 as far as numbers go."""
 
 
 @dataclass(frozen=True)
@@ -121,12 +121,13 @@
         self._planner = planner
         self._now = now
         self._events = need.output_tokens / engine.tokens_per_event
-        self._delicate = need.gap > 0 and need.gap - pace.event_gap < pace.long_reading
+        beside = pace.pauses.beside(pace.long_reading, _FEW_RUNNING, 1.0)
+        self._delicate = 0 < need.gap < _DELICATE_MARGIN * beside
 
     def weigh(self, upstream: Upstream, load: UpstreamLoad, rank: float) -> Choice:
         """Return the choice of one upstream; `rank` is its place, 0 to 1, in the shared order."""
         need, pace, engine = self._need, self._pace, self._engine
-        slowness = load.slowness(self._now)
+        slowness = load.step_slowness(self._now)
         rate = pace.read_rate / slowness
         unread = load.unread(rate, self._now)
         matched = load.kept.matched_chain(self._chain)
@@ -135,12 +136,14 @@
         reading = max(0, need.prompt_tokens - matched - fetched)
         wait = unread / rate
         copying = fetch.seconds if fetch else 0.0
-        first = max(wait, copying) + reading / rate + pace.event_gap
+        first = max(wait, copying) + reading / rate
         running = len(load.running)
-        seconds = first + self._events * pace.event_gap * slowness
+        quiet = pace.pauses.quiet.at(running) * slowness
+        first += quiet
+        seconds = first + self._events * quiet
         if running >= engine.slots:
             first += (running + 1 - engine.slots) * seconds / engine.slots
-        harm = self._harm(load, wait, reading / rate)
+        harm = self._harm(load, wait, reading / rate, slowness)
         again = self._recent.again_chain(self._shared, need.prompt_tokens - reading, self._now)
         cost = self._usual.weight * _late(first, need.target) + harm
         cost += self._packing_loss(rank, running / engine.slots)
@@ -156,13 +159,24 @@
             seconds,
             wait=wait,
             harm=harm,
-            pressure=self._harm(load, wait, self._usual.reading / rate),
+            usual_loss=self._usual_loss(load, wait, rate, slowness, rank),
             again=again,
             running=running,
             fetch=fetch,
         )
 
-    def _harm(self, load: UpstreamLoad, before: float, reading: float) -> float:
+    def _usual_loss(
+        self, load: UpstreamLoad, wait: float, rate: float, slowness: float, rank: float
+    ) -> float:
+        if not self._usual.long:
+            return 0.0
+        reading = self._usual.reading / rate
+        late = _late(wait + reading, self._need.target)
+        crowd = len(load.running) / self._engine.slots
+        harm = self._harm(load, wait, reading, slowness)
+        return late + harm + self._packing_loss(rank, crowd)
+
+    def _harm(self, load: UpstreamLoad, before: float, reading: float, slowness: float) -> float:
         """Return what reading a prompt for so many seconds costs the streams beside it.
 
         Those that run may miss a pause now. As many come again while the prompt is read, and
@@ -170,11 +184,11 @@
         """
         pace = self._pace
         harm = 0.0
+        running = len(load.running)
         coming = min(1.0, reading / pace.stream_seconds)
         for gap, count in load.gaps.items():
-            allowed = max(_LEAST_SECONDS, gap - pace.event_gap)
-            missed = _missed((before + reading) / allowed)
-            harm += count * (missed - _missed(before / allowed))
+            missed = pace.pauses.missed(before + reading, running, slowness, gap)
+            harm += count * (missed - pace.pauses.missed(before, running, slowness, gap))
             harm += count * coming * missed
         return _GAP_LOSS * harm
 
@@ -189,7 +203,7 @@
         if self._delicate:
             return _ORDER_LOSS * rank + spread
         if self._usual.long:
-            return _ORDER_LOSS * (1.0 - rank) + spread
+            return _FAR_ORDER_LOSS * (1.0 - rank) + spread
         return spread
 
     def _memory_loss(self, load: UpstreamLoad) -> float:
@@ -199,15 +213,4 @@
 
 def _late(first: float, target: float) -> float:
     """Return what a first event after so many seconds is likely to lose."""
-    return _LATE_LOSS * _logistic(_LATE_STEEPNESS * (first / target - 1.0))
-
-
-def _missed(share: float) -> float:
-    """Return how likely a pause is too long that takes this share of what is allowed."""
-    return _logistic(_GAP_STEEPNESS * (share - _GAP_MIDDLE))
-
-
-def _logistic(value: float) -> float:
-    if value > _CERTAIN:
-        return 1.0
-    return 1.0 / (1.0 + math.exp(-value))
+    return _LATE_LOSS * logistic(_LATE_STEEPNESS * (first / target - 1.0))
--- /dev/null
+++ b/tests/placement/test_pauses.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.placement.pauses import Pauses
+from lotushill.placement.quiet_pause import QuietPause
+
+QUIET = 0.024
+PIECE_SECONDS = 0.053
+TOKENS = 3
+BOUND = TOKENS * PIECE_SECONDS
+
+
+def pause(waiting: float, slowness: float, rng: random.Random) -> float:
+    """Return a pause as an engine makes it that reads one piece a step."""
+    return slowness * (QUIET + min(waiting, BOUND)) * rng.uniform(0.95, 1.05)
+
+
+def taught(rng: random.Random, count: int = 400) -> Pauses:
+    pauses = Pauses()
+    for _ in range(count):
+        pauses.note(pause(0.0, 1.0, rng), 0.0, 10, 1.0)
+        waiting = rng.uniform(0.02, 0.6)
+        pauses.note(pause(waiting, 1.0, rng), waiting, 10, 1.0)
+    return pauses
+
+
+class TestPauses(unittest.TestCase):
+    @given(st.integers(0, 2**32), st.floats(0.0, 3.0), st.floats(0.7, 1.6))
+    def test_prediction_meets_what_an_engine_does(
+        self, seed: int, waiting: float, slowness: float
+    ) -> None:
+        rng = random.Random(seed)
+        pauses = taught(rng)
+        likely = pauses.beside(waiting * slowness, 10, slowness)
+        self.assertAlmostEqual(likely, slowness * (QUIET + min(waiting, BOUND)), delta=0.03)
+
+    @given(st.integers(0, 2**32))
+    def test_many_waiting_prompts_lengthen_a_pause_no_more_than_a_few(self, seed: int) -> None:
+        pauses = taught(random.Random(seed))
+        few = pauses.missed(2 * BOUND, 10, 1.0, 0.3)
+        many = pauses.missed(50 * BOUND, 10, 1.0, 0.3)
+        self.assertAlmostEqual(few, many, delta=0.1)
+        self.assertLess(many, 0.1)
+
+    def test_a_slow_upstream_misses_what_one_like_most_keeps(self) -> None:
+        pauses = taught(random.Random(1))
+        self.assertLess(pauses.missed(1.0, 10, 1.0, 0.24), 0.35)
+        self.assertGreater(pauses.missed(1.0, 10, 1.5, 0.24), 0.7)
+
+    def test_the_bound_is_known_within_a_few_pauses(self) -> None:
+        rng = random.Random(2)
+        pauses = Pauses()
+        self.assertFalse(pauses.bound_known)
+        for _ in range(10):
+            pauses.note(pause(0.0, 1.0, rng), 0.0, 10, 1.0)
+        for _ in range(3):
+            pauses.note(pause(1.0, 1.0, rng), 1.0, 10, 1.0)
+        self.assertTrue(pauses.bound_known)
+        self.assertAlmostEqual(BOUND, pauses.bound, delta=0.04)
+
+    def test_a_reading_that_was_not_seen_does_not_count_as_quiet(self) -> None:
+        rng = random.Random(3)
+        pauses = taught(rng)
+        before = pauses.quiet.at(10)
+        for _ in range(20):
+            pauses.note(pause(1.0, 1.0, rng), 0.0, 10, 1.0)
+        self.assertAlmostEqual(before, pauses.quiet.at(10), places=6)
+
+
+class TestQuietPause(unittest.TestCase):
+    def test_it_grows_with_what_runs(self) -> None:
+        quiet = QuietPause()
+        rng = random.Random(4)
+        for _ in range(3000):
+            running = rng.randrange(1, 60)
+            quiet.note(running, 0.02 + 0.0002 * running)
+        self.assertAlmostEqual(0.022, quiet.at(10), delta=0.001)
+        self.assertAlmostEqual(0.030, quiet.at(50), delta=0.001)
+
+    def test_it_is_flat_while_all_pauses_had_as_much_running(self) -> None:
+        quiet = QuietPause()
+        for _ in range(100):
+            quiet.note(5, 0.025)
+        self.assertAlmostEqual(0.025, quiet.at(60), places=4)
