Keep a copy of streams that must not run twice, and go on there when they are cut

Change: where engines offer it, a run's memory is copied to the upstream with most room (another hall first) while it grows, if the risk that it is cut, from cuts observed per stream-second, exceeds the price of its tokens. After a cut it goes on there inside the same answer, after the last whole event, as the same run; an upstream without the copy runs nothing and the answer stays visibly cut. Repeats come out of the retry budget as before.

Not mended: streams cut as the gateway itself is killed.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -92,7 +92,7 @@
             return AttemptEnd(EndKind.BROKEN, "content-encoding")
         if self._request.route.kind is not RouteKind.STREAM:
             return await self._pass_whole(connection, head)
-        if self._request.route.resumable:
+        if self._request.route.resumable or self._choice.backup or self._choice.continues:
             return await self._pass_events(connection, head)
         return await self._pass_stream(connection, head)
 
@@ -168,7 +168,7 @@
             request.route.priority,
             request.team,
             last_event_id,
-            self._choice.fetch.source.address if self._choice.fetch else "",
+            self._copies(),
         )
         lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
         for name, value in [*headers, *own]:
@@ -176,6 +176,15 @@
         lines += (b"\r\n", request.body)
         return b"".join(lines)
 
+    def _copies(self) -> request_head.MemoryCopies:
+        choice = self._choice
+        return request_head.MemoryCopies(
+            fetch_from=choice.fetch.source.address if choice.fetch else "",
+            backup_to=choice.backup.address if choice.backup else "",
+            continues_at=choice.upstream.address if choice.continues else "",
+            run=self._request.demand.request_id,
+        )
+
     # What is learned
 
     def _note_event(self) -> None:
@@ -222,5 +231,13 @@
         failed = end.kind in (EndKind.FAILED, EndKind.BROKEN, EndKind.REJECTED)
         now = self._loop.time()
         load.failures.note(failed, now)
-        if end.kind is EndKind.WHOLE and self._request.route.kind is RouteKind.STREAM:
-            self._parts.fleet.pace(self._request.service.name).note_stream(now - self.sent_at)
+        if self._request.route.kind is RouteKind.STREAM:
+            self._learn_stream(end, now)
+
+    def _learn_stream(self, end: AttemptEnd, now: float) -> None:
+        pace = self._parts.fleet.pace(self._request.service.name)
+        ran = now - self.sent_at
+        if end.kind is EndKind.WHOLE:
+            pace.note_stream(ran)
+        if self.first_at:
+            pace.cuts.note(ran, end.kind is EndKind.BROKEN, now)
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,12 +15,14 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.messages import Placed
+from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
     from lotushill.gateway.attempt_end import AttemptEnd
     from lotushill.gateway.client_answer import ClientAnswer
     from lotushill.gateway.parts import GatewayParts
     from lotushill.gateway.request import Request
+    from lotushill.routing.upstream import Upstream
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -30,6 +33,8 @@
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits here before it is refused as not run."""
 _POLL_SECONDS = 0.03
+_CONTINUE_SECONDS = 0.1
+"""Predicted until a run goes on from its copy: a connection and a few steps."""
 _LEAST_SECONDS = 0.05
 """With less time left than this no upstream is tried."""
 
@@ -64,6 +69,8 @@
             if choice is None:
                 return await self._give_up("no upstream", None)
             end = await self._attempt(choice)
+            if end.kind is EndKind.BROKEN and choice.backup is not None:
+                end = await self._continue(choice.backup, end)
             if end.kind is EndKind.WHOLE:
                 self.outcome = "whole"
                 return None
@@ -91,7 +98,7 @@
         while True:
             found = self._choose()
             if isinstance(found, Choice):
-                return found
+                return self._with_backup(found)
             pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
             if self._loop.time() + pause > gives_up:
                 break
@@ -117,6 +124,33 @@
             self._loop.time(),
         )
 
+    def _with_backup(self, choice: Choice) -> Choice:
+        """Have a copy kept of a run that could not be repeated, where that is worth its price."""
+        request = self._request
+        if request.route.kind is not RouteKind.STREAM or request.route.repeatable:
+            return choice
+        upstreams = self._parts.upstreams.of(request.service.name)
+        now = self._loop.time()
+        fleet = self._parts.fleet
+        backup = fleet.backup(request.need, request.service, choice, upstreams, now)
+        return replace(choice, backup=backup)
+
+    async def _continue(self, backup: Upstream, cut: AttemptEnd) -> AttemptEnd:
+        """Go on with a run at the upstream that holds a copy of its memory.
+
+        It is the same run, so that it may go on also where a request must not run twice. Without a
+        copy the upstream runs nothing, and the run has ended as it was cut.
+        """
+        service = self._request.service.name
+        known = any(item.id == backup.id for item in self._parts.upstreams.of(service))
+        if not known or not self._parts.budgets.spend(service, self._loop.time()):
+            return cut
+        self._splitter.drop_partial()
+        seconds = self._parts.fleet.pace(service).stream_seconds
+        choice = Choice(backup, 0.0, _CONTINUE_SECONDS, 0, 0, seconds, continues=True)
+        end = await self._attempt(choice)
+        return end if end.kind is EndKind.WHOLE else cut
+
     async def _attempt(self, choice: Choice) -> AttemptEnd:
         self.upstream = choice.upstream.id
         placed = self._placed(choice)
@@ -133,6 +167,8 @@
             again=choice.again,
             fetch=choice.fetch.source.id if choice.fetch else "",
             fetched=choice.fetch.tokens if choice.fetch else 0,
+            backup=choice.backup.id if choice.backup else "",
+            continues=choice.continues,
             priority=self._request.route.priority,
             ahead=choice.ahead,
             running=choice.running,
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -36,6 +36,10 @@
     """Requests that run there already, of all gateways."""
     fetch: Fetch | None = None
     """Prompt parts that the upstream is to take from another one first."""
+    backup: Upstream | None = None
+    """Where a copy of the run's memory is kept while it grows."""
+    continues: bool = False
+    """Whether the upstream holds a copy of the run's memory, and goes on from it."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/lotushill/placement/cut_rate.py
@@ -0,0 +1,31 @@
+"""How often a stream loses its upstream, from streams that this gateway relayed."""
+
+from __future__ import annotations
+
+_HALF_LIFE_SECONDS = 60.0
+"""Upstreams crash or are taken away some times an hour, in series of a minute or so."""
+_PRIOR_CUTS = 1.0
+_PRIOR_SECONDS = 50.0
+"""One cut in 50 s of streams is taken for usual until some minute of calm was seen: days with a
+crash had one in 20 to 60 s, calm ones none."""
+
+
+class CutRate:
+    """Cuts for each second that streams ran, earlier ones counting less and less."""
+
+    def __init__(self) -> None:
+        self._cuts = 0.0
+        self._seconds = 0.0
+        self._at = 0.0
+
+    def note(self, seconds: float, cut: bool, now: float) -> None:
+        """Note a stream that ran for some seconds, and whether its upstream was lost."""
+        faded = 0.5 ** (max(0.0, now - self._at) / _HALF_LIFE_SECONDS)
+        self._cuts = self._cuts * faded + cut
+        self._seconds = self._seconds * faded + seconds
+        self._at = max(self._at, now)
+
+    @property
+    def rate(self) -> float:
+        """Return the likely number of cuts in a second of one stream."""
+        return (self._cuts + _PRIOR_CUTS) / (self._seconds + _PRIOR_SECONDS)
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING
 
 from lotushill.membership.rendezvous import ranked
+from lotushill.placement.backup import backup_target
+from lotushill.placement.backup import is_worth_copying
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.fetch import FetchPlanner
@@ -157,6 +159,22 @@
             return NoChoice("no room in time", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
         return best if best.first <= need.patience else soonest
 
+    def backup(
+        self,
+        need: Need,
+        service: Service,
+        choice: Choice,
+        upstreams: Iterable[Upstream],
+        now: float,
+    ) -> Upstream | None:
+        """Return where a copy of a run's memory is worth keeping, None if nowhere."""
+        engine = service.engine
+        if engine is None or not engine.backups:
+            return None
+        if not is_worth_copying(need, choice.seconds, self.pace(need.service).cuts.rate):
+            return None
+        return backup_target(choice.upstream, need, engine, upstreams, self._loads, now)
+
     def _is_long(self, need: Need) -> bool:
         """Return whether a request's route has the longest prompts of its service.
 
--- a/src/lotushill/placement/pace.py
+++ b/src/lotushill/placement/pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lotushill.placement.cut_rate import CutRate
 from lotushill.placement.pauses import Pauses
 
 _FIRST_READ_RATE = 40_000.0
@@ -28,6 +29,8 @@
         """Prompt tokens that one engine reads in a second."""
         self.pauses = Pauses()
         """Between the events of a stream."""
+        self.cuts = CutRate()
+        """Of streams whose upstream was lost."""
         self.answer_seconds = _FIRST_ANSWER_SECONDS
         """Seconds that a plain request takes, without waiting."""
         self.long_reading = 0.0
--- a/src/lotushill/placement/weigher.py
+++ b/src/lotushill/placement/weigher.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.placement.backup import COPY_LOSS_PER_TOKEN
 from lotushill.placement.choice import Choice
 from lotushill.placement.pauses import logistic
 
@@ -27,8 +28,6 @@
 """What reading a shared token again costs that some upstream has read of late."""
 _READING_LOSS_PER_TOKEN = 1e-5
 """What reading any token costs, since it keeps others waiting."""
-_FETCH_LOSS_PER_TOKEN = 2e-5
-"""What copying a token from another upstream costs."""
 _PACKED_SHARE = 0.6
 """Of the slots; beyond it such streams are spread."""
 _OTHER_HALL_LOSS = 0.01
@@ -148,7 +147,7 @@
         cost = self._usual.weight * _late(first, need.target) + harm
         cost += self._packing_loss(rank, running / engine.slots)
         cost += _REREAD_LOSS_PER_TOKEN * again + _READING_LOSS_PER_TOKEN * reading
-        cost += _FETCH_LOSS_PER_TOKEN * fetched + self._memory_loss(load)
+        cost += COPY_LOSS_PER_TOKEN * fetched + self._memory_loss(load)
         cost += _FAILURE_LOSS * load.failures.rate(self._now) + self._place.loss(upstream)
         return Choice(
             upstream,
--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -74,6 +74,7 @@
         tokens_per_event=int(item.get("stride") or 1),
         token_bytes=int(item.get("kvTokenBytes") or 0),
         link_rate=_link_rate(item),
+        backups=bool(item.get("backups")),
     )
 
 
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from lotushill.platform import names
 from lotushill.routing.demand import Demand
 from lotushill.routing.demand import PromptPart
@@ -45,6 +47,23 @@
 _ANSWER_DROPPED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"upgrade"))
 
 
+@dataclass(frozen=True)
+class MemoryCopies:
+    """Copies of engine memory that one attempt asks for; engines are told by their addresses."""
+
+    fetch_from: str = ""
+    """Engine to take kept prompt parts from."""
+    backup_to: str = ""
+    """Engine that is to hold a copy of the run's memory as it grows."""
+    continues_at: str = ""
+    """Engine that holds such a copy, from which the run goes on."""
+    run: str = ""
+    """Id of the request whose run goes on."""
+
+
+NO_COPIES = MemoryCopies()
+
+
 def read_demand(headers: Headers) -> Demand:
     """Return what a request asks for; what cannot be read counts as not said."""
     named = {name.decode("latin-1"): value.decode("latin-1") for name, value in headers}
@@ -78,12 +97,9 @@
     priority: int,
     team: str,
     last_event_id: str,
-    fetch_from: str = "",
+    copies: MemoryCopies = NO_COPIES,
 ) -> Headers:
-    """Return the headers of one attempt that this system sets.
-
-    `fetch_from` is the address of an engine to take kept prompt parts from.
-    """
+    """Return the headers of one attempt that this system sets."""
     left = max(1, int(seconds_left * _MS))
     out = [
         (names.TARGET_INSTANCE.encode(), instance.encode()),
@@ -92,8 +108,13 @@
     ]
     if team:
         out.append((names.TENANT.encode(), team.encode("latin-1")))
-    if fetch_from:
-        out.append((names.KV_FETCH.encode(), fetch_from.encode()))
+    if copies.fetch_from:
+        out.append((names.KV_FETCH.encode(), copies.fetch_from.encode()))
+    if copies.backup_to:
+        out.append((names.KV_BACKUP.encode(), copies.backup_to.encode()))
+    if copies.continues_at:
+        run = f"{copies.continues_at}/{copies.run}"
+        out.append((names.KV_FROM.encode(), run.encode("latin-1")))
     if last_event_id:
         out.append((names.LAST_EVENT_ID.encode(), last_event_id.encode("latin-1")))
     return out
--- a/src/lotushill/routing/service.py
+++ b/src/lotushill/routing/service.py
@@ -19,6 +19,8 @@
     """Bytes of memory that one token takes."""
     link_rate: float = 0.0
     """Bytes a second that go from one engine to another; 0 where memory cannot be moved."""
+    backups: bool = False
+    """Whether an engine can copy a run's memory to another one while it grows."""
 
 
 @dataclass(frozen=True)
--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -110,14 +110,18 @@
             stderr=asyncio.subprocess.PIPE,
         )
 
-    async def ready(self) -> None:
+    async def ready(self, process: asyncio.subprocess.Process) -> None:
+        """Wait until the gateway serves; one that has ended instead fails with what it wrote."""
         while await get_status(self.readiness, "/readyz") != 200:
+            if process.returncode is not None:
+                output, errors = await process.communicate()
+                self.fail(f"ended with {process.returncode}: {output!r} {errors!r}")
             await asyncio.sleep(0.05)
 
     async def test_a_planned_stop_finishes_what_is_in_progress(self) -> None:
         async with asyncio.timeout(_PATIENCE):
             process = await self.start()
-            await self.ready()
+            await self.ready(process)
             host, _, port = self.clients.partition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(
@@ -150,7 +154,7 @@
                 await asyncio.sleep(0.05)
             self.assertEqual(503, status)
             self.store.create("config", "main", SPEC)
-            await self.ready()
+            await self.ready(process)
             process.send_signal(signal.SIGTERM)
             await process.communicate()
 
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from lotushill.contracts.settings_view import SettingsView
 from lotushill.event_log import EventLog
@@ -92,7 +93,7 @@
         self.writer.transport.abort()
 
 
-Script = "Callable[[Seen], Awaitable[None]]"
+Script: TypeAlias = "Callable[[Seen], Awaitable[None]]"
 
 
 def event(number: int) -> bytes:
@@ -181,13 +182,14 @@
         timeout: float = 5.0,
         engine: bool = False,
         slack: float = 100.0,
+        backups: bool = False,
     ) -> None:
         self.upstreams = upstreams
         self.route = Route(
             "r", HOST, "/p/", kind, (WeightedService("s", 1.0),), timeout, 0.4, 0.0, 2,
             max_attempts, False, resumable,
         )  # fmt: skip
-        profile = EngineProfile(8, 100_000, 1) if engine else None
+        profile = EngineProfile(8, 100_000, 1, backups=backups) if engine else None
         self.service = Service("s", 50, profile)
         self.configuration = ConfigurationView()
         self.view = UpstreamView()
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -9,7 +9,9 @@
 from tests.gateway.rig import KEY
 from tests.gateway.rig import SIGNED
 from tests.gateway.rig import TEAM
+from tests.gateway.rig import Got
 from tests.gateway.rig import Rig
+from tests.gateway.rig import Script
 from tests.gateway.rig import ScriptedUpstream
 from tests.gateway.rig import Seen
 from tests.gateway.rig import event
@@ -292,6 +294,53 @@
         )
         self.assertEqual("0", second.headers["last-event-id"])
 
+    async def cut_with_a_copy(self, goes_on: Script) -> tuple[Got, Seen, list[Seen]]:
+        """Cut a stream that must not run twice in its second event; return what came of it."""
+
+        async def breaks(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(0)
+            seen.chunk(event(1)[:7])
+            await seen.writer.drain()
+            await asyncio.sleep(0.05)
+            seen.reset()
+
+        async def either(seen: Seen) -> None:
+            await (goes_on if "kv-from" in seen.headers else breaks)(seen)
+
+        upstreams = [ScriptedUpstream([either]), ScriptedUpstream([either])]
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            got = await rig.call(headers="Token-Usage: 50,20\r\n")
+            addresses = [item.address for item in upstreams]
+        first, *later = sorted(
+            (seen for item in upstreams for seen in item.seen),
+            key=lambda seen: "kv-from" in seen.headers,
+        )
+        self.assertIn(first.headers["kv-backup"], addresses)
+        return got, first, later
+
+    async def test_a_stream_with_a_copy_goes_on_there_as_the_same_run(self) -> None:
+        async def goes_on(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(1)
+            seen.event(2)
+            seen.end_events()
+
+        got, first, later = await self.cut_with_a_copy(goes_on)
+        self.assertTrue(got.whole)
+        self.assertEqual(b"".join(event(n) for n in range(3)), got.body)
+        self.assertEqual(1, len(later))
+        self.assertEqual(f"{first.headers['kv-backup']}/{first.id}", later[0].headers["kv-from"])
+        self.assertEqual("0", later[0].headers["last-event-id"])
+
+    async def test_a_stream_whose_copy_is_missing_is_cut_and_not_run_again(self) -> None:
+        async def rejects(seen: Seen) -> None:
+            seen.whole(b"no copy", "503 Service Unavailable\r\nNot-Executed: 1")
+
+        got, _, later = await self.cut_with_a_copy(rejects)
+        self.assertFalse(got.whole)
+        self.assertEqual(1, len(later))
+
     async def test_a_stream_that_may_not_be_resumed_is_visibly_cut_off(self) -> None:
         async def breaks(seen: Seen) -> None:
             seen.start_events()
--- a/tests/platform/test_request_head.py
+++ b/tests/platform/test_request_head.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from lotushill.platform import request_head
+from lotushill.platform.request_head import MemoryCopies
 from lotushill.routing.demand import PromptPart
 
 HEADERS = [
@@ -54,7 +55,8 @@
         )
 
     def test_where_an_engine_takes_kept_parts_from_is_told(self) -> None:
-        added = dict(request_head.attempt_headers("i-1", 1.0, 0, "", "", "10.0.0.2:80"))
+        copies = MemoryCopies(fetch_from="10.0.0.2:80")
+        added = dict(request_head.attempt_headers("i-1", 1.0, 0, "", "", copies))
         self.assertEqual(b"10.0.0.2:80", added[b"kv-fetch"])
 
     def test_what_an_attempt_adds(self) -> None:
