End watches soon and at different times; ask for nothing that others brought

In a play with logs a version acknowledged at 1.63 s came into force at 2.33 s, when all waiting watches happened to be cut; without that cut every reader waits up to 6 s, all to the same moment, since the last change had ended all their watches at once.

Change: a watch waits 0.9 to 3 s, drawn anew each time, so that the first of the readers to end finds the gap, lists and tells the others. A watch goes on from what others brought: centro-2 watched from revision 10 at 6.8 s although it had 22 from a peer since 2.9 s, was told that the history is gone, and listed again.

Ruled out: the pull from peers (all readers were behind alike). Calls of a reader to the store rise from one in 6 s to one in 2 s for a kind that does not change.

--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -20,7 +20,11 @@
     from lotushill.views.stored_object import Change
     from lotushill.views.stored_object import ObjectList
 
-_WATCH_SECONDS = 6.0
+_WATCH_SECONDS = 3.0
+_SHORTEST_WATCH_SHARE = 0.3
+"""A store that forgets its history may tell those that wait nothing of a change. A watch is then
+out of date until it ends, so that watches are short, and end at different times in the fleet: the
+first to end tells the others."""
 _FIRST_PAUSE_SECONDS = 0.05
 _LONGEST_PAUSE_SECONDS = 0.8
 _STAND_IN_PAUSE_SECONDS = 4.0
@@ -77,7 +81,7 @@
     interval: float
     """At least, from one watch to the next."""
     wait: float = _WATCH_SECONDS
-    """How long one watch waits for a change."""
+    """How long one watch waits for a change, at most."""
 
 
 class Watcher:
@@ -143,8 +147,8 @@
 
     async def _step(self) -> None:
         kind = self._kind
-        if self._revision < 0:
-            self._revision = kind.held()
+        # What others brought need not be asked for again: its history may be gone by now.
+        self._revision = max(self._revision, kind.held())
         if self._revision < 0 or self._history_gone:
             await self._list()
         else:
@@ -162,7 +166,8 @@
     async def _watch(self) -> None:
         kind = self._kind
         self._asked_at = self._clock()
-        changes, revision = await self._store.watch(kind.name, self._revision, kind.wait)
+        wait = kind.wait * self._rng.uniform(_SHORTEST_WATCH_SHARE, 1.0)
+        changes, revision = await self._store.watch(kind.name, self._revision, wait)
         self._note_answer()
         if changes:
             kind.on_changes(changes, revision)
--- a/tests/views/test_watcher.py
+++ b/tests/views/test_watcher.py
@@ -22,6 +22,7 @@
     def __init__(self, *steps: object) -> None:
         self.steps = list(steps)
         self.watched: list[int] = []
+        self.waits: list[float] = []
         self.now = 0.0
         self.seconds_a_watch = 0.0
         """What each watch takes until it is answered, or fails."""
@@ -34,8 +35,9 @@
         return ObjectList((), 10)
 
     async def watch(self, kind: str, revision: int, seconds: float) -> tuple[list[Change], int]:
-        del kind, seconds
+        del kind
         self.watched.append(revision)
+        self.waits.append(seconds)
         if not self.steps:
             self.done.set()
             await asyncio.Event().wait()
@@ -131,6 +133,25 @@
         await self.follow(store)
         self.assertEqual((0, [30, 31]), (store.lists, store.watched))
 
+    async def test_what_others_brought_meanwhile_is_not_asked_for_again(self) -> None:
+        store = ScriptedStore(([change("a", 12)], 12), ([change("b", 40)], 40))
+        bring = store.watch
+
+        async def watch(kind: str, revision: int, seconds: float) -> tuple[list[Change], int]:
+            self.held = 30
+            return await bring(kind, revision, seconds)
+
+        store.watch = watch  # type: ignore[method-assign]
+        await self.follow(store)
+        self.assertEqual([10, 30, 40], store.watched)
+
+    async def test_watches_end_soon_and_at_different_times(self) -> None:
+        store = ScriptedStore(*[([], 13)] * 40)
+        await self.follow(store)
+        self.assertLessEqual(max(store.waits), 3.0)
+        self.assertLess(min(store.waits), 1.2)
+        self.assertGreater(len({round(wait, 1) for wait in store.waits}), 10)
+
     async def test_an_outage_is_known_only_from_when_the_call_that_failed_began(self) -> None:
         store = ScriptedStore(StoreUnavailableError("cut"), ([change("a", 12)], 12))
         store.seconds_a_watch = 5.0
