Let a gateway that has just started know the load of the others and what is long

Change: when a gateway comes, the others tell all that they run in their next list (every sixth list did, up to 3 s later), and before it has placed any request of a route it holds a prompt against the long readings that others place.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -76,6 +76,7 @@
             self.log,
             rng,
             on_load=lambda load: self.shared_load.receive(load),
+            on_come=lambda: self.shared_load.tell_everything(),
             on_gone=lambda name: self.shared_load.drop_sender(name),
             view_revision=self.views.revision,
             upstream_id=self.views.upstreams.id_of,
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -67,6 +67,7 @@
         log: EventLog,
         rng: random.Random,
         on_load: Callable[[Load], None],
+        on_come: Callable[[], None],
         on_gone: Callable[[str], None],
         view_revision: Callable[[ViewKind], int],
         upstream_id: Callable[[int], str | None],
@@ -79,6 +80,7 @@
         self._log = log
         self._clock = clock
         self._on_load = on_load
+        self._on_come = on_come
         self._on_gone = on_gone
         self._view_revision = view_revision
         self._upstream_id = upstream_id
@@ -244,6 +246,8 @@
             )
             if member.phase in (MemberPhase.LOST, MemberPhase.LEAVING):
                 self._on_gone(member.name)
+            elif member.phase is MemberPhase.ALIVE and change.former is not MemberPhase.SUSPECT:
+                self._on_come()
 
     def _address_of(self, name: str) -> str | None:
         member = self.membership.find(name)
--- a/src/lotushill/gateway/shared_load.py
+++ b/src/lotushill/gateway/shared_load.py
@@ -52,6 +52,7 @@
         self._own: dict[int, tuple[Placed, float]] = {}
         self._others: dict[str, dict[int, float]] = {}
         self._lists = 0
+        self._newcomers = False
         self._list_due = float("-inf")
         self._list_last = float("-inf")
         self._list_before = float("-inf")
@@ -89,6 +90,10 @@
         self._list_due = now + max(_LIST_SECONDS, gateways / _LISTS_A_SECOND)
         return self.whole()
 
+    def tell_everything(self) -> None:
+        """Tell all that runs in the next list, since a gateway has come that knows nothing."""
+        self._newcomers = True
+
     def whole(self) -> list[Load]:
         """Return what repairs whatever others have missed: all that this gateway runs.
 
@@ -97,7 +102,8 @@
         """
         now = self._clock()
         self._lists += 1
-        everything = self._lists % _LISTS_OF_EVERYTHING == 0
+        everything = self._newcomers or self._lists % _LISTS_OF_EVERYTHING == 0
+        self._newcomers = False
         recent = [
             replace(item, age=now - since, part_ids=(), part_tokens=())
             for item, since in self._own.values()
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -180,10 +180,16 @@
 
         Under overload these are refused first: each leaves room for many short ones, and a
         short one is never refused while longer ones begin. The route decides and not the
-        request, so that the large ones of a route are served as often as the small ones.
+        request, so that the large ones of a route are served as often as the small ones. Before
+        this gateway has placed any of the route, the request is held against what others place.
         """
         usual = self.usual.reading(need.service, need.route)
-        return usual > _LONG_SHARE * self.usual.longest(need.service)
+        longest = self.usual.longest(need.service)
+        if usual:
+            return usual > _LONG_SHARE * longest
+        pace = self.pace(need.service)
+        longest = max(longest, pace.long_reading * pace.read_rate)
+        return 0.0 < _LONG_SHARE * longest < need.prompt_tokens
 
     def _weigher(
         self,
@@ -200,7 +206,7 @@
             return PlainWeigher(need, pace, place, now)
         chain = tuple(chained(need.parts))
         usual = Usual(
-            self.usual.reading(need.service, need.route),
+            self.usual.reading(need.service, need.route) or need.prompt_tokens,
             self.usual.weight(need.route, need.size),
             self._is_long(need),
         )
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -84,6 +84,10 @@
                 "a broken stream that may not be resumed",
                 (f"{_PATH}.TestStreams.test_a_stream_that_may_not_be_resumed_is_visibly_cut_off",),
             ),
+            Case(
+                "a broken stream whose memory was copied to another upstream",
+                (f"{_PATH}.TestStreams.test_a_stream_with_a_copy_goes_on_there_as_the_same_run",),
+            ),
         ),
     ),
     Promise(
@@ -116,6 +120,13 @@
                 "a reset after the first byte",
                 (f"{_PATH}.TestAtMostOnce.test_after_a_reset_what_may_not_be_repeated_is_not",),
             ),
+            Case(
+                "a broken stream whose copy is missing",
+                (
+                    f"{_PATH}.TestStreams."
+                    "test_a_stream_whose_copy_is_missing_is_cut_and_not_run_again",
+                ),
+            ),
             Case(
                 "an upstream that is full",
                 (
@@ -251,6 +262,20 @@
                     "test_a_passive_one_pulls_at_once_from_its_hall_and_a_reader_waits",
                 ),
             ),
+            Case(
+                "the store tells those that wait nothing of a change",
+                (
+                    "tests.views.test_watcher.TestWatcher."
+                    "test_watches_end_soon_and_at_different_times",
+                ),
+            ),
+            Case(
+                "a peer brought what the own watch has not seen",
+                (
+                    "tests.views.test_watcher.TestWatcher."
+                    "test_what_others_brought_meanwhile_is_not_asked_for_again",
+                ),
+            ),
             Case(
                 "a gateway takes up reading after a rest",
                 (
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -67,6 +67,7 @@
             EventLog(name, lambda line: None),
             random.Random(index),
             on_load=received.append,
+            on_come=lambda: None,
             on_gone=lambda name: None,
             view_revision=lambda kind: 1,
             upstream_id=lambda number: None,
--- a/tests/gateway/test_shared_load.py
+++ b/tests/gateway/test_shared_load.py
@@ -148,3 +148,15 @@
             self.clock[0] += 0.5
             told.append(sum(len(load.placed) for load in self.one.load.whole()))
         self.assertEqual([1, 1, 0], told)
+
+    def test_a_gateway_that_has_come_is_told_everything_in_the_next_list(self) -> None:
+        for name in "abcdefgh":
+            self.one.load.start(placed(name), SERVICE)
+        for _ in range(3):
+            self.clock[0] += 0.5
+            self.one.load.whole()
+        newcomer = Node("newcomer", self.clock)
+        self.one.load.tell_everything()
+        for load in self.one.load.whole():
+            newcomer.load.receive(load)
+        self.assertEqual(self.one.running(), newcomer.running())
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -124,6 +124,22 @@
         self.assertGreater(refused.retry_after, 0.0)
         self.assertIsInstance(driver.fleet.choose(short(), ENGINE, among, NOTHING, 0.0), Choice)
 
+    def test_a_gateway_that_has_just_started_refuses_long_prompts_by_what_others_place(
+        self,
+    ) -> None:
+        among = upstreams("llm", 2)
+        started = Fleet("z")
+        for n in range(40):
+            item = among[n % 2]
+            started.start(
+                Placed(n, item.id, 11_500, 11_800, 0.6, 3.0, 0.0, (n,), (11_500,)), ENGINE, 0.0
+            )
+            started.pace("llm").note_reading(11_500)
+        need = replace(long(999), parts=(PromptPart(999, 11_500),))
+        self.assertIsInstance(started.choose(need, ENGINE, among, NOTHING, 0.0), NoChoice)
+        found = started.choose(short(target=20.0), ENGINE, among, NOTHING, 0.0)
+        self.assertIsInstance(found, Choice)
+
     def test_large_and_small_ones_of_a_route_are_refused_alike(self) -> None:
         driver = Driver()
         among = upstreams("llm", 2)
