Go on from a copy only after the first event, and at no upstream that just failed

Change: a run goes on only if an event of it was relayed and its backup has not failed in the last seconds.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -35,6 +35,8 @@
 _POLL_SECONDS = 0.03
 _CONTINUE_SECONDS = 0.1
 """Predicted until a run goes on from its copy: a connection and a few steps."""
+_SOUND_RATE = 0.05
+"""A run goes on at no upstream with more failures: above it any of the last seconds shows."""
 _LEAST_SECONDS = 0.05
 """With less time left than this no upstream is tried."""
 
@@ -142,8 +144,9 @@
         copy the upstream runs nothing, and the run has ended as it was cut.
         """
         service = self._request.service.name
-        known = any(item.id == backup.id for item in self._parts.upstreams.of(service))
-        if not known or not self._parts.budgets.spend(service, self._loop.time()):
+        if not self._may_continue(backup) or not self._parts.budgets.spend(
+            service, self._loop.time()
+        ):
             return cut
         self._splitter.drop_partial()
         seconds = self._parts.fleet.pace(service).stream_seconds
@@ -151,6 +154,18 @@
         end = await self._attempt(choice)
         return end if end.kind is EndKind.WHOLE else cut
 
+    def _may_continue(self, backup: Upstream) -> bool:
+        """Return whether the copy can be trusted to be there, and its upstream to say if not.
+
+        Before the first event nothing was copied, and an upstream that loses answers may run what
+        it is sent without looking for the copy.
+        """
+        service = self._request.service.name
+        known = any(item.id == backup.id for item in self._parts.upstreams.of(service))
+        failures = self._parts.fleet.load(backup.id).failures
+        sound = failures.rate(self._loop.time()) < _SOUND_RATE
+        return known and sound and self._splitter.events > 0
+
     async def _attempt(self, choice: Choice) -> AttemptEnd:
         self.upstream = choice.upstream.id
         placed = self._placed(choice)
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -294,15 +294,26 @@
         )
         self.assertEqual("0", second.headers["last-event-id"])
 
-    async def cut_with_a_copy(self, goes_on: Script) -> tuple[Got, Seen, list[Seen]]:
-        """Cut a stream that must not run twice in its second event; return what came of it."""
+    async def cut_with_a_copy(
+        self, goes_on: Script, events: int = 1, sound: bool = True
+    ) -> tuple[Got, Seen, list[Seen]]:
+        """Cut a stream that must not run twice after some events; return what came of it.
+
+        Unless `sound`, its backup fails another request at the same time.
+        """
 
         async def breaks(seen: Seen) -> None:
-            seen.start_events()
-            seen.event(0)
-            seen.chunk(event(1)[:7])
-            await seen.writer.drain()
-            await asyncio.sleep(0.05)
+            if events:
+                seen.start_events()
+                seen.event(0)
+                seen.chunk(event(1)[:7])
+                await seen.writer.drain()
+                await asyncio.sleep(0.05)
+            if not sound:
+                for item in upstreams:
+                    if item.address == seen.headers["kv-backup"]:
+                        load = rig.parts.fleet.load(f"b{upstreams.index(item)}")
+                        load.failures.note(True, asyncio.get_running_loop().time())
             seen.reset()
 
         async def either(seen: Seen) -> None:
@@ -333,6 +344,26 @@
         self.assertEqual(f"{first.headers['kv-backup']}/{first.id}", later[0].headers["kv-from"])
         self.assertEqual("0", later[0].headers["last-event-id"])
 
+    async def test_a_stream_that_was_cut_before_its_first_event_is_sent_nowhere_else(self) -> None:
+        async def goes_on(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(0)
+            seen.end_events()
+
+        got, _, later = await self.cut_with_a_copy(goes_on, events=0)
+        self.assertEqual(502, got.status)
+        self.assertEqual([], later)
+
+    async def test_a_stream_goes_on_at_no_upstream_that_has_just_failed(self) -> None:
+        async def goes_on(seen: Seen) -> None:
+            seen.start_events()
+            seen.event(1)
+            seen.end_events()
+
+        got, _, later = await self.cut_with_a_copy(goes_on, sound=False)
+        self.assertFalse(got.whole)
+        self.assertEqual([], later)
+
     async def test_a_stream_whose_copy_is_missing_is_cut_and_not_run_again(self) -> None:
         async def rejects(seen: Seen) -> None:
             seen.whole(b"no copy", "503 Service Unavailable\r\nNot-Executed: 1")
