--- a/src/lotushill/placement/cut_rate.py
+++ b/src/lotushill/placement/cut_rate.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 _HALF_LIFE_SECONDS = 60.0
-"""Upstreams crash or are taken away some times an hour, in series of a minute or so."""
+"""So that about a minute without a cut ends copying, and several cuts begin it for as long."""
 _PRIOR_CUTS = 1.0
 _PRIOR_SECONDS = 50.0
-"""One cut in 50 s of streams is taken for usual until some minute of calm was seen: days with a
-crash had one in 20 to 60 s, calm ones none."""
+"""One cut in 50 s of streams is assumed at the start, about twice the rate from which a stream of
+two seconds and a thousand tokens is worth its copy: so the first crash finds copies."""
 
 
 class CutRate:
