--- /dev/null
+++ b/scripts/near_misses.py
@@ -0,0 +1,166 @@
+"""Prints how near each play came to serving less urgent requests ahead of more urgent ones.
+
+    python scripts/near_misses.py LOG...
+
+A LOG holds the lines of all gateways of a play, each with the simulated time and the gateway's
+name before the structured line. For each route, and each window of five seconds, it counts requests
+that got nothing beside less urgent ones of over twice their mean prompt that were sent to an engine
+of the same service. The windows with most of both come first.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+from collections import Counter
+from collections import defaultdict
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+
+WINDOW_SECONDS = 5.0
+STEP_SECONDS = 1.0
+LEAST_FAILED = 3
+"""Windows with fewer requests that got nothing are left out."""
+SHOWN = 5
+TIMES_LARGER = 2.0
+
+
+@dataclass
+class Seen:
+    """What the logs tell of one request."""
+
+    route: str = ""
+    service: str = ""
+    priority: int = -1
+    prompt: int = 0
+    began: float | None = None
+    """When it was sent to an engine, in seconds of simulated time."""
+    ended: float = 0.0
+    outcome: str = ""
+    reason: str = ""
+    """Why no upstream was chosen."""
+
+
+@dataclass
+class Window:
+    """One route's requests of five seconds."""
+
+    start: float
+    route: str
+    priority: int
+    asked: int
+    failed: int
+    larger: int
+    """Less urgent ones of over twice the size that were sent to an engine."""
+    why: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def share(self) -> float:
+        """Return the share of the requests that got nothing."""
+        return self.failed / self.asked
+
+
+def read(path: Path) -> list[Seen]:
+    """Return the requests of a play."""
+    seen: defaultdict[str, Seen] = defaultdict(Seen)
+    for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+        words = line.split(maxsplit=2)
+        if len(words) < 3 or not words[2].startswith("{"):
+            continue
+        try:
+            at, note = float(words[0]), json.loads(words[2])
+        except ValueError:
+            # A line of the play's own report, or one that was cut off.
+            continue
+        if "request" in note:
+            _take(seen[note["request"]], note, at)
+    return [item for item in seen.values() if item.route]
+
+
+def _take(item: Seen, note: dict[str, object], at: float) -> None:
+    if note["event"] == "placement.chosen":
+        item.service = str(note["service"])
+        item.priority = int(str(note["priority"]))
+        item.prompt = int(str(note["prompt"]))
+        item.began = at if item.began is None else item.began
+    elif note["event"] == "placement.none":
+        item.route = str(note["route"])
+        item.prompt = int(str(note["prompt"]))
+        item.reason = str(note["reason"])
+    elif note["event"] == "request.ended":
+        item.route = str(note["route"])
+        item.ended = at
+        item.outcome = str(note["outcome"])
+
+
+def windows(requests: list[Seen]) -> list[Window]:
+    """Return the windows of every route in which some got nothing."""
+    routes = _routes(requests)
+    found = []
+    end = max((item.ended for item in requests), default=0.0)
+    start = min((item.ended for item in requests), default=0.0)
+    while start < end:
+        end_of_window = start + WINDOW_SECONDS
+        ended = [item for item in requests if start <= item.ended < end_of_window]
+        begun = [
+            item
+            for item in requests
+            if item.began is not None and start <= item.began < end_of_window
+        ]
+        for route, (service, priority) in routes.items():
+            window = _window(ended, begun, start, route, service, priority, routes)
+            if window.failed >= LEAST_FAILED and window.larger:
+                found.append(window)
+        start += STEP_SECONDS
+    return sorted(found, key=lambda item: (item.share, item.failed), reverse=True)
+
+
+def _routes(requests: list[Seen]) -> dict[str, tuple[str, int]]:
+    """Return service and usual priority of each route that was ever served by an engine."""
+    votes: defaultdict[str, Counter[tuple[str, int]]] = defaultdict(Counter)
+    for item in requests:
+        if item.service and item.prompt:
+            votes[item.route][(item.service, item.priority)] += 1
+    return {route: counted.most_common(1)[0][0] for route, counted in votes.items()}
+
+
+def _window(
+    ended: list[Seen],
+    begun: list[Seen],
+    start: float,
+    route: str,
+    service: str,
+    priority: int,
+    routes: dict[str, tuple[str, int]],
+) -> Window:
+    asked = [item for item in ended if item.route == route and item.outcome != "client-gone"]
+    failed = [item for item in asked if item.outcome != "whole"]
+    size = sum(item.prompt for item in failed) / max(1, len(failed))
+    larger = sum(
+        item.service == service
+        and routes.get(item.route, ("", -1))[1] > priority
+        and item.prompt > TIMES_LARGER * size
+        for item in begun
+    )
+    why = Counter(item.reason or item.outcome for item in failed)
+    return Window(start, route, priority, len(asked), len(failed), larger, why)
+
+
+def main() -> None:
+    """Print the worst windows of each log."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("logs", type=Path, nargs="+")
+    options = parser.parse_args()
+    for path in options.logs:
+        print(path.name)
+        for item in windows(read(path))[:SHOWN]:
+            why = ", ".join(f"{count} {reason}" for reason, count in item.why.most_common(3))
+            print(
+                f"  {item.start:6.1f} s  {item.route} (priority {item.priority}): {item.failed} of"
+                f" {item.asked} got nothing beside {item.larger} larger ones; {why}"
+            )
+
+
+if __name__ == "__main__":
+    main()
