Tell what decided a refusal, at which priority, and leave the trace of our own faults

A refusal named its reason alone; what is usual on its route and on the longest one, and the predicted waits, had to be rebuilt from other lines. Attempts and refusals were not counted by priority. A fault of ours named its type alone, and not where it arose.

Change: these stand in placement.none, placement.chosen (memory counted there), request.fault, and in the figures; reasons are an enumeration. Tests in tests.gateway.test_sight and test_metrics.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -105,16 +105,29 @@
             if self._loop.time() + pause > gives_up:
                 break
             await anyio.sleep(pause)
+        self._note_refusal(found)
+        self._retry_after = found.retry_after
+        return None
+
+    def _note_refusal(self, found: NoChoice) -> None:
+        request = self._request
+        self._parts.metrics.note_refused(
+            request.service.name, request.route.priority, found.refusal.value
+        )
         self._note(
             "placement.none",
-            reason=found.reason,
+            reason=found.refusal.value,
             retry_after=found.retry_after,
             route=request.route.name,
+            service=request.service.name,
+            priority=request.route.priority,
             prompt=request.need.prompt_tokens,
+            wait_ms=round(found.wait * 1000, 1),
+            first_ms=round(found.first * 1000, 1),
+            usual_reading=round(found.usual_reading),
+            longest_reading=round(found.longest_reading),
             waited_ms=round((self._loop.time() - request.arrived) * 1000, 1),
         )
-        self._retry_after = found.retry_after
-        return None
 
     def _choose(self) -> Choice | NoChoice:
         request = self._request
@@ -187,6 +200,7 @@
             priority=self._request.route.priority,
             ahead=choice.ahead,
             running=choice.running,
+            memory=self._parts.fleet.load(choice.upstream.id).memory,
             pause_bound_ms=self._pause_bound_ms(),
             run=self.runs,
             view=self._parts.upstreams.revision,
@@ -209,7 +223,9 @@
         finally:
             self._parts.shared_load.end(placed.request)
             self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
-        self._parts.metrics.note_attempt(self._request.service.name, end.kind.value)
+        self._parts.metrics.note_attempt(
+            self._request.service.name, self._request.route.priority, end.kind.value
+        )
         if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
             self.runs -= 1
         if end.kind is not EndKind.WHOLE:
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import traceback
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -104,6 +105,11 @@
             except Exception as error:
                 # A fault of ours must not leave a client without an answer.
                 exchange.outcome = f"fault:{error!r}"
+                self._parts.log.note(
+                    "request.fault",
+                    request=request.demand.request_id,
+                    trace="".join(traceback.format_exception(error)),
+                )
                 await answer.give(502 if exchange.runs else 503, _NOT_READY_SECONDS)
         connection.on_lost = None
         if cancel.cancelled_caught:
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -42,10 +43,28 @@
     """Whether the upstream holds a copy of the run's memory, and goes on from it."""
 
 
+class Refusal(Enum):
+    """Why a request goes nowhere."""
+
+    NO_UPSTREAM = "no upstream"
+    OVERLOAD = "overload"
+    """It would wait longer than the longest prompts may, and is one of them."""
+    NO_ROOM = "no room in time"
+    """No upstream would begin it before its client gives up."""
+
+
 @dataclass(frozen=True)
 class NoChoice:
-    """No upstream can serve the request in the time it has."""
+    """No upstream is to serve the request now, with the figures that decided it."""
 
-    reason: str
+    refusal: Refusal
     retry_after: float
     """Seconds."""
+    wait: float = 0.0
+    """Predicted seconds until its prompt is begun, where a usual one would lose least."""
+    first: float = 0.0
+    """Predicted seconds to its first event at the soonest upstream."""
+    usual_reading: float = 0.0
+    """Prompt tokens that are usually read for its route."""
+    longest_reading: float = 0.0
+    """The same of the route of its service with the longest prompts."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -14,6 +14,7 @@
 from lotushill.placement.backup import is_worth_copying
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
+from lotushill.placement.choice import Refusal
 from lotushill.placement.fetch import FetchPlanner
 from lotushill.placement.kept_parts import chained
 from lotushill.placement.pace import Pace
@@ -141,7 +142,7 @@
         candidates = [item for item in known.values() if item.id not in excluded]
         reachable = [item for item in candidates if not self.load(item.id).away(now)]
         if not candidates:
-            return NoChoice("no upstream", 1.0)
+            return NoChoice(Refusal.NO_UPSTREAM, _LONG_RETRY)
         weighed = shortlist(need, reachable or candidates)
         cut = frozenset(hall for hall in {item.hall for item in weighed} if self._is_cut_off(hall))
         weigher = self._weigher(need, service, reachable, known, cut, now)
@@ -149,16 +150,29 @@
             weigher.weigh(item, self.load(item.id), ranks.get(item.id, 0.0)) for item in weighed
         ]
         best = min(choices, key=lambda choice: choice.cost)
-        if self._is_long(need):
-            wait = min(choices, key=lambda choice: choice.usual_loss).wait
-            if wait > _LONG_WAIT * need.target:
-                return NoChoice("overload", min(_LONGEST_RETRY, max(_LONG_RETRY, wait)))
+        wait = min(choices, key=lambda choice: choice.usual_loss).wait
         soonest = min(choices, key=lambda choice: choice.first)
+        if self._is_long(need) and wait > _LONG_WAIT * need.target:
+            retry_after = min(_LONGEST_RETRY, max(_LONG_RETRY, wait))
+            return self._refused(need, Refusal.OVERLOAD, retry_after, wait, soonest.first)
         if soonest.first > need.patience:
-            wait = soonest.first - need.target
-            return NoChoice("no room in time", min(_LONGEST_RETRY, max(_SHORTEST_RETRY, wait)))
+            late = soonest.first - need.target
+            retry_after = min(_LONGEST_RETRY, max(_SHORTEST_RETRY, late))
+            return self._refused(need, Refusal.NO_ROOM, retry_after, wait, soonest.first)
         return best if best.first <= need.patience else soonest
 
+    def _refused(
+        self, need: Need, refusal: Refusal, retry_after: float, wait: float, first: float
+    ) -> NoChoice:
+        return NoChoice(
+            refusal,
+            retry_after,
+            wait,
+            first,
+            self.usual.reading(need.service, need.route),
+            self.usual.longest(need.service),
+        )
+
     def backup(
         self,
         need: Need,
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -10,13 +10,15 @@
         metrics = Metrics()
         metrics.gauge("members", "Gateways that are heard", lambda: 3)
         metrics.note_request("llm", "given-up:reset", 0.3)
-        metrics.note_attempt("llm", "broken")
+        metrics.note_attempt("llm", 1, "broken")
+        metrics.note_refused("llm", 0, "overload")
         metrics.note_turned_away(404)
         metrics.note_first("llm", 0.3, 0.2)
         text = metrics.text().decode()
         for line in (
             'lotushill_requests_total{outcome="given-up",service="llm"} 1.0',
-            'lotushill_attempts_total{end="broken",service="llm"} 1.0',
+            'lotushill_attempts_total{end="broken",priority="1",service="llm"} 1.0',
+            'lotushill_refused_total{priority="0",reason="overload",service="llm"} 1.0',
             'lotushill_turned_away_total{status="404"} 1.0',
             'lotushill_request_seconds_bucket{le="0.4",service="llm"} 1.0',
             'lotushill_prediction_ratio_bucket{le="1.2",service="llm"} 0.0',
--- /dev/null
+++ b/tests/gateway/test_sight.py
@@ -0,0 +1,48 @@
+"""What logs and figures tell of refusals and of faults of our own."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from lotushill.placement.choice import NoChoice
+from lotushill.placement.choice import Refusal
+from tests.gateway.rig import Rig
+from tests.gateway.rig import ScriptedUpstream
+from tests.gateway.rig import Seen
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+def noted(rig: Rig, event: str) -> list[dict[str, object]]:
+    lines = [json.loads(line) for line in rig.lines]
+    return [line for line in lines if line["event"] == event]
+
+
+class TestSight(unittest.IsolatedAsyncioTestCase):
+    async def test_a_refusal_tells_the_figures_that_decided_it(self) -> None:
+        refused = NoChoice(Refusal.OVERLOAD, 1.2, 0.9, 0.4, 2_000.0, 3_000.0)
+        async with Rig([ScriptedUpstream([whole])]) as rig:
+            rig.parts.fleet.choose = lambda *_: refused  # type: ignore[method-assign]
+            got = await rig.call()
+        self.assertEqual((503, "1.20"), (got.status, got.headers["retry-after"]))
+        (line,) = noted(rig, "placement.none")
+        told = {name: line[name] for name in ("reason", "wait_ms", "first_ms", "usual_reading")}
+        expected = {"reason": "overload", "wait_ms": 900, "first_ms": 400, "usual_reading": 2000}
+        self.assertEqual(expected, told)
+        self.assertEqual((3000, "s"), (line["longest_reading"], line["service"]))
+        text = rig.parts.metrics.text().decode()
+        self.assertIn(f'reason="overload",service="s"}} {1.0}', text)
+
+    async def test_a_fault_of_ours_leaves_its_trace(self) -> None:
+        def fail(*_: object) -> NoChoice:
+            raise ZeroDivisionError
+
+        async with Rig([ScriptedUpstream([whole])]) as rig:
+            rig.parts.fleet.choose = fail  # type: ignore[method-assign, assignment]
+            got = await rig.call()
+        self.assertEqual(503, got.status)
+        (line,) = noted(rig, "request.fault")
+        self.assertIn("in fail", str(line["trace"]))
