Tell route, tier and prompt of each request that is placed

Purpose: gateways tell each other what they place without its tier, so that none can know whether a more urgent request is refused while less urgent ones begin elsewhere.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -15,6 +15,7 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.messages import Placed
+from lotushill.placement.messages import route_number
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
@@ -206,9 +207,6 @@
             view=self._parts.upstreams.revision,
         )
         self._parts.shared_load.start(placed, self._request.service)
-        self._parts.fleet.usual.note_reading(
-            self._request.service.name, self._request.route.name, choice.reading
-        )
         self.runs += 1
         attempt = Attempt(
             self._parts,
@@ -251,6 +249,9 @@
             age=0.0,
             part_ids=tuple(part.id for part in need.parts),
             part_tokens=tuple(part.tokens for part in need.parts),
+            route=route_number(need.route),
+            tier=need.tier,
+            prompt=need.prompt_tokens,
         )
 
     # Repeats
--- a/src/lotushill/links/load_records.py
+++ b/src/lotushill/links/load_records.py
@@ -23,11 +23,13 @@
 
 _HEAD = struct.Struct("<BBHHHH")
 """Length of the sender's name, whole; counts of placed, began, ended, running."""
-_PLACED = struct.Struct("<QQIIfffBB")
-"""Request, upstream, reading, memory, gap, seconds, age, began, number of parts."""
+_PLACED = struct.Struct("<QQIIIIfffBBB")
+"""Request, upstream, route, prompt, reading, memory, gap, seconds, age, tier, began, parts."""
 _PART = struct.Struct("<QI")
 _NUMBER_BYTES = 8
 _MOST_PARTS = 255
+_LAST_TIER = 255
+"""What is less urgent is told as this tier."""
 _MOST_TOKENS = 2**32 - 1
 
 
@@ -73,11 +75,14 @@
     record = _PLACED.pack(
         placed.request,
         upstream_number(placed.upstream),
+        placed.route,
+        min(_MOST_TOKENS, placed.prompt),
         min(_MOST_TOKENS, placed.reading),
         min(_MOST_TOKENS, placed.memory),
         placed.gap,
         placed.seconds,
         placed.age,
+        min(_LAST_TIER, placed.tier),
         placed.began,
         len(parts),
     )
@@ -112,8 +117,8 @@
     data: bytes, position: int, upstream_id: UpstreamId
 ) -> tuple[Placed | None, int]:
     """Return one placed request, None on an unknown upstream, and where the next one begins."""
-    request, upstream, reading, memory, gap, seconds, age, began, count = _PLACED.unpack_from(
-        data, position
+    request, upstream, route, prompt, reading, memory, gap, seconds, age, tier, began, count = (
+        _PLACED.unpack_from(data, position)
     )
     position += _PLACED.size
     parts = struct.unpack_from("<" + "QI" * count, data, position)
@@ -122,6 +127,18 @@
     if name is None:
         return None, position
     placed = Placed(
-        request, name, reading, memory, gap, seconds, age, parts[::2], parts[1::2], bool(began)
+        request,
+        name,
+        reading,
+        memory,
+        gap,
+        seconds,
+        age,
+        parts[::2],
+        parts[1::2],
+        bool(began),
+        route,
+        tier,
+        prompt,
     )
     return placed, position
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -3,6 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+_ROUTES_KEPT = 1024
+
+
+@lru_cache(maxsize=_ROUTES_KEPT)
+def route_number(name: str) -> int:
+    """Return the number that stands for a route, the same at all gateways."""
+    return xxhash.xxh32_intdigest(name)
 
 
 @dataclass(frozen=True)
@@ -27,6 +38,12 @@
     part_tokens: tuple[int, ...] = ()
     began: bool = False
     """Whether its first event has come, so that its prompt has been read."""
+    route: int = 0
+    """Number of its route."""
+    tier: int = 0
+    """0 is the most urgent."""
+    prompt: int = 0
+    """Tokens of its whole prompt."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -30,6 +30,8 @@
     """Likely length of the answer."""
     parts: tuple[PromptPart, ...]
     """The last one is the request's own; the others may be shared."""
+    tier: int = 0
+    """0 is the most urgent."""
 
     @property
     def size(self) -> float:
--- a/src/lotushill/placement/usual_request.py
+++ b/src/lotushill/placement/usual_request.py
@@ -4,6 +4,8 @@
 
 from collections import defaultdict
 
+from lotushill.placement.messages import route_number
+
 _WEIGHT = 0.02
 _FLAT_SHARE = 0.3
 _MOST = 4.0
@@ -25,7 +27,7 @@
 
     def __init__(self) -> None:
         self._sizes: defaultdict[str, _Average] = defaultdict(_Average)
-        self._readings: defaultdict[str, defaultdict[str, _Average]] = defaultdict(
+        self._readings: defaultdict[str, defaultdict[int, _Average]] = defaultdict(
             lambda: defaultdict(_Average)
         )
 
@@ -33,8 +35,11 @@
         """Note the size of one request."""
         self._sizes[route].note(size)
 
-    def note_reading(self, service: str, route: str, tokens: int) -> None:
-        """Note the prompt tokens that an upstream had to read for one request."""
+    def note_reading(self, service: str, route: int, tokens: int) -> None:
+        """Note the prompt tokens that an upstream had to read for one request.
+
+        `route` is the number of its route.
+        """
         self._readings[service][route].note(tokens)
 
     def weight(self, route: str, size: float) -> float:
@@ -46,7 +51,7 @@
 
     def reading(self, service: str, route: str) -> float:
         """Return the tokens usually read for a request of a route."""
-        return self._readings[service][route].value
+        return self._readings[service][route_number(route)].value
 
     def longest(self, service: str) -> float:
         """Return the tokens usually read on the service's route with the longest prompts."""
--- a/tests/links/test_load_records.py
+++ b/tests/links/test_load_records.py
@@ -38,6 +38,9 @@
     SECONDS,
     SECONDS,
     began=st.booleans(),
+    route=TOKENS,
+    tier=st.integers(0, 255),
+    prompt=TOKENS,
 )
 PLACED = st.builds(placed, PARTS, PLAIN)
 LISTS = st.lists(NUMBERS, max_size=8).map(tuple)
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -7,6 +7,7 @@
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.fleet import Fleet
 from lotushill.placement.messages import Placed
+from lotushill.placement.messages import route_number
 from lotushill.placement.need import Need
 from lotushill.routing.demand import PromptPart
 from lotushill.routing.service import EngineProfile
@@ -46,7 +47,7 @@
         self.count += 1
         request = self.count
         self.fleet.pace(service.name).note_reading(choice.reading)
-        self.fleet.usual.note_reading(need.service, need.route, choice.reading)
+        self.fleet.usual.note_reading(need.service, route_number(need.route), choice.reading)
         self.fleet.start(
             Placed(
                 request,
