Tell engines the tier of the route first, and order teams within a tier

Cause: the priority of a team replaced the tier of the route. Class: one figure standing for two orders, checked by no test of what engines are told.

Change: urgency is a type of its own, tier first and team within it; the adapter maps both to the ten levels of engines.

--- a/scripts/near_misses.py
+++ b/scripts/near_misses.py
@@ -32,7 +32,7 @@
 
     route: str = ""
     service: str = ""
-    priority: int = -1
+    tier: int = -1
     prompt: int = 0
     began: float | None = None
     """When it was sent to an engine, in seconds of simulated time."""
@@ -48,7 +48,7 @@
 
     start: float
     route: str
-    priority: int
+    tier: int
     asked: int
     failed: int
     larger: int
@@ -81,7 +81,7 @@
 def _take(item: Seen, note: dict[str, object], at: float) -> None:
     if note["event"] == "placement.chosen":
         item.service = str(note["service"])
-        item.priority = int(str(note["priority"]))
+        item.tier = int(str(note["tier"]))
         item.prompt = int(str(note["prompt"]))
         item.began = at if item.began is None else item.began
     elif note["event"] == "placement.none":
@@ -108,8 +108,8 @@
             for item in requests
             if item.began is not None and start <= item.began < end_of_window
         ]
-        for route, (service, priority) in routes.items():
-            window = _window(ended, begun, start, route, service, priority, routes)
+        for route, (service, tier) in routes.items():
+            window = _window(ended, begun, start, route, service, tier, routes)
             if window.failed >= LEAST_FAILED and window.larger:
                 found.append(window)
         start += STEP_SECONDS
@@ -117,11 +117,11 @@
 
 
 def _routes(requests: list[Seen]) -> dict[str, tuple[str, int]]:
-    """Return service and usual priority of each route that was ever served by an engine."""
+    """Return service and usual tier of each route that was ever served by an engine."""
     votes: defaultdict[str, Counter[tuple[str, int]]] = defaultdict(Counter)
     for item in requests:
         if item.service and item.prompt:
-            votes[item.route][(item.service, item.priority)] += 1
+            votes[item.route][(item.service, item.tier)] += 1
     return {route: counted.most_common(1)[0][0] for route, counted in votes.items()}
 
 
@@ -131,7 +131,7 @@
     start: float,
     route: str,
     service: str,
-    priority: int,
+    tier: int,
     routes: dict[str, tuple[str, int]],
 ) -> Window:
     asked = [item for item in ended if item.route == route and item.outcome != "client-gone"]
@@ -139,12 +139,12 @@
     size = sum(item.prompt for item in failed) / max(1, len(failed))
     larger = sum(
         item.service == service
-        and routes.get(item.route, ("", -1))[1] > priority
+        and routes.get(item.route, ("", -1))[1] > tier
         and item.prompt > TIMES_LARGER * size
         for item in begun
     )
     why = Counter(item.reason or item.outcome for item in failed)
-    return Window(start, route, priority, len(asked), len(failed), larger, why)
+    return Window(start, route, tier, len(asked), len(failed), larger, why)
 
 
 def main() -> None:
@@ -157,7 +157,7 @@
         for item in windows(read(path))[:SHOWN]:
             why = ", ".join(f"{count} {reason}" for reason, count in item.why.most_common(3))
             print(
-                f"  {item.start:6.1f} s  {item.route} (priority {item.priority}): {item.failed} of"
+                f"  {item.start:6.1f} s  {item.route} (tier {item.tier}): {item.failed} of"
                 f" {item.asked} got nothing beside {item.larger} larger ones; {why}"
             )
 
--- a/src/lotushill/contracts/effective.py
+++ b/src/lotushill/contracts/effective.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill.routing.urgency import USUAL_TEAM
+from lotushill.routing.urgency import Urgency
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -55,7 +58,7 @@
     root: Root, settings: TeamSettings | None, route: Route, team: Team | None, service: str
 ) -> dict[str, Origin]:
     """Return every value in force for a route, by its path, with its level."""
-    found = {path: Origin(path, value, PLATFORM) for path, value in _given(route, team)}
+    found = {path: Origin(path, value, PLATFORM) for path, value in _given(route)}
     for level in levels(root, settings, service, route.name):
         for path, value in _set_values(level.policy):
             found[path] = Origin(path, value, level.name)
@@ -68,14 +71,15 @@
     """Return a route with the values that are in force for one team's requests.
 
     What may run again, and how often, is only ever narrowed: the tree cannot allow what the
-    platform's configuration forbids.
+    platform's configuration forbids. A team's priority orders requests within a tier and never
+    across tiers: engines would preempt urgent streams and let another team's long prompts run on.
     """
     values = {
         path: origin.value for path, origin in trace(root, settings, route, team, service).items()
     }
     return replace(
         route,
-        priority=values["tier"],
+        urgency=Urgency(values["tier"], _team_rank(team)),
         timeout=values["deadline"],
         target=values["target.first"],
         target_gap=values["target.gap"],
@@ -92,12 +96,13 @@
         yield Level(f"{above}, service {name}, class {klass}", service.classes[klass].policy)
 
 
-def _given(route: Route, team: Team | None) -> list[tuple[str, Any]]:
-    tier = route.priority
-    if team is not None and team.priority is not None:
-        tier = team.priority
+def _team_rank(team: Team | None) -> int:
+    return USUAL_TEAM if team is None or team.priority is None else team.priority
+
+
+def _given(route: Route) -> list[tuple[str, Any]]:
     return [
-        ("tier", tier),
+        ("tier", route.urgency.tier),
         ("deadline", route.timeout),
         ("repeatable", route.may_repeat),
         ("max_attempts", route.max_attempts),
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -165,7 +165,7 @@
         own = request_head.attempt_headers(
             self._choice.upstream.id,
             request.ends - self._loop.time(),
-            request.route.priority,
+            request.route.urgency,
             request.team,
             last_event_id,
             self._copies(),
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -113,7 +113,7 @@
     def _note_refusal(self, found: NoChoice) -> None:
         request = self._request
         self._parts.metrics.note_refused(
-            request.service.name, request.route.priority, found.refusal.value
+            request.service.name, request.need.tier, found.refusal.value
         )
         self._note(
             "placement.none",
@@ -121,7 +121,7 @@
             retry_after=found.retry_after,
             route=request.route.name,
             service=request.service.name,
-            priority=request.route.priority,
+            tier=request.need.tier,
             prompt=request.need.prompt_tokens,
             wait_ms=round(found.wait * 1000, 1),
             first_ms=round(found.first * 1000, 1),
@@ -198,7 +198,8 @@
             fetched=choice.fetch.tokens if choice.fetch else 0,
             backup=choice.backup.id if choice.backup else "",
             continues=choice.continues,
-            priority=self._request.route.priority,
+            tier=self._request.need.tier,
+            team_rank=self._request.route.urgency.team,
             ahead=choice.ahead,
             running=choice.running,
             memory=self._parts.fleet.load(choice.upstream.id).memory,
@@ -222,7 +223,7 @@
             self._parts.shared_load.end(placed.request)
             self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
         self._parts.metrics.note_attempt(
-            self._request.service.name, self._request.route.priority, end.kind.value
+            self._request.service.name, self._request.need.tier, end.kind.value
         )
         if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
             self.runs -= 1
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -206,5 +206,5 @@
         prompt_tokens=demand.prompt_tokens,
         output_tokens=min(expected, demand.output_limit) if demand.output_limit else expected,
         parts=demand.parts,
-        tier=route.priority,
+        tier=route.urgency.tier,
     )
--- a/src/lotushill/gateway/metrics.py
+++ b/src/lotushill/gateway/metrics.py
@@ -30,14 +30,14 @@
         )
         self._attempts = Counter(
             "lotushill_attempts",
-            "Attempts at upstreams by the priority told to them and by their end",
-            ("service", "priority", "end"),
+            "Attempts at upstreams by tier and by their end",
+            ("service", "tier", "end"),
             registry=self._registry,
         )
         self._refused = Counter(
             "lotushill_refused",
-            "Requests for which no upstream was chosen, by priority and reason",
-            ("service", "priority", "reason"),
+            "Requests for which no upstream was chosen, by tier and reason",
+            ("service", "tier", "reason"),
             registry=self._registry,
         )
         self._turned_away = Counter(
@@ -81,13 +81,13 @@
         """Note a request that was answered without a service."""
         self._turned_away.labels(str(status)).inc()
 
-    def note_attempt(self, service: str, priority: int, end: str) -> None:
+    def note_attempt(self, service: str, tier: int, end: str) -> None:
         """Note the end of an attempt."""
-        self._attempts.labels(service, str(priority), end).inc()
+        self._attempts.labels(service, str(tier), end).inc()
 
-    def note_refused(self, service: str, priority: int, reason: str) -> None:
+    def note_refused(self, service: str, tier: int, reason: str) -> None:
         """Note a request for which no upstream was chosen."""
-        self._refused.labels(service, str(priority), reason).inc()
+        self._refused.labels(service, str(tier), reason).inc()
 
     def note_first(self, service: str, seconds: float, predicted: float) -> None:
         """Note the time to the first event, beside what was predicted."""
--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -13,6 +13,7 @@
 from lotushill.routing.service import Service
 from lotushill.routing.table import RoutingTable
 from lotushill.routing.team import Team
+from lotushill.routing.urgency import Urgency
 
 _MS = 1000.0
 _BYTES_A_MEGABIT = 125_000.0
@@ -44,7 +45,7 @@
         timeout=float(item["timeoutMs"]) / _MS,
         target=float(item.get("targetLatencyMs") or item["timeoutMs"]) / _MS,
         target_gap=float(item.get("targetGapMs") or 0.0) / _MS,
-        priority=int(item.get("priority") or 0),
+        urgency=Urgency(int(item.get("priority") or 0)),
         max_attempts=max(1, int(item.get("maxAttempts") or 1)),
         public=bool(item.get("public")),
         resumable=bool(item.get("streamResume")),
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from lotushill.platform import names
 from lotushill.routing.demand import Demand
 from lotushill.routing.demand import PromptPart
 
+if TYPE_CHECKING:
+    from lotushill.routing.urgency import Urgency
+
 _MS = 1000.0
 _BEARER = "bearer "
+_LAST_PRIORITY = 9
+"""Engines tell ten priorities apart."""
+_TEAM_LEVELS = 3
+"""Of them, so many for each tier: three tiers, which operators use, keep all their order."""
 Headers = list[tuple[bytes, bytes]]
 
 _ONE_CONNECTION = frozenset(
@@ -94,7 +102,7 @@
 def attempt_headers(
     instance: str,
     seconds_left: float,
-    priority: int,
+    urgency: Urgency,
     team: str,
     last_event_id: str,
     copies: MemoryCopies = NO_COPIES,
@@ -104,7 +112,7 @@
     out = [
         (names.TARGET_INSTANCE.encode(), instance.encode()),
         (names.DEADLINE_MS.encode(), str(left).encode()),
-        (names.PRIORITY.encode(), str(min(9, max(0, priority))).encode()),
+        (names.PRIORITY.encode(), str(_engine_priority(urgency)).encode()),
     ]
     if team:
         out.append((names.TENANT.encode(), team.encode("latin-1")))
@@ -120,6 +128,12 @@
     return out
 
 
+def _engine_priority(urgency: Urgency) -> int:
+    """Return the tier and the team as one of the few levels that engines tell apart."""
+    team = min(_TEAM_LEVELS - 1, max(0, urgency.team))
+    return min(_LAST_PRIORITY, max(0, _TEAM_LEVELS * urgency.tier + team))
+
+
 def without_last_event_id(headers: Headers) -> Headers:
     """Return headers without the place where a stream goes on."""
     return [item for item in headers if item[0] != names.LAST_EVENT_ID.encode()]
--- a/src/lotushill/routing/route.py
+++ b/src/lotushill/routing/route.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.routing.urgency import Urgency
 
 
 class RouteKind(Enum):
@@ -37,8 +41,7 @@
     """The time to the answer, or to a stream's first event, that earns full credit."""
     target_gap: float
     """The longest pause between events of a stream that is still in time; 0 for none."""
-    priority: int
-    """0 is the most urgent."""
+    urgency: Urgency
     max_attempts: int
     """Most upstreams that may run one request."""
     public: bool
--- a/src/lotushill/routing/team.py
+++ b/src/lotushill/routing/team.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True)
 class Team:
-    """One team; a priority, if it has one, overrules that of the route."""
+    """One team; its priority, if it has one, orders its requests among those of a tier."""
 
     name: str
     api_keys: tuple[str, ...]
