Bound the usual pause from below, so that nothing is divided by zero

Cause: the first pause of a service is taken as it is, and two events in one read are 0 s apart; the next quiet pause was divided by 0 and the stream ended. Class: a learned figure used as a divisor without a bound.

Change: pauses count as one millisecond at least. Looked for elsewhere: read rate, stream seconds and the pace ratios have bounds or start above 0.

--- a/src/lotushill/placement/quiet_pause.py
+++ b/src/lotushill/placement/quiet_pause.py
@@ -6,6 +6,8 @@
 """Taken for usual before the first event was seen; engines make an event in 0.02 to 0.05 s."""
 _KEPT = 0.998
 """What each earlier pause counts once another came: some 500 of them count."""
+_LEAST_SECONDS = 0.001
+"""A step of an engine takes longer; events that came in one read tell nothing of its pause."""
 _LEAST_VARIANCE = 4.0
 """Of the number of requests, below which the pauses say nothing of its effect."""
 
@@ -21,7 +23,11 @@
         self._covariance = 0.0
 
     def note(self, running: int, seconds: float) -> None:
-        """Note one pause."""
+        """Note one pause.
+
+        Without a lower bound the usual pause could become 0, by which others are divided.
+        """
+        seconds = max(_LEAST_SECONDS, seconds)
         self._weight = _KEPT * self._weight + 1.0
         share = 1.0 / self._weight
         more = running - self._running
