Refuse no request while less urgent, larger ones begin anywhere in the fleet

Cause of the refusals: each gateway told the longest route of a service from what it had placed itself, by an average that began at its first value and left out what was refused, and no refusal looked at the tier. Class: a decision that has to hold over the whole fleet, made from one gateway's sample.

Change: placement/shedding.py decides who is refused. Usual prompts by route come from all gateways' requests, as a mean at first; whole prompts count, not what is left to read. A request of which less urgent ones of over twice its size began anywhere within five seconds is not refused, neither as overload nor for want of room: those are to be refused before it.

Both tests of refusals pass; no test is known red.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -66,7 +66,7 @@
         """Try upstreams until there is an answer."""
         request = self._request
         self._parts.budgets.note_request(request.service.name, self._loop.time())
-        self._parts.fleet.usual.note_size(request.need.route, request.need.size)
+        self._parts.fleet.shedding.usual.note_size(request.need.route, request.need.size)
         while True:
             choice = await self._find()
             if choice is None:
@@ -125,8 +125,8 @@
             prompt=request.need.prompt_tokens,
             wait_ms=round(found.wait * 1000, 1),
             first_ms=round(found.first * 1000, 1),
-            usual_reading=round(found.usual_reading),
-            longest_reading=round(found.longest_reading),
+            usual_prompt=round(found.usual_prompt),
+            longest_prompt=round(found.longest_prompt),
             waited_ms=round((self._loop.time() - request.arrived) * 1000, 1),
         )
 
--- a/src/lotushill/gateway/shared_load.py
+++ b/src/lotushill/gateway/shared_load.py
@@ -66,7 +66,6 @@
         self._own[placed.request] = (placed, now)
         self._fleet.start(placed, service, now)
         self._fleet.pace(service.name).note_reading(placed.reading)
-        self._fleet.usual.note_reading(service.name, placed.route, placed.reading)
         self._tell(Load(self._name, False, placed=(placed,)))
 
     def begin(self, request: int) -> None:
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -64,7 +64,7 @@
     """Predicted seconds until its prompt is begun, where a usual one would lose least."""
     first: float = 0.0
     """Predicted seconds to its first event at the soonest upstream."""
-    usual_reading: float = 0.0
-    """Prompt tokens that are usually read for its route."""
-    longest_reading: float = 0.0
+    usual_prompt: float = 0.0
+    """Prompt tokens that are usual on its route."""
+    longest_prompt: float = 0.0
     """The same of the route of its service with the longest prompts."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -19,9 +19,9 @@
 from lotushill.placement.kept_parts import chained
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
+from lotushill.placement.shedding import Shedding
 from lotushill.placement.shortlist import shortlist
 from lotushill.placement.upstream_load import UpstreamLoad
-from lotushill.placement.usual_request import UsualRequests
 from lotushill.placement.weigher import EngineWeigher
 from lotushill.placement.weigher import Place
 from lotushill.placement.weigher import PlainWeigher
@@ -42,18 +42,10 @@
 
 _SOUND_RATE = 0.2
 """Nothing is copied from an upstream that fails more often than this."""
-_LONG_SHARE = 0.5
-_LONG_RETRY = 1.0
-_LONG_WAIT = 0.5
-"""Of its target, how long a long request may wait until its prompt is read.
-
-Held against the upstream that is best for a usual request of the route, so that large and small
-ones are refused alike.
-"""
 _MOST_RANKED = 10_000
 _RANKS_KEPT = 32
-_SHORTEST_RETRY = 0.2
-_LONGEST_RETRY = 3.0
+_NO_UPSTREAM_RETRY = 1.0
+"""Seconds after which an upstream may have come."""
 
 
 class Fleet:
@@ -73,7 +65,7 @@
         self._hall = hall
         self._is_cut_off = is_cut_off
         self.recent = RecentParts(recent_seconds)
-        self.usual = UsualRequests()
+        self.shedding = Shedding()
         self._loads: dict[str, UpstreamLoad] = {}
         self._paces: dict[str, Pace] = {}
         self._where: dict[int, str] = {}
@@ -101,6 +93,7 @@
         load.start(placed, engine.memory_tokens if engine else 0, now)
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
+        self.shedding.note(placed, service.name, now)
         self._where[placed.request] = placed.upstream
 
     def begin(self, request: int, now: float) -> None:
@@ -142,36 +135,20 @@
         candidates = [item for item in known.values() if item.id not in excluded]
         reachable = [item for item in candidates if not self.load(item.id).away(now)]
         if not candidates:
-            return NoChoice(Refusal.NO_UPSTREAM, _LONG_RETRY)
+            return NoChoice(Refusal.NO_UPSTREAM, _NO_UPSTREAM_RETRY)
         weighed = shortlist(need, reachable or candidates)
         cut = frozenset(hall for hall in {item.hall for item in weighed} if self._is_cut_off(hall))
         weigher = self._weigher(need, service, reachable, known, cut, now)
         choices = [
             weigher.weigh(item, self.load(item.id), ranks.get(item.id, 0.0)) for item in weighed
         ]
+        refused = self.shedding.refuse(need, choices, now)
+        if refused is not None:
+            return refused
         best = min(choices, key=lambda choice: choice.cost)
-        wait = min(choices, key=lambda choice: choice.usual_loss).wait
-        soonest = min(choices, key=lambda choice: choice.first)
-        if self._is_long(need) and wait > _LONG_WAIT * need.target:
-            retry_after = min(_LONGEST_RETRY, max(_LONG_RETRY, wait))
-            return self._refused(need, Refusal.OVERLOAD, retry_after, wait, soonest.first)
-        if soonest.first > need.patience:
-            late = soonest.first - need.target
-            retry_after = min(_LONGEST_RETRY, max(_SHORTEST_RETRY, late))
-            return self._refused(need, Refusal.NO_ROOM, retry_after, wait, soonest.first)
-        return best if best.first <= need.patience else soonest
-
-    def _refused(
-        self, need: Need, refusal: Refusal, retry_after: float, wait: float, first: float
-    ) -> NoChoice:
-        return NoChoice(
-            refusal,
-            retry_after,
-            wait,
-            first,
-            self.usual.reading(need.service, need.route),
-            self.usual.longest(need.service),
-        )
+        if best.first <= need.patience:
+            return best
+        return min(choices, key=lambda choice: choice.first)
 
     def backup(
         self,
@@ -189,22 +166,6 @@
             return None
         return backup_target(choice.upstream, need, engine, upstreams, self._loads, now)
 
-    def _is_long(self, need: Need) -> bool:
-        """Return whether a request's route has the longest prompts of its service.
-
-        Under overload these are refused first: each leaves room for many short ones, and a
-        short one is never refused while longer ones begin. The route decides and not the
-        request, so that the large ones of a route are served as often as the small ones. Before
-        this gateway has placed any of the route, the request is held against what others place.
-        """
-        usual = self.usual.reading(need.service, need.route)
-        longest = self.usual.longest(need.service)
-        if usual:
-            return usual > _LONG_SHARE * longest
-        pace = self.pace(need.service)
-        longest = max(longest, pace.long_reading * pace.read_rate)
-        return 0.0 < _LONG_SHARE * longest < need.prompt_tokens
-
     def _weigher(
         self,
         need: Need,
@@ -220,9 +181,9 @@
             return PlainWeigher(need, pace, place, now)
         chain = tuple(chained(need.parts))
         usual = Usual(
-            self.usual.reading(need.service, need.route) or need.prompt_tokens,
-            self.usual.weight(need.route, need.size),
-            self._is_long(need),
+            self.shedding.usual.reading(need.service, need.route) or need.prompt_tokens,
+            self.shedding.usual.weight(need.route, need.size),
+            self.shedding.is_long(need),
         )
         planner = self._planner(chain, service.engine, sources, known, cut, now)
         return EngineWeigher(
--- /dev/null
+++ b/src/lotushill/placement/shedding.py
@@ -0,0 +1,94 @@
+"""Who may be refused while upstreams have more to do than is in time. Pure.
+
+Every gateway decides alone, but by what all gateways tell of the requests that they send: what one
+gateway sends itself is too little to tell the routes of a service apart.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.placement.choice import NoChoice
+from lotushill.placement.choice import Refusal
+from lotushill.placement.recent_starts import RecentStarts
+from lotushill.placement.usual_request import UsualRequests
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lotushill.placement.choice import Choice
+    from lotushill.placement.messages import Placed
+    from lotushill.placement.need import Need
+
+_LONG_SHARE = 0.5
+"""Of the usual prompt of the longest route, from which another route counts as long too."""
+_TIMES_LARGER = 2.0
+"""Users hold a refusal against less urgent requests of over twice its size."""
+_LONG_WAIT = 0.5
+"""Of its target, how long a long request may wait until its prompt is read.
+
+Held against the upstream that is best for a usual request of the route, so that large and small
+ones are refused alike.
+"""
+_LONG_RETRY = 1.0
+_SHORTEST_RETRY = 0.2
+_LONGEST_RETRY = 3.0
+"""Seconds; the times to return lie between these."""
+
+
+class Shedding:
+    """Refuses the least urgent and longest first."""
+
+    def __init__(self) -> None:
+        self.usual = UsualRequests()
+        self.starts = RecentStarts()
+
+    def note(self, placed: Placed, service: str, now: float) -> None:
+        """Learn from a request that any gateway has sent to an upstream."""
+        self.usual.note_prompt(service, placed.route, placed.prompt, placed.reading)
+        self.starts.note(service, placed.tier, placed.prompt, now - placed.age)
+
+    def is_long(self, need: Need) -> bool:
+        """Return whether a request's route has the longest prompts of its service.
+
+        Under overload these are refused first: each leaves room for many short ones. The route
+        decides and not the request, so that the large ones of a route are served as often as the
+        small ones. Before any gateway has sent one of the route, the request stands for it.
+        """
+        usual = self.usual.prompt(need.service, need.route) or need.prompt_tokens
+        return 0.0 < _LONG_SHARE * self.usual.longest_prompt(need.service) < usual
+
+    def must_serve(self, need: Need, now: float) -> bool:
+        """Return whether a refusal would put a request behind less urgent, larger ones.
+
+        While such ones begin anywhere in the fleet they have to be refused before it.
+        """
+        usual = self.usual.prompt(need.service, need.route) or need.prompt_tokens
+        size = min(float(need.prompt_tokens), usual)
+        return self.starts.largest_after(need.service, need.tier, now) > _TIMES_LARGER * size
+
+    def refuse(self, need: Need, choices: Sequence[Choice], now: float) -> NoChoice | None:
+        """Return why a request is refused that could go to one of `choices`, None if it is not."""
+        wait = min(choices, key=lambda choice: choice.usual_loss).wait
+        first = min(choice.first for choice in choices)
+        overload = self.is_long(need) and wait > _LONG_WAIT * need.target
+        no_room = first > need.patience
+        if not (overload or no_room) or self.must_serve(need, now):
+            return None
+        if overload:
+            retry_after = min(_LONGEST_RETRY, max(_LONG_RETRY, wait))
+            return self._refused(need, Refusal.OVERLOAD, retry_after, wait, first)
+        retry_after = min(_LONGEST_RETRY, max(_SHORTEST_RETRY, first - need.target))
+        return self._refused(need, Refusal.NO_ROOM, retry_after, wait, first)
+
+    def _refused(
+        self, need: Need, refusal: Refusal, retry_after: float, wait: float, first: float
+    ) -> NoChoice:
+        return NoChoice(
+            refusal,
+            retry_after,
+            wait,
+            first,
+            self.usual.prompt(need.service, need.route),
+            self.usual.longest_prompt(need.service),
+        )
--- a/src/lotushill/placement/usual_request.py
+++ b/src/lotushill/placement/usual_request.py
@@ -7,26 +7,32 @@
 from lotushill.placement.messages import route_number
 
 _WEIGHT = 0.02
+"""Of one request among many: some 50 of them count."""
 _FLAT_SHARE = 0.3
 _MOST = 4.0
 
 
 class _Average:
-    """A moving average that starts at its first value."""
+    """A mean of the first values, and then a moving average."""
 
     def __init__(self) -> None:
         self.value = 0.0
+        self._count = 0
 
     def note(self, value: float) -> None:
         """Note one value."""
-        self.value = value if not self.value else self.value + _WEIGHT * (value - self.value)
+        self._count += 1
+        self.value += max(_WEIGHT, 1.0 / self._count) * (value - self.value)
 
 
 class UsualRequests:
-    """Moving averages by service and route."""
+    """Averages by service and route."""
 
     def __init__(self) -> None:
         self._sizes: defaultdict[str, _Average] = defaultdict(_Average)
+        self._prompts: defaultdict[str, defaultdict[int, _Average]] = defaultdict(
+            lambda: defaultdict(_Average)
+        )
         self._readings: defaultdict[str, defaultdict[int, _Average]] = defaultdict(
             lambda: defaultdict(_Average)
         )
@@ -35,12 +41,13 @@
         """Note the size of one request."""
         self._sizes[route].note(size)
 
-    def note_reading(self, service: str, route: int, tokens: int) -> None:
-        """Note the prompt tokens that an upstream had to read for one request.
+    def note_prompt(self, service: str, route: int, prompt: int, reading: int) -> None:
+        """Note the prompt tokens of one request, and those of them that had to be read.
 
         `route` is the number of its route.
         """
-        self._readings[service][route].note(tokens)
+        self._prompts[service][route].note(prompt)
+        self._readings[service][route].note(reading)
 
     def weight(self, route: str, size: float) -> float:
         """Return what a request counts for beside a usual one of its route."""
@@ -50,9 +57,13 @@
         return min(_MOST, _FLAT_SHARE + (1.0 - _FLAT_SHARE) * size / usual)
 
     def reading(self, service: str, route: str) -> float:
-        """Return the tokens usually read for a request of a route."""
+        """Return the tokens usually read for a request of a route, 0 before the first."""
         return self._readings[service][route_number(route)].value
 
-    def longest(self, service: str) -> float:
-        """Return the tokens usually read on the service's route with the longest prompts."""
-        return max((item.value for item in self._readings[service].values()), default=0.0)
+    def prompt(self, service: str, route: str) -> float:
+        """Return the usual prompt tokens of a route, 0 before the first request."""
+        return self._prompts[service][route_number(route)].value
+
+    def longest_prompt(self, service: str) -> float:
+        """Return the usual prompt tokens of the service's route with the longest prompts."""
+        return max((item.value for item in self._prompts[service].values()), default=0.0)
--- a/tests/gateway/test_sight.py
+++ b/tests/gateway/test_sight.py
@@ -29,10 +29,10 @@
             got = await rig.call()
         self.assertEqual((503, "1.20"), (got.status, got.headers["retry-after"]))
         (line,) = noted(rig, "placement.none")
-        told = {name: line[name] for name in ("reason", "wait_ms", "first_ms", "usual_reading")}
-        expected = {"reason": "overload", "wait_ms": 900, "first_ms": 400, "usual_reading": 2000}
+        told = {name: line[name] for name in ("reason", "wait_ms", "first_ms", "usual_prompt")}
+        expected = {"reason": "overload", "wait_ms": 900, "first_ms": 400, "usual_prompt": 2000}
         self.assertEqual(expected, told)
-        self.assertEqual((3000, "s"), (line["longest_reading"], line["service"]))
+        self.assertEqual((3000, "s"), (line["longest_prompt"], line["service"]))
         text = rig.parts.metrics.text().decode()
         self.assertIn('reason="overload",service="s",tier="2"} 1.0', text)
 
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -47,7 +47,6 @@
         self.count += 1
         request = self.count
         self.fleet.pace(service.name).note_reading(choice.reading)
-        self.fleet.usual.note_reading(need.service, route_number(need.route), choice.reading)
         self.fleet.start(
             Placed(
                 request,
@@ -59,6 +58,9 @@
                 0.0,
                 tuple(part.id for part in need.parts),
                 tuple(part.tokens for part in need.parts),
+                route=route_number(need.route),
+                tier=need.tier,
+                prompt=need.prompt_tokens,
             ),
             service,
             now,
@@ -132,9 +134,9 @@
         started = Fleet("z")
         for n in range(40):
             item = among[n % 2]
-            started.start(
-                Placed(n, item.id, 11_500, 11_800, 0.6, 3.0, 0.0, (n,), (11_500,)), ENGINE, 0.0
-            )
+            placed = Placed(n, item.id, 11_500, 11_800, 0.6, 3.0, 0.0, (n,), (11_500,))
+            placed = replace(placed, route=route_number("letter"), prompt=11_500)
+            started.start(placed, ENGINE, 0.0)
             started.pace("llm").note_reading(11_500)
         need = replace(long(999), parts=(PromptPart(999, 11_500),))
         self.assertIsInstance(started.choose(need, ENGINE, among, NOTHING, 0.0), NoChoice)
