--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -306,6 +306,55 @@
         "pass\n\n    def on_headers",
         "tests.gateway.test_client_protocol",
     ),
+    Break(
+        "tiers: engines are told the tier of the route first",
+        "platform/request_head.py",
+        "_TEAM_LEVELS * urgency.tier + team",
+        "team",
+        "tests.gateway.test_tiers",
+    ),
+    Break(
+        "tiers: no team's requests go before those of another tier",
+        "contracts/effective.py",
+        'Urgency(values["tier"], _team_rank(team))',
+        "Urgency(_team_rank(team))",
+        "tests.contracts.test_effective",
+    ),
+    Break(
+        "tiers: nothing is refused while less urgent, larger ones begin",
+        "placement/shedding.py",
+        " or self.must_serve(need, now)",
+        "",
+        "tests.placement.test_shedding",
+    ),
+    Break(
+        "tiers: what is long is told by what all gateways send",
+        "placement/fleet.py",
+        "self.shedding.note(placed, service.name, now)",
+        "pass",
+        "tests.gateway.test_tiers",
+    ),
+    Break(
+        "tiers: the longest take no slot that is not free",
+        "placement/shedding.py",
+        "late = not open_ones or wait",
+        "late = wait",
+        "tests.gateway.test_tiers",
+    ),
+    Break(
+        "tiers: the more urgent overtake what waits to be read",
+        "placement/unread_prompts.py",
+        "if other <= tier)",
+        "if other >= 0)",
+        "tests.placement.test_unread_prompts",
+    ),
+    Break(
+        "the usual pause is never 0",
+        "placement/quiet_pause.py",
+        "seconds = max(_LEAST_SECONDS, seconds)",
+        "pass",
+        "tests.placement.test_pauses",
+    ),
 )
 
 
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -11,6 +11,7 @@
 _STORE = "tests.platform.test_object_store"
 _MEMBER = "tests.membership.test_membership.TestMembership"
 _FLEET = "tests.placement.test_fleet.TestEngines"
+_TIERS = "tests.gateway.test_tiers"
 _LOAD = "tests.gateway.test_shared_load.TestSharedLoad"
 _EDITOR = "tests.contracts.test_editor.TestEditor"
 _PROGRAM = "tests.console.test_gateway_program.TestGatewayProgram"
@@ -336,6 +337,28 @@
                     f"{_FLEET}.test_large_and_small_ones_of_a_route_are_refused_alike",
                 ),
             ),
+            Case(
+                "a gateway just started, or one that placed few, beside others' long prompts",
+                (
+                    f"{_TIERS}.TestRefusals."
+                    "test_no_urgent_request_is_taken_for_the_longest_by_what_one_gateway_placed",
+                    "tests.placement.test_shedding.TestShedding."
+                    "test_nothing_is_refused_while_less_urgent_larger_ones_begin",
+                ),
+            ),
+            Case(
+                "upstreams full of less urgent prompts, or of urgent streams",
+                (
+                    f"{_TIERS}.TestRefusals."
+                    "test_urgent_requests_find_room_behind_less_urgent_prompts",
+                    f"{_TIERS}.TestRefusals."
+                    "test_the_least_urgent_are_refused_while_urgent_ones_fill_the_engines",
+                ),
+            ),
+            Case(
+                "an engine out of memory preempts what it was told is least urgent",
+                (f"{_TIERS}.TestEngines.test_engines_are_told_the_tier_of_the_route_first",),
+            ),
             Case(
                 "a fifth of all answers lost, or nearly half of all requests failing",
                 (),
