--- /dev/null
+++ b/scripts/ablate.py
@@ -0,0 +1,263 @@
+"""Switches off one mechanism of placement at a time and prints what each is worth.
+
+    python scripts/ablate.py BENCH SITE... --days DAY,... [--seeds N,...] [--only WORD] [--jobs N]
+
+BENCH is the users' bench program and SITE their site files; neither is part of this repository.
+Each variant is played in a copy of the committed sources under target/, without processor time, so
+that a play mostly repeats; the copies' journal entries are added to journal/. A cell is the mean
+worth over days and seeds less that of the sources as they are: what is below 0 is lost without the
+mechanism.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import shutil
+import subprocess
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import mean
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIES = ROOT / "target" / "ablation"
+_WORTH = re.compile(r"^worth (?P<worth>-?[\d.]+) =", re.MULTILINE)
+_BROKEN = re.compile(r"^rules broken: (?P<rules>.*)$", re.MULTILINE)
+
+
+@dataclass(frozen=True)
+class Variant:
+    """The sources with one mechanism switched off."""
+
+    name: str
+    file: str = ""
+    code: str = ""
+    off: str = ""
+
+
+PLACEMENT = "placement"
+VARIANTS = (
+    Variant("as it is"),
+    Variant(
+        "order of upstreams",
+        f"{PLACEMENT}/fleet.py",
+        "ranks.get(item.id, 0.0)",
+        "0.0",
+    ),
+    Variant(
+        "copies of prompt parts",
+        f"{PLACEMENT}/fleet.py",
+        "if not engine.link_rate:",
+        "if True:",
+    ),
+    Variant(
+        "copies of runs",
+        f"{PLACEMENT}/fleet.py",
+        "if engine is None or not engine.backups:",
+        "if True:",
+    ),
+    Variant(
+        "failure rates",
+        f"{PLACEMENT}/weigher.py",
+        "_FAILURE_LOSS = 0.9",
+        "_FAILURE_LOSS = 0.0",
+    ),
+    Variant(
+        "slowness of steps",
+        f"{PLACEMENT}/upstream_load.py",
+        "return 1.0 + (self._step_slowness - 1.0) * fresh",
+        "return 1.0 + 0.0 * fresh",
+    ),
+    Variant(
+        "harm to the streams beside",
+        f"{PLACEMENT}/weigher.py",
+        "return _GAP_LOSS * harm",
+        "return 0.0 * harm",
+    ),
+    Variant(
+        "own pauses",
+        f"{PLACEMENT}/weigher.py",
+        "if not gap:",
+        "if True:",
+    ),
+    Variant(
+        "learned bound of pauses",
+        f"{PLACEMENT}/pauses.py",
+        "min(waiting, self.bound * slowness)",
+        "waiting",
+    ),
+    Variant(
+        "memory of upstreams",
+        f"{PLACEMENT}/weigher.py",
+        "_FULL_MEMORY_LOSS = 1.0",
+        "_FULL_MEMORY_LOSS = 0.0",
+    ),
+    Variant(
+        "parts read again",
+        f"{PLACEMENT}/weigher.py",
+        "_REREAD_LOSS_PER_TOKEN = 2.0e-4",
+        "_REREAD_LOSS_PER_TOKEN = 0.0",
+    ),
+    Variant(
+        "reading at all",
+        f"{PLACEMENT}/weigher.py",
+        "_READING_LOSS_PER_TOKEN = 1e-5",
+        "_READING_LOSS_PER_TOKEN = 0.0",
+    ),
+    Variant(
+        "size beside the usual",
+        f"{PLACEMENT}/usual_request.py",
+        "if usual <= 0:",
+        "if True:",
+    ),
+    Variant(
+        "nearer halls first",
+        f"{PLACEMENT}/weigher.py",
+        "_OTHER_HALL_LOSS = 0.01",
+        "_OTHER_HALL_LOSS = 0.0",
+    ),
+    Variant(
+        "tiers at engines",
+        "platform/request_head.py",
+        "_TEAM_LEVELS * urgency.tier + team",
+        "1",
+    ),
+    Variant(
+        "refusal of the longest",
+        f"{PLACEMENT}/shedding.py",
+        "overload = self.is_long(need) and late",
+        "overload = False",
+    ),
+    Variant(
+        "free slots for the longest",
+        f"{PLACEMENT}/shedding.py",
+        "late = not open_ones or wait",
+        "late = wait",
+    ),
+    Variant(
+        "load of other gateways",
+        "gateway/shared_load.py",
+        "if load.sender == self._name:",
+        "if True:",
+    ),
+    Variant(
+        "lists of load",
+        "gateway/shared_load.py",
+        "if now < self._list_due:",
+        "if True:",
+    ),
+)
+
+
+@dataclass(frozen=True)
+class Play:
+    """One play of one variant."""
+
+    variant: Variant
+    site: Path
+    day: str
+    seed: str
+
+
+@dataclass(frozen=True)
+class Result:
+    """What a play brought."""
+
+    play: Play
+    worth: float
+    broken: str
+
+
+def make_copy(variant: Variant) -> Path:
+    """Return a copy of the committed sources with the variant's mechanism switched off."""
+    folder = COPIES / variant.name.replace(" ", "-")
+    if folder.exists():
+        shutil.rmtree(folder)
+    folder.parent.mkdir(parents=True, exist_ok=True)
+    subprocess.run(["git", "clone", "--quiet", str(ROOT), str(folder)], check=True)
+    if variant.file:
+        target = folder / "src" / "lotushill" / variant.file
+        text = target.read_text(encoding="utf-8")
+        if variant.code not in text:
+            raise SystemExit(f"{variant.name}: the code to switch off is not there")
+        target.write_text(text.replace(variant.code, variant.off), encoding="utf-8")
+    subprocess.run(["git", "-C", str(folder), "add", "--all"], check=True)
+    return folder
+
+
+def run(bench: Path, play: Play) -> Result:
+    """Play one day; the bench's own report tells the worth."""
+    folder = COPIES / play.variant.name.replace(" ", "-")
+    command = [str(bench), "run", str(play.site), play.day, "--no-cpu"]
+    command += ["--seed", play.seed] if play.seed else []
+    command += ["--why", f"trial, ablation: without {play.variant.name}"]
+    done = subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
+    worth = _WORTH.search(done.stdout)
+    if worth is None:
+        raise SystemExit(f"{play}: no worth told: {(done.stdout + done.stderr)[-300:]}")
+    broken = _BROKEN.search(done.stdout)
+    return Result(play, float(worth["worth"]), broken["rules"] if broken else "")
+
+
+def keep_journal(variant: Variant) -> None:
+    """Add the entries of a copy's journal to this one."""
+    source = COPIES / variant.name.replace(" ", "-") / "journal"
+    for entry in source.rglob("*"):
+        target = ROOT / "journal" / entry.relative_to(source)
+        if entry.is_file() and not target.exists():
+            target.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(entry, target)
+
+
+def print_table(results: list[Result], variants: list[Variant], sites: list[Path]) -> None:
+    """Print a line for each variant, a column for each site."""
+    print("| without | " + " | ".join(site.stem for site in sites) + " | rules broken |")
+    print("|---" * (len(sites) + 2) + "|")
+    base: dict[Path, float] = {}
+    for variant in variants:
+        cells = []
+        for site in sites:
+            mine = [
+                item.worth
+                for item in results
+                if item.play.variant == variant and item.play.site == site
+            ]
+            worth = mean(mine)
+            base.setdefault(site, worth)
+            cells.append(f"{worth:.3f}" if not variant.file else f"{worth - base[site]:+.3f}")
+        broken = {item.broken for item in results if item.play.variant == variant and item.broken}
+        print(f"| {variant.name} | {' | '.join(cells)} | {', '.join(sorted(broken)) or '-'} |")
+
+
+def main() -> None:
+    """Play all variants and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench", type=Path)
+    parser.add_argument("sites", type=Path, nargs="+")
+    parser.add_argument("--days", default="scale-1")
+    parser.add_argument("--seeds", default="", help="the sites' own where none is given")
+    parser.add_argument("--only", default="", help="variants whose names hold this word")
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    bench = options.bench.resolve()
+    sites = [site.resolve() for site in options.sites]
+    variants = [item for item in VARIANTS if not item.file or options.only in item.name]
+    for variant in variants:
+        make_copy(variant)
+    plays = [
+        Play(variant, site, day, seed)
+        for variant in variants
+        for site in sites
+        for day in options.days.split(",")
+        for seed in options.seeds.split(",")
+    ]
+    with ThreadPoolExecutor(options.jobs) as pool:
+        results = list(pool.map(lambda play: run(bench, play), plays))
+    for variant in variants:
+        keep_journal(variant)
+    print_table(results, variants, sites)
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -1,9 +1,10 @@
-"""Plays each day of bench/days on a site and prints what it broke, a line a day.
+"""Plays each day of bench/days on one site or several and prints a table, a line a day and site.
 
-    python scripts/play_days.py BENCH SITE [--jobs N] [--only PREFIX]
+    python scripts/play_days.py BENCH SITE... [--jobs N] [--only PREFIX] [--no-cpu] [--table FILE]
 
-BENCH is the users' bench program and SITE one of their site files; neither is part of this
-repository. Each day holds one kind of trouble.
+BENCH is the users' bench program and SITE their site files; neither is part of this repository.
+Most days hold one kind of trouble, those with two names two that meet. Exits with 1 if a rule was
+broken.
 """
 
 from __future__ import annotations
@@ -17,53 +18,87 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DAYS = ROOT / "bench" / "days"
-_RESULT = re.compile(r"^\S+ +\d+/\d+ +(?P<rest>.*)$", re.MULTILINE)
-_BROKEN = re.compile(r"BROKEN: (?P<rules>.*)$", re.MULTILINE)
+_RESULT = re.compile(
+    r"^\S+ +\d+/\d+ +[\d.]+ +(?P<worth>-?[\d.]+) +(?P<served>[\d.]+) +(?P<refused>[\d.]+)",
+    re.MULTILINE,
+)
+_BROKEN = re.compile(r"^rules broken: (?P<rules>.*)$", re.MULTILINE)
 _DETAIL = re.compile(r"^(?P<line>[A-Z]+ at .*)$", re.MULTILINE)
+_TAIL = 120
+"""Characters of the report that are shown where a day was not played."""
 
 
 @dataclass(frozen=True)
 class Played:
-    """What a day brought."""
+    """What a day brought on a site; shares of credit and of requests."""
 
     day: str
-    result: str
-    broken: bool
+    site: str
+    worth: str
+    served: str
+    refused: str
+    rules: str
+    """Rules that were broken, or why the day was not played."""
     detail: str
 
+    @property
+    def row(self) -> str:
+        """Return a row of the table."""
+        cells = (self.day, self.site, self.worth, self.served, self.refused, self.rules or "-")
+        return f"| {' | '.join(cells)} |"
 
-def play(bench: Path, site: Path, day: Path) -> Played:
+
+def play(bench: Path, site: Path, day: Path, options: list[str]) -> Played:
     """Play one day."""
-    command = [str(bench), "run", str(site), str(day), "--why", f"{day.stem} alone"]
+    command = [str(bench), "run", str(site), str(day), *options, "--why", f"{day.stem} alone"]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
     found = _RESULT.search(done.stdout)
+    if found is None:
+        report = (done.stdout + done.stderr).strip().replace("\n", " ")
+        return Played(day.stem, site.stem, "", "", "", f"not played: {report[-_TAIL:]}", "")
+    broken = _BROKEN.search(done.stdout)
     detail = _DETAIL.search(done.stdout)
     return Played(
         day.stem,
-        found["rest"] if found else (done.stdout + done.stderr)[-200:],
-        bool(_BROKEN.search(done.stdout)) or found is None,
+        site.stem,
+        found["worth"],
+        found["served"],
+        found["refused"],
+        broken["rules"] if broken else "",
         detail["line"] if detail else "",
     )
 
 
+def table(results: list[Played]) -> str:
+    """Return all results as a table of a page."""
+    head = "| day | site | worth | served | refused | rules broken |\n|---|---|---|---|---|---|\n"
+    return head + "".join(f"{item.row}\n" for item in results)
+
+
 def main() -> int:
     """Play the days; return 1 if any broke a rule."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("bench", type=Path)
-    parser.add_argument("site", type=Path)
+    parser.add_argument("sites", type=Path, nargs="+")
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--only", default="")
+    parser.add_argument("--no-cpu", action="store_true", help="charge no processor time")
+    parser.add_argument("--table", type=Path, help="write the table to this file as well")
     options = parser.parse_args()
     days = sorted(DAYS.glob(f"{options.only}*.toml"))
+    extra = ["--no-cpu"] if options.no_cpu else []
     with ThreadPoolExecutor(options.jobs) as pool:
-        results = pool.map(lambda day: play(options.bench, options.site, day), days)
-        broken = 0
-        for item in results:
-            broken += item.broken
-            print(f"{item.day:22} {item.result}", flush=True)
+        wanted = [(site.resolve(), day) for day in days for site in options.sites]
+        results = []
+        for item in pool.map(lambda one: play(options.bench, *one, extra), wanted):
+            results.append(item)
+            print(item.row, flush=True)
             if item.detail:
-                print(f"{'':22} {item.detail}", flush=True)
-    print(f"{len(days)} days, {broken} broken")
+                print(f"    {item.detail}", flush=True)
+    if options.table:
+        options.table.write_text(table(results), encoding="utf-8")
+    broken = sum(bool(item.rules) for item in results)
+    print(f"{len(results)} plays, {broken} broken or not played")
     return 1 if broken else 0
 
 
