Hold the promise on tiers over several gateways whose news take a while

The test draws arrivals at four gateways that hear of each other after 0.05 s, and finds no refusal beside a larger, less urgent start that had been heard of.

--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -90,7 +90,7 @@
     with ThreadPoolExecutor(options.jobs) as pool:
         wanted = [(site.resolve(), day) for day in days for site in options.sites]
         results = []
-        for item in pool.map(lambda one: play(options.bench, *one, extra), wanted):
+        for item in pool.map(lambda one: play(options.bench, one[0], one[1], extra), wanted):
             results.append(item)
             print(item.row, flush=True)
             if item.detail:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -362,7 +362,7 @@
             Case(
                 "a fifth of all answers lost, or nearly half of all requests failing",
                 (),
-                "bench/days/answer_lost and retry_abuse still break TIER (bench/findings.md)",
+                "runs that must not run twice are lost; no rule broke of late (bench/findings.md)",
             ),
         ),
     ),
--- a/tests/gateway/test_tiers.py
+++ b/tests/gateway/test_tiers.py
@@ -27,6 +27,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from lotushill.gateway.shared_load import SharedLoad
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
@@ -34,6 +37,7 @@
 from lotushill.placement.messages import Placed
 from lotushill.placement.messages import route_number
 from lotushill.placement.need import Need
+from lotushill.placement.recent_starts import SPAN_SECONDS
 from lotushill.routing.demand import PromptPart
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import Service
@@ -44,11 +48,15 @@
 from tests.gateway.rig import Seen
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lotushill.placement.messages import Load
 
 SERVICE = Service("llm", 100, EngineProfile(48, 500_000, 6))
 UPSTREAMS = [Upstream(f"b{n}", "llm", f"10.0.0.{n}:80", "z", 48, False) for n in range(2)]
 OUTPUT = 200
+NEWS_SECONDS = 0.05
+"""Until all gateways have heard of a request; they pass news on every 0.01 s."""
 
 
 def triage(own: int, tokens: int = 2_000) -> Need:
@@ -68,12 +76,14 @@
 
 @dataclass
 class Gateway:
-    """One gateway's decisions, which the others hear of at once."""
+    """One gateway's decisions, which the others hear of after a while."""
 
     name: str
     clock: list[float]
+    delay: float = 0.0
     others: list[Gateway] = field(default_factory=list)
     placed: int = 0
+    coming: list[tuple[float, Load]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.fleet = Fleet("z")
@@ -83,9 +93,17 @@
 
     def tell(self, load: Load) -> None:
         for other in self.others:
-            other.load.receive(load)
+            other.coming.append((self.clock[0] + self.delay, load))
+            other.hear()
+
+    def hear(self) -> None:
+        due = [load for at, load in self.coming if at <= self.clock[0]]
+        self.coming = [item for item in self.coming if item[0] > self.clock[0]]
+        for load in due:
+            self.load.receive(load)
 
     def choose(self, need: Need) -> Choice | NoChoice:
+        self.hear()
         return self.fleet.choose(need, SERVICE, UPSTREAMS, frozenset(), self.clock[0])
 
     def start(self, need: Need, choice: Choice) -> int:
@@ -115,9 +133,9 @@
         return self.start(need, found) if isinstance(found, Choice) else None
 
 
-def gateways(count: int) -> list[Gateway]:
+def gateways(count: int, delay: float = 0.0) -> list[Gateway]:
     clock = [0.0]
-    found = [Gateway(f"gw{n}", clock) for n in range(count)]
+    found = [Gateway(f"gw{n}", clock, delay) for n in range(count)]
     for item in found:
         item.others = [other for other in found if other is not item]
     return found
@@ -143,6 +161,45 @@
                 again = replace(need, parts=(PromptPart(2, need.prompt_tokens),))
                 self.assertIsInstance(erring.choose(again), Choice)
 
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 0.3),
+                st.integers(0, 3),
+                st.sampled_from((chat, triage, letter)),
+                st.integers(1, 40_000),
+                st.booleans(),
+            ),
+            min_size=20,
+            max_size=120,
+        )
+    )
+    def test_no_gateway_refuses_what_is_urgent_while_any_other_sends_what_is_larger(
+        self, arrivals: list[tuple[float, int, Callable[[int, int], Need], int, bool]]
+    ) -> None:
+        fleet = gateways(4, NEWS_SECONDS)
+        began: list[tuple[float, Need]] = []
+        for number, (pause, which, make, tokens, reads) in enumerate(arrivals):
+            gateway = fleet[which]
+            gateway.clock[0] += pause
+            now = gateway.clock[0]
+            need = make(number, tokens)
+            found = gateway.choose(need)
+            if isinstance(found, Choice):
+                request = gateway.start(need, found)
+                began.append((now, need))
+                if reads:
+                    gateway.load.begin(request)
+                continue
+            larger = [
+                item
+                for at, item in began
+                if now - SPAN_SECONDS <= at <= now - NEWS_SECONDS
+                and item.tier > need.tier
+                and item.prompt_tokens > 2 * need.prompt_tokens
+            ]
+            self.assertEqual([], larger, (now, need))
+
     def test_urgent_requests_find_room_behind_less_urgent_prompts(self) -> None:
         one, other = gateways(2)
         fill([other], 60)
