--- a/tests/gateway/test_tiers.py
+++ b/tests/gateway/test_tiers.py
@@ -34,7 +34,6 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.fleet import Fleet
-from lotushill.placement.messages import Placed
 from lotushill.placement.messages import route_number
 from lotushill.placement.need import Need
 from lotushill.placement.recent_starts import SPAN_SECONDS
@@ -46,6 +45,7 @@
 from tests.gateway.rig import Rig
 from tests.gateway.rig import ScriptedUpstream
 from tests.gateway.rig import Seen
+from tests.placement.placing import placed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -82,7 +82,7 @@
     clock: list[float]
     delay: float = 0.0
     others: list[Gateway] = field(default_factory=list)
-    placed: int = 0
+    count: int = 0
     coming: list[tuple[float, Load]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -107,25 +107,9 @@
         return self.fleet.choose(need, SERVICE, UPSTREAMS, frozenset(), self.clock[0])
 
     def start(self, need: Need, choice: Choice) -> int:
-        self.placed += 1
-        request = route_number(f"{self.name}/{self.placed}")
-        self.load.start(
-            Placed(
-                request,
-                choice.upstream.id,
-                choice.reading,
-                need.prompt_tokens + need.output_tokens,
-                need.gap,
-                choice.seconds,
-                0.0,
-                tuple(part.id for part in need.parts),
-                tuple(part.tokens for part in need.parts),
-                route=route_number(need.route),
-                tier=need.tier,
-                prompt=need.prompt_tokens,
-            ),
-            SERVICE,
-        )
+        self.count += 1
+        request = route_number(f"{self.name}/{self.count}")
+        self.load.start(placed(request, need, choice), SERVICE)
         return request
 
     def place(self, need: Need) -> int | None:
--- /dev/null
+++ b/tests/placement/placing.py
@@ -0,0 +1,30 @@
+"""What tests tell a model of a request that was placed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.placement.messages import Placed
+from lotushill.placement.messages import route_number
+
+if TYPE_CHECKING:
+    from lotushill.placement.choice import Choice
+    from lotushill.placement.need import Need
+
+
+def placed(request: int, need: Need, choice: Choice) -> Placed:
+    """Return what a gateway tells of a request that it has sent where `choice` says."""
+    return Placed(
+        request,
+        choice.upstream.id,
+        choice.reading,
+        need.prompt_tokens + need.output_tokens,
+        need.gap,
+        choice.seconds,
+        0.0,
+        tuple(part.id for part in need.parts),
+        tuple(part.tokens for part in need.parts),
+        route=route_number(need.route),
+        tier=need.tier,
+        prompt=need.prompt_tokens,
+    )
--- a/tests/placement/test_fleet.py
+++ b/tests/placement/test_fleet.py
@@ -13,6 +13,7 @@
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
+from tests.placement.placing import placed
 
 ENGINE = Service("llm", 100, EngineProfile(32, 400_000, 5))
 PLAIN = Service("app", 100, None)
@@ -47,24 +48,7 @@
         self.count += 1
         request = self.count
         self.fleet.pace(service.name).note_reading(choice.reading)
-        self.fleet.start(
-            Placed(
-                request,
-                choice.upstream.id,
-                choice.reading,
-                need.prompt_tokens + need.output_tokens,
-                need.gap,
-                choice.seconds,
-                0.0,
-                tuple(part.id for part in need.parts),
-                tuple(part.tokens for part in need.parts),
-                route=route_number(need.route),
-                tier=need.tier,
-                prompt=need.prompt_tokens,
-            ),
-            service,
-            now,
-        )
+        self.fleet.start(placed(request, need, choice), service, now)
         return choice.upstream.id
 
     def place_and_begin(self, need: Need, among: list[Upstream], now: float) -> str:
@@ -134,9 +118,9 @@
         started = Fleet("z")
         for n in range(40):
             item = among[n % 2]
-            placed = Placed(n, item.id, 11_500, 11_800, 0.6, 3.0, 0.0, (n,), (11_500,))
-            placed = replace(placed, route=route_number("letter"), prompt=11_500)
-            started.start(placed, ENGINE, 0.0)
+            told = Placed(n, item.id, 11_500, 11_800, 0.6, 3.0, 0.0, (n,), (11_500,))
+            told = replace(told, route=route_number("letter"), prompt=11_500)
+            started.start(told, ENGINE, 0.0)
             started.pace("llm").note_reading(11_500)
         need = replace(long(999), parts=(PromptPart(999, 11_500),))
         self.assertIsInstance(started.choose(need, ENGINE, among, NOTHING, 0.0), NoChoice)
