Exchange rosters with few members at a join, and find what gossip left out by digests

Cause: a member that came pinged all addresses it had read, and each of them, meeting a stranger, told it its whole roster. In virtual time with 195 members and 40 that join at once, each member carried 8,250 states of others within half a second (680 packets; at some 50 us a state half a second of processor time), which is when requests of the large deployment were late. A fleet that started at once still lacked 4 of 195 members after 4 s, and newcomers 31 of 235 after 3 s, since gossip repeats each item six times and no one looks for what was missed.

Change: a newcomer pings three; every ping and pong carries a digest of the live members' names; one whose digest differs pulls the groups of names in which the two differ, at most once a second, at once only where it knows less than half; a member serves eight rosters a second. Members alive elsewhere and lost here are pinged again, one a tick. One that leaves tells its hall and eight others. Members that left are lost after 30 s. Lines on members are bounded.

The roster (who is held for what) is a module of its own.

--- /dev/null
+++ b/src/lotushill/gateway/member_log.py
@@ -0,0 +1,59 @@
+"""Log lines on members that come and go: one each while they are few, then one for all of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.event_log import EventLog
+    from lotushill.membership.roster import MemberChange
+
+_SINGLE_LINES = 4
+"""Changes with a line of their own within a span. Where 195 gateways restart in turn, a line at
+each gateway for each stop and start would be 76,000 lines."""
+_SPAN_SECONDS = 1.0
+_MOST_NAMES = 8
+"""Named in a line on many; the others are counted."""
+
+
+class MemberLog:
+    """Writes a bounded number of lines; pure but for the log, with the clock passed in."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._span_ends = float("-inf")
+        self._lines = 0
+        self._held: list[MemberChange] = []
+
+    def note(self, change: MemberChange, now: float) -> None:
+        """Write a line on a change, or hold it for the line on many."""
+        self.flush(now)
+        if self._lines >= _SINGLE_LINES:
+            self._held.append(change)
+            return
+        if not self._lines:
+            self._span_ends = now + _SPAN_SECONDS
+        self._lines += 1
+        member = change.member
+        self._log.note(
+            "member.changed",
+            member=member.name,
+            hall=member.hall,
+            phase=member.phase.value,
+            incarnation=member.incarnation,
+        )
+
+    def flush(self, now: float) -> None:
+        """Write the line on many when their span is over."""
+        if now < self._span_ends:
+            return
+        self._lines = 0
+        if not self._held:
+            return
+        held, self._held = self._held, []
+        counts: dict[str, int] = {}
+        for change in held:
+            phase = change.member.phase.value
+            counts[phase] = counts.get(phase, 0) + 1
+        names = [f"{change.member.name}:{change.member.phase.value}" for change in held]
+        self._log.note("members.changed", count=len(held), **counts, latest=names[-_MOST_NAMES:])
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -14,6 +14,7 @@
 from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.gateway.load_relay import BATCH_SECONDS
 from lotushill.gateway.load_relay import LoadRelay
+from lotushill.gateway.member_log import MemberLog
 from lotushill.links.address import split_address
 from lotushill.links.codec import decode
 from lotushill.links.codec import encode
@@ -27,6 +28,8 @@
 from lotushill.links.messages import MemberState
 from lotushill.links.messages import Ping
 from lotushill.links.messages import Pong
+from lotushill.links.messages import RosterPage
+from lotushill.links.messages import RosterPull
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
@@ -77,7 +80,7 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Make the parts; `view_text` and `on_view` hand views over as JSON text."""
-        self._log = log
+        self._member_log = MemberLog(log)
         self._clock = clock
         self._on_load = on_load
         self._on_come = on_come
@@ -189,10 +192,10 @@
         now = self._clock()
         if isinstance(message, LoadNews | LoadBatch):
             self._take_load(message, now)
-        elif isinstance(message, Ping | Pong):
+        elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
             source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
-            self._follow_changes()
+            self._follow_changes(now)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over the news that an earlier datagram did not arrive."""
@@ -224,7 +227,7 @@
         if changed and contact is not StoreContact.PASSIVE:
             self._send_all(self.membership.announce())
         self._send_all(self.membership.tick(now))
-        self._follow_changes()
+        self._follow_changes(now)
         if self.membership.version == self._looked_at and not self._behind:
             return
         self._looked_at = self.membership.version
@@ -232,18 +235,13 @@
         for kind in ViewKind:
             self._catch_up(kind, revisions[kind], members, now)
 
-    def _follow_changes(self) -> None:
+    def _follow_changes(self, now: float) -> None:
+        self._member_log.flush(now)
         for change in self.membership.take_changes():
             member = change.member
             if change.former is member.phase:
                 continue
-            self._log.note(
-                "member.changed",
-                member=member.name,
-                hall=member.hall,
-                phase=member.phase.value,
-                incarnation=member.incarnation,
-            )
+            self._member_log.note(change, now)
             if member.phase in (MemberPhase.LOST, MemberPhase.LEAVING):
                 self._on_gone(member.name)
             elif member.phase is MemberPhase.ALIVE and change.former is not MemberPhase.SUSPECT:
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -20,10 +20,12 @@
 from lotushill.links.messages import LoadNews
 from lotushill.links.messages import Ping
 from lotushill.links.messages import Pong
+from lotushill.links.messages import RosterPage
+from lotushill.links.messages import RosterPull
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 
-Message = Ping | Pong | ViewPull | ViewPage | LoadNews | LoadBatch
+Message = Ping | Pong | ViewPull | ViewPage | LoadNews | LoadBatch | RosterPull | RosterPage
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
 _TRAVERSAL_LIMIT_WORDS = 1 << 22
@@ -150,6 +152,8 @@
     ViewPage,
     LoadNews,
     LoadBatch,
+    RosterPull,
+    RosterPage,
 )
 _SHAPES = {kind: _Shape(kind) for kind in _KINDS}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -39,6 +39,8 @@
   sequence @1 :UInt64;
   target @2 :Text;
   members @3 :List(MemberState);
+  digest @4 :UInt64;
+  known @5 :UInt32;
 }
 
 struct Pong {
@@ -46,6 +48,18 @@
   sequence @1 :UInt64;
   target @2 :Text;
   members @3 :List(MemberState);
+  digest @4 :UInt64;
+  known @5 :UInt32;
+}
+
+struct RosterPull {
+  sender @0 :Text;
+  digests @1 :List(UInt64);
+}
+
+struct RosterPage {
+  sender @0 :Text;
+  members @1 :List(MemberState);
 }
 
 struct Frame {
@@ -56,5 +70,7 @@
     viewpage @3 :ViewPage;
     loadnews @4 :LoadNews;
     loadbatch @5 :LoadBatch;
+    rosterpull @6 :RosterPull;
+    rosterpage @7 :RosterPage;
   }
 }
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -93,6 +93,10 @@
     target: str
     members: tuple[MemberState, ...]
     """The sender's own state first, then states of others passed on."""
+    digest: int = 0
+    """Of the names of all members that the sender holds for live; says nothing without `known`."""
+    known: int = 0
+    """How many these are."""
 
 
 @dataclass(frozen=True)
@@ -103,3 +107,22 @@
     sequence: int
     target: str
     members: tuple[MemberState, ...]
+    digest: int = 0
+    known: int = 0
+
+
+@dataclass(frozen=True)
+class RosterPull:
+    """Asks a member for the members by which its roster differs from the sender's."""
+
+    sender: str
+    digests: tuple[int, ...]
+    """The sender's, one for each group of names."""
+
+
+@dataclass(frozen=True)
+class RosterPage:
+    """A part of a member's roster."""
+
+    sender: str
+    members: tuple[MemberState, ...]
--- a/src/lotushill/membership/membership.py
+++ b/src/lotushill/membership/membership.py
@@ -3,32 +3,41 @@
 A pure state machine. Each period a member pings one other; without an answer it asks others
 to ping on its behalf, then suspects, then takes the silent member for lost. What it learns
 rides on the pings. A member that hears itself suspected answers with a higher incarnation.
+A member that comes asks a few for their roster in one exchange.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.links.messages import MemberPhase
-from lotushill.links.messages import MemberState
 from lotushill.links.messages import Ping
 from lotushill.links.messages import Pong
-from lotushill.membership.member_claim import beats
+from lotushill.links.messages import RosterPage
+from lotushill.links.messages import RosterPull
 from lotushill.membership.news import PER_PACKET
 from lotushill.membership.news import News
+from lotushill.membership.roster import Roster
+from lotushill.membership.roster_sync import RosterSync
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
+    from lotushill.links.messages import MemberState
     from lotushill.links.messages import StoreContact
     from lotushill.membership.membership_options import MembershipOptions
+    from lotushill.membership.roster import MemberChange
+
+    Packet = Ping | Pong | RosterPull | RosterPage
 
 _REPLAY_MEMORY = 1024
 _MAX_RELAYS = 256
+_MOST_RECHECKS = 1024
 _SEQUENCE_BITS = 62
 
 
@@ -37,22 +46,7 @@
     """A packet to send."""
 
     address: str
-    message: Ping | Pong
-
-
-@dataclass(frozen=True)
-class MemberChange:
-    """One change of the table, for the log and for those who follow it."""
-
-    member: MemberState
-    former: MemberPhase | None
-
-
-@dataclass
-class _Entry:
-    state: MemberState
-    since: float
-    """When the phase last changed."""
+    message: Packet
 
 
 @dataclass
@@ -82,66 +76,60 @@
         options: MembershipOptions,
         rng: random.Random,
     ) -> None:
-        self.own = own
         self.options = options
+        self._roster = Roster(own, options)
+        self._sync = RosterSync(self._roster, options)
         self._seeds = [seed for seed in seeds if seed != own.address]
         self._rng = rng
-        self._entries: dict[str, _Entry] = {}
-        self._fading: set[str] = set()
-        """Members that are suspected or lost, so that their time may run out."""
-        self._live: tuple[MemberState, ...] | None = None
-        self.version = 0
-        """Rises with every change of what is held of any member, oneself included."""
         self._news = News()
         self._round: list[str] = []
+        self._rechecks: deque[str] = deque(maxlen=_MOST_RECHECKS)
+        """Members held for lost here that another one holds for alive."""
         self._probe: _Probe | None = None
         self._relays: dict[int, _Relay] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
         self._seen: OrderedDict[tuple[str, int, bool, str], None] = OrderedDict()
         self._next_ping = 0.0
-        self._changes: list[MemberChange] = []
-        self.taken_for_lost = 0
-        """Times that this member heard that others had taken it for lost."""
         self.dropped = 0
         """Packets dropped as replayed or addressed wrongly."""
 
     # Views
 
+    @property
+    def own(self) -> MemberState:
+        """Return the own state, as others are told."""
+        return self._roster.own
+
+    @property
+    def version(self) -> int:
+        """Return a number that rises with every change of what is held of any member."""
+        return self._roster.version
+
+    @property
+    def taken_for_lost(self) -> int:
+        """Return how often this member heard that others had taken it for lost."""
+        return self._roster.taken_for_lost
+
     def live(self) -> tuple[MemberState, ...]:
         """Return oneself and all members not taken for lost or leaving."""
-        if self._live is None:
-            self._live = self._find_live()
-        return self._live
-
-    def _find_live(self) -> tuple[MemberState, ...]:
-        others = [
-            entry.state
-            for entry in self._entries.values()
-            if entry.state.phase in (MemberPhase.ALIVE, MemberPhase.SUSPECT)
-        ]
-        own = [self.own] if self.own.phase is MemberPhase.ALIVE else []
-        return (*own, *others)
+        return self._roster.live()
 
     def find(self, name: str) -> MemberState | None:
         """Return what is held of a member, oneself included."""
-        if name == self.own.name:
-            return self.own
-        entry = self._entries.get(name)
-        return entry.state if entry else None
+        return self._roster.find(name)
 
     def all(self) -> list[MemberState]:
         """Return what is held of every member, oneself first."""
-        return [self.own, *(entry.state for entry in self._entries.values())]
+        return [self.own, *self._roster.others()]
 
     @property
     def count(self) -> int:
         """Return of how many members anything is held, oneself included."""
-        return 1 + len(self._entries)
+        return self._roster.count
 
     def take_changes(self) -> list[MemberChange]:
         """Return the changes since the last call."""
-        taken, self._changes = self._changes, []
-        return taken
+        return self._roster.take_changes()
 
     # Own state
 
@@ -158,7 +146,7 @@
         )
         if state == self.own:
             return False
-        self._set_own(state)
+        self._roster.set_own(state)
         return True
 
     def announce(self) -> list[Outgoing]:
@@ -172,54 +160,63 @@
         self._seeds += [address for address in addresses if address not in known]
 
     def leave(self) -> list[Outgoing]:
-        """Tell every live member that this one takes no more work."""
-        self._set_own(replace(self.own, phase=MemberPhase.LEAVING))
-        return [self._ping(state.address) for state in self.live()]
-
-    def _set_own(self, state: MemberState) -> None:
-        self.own = replace(state, incarnation=state.incarnation + 1)
-        self._changed()
+        """Tell the own hall and some others that this member takes no more work.
 
-    def _changed(self) -> None:
-        self.version += 1
-        self._live = None
+        They tell the rest: a member of a large fleet that told everybody, and was answered, cost
+        the fleet 390 packets for each one that stopped.
+        """
+        self._roster.set_own(replace(self.own, phase=MemberPhase.LEAVING))
+        near = [state for state in self.live() if state.hall == self.own.hall]
+        far = [state for state in self.live() if state.hall != self.own.hall]
+        told = near + self._rng.sample(far, min(self.options.leave_tells, len(far)))
+        return [self._ping(state.address) for state in told]
 
     # Events
 
     def tick(self, now: float) -> list[Outgoing]:
         """Do what is due; call several times a period."""
         out = self._follow_probe(now)
-        self._expire(now)
+        for name in self._roster.expire(now):
+            self._news.add(name)
+        out += self._recheck()
         if now >= self._next_ping:
             self._next_ping = now + self.options.period
             out += self._start_round(now)
         return out
 
-    def receive(self, message: Ping | Pong, source: str, now: float) -> list[Outgoing]:
+    def receive(self, message: Packet, source: str, now: float) -> list[Outgoing]:
         """Take in one authentic packet that came from address `source`."""
-        if not message.members or message.members[0].name != message.sender:
+        if message.sender == self.own.name:
             self.dropped += 1
             return []
-        if message.sender == self.own.name:
+        if isinstance(message, RosterPull):
+            return self._serve_roster(message, source, now)
+        if isinstance(message, RosterPage):
+            self._merge_all(message.members, now)
+            return []
+        if not message.members or message.members[0].name != message.sender:
             self.dropped += 1
             return []
         if self._repeated(message):
             self.dropped += 1
             return []
-        stranger = message.sender not in self._entries
-        for state in message.members:
-            self._merge(state, now)
+        self._merge_all(message.members, now)
+        out = self._pull(message, source, now)
         if isinstance(message, Pong):
-            return self._take_pong(message)
-        return self._take_ping(message, source, stranger, now)
+            return out + self._take_pong(message)
+        return out + self._take_ping(message, source, now)
+
+    def _merge_all(self, states: Iterable[MemberState], now: float) -> None:
+        for state in states:
+            if self._roster.merge(state, now):
+                self._news.add(state.name)
+            elif self._roster.contradicts_loss(state) and state.name not in self._rechecks:
+                self._rechecks.append(state.name)
 
-    def _take_ping(self, message: Ping, source: str, stranger: bool, now: float) -> list[Outgoing]:
+    def _take_ping(self, message: Ping, source: str, now: float) -> list[Outgoing]:
         if message.target:
             return self._probe_for(message, now)
-        out = [self._pong(source, message.sequence, "")]
-        if stranger:
-            out += self._introduce(source)
-        return out
+        return [self._pong(source, message.sequence, "")]
 
     def _take_pong(self, message: Pong) -> list[Outgoing]:
         probe = self._probe
@@ -246,7 +243,8 @@
     def _start_round(self, now: float) -> list[Outgoing]:
         target = self._next_target()
         if target is None:
-            return [self._ping(seed) for seed in self._seeds]
+            few = min(self.options.first_seeds, len(self._seeds))
+            return [self._ping(seed) for seed in self._rng.sample(self._seeds, few)]
         ping = self._ping(target.address)
         if target.phase in (MemberPhase.ALIVE, MemberPhase.SUSPECT) and self._probe is None:
             self._probe = _Probe(target.name, self._sequence, now)
@@ -254,23 +252,36 @@
 
     def _greet_stranger(self) -> list[Outgoing]:
         """Return a ping to a seed that is no member yet: groups that formed apart come together."""
-        known = {entry.state.address for entry in self._entries.values()}
+        known = {state.address for state in self._roster.others()}
         strangers = [seed for seed in self._seeds if seed not in known]
         return [self._ping(self._rng.choice(strangers))] if strangers else []
 
     def _next_target(self) -> MemberState | None:
         while self._round:
-            entry = self._entries.get(self._round.pop())
-            if entry is not None:
-                return entry.state
-        phases = {name: entry.state.phase for name, entry in self._entries.items()}
-        alive = [name for name, phase in phases.items() if phase is not MemberPhase.LOST]
-        lost = [name for name, phase in phases.items() if phase is MemberPhase.LOST]
+            state = self._roster.find(self._round.pop())
+            if state is not None:
+                return state
+        others = self._roster.others()
+        alive = [state.name for state in others if state.phase is not MemberPhase.LOST]
+        lost = [state.name for state in others if state.phase is MemberPhase.LOST]
         self._round = alive + self._rng.sample(lost, min(1, len(lost)))
         self._rng.shuffle(self._round)
         if not alive and self._seeds and self._rng.random() < 0.5:
             return None
-        return self._entries[self._round.pop()].state if self._round else None
+        return self._roster.find(self._round.pop()) if self._round else None
+
+    def _recheck(self) -> list[Outgoing]:
+        """Ping members that were lost here: they hear so, and refute it if they are there.
+
+        Without it a hall of a large fleet that was cut off would come back member by member, as
+        the rare probes of lost ones reach them.
+        """
+        out = []
+        for _ in range(min(self.options.rechecks_a_tick, len(self._rechecks))):
+            state = self._roster.find(self._rechecks.popleft())
+            if state is not None and state.phase is MemberPhase.LOST:
+                out.append(self._ping(state.address))
+        return out
 
     def _follow_probe(self, now: float) -> list[Outgoing]:
         probe = self._probe
@@ -291,68 +302,25 @@
         return [self._ping(state.address, probe.target, probe.sequence) for state in chosen]
 
     def _suspect(self, name: str, now: float) -> None:
-        entry = self._entries.get(name)
-        if entry is not None and entry.state.phase is MemberPhase.ALIVE:
-            self._set(entry, replace(entry.state, phase=MemberPhase.SUSPECT), now)
-
-    def _expire(self, now: float) -> None:
-        for name in list(self._fading):
-            entry = self._entries[name]
-            held = now - entry.since
-            if entry.state.phase is MemberPhase.SUSPECT and held >= self.options.lost_after:
-                self._set(entry, replace(entry.state, phase=MemberPhase.LOST), now)
-            elif entry.state.phase is MemberPhase.LOST and held >= self.options.forget_after:
-                del self._entries[name]
-                self._fading.discard(name)
-                self._changed()
-
-    # The table
-
-    def _merge(self, state: MemberState, now: float) -> None:
-        if state.name == self.own.name:
-            self._refute(state)
-            return
-        entry = self._entries.get(state.name)
-        if entry is None:
-            if state.phase is not MemberPhase.LOST:
-                self._entries[state.name] = entry = _Entry(state, now)
-                self._note(state, None)
-                self._news.add(state.name)
-            return
-        if beats(state, entry.state):
-            self._set(entry, state, now)
-
-    def _refute(self, state: MemberState) -> None:
-        newer = state.incarnation > self.own.incarnation
-        wrong = state.incarnation == self.own.incarnation and state.phase is not self.own.phase
-        if state.phase is MemberPhase.LOST and (newer or wrong):
-            self.taken_for_lost += 1
-        if newer or wrong:
-            self.own = replace(self.own, incarnation=state.incarnation + 1)
-            self._changed()
-
-    def _set(self, entry: _Entry, state: MemberState, now: float) -> None:
-        """Take a newer state; who it is and how it reads is passed on, but not what it holds.
-
-        What views a member holds it tells itself, in each of its packets: passed on by all others
-        as well, each change of an upstream would fill the packets of the whole fleet.
-        """
-        former = entry.state
-        if state.phase is not former.phase:
-            entry.since = now
-        entry.state = state
-        self._note(state, former.phase)
-        if state.phase is not former.phase or state.contact is not former.contact:
-            self._news.add(state.name)
-
-    def _note(self, state: MemberState, former: MemberPhase | None) -> None:
-        if state.phase in (MemberPhase.SUSPECT, MemberPhase.LOST):
-            self._fading.add(state.name)
-        else:
-            self._fading.discard(state.name)
-        self._changed()
-        if state.phase is not former:
-            self._changes.append(MemberChange(state, former))
+        if self._roster.suspect(name, now):
+            self._news.add(name)
+
+    # Rosters
+
+    def _pull(self, message: Ping | Pong, source: str, now: float) -> list[Outgoing]:
+        """Return the question for what the sender knows and this member does not, if it is due."""
+        if not message.known or not self._sync.wants(message.digest, message.known, now):
+            return []
+        return [Outgoing(source, RosterPull(self.own.name, self._roster.digests()))]
+
+    def _serve_roster(self, pull: RosterPull, address: str, now: float) -> list[Outgoing]:
+        if not self._sync.serves(now):
+            return []
+        states = self._roster.differing(pull.digests, pull.sender)
+        return [
+            Outgoing(address, RosterPage(self.own.name, tuple(states[at : at + PER_PACKET])))
+            for at in range(0, len(states), PER_PACKET)
+        ]
 
     def _repeated(self, message: Ping | Pong) -> bool:
         """Return whether this very packet came before.
@@ -372,40 +340,27 @@
 
     def _ping(self, address: str, target: str = "", sequence: int = 0) -> Outgoing:
         own_sequence = self._next_sequence()
+        gossip = self._gossip(address)
         used = sequence or own_sequence
-        message = Ping(self.own.name, used, target, self._gossip(address))
-        return Outgoing(address, message)
+        digest, known = self._roster.digest(), len(self.live())
+        return Outgoing(address, Ping(self.own.name, used, target, gossip, digest, known))
 
     def _pong(self, address: str, sequence: int, target: str) -> Outgoing:
-        message = Pong(self.own.name, sequence, target, self._gossip(address))
-        return Outgoing(address, message)
-
-    def _introduce(self, address: str) -> list[Outgoing]:
-        states = [entry.state for entry in self._entries.values()]
-        packets: list[Outgoing] = []
-        for start in range(0, len(states), PER_PACKET):
-            part = tuple(states[start : start + PER_PACKET])
-            message = Pong(self.own.name, self._next_sequence(), "", (self.own, *part))
-            packets.append(Outgoing(address, message))
-        return packets
+        gossip = self._gossip(address)
+        digest, known = self._roster.digest(), len(self.live())
+        return Outgoing(address, Pong(self.own.name, sequence, target, gossip, digest, known))
 
     def _gossip(self, address: str) -> tuple[MemberState, ...]:
         """Return the own state, any doubt held of the receiver, and the freshest news."""
         passed: dict[str, MemberState] = {self.own.name: self.own}
-        for state in self._doubted(address):
+        for state in self._roster.doubted_at(address):
             passed[state.name] = state
         for name in self._news.take():
-            if name in self._entries:
-                passed[name] = self._entries[name].state
+            held = self._roster.find(name)
+            if held is not None:
+                passed[name] = held
         return tuple(passed.values())
 
-    def _doubted(self, address: str) -> list[MemberState]:
-        return [
-            entry.state
-            for entry in self._entries.values()
-            if entry.state.address == address and entry.state.phase is not MemberPhase.ALIVE
-        ]
-
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
--- a/src/lotushill/membership/membership_options.py
+++ b/src/lotushill/membership/membership_options.py
@@ -17,7 +17,25 @@
     """Without any answer for so long, a member is suspected."""
     lost_after: float = 0.5
     """A member suspected for so long is taken for lost."""
+    left_after: float = 30.0
+    """A member that said it leaves is taken for lost after so long: its grace time is over."""
     forget_after: float = 600.0
     """A lost member is probed now and then for so long, so that a healed cut is noticed."""
     helpers: int = 2
     """Members asked to probe on one's behalf."""
+    first_seeds: int = 3
+    """Members that one which knows nobody pings at a time: each answers, so all would be a flood.
+    With 195 members and 40 that come at once, pinging all cost each member 8,250 states in half a
+    second, some half a second of processor time."""
+    pull_first: float = 0.2
+    """Between two pulls of a roster by one that knows less than half of what others know."""
+    pull_again: float = 1.0
+    """Between two pulls by others, and how long gossip has to settle a difference without one."""
+    pull_latest: float = 1.5
+    """A difference this old is pulled for also while members still come and go."""
+    rosters_a_second: float = 8.0
+    """Served at most by one member, so that what many newcomers ask costs it a bounded time."""
+    leave_tells: int = 8
+    """Members of other halls that one which leaves tells itself."""
+    rechecks_a_tick: int = 1
+    """Members held for lost here, and alive by another, that are pinged in one tick."""
--- /dev/null
+++ b/src/lotushill/membership/roster_sync.py
@@ -0,0 +1,58 @@
+"""When rosters that differ are exchanged: rarely, with few, and at a bounded rate. Pure."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.membership.membership_options import MembershipOptions
+    from lotushill.membership.roster import Roster
+
+
+class RosterSync:
+    """Decides whom to ask for a roster, and whether to answer one that asks.
+
+    Gossip spreads who comes and goes. What it leaves out is found by the digests that every packet
+    carries: a member whose digest differs pulls the groups of members in which the two differ.
+    """
+
+    def __init__(self, roster: Roster, options: MembershipOptions) -> None:
+        self._roster = roster
+        self._options = options
+        self._pulled_at = float("-inf")
+        self._differs_since: float | None = None
+        self._credit = options.rosters_a_second
+        self._credit_at = 0.0
+
+    def wants(self, digest: int, known: int, now: float) -> bool:
+        """Return whether to pull from a member that holds `known` live members with a digest."""
+        if digest == self._roster.digest():
+            self._differs_since = None
+            return False
+        if self._differs_since is None:
+            self._differs_since = now
+        if not self._is_due(known, now):
+            return False
+        self._pulled_at = now
+        return True
+
+    def serves(self, now: float) -> bool:
+        """Return whether to answer a pull now; one that is passed over asks somebody else."""
+        rate = self._options.rosters_a_second
+        self._credit = min(rate, self._credit + rate * max(0.0, now - self._credit_at))
+        self._credit_at = now
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
+    def _is_due(self, known: int, now: float) -> bool:
+        options = self._options
+        since_pull = now - self._pulled_at
+        if 2 * len(self._roster.live()) <= known:
+            return since_pull >= options.pull_first
+        assert self._differs_since is not None
+        settled = now - self._roster.changed_at >= options.pull_again
+        settled = settled and now - self._differs_since >= options.pull_again
+        old = now - self._differs_since >= options.pull_latest
+        return (settled or old) and since_pull >= options.pull_again
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -7,6 +7,7 @@
 
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
+from lotushill.links.messages import RosterPull
 from lotushill.membership.membership import Membership
 from lotushill.membership.membership import Outgoing
 from lotushill.membership.membership_options import MembershipOptions
@@ -31,6 +32,9 @@
         self.packets = 0
         self.states = 0
         """States of members that the packets carried."""
+        self.halls = 2
+        self._addresses: dict[str, str] = {}
+        """Names by address."""
         for index in range(count):
             self.add(index)
 
@@ -41,15 +45,27 @@
         seeds: Iterable[str] = ("10.0.0.0:1", "10.0.0.1:1"),
     ) -> Membership:
         """Start a member, or start one again."""
-        name = f"entry-{index}"
-        hall = f"hall-{index % 2}"
-        own = MemberState(name, f"10.0.0.{index}:1", hall, "region", incarnation, MemberPhase.ALIVE)
+        name = self.name(index)
+        hall = f"hall-{index % self.halls}"
+        address = self.address(index)
+        self._addresses[address] = name
+        own = MemberState(name, address, hall, "region", incarnation, MemberPhase.ALIVE)
         rng = random.Random(self.rng.random())
         member = Membership(own, seeds, MembershipOptions(), rng)
         self.members[name] = member
         self.down.discard(name)
         return member
 
+    @staticmethod
+    def name(index: int) -> str:
+        """Return the name of a member."""
+        return f"entry-{index}"
+
+    @staticmethod
+    def address(index: int) -> str:
+        """Return the address of a member."""
+        return f"10.0.0.{index}:1"
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end = self.now + seconds
@@ -63,7 +79,8 @@
         """Deliver packets and the answers to them."""
         for packet in packets:
             self.packets += 1
-            self.states += len(packet.message.members)
+            if not isinstance(packet.message, RosterPull):
+                self.states += len(packet.message.members)
             receiver = self._by_address(packet.address)
             if receiver is None or self.rng.random() < self.loss:
                 continue
@@ -82,7 +99,5 @@
         }
 
     def _by_address(self, address: str) -> Membership | None:
-        for name, member in self.members.items():
-            if member.own.address == address and name not in self.down:
-                return member
-        return None
+        name = self._addresses.get(address)
+        return self.members[name] if name is not None and name not in self.down else None
