--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -137,13 +137,13 @@
     ),
     Variant(
         "load of other gateways",
-        "gateway/shared_load.py",
+        "scheduling/shared_load.py",
         "if load.sender == self._name:",
         "if True:",
     ),
     Variant(
         "lists of load",
-        "gateway/shared_load.py",
+        "scheduling/shared_load.py",
         "if now < self._list_due:",
         "if True:",
     ),
--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -196,10 +196,10 @@
     ),
     Break(
         "gateway: lost datagrams are repaired",
-        "gateway/shared_load.py",
+        "scheduling/shared_load.py",
         "                if request not in told and now - since > _YOUNG_SECONDS:",
         "                if False:",
-        "tests.gateway.test_shared_load",
+        "tests.scheduling.test_shared_load",
     ),
     Break(
         "gateway: logs are bounded",
@@ -230,10 +230,10 @@
         "tests.membership.test_readers",
     ),
     Break(
-        "gateway: load is passed on in another hall",
+        "gateway: a scheduler passes on what others tell it",
         "gateway/peers.py",
-        "        if isinstance(message, LoadNews):",
-        "        if False:",
+        "            self._relay.collect(message.records, now)",
+        "            pass",
         "tests.gateway.test_peers",
     ),
     Break(
@@ -320,6 +320,49 @@
         "if False:",
         "tests.gateway.test_member_log",
     ),
+    Break(
+        "only schedulers hear of load in a large fleet",
+        "scheduling/schedulers.py",
+        "self._small = len(members) <= SMALL_FLEET",
+        "self._small = True",
+        "tests.gateway.test_peers",
+    ),
+    Break(
+        "an answer that comes too late is given up",
+        "scheduling/placement_client.py",
+        "        elif answer.upstream:",
+        "        elif False:",
+        "tests.scheduling.test_placement_client",
+    ),
+    Break(
+        "a silent scheduler is passed over",
+        "scheduling/placement_client.py",
+        "self._schedulers.note_silent(scheduler, self._clock())",
+        "pass",
+        "tests.scheduling.test_placement_client",
+    ),
+    Break(
+        "how a request ended is learned by all that place",
+        "placement/fleet.py",
+        "        load.failures.note(ended.outcome is not Outcome.WHOLE, now, weight)",
+        "        pass",
+        "tests.scheduling.test_fleet_learning",
+    ),
+    Break(
+        "a gateway that becomes a scheduler pulls what runs",
+        "scheduling/model_sync.py",
+        "        self._pulled_at = now\n",
+        "        return None\n",
+        "tests.gateway.test_peers",
+    ),
+    Break(
+        "a start loads no library that serving does not need",
+        "contracts/settings_view.py",
+        "from lotushill.contracts.effective import resolve\n",
+        "from lotushill.contracts.effective import resolve\n"
+        "from lotushill.contracts.tree import Root\n",
+        "tests.gateway.test_start",
+    ),
     Break(
         "gateway: a slow head is ended",
         "gateway/client_protocol.py",
--- a/scripts/write_pages.py
+++ b/scripts/write_pages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import dataclasses
 import inspect
 import sys
 import textwrap
@@ -29,7 +30,19 @@
 from lotushill.standin.settings import StandinSettings  # noqa: E402
 
 _TREE: tuple[type[BaseModel], ...] = (Root, TeamSettings, Service, ServiceClass, Policy, Target)
-_PROGRAMS: tuple[type[BaseModel], ...] = (GatewaySettings, RetrySettings, StandinSettings)
+_PROGRAMS: tuple[type[Any], ...] = (GatewaySettings, RetrySettings, StandinSettings)
+
+
+_REQUIRED = object()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Setting:
+    """One value of a settings file."""
+
+    name: str
+    kind: str
+    default: Any
 
 
 def pages() -> dict[str, str]:
@@ -67,18 +80,35 @@
     return "\n".join(lines).rstrip() + "\n"
 
 
-def _table(model: type[BaseModel]) -> list[str]:
+def _table(model: type[Any]) -> list[str]:
     notes = _attribute_notes(model)
     lines = [f"### {model.__name__}", "", (model.__doc__ or "").strip(), ""]
     lines += ["| key | type | default | meaning |", "|---|---|---|---|"]
-    for name, item in model.model_fields.items():
-        default = "required" if item.is_required() else f"`{_shown(item.default)}`"
-        lines.append(f"| `{name}` | {_kind(item.annotation)} | {default} | {notes.get(name, '')} |")
+    for item in _fields(model):
+        default = "required" if item.default is _REQUIRED else f"`{_shown(item.default)}`"
+        lines.append(f"| `{item.name}` | {item.kind} | {default} | {notes.get(item.name, '')} |")
     return [*lines, ""]
 
 
+def _fields(model: type[Any]) -> list[_Setting]:
+    if dataclasses.is_dataclass(model):
+        hints = typing.get_type_hints(model)
+        return [
+            _Setting(item.name, _kind(hints[item.name]), _default(item))
+            for item in dataclasses.fields(model)
+        ]
+    return [
+        _Setting(name, _kind(item.annotation), _REQUIRED if item.is_required() else item.default)
+        for name, item in model.model_fields.items()
+    ]
+
+
+def _default(item: dataclasses.Field[Any]) -> Any:
+    return _REQUIRED if item.default is dataclasses.MISSING else item.default
+
+
 def _shown(value: Any) -> str:
-    if isinstance(value, BaseModel):
+    if isinstance(value, BaseModel) or dataclasses.is_dataclass(value):
         return "{}"
     return "none" if value is None else str(value)
 
@@ -102,7 +132,7 @@
     return names.get(annotation, getattr(annotation, "__name__", str(annotation)))
 
 
-def _attribute_notes(model: type[BaseModel]) -> dict[str, str]:
+def _attribute_notes(model: type[Any]) -> dict[str, str]:
     """Return the texts that stand under the fields in the source."""
     tree = ast.parse(textwrap.dedent(inspect.getsource(model))).body[0]
     assert isinstance(tree, ast.ClassDef)
--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -22,10 +22,10 @@
     # time, which counts when all hosts come back at once. What was loaded stays for good.
     gc.disable()
     from lotushill.console.program import new_parser
-    from lotushill.console.program import read_settings
+    from lotushill.console.program import read_or_exit
     from lotushill.console.program import run
     from lotushill.console.program import start_logs
-    from lotushill.gateway.settings import GatewaySettings
+    from lotushill.gateway.settings_file import read_settings
 
     parser = new_parser("lotushill-gateway", "Route requests on one node.")
     parser.add_argument(
@@ -38,14 +38,14 @@
     if path is None:
         parser.error(f"--config or ${CONFIG_VARIABLE} is needed")
     start_logs("INFO")
-    run(_serve, read_settings(GatewaySettings, Path(path)), Path(path))
+    run(_serve, read_or_exit(read_settings, Path(path)), Path(path))
 
 
 async def _serve(settings: GatewaySettings, path: Path) -> None:
-    from lotushill.contracts.document import read
     from lotushill.gateway.gateway import Gateway
+    from lotushill.gateway.settings_file import read_settings
 
-    gateway = Gateway(settings, lambda: read(type(settings), path))
+    gateway = Gateway(settings, lambda: read_settings(path))
     gc.freeze()
     gc.enable()
     await gateway.run()
--- a/src/lotushill/console/program.py
+++ b/src/lotushill/console/program.py
@@ -11,10 +11,8 @@
 from typing import TypeVar
 
 import anyio
-from pydantic import BaseModel
 
 from lotushill import __version__
-from lotushill.contracts.document import read
 from lotushill.contracts.exceptions import SettingsError
 
 if TYPE_CHECKING:
@@ -27,7 +25,7 @@
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
 
-D = TypeVar("D", bound=BaseModel)
+S = TypeVar("S")
 
 _UNCLEAN_END = "ASGI callable returned without completing response."
 _LOG_FORMAT = "%(asctime)s %(name)s: %(message)s"
@@ -40,10 +38,10 @@
     return parser
 
 
-def read_settings(model: type[D], path: Path) -> D:
+def read_or_exit(read: Callable[[Path], S], path: Path) -> S:
     """Return the settings of a file; end the program with a clear error for a bad one."""
     try:
-        return read(model, path)
+        return read(path)
     except SettingsError as error:
         for fault in error.faults:
             print(f"{error.source}: {fault}", file=sys.stderr)
--- a/src/lotushill/console/settings_commands.py
+++ b/src/lotushill/console/settings_commands.py
@@ -10,8 +10,6 @@
 from lotushill.console.program import EXIT_OK
 from lotushill.console.result import Result
 from lotushill.contracts.document import check
-from lotushill.contracts.document import parse
-from lotushill.contracts.document import write
 from lotushill.contracts.editor import Editor
 from lotushill.contracts.editor import check_object
 from lotushill.contracts.effective import trace
@@ -24,6 +22,8 @@
 from lotushill.contracts.paths import remove
 from lotushill.contracts.tree import Root
 from lotushill.contracts.tree import TeamSettings
+from lotushill.contracts.yaml_text import parse
+from lotushill.contracts.yaml_text import write
 from lotushill.platform import names
 from lotushill.platform.configuration import parse_table
 
--- a/src/lotushill/console/standin.py
+++ b/src/lotushill/console/standin.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import signal
 from typing import TYPE_CHECKING
 
 import anyio
 
 from lotushill.console.program import parse_config_option
-from lotushill.console.program import read_settings
+from lotushill.console.program import read_or_exit
 from lotushill.console.program import run
 from lotushill.console.program import start_logs
+from lotushill.contracts.document import read
 from lotushill.links.http_server import HttpServer
 from lotushill.standin.engine_app import EngineApp
 from lotushill.standin.metadata_app import MetadataApp
@@ -32,7 +34,8 @@
 def main() -> None:
     """Run one stand-in."""
     description = "Stand in for the platform's store, an engine or a plain service."
-    settings = read_settings(StandinSettings, parse_config_option("lotushill-standin", description))
+    path = parse_config_option("lotushill-standin", description)
+    settings = read_or_exit(functools.partial(read, StandinSettings), path)
     start_logs("INFO")
     run(_serve, settings)
 
--- a/src/lotushill/contracts/document.py
+++ b/src/lotushill/contracts/document.py
@@ -1,8 +1,7 @@
-"""Reading YAML and checking it against a model, with the path of each value at fault."""
+"""Checking plain data against a model, with the path of each value at fault."""
 
 from __future__ import annotations
 
-import io
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -10,11 +9,10 @@
 from pydantic import BaseModel
 from pydantic import ConfigDict
 from pydantic import ValidationError
-from ruamel.yaml import YAML
-from ruamel.yaml.error import YAMLError
 
 from lotushill.contracts.exceptions import Fault
 from lotushill.contracts.exceptions import SettingsError
+from lotushill.contracts.yaml_text import parse_file
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -30,15 +28,6 @@
     model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
-def parse(text: str, source: str) -> Any:
-    """Parse YAML (a subset of it is JSON); raise SettingsError on malformed text."""
-    try:
-        return YAML(typ="safe", pure=True).load(text)
-    except (YAMLError, ValueError, RecursionError) as error:
-        reason = " ".join(str(error).split())
-        raise SettingsError(source, (Fault("(document)", "text", reason),)) from error
-
-
 def check(model: type[M], value: Any, source: str) -> M:
     """Validate `value` as `model`; raise SettingsError that lists each fault by its path."""
     try:
@@ -49,20 +38,7 @@
 
 def read(model: type[M], path: Path) -> M:
     """Read one YAML file as `model`; raise SettingsError for any fault in it."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(str(path), (Fault("(file)", "file", str(error)),)) from error
-    return check(model, parse(text, str(path)), str(path))
-
-
-def write(value: Any) -> str:
-    """Write plain data as YAML text."""
-    stream = io.StringIO()
-    yaml = YAML(typ="safe", pure=True)
-    yaml.default_flow_style = False
-    yaml.dump(value, stream)
-    return stream.getvalue()
+    return check(model, parse_file(path), str(path))
 
 
 def _fault(item: Any) -> Fault:
--- a/src/lotushill/contracts/effective.py
+++ b/src/lotushill/contracts/effective.py
@@ -42,11 +42,13 @@
 
 
 def levels(
-    root: Root, settings: TeamSettings | None, service: str, klass: str
+    root: Root | None, settings: TeamSettings | None, service: str, klass: str
 ) -> tuple[Level, ...]:
     """Return the levels of the tree that apply to a class, the weakest first."""
-    found = [Level("root", root.policy)]
-    found += _branch("root", root.services.get(service), service, klass)
+    found: list[Level] = []
+    if root is not None:
+        found.append(Level("root", root.policy))
+        found += _branch("root", root.services.get(service), service, klass)
     if settings is not None:
         name = f"team {settings.team}"
         found.append(Level(name, settings.policy))
@@ -55,7 +57,7 @@
 
 
 def trace(
-    root: Root, settings: TeamSettings | None, route: Route, team: Team | None, service: str
+    root: Root | None, settings: TeamSettings | None, route: Route, team: Team | None, service: str
 ) -> dict[str, Origin]:
     """Return every value in force for a route, by its path, with its level."""
     found = {path: Origin(path, value, PLATFORM) for path, value in _given(route)}
@@ -66,7 +68,7 @@
 
 
 def resolve(
-    root: Root, settings: TeamSettings | None, route: Route, team: Team | None, service: str
+    root: Root | None, settings: TeamSettings | None, route: Route, team: Team | None, service: str
 ) -> Route:
     """Return a route with the values that are in force for one team's requests.
 
--- a/src/lotushill/contracts/settings_view.py
+++ b/src/lotushill/contracts/settings_view.py
@@ -1,4 +1,7 @@
-"""The settings tree as a gateway holds it, as of a revision; a pure state machine."""
+"""The settings tree as a gateway holds it, as of a revision; a pure state machine.
+
+The models of the tree are loaded when there is one: they take as long as a third of a start.
+"""
 
 from __future__ import annotations
 
@@ -8,15 +11,14 @@
 
 import xxhash
 
-from lotushill.contracts.document import check
 from lotushill.contracts.effective import resolve
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.contracts.names import ROOT_NAME
 from lotushill.contracts.names import shown_name
-from lotushill.contracts.tree import Root
-from lotushill.contracts.tree import TeamSettings
 
 if TYPE_CHECKING:
+    from lotushill.contracts.tree import Root
+    from lotushill.contracts.tree import TeamSettings
     from lotushill.routing.route import Route
     from lotushill.routing.team import Team
 
@@ -34,7 +36,8 @@
         self.faults: dict[str, SettingsError] = {}
         """What is wrong with objects, by their name as operators write it."""
         self._objects: dict[str, Any] = {}
-        self._root = Root()
+        self._root: Root | None = None
+        """None while the store holds no root."""
         self._teams: dict[str, TeamSettings] = {}
         self._resolved: dict[tuple[str, str, str], Route] = {}
 
@@ -80,7 +83,7 @@
         former = self._teams
         self._teams = {}
         if ROOT_NAME not in objects:
-            self._root = Root()
+            self._root = None
         for stored, data in objects.items():
             name = shown_name(stored)
             try:
@@ -90,6 +93,10 @@
                 self._keep(name, former)
 
     def _take(self, name: str, data: Any) -> None:
+        from lotushill.contracts.document import check
+        from lotushill.contracts.tree import Root
+        from lotushill.contracts.tree import TeamSettings
+
         if name == ROOT_NAME:
             self._root = check(Root, data, name)
             return
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -14,8 +14,7 @@
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from lotushill.gateway.attempt_news import AttemptNews
     from lotushill.gateway.client_answer import ClientAnswer
     from lotushill.gateway.event_stream import EventSplitter
     from lotushill.gateway.parts import GatewayParts
@@ -40,14 +39,16 @@
         choice: Choice,
         answer: ClientAnswer,
         splitter: EventSplitter,
-        on_first: Callable[[], None],
+        news: AttemptNews,
     ) -> None:
         self._parts = parts
         self._request = request
         self._choice = choice
         self._answer = answer
         self._splitter = splitter
-        self._on_first = on_first
+        self._news = news
+        self._models_all = parts.placer.models_all()
+        """Whether all that runs at the upstream is known, so that its pauses can be explained."""
         self._loop = asyncio.get_running_loop()
         self.sent_at = 0.0
         self.first_at = 0.0
@@ -73,7 +74,6 @@
         except BaseException:
             connection.close()
             raise
-        self._learn(end)
         return end
 
     async def _exchange(self, connection: UpstreamConnection) -> AttemptEnd:
@@ -103,7 +103,7 @@
             async with asyncio.timeout(patience):
                 return await connection.read_head()
         except TimeoutError as error:
-            self._parts.fleet.load(self._choice.upstream.id).failures.note(True, self._loop.time())
+            self._news.silent()
             if self._request.route.repeatable:
                 raise SilentUpstreamError("no head") from error
         return await connection.read_head()
@@ -191,15 +191,21 @@
         now = self._loop.time()
         if not self.first_at:
             self.first_at = now
-            self._on_first()
             self._note_first(now)
         if self._request.route.kind is RouteKind.STREAM:
-            due = self._due_reading(now)
-            if self.last_at:
-                self._note_pause(now, due)
-            self._waiting = due
+            self._learn_pause(now)
         self.last_at = now
 
+    def _learn_pause(self, now: float) -> None:
+        if self.last_at:
+            self._news.paused(now - self.last_at)
+        if not self._models_all:
+            return
+        due = self._due_reading(now)
+        if self.last_at:
+            self._note_pause(now, due)
+        self._waiting = due
+
     def _note_pause(self, now: float, due: float) -> None:
         """Learn from the pause that ends now, while readings of `due` seconds are still due."""
         load = self._parts.fleet.load(self._choice.upstream.id)
@@ -217,30 +223,5 @@
 
     def _note_first(self, now: float) -> None:
         taken = now - self.sent_at
-        choice = self._choice
-        load = self._parts.fleet.load(choice.upstream.id)
-        load.note_pace(taken / max(0.001, choice.first), now)
-        self._parts.metrics.note_first(self._request.service.name, taken, choice.first)
-        pace = self._parts.fleet.pace(self._request.service.name)
-        if self._request.service.engine is None:
-            pace.note_answer(taken)
-        else:
-            copying = choice.fetch.seconds if choice.fetch else 0.0
-            slowness = load.step_slowness(now)
-            pace.note_first_event(choice.ahead, (taken - copying) / slowness)
-
-    def _learn(self, end: AttemptEnd) -> None:
-        load = self._parts.fleet.load(self._choice.upstream.id)
-        failed = end.kind in (EndKind.FAILED, EndKind.BROKEN, EndKind.REJECTED)
-        now = self._loop.time()
-        load.failures.note(failed, now)
-        if self._request.route.kind is RouteKind.STREAM:
-            self._learn_stream(end, now)
-
-    def _learn_stream(self, end: AttemptEnd, now: float) -> None:
-        pace = self._parts.fleet.pace(self._request.service.name)
-        ran = now - self.sent_at
-        if end.kind is EndKind.WHOLE:
-            pace.note_stream(ran)
-        if self.first_at:
-            pace.cuts.note(ran, end.kind is EndKind.BROKEN, now)
+        self._news.began(taken)
+        self._parts.metrics.note_first(self._request.service.name, taken, self._choice.first)
--- /dev/null
+++ b/src/lotushill/gateway/attempt_news.py
@@ -0,0 +1,59 @@
+"""What one attempt tells the fleet while it runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.gateway.attempt_end import EndKind
+from lotushill.placement.fleet import PACED_EVENTS
+from lotushill.placement.messages import Outcome
+
+if TYPE_CHECKING:
+    from lotushill.scheduling.shared_load import SharedLoad
+
+_PACE_RANK = 2
+"""Of the sorted pauses, the one that is told: two may be too short since events were read together,
+and five too long since prompts were read beside them."""
+_OUTCOMES = {
+    EndKind.WHOLE: Outcome.WHOLE,
+    EndKind.FAILED: Outcome.FAILED,
+    EndKind.REJECTED: Outcome.FAILED,
+    EndKind.NOT_SENT: Outcome.NOT_SENT,
+}
+
+
+class AttemptNews:
+    """Tells of one attempt by its number."""
+
+    def __init__(self, shared_load: SharedLoad, request: int) -> None:
+        self._shared_load = shared_load
+        self._request = request
+        self._pauses: list[float] = []
+        self._began = False
+
+    def began(self, seconds: float) -> None:
+        """Tell of the first event, so long after the request was sent."""
+        self._began = True
+        self._shared_load.begin(self._request, seconds)
+
+    def paused(self, seconds: float) -> None:
+        """Take in a pause between two events; the first ones tell the pace of the upstream."""
+        if len(self._pauses) == PACED_EVENTS:
+            return
+        self._pauses.append(seconds)
+        if len(self._pauses) == PACED_EVENTS:
+            self._shared_load.note_paced(self._request, sorted(self._pauses)[_PACE_RANK])
+
+    def silent(self) -> None:
+        """Tell that the upstream is silent, though an answer may still come."""
+        self._shared_load.end(self._request, Outcome.FAILED)
+
+    def ended(self, kind: EndKind | None, seconds: float) -> None:
+        """Tell the end of an attempt that ran for so long; None where it was given up."""
+        if kind is None:
+            outcome = Outcome.UNKNOWN
+        elif kind is EndKind.BROKEN:
+            outcome = Outcome.CUT if self._began else Outcome.FAILED
+        else:
+            outcome = _OUTCOMES[kind]
+        self._shared_load.end(self._request, outcome, seconds)
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -3,26 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
-import xxhash
 
 from lotushill.gateway.attempt import Attempt
 from lotushill.gateway.attempt_end import EndKind
+from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.placement.choice import Choice
-from lotushill.placement.choice import NoChoice
-from lotushill.placement.messages import Placed
-from lotushill.placement.messages import route_number
-from lotushill.routing.route import RouteKind
+from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
     from lotushill.gateway.attempt_end import AttemptEnd
     from lotushill.gateway.client_answer import ClientAnswer
     from lotushill.gateway.parts import GatewayParts
     from lotushill.gateway.request import Request
+    from lotushill.placement.choice import NoChoice
     from lotushill.routing.upstream import Upstream
 
 _BAD_GATEWAY = 502
@@ -55,6 +52,8 @@
         self._retry_after = _RETRY_SECONDS
         self._unsent = 0
         self._rejected = 0
+        self._asked = False
+        """Whether an upstream was looked for before."""
         self.runs = 0
         """Upstreams that may have run the request."""
         self.outcome = "open"
@@ -66,12 +65,12 @@
         """Try upstreams until there is an answer."""
         request = self._request
         self._parts.budgets.note_request(request.service.name, self._loop.time())
-        self._parts.fleet.shedding.usual.note_size(request.need.route, request.need.size)
         while True:
-            choice = await self._find()
-            if choice is None:
+            placement = await self._find()
+            if placement is None:
                 return await self._give_up("no upstream", None)
-            end = await self._attempt(choice)
+            choice = placement.choice
+            end = await self._attempt(placement)
             if end.kind is EndKind.BROKEN and choice.backup is not None:
                 end = await self._continue(choice.backup, end)
             if end.kind is EndKind.WHOLE:
@@ -92,16 +91,17 @@
 
     # Upstreams
 
-    async def _find(self) -> Choice | None:
+    async def _find(self) -> Placement | None:
         """Return an upstream, waiting for one for a small share of the target at most."""
         request = self._request
         gives_up = min(
             request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
         )
         while True:
-            found = self._choose()
-            if isinstance(found, Choice):
-                return self._with_backup(found)
+            found = await self._parts.placer.place(request, frozenset(self._excluded), self._asked)
+            self._asked = True
+            if isinstance(found, Placement):
+                return found
             pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
             if self._loop.time() + pause > gives_up:
                 break
@@ -130,27 +130,6 @@
             waited_ms=round((self._loop.time() - request.arrived) * 1000, 1),
         )
 
-    def _choose(self) -> Choice | NoChoice:
-        request = self._request
-        return self._parts.fleet.choose(
-            request.need,
-            request.service,
-            self._parts.upstreams.of(request.service.name),
-            frozenset(self._excluded),
-            self._loop.time(),
-        )
-
-    def _with_backup(self, choice: Choice) -> Choice:
-        """Have a copy kept of a run that could not be repeated, where that is worth its price."""
-        request = self._request
-        if request.route.kind is not RouteKind.STREAM or request.route.repeatable:
-            return choice
-        upstreams = self._parts.upstreams.of(request.service.name)
-        now = self._loop.time()
-        fleet = self._parts.fleet
-        backup = fleet.backup(request.need, request.service, choice, upstreams, now)
-        return replace(choice, backup=backup)
-
     async def _continue(self, backup: Upstream, cut: AttemptEnd) -> AttemptEnd:
         """Go on with a run at the upstream that holds a copy of its memory.
 
@@ -165,7 +144,7 @@
         self._splitter.drop_partial()
         seconds = self._parts.fleet.pace(service).stream_seconds
         choice = Choice(backup, 0.0, _CONTINUE_SECONDS, 0, 0, seconds, continues=True)
-        end = await self._attempt(choice)
+        end = await self._attempt(self._parts.placer.continued(self._request, choice))
         return end if end.kind is EndKind.WHOLE else cut
 
     def _may_continue(self, backup: Upstream) -> bool:
@@ -180,9 +159,35 @@
         sound = failures.rate(self._loop.time()) < _SOUND_RATE
         return known and sound and self._splitter.events > 0
 
-    async def _attempt(self, choice: Choice) -> AttemptEnd:
+    async def _attempt(self, placement: Placement) -> AttemptEnd:
+        choice, number = placement.choice, placement.placed.request
         self.upstream = choice.upstream.id
-        placed = self._placed(choice)
+        self._note_choice(placement)
+        self._parts.shared_load.start(
+            placement.placed, self._request.service, told=bool(placement.scheduler)
+        )
+        self.runs += 1
+        news = AttemptNews(self._parts.shared_load, number)
+        attempt = Attempt(self._parts, self._request, choice, self._answer, self._splitter, news)
+        kind = None
+        try:
+            end = await attempt.run()
+            kind = end.kind
+        finally:
+            ran = self._loop.time() - attempt.sent_at if attempt.sent_at else 0.0
+            news.ended(kind, ran)
+            self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
+        self._parts.metrics.note_attempt(
+            self._request.service.name, self._request.need.tier, end.kind.value
+        )
+        if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
+            self.runs -= 1
+        if end.kind is not EndKind.WHOLE:
+            self._note("attempt.ended", upstream=self.upstream, kind=end.kind.value, why=end.detail)
+        return end
+
+    def _note_choice(self, placement: Placement) -> None:
+        choice = placement.choice
         self._note(
             "placement.chosen",
             upstream=choice.upstream.id,
@@ -202,59 +207,19 @@
             team_rank=self._request.route.urgency.team,
             ahead=choice.ahead,
             running=choice.running,
-            memory=self._parts.fleet.load(choice.upstream.id).memory,
+            memory=placement.memory,
+            scheduler=placement.scheduler,
+            alone=placement.alone,
             pause_bound_ms=self._pause_bound_ms(),
             run=self.runs,
             view=self._parts.upstreams.revision,
         )
-        self._parts.shared_load.start(placed, self._request.service)
-        self.runs += 1
-        attempt = Attempt(
-            self._parts,
-            self._request,
-            choice,
-            self._answer,
-            self._splitter,
-            on_first=lambda: self._parts.shared_load.begin(placed.request),
-        )
-        try:
-            end = await attempt.run()
-        finally:
-            self._parts.shared_load.end(placed.request)
-            self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
-        self._parts.metrics.note_attempt(
-            self._request.service.name, self._request.need.tier, end.kind.value
-        )
-        if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
-            self.runs -= 1
-        if end.kind is not EndKind.WHOLE:
-            self._note("attempt.ended", upstream=self.upstream, kind=end.kind.value, why=end.detail)
-        return end
 
     def _pause_bound_ms(self) -> float | None:
         """Return by how much a reading lengthens a pause at most, None while not known."""
         pauses = self._parts.fleet.pace(self._request.service.name).pauses
         return round(pauses.bound * 1000, 1) if pauses.bound_known else None
 
-    def _placed(self, choice: Choice) -> Placed:
-        need = self._request.need
-        stream = self._request.service.engine is not None
-        name = f"{self._request.key}.{self.runs + self._unsent + self._rejected}"
-        return Placed(
-            request=xxhash.xxh64_intdigest(name),
-            upstream=choice.upstream.id,
-            reading=choice.reading,
-            memory=need.prompt_tokens + need.output_tokens if stream else 0,
-            gap=need.gap,
-            seconds=choice.seconds,
-            age=0.0,
-            part_ids=tuple(part.id for part in need.parts),
-            part_tokens=tuple(part.tokens for part in need.parts),
-            route=route_number(need.route),
-            tier=need.tier,
-            prompt=need.prompt_tokens,
-        )
-
     # Repeats
 
     def _may_repeat(self, end: AttemptEnd) -> bool:
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -8,6 +8,7 @@
 import signal
 import time
 from dataclasses import asdict
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -19,11 +20,11 @@
 from lotushill.gateway.front import Front
 from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
+from lotushill.gateway.peers import PeerHooks
 from lotushill.gateway.peers import Peers
 from lotushill.gateway.reader_role import ReaderRole
 from lotushill.gateway.registration import Registration
 from lotushill.gateway.retry_budgets import RetryBudgets
-from lotushill.gateway.shared_load import SharedLoad
 from lotushill.gateway.status_app import StatusApp
 from lotushill.gateway.store_views import StoreViews
 from lotushill.gateway.upstream_pool import UpstreamPool
@@ -33,6 +34,9 @@
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
 from lotushill.routing.limits import ClientLimits
+from lotushill.scheduling.desk import PlacementDesk
+from lotushill.scheduling.placer import Placer
+from lotushill.scheduling.shared_load import SharedLoad
 
 if TYPE_CHECKING:
     import asyncio
@@ -71,21 +75,32 @@
         self.fleet = Fleet(
             settings.hall, settings.recent_seconds, lambda hall: self.peers.is_cut_off(hall)
         )
-        self.peers = Peers(
-            settings,
-            self.log,
-            rng,
-            on_load=lambda load: self.shared_load.receive(load),
-            on_come=lambda: self.shared_load.tell_everything(),
-            on_gone=lambda name: self.shared_load.drop_sender(name),
-            view_revision=self.views.revision,
-            upstream_id=self.views.upstreams.id_of,
-            contact=self.views.contact,
-            view_text=self.views.text,
-            on_view=self.views.take_from_peer,
-        )
+        self.peers = Peers(settings, self.log, rng, self._hooks())
         self.shared_load = SharedLoad(
-            settings.name, self.fleet, time.monotonic, self._service_of, self.peers.tell_load
+            settings.name,
+            self.fleet,
+            time.monotonic,
+            self._service_of,
+            self.peers.tell_load,
+            self.peers.is_near,
+        )
+        self.desk = PlacementDesk(
+            settings.name,
+            self.fleet,
+            self.shared_load,
+            self._service_named,
+            self.views.upstreams.of,
+            self.peers.model_sync.ready,
+        )
+        placer = Placer(
+            settings.name,
+            self.fleet,
+            self.shared_load,
+            self.views.upstreams,
+            rng,
+            time.monotonic,
+            self.peers.schedulers,
+            self.peers.client,
         )
         self.pool = UpstreamPool(request_head.answered_id, self._most_idle)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
@@ -98,6 +113,7 @@
                 settings=self.views.settings,
                 fleet=self.fleet,
                 shared_load=self.shared_load,
+                placer=placer,
                 pool=self.pool,
                 budgets=self.budgets,
                 log=self.log,
@@ -163,7 +179,7 @@
             return
         fixed = {name: getattr(self.settings, name) for name in _FIXED_SETTINGS}
         needs_restart = [name for name, value in fixed.items() if getattr(settings, name) != value]
-        self.settings = settings.model_copy(update=fixed)
+        self.settings = replace(settings, **fixed)
         self.budgets.change(self.settings.retry)
         self.fleet.recent.seconds = self.settings.recent_seconds
         self.log.note("process.reload", outcome="in force", needs_restart=needs_restart)
@@ -194,6 +210,21 @@
 
     # Wiring
 
+    def _hooks(self) -> PeerHooks:
+        """Return what peers need of parts that are made after them."""
+        return PeerHooks(
+            view_revision=self.views.revision,
+            view_text=self.views.text,
+            on_view=self.views.take_from_peer,
+            contact=self.views.contact,
+            upstream_id=self.views.upstreams.id_of,
+            on_load=lambda load: self.shared_load.receive(load),
+            everything=lambda: self.shared_load.everything(),
+            on_gone=lambda name: self.shared_load.drop_sender(name),
+            answer=lambda ask, now: self.desk.answer(ask, now),
+            on_late=lambda request: self.shared_load.give_up(request),
+        )
+
     def _add_gauges(self) -> None:
         gauge = self.metrics.gauge
         gauge("in_progress", "Requests in progress", lambda: self.front.in_progress)
@@ -209,12 +240,13 @@
             lambda: self.views.configuration.revision,
         )
 
+    def _service_named(self, name: str) -> Service | None:
+        table = self.views.configuration.table
+        return table.services.get(name) if table is not None else None
+
     def _service_of(self, upstream_id: str) -> Service | None:
         upstream = self.views.upstreams.find(upstream_id)
-        table = self.views.configuration.table
-        if upstream is None or table is None:
-            return None
-        return table.services.get(upstream.service)
+        return self._service_named(upstream.service) if upstream is not None else None
 
     def _most_idle(self, upstream: Upstream) -> int:
         """Return this gateway's part of the connections that an upstream accepts."""
--- a/src/lotushill/gateway/metrics.py
+++ b/src/lotushill/gateway/metrics.py
@@ -1,99 +1,173 @@
-"""Counters and latency histograms of one gateway, in the usual text form."""
+"""Counters and latency histograms of one gateway, in the usual text form.
+
+The library that writes the text is loaded at the first scrape: it takes as long to load as a tenth
+of a gateway's start.
+"""
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry
-from prometheus_client import Counter
-from prometheus_client import Gauge
-from prometheus_client import Histogram
-from prometheus_client import generate_latest
-
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from prometheus_client.core import Metric
+
+    Labels = tuple[str, ...]
 
 _SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 _RATIOS = (0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0)
+_LEAST_PREDICTED = 0.001
+"""Seconds; a step of an engine takes longer."""
+
+
+class _Counts:
+    """Events counted by their labels."""
+
+    def __init__(self, name: str, text: str, labels: Labels) -> None:
+        self.name = name
+        self.text = text
+        self.labels = labels
+        self.values: Counter[Labels] = Counter()
+
+
+class _Buckets:
+    """How many observations fell between bounds, and their sum."""
+
+    def __init__(self, bounds: int) -> None:
+        self.counts = [0] * (bounds + 1)
+        self.sum = 0.0
+
+
+class _Histogram:
+    """Observations by their labels."""
+
+    def __init__(self, name: str, text: str, labels: Labels, bounds: tuple[float, ...]) -> None:
+        self.name = name
+        self.text = text
+        self.labels = labels
+        self.bounds = bounds
+        self.values: dict[Labels, _Buckets] = {}
+
+    def observe(self, labels: Labels, value: float) -> None:
+        """Note one observation."""
+        buckets = self.values.get(labels)
+        if buckets is None:
+            buckets = self.values[labels] = _Buckets(len(self.bounds))
+        buckets.counts[bisect_left(self.bounds, value)] += 1
+        buckets.sum += value
+
+
+@dataclass(frozen=True)
+class _Gauge:
+    """A figure that is read when asked for."""
+
+    name: str
+    text: str
+    read: Callable[[], float]
 
 
 class Metrics:
     """The figures; labels are services and outcomes, which are few."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        self._requests = Counter(
-            "lotushill_requests",
-            "Requests by their end",
-            ("service", "outcome"),
-            registry=self._registry,
+        self._requests = _Counts(
+            "lotushill_requests", "Requests by their end", ("service", "outcome")
         )
-        self._attempts = Counter(
+        self._attempts = _Counts(
             "lotushill_attempts",
             "Attempts at upstreams by tier and by their end",
             ("service", "tier", "end"),
-            registry=self._registry,
         )
-        self._refused = Counter(
+        self._refused = _Counts(
             "lotushill_refused",
             "Requests for which no upstream was chosen, by tier and reason",
             ("service", "tier", "reason"),
-            registry=self._registry,
         )
-        self._turned_away = Counter(
-            "lotushill_turned_away",
-            "Requests answered without a service",
-            ("status",),
-            registry=self._registry,
+        self._turned_away = _Counts(
+            "lotushill_turned_away", "Requests answered without a service", ("status",)
         )
-        self._seconds = Histogram(
-            "lotushill_request_seconds",
-            "From arrival to the end",
-            ("service",),
-            buckets=_SECONDS,
-            registry=self._registry,
+        self._seconds = _Histogram(
+            "lotushill_request_seconds", "From arrival to the end", ("service",), _SECONDS
         )
-        self._first_seconds = Histogram(
+        self._first_seconds = _Histogram(
             "lotushill_first_seconds",
             "From sending to the first event or the whole answer",
             ("service",),
-            buckets=_SECONDS,
-            registry=self._registry,
+            _SECONDS,
         )
-        self._prediction = Histogram(
+        self._prediction = _Histogram(
             "lotushill_prediction_ratio",
             "Measured over predicted time to the first event",
             ("service",),
-            buckets=_RATIOS,
-            registry=self._registry,
+            _RATIOS,
         )
+        self._gauges: list[_Gauge] = []
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Serve a figure that is read when asked for."""
-        Gauge(f"lotushill_{name}", text, registry=self._registry).set_function(read)
+        self._gauges.append(_Gauge(f"lotushill_{name}", text, read))
 
     def note_request(self, service: str, outcome: str, seconds: float) -> None:
         """Note the end of a request."""
-        self._requests.labels(service, outcome.partition(":")[0]).inc()
-        self._seconds.labels(service).observe(seconds)
+        self._requests.values[service, outcome.partition(":")[0]] += 1
+        self._seconds.observe((service,), seconds)
 
     def note_turned_away(self, status: int) -> None:
         """Note a request that was answered without a service."""
-        self._turned_away.labels(str(status)).inc()
+        self._turned_away.values[(str(status),)] += 1
 
     def note_attempt(self, service: str, tier: int, end: str) -> None:
         """Note the end of an attempt."""
-        self._attempts.labels(service, str(tier), end).inc()
+        self._attempts.values[service, str(tier), end] += 1
 
     def note_refused(self, service: str, tier: int, reason: str) -> None:
         """Note a request for which no upstream was chosen."""
-        self._refused.labels(service, str(tier), reason).inc()
+        self._refused.values[service, str(tier), reason] += 1
 
     def note_first(self, service: str, seconds: float, predicted: float) -> None:
         """Note the time to the first event, beside what was predicted."""
-        self._first_seconds.labels(service).observe(seconds)
-        self._prediction.labels(service).observe(seconds / max(0.001, predicted))
+        self._first_seconds.observe((service,), seconds)
+        self._prediction.observe((service,), seconds / max(_LEAST_PREDICTED, predicted))
 
     def text(self) -> bytes:
         """Return all figures."""
-        return generate_latest(self._registry)
+        from prometheus_client import CollectorRegistry
+        from prometheus_client import generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all figures, as the library asks for them."""
+        from prometheus_client.core import CounterMetricFamily
+        from prometheus_client.core import GaugeMetricFamily
+        from prometheus_client.core import HistogramMetricFamily
+
+        for counts in (self._requests, self._attempts, self._refused, self._turned_away):
+            counter = CounterMetricFamily(counts.name, counts.text, labels=counts.labels)
+            for labels, count in counts.values.items():
+                counter.add_metric(labels, count)
+            yield counter
+        for histogram in (self._seconds, self._first_seconds, self._prediction):
+            family = HistogramMetricFamily(histogram.name, histogram.text, labels=histogram.labels)
+            for labels, buckets in histogram.values.items():
+                family.add_metric(labels, _cumulative(histogram.bounds, buckets), buckets.sum)
+            yield family
+        for gauge in self._gauges:
+            yield GaugeMetricFamily(gauge.name, gauge.text, value=gauge.read())
+
+
+def _cumulative(bounds: tuple[float, ...], buckets: _Buckets) -> list[tuple[str, float]]:
+    """Return how many observations were at most each bound."""
+    total = 0
+    found: list[tuple[str, float]] = []
+    for bound, count in zip([*map(str, bounds), "+Inf"], buckets.counts):
+        total += count
+        found.append((bound, total))
+    return found
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -13,9 +13,10 @@
     from lotushill.event_log import EventLog
     from lotushill.gateway.metrics import Metrics
     from lotushill.gateway.retry_budgets import RetryBudgets
-    from lotushill.gateway.shared_load import SharedLoad
     from lotushill.gateway.upstream_pool import UpstreamPool
     from lotushill.placement.fleet import Fleet
+    from lotushill.scheduling.placer import Placer
+    from lotushill.scheduling.shared_load import SharedLoad
     from lotushill.views.configuration_view import ConfigurationView
     from lotushill.views.upstream_view import UpstreamView
 
@@ -30,6 +31,7 @@
     settings: SettingsView
     fleet: Fleet
     shared_load: SharedLoad
+    placer: Placer
     pool: UpstreamPool
     budgets: RetryBudgets
     log: EventLog
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -1,23 +1,21 @@
-"""The other gateways: heartbeats and load by datagrams, views by connections."""
+"""The other gateways: heartbeats, load and placement by datagrams, views by connections."""
 
 from __future__ import annotations
 
 import asyncio
 import hashlib
-import itertools
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
 import anyio
 
-from lotushill.gateway.exceptions import MalformedViewError
-from lotushill.gateway.load_relay import BATCH_SECONDS
-from lotushill.gateway.load_relay import LoadRelay
 from lotushill.gateway.member_log import MemberLog
+from lotushill.gateway.view_exchange import ViewExchange
 from lotushill.links.address import split_address
-from lotushill.links.codec import decode
-from lotushill.links.codec import encode
+from lotushill.links.datagram import from_datagram
+from lotushill.links.datagram import to_datagram
 from lotushill.links.exceptions import ForgedFrameError
 from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.load_records import pack
@@ -26,7 +24,11 @@
 from lotushill.links.messages import LoadNews
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
+from lotushill.links.messages import ModelPage
+from lotushill.links.messages import ModelPull
 from lotushill.links.messages import Ping
+from lotushill.links.messages import PlacementAnswer
+from lotushill.links.messages import PlacementAsk
 from lotushill.links.messages import Pong
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
@@ -38,29 +40,55 @@
 from lotushill.links.seal import Seal
 from lotushill.membership.membership import Membership
 from lotushill.membership.membership_options import MembershipOptions
+from lotushill.scheduling.hall_contact import HallContact
+from lotushill.scheduling.load_relay import BATCH_SECONDS
+from lotushill.scheduling.load_relay import LoadRelay
+from lotushill.scheduling.model_sync import ModelSync
+from lotushill.scheduling.placement_client import PlacementClient
+from lotushill.scheduling.schedulers import Schedulers
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
     from collections.abc import Iterable
-    from collections.abc import Sequence
 
     from anyio.abc import TaskGroup
 
     from lotushill.event_log import EventLog
     from lotushill.gateway.settings import GatewaySettings
     from lotushill.links.codec import Message
+    from lotushill.links.datagram import Datagram
     from lotushill.membership.membership import Outgoing
     from lotushill.placement.messages import Load
 
 _TICK_SECONDS = 0.05
 _CONTEXT = b"gateway"
-_PULL_AFTER_SECONDS = 0.3
-"""A view is pulled that is behind for so long: the own watch, or the hall, had its chance."""
-_PULL_AGAIN_SECONDS = 0.5
 _HEARD_PHASES = (MemberPhase.ALIVE, MemberPhase.LEAVING)
 
 
+@dataclass(frozen=True)
+class PeerHooks:
+    """What the parts of a gateway give to its peers, and take from them."""
+
+    view_revision: Callable[[ViewKind], int]
+    view_text: Callable[[ViewKind], tuple[int, str]]
+    """Revision and JSON text of a view."""
+    on_view: Callable[[ViewKind, int, str], None]
+    """Takes a peer's view; raises MalformedViewError."""
+    contact: Callable[[], StoreContact]
+    upstream_id: Callable[[int], str | None]
+    """Finds an upstream by the number that stands for it between gateways."""
+    on_load: Callable[[Load], None]
+    everything: Callable[[], list[Load]]
+    """All that is held to run."""
+    on_gone: Callable[[str], None]
+    """Hears of a gateway that left or was lost."""
+    answer: Callable[[PlacementAsk, float], PlacementAnswer]
+    """Places a request for another gateway."""
+    on_late: Callable[[int], None]
+    """Hears of a request that was placed too late to be sent."""
+
+
 class Peers(asyncio.DatagramProtocol):
     """Knows which gateways are there and passes messages between them."""
 
@@ -69,28 +97,13 @@
         settings: GatewaySettings,
         log: EventLog,
         rng: random.Random,
-        on_load: Callable[[Load], None],
-        on_come: Callable[[], None],
-        on_gone: Callable[[str], None],
-        view_revision: Callable[[ViewKind], int],
-        upstream_id: Callable[[int], str | None],
-        contact: Callable[[], StoreContact],
-        view_text: Callable[[ViewKind], tuple[int, str]],
-        on_view: Callable[[ViewKind, int, str], None],
+        hooks: PeerHooks,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Make the parts; `view_text` and `on_view` hand views over as JSON text."""
+        """Make the parts."""
         self._member_log = MemberLog(log)
         self._clock = clock
-        self._on_load = on_load
-        self._on_come = on_come
-        self._on_gone = on_gone
-        self._view_revision = view_revision
-        self._upstream_id = upstream_id
-        self._contact = contact
-        self._view_text = view_text
-        self._rng = rng
-        self._on_view = on_view
+        self._hooks = hooks
         self._address = settings.peers
         # The platform hands out no secret: this key only keeps frames of other fleets out.
         digest = hashlib.blake2b(settings.store.encode(), digest_size=16).digest()
@@ -105,19 +118,18 @@
         )
         self.membership = Membership(own, (), MembershipOptions(), rng)
         self.links = PeerLinks(
-            settings.name, self._seal, self._address_of, self._on_message, self._on_link_down
+            settings.name, self._seal, self._address_of, self._on_message, lambda _: None
         )
-        self._relay = LoadRelay(
-            settings.name, settings.hall, self.membership.live, self._send_message
-        )
-        self._turns = itertools.count()
+        self.schedulers = Schedulers(self.membership)
+        self.client = PlacementClient(self.schedulers, self._send_message, hooks.on_late, clock)
+        self.model_sync = ModelSync(self.schedulers)
+        self._hall_contact = HallContact(self.schedulers)
+        self._views = ViewExchange(self.membership, self.links, rng, hooks.view_text, hooks.on_view)
+        self._relay = LoadRelay(settings.name, self.schedulers, self._send_message)
         self._transport: asyncio.DatagramTransport | None = None
-        self._behind: dict[ViewKind, float] = {}
         self._cut_off: set[str] = set()
         self._cut_off_at = -1
         """Version of the membership when the halls that are cut off were worked out."""
-        self._looked_at = -1
-        """Version of the membership when the views of others were last held against the own."""
         self.malformed = 0
         """Packets dropped because they could not be read."""
         self.bytes_sent = 0
@@ -154,44 +166,52 @@
             known = self.membership.all()
             heard = {item.hall for item in known if item.phase in _HEARD_PHASES}
             self._cut_off = {item.hall for item in known} - heard
-        return hall in self._cut_off
+        return hall in self._cut_off or self._hall_contact.is_silent(hall, self._clock())
+
+    def is_near(self, name: str) -> bool:
+        """Return whether a gateway stands in the own hall."""
+        member = self.membership.find(name)
+        return member is not None and member.hall == self.membership.own.hall
 
     def leave(self) -> None:
         """Tell the others that this gateway stops."""
         self._send_all(self.membership.leave())
 
     def tell_load(self, load: Load) -> None:
-        """Tell every live gateway of requests placed and ended."""
-        now = self._clock()
-        self._relay.tell(pack(load), next(self._turns), now)
+        """Tell the schedulers of requests placed and ended."""
+        self._relay.tell(pack(load), self._clock())
 
-    def _take_load(self, message: LoadNews | LoadBatch, now: float) -> None:
+    def _take_records(self, records: bytes) -> None:
         try:
-            loads = unpack(message.records, self._upstream_id)
+            loads = unpack(records, self._hooks.upstream_id)
         except MalformedFrameError:
             self.malformed += 1
             return
         for load in loads:
             if load.sender != self.membership.own.name:
-                self._on_load(load)
-        if isinstance(message, LoadNews):
-            self._relay.collect(message.records, now)
-
-    def _send_message(self, message: LoadNews | LoadBatch, address: str) -> None:
-        self._send(self._seal.sign(encode(message), _CONTEXT), address)
+                self._hooks.on_load(load)
 
     # The edge
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Take in a datagram."""
         try:
-            message = decode(self._seal.open(data, _CONTEXT))
+            message = from_datagram(self._seal.open(data, _CONTEXT))
         except (ForgedFrameError, MalformedFrameError):
             self.malformed += 1
             return
         now = self._clock()
-        if isinstance(message, LoadNews | LoadBatch):
-            self._take_load(message, now)
+        if isinstance(message, LoadBatch):
+            self._hall_contact.hear(message.sender, now)
+            self._take_records(message.records)
+        elif isinstance(message, LoadNews):
+            self._take_records(message.records)
+            self._relay.collect(message.records, now)
+        elif isinstance(message, PlacementAsk):
+            answer = self._hooks.answer(message, now)
+            self._send_message(answer, f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, PlacementAnswer):
+            self.client.receive(message)
         elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
             source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
@@ -202,7 +222,10 @@
 
     def _send_all(self, packets: Iterable[Outgoing]) -> None:
         for packet in packets:
-            self._send(self._seal.sign(encode(packet.message), _CONTEXT), packet.address)
+            self._send_message(packet.message, packet.address)
+
+    def _send_message(self, message: Datagram, address: str) -> None:
+        self._send(self._seal.sign(to_datagram(message), _CONTEXT), address)
 
     def _send(self, data: bytes, address: str) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -213,11 +236,23 @@
         except (OSError, ValueError):
             pass
 
-    # Members
+    def _on_message(self, peer: str, message: Message) -> None:
+        if isinstance(message, ViewPull):
+            self._views.answer(peer, message)
+        elif isinstance(message, ViewPage):
+            self.malformed += not self._views.take(message)
+        elif isinstance(message, ModelPull):
+            records = b"".join(pack(load) for load in self._hooks.everything())
+            self.links.post(peer, ModelPage(records))
+        elif isinstance(message, ModelPage):
+            self._take_records(message.records)
+            self.model_sync.note_page()
+
+    # What is due
 
     def _tick(self, now: float) -> None:
-        revisions = {kind: self._view_revision(kind) for kind in ViewKind}
-        contact = self._contact()
+        revisions = {kind: self._hooks.view_revision(kind) for kind in ViewKind}
+        contact = self._hooks.contact()
         changed = self.membership.set_views(
             revisions[ViewKind.CONFIGURATION],
             revisions[ViewKind.UPSTREAMS],
@@ -228,12 +263,16 @@
             self._send_all(self.membership.announce())
         self._send_all(self.membership.tick(now))
         self._follow_changes(now)
-        if self.membership.version == self._looked_at and not self._behind:
-            return
-        self._looked_at = self.membership.version
-        members = self.membership.live()
-        for kind in ViewKind:
-            self._catch_up(kind, revisions[kind], members, now)
+        self._views.look(revisions, now)
+        self._hall_contact.look(now)
+        self._relay.tell_of_life(now)
+        if min(revisions[ViewKind.CONFIGURATION], revisions[ViewKind.UPSTREAMS]) >= 0:
+            self._fill_model(now)
+
+    def _fill_model(self, now: float) -> None:
+        source = self.model_sync.pull_from(now)
+        if source is not None:
+            self.links.post(source, ModelPull(self.membership.own.name))
 
     def _follow_changes(self, now: float) -> None:
         self._member_log.flush(now)
@@ -243,56 +282,8 @@
                 continue
             self._member_log.note(change, now)
             if member.phase in (MemberPhase.LOST, MemberPhase.LEAVING):
-                self._on_gone(member.name)
-            elif member.phase is MemberPhase.ALIVE and change.former is not MemberPhase.SUSPECT:
-                self._on_come()
+                self._hooks.on_gone(member.name)
 
     def _address_of(self, name: str) -> str | None:
         member = self.membership.find(name)
         return member.address if member else None
-
-    # Views
-
-    def _catch_up(
-        self, kind: ViewKind, revision: int, members: Sequence[MemberState], now: float
-    ) -> None:
-        ahead = [item for item in members if _revision(item, kind) > revision]
-        if not ahead:
-            self._behind.pop(kind, None)
-            return
-        near = [item for item in ahead if item.hall == self.membership.own.hall]
-        waits = self._pull_after(revision, bool(near))
-        since = self._behind.setdefault(kind, now)
-        if now - since < waits:
-            return
-        self._behind[kind] = now + _PULL_AGAIN_SECONDS - waits
-        self.links.post(self._rng.choice(near or ahead).name, ViewPull(kind, revision))
-
-    def _pull_after(self, revision: int, near: bool) -> float:
-        """Return how long others may be ahead before their view is pulled."""
-        if revision < 0:
-            # Without any view there is nothing to wait for.
-            return 0.0
-        if near and self.membership.own.contact is not StoreContact.READING:
-            return 0.0
-        return _PULL_AFTER_SECONDS
-
-    def _on_message(self, peer: str, message: Message) -> None:
-        if isinstance(message, ViewPull):
-            revision, text = self._view_text(message.kind)
-            if revision > message.revision:
-                self.links.post(peer, ViewPage(message.kind, revision, text))
-        elif isinstance(message, ViewPage):
-            try:
-                self._on_view(message.kind, message.revision, message.text)
-            except MalformedViewError:
-                self.malformed += 1
-
-    def _on_link_down(self, peer: str) -> None:
-        del peer
-
-
-def _revision(member: MemberState, kind: ViewKind) -> int:
-    if kind is ViewKind.CONFIGURATION:
-        return member.configuration
-    return member.upstreams if kind is ViewKind.UPSTREAMS else member.settings
--- a/src/lotushill/gateway/settings.py
+++ b/src/lotushill/gateway/settings.py
@@ -1,41 +1,42 @@
-"""The settings file of `lotushill-gateway`."""
+"""The settings of `lotushill-gateway`.
 
-from __future__ import annotations
-
-from typing import Annotated
-
-from pydantic import BaseModel
-from pydantic import ConfigDict
-from pydantic import Field
-
-from lotushill.links.address import Address
-
-Seconds = Annotated[float, Field(gt=0)]
+Plain dataclasses and not models: a gateway has to serve soon after its host has power, and loading
+the models' library took a fifth of the time from its start to its first answer.
+"""
 
+from __future__ import annotations
 
-class Section(BaseModel):
-    """A part of the settings; fields that are not known are passed over."""
+from dataclasses import dataclass
 
-    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
+Text = str
+"""Some text, not empty."""
+Address = str
+"""`IP:PORT`."""
+Seconds = float
+"""Above 0."""
+Amount = float
+"""0 or more."""
 
 
-class RetrySettings(Section):
+@dataclass(frozen=True)
+class RetrySettings:
     """The budget that all gateways share for sending a request to a second upstream."""
 
-    ratio: Annotated[float, Field(ge=0)] = 0.2
+    ratio: Amount = 0.2
     """Repeats for each request."""
-    slack: Annotated[float, Field(ge=0)] = 10.0
+    slack: Amount = 10.0
     """Repeats beyond that in one window."""
     window_seconds: Seconds = 10.0
 
 
-class GatewaySettings(Section):
+@dataclass(frozen=True)
+class GatewaySettings:
     """Settings of one gateway."""
 
-    name: Annotated[str, Field(min_length=1)]
+    name: Text
     """Name of the node, unique in the fleet."""
-    hall: Annotated[str, Field(min_length=1)]
-    region: Annotated[str, Field(min_length=1)]
+    hall: Text
+    region: Text
     clients: Address
     """Where clients connect."""
     readiness: Address
@@ -46,7 +47,7 @@
     """The platform's store."""
     grace_seconds: Seconds = 8.0
     """How long after the first signal to stop the process is ended."""
-    leave_seconds: Annotated[float, Field(ge=0)] = 3.0
+    leave_seconds: Amount = 3.0
     """How long after a signal to stop the balancer may still send new connections."""
     recent_seconds: Seconds = 10.0
     """A shared prompt part used within so long is worth being found again."""
--- /dev/null
+++ b/src/lotushill/gateway/settings_file.py
@@ -0,0 +1,98 @@
+"""Reads and checks the settings file of `lotushill-gateway`."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import MISSING
+from dataclasses import fields
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from lotushill.contracts.exceptions import Fault
+from lotushill.contracts.exceptions import SettingsError
+from lotushill.contracts.yaml_text import parse_file
+from lotushill.gateway.settings import GatewaySettings
+from lotushill.gateway.settings import RetrySettings
+from lotushill.links.address import split_address
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_MOST_SHOWN = 80
+"""Characters of a value at fault."""
+
+S = TypeVar("S", GatewaySettings, RetrySettings)
+
+
+class _ValueError(Exception):
+    """A value that cannot be taken; its text says why."""
+
+
+def read_settings(path: Path) -> GatewaySettings:
+    """Read a settings file; raise SettingsError that lists each fault by its path."""
+    return check_settings(parse_file(path), str(path))
+
+
+def check_settings(value: Any, source: str) -> GatewaySettings:
+    """Return settings from plain data; raise SettingsError for any fault, pass over unknown keys.
+
+    A file that holds no mapping is one fault, named `(document)`.
+    """
+    faults: list[Fault] = []
+    settings = _section(GatewaySettings, value, "", faults)
+    if settings is None or faults:
+        raise SettingsError(source, tuple(faults))
+    return settings
+
+
+def _section(kind: type[S], value: Any, path: str, faults: list[Fault]) -> S | None:
+    if not isinstance(value, dict):
+        faults.append(Fault(path or "(document)", _shown(value), "has to be a mapping"))
+        return None
+    before = len(faults)
+    found: dict[str, Any] = {}
+    for item in fields(kind):
+        place = f"{path}.{item.name}" if path else item.name
+        if item.name not in value:
+            if item.default is MISSING:
+                faults.append(Fault(place, "nothing", "is required"))
+            continue
+        try:
+            found[item.name] = _checked(str(item.type), value[item.name], place, faults)
+        except _ValueError as error:
+            faults.append(Fault(place, _shown(value[item.name]), str(error)))
+    return kind(**found) if len(faults) == before else None
+
+
+def _checked(kind: str, value: Any, path: str, faults: list[Fault]) -> Any:
+    """Return a value of a kind, which is the name that the field's annotation gives it."""
+    if kind == "RetrySettings":
+        return _section(RetrySettings, value, path, faults)
+    if kind in ("Text", "Address"):
+        return _text(value, is_address=kind == "Address")
+    return _number(value, may_be_zero=kind == "Amount")
+
+
+def _text(value: Any, is_address: bool) -> str:
+    if not isinstance(value, str) or not value:
+        raise _ValueError("has to be text, and not empty")
+    if is_address:
+        try:
+            split_address(value)
+        except ValueError as error:
+            raise _ValueError(str(error)) from error
+    return value
+
+
+def _number(value: Any, may_be_zero: bool) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise _ValueError("has to be a number")
+    if value < 0 or (value == 0 and not may_be_zero):
+        raise _ValueError("has to be 0 or more" if may_be_zero else "has to be above 0")
+    return float(value)
+
+
+def _shown(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= _MOST_SHOWN else text[:_MOST_SHOWN] + "..."
--- a/src/lotushill/links/address.py
+++ b/src/lotushill/links/address.py
@@ -4,9 +4,6 @@
 
 import ipaddress
 from functools import lru_cache
-from typing import Annotated
-
-from pydantic import AfterValidator
 
 _LAST_PORT = 65_535
 
@@ -19,12 +16,3 @@
         raise ValueError(f"not an IP:PORT address: {address!r}")
     ipaddress.ip_address(host.strip("[]"))
     return host.strip("[]"), int(port)
-
-
-def _checked(value: str) -> str:
-    split_address(value)
-    return value
-
-
-Address = Annotated[str, AfterValidator(_checked)]
-"""An address in a settings file, as `IP:PORT`."""
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -16,16 +16,29 @@
 import capnp
 
 from lotushill.links.exceptions import MalformedFrameError
-from lotushill.links.messages import LoadBatch
-from lotushill.links.messages import LoadNews
+from lotushill.links.messages import ModelPage
+from lotushill.links.messages import ModelPull
 from lotushill.links.messages import Ping
+from lotushill.links.messages import PlacementAnswer
+from lotushill.links.messages import PlacementAsk
 from lotushill.links.messages import Pong
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 
-Message = Ping | Pong | ViewPull | ViewPage | LoadNews | LoadBatch | RosterPull | RosterPage
+Message = (
+    Ping
+    | Pong
+    | ViewPull
+    | ViewPage
+    | RosterPull
+    | RosterPage
+    | ModelPull
+    | ModelPage
+    | PlacementAsk
+    | PlacementAnswer
+)
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
 _TRAVERSAL_LIMIT_WORDS = 1 << 22
@@ -150,10 +163,12 @@
     Pong,
     ViewPull,
     ViewPage,
-    LoadNews,
-    LoadBatch,
     RosterPull,
     RosterPage,
+    ModelPull,
+    ModelPage,
+    PlacementAsk,
+    PlacementAnswer,
 )
 _SHAPES = {kind: _Shape(kind) for kind in _KINDS}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- /dev/null
+++ b/src/lotushill/links/datagram.py
@@ -0,0 +1,46 @@
+"""Datagrams between gateways: one byte for the kind, then the message.
+
+News of load come hundreds of times a second and are records already, so that they travel as they
+are. Opening a packed frame around them took a scheduler about as long as the news themselves.
+"""
+
+from __future__ import annotations
+
+from lotushill.links.codec import Message
+from lotushill.links.codec import decode
+from lotushill.links.codec import encode
+from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import LoadBatch
+from lotushill.links.messages import LoadNews
+
+Datagram = Message | LoadNews | LoadBatch
+
+_FRAME = b"\x00"
+_NEWS = b"\x01"
+_BATCH = b"\x02"
+_MOST_NAME_BYTES = 255
+
+
+def to_datagram(message: Datagram) -> bytes:
+    """Return the bytes of a message."""
+    if isinstance(message, LoadNews):
+        return _NEWS + message.records
+    if isinstance(message, LoadBatch):
+        sender = message.sender.encode()[:_MOST_NAME_BYTES]
+        return _BATCH + bytes((len(sender),)) + sender + message.records
+    return _FRAME + encode(message)
+
+
+def from_datagram(data: bytes) -> Datagram:
+    """Return the message of a datagram; raise MalformedFrameError for anything else."""
+    kind, rest = data[:1], data[1:]
+    if kind == _FRAME:
+        return decode(rest)
+    if kind == _NEWS:
+        return LoadNews(rest)
+    if kind != _BATCH or not rest or len(rest) <= rest[0]:
+        raise MalformedFrameError("no kind of datagram")
+    try:
+        return LoadBatch(rest[1 : 1 + rest[0]].decode(), rest[1 + rest[0] :])
+    except UnicodeDecodeError as error:
+        raise MalformedFrameError(str(error)) from error
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -26,14 +26,57 @@
   text @2 :Text;
 }
 
-struct LoadNews {
-  records @0 :Data;
+struct ModelPull {
+  sender @0 :Text;
 }
 
-struct LoadBatch {
+struct ModelPage {
   records @0 :Data;
 }
 
+struct PlacementAsk {
+  sender @0 :Text;
+  request @1 :UInt64;
+  service @2 :Text;
+  route @3 :Text;
+  target @4 :Float32;
+  gap @5 :Float32;
+  timeLeft @6 :Float32;
+  stream @7 :Bool;
+  copied @8 :Bool;
+  again @9 :Bool;
+  promptTokens @10 :UInt32;
+  outputTokens @11 :UInt32;
+  partIds @12 :List(UInt64);
+  partTokens @13 :List(UInt32);
+  tier @14 :UInt8;
+  excluded @15 :List(Text);
+}
+
+struct PlacementAnswer {
+  sender @0 :Text;
+  request @1 :UInt64;
+  upstream @2 :Text;
+  refusal @3 :Text;
+  retryAfter @4 :Float32;
+  cost @5 :Float32;
+  first @6 :Float32;
+  seconds @7 :Float32;
+  wait @8 :Float32;
+  harm @9 :Float32;
+  reading @10 :UInt32;
+  ahead @11 :UInt32;
+  again @12 :UInt32;
+  running @13 :UInt32;
+  memory @14 :UInt64;
+  fetchFrom @15 :Text;
+  fetchTokens @16 :UInt32;
+  fetchSeconds @17 :Float32;
+  backup @18 :Text;
+  usualPrompt @19 :Float32;
+  longestPrompt @20 :Float32;
+}
+
 struct Ping {
   sender @0 :Text;
   sequence @1 :UInt64;
@@ -68,9 +111,11 @@
     pong @1 :Pong;
     viewpull @2 :ViewPull;
     viewpage @3 :ViewPage;
-    loadnews @4 :LoadNews;
-    loadbatch @5 :LoadBatch;
-    rosterpull @6 :RosterPull;
-    rosterpage @7 :RosterPage;
+    rosterpull @4 :RosterPull;
+    rosterpage @5 :RosterPage;
+    modelpull @6 :ModelPull;
+    modelpage @7 :ModelPage;
+    placementask @8 :PlacementAsk;
+    placementanswer @9 :PlacementAnswer;
   }
 }
--- a/src/lotushill/links/load_records.py
+++ b/src/lotushill/links/load_records.py
@@ -1,19 +1,24 @@
 """News of load as fixed records: what is told hundreds of times a second has to be cheap.
 
 The news of one gateway is a head with its name and counts, then a record for each request that was
-placed, and the bare numbers of those that began, ended or run. Several can stand one after another.
-Upstreams are named by a hash of their id.
+placed, began, was paced or ended, and the bare numbers of those that run. Several can stand one
+after another. Upstreams are named by a hash of their id.
 """
 
 from __future__ import annotations
 
 import struct
 from typing import TYPE_CHECKING
+from typing import Any
 
 import xxhash
 
 from lotushill.links.exceptions import MalformedFrameError
+from lotushill.placement.messages import Began
+from lotushill.placement.messages import Ended
 from lotushill.placement.messages import Load
+from lotushill.placement.messages import Outcome
+from lotushill.placement.messages import Paced
 from lotushill.placement.messages import Placed
 
 if TYPE_CHECKING:
@@ -21,10 +26,15 @@
 
     UpstreamId = Callable[[int], str | None]
 
-_HEAD = struct.Struct("<BBHHHH")
-"""Length of the sender's name, whole; counts of placed, began, ended, running."""
-_PLACED = struct.Struct("<QQIIIIfffBBB")
-"""Request, upstream, route, prompt, reading, memory, gap, seconds, age, tier, began, parts."""
+_HEAD = struct.Struct("<BBHHHHH")
+"""Length of the sender's name, whole; counts of placed, began, paced, ended, running."""
+_PLACED = struct.Struct("<QQIIIIIffffBBB")
+"""Request, upstream, route, prompt, reading, ahead, memory, gap, seconds, age, first, tier, began,
+parts."""
+_TIMED = struct.Struct("<Qf")
+"""Request, seconds: of one that began or was paced."""
+_ENDED = struct.Struct("<QBf")
+"""Request, outcome, seconds."""
 _PART = struct.Struct("<QI")
 _NUMBER_BYTES = 8
 _MOST_PARTS = 255
@@ -46,12 +56,17 @@
         load.whole,
         len(load.placed),
         len(load.began),
+        len(load.paced),
         len(load.ended),
         len(load.running),
     )
-    numbers = (*load.began, *load.ended, *load.running)
-    placed = b"".join(_pack_placed(item) for item in load.placed)
-    return head + sender + placed + struct.pack(f"<{len(numbers)}Q", *numbers)
+    records = [head, sender]
+    records += [_pack_placed(item) for item in load.placed]
+    records += [_TIMED.pack(item.request, item.seconds) for item in load.began]
+    records += [_TIMED.pack(item.request, item.pause) for item in load.paced]
+    records += [_ENDED.pack(item.request, item.outcome, item.seconds) for item in load.ended]
+    records.append(struct.pack(f"<{len(load.running)}Q", *load.running))
+    return b"".join(records)
 
 
 def unpack(data: bytes, upstream_id: UpstreamId) -> list[Load]:
@@ -65,7 +80,7 @@
         while position < len(data):
             load, position = _unpack_load(data, position, upstream_id)
             found.append(load)
-    except (struct.error, UnicodeDecodeError) as error:
+    except (struct.error, ValueError) as error:
         raise MalformedFrameError(str(error)) from error
     return found
 
@@ -78,10 +93,12 @@
         placed.route,
         min(_MOST_TOKENS, placed.prompt),
         min(_MOST_TOKENS, placed.reading),
+        min(_MOST_TOKENS, placed.ahead),
         min(_MOST_TOKENS, placed.memory),
         placed.gap,
         placed.seconds,
         placed.age,
+        placed.first,
         min(_LAST_TIER, placed.tier),
         placed.began,
         len(parts),
@@ -91,7 +108,7 @@
 
 def _unpack_load(data: bytes, position: int, upstream_id: UpstreamId) -> tuple[Load, int]:
     """Return one load and where the next one begins."""
-    name, whole, placed, began, ended, running = _HEAD.unpack_from(data, position)
+    name, whole, placed, began, paced, ended, running = _HEAD.unpack_from(data, position)
     position += _HEAD.size
     sender = data[position : position + name].decode()
     position += name
@@ -100,26 +117,52 @@
         item, position = _unpack_placed(data, position, upstream_id)
         if item is not None:
             found.append(item)
-    total = began + ended + running
-    numbers = struct.unpack_from(f"<{total}Q", data, position)
+    begun, position = _unpack_all(_TIMED, began, data, position)
+    pauses, position = _unpack_all(_TIMED, paced, data, position)
+    ends, position = _unpack_all(_ENDED, ended, data, position)
+    numbers = struct.unpack_from(f"<{running}Q", data, position)
     load = Load(
         sender,
         bool(whole),
         tuple(found),
-        numbers[:began],
-        numbers[began : began + ended],
-        numbers[began + ended :],
+        tuple(Began(*item) for item in begun),
+        tuple(Paced(*item) for item in pauses),
+        tuple(Ended(number, Outcome(outcome), seconds) for number, outcome, seconds in ends),
+        numbers,
     )
-    return load, position + _NUMBER_BYTES * total
+    return load, position + _NUMBER_BYTES * running
+
+
+def _unpack_all(
+    record: struct.Struct, count: int, data: bytes, position: int
+) -> tuple[list[tuple[Any, ...]], int]:
+    """Return so many records and where the next ones begin."""
+    end = position + record.size * count
+    if end > len(data):
+        raise struct.error("records are cut off")
+    return list(record.iter_unpack(data[position:end])), end
 
 
 def _unpack_placed(
     data: bytes, position: int, upstream_id: UpstreamId
 ) -> tuple[Placed | None, int]:
     """Return one placed request, None on an unknown upstream, and where the next one begins."""
-    request, upstream, route, prompt, reading, memory, gap, seconds, age, tier, began, count = (
-        _PLACED.unpack_from(data, position)
-    )
+    (
+        request,
+        upstream,
+        route,
+        prompt,
+        reading,
+        ahead,
+        memory,
+        gap,
+        seconds,
+        age,
+        first,
+        tier,
+        began,
+        count,
+    ) = _PLACED.unpack_from(data, position)
     position += _PLACED.size
     parts = struct.unpack_from("<" + "QI" * count, data, position)
     position += _PART.size * count
@@ -140,5 +183,7 @@
         route,
         tier,
         prompt,
+        first,
+        ahead,
     )
     return placed, position
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -33,18 +33,90 @@
 
 @dataclass(frozen=True)
 class LoadNews:
-    """News of load for a collector, as records (`links/load_records.py`)."""
+    """News of load that a scheduler is to pass on, as records (`links/load_records.py`)."""
 
     records: bytes
 
 
 @dataclass(frozen=True)
 class LoadBatch:
-    """News of several gateways, passed on by a collector of the receiver's hall."""
+    """News of several gateways from one scheduler to another; empty to say that it is there."""
+
+    sender: str
+    records: bytes
+
+
+@dataclass(frozen=True)
+class ModelPull:
+    """Asks a scheduler for all that it holds to run, since the asker has become one."""
+
+    sender: str
+
+
+@dataclass(frozen=True)
+class ModelPage:
+    """All that a scheduler holds to run, as records."""
 
     records: bytes
 
 
+@dataclass(frozen=True)
+class PlacementAsk:
+    """Asks a scheduler where a request is to go; times are seconds, lengths tokens."""
+
+    sender: str
+    request: int
+    """Number of the attempt, if there is to be one."""
+    service: str
+    route: str
+    target: float
+    gap: float
+    time_left: float
+    stream: bool
+    copied: bool
+    """Whether a copy of the run may be kept, since it must not run twice."""
+    again: bool
+    """Whether the request was asked for before."""
+    prompt_tokens: int
+    output_tokens: int
+    part_ids: tuple[int, ...]
+    part_tokens: tuple[int, ...]
+    tier: int
+    excluded: tuple[str, ...]
+    """Upstreams that the asker has tried or cannot reach."""
+
+
+@dataclass(frozen=True)
+class PlacementAnswer:
+    """Where a request is to go, or why it goes nowhere; the figures are those of `Choice`."""
+
+    sender: str
+    request: int
+    upstream: str = ""
+    refusal: str = ""
+    """Empty where an upstream is named; `UNREADY` where the scheduler cannot tell yet."""
+    retry_after: float = 0.0
+    cost: float = 0.0
+    first: float = 0.0
+    seconds: float = 0.0
+    wait: float = 0.0
+    harm: float = 0.0
+    reading: int = 0
+    ahead: int = 0
+    again: int = 0
+    running: int = 0
+    memory: int = 0
+    fetch_from: str = ""
+    fetch_tokens: int = 0
+    fetch_seconds: float = 0.0
+    backup: str = ""
+    usual_prompt: float = 0.0
+    longest_prompt: float = 0.0
+
+
+UNREADY = "unready"
+
+
 class MemberPhase(Enum):
     """What is held of a member."""
 
--- a/src/lotushill/load/slopes.py
+++ b/src/lotushill/load/slopes.py
@@ -10,6 +10,8 @@
 
 from lotushill.links.codec import decode
 from lotushill.links.codec import encode
+from lotushill.links.datagram import from_datagram
+from lotushill.links.datagram import to_datagram
 from lotushill.links.load_records import pack
 from lotushill.links.load_records import unpack
 from lotushill.links.load_records import upstream_number
@@ -20,6 +22,8 @@
 from lotushill.links.messages import Ping
 from lotushill.links.seal import Seal
 from lotushill.placement.fleet import Fleet
+from lotushill.placement.messages import Began
+from lotushill.placement.messages import Ended
 from lotushill.placement.messages import Load
 from lotushill.placement.messages import Placed
 from lotushill.placement.need import Need
@@ -86,19 +90,19 @@
     known = {upstream_number(_UPSTREAM): _UPSTREAM}
     loads = (
         Load(_SENDER, False, placed=(placed,)),
-        Load(_SENDER, False, began=(1,)),
-        Load(_SENDER, False, ended=(1,)),
+        Load(_SENDER, False, began=(Began(1, 0.2),)),
+        Load(_SENDER, False, ended=(Ended(1),)),
     )
 
     def tell() -> bytes:
-        return seal.sign(encode(LoadNews(pack(loads[0]))))
+        return seal.sign(to_datagram(LoadNews(pack(loads[0]))))
 
     data = tell()
     records = b"".join(pack(loads[index % len(loads)]) for index in range(_BATCHED))
-    batch = seal.sign(encode(LoadBatch(records)))
+    batch = seal.sign(to_datagram(LoadBatch(_SENDER, records)))
 
     def hear(packet: bytes) -> list[Load]:
-        message = decode(seal.open(packet))
+        message = from_datagram(seal.open(packet))
         assert isinstance(message, LoadNews | LoadBatch)
         return unpack(message.records, known.get)
 
@@ -108,8 +112,8 @@
     def take() -> None:
         for number in range(_BATCHED):
             fleet.start(placed, _SERVICE, float(number))
-            fleet.begin(1, float(number))
-            fleet.end(1, float(number))
+            fleet.begin(Began(1, 0.2), float(number))
+            fleet.end(Ended(1), float(number))
 
     return [
         Slope("tell of one request placed", _best(tell, repeats), len(data)),
--- a/src/lotushill/membership/membership.py
+++ b/src/lotushill/membership/membership.py
@@ -105,6 +105,11 @@
         """Return a number that rises with every change of what is held of any member."""
         return self._roster.version
 
+    @property
+    def composition(self) -> int:
+        """Return a number that rises when a member comes, goes or changes its phase."""
+        return self._roster.composition
+
     @property
     def taken_for_lost(self) -> int:
         """Return how often this member heard that others had taken it for lost."""
--- a/src/lotushill/membership/readers.py
+++ b/src/lotushill/membership/readers.py
@@ -1,7 +1,7 @@
 """Which gateways read the platform's store; the others hear of changes from them.
 
-In each hall the few members with the highest hashes read. One that the store turns away goes on
-trying, and the next in order reads as well. Halls do not depend on one another's readers.
+In each hall the first one or two by their hashes read. One that the store turns away goes on
+trying, and the next in order reads as well. A hall that is cut off from all others has its readers.
 """
 
 from __future__ import annotations
@@ -17,11 +17,20 @@
     from lotushill.links.messages import MemberState
 
 READERS = 2
-"""In each hall: one may fail without a gap."""
+"""In each of a few halls: one may fail without a gap."""
+_MANY_HALLS = 4
+"""From so many live halls on one reader each is enough: while that of a hall fails, heartbeats tell
+its members within a second what those of the others hold. It halves the calls to the store."""
 _KEY = "reader"
 _ALL = 1_000_000
 
 
+def readers_of_a_hall(own: MemberState, members: Iterable[MemberState]) -> int:
+    """Return how many members of each hall read while the store serves them."""
+    halls = {member.hall for member in members} | {own.hall}
+    return 1 if len(halls) >= _MANY_HALLS else READERS
+
+
 def readers_before(own: MemberState, members: Iterable[MemberState]) -> int:
     """Return how many members of the own hall come first, those that the store serves alone."""
     return sum(member.contact is not StoreContact.AWAY for member in _ahead(own, members))
@@ -29,12 +38,13 @@
 
 def reads(own: MemberState, members: Iterable[MemberState]) -> bool:
     """Return whether a member reads the store itself, beside the live `members`."""
-    return readers_before(own, members) < READERS
+    return readers_before(own, members) < readers_of_a_hall(own, members)
 
 
 def stands_in(own: MemberState, members: Iterable[MemberState]) -> bool:
     """Return whether a member reads only since others are turned away by the store."""
-    return reads(own, members) and len(_ahead(own, members)) >= READERS
+    ahead = len(_ahead(own, members))
+    return reads(own, members) and ahead >= readers_of_a_hall(own, members)
 
 
 def _ahead(own: MemberState, members: Iterable[MemberState]) -> list[MemberState]:
--- a/src/lotushill/membership/roster.py
+++ b/src/lotushill/membership/roster.py
@@ -54,6 +54,8 @@
         self._changes: list[MemberChange] = []
         self.version = 0
         """Rises with every change of what is held of any member, oneself included."""
+        self.composition = 0
+        """Rises when a member comes, goes or changes its phase, oneself included."""
         self.changed_at = float("-inf")
         """When a member last came, went or was doubted."""
         self.taken_for_lost = 0
@@ -141,7 +143,7 @@
     def set_own(self, state: MemberState) -> None:
         """Change one's own state, which then overrules what others hold of it."""
         if state.phase is not self.own.phase:
-            self._digests = None
+            self._recompose()
         self.own = replace(state, incarnation=state.incarnation + 1)
         self._touch()
 
@@ -193,6 +195,7 @@
                 del self._entries[name]
                 self._fading.discard(name)
                 self._touch()
+                self._recompose()
             elif phase is not MemberPhase.LOST and held >= self._time_of(phase):
                 self._set(entry, replace(entry.state, phase=MemberPhase.LOST), now)
                 news.append(name)
@@ -226,10 +229,14 @@
             self._fading.add(state.name)
         self._touch()
         if state.phase is not former:
-            self._digests = None
+            self._recompose()
             self.changed_at = now
             self._changes.append(MemberChange(state, former))
 
     def _touch(self) -> None:
         self.version += 1
         self._live = None
+
+    def _recompose(self) -> None:
+        self.composition += 1
+        self._digests = None
--- a/src/lotushill/placement/failure_rate.py
+++ b/src/lotushill/placement/failure_rate.py
@@ -5,10 +5,13 @@
 _HALF_LIFE_SECONDS = 4.0
 _PRIOR_FAILURES = 0.02
 _PRIOR_TOTAL = 1.0
+_MOST_TOTAL = 8.0
+"""Outcomes that count at most. All gateways tell theirs: without a bound, 24 streams lost at once
+would keep an upstream out for 18 s, and a few that went well would not bring it back."""
 
 
 class FailureRate:
-    """Outcomes with exponential decay."""
+    """Outcomes with exponential decay, of which the latest few count."""
 
     def __init__(self) -> None:
         self._failed = 0.0
@@ -21,6 +24,9 @@
         self._total += weight
         if failed:
             self._failed += weight
+        if self._total > _MOST_TOTAL:
+            self._failed *= _MOST_TOTAL / self._total
+            self._total = _MOST_TOTAL
 
     def rate(self, now: float) -> float:
         """Return the likely share of failures, in 0 to 1."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import dataclass
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
@@ -17,6 +19,7 @@
 from lotushill.placement.choice import Refusal
 from lotushill.placement.fetch import FetchPlanner
 from lotushill.placement.kept_parts import chained
+from lotushill.placement.messages import Outcome
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
 from lotushill.placement.shedding import Shedding
@@ -34,20 +37,38 @@
     from collections.abc import Mapping
 
     from lotushill.placement.kept_parts import Chain
+    from lotushill.placement.messages import Began
+    from lotushill.placement.messages import Ended
+    from lotushill.placement.messages import Paced
     from lotushill.placement.messages import Placed
     from lotushill.placement.need import Need
     from lotushill.routing.service import EngineProfile
     from lotushill.routing.service import Service
     from lotushill.routing.upstream import Upstream
 
+PACED_EVENTS = 8
+"""Pauses of which the pace of a stream is told: a quarter of a second of a usual one."""
 _SOUND_RATE = 0.2
 """Nothing is copied from an upstream that fails more often than this."""
+_FAR_WEIGHT = 0.3
+"""What an outcome of another hall counts beside one of the own hall."""
+_NOT_SENT_WEIGHT = 0.5
+"""What an upstream that one gateway could not reach counts beside one that failed it: the gateway
+may be what is cut off."""
 _MOST_RANKED = 10_000
 _RANKS_KEPT = 32
 _NO_UPSTREAM_RETRY = 1.0
 """Seconds after which an upstream may have come."""
 
 
+@dataclass(frozen=True)
+class _Where:
+    """Where a request runs."""
+
+    upstream: str
+    service: Service
+
+
 class Fleet:
     """The model of all upstreams."""
 
@@ -68,7 +89,7 @@
         self.shedding = Shedding()
         self._loads: dict[str, UpstreamLoad] = {}
         self._paces: dict[str, Pace] = {}
-        self._where: dict[int, str] = {}
+        self._where: dict[int, _Where] = {}
 
     # Feeding the model
 
@@ -94,24 +115,71 @@
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
         self.shedding.note(placed, service.name, now)
-        self._where[placed.request] = placed.upstream
+        self._where[placed.request] = _Where(placed.upstream, service)
 
-    def begin(self, request: int, now: float) -> None:
-        """Note the first event of a request."""
-        upstream_id = self._where.get(request)
-        if upstream_id is not None:
-            self._loads[upstream_id].begin(request, now)
+    def begin(self, began: Began, now: float) -> None:
+        """Note the first event of a request, and learn from when it came."""
+        where = self._where.get(began.request)
+        if where is None:
+            return
+        load = self._loads[where.upstream]
+        load.begin(began.request, now)
+        placed = load.running.get(began.request)
+        if placed is None or not _is_time(began.seconds):
+            return
+        pace = self.pace(where.service.name)
+        if placed.first > 0.0:
+            load.note_pace(began.seconds / placed.first, now)
+        if where.service.engine is None:
+            pace.note_answer(began.seconds)
+        else:
+            pace.note_first_event(placed.ahead, began.seconds / load.step_slowness(now))
+
+    def note_paced(self, paced: Paced, now: float) -> None:
+        """Learn how fast an upstream steps from one of its streams.
+
+        Pauses beside the reading of prompts are longer and say nothing of it: with them, every busy
+        upstream would look slow.
+        """
+        where = self._where.get(paced.request)
+        if where is None or not _is_time(paced.pause):
+            return
+        load = self._loads[where.upstream]
+        if load.unread.idle_for(now) < PACED_EVENTS * paced.pause:
+            return
+        usual = self.pace(where.service.name).pauses.quiet.at(len(load.running))
+        load.note_steps(paced.pause / usual, now)
 
-    def end(self, request: int, now: float) -> None:
-        """Count a request out."""
-        upstream_id = self._where.pop(request, None)
-        if upstream_id is not None:
-            self._loads[upstream_id].end(request, now)
+    def end(self, ended: Ended, now: float, near: bool = True) -> None:
+        """Count a request out, and learn from its end; `near` says that the own hall told it.
+
+        What fails for another hall may be its way there, and counts for less here.
+        """
+        where = self._where.pop(ended.request, None)
+        if where is None:
+            return
+        load = self._loads[where.upstream]
+        load.end(ended.request, now)
+        if ended.outcome is Outcome.UNKNOWN:
+            return
+        weight = 1.0 if near else _FAR_WEIGHT
+        if ended.outcome is Outcome.NOT_SENT:
+            load.failures.note(True, now, _NOT_SENT_WEIGHT * weight)
+            return
+        load.failures.note(ended.outcome is not Outcome.WHOLE, now, weight)
+        ran = ended.outcome in (Outcome.WHOLE, Outcome.CUT) and _is_time(ended.seconds)
+        if ran and where.service.engine is not None:
+            self.pace(where.service.name).note_end(ended.seconds, ended.outcome, now)
 
     def knows(self, request: int) -> bool:
         """Return whether a request is counted in."""
         return request in self._where
 
+    def find(self, request: int) -> Placed | None:
+        """Return a request that is counted in, None without one."""
+        where = self._where.get(request)
+        return self._loads[where.upstream].running.get(request) if where else None
+
     def forget(self, known: set[str], now: float) -> None:
         """Drop what is no longer of use: idle upstreams that no view knows, and old parts."""
         self.recent.forget(now)
@@ -214,6 +282,11 @@
         return FetchPlanner(engine, kept, known)
 
 
+def _is_time(seconds: float) -> bool:
+    """Return whether something can be learned from a time that a gateway told."""
+    return 0.0 < seconds < math.inf
+
+
 @lru_cache(maxsize=_RANKS_KEPT)
 def _ranks(service: str, upstreams: tuple[str, ...]) -> dict[str, float]:
     """Return the place of each upstream, from 0 to 1, in an order that all gateways share."""
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import IntEnum
 from functools import lru_cache
 
 import xxhash
@@ -44,6 +45,52 @@
     """0 is the most urgent."""
     prompt: int = 0
     """Tokens of its whole prompt."""
+    first: float = 0.0
+    """Predicted time to its first event, 0 where that was not predicted."""
+    ahead: int = 0
+    """Prompt tokens that are read until then, those of others included."""
+
+
+class Outcome(IntEnum):
+    """How an attempt ended."""
+
+    UNKNOWN = 0
+    """Nothing is learned of the upstream: the client left, or time ran out."""
+    WHOLE = 1
+    FAILED = 2
+    """The upstream answered with a failure, refused it, or was silent."""
+    CUT = 3
+    """The stream was broken off after its first event."""
+    NOT_SENT = 4
+    """The upstream could not be reached."""
+
+
+@dataclass(frozen=True)
+class Began:
+    """The first event of a request has come."""
+
+    request: int
+    seconds: float = 0.0
+    """After it was sent; 0 where that was told before."""
+
+
+@dataclass(frozen=True)
+class Paced:
+    """How quickly the events of a stream follow one another."""
+
+    request: int
+    pause: float
+    """A typical one of its shorter pauses, so that readings beside it hardly count."""
+
+
+@dataclass(frozen=True)
+class Ended:
+    """A request no longer runs at its upstream."""
+
+    request: int
+    outcome: Outcome = Outcome.UNKNOWN
+    seconds: float = 0.0
+    """How long it ran."""
 
 
 @dataclass(frozen=True)
@@ -53,7 +100,7 @@
     sender: str
     whole: bool
     placed: tuple[Placed, ...] = ()
-    began: tuple[int, ...] = ()
-    """Requests whose first event has come."""
-    ended: tuple[int, ...] = ()
+    began: tuple[Began, ...] = ()
+    paced: tuple[Paced, ...] = ()
+    ended: tuple[Ended, ...] = ()
     running: tuple[int, ...] = ()
--- a/src/lotushill/placement/pace.py
+++ b/src/lotushill/placement/pace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lotushill.placement.cut_rate import CutRate
+from lotushill.placement.messages import Outcome
 from lotushill.placement.pauses import Pauses
 
 _FIRST_READ_RATE = 40_000.0
@@ -39,9 +40,11 @@
         self.stream_seconds = _FIRST_STREAM_SECONDS
         """Seconds that a stream runs."""
 
-    def note_stream(self, seconds: float) -> None:
-        """Learn from a whole stream."""
-        self.stream_seconds += _RATE_WEIGHT * (seconds - self.stream_seconds)
+    def note_end(self, seconds: float, outcome: Outcome, now: float) -> None:
+        """Learn from the end of a stream that ran for some seconds."""
+        if outcome is Outcome.WHOLE:
+            self.stream_seconds += _RATE_WEIGHT * (seconds - self.stream_seconds)
+        self.cuts.note(seconds, outcome is Outcome.CUT, now)
 
     def note_first_event(self, reading: float, seconds: float) -> None:
         """Learn from a stream's first event, with `reading` tokens read until then."""
--- /dev/null
+++ b/src/lotushill/placement/placed.py
@@ -0,0 +1,33 @@
+"""What is told of a request that goes to an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.placement.messages import Placed
+from lotushill.placement.messages import route_number
+
+if TYPE_CHECKING:
+    from lotushill.placement.choice import Choice
+    from lotushill.placement.need import Need
+
+
+def placed(request: int, need: Need, choice: Choice, engine: bool) -> Placed:
+    """Return what others have to know; `engine` says that a model engine runs it."""
+    return Placed(
+        request=request,
+        upstream=choice.upstream.id,
+        reading=choice.reading,
+        memory=need.prompt_tokens + need.output_tokens if engine else 0,
+        gap=need.gap,
+        seconds=choice.seconds,
+        age=0.0,
+        part_ids=tuple(part.id for part in need.parts),
+        part_tokens=tuple(part.tokens for part in need.parts),
+        route=route_number(need.route),
+        tier=need.tier,
+        prompt=need.prompt_tokens,
+        first=choice.first,
+        # What is copied first says nothing of how fast prompts are read.
+        ahead=0 if choice.fetch else choice.ahead,
+    )
--- a/src/lotushill/placement/unread_prompts.py
+++ b/src/lotushill/placement/unread_prompts.py
@@ -26,6 +26,7 @@
         self._in_turn: int | None = None
         self._since = 0.0
         """When reading of the one in turn began."""
+        self._idle_since = float("-inf")
 
     def add(self, request: int, tier: int, tokens: int, since: float) -> None:
         """Count a prompt in that has waited since some moment."""
@@ -57,6 +58,10 @@
             total += self._waiting[self._in_turn].tokens
         return total - self._done(read_rate, now)
 
+    def idle_for(self, now: float) -> float:
+        """Return for how many seconds nothing has been read, 0 while something is."""
+        return 0.0 if self._waiting else max(0.0, now - self._idle_since)
+
     def _remove(self, request: int) -> bool:
         found = self._waiting.pop(request, None)
         if found is None:
@@ -72,7 +77,7 @@
 
     def _take_up_next(self, now: float) -> None:
         """Take up the most urgent, and of these the oldest."""
-        self._since = now
+        self._since = self._idle_since = now
         self._in_turn = min(
             self._waiting, key=lambda request: self._waiting[request].tier, default=None
         )
--- a/src/lotushill/placement/upstream_load.py
+++ b/src/lotushill/placement/upstream_load.py
@@ -17,6 +17,8 @@
 _FORGET_SECONDS = 6.0
 _STEP_WEIGHT = 0.03
 """Of one pause: some 30 of them count, which a stream or two bring in a second."""
+_STREAM_STEP_WEIGHT = 0.2
+"""Of a typical pause of one stream: as much as some seven single pauses."""
 _STEP_FORGET_SECONDS = 20.0
 """An upstream that slowed down for a while is tried again; one that is slow by itself shows it."""
 _LEAST_STEP_SLOWNESS = 0.5
@@ -106,9 +108,16 @@
 
     def note_step(self, ratio: float, now: float) -> None:
         """Learn from a pause between events against what is usual."""
+        self._learn_step(ratio, _STEP_WEIGHT, now)
+
+    def note_steps(self, ratio: float, now: float) -> None:
+        """Learn from a typical pause of one stream against what is usual."""
+        self._learn_step(ratio, _STREAM_STEP_WEIGHT, now)
+
+    def _learn_step(self, ratio: float, weight: float, now: float) -> None:
         current = self.step_slowness(now)
         bounded = min(_MOST_STEP_SLOWNESS, max(_LEAST_STEP_SLOWNESS, ratio))
-        self._step_slowness = current + _STEP_WEIGHT * (bounded - current)
+        self._step_slowness = current + weight * (bounded - current)
         self._step_slowness_at = now
 
     def away(self, now: float) -> bool:
--- /dev/null
+++ b/src/lotushill/scheduling/placer.py
@@ -0,0 +1,222 @@
+"""Finds the upstream of a request: by the own model of a scheduler, else by asking one."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from lotushill.links.messages import PlacementAsk
+from lotushill.placement.choice import Choice
+from lotushill.placement.choice import NoChoice
+from lotushill.placement.choice import Refusal
+from lotushill.placement.fetch import Fetch
+from lotushill.placement.placed import placed
+from lotushill.routing.route import RouteKind
+from lotushill.scheduling.placement import Placement
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lotushill.gateway.request import Request
+    from lotushill.links.messages import PlacementAnswer
+    from lotushill.placement.fleet import Fleet
+    from lotushill.placement.messages import Placed
+    from lotushill.placement.need import Need
+    from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.placement_client import PlacementClient
+    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.scheduling.shared_load import SharedLoad
+    from lotushill.views.upstream_view import UpstreamView
+
+_ALONE_SHARE = 0.25
+"""Of the upstreams, drawn for each request, among which a gateway chooses that gets no answer: by
+its own few requests alone, all gateways would choose the same one."""
+_LEAST_ALONE = 3
+_MOST_UNKNOWN = 2
+"""Upstreams that a scheduler knows and this gateway does not, before a request waits."""
+_UNKNOWN_RETRY = 0.2
+"""Seconds until this gateway has heard of an upstream that a scheduler knows already."""
+
+
+class Placer:
+    """Decides where requests of this gateway go."""
+
+    def __init__(
+        self,
+        name: str,
+        fleet: Fleet,
+        shared_load: SharedLoad,
+        upstreams: UpstreamView,
+        rng: random.Random,
+        clock: Callable[[], float],
+        schedulers: Schedulers | None = None,
+        client: PlacementClient | None = None,
+    ) -> None:
+        """Place for the gateway `name`; without schedulers, always by the own model."""
+        self._name = name
+        self._fleet = fleet
+        self._shared_load = shared_load
+        self._upstreams = upstreams
+        self._rng = rng
+        self._clock = clock
+        self._schedulers = schedulers
+        self._client = client
+        self._salt = rng.getrandbits(64)
+        self._numbers = itertools.count()
+
+    def number(self) -> int:
+        """Return a number for an attempt that is hardly ever that of another, of any gateway."""
+        return xxhash.xxh64_intdigest(f"{self._name}/{self._salt}/{next(self._numbers)}")
+
+    def models_all(self) -> bool:
+        """Return whether this gateway hears of what all others run."""
+        return self._schedulers is None or self._schedulers.schedules()
+
+    async def place(
+        self, request: Request, excluded: frozenset[str], again: bool
+    ) -> Placement | NoChoice:
+        """Return where a request is to go; `again` says that it was asked for before."""
+        if self._client is None or self.models_all():
+            if not again:
+                self._note_size(request.need)
+            candidates = self._upstreams.of(request.service.name)
+            return self._by_own_model(request, excluded, candidates)
+        unknown: set[str] = set()
+        for _ in range(_MOST_UNKNOWN + 1):
+            make = functools.partial(self._ask, request, excluded | unknown, again)
+            answer = await self._client.ask(make)
+            if answer is None:
+                return self._alone(request, excluded)
+            if not answer.upstream:
+                return _refused(answer)
+            found = self._from_answer(request, answer)
+            if found is not None:
+                return found
+            # It has left, or this gateway has not heard of it yet.
+            self._shared_load.give_up(answer.request)
+            unknown.add(answer.upstream)
+        return NoChoice(Refusal.NO_UPSTREAM, _UNKNOWN_RETRY)
+
+    def _note_size(self, need: Need) -> None:
+        self._fleet.shedding.usual.note_size(need.route, need.size)
+
+    # By the own model
+
+    def _by_own_model(
+        self, request: Request, excluded: frozenset[str], candidates: list[Upstream]
+    ) -> Placement | NoChoice:
+        now = self._clock()
+        service = request.service
+        found = self._fleet.choose(request.need, service, candidates, excluded, now)
+        if isinstance(found, NoChoice):
+            return found
+        if _may_be_copied(request):
+            backup = self._fleet.backup(request.need, service, found, candidates, now)
+            found = replace(found, backup=backup)
+        memory = self._fleet.load(found.upstream.id).memory
+        return Placement(found, self._placed(self.number(), request, found), memory)
+
+    def _alone(self, request: Request, excluded: frozenset[str]) -> Placement | NoChoice:
+        found = self._by_own_model(request, excluded, self._sample(request, excluded))
+        return replace(found, alone=True) if isinstance(found, Placement) else found
+
+    def _sample(self, request: Request, excluded: frozenset[str]) -> list[Upstream]:
+        fit = [item for item in self._upstreams.of(request.service.name) if item.id not in excluded]
+        count = max(_LEAST_ALONE, round(_ALONE_SHARE * len(fit)))
+        return self._rng.sample(fit, min(count, len(fit)))
+
+    def _placed(self, number: int, request: Request, choice: Choice) -> Placed:
+        return placed(number, request.need, choice, request.service.engine is not None)
+
+    def continued(self, request: Request, choice: Choice) -> Placement:
+        """Return the placement of a run that goes on at an upstream that is known."""
+        return Placement(choice, self._placed(self.number(), request, choice))
+
+    # By a scheduler
+
+    def _ask(self, request: Request, excluded: frozenset[str], again: bool) -> PlacementAsk:
+        need = request.need
+        return PlacementAsk(
+            sender=self._name,
+            request=self.number(),
+            service=need.service,
+            route=need.route,
+            target=need.target,
+            gap=need.gap,
+            time_left=max(0.0, request.ends - self._clock()),
+            stream=need.stream,
+            copied=_may_be_copied(request),
+            again=again,
+            prompt_tokens=need.prompt_tokens,
+            output_tokens=need.output_tokens,
+            part_ids=tuple(part.id for part in need.parts),
+            part_tokens=tuple(part.tokens for part in need.parts),
+            tier=need.tier,
+            excluded=(*excluded, *self._out_of_reach(request, excluded)),
+        )
+
+    def _out_of_reach(self, request: Request, excluded: frozenset[str]) -> list[str]:
+        """Return the upstreams that this gateway could not reach just now, whoever else may."""
+        now = self._clock()
+        return [
+            item.id
+            for item in self._upstreams.of(request.service.name)
+            if item.id not in excluded and self._fleet.load(item.id).away(now)
+        ]
+
+    def _from_answer(self, request: Request, answer: PlacementAnswer) -> Placement | None:
+        upstream = self._candidate(request, answer.upstream)
+        if upstream is None:
+            return None
+        choice = Choice(
+            upstream,
+            answer.cost,
+            answer.first,
+            answer.reading,
+            answer.ahead,
+            answer.seconds,
+            wait=answer.wait,
+            harm=answer.harm,
+            again=answer.again,
+            running=answer.running,
+            fetch=self._fetch(answer),
+            backup=self._candidate(request, answer.backup),
+        )
+        told = self._placed(answer.request, request, choice)
+        return Placement(choice, told, answer.memory, answer.sender)
+
+    def _candidate(self, request: Request, upstream_id: str) -> Upstream | None:
+        known = self._upstreams.of(request.service.name)
+        return next((item for item in known if item.id == upstream_id), None)
+
+    def _fetch(self, answer: PlacementAnswer) -> Fetch | None:
+        source = self._upstreams.find(answer.fetch_from)
+        if source is None:
+            return None
+        return Fetch(source, answer.fetch_tokens, answer.fetch_seconds)
+
+
+def _may_be_copied(request: Request) -> bool:
+    """Return whether a copy of a run may be kept: one that could not be repeated."""
+    return request.route.kind is RouteKind.STREAM and not request.route.repeatable
+
+
+def _refused(answer: PlacementAnswer) -> NoChoice:
+    try:
+        refusal = Refusal(answer.refusal)
+    except ValueError:
+        # A scheduler of a later version may have reasons that are not known here.
+        refusal = Refusal.NO_UPSTREAM
+    return NoChoice(
+        refusal,
+        answer.retry_after,
+        answer.wait,
+        answer.first,
+        answer.usual_prompt,
+        answer.longest_prompt,
+    )
--- a/src/lotushill/gateway/shared_load.py
+++ b/src/lotushill/scheduling/shared_load.py
@@ -1,11 +1,15 @@
-"""What this gateway runs, told to the others, and what they run, told by them."""
+"""What this gateway runs, told to the schedulers, and what others run, told by them."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lotushill.placement.messages import Began
+from lotushill.placement.messages import Ended
 from lotushill.placement.messages import Load
+from lotushill.placement.messages import Outcome
+from lotushill.placement.messages import Paced
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +32,8 @@
 """Requests told in one datagram."""
 _MOST_NUMBERS = 110
 """Numbers told in one datagram, twice where all have begun."""
+_LEAST_AGE = 0.001
+"""Seconds; one that is told again has some age, so that its reading is not learned from twice."""
 _YOUNG_SECONDS = 0.3
 """A request as young as this may be missing from a list that was on its way."""
 
@@ -42,17 +48,21 @@
         clock: Callable[[], float],
         service_of: Callable[[str], Service | None],
         tell: Callable[[Load], None],
+        is_near: Callable[[str], bool] = lambda _: True,
     ) -> None:
-        """Follow the load of `fleet`; `service_of` finds an upstream's service by its id."""
+        """Follow the load of `fleet`; `service_of` finds an upstream's service by its id.
+
+        `is_near` tells whether a gateway stands in the own hall.
+        """
         self._name = name
         self._fleet = fleet
         self._clock = clock
         self._service_of = service_of
         self._tell = tell
+        self._is_near = is_near
         self._own: dict[int, tuple[Placed, float]] = {}
         self._others: dict[str, dict[int, float]] = {}
         self._lists = 0
-        self._newcomers = False
         self._list_due = float("-inf")
         self._list_last = float("-inf")
         self._list_before = float("-inf")
@@ -60,27 +70,46 @@
         self._empty_lists = 0
         self._ends_by: dict[int, float] = {}
 
-    def start(self, placed: Placed, service: Service) -> None:
-        """Count in a request of this gateway and tell the others."""
+    def start(self, placed: Placed, service: Service, told: bool = False) -> None:
+        """Count in a request of this gateway; tell of it, unless whoever placed it has."""
+        if placed.request in self._own:
+            return
         now = self._clock()
         self._own[placed.request] = (placed, now)
         self._fleet.start(placed, service, now)
         self._fleet.pace(service.name).note_reading(placed.reading)
-        self._tell(Load(self._name, False, placed=(placed,)))
+        if not told:
+            self._tell(Load(self._name, False, placed=(placed,)))
 
-    def begin(self, request: int) -> None:
-        """Note the first event of a request of this gateway and tell the others."""
+    def start_for(self, sender: str, placed: Placed, service: Service) -> None:
+        """Count in a request that was placed here for another gateway, and tell of it."""
+        self._count_in(placed, self._others.setdefault(sender, {}), self._clock(), service)
+        self._tell(Load(sender, False, placed=(placed,)))
+
+    def begin(self, request: int, seconds: float) -> None:
+        """Note the first event of a request of this gateway, so long after it was sent."""
         known = self._own.get(request)
         if known is not None:
+            began = Began(request, seconds)
             self._own[request] = (replace(known[0], began=True), known[1])
-            self._fleet.begin(request, self._clock())
-            self._tell(Load(self._name, False, began=(request,)))
+            self._fleet.begin(began, self._clock())
+            self._tell(Load(self._name, False, began=(began,)))
+
+    def note_paced(self, request: int, pause: float) -> None:
+        """Tell a typical pause of a stream of this gateway, whose pauses are all known here."""
+        if request in self._own:
+            self._tell(Load(self._name, False, paced=(Paced(request, pause),)))
 
-    def end(self, request: int) -> None:
-        """Count out a request of this gateway and tell the others."""
+    def end(self, request: int, outcome: Outcome = Outcome.UNKNOWN, seconds: float = 0.0) -> None:
+        """Count out a request of this gateway, which ran for so long."""
         if self._own.pop(request, None) is not None:
-            self._fleet.end(request, self._clock())
-            self._tell(Load(self._name, False, ended=(request,)))
+            ended = Ended(request, outcome, seconds)
+            self._fleet.end(ended, self._clock())
+            self._tell(Load(self._name, False, ended=(ended,)))
+
+    def give_up(self, request: int) -> None:
+        """Tell that a request was placed for this gateway and is not sent."""
+        self._tell(Load(self._name, False, ended=(Ended(request),)))
 
     def due_lists(self, gateways: int) -> list[Load]:
         """Return the list that is due now in a fleet of so many gateways, if one is."""
@@ -90,9 +119,18 @@
         self._list_due = now + max(_LIST_SECONDS, gateways / _LISTS_A_SECOND)
         return self.whole()
 
-    def tell_everything(self) -> None:
-        """Tell all that runs in the next list, since a gateway has come that knows nothing."""
-        self._newcomers = True
+    def everything(self) -> list[Load]:
+        """Return all that is held to run, for a gateway that becomes a scheduler."""
+        now = self._clock()
+        loads = [_started(self._name, [(item, since) for item, since in self._own.values()], now)]
+        for sender, held in self._others.items():
+            running = [
+                (placed, since)
+                for request, since in held.items()
+                if (placed := self._fleet.find(request)) is not None
+            ]
+            loads.append(_started(sender, running, now))
+        return [load for load in loads if load.placed]
 
     def whole(self) -> list[Load]:
         """Return what repairs whatever others have missed: all that this gateway runs.
@@ -102,15 +140,14 @@
         """
         now = self._clock()
         self._lists += 1
-        everything = self._newcomers or self._lists % _LISTS_OF_EVERYTHING == 0
-        self._newcomers = False
+        everything = self._lists % _LISTS_OF_EVERYTHING == 0
         recent = [
             replace(item, age=now - since, part_ids=(), part_tokens=())
             for item, since in self._own.values()
             if everything or since >= self._list_before
         ]
         self._list_before, self._list_last = self._list_last, now
-        began = tuple(number for number, (item, _) in self._own.items() if item.began)
+        began = tuple(Began(number) for number, (item, _) in self._own.items() if item.began)
         loads = [
             Load(self._name, False, placed=tuple(recent[start : start + _MOST_PLACED]))
             for start in range(0, len(recent), _MOST_PLACED)
@@ -134,35 +171,39 @@
         held = self._others.setdefault(load.sender, {})
         for placed in load.placed:
             self._count_in(placed, held, now)
-        for request in load.began:
-            self._fleet.begin(request, now)
-        for request in load.ended:
-            self._count_out(request, held)
+        for began in load.began:
+            self._fleet.begin(began, now)
+        for paced in load.paced:
+            self._fleet.note_paced(paced, now)
+        for ended in load.ended:
+            self._count_out(ended, held, self._is_near(load.sender))
         if load.whole:
             told = set(load.running)
             for request, since in list(held.items()):
                 if request not in told and now - since > _YOUNG_SECONDS:
-                    self._count_out(request, held)
+                    self._count_out(Ended(request), held)
 
     def expire(self) -> None:
         """Drop requests whose end was never told, long after they should have ended."""
         now = self._clock()
         for held in self._others.values():
             for request in [item for item in held if self._ends_by[item] < now]:
-                self._count_out(request, held)
+                self._count_out(Ended(request), held)
 
     def drop_sender(self, name: str) -> None:
         """Drop all requests of a gateway that has gone."""
         held = self._others.pop(name, {})
         for request in list(held):
-            self._count_out(request, held)
+            self._count_out(Ended(request), held)
 
-    def _count_in(self, placed: Placed, held: dict[int, float], now: float) -> None:
+    def _count_in(
+        self, placed: Placed, held: dict[int, float], now: float, known: Service | None = None
+    ) -> None:
         if placed.request in held:
             if placed.began:
-                self._fleet.begin(placed.request, now)
+                self._fleet.begin(Began(placed.request), now)
             return
-        service = self._service_of(placed.upstream)
+        service = known or self._service_of(placed.upstream)
         if service is None:
             return
         held[placed.request] = now
@@ -171,7 +212,13 @@
         if not placed.age:
             self._fleet.pace(service.name).note_reading(placed.reading)
 
-    def _count_out(self, request: int, held: dict[int, float]) -> None:
-        held.pop(request, None)
-        self._ends_by.pop(request, None)
-        self._fleet.end(request, self._clock())
+    def _count_out(self, ended: Ended, held: dict[int, float], near: bool = True) -> None:
+        held.pop(ended.request, None)
+        self._ends_by.pop(ended.request, None)
+        self._fleet.end(ended, self._clock(), near)
+
+
+def _started(sender: str, running: list[tuple[Placed, float]], now: float) -> Load:
+    """Return news of requests that run since some moments."""
+    placed = tuple(replace(item, age=max(_LEAST_AGE, now - since)) for item, since in running)
+    return Load(sender, False, placed=placed)
--- a/src/lotushill/standin/settings.py
+++ b/src/lotushill/standin/settings.py
@@ -4,8 +4,8 @@
 
 from typing import Literal
 
+from lotushill.contracts.address import Address
 from lotushill.contracts.document import Document
-from lotushill.links.address import Address
 
 
 class StandinSettings(Document):
--- a/tests/contracts/test_document_fuzz.py
+++ b/tests/contracts/test_document_fuzz.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 
 from lotushill.contracts.document import check
-from lotushill.contracts.document import parse
-from lotushill.contracts.document import write
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.contracts.tree import Root
 from lotushill.contracts.tree import TeamSettings
+from lotushill.contracts.yaml_text import parse
+from lotushill.contracts.yaml_text import write
 
 SCALARS = st.none() | st.booleans() | st.integers(-5, 10**12) | st.text("ab:{-", max_size=6)
 KEYS = st.sampled_from(
--- /dev/null
+++ b/tests/gateway/test_settings_file.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.contracts.exceptions import SettingsError
+from lotushill.gateway.settings import GatewaySettings
+from lotushill.gateway.settings import RetrySettings
+from lotushill.gateway.settings_file import check_settings
+from lotushill.gateway.settings_file import read_settings
+
+PLAIN: dict[str, Any] = {
+    "name": "gw",
+    "hall": "h",
+    "region": "r",
+    "clients": "10.0.0.1:80",
+    "readiness": "10.0.0.1:81",
+    "peers": "10.0.0.1:82",
+    "store": "10.0.1.1:83",
+}
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+)
+
+
+def faults(value: Any) -> dict[str, str]:
+    try:
+        check_settings(value, "file")
+    except SettingsError as error:
+        return {fault.path: fault.reason for fault in error.faults}
+    return {}
+
+
+class TestSettingsFile(unittest.TestCase):
+    def test_what_is_left_out_has_its_default_and_unknown_keys_are_passed_over(self) -> None:
+        found = check_settings({**PLAIN, "new_key": 1, "retry": {"slack": 5}}, "file")
+        self.assertEqual(8.0, found.grace_seconds)
+        self.assertEqual(RetrySettings(slack=5.0), found.retry)
+
+    def test_each_fault_is_told_by_its_path(self) -> None:
+        wrong = {
+            **PLAIN,
+            "hall": "",
+            "peers": "nowhere",
+            "grace_seconds": 0,
+            "retry": {"ratio": -1},
+        }
+        del wrong["name"]
+        self.assertEqual(
+            {"name", "hall", "peers", "grace_seconds", "retry.ratio"}, set(faults(wrong))
+        )
+
+    def test_an_amount_may_be_zero_and_a_time_may_not(self) -> None:
+        self.assertEqual({}, faults({**PLAIN, "leave_seconds": 0}))
+        for wrong in (0, -1, True, "8", float("nan"), float("inf"), None):
+            self.assertEqual({"recent_seconds"}, set(faults({**PLAIN, "recent_seconds": wrong})))
+
+    @given(ANYTHING)
+    def test_anything_else_is_a_typed_fault(self, value: Any) -> None:
+        self.assertTrue(faults(value))
+
+    @given(st.sampled_from(sorted(PLAIN)), ANYTHING)
+    def test_any_value_is_taken_or_told(self, key: str, value: Any) -> None:
+        found = faults({**PLAIN, key: value})
+        self.assertLessEqual(set(found), {key})
+
+    def test_json_and_yaml_read_alike(self) -> None:
+        yaml = "\n".join(f'{key}: "{value}"' for key, value in PLAIN.items())
+        flow = "{" + ", ".join(f'{key}: "{value}"' for key, value in PLAIN.items()) + "}"
+        found: list[GatewaySettings] = []
+        for text in (json.dumps(PLAIN), yaml, flow):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "gateway.yaml"
+                path.write_text(text, encoding="utf-8")
+                found.append(read_settings(path))
+        self.assertEqual([found[0]] * 3, found)
--- /dev/null
+++ b/tests/gateway/test_start.py
@@ -0,0 +1,43 @@
+"""What a gateway loads until it serves: all hosts may come back at once, with little processor.
+
+With the models of the settings tree, the metrics' library and the YAML library loaded, a start took
+0.42 s of processor time where a bare interpreter with a loop and a socket took 0.08 s; without them
+0.27 s (best of twelve, in turns).
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+
+LATER = ("pydantic", "pydantic_core", "prometheus_client", "ruamel", "numpy", "matplotlib")
+"""Libraries that are loaded when something asks for them, if at all."""
+_PROGRAM = """
+import sys
+from lotushill.console.gateway import main
+from lotushill.console import program
+from lotushill.gateway.settings_file import check_settings
+from lotushill.gateway.gateway import Gateway
+
+address = "127.0.0.1:0"
+Gateway(
+    check_settings(
+        dict(name="g", hall="h", region="r", clients=address, readiness=address,
+             peers=address, store="127.0.0.1:1"),
+        "test",
+    ),
+    lambda: None,
+)
+print(" ".join(sorted({name.partition(".")[0] for name in sys.modules})))
+"""
+
+
+class TestStart(unittest.TestCase):
+    def test_what_serving_does_not_need_is_not_loaded(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-c", _PROGRAM], capture_output=True, text=True, check=True
+        )
+        loaded = set(done.stdout.split())
+        self.assertIn("lotushill", loaded)
+        self.assertEqual(set(), loaded & set(LATER))
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of who places for whom."""
+
+from __future__ import annotations
