Keep the retry budgets of a fleet exact while gateways come, start again and are cut off

Cause: each gateway took the budget's slack divided by the members that it had seen. One that had just started had seen none, and took all of it; one that started again had forgotten what it spent in the same window; a hall that was cut off and restarted divided by its own members.

Change: the slack is divided by the gateways registered in the store or seen, whichever are more, and not taken at all before the store has told, nor in the first window of a process; the share of a gateway's own requests is always its own. A property test draws joins, restarts and bursts over up to 40 gateways and holds every window; it fails without the change. The open line of the fault matrix is closed.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -363,6 +363,13 @@
         "from lotushill.contracts.tree import Root\n",
         "tests.gateway.test_start",
     ),
+    Break(
+        "a gateway that starts again does not spend its part twice",
+        "gateway/retry_budget.py",
+        "if not gateways or now - self._started < self._window:",
+        "if not gateways:",
+        "tests.gateway.test_retry_budget",
+    ),
     Break(
         "gateway: a slow head is ended",
         "gateway/client_protocol.py",
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -104,7 +104,7 @@
         )
         self.pool = UpstreamPool(request_head.answered_id, self._most_idle)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
-        self.budgets = RetryBudgets(settings.retry, self.peers.count)
+        self.budgets = RetryBudgets(settings.retry, self._sharing, time.monotonic())
         self.front = Front(
             GatewayParts(
                 name=settings.name,
@@ -242,6 +242,14 @@
             lambda: self.views.configuration.revision,
         )
 
+    def _sharing(self) -> int:
+        """Return how many gateways there may be, 0 while the store has not told.
+
+        Members that are heard alone may be one hall of many, which is cut off.
+        """
+        listed = self.registration.listed
+        return max(listed, self.peers.count()) if listed else 0
+
     def _schedules(self) -> float:
         return float(self.peers.schedulers.schedules())
 
--- a/src/lotushill/gateway/retry_budgets.py
+++ b/src/lotushill/gateway/retry_budgets.py
@@ -15,7 +15,14 @@
 class RetryBudgets:
     """A budget a service, divided by the number of gateways."""
 
-    def __init__(self, settings: RetrySettings, gateways: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        settings: RetrySettings,
+        gateways: Callable[[], int],
+        started: float = float("-inf"),
+    ) -> None:
+        """Share with `gateways` (0 while their number is not known) since the process `started`."""
+        self._started = started
         self._settings = settings
         self._gateways = gateways
         self._budgets: dict[str, RetryBudget] = {}
@@ -38,6 +45,8 @@
         found = self._budgets.get(service)
         if found is None:
             settings = self._settings
-            found = RetryBudget(settings.ratio, settings.slack, settings.window_seconds)
+            found = RetryBudget(
+                settings.ratio, settings.slack, settings.window_seconds, self._started
+            )
             self._budgets[service] = found
         return found
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -175,8 +175,12 @@
             ),
             Case(
                 "gateways cut off from each other, or newly started",
-                (),
-                "each divides by the gateways that it has ever seen; days of the bench alone",
+                (
+                    "tests.gateway.test_retry_budget.TestFleetOfBudgets."
+                    "test_the_sum_holds_while_gateways_come_and_start_again",
+                    "tests.gateway.test_retry_budget.TestFleetOfBudgets."
+                    "test_without_the_number_of_gateways_only_the_share_of_own_requests_is_spent",
+                ),
             ),
         ),
     ),
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -45,3 +45,80 @@
         self.assertTrue(0 < granted <= 10)
         self.assertFalse(budget.spend(1, WINDOW / 2))
         self.assertTrue(budget.spend(1, WINDOW * 1.5))
+
+
+_EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["burst", "burst", "requests", "restart", "join"]),
+        st.integers(0, 50),
+        st.floats(0, 4.0),
+    ),
+    max_size=60,
+)
+NOTICED_SECONDS = 4.0
+"""Until all members hold a newcomer (tests/membership/test_large_fleet.py)."""
+
+
+class SharedBudget:
+    """Gateways that come, start again and are cut off, each with its part of one budget."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 100.0
+        self.joined = [0.0] * count
+        self.budgets = [RetryBudget(RATIO, SLACK, WINDOW) for _ in range(count)]
+        self.requests: list[float] = []
+        self.repeats: list[float] = []
+
+    def known(self, gateway: int) -> int:
+        """Return of how many gateways one knows: late, and 0 just after its start."""
+        return sum(
+            at <= self.now - NOTICED_SECONDS or other == gateway
+            for other, at in enumerate(self.joined)
+        )
+
+    def start(self, gateway: int) -> None:
+        """Start a gateway, or start it again without what it has counted."""
+        self.budgets[gateway : gateway + 1] = [RetryBudget(RATIO, SLACK, WINDOW, self.now)]
+
+    def burst(self, gateway: int) -> None:
+        """Have a gateway take all that it is given."""
+        while self.budgets[gateway].spend(self.known(gateway), self.now):
+            self.repeats.append(self.now)
+
+    def within_the_budget(self) -> bool:
+        """Return whether the last window holds no more repeats than are allowed."""
+        since = self.now - WINDOW
+        repeats = sum(at >= since for at in self.repeats)
+        return repeats <= RATIO * sum(at >= since for at in self.requests) + SLACK
+
+
+class TestFleetOfBudgets(unittest.TestCase):
+    @given(st.integers(1, 40), _EVENTS)
+    def test_the_sum_holds_while_gateways_come_and_start_again(
+        self, count: int, events: list[tuple[str, int, float]]
+    ) -> None:
+        fleet = SharedBudget(count)
+        for what, number, pause in events:
+            fleet.now += pause
+            gateway = number % len(fleet.budgets)
+            if what == "burst":
+                for item in range(len(fleet.budgets)):
+                    fleet.burst(item)
+            elif what == "requests":
+                for _ in range(number):
+                    fleet.budgets[gateway].note_request(fleet.now)
+                    fleet.requests.append(fleet.now)
+            elif what == "restart":
+                fleet.start(gateway)
+            else:
+                fleet.joined.append(fleet.now)
+                fleet.budgets.append(RetryBudget(RATIO, SLACK, WINDOW, fleet.now))
+            self.assertTrue(fleet.within_the_budget())
+
+    def test_without_the_number_of_gateways_only_the_share_of_own_requests_is_spent(self) -> None:
+        budget = RetryBudget(RATIO, SLACK, WINDOW)
+        self.assertFalse(budget.spend(0, 0.0))
+        for _ in range(100):
+            budget.note_request(0.0)
+        granted = sum(budget.spend(0, 0.0) for _ in range(100))
+        self.assertTrue(0 < granted <= RATIO * 100)
