--- a/src/lotushill/__init__.py
+++ b/src/lotushill/__init__.py
@@ -2,4 +2,4 @@
 
 from __future__ import annotations
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
