--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -179,7 +179,7 @@
 
     def tell_load(self, load: Load) -> None:
         """Tell the schedulers of requests placed and ended."""
-        self._relay.tell(pack(load), self._clock())
+        self._relay.tell(pack(load), load.number, self._clock())
 
     def _take_records(self, records: bytes) -> None:
         try:
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -104,3 +104,13 @@
     paced: tuple[Paced, ...] = ()
     ended: tuple[Ended, ...] = ()
     running: tuple[int, ...] = ()
+
+    @property
+    def number(self) -> int:
+        """Return the number of the request that is told of, 0 where it is a list of all."""
+        if self.whole:
+            return 0
+        for told in (self.placed, self.began, self.paced, self.ended):
+            for item in told:
+                return item.request
+        return 0
--- a/src/lotushill/scheduling/load_relay.py
+++ b/src/lotushill/scheduling/load_relay.py
@@ -51,12 +51,15 @@
         """Return when something waits to be passed on."""
         await self._something.wait()
 
-    def tell(self, records: bytes, now: float) -> None:
-        """Tell all schedulers, through one of them where this gateway is none."""
+    def tell(self, records: bytes, turn: int, now: float) -> None:
+        """Tell all schedulers, through one of them where this gateway is none.
+
+        `turn` is the number of the request: its news go to the scheduler that was asked for it.
+        """
         if self._schedulers.schedules():
             self.collect(records, now)
             return
-        order = self._schedulers.in_order(now)
+        order = self._schedulers.in_order(now, turn)
         if order:
             self._send(LoadNews(records), order[0].address)
 
--- a/src/lotushill/scheduling/placement_client.py
+++ b/src/lotushill/scheduling/placement_client.py
@@ -45,10 +45,12 @@
 
         `make` returns the ask with a new number each time, so that late answers are told apart.
         """
-        for scheduler in self._schedulers.in_order(self._clock())[:MOST_ASKED]:
-            answer = await self._ask_one(make(), scheduler.name, scheduler.address)
+        ask = make()
+        for scheduler in self._schedulers.in_order(self._clock(), ask.request)[:MOST_ASKED]:
+            answer = await self._ask_one(ask, scheduler.name, scheduler.address)
             if answer is not None and answer.refusal != UNREADY:
                 return answer
+            ask = make()
         return None
 
     def receive(self, answer: PlacementAnswer) -> None:
--- a/src/lotushill/scheduling/schedulers.py
+++ b/src/lotushill/scheduling/schedulers.py
@@ -21,7 +21,7 @@
 """Gateways up to which everybody schedules: hearing some 100 requests a second is then cheaper than
 asking for each of ten that a gateway has itself."""
 SCHEDULERS = 2
-"""In each hall: the first places, and the second holds the model as well, should the first fail."""
+"""In each hall: they share its requests, and one goes on should the other fail."""
 _SILENT_SECONDS = 0.7
 """A scheduler that did not answer is asked last for so long: by then a lost one is suspected."""
 _KEY = "scheduler"
@@ -63,14 +63,18 @@
         """Note that a scheduler answers."""
         self._silent.pop(name, None)
 
-    def in_order(self, now: float) -> list[MemberState]:
-        """Return whom this gateway asks: its hall's in order, then the first of other halls.
+    def in_order(self, now: float, turn: int = 0) -> list[MemberState]:
+        """Return whom this gateway asks: its hall's, then the first of other halls.
 
-        Those that were silent lately come last.
+        `turn`, the number of a request, spreads them over the schedulers of the hall: one that
+        answers all of a burst is late on a weak host. Those that were silent lately come last.
         """
         self._look()
         own = self._membership.own
         near = [name for name in self._halls.get(own.hall, ()) if name != own.name]
+        if near:
+            first = turn % len(near)
+            near = near[first:] + near[:first]
         far = [order[0] for hall, order in self._halls.items() if hall != own.hall and order]
         order = sorted((*near, *far), key=lambda name: self._silent.get(name, now) > now)
         return self._found(order)
--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import unittest
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -63,13 +64,21 @@
     async def test_the_first_scheduler_of_the_own_hall_is_asked(self) -> None:
         answer = await self.client.ask(self.make)
         assert answer is not None
-        first = self.schedulers.in_order(0.0)[0]
+        first = self.schedulers.in_order(0.0, 1)[0]
         self.assertEqual(self.membership.own.hall, first.hall)
         self.assertEqual([(first.name, 1)], self.asked)
         self.assertEqual("b0", answer.upstream)
 
+    async def test_requests_are_spread_over_the_schedulers_of_the_hall(self) -> None:
+        for _ in range(10):
+            await self.client.ask(self.make)
+        counts = Counter(name for name, _ in self.asked)
+        self.assertEqual([5, 5], sorted(counts.values()))
+        for name, number in self.asked:
+            self.assertEqual(name, self.schedulers.in_order(0.0, number)[0].name)
+
     async def test_a_silent_scheduler_is_passed_over(self) -> None:
-        first, second, *_ = self.schedulers.in_order(0.0)
+        first, second, *_ = self.schedulers.in_order(0.0, 1)
         self.answering = lambda name, ask: (
             None if name == first.name else PlacementAnswer(name, ask.request, "b1")
         )
@@ -80,7 +89,7 @@
         self.assertEqual([first.name, *[second.name] * 3], [name for name, _ in self.asked])
 
     async def test_one_that_cannot_tell_yet_is_passed_over_at_once(self) -> None:
-        first, second, *_ = self.schedulers.in_order(0.0)
+        first, second, *_ = self.schedulers.in_order(0.0, 1)
         self.answering = lambda name, ask: PlacementAnswer(
             name, ask.request, *(("", UNREADY) if name == first.name else ("b1",))
         )
