Let one gateway report usage and order engines for all, held by an object of the store

Cause: nobody did the duties.

Change: package duties/. A lease on one object of the store, its revision at the take being the fencing token; counts of requests that began at an upstream, asked for by the holder and one candidate beside it, put together so that those of lost gateways stay; counts of a window recorded in the store before they are reported, and never changed after; engines ordered by the requests in progress, most of them such that may be taken away. True time is the median of all hosts' clocks.

Weighed: a lease renewed by membership alone (no takeover while the store is cut off, and no place for the counts), and each act as the renewal (a window lasts five seconds, longer than the lease). Counts by the candidates' polls of stale answers cost a tenth of a call. Counts held by the holder alone lost 15% of a window when it was killed (test), hence the second one that asks.

--- a/src/lotushill/contracts/editor.py
+++ b/src/lotushill/contracts/editor.py
@@ -48,11 +48,11 @@
         """Return one object, None if there is none."""
         ...
 
-    async def create(self, kind: str, name: str, spec: Any) -> None:
+    async def create(self, kind: str, name: str, spec: Any) -> object:
         """Make an object that is not there."""
         ...
 
-    async def replace(self, kind: str, name: str, spec: Any, revision: int | None = None) -> None:
+    async def replace(self, kind: str, name: str, spec: Any, revision: int | None = None) -> object:
         """Replace an object at a revision."""
         ...
 
--- /dev/null
+++ b/src/lotushill/duties/work_counts.py
@@ -0,0 +1,89 @@
+"""What one gateway counts of its requests for the holder of the duties."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from lotushill.links.messages import ServiceDemand
+from lotushill.links.messages import TeamCount
+from lotushill.links.messages import WorkPage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from lotushill.duties.true_time import TrueTime
+
+_WINDOWS_KEPT = 16
+"""Windows that a holder may still ask for."""
+_MOST_COUNTS = 40
+"""Counts told in one datagram."""
+
+
+class WorkCounts:
+    """Requests that began at an upstream, by team and window; and those in progress."""
+
+    def __init__(
+        self, name: str, window_seconds: float, time: TrueTime, clock: Callable[[], float]
+    ) -> None:
+        """Count for the gateway `name`; a window is so many seconds of true time."""
+        self._name = name
+        self._window_seconds = window_seconds
+        self._time = time
+        self._clock = clock
+        self._started = clock()
+        self._windows: defaultdict[int, Counter[str]] = defaultdict(Counter)
+        self._running: Counter[str] = Counter()
+        self._unserved: Counter[str] = Counter()
+
+    def window(self) -> int:
+        """Return the number of the window that is open now."""
+        return int(self._time.now() // self._window_seconds)
+
+    def note_began(self, team: str) -> None:
+        """Count a request that began at an upstream now."""
+        if not team:
+            return
+        window = self.window()
+        if window not in self._windows:
+            self._forget(window)
+        self._windows[window][team] += 1
+
+    def enter(self, service: str) -> None:
+        """Count in a request that is to be served."""
+        self._running[service] += 1
+
+    def leave(self, service: str, served: bool) -> None:
+        """Count out a request."""
+        self._running[service] -= 1
+        self._unserved[service] += not served
+
+    def pages(self, since: int) -> Iterator[WorkPage]:
+        """Yield what is known of the windows from `since` on, in parts that fit a datagram.
+
+        Counts only ever rise, so that pages may be lost, come twice or in any order.
+        """
+        counts = [
+            TeamCount(window, team, count)
+            for window, teams in self._windows.items()
+            if window >= since
+            for team, count in teams.items()
+        ]
+        demand = tuple(
+            ServiceDemand(service, max(0, running), self._unserved[service])
+            for service, running in self._running.items()
+        )
+        for at in range(0, max(1, len(counts)), _MOST_COUNTS):
+            yield WorkPage(
+                self._name,
+                age=self._clock() - self._started,
+                wall=self._time.wall(),
+                counts=tuple(counts[at : at + _MOST_COUNTS]),
+                demand=demand if at == 0 else (),
+            )
+
+    def _forget(self, newest: int) -> None:
+        for window in [item for item in self._windows if item <= newest - _WINDOWS_KEPT]:
+            del self._windows[window]
--- a/src/lotushill/gateway/attempt_news.py
+++ b/src/lotushill/gateway/attempt_news.py
@@ -9,6 +9,8 @@
 from lotushill.placement.messages import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lotushill.scheduling.shared_load import SharedLoad
 
 _PACE_RANK = 2
@@ -25,15 +27,18 @@
 class AttemptNews:
     """Tells of one attempt by its number."""
 
-    def __init__(self, shared_load: SharedLoad, request: int) -> None:
+    def __init__(self, shared_load: SharedLoad, request: int, on_ran: Callable[[], None]) -> None:
+        """Tell of the attempt `request`; `on_ran` hears that an upstream ran it."""
         self._shared_load = shared_load
         self._request = request
+        self._on_ran = on_ran
         self._pauses: list[float] = []
         self._began = False
 
     def began(self, seconds: float) -> None:
         """Tell of the first event, so long after the request was sent."""
         self._began = True
+        self._on_ran()
         self._shared_load.begin(self._request, seconds)
 
     def paused(self, seconds: float) -> None:
@@ -56,4 +61,6 @@
             outcome = Outcome.CUT if self._began else Outcome.FAILED
         else:
             outcome = _OUTCOMES[kind]
+            if kind is EndKind.FAILED:
+                self._on_ran()
         self._shared_load.end(self._request, outcome, seconds)
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -54,6 +54,8 @@
         self._rejected = 0
         self._asked = False
         """Whether an upstream was looked for before."""
+        self._counted = False
+        """Whether the request was counted as begun."""
         self.runs = 0
         """Upstreams that may have run the request."""
         self.outcome = "open"
@@ -167,7 +169,7 @@
             placement.placed, self._request.service, told=bool(placement.scheduler)
         )
         self.runs += 1
-        news = AttemptNews(self._parts.shared_load, number)
+        news = AttemptNews(self._parts.shared_load, number, self._note_ran)
         attempt = Attempt(self._parts, self._request, choice, self._answer, self._splitter, news)
         kind = None
         try:
@@ -186,6 +188,11 @@
             self._note("attempt.ended", upstream=self.upstream, kind=end.kind.value, why=end.detail)
         return end
 
+    def _note_ran(self) -> None:
+        if not self._counted:
+            self._counted = True
+            self._parts.work.note_began(self._request.team)
+
     def _note_choice(self, placement: Placement) -> None:
         choice = placement.choice
         self._note(
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -98,6 +98,7 @@
         loop = asyncio.get_running_loop()
         connection = cast("ClientProtocol", scope[CONNECTION])
         exchange = Exchange(self._parts, request, answer)
+        self._parts.work.enter(request.service.name)
         with anyio.CancelScope(deadline=request.ends) as cancel:
             connection.on_lost = cancel.cancel
             try:
@@ -118,6 +119,7 @@
             else:
                 await exchange.time_out()
         took = loop.time() - request.arrived
+        self._parts.work.leave(request.service.name, exchange.outcome == "whole")
         self._parts.metrics.note_request(request.service.name, exchange.outcome, took)
         self._parts.log.note(
             "request.ended",
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from lotushill.contracts.settings_view import SettingsView
+    from lotushill.duties.work_counts import WorkCounts
     from lotushill.event_log import EventLog
     from lotushill.gateway.metrics import Metrics
     from lotushill.gateway.retry_budgets import RetryBudgets
@@ -34,6 +35,7 @@
     placer: Placer
     pool: UpstreamPool
     budgets: RetryBudgets
+    work: WorkCounts
     log: EventLog
     metrics: Metrics
     rng: random.Random
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -36,6 +36,8 @@
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.messages import WorkPage
+from lotushill.links.messages import WorkPull
 from lotushill.links.peer_links import PeerLinks
 from lotushill.links.seal import Seal
 from lotushill.membership.membership import Membership
@@ -87,6 +89,10 @@
     """Places a request for another gateway."""
     on_late: Callable[[int], None]
     """Hears of a request that was placed too late to be sent."""
+    on_work_pull: Callable[[WorkPull], Iterable[WorkPage]]
+    """Tells what this gateway counted."""
+    on_work_page: Callable[[WorkPage], None]
+    """Hears what another gateway counted."""
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -181,6 +187,10 @@
         """Tell the schedulers of requests placed and ended."""
         self._relay.tell(pack(load), load.number, self._clock())
 
+    def send_work(self, message: WorkPull | WorkPage, address: str) -> None:
+        """Ask for counts, or tell them."""
+        self._send_message(message, address)
+
     def _take_records(self, records: bytes) -> None:
         try:
             loads = unpack(records, self._hooks.upstream_id)
@@ -212,6 +222,11 @@
             self._send_message(answer, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, PlacementAnswer):
             self.client.receive(message)
+        elif isinstance(message, WorkPull):
+            for page in self._hooks.on_work_pull(message):
+                self.send_work(page, f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, WorkPage):
+            self._hooks.on_work_page(message)
         elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
             source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
--- a/src/lotushill/gateway/settings.py
+++ b/src/lotushill/gateway/settings.py
@@ -16,6 +16,7 @@
 """Above 0."""
 Amount = float
 """0 or more."""
+Flag = bool
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,22 @@
     window_seconds: Seconds = 10.0
 
 
+@dataclass(frozen=True)
+class DutySettings:
+    """What one gateway does for the whole fleet, where the platform asks for it."""
+
+    address: Address
+    """Where the platform takes reports and orders."""
+    lease_seconds: Seconds = 3.0
+    """How long others wait for a holder that is not heard before they take over."""
+    fenced: Flag = False
+    """Whether the platform refuses calls with an older token."""
+    report_window_seconds: Seconds = 5.0
+    """One report of usage covers so much true time."""
+    reports_usage: Flag = True
+    orders_engines: Flag = True
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """Settings of one gateway."""
@@ -52,3 +69,5 @@
     recent_seconds: Seconds = 10.0
     """A shared prompt part used within so long is worth being found again."""
     retry: RetrySettings = RetrySettings()
+    duties: DutySettings | None = None
+    """None where the platform has no such calls."""
--- a/src/lotushill/gateway/settings_file.py
+++ b/src/lotushill/gateway/settings_file.py
@@ -12,6 +12,7 @@
 from lotushill.contracts.exceptions import Fault
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.contracts.yaml_text import parse_file
+from lotushill.gateway.settings import DutySettings
 from lotushill.gateway.settings import GatewaySettings
 from lotushill.gateway.settings import RetrySettings
 from lotushill.links.address import split_address
@@ -22,7 +23,7 @@
 _MOST_SHOWN = 80
 """Characters of a value at fault."""
 
-S = TypeVar("S", GatewaySettings, RetrySettings)
+S = TypeVar("S", GatewaySettings, RetrySettings, DutySettings)
 
 
 class _ValueError(Exception):
@@ -69,6 +70,10 @@
     """Return a value of a kind, which is the name that the field's annotation gives it."""
     if kind == "RetrySettings":
         return _section(RetrySettings, value, path, faults)
+    if kind == "DutySettings | None":
+        return None if value is None else _section(DutySettings, value, path, faults)
+    if kind == "Flag":
+        return _flag(value)
     if kind in ("Text", "Address"):
         return _text(value, is_address=kind == "Address")
     return _number(value, may_be_zero=kind == "Amount")
@@ -85,6 +90,12 @@
     return value
 
 
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise _ValueError("has to be true or false")
+    return value
+
+
 def _number(value: Any, may_be_zero: bool) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise _ValueError("has to be a number")
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -26,6 +26,8 @@
 from lotushill.links.messages import RosterPull
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.messages import WorkPage
+from lotushill.links.messages import WorkPull
 
 Message = (
     Ping
@@ -38,6 +40,8 @@
     | ModelPage
     | PlacementAsk
     | PlacementAnswer
+    | WorkPull
+    | WorkPage
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -169,6 +173,8 @@
     ModelPage,
     PlacementAsk,
     PlacementAnswer,
+    WorkPull,
+    WorkPage,
 )
 _SHAPES = {kind: _Shape(kind) for kind in _KINDS}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -105,6 +105,32 @@
   members @1 :List(MemberState);
 }
 
+struct WorkPull {
+  sender @0 :Text;
+  since @1 :Int64;
+  now @2 :Float64;
+}
+
+struct TeamCount {
+  window @0 :Int64;
+  team @1 :Text;
+  count @2 :UInt32;
+}
+
+struct ServiceDemand {
+  service @0 :Text;
+  running @1 :UInt32;
+  unserved @2 :UInt32;
+}
+
+struct WorkPage {
+  sender @0 :Text;
+  age @1 :Float64;
+  wall @2 :Float64;
+  counts @3 :List(TeamCount);
+  demand @4 :List(ServiceDemand);
+}
+
 struct Frame {
   union {
     ping @0 :Ping;
@@ -117,5 +143,7 @@
     modelpage @7 :ModelPage;
     placementask @8 :PlacementAsk;
     placementanswer @9 :PlacementAnswer;
+    workpull @10 :WorkPull;
+    workpage @11 :WorkPage;
   }
 }
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -183,6 +183,50 @@
     known: int = 0
 
 
+@dataclass(frozen=True)
+class WorkPull:
+    """Asks a gateway what it counted for the holder of the duties."""
+
+    sender: str
+    since: int
+    """The first window of usage that is of interest."""
+    now: float
+    """True time in seconds since 1970, as the sender works it out from many clocks."""
+
+
+@dataclass(frozen=True)
+class TeamCount:
+    """Requests of a team that began at an upstream in one window of usage."""
+
+    window: int
+    team: str
+    count: int
+
+
+@dataclass(frozen=True)
+class ServiceDemand:
+    """What one gateway has to do for a service."""
+
+    service: str
+    running: int
+    """Requests in progress, those that wait included."""
+    unserved: int
+    """Requests so far that ended without a whole answer."""
+
+
+@dataclass(frozen=True)
+class WorkPage:
+    """What a gateway counted, or a part of it."""
+
+    sender: str
+    age: float
+    """Seconds since its process started."""
+    wall: float
+    """What its host's clock shows, in seconds since 1970."""
+    counts: tuple[TeamCount, ...] = ()
+    demand: tuple[ServiceDemand, ...] = ()
+
+
 @dataclass(frozen=True)
 class RosterPull:
     """Asks a member for the members by which its roster differs from the sender's."""
--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -10,6 +10,7 @@
 from lotushill.routing.route import RouteKind
 from lotushill.routing.route import WeightedService
 from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import ScalingProfile
 from lotushill.routing.service import Service
 from lotushill.routing.table import RoutingTable
 from lotushill.routing.team import Team
@@ -61,10 +62,22 @@
 
 def _service(item: dict[str, Any]) -> Service:
     engine = item.get("engine")
+    scaling = item.get("autoscale")
     return Service(
         name=str(item["name"]),
         max_connections=int(item.get("maxConns") or 64),
         engine=_engine(engine) if engine else None,
+        scaling=_scaling(scaling) if scaling else None,
+    )
+
+
+def _scaling(item: dict[str, Any]) -> ScalingProfile:
+    price = item.get("spotPrice")
+    return ScalingProfile(
+        least=max(0, int(item.get("min") or 0)),
+        most=int(item["max"]),
+        boot_seconds=float(item.get("bootS") or 0.0),
+        reclaimable_price=None if price is None else float(price),
     )
 
 
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -20,6 +20,10 @@
 KV_FETCH = "kv-fetch"
 KV_FROM = "kv-from"
 
+# Headers of calls that one gateway makes for the whole fleet, in lower case.
+LEASE_HOLDER = "lease-holder"
+FENCING_TOKEN = "fencing-token"
+
 # Headers of answers, in lower case.
 SIGNATURE = "response-signature"
 NOT_EXECUTED = "not-executed"
@@ -32,6 +36,10 @@
 BACKEND_KIND = "servers"
 DRAINING = "draining"
 
+# Calls that one gateway makes for the whole fleet.
+USAGE_PATH = "/usage"
+ORDER_PATH = "/scale"
+
 # Paths of backends.
 HEALTH_PATH = "/health"
 REPORT_PATH = "/report"
--- a/src/lotushill/platform/object_store.py
+++ b/src/lotushill/platform/object_store.py
@@ -58,9 +58,9 @@
                 return ObjectList(tuple(objects), first_revision)
             after = items[-1].name
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return one object, None if there is none."""
-        answer = await self._call("GET", f"/objects/{kind}/{quote(name)}")
+    async def get(self, kind: str, name: str, stale: bool = False) -> StoredObject | None:
+        """Return one object, None if there is none; a stale answer may be seconds old."""
+        answer = await self._call("GET", f"/objects/{kind}/{quote(name)}{'?stale=1' * stale}")
         return None if answer.status == _NOT_FOUND else _stored(answer.body)
 
     async def watch(self, kind: str, revision: int, seconds: float) -> tuple[list[Change], int]:
@@ -70,23 +70,32 @@
         changes = [Change(_stored(item["object"]), bool(item["gone"])) for item in body["events"]]
         return changes, int(body["at"])
 
-    async def create(self, kind: str, name: str, spec: Any) -> None:
-        """Make an object; raise RevisionConflictError if it is there."""
+    async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
+        """Make an object and return it; raise RevisionConflictError if it is there."""
         content = {"metadata": {"name": name}, "spec": spec}
-        await self._call("POST", f"/objects/{kind}", content)
+        return await self._write("POST", f"/objects/{kind}", content)
 
-    async def replace(self, kind: str, name: str, spec: Any, revision: int | None = None) -> None:
-        """Replace an object's spec, whatever it is or only at a revision."""
+    async def replace(
+        self, kind: str, name: str, spec: Any, revision: int | None = None
+    ) -> StoredObject:
+        """Replace an object's spec, whatever it is or only at a revision, and return it."""
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
             metadata["revision"] = revision
         content = {"metadata": metadata, "spec": spec}
-        await self._call("PUT", f"/objects/{kind}/{quote(name)}", content)
+        return await self._write("PUT", f"/objects/{kind}/{quote(name)}", content)
 
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
         await self._call("DELETE", f"/objects/{kind}/{quote(name)}")
 
+    async def _write(self, method: str, path: str, content: Any) -> StoredObject:
+        answer = await self._call(method, path, content)
+        try:
+            return _stored(answer.body)
+        except (KeyError, TypeError, ValueError) as error:
+            raise StoreUnavailableError(f"no object in the answer: {error!r}") from error
+
     async def _call(
         self, method: str, path: str, content: Any = None, patience: float = _ANSWER_SECONDS
     ) -> _Answer:
--- a/src/lotushill/routing/service.py
+++ b/src/lotushill/routing/service.py
@@ -23,6 +23,19 @@
     """Whether an engine can copy a run's memory to another one while it grows."""
 
 
+@dataclass(frozen=True)
+class ScalingProfile:
+    """Within what bounds engines of a service may be ordered."""
+
+    least: int
+    """Engines in one hall, of both kinds together."""
+    most: int
+    boot_seconds: float
+    """From an order until its engines serve."""
+    reclaimable_price: float | None
+    """Price of an engine that may be taken away, as a share of an ordinary one; None for none."""
+
+
 @dataclass(frozen=True)
 class Service:
     """One service; `engine` is None for a plain service."""
@@ -31,3 +44,5 @@
     max_connections: int
     """Connections that one upstream accepts from all gateways together."""
     engine: EngineProfile | None
+    scaling: ScalingProfile | None = None
+    """None where its engines cannot be ordered."""
--- /dev/null
+++ b/tests/duties/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.views."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/duties/test_duty_keeper.py
@@ -0,0 +1,308 @@
+"""Duties over many gateways: one holder, each window reported once, engines ordered."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lotushill.duties.duty_record import from_spec
+from tests.duties.virtual_duties import LEASE
+from tests.duties.virtual_duties import Node
+from tests.duties.virtual_duties import World
+from tests.duties.virtual_time import run_virtual
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    AsyncTest = Callable[["TestDuties"], Coroutine[None, None, None]]
+
+
+def in_virtual_time(test: AsyncTest) -> Callable[[TestDuties], None]:
+    @functools.wraps(test)
+    def run(self: TestDuties) -> None:
+        run_virtual(test(self))
+
+    return run
+
+
+async def started(count: int = 5, fenced: bool = True, seed: int = 1) -> World:
+    world = World(count, fenced, seed)
+    for node in world.nodes:
+        node.start()
+    await world.serve(8.0)
+    return world
+
+
+class TestDuties(unittest.TestCase):
+    def check(self, world: World) -> None:
+        """Hold against what the platform saw what must always hold."""
+        self.assertEqual(world.platform.differing, [])
+        owners: dict[tuple[str, int], str] = {}
+        for call in world.platform.calls:
+            self.assertEqual(owners.setdefault((call.subject, call.token), call.node), call.node)
+        self.check_turns(world)
+
+    def check_turns(self, world: World) -> None:
+        """No holder acts, is followed by another, and acts again within a lease."""
+        by_subject: dict[str, list[tuple[str, float]]] = {}
+        for call in world.platform.calls:
+            if call.taken:
+                by_subject.setdefault(call.subject, []).append((call.node, call.at))
+        for calls in by_subject.values():
+            last: dict[str, float] = {}
+            for (before, _), (node, at) in zip([("", 0.0), *calls], calls):
+                if node != before and node in last:
+                    self.assertGreaterEqual(at - last[node], LEASE)
+                last[node] = at
+
+    @in_virtual_time
+    async def test_in_calm_times_every_window_is_reported_exactly(self) -> None:
+        world = await started()
+        await world.serve(60.0)
+        world.end()
+        self.assertGreater(len(world.closed_windows()), 8)
+        for window in world.closed_windows():
+            told, truth = world.platform.reports[window], world.truth[window]
+            for team, count in truth.items():
+                # One that begins within milliseconds of a border may count on either side.
+                self.assertAlmostEqual(told[team], count, delta=1)
+        self.assertEqual(len({call.node for call in world.platform.calls}), 1)
+        self.check(world)
+
+    @in_virtual_time
+    async def test_a_killed_holder_is_followed_and_no_window_is_missed(self) -> None:
+        world = await started()
+        for _ in range(3):
+            await world.serve(11.0)
+            holder = world.holder()
+            assert holder is not None
+            holder.kill()
+            await world.serve(3.0)
+            holder.start()
+        await world.serve(25.0)
+        world.end()
+        self.assertGreaterEqual(len({call.node for call in world.platform.calls}), 2)
+        self.assertEqual(world.wrong(), [])
+        self.check(world)
+
+    @in_virtual_time
+    async def test_a_stopped_holder_hands_over_within_a_second(self) -> None:
+        world = await started()
+        holder = world.holder()
+        assert holder is not None
+        await holder.stop()
+        await world.serve(2.5)
+        follower = world.holder()
+        world.end()
+        self.assertIsNotNone(follower)
+        self.assertIsNot(follower, holder)
+        self.check(world)
+
+    @in_virtual_time
+    async def test_after_all_power_is_lost_the_open_window_is_reported_from_the_store(
+        self,
+    ) -> None:
+        world = await started()
+        await world.serve(9.0)
+        for node in world.nodes:
+            node.kill()
+        await asyncio.sleep(1.0)
+        for node in world.nodes:
+            node.start()
+        await world.serve(30.0)
+        world.end()
+        # What began within the last second before is known to nobody.
+        self.assertLessEqual(len(world.wrong()), 1)
+        self.check(world)
+
+    @in_virtual_time
+    async def test_a_former_holder_that_wakes_up_changes_nothing(self) -> None:
+        for fenced in (True, False):
+            world = await started(fenced=fenced)
+            holder = world.holder()
+            assert holder is not None
+            holder.thawed.clear()
+            await world.serve(9.0)
+            holder.thawed.set()
+            await world.serve(20.0)
+            self.assertIsNot(world.holder(), holder)
+            world.end()
+            self.assertEqual(world.platform.differing, [])
+
+    @in_virtual_time
+    async def test_without_checked_tokens_a_holder_without_the_store_stops_acting(self) -> None:
+        world = await started(fenced=False)
+        holder = world.holder()
+        assert holder is not None
+        holder.store_cut = True
+        cut_at = world.now()
+        await world.serve(25.0)
+        world.end()
+        late = [
+            call
+            for call in world.platform.calls
+            if call.node == holder.name and call.at > cut_at + LEASE
+        ]
+        self.assertEqual(late, [])
+        self.check(world)
+
+    @in_virtual_time
+    async def test_a_holder_that_the_platform_does_not_answer_is_followed(self) -> None:
+        world = await started()
+        holder = world.holder()
+        assert holder is not None
+        holder.api_cut = True
+        await world.serve(40.0)
+        world.end()
+        self.assertLessEqual(len(world.wrong()), 1)
+        self.check(world)
+
+    @in_virtual_time
+    async def test_reports_that_are_carried_out_late_are_the_same(self) -> None:
+        world = await started()
+        world.platform.late_share = 0.5
+        await world.serve(15.0)
+        holder = world.holder()
+        assert holder is not None
+        holder.kill()
+        await world.serve(30.0)
+        world.end()
+        await asyncio.sleep(13.0)
+        self.check(world)
+
+    @in_virtual_time
+    async def test_writes_without_answers_make_no_second_holder(self) -> None:
+        world = await started()
+        world.lost_share = 0.4
+        await world.serve(30.0)
+        world.lost_share = 0.0
+        await world.serve(20.0)
+        world.end()
+        self.check(world)
+
+    @in_virtual_time
+    async def test_an_outage_of_the_store_costs_reports_and_never_doubles_one(self) -> None:
+        world = await started()
+        world.store_down = True
+        await world.serve(8.0)
+        world.store_down = False
+        await world.serve(25.0)
+        world.end()
+        self.assertLessEqual(len(world.wrong()), 2)
+        self.check(world)
+
+    @in_virtual_time
+    async def test_a_clock_that_is_seconds_off_shifts_no_window(self) -> None:
+        world = await started()
+        for node in world.nodes[:2]:
+            node.kill()
+            node.clock_step = 3.0
+            node.start()
+        await world.serve(2.0)
+        missed_before = int(1_700_000_000.0 + world.now()) // 5 + 1
+        await world.serve(40.0)
+        world.end()
+        self.assertEqual([item for item in world.wrong() if item[0] > missed_before], [])
+        self.check(world)
+
+    @in_virtual_time
+    async def test_ordinary_engines_give_way_to_reclaimable_ones(self) -> None:
+        world = await started()
+        await world.serve(20.0)
+        world.end()
+        engines = world.platform.engines
+        self.assertEqual({hall for hall, _ in engines}, {"east", "west"})
+        for hall in ("east", "west"):
+            self.assertGreater(engines[hall, True], engines[hall, False])
+
+    @in_virtual_time
+    async def test_a_new_holder_goes_on_from_what_was_ordered(self) -> None:
+        world = await started()
+        holder = world.holder()
+        assert holder is not None
+        before = dict(world.platform.engines)
+        holder.kill()
+        await world.serve(12.0)
+        world.end()
+        self.assertEqual(world.platform.engines, before)
+
+    def test_drawn_histories_keep_what_must_hold(self) -> None:
+        acts = st.tuples(
+            st.sampled_from(
+                ("kill", "stop", "freeze", "store", "api", "peers", "step", "lost", "late", "down")
+            ),
+            st.booleans(),
+            st.integers(0, 40),
+            st.floats(0.2, 9.0),
+        )
+
+        @settings(max_examples=40, deadline=None)
+        @given(st.integers(3, 9), st.booleans(), st.lists(acts, min_size=2, max_size=7))
+        def play(count: int, fenced: bool, plan: list[tuple[str, bool, int, float]]) -> None:
+            run_virtual(self.play(count, fenced, plan))
+
+        play()
+
+    async def play(
+        self, count: int, fenced: bool, plan: list[tuple[str, bool, int, float]]
+    ) -> None:
+        """Play faults one after another and overlapping; then all is well again."""
+        world = await started(count, fenced, seed=len(plan))
+        running: list[Awaitable[None]] = []
+        for kind, on_holder, index, seconds in plan:
+            node = (world.holder() if on_holder else None) or world.nodes[index % count]
+            running.append(asyncio.ensure_future(self.trouble(world, kind, node, seconds)))
+            await world.serve(seconds * 0.6, rate=10.0)
+        await asyncio.gather(*running)
+        await world.serve(26.0, rate=10.0)
+        newest = int(1_700_000_000.0 + world.now()) // 5 - 4
+        world.end()
+        await asyncio.sleep(13.0)
+        if fenced:
+            self.check(world)
+        else:
+            self.assertEqual(world.platform.differing, [])
+        # Once all is well the duties are done again.
+        self.assertEqual([item for item in world.wrong() if item[0] == newest], [])
+
+    async def trouble(self, world: World, kind: str, node: Node, seconds: float) -> None:
+        """Bring one trouble about for some time."""
+        if kind == "kill":
+            node.kill()
+        elif kind == "stop":
+            await node.stop()
+        elif kind == "freeze":
+            node.thawed.clear()
+        elif kind in ("store", "api", "peers"):
+            setattr(node, f"{kind}_cut", True)
+        elif kind == "step":
+            node.clock_step = 2.0
+        elif kind == "lost":
+            world.lost_share = 0.4
+        elif kind == "late":
+            world.platform.late_share = 0.5
+        else:
+            world.store_down = True
+        await asyncio.sleep(seconds)
+        node.thawed.set()
+        node.store_cut = node.api_cut = node.peers_cut = False
+        node.clock_step = 0.0
+        world.lost_share = world.platform.late_share = 0.0
+        world.store_down = False
+        if not node.alive:
+            node.start()
+
+
+class TestRecord(unittest.TestCase):
+    def test_what_cannot_be_read_is_no_record(self) -> None:
+        specs: tuple[object, ...] = (None, {}, {"holder": "a"}, [], {"holder": "a", "life": "x"})
+        for spec in specs:
+            self.assertIsNone(from_spec(spec))
--- /dev/null
+++ b/tests/duties/test_engine_sizing.py
@@ -0,0 +1,82 @@
+"""Orders of engines: bursts, halls that lose all their reclaimable engines, and calm."""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.duties.duty_record import StandingOrders
+from lotushill.duties.engine_sizing import EngineSizing
+from lotushill.duties.engine_sizing import HallEngines
+from lotushill.routing.service import ScalingProfile
+
+SLOTS = 12
+SCALING = ScalingProfile(1, 28, 4.0, 0.22)
+HALLS = ("a", "b", "c", "d")
+
+
+def standing(engines: int, ordered: StandingOrders | None = None) -> dict[str, HallEngines]:
+    return {hall: HallEngines(engines, ordered) for hall in HALLS}
+
+
+def total(orders: dict[str, StandingOrders]) -> int:
+    return sum(item.ordinary + item.reclaimable for item in orders.values())
+
+
+class TestEngineSizing(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sizing = EngineSizing(56, 0.0)
+
+    def test_before_any_demand_as_many_stand_as_were_set_up(
+        self,
+    ) -> None:
+        orders = self.sizing.orders(SCALING, SLOTS, standing(14), 1.0)
+        self.assertEqual(total(orders), 56)
+        self.assertGreater(orders["a"].reclaimable, orders["a"].ordinary)
+
+    def test_room_for_twice_the_demand_stands_before_a_burst(self) -> None:
+        for second in range(40):
+            self.sizing.note_demand(200, float(second))
+        wanted = self.sizing.wanted(SLOTS, 40.0)
+        self.assertGreaterEqual(wanted * SLOTS, 2 * 200)
+
+    def test_a_burst_orders_more_at_once_and_gives_back_late(self) -> None:
+        self.sizing.note_demand(200, 30.0)
+        calm = total(self.sizing.orders(SCALING, SLOTS, standing(14), 30.0))
+        self.sizing.note_demand(380, 31.0)
+        burst = total(self.sizing.orders(SCALING, SLOTS, standing(14), 31.0))
+        self.assertGreater(burst, calm)
+        self.sizing.note_demand(200, 45.0)
+        self.assertEqual(total(self.sizing.orders(SCALING, SLOTS, standing(14), 45.0)), burst)
+        self.sizing.note_demand(200, 60.0)
+        self.assertLess(total(self.sizing.orders(SCALING, SLOTS, standing(14), 60.0)), burst)
+
+    def test_other_halls_take_the_place_of_one_without_reclaimable_engines(self) -> None:
+        self.sizing.note_demand(200, 30.0)
+        before = self.sizing.orders(SCALING, SLOTS, standing(14), 30.0)
+        self.sizing.note_dry("a", 30.5)
+        during = self.sizing.orders(SCALING, SLOTS, standing(14), 31.0)
+        self.assertGreater(during["b"].reclaimable, before["b"].reclaimable)
+        after = self.sizing.orders(SCALING, SLOTS, standing(14), 40.0)
+        self.assertEqual(after, before)
+
+    def test_ordinary_engines_are_ordered_where_few_are_left_and_no_others_to_be_had(self) -> None:
+        self.sizing.note_demand(200, 30.0)
+        for hall in HALLS:
+            self.sizing.note_dry(hall, 30.0)
+        orders = self.sizing.orders(SCALING, SLOTS, standing(4, StandingOrders(3, 11)), 30.5)
+        self.assertGreaterEqual(orders["a"].ordinary, 14)
+
+    def test_in_service_no_ordinary_engine_goes_back_before_another_stands_for_it(self) -> None:
+        self.sizing.note_demand(200, 0.0)
+        orders = self.sizing.orders(SCALING, SLOTS, standing(14), 0.5)
+        self.assertEqual(orders["a"].ordinary, 14)
+        later = self.sizing.orders(SCALING, SLOTS, standing(25, orders["a"]), 6.0)
+        self.assertLess(later["a"].ordinary, 6)
+
+    def test_bounds_of_the_service_hold(self) -> None:
+        self.sizing.note_demand(100_000, 30.0)
+        orders = self.sizing.orders(SCALING, SLOTS, standing(14), 30.0)
+        self.assertEqual({item.ordinary + item.reclaimable for item in orders.values()}, {28})
+        only = ScalingProfile(1, 28, 4.0, None)
+        orders = self.sizing.orders(only, SLOTS, standing(14), 30.0)
+        self.assertEqual(orders["a"], StandingOrders(28, 0))
--- /dev/null
+++ b/tests/duties/test_lease.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import unittest
+
+from lotushill.duties.duty_record import DutyRecord
+from lotushill.duties.lease import Lease
+from lotushill.duties.lease import LeaseOptions
+
+THEIRS = DutyRecord("other", 1)
+
+
+class TestLease(unittest.TestCase):
+    def lease(self, fenced: bool = True) -> Lease:
+        return Lease("own", 1, LeaseOptions(3.0, fenced), now=0.0)
+
+    def test_a_holder_is_waited_for_a_whole_lease_from_its_last_change(self) -> None:
+        lease = self.lease()
+        lease.observe(7, 10.0)
+        lease.observe(8, 12.0)
+        lease.observe(8, 14.9)
+        self.assertFalse(lease.may_take(THEIRS, 14.9))
+        self.assertTrue(lease.may_take(THEIRS, 15.0))
+        self.assertFalse(lease.may_take(THEIRS, 15.0, first=False))
+
+    def test_what_was_handed_over_is_taken_at_once(self) -> None:
+        lease = self.lease()
+        lease.observe(8, 12.0)
+        self.assertTrue(lease.may_take(DutyRecord("", 1), 12.0))
+
+    def test_a_new_process_waits_a_lease_before_it_takes_anything(self) -> None:
+        lease = self.lease()
+        self.assertFalse(lease.may_take(DutyRecord("", 1), 2.9))
+
+    def test_one_that_lost_stays_out_for_two_leases(self) -> None:
+        lease = self.lease()
+        lease.take(9, 10.0)
+        lease.lose(11.0)
+        self.assertFalse(lease.may_act(11.0))
+        self.assertFalse(lease.may_take(DutyRecord("", 1), 16.9))
+        self.assertTrue(lease.may_take(DutyRecord("", 1), 17.0))
+
+    def test_without_checked_tokens_acts_end_half_a_lease_after_the_last_write(self) -> None:
+        lease = self.lease(fenced=False)
+        lease.take(9, 10.0)
+        self.assertTrue(lease.may_act(11.4))
+        self.assertFalse(lease.may_act(11.5))
+        lease.renew(11.0)
+        self.assertTrue(lease.may_act(12.4))
+
+    def test_with_checked_tokens_an_outage_of_the_store_stops_no_act(self) -> None:
+        lease = self.lease(fenced=True)
+        lease.take(9, 10.0)
+        self.assertTrue(lease.may_act(60.0))
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -6,12 +6,15 @@
 import random
 import socket
 import struct
+import time
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
 from lotushill.contracts.settings_view import SettingsView
+from lotushill.duties.true_time import TrueTime
+from lotushill.duties.work_counts import WorkCounts
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
 from lotushill.gateway.front import Front
@@ -228,6 +231,7 @@
             placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), loop.time),
             pool=UpstreamPool(request_head.answered_id),
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
+            work=WorkCounts("gw", 5.0, TrueTime(time.time, loop.time), loop.time),
             log=EventLog("gw", self.lines.append),
             metrics=Metrics(),
             rng=random.Random(1),
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -23,6 +23,8 @@
 from lotushill.links.messages import RosterPull
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.messages import WorkPage
+from lotushill.links.messages import WorkPull
 from lotushill.links.seal import Seal
 
 TEXTS = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=12)
@@ -41,6 +43,8 @@
     ModelPage,
     PlacementAsk,
     PlacementAnswer,
+    WorkPull,
+    WorkPage,
 ]
 
 
