Order engines from a steady count, with room before the demand is known

Cause: the first holder counted 32 of 56 engines, since entries come one by one after a start, and gave the others back just before a burst; in the burst ordinary engines were ordered at four times the price; single unanswered orders handed the duties over twice in a minute.

Change: the engines that stand at first are counted once their number has not risen for two heartbeats, and recorded; before the demand is known 1.6 times as many stand, most of them such that may be taken away; the ordinary ones follow that count and not the burst; the duties are handed over after three calls without an answer and four seconds.

--- a/src/lotushill/duties/duty_keeper.py
+++ b/src/lotushill/duties/duty_keeper.py
@@ -69,7 +69,12 @@
 _REPEAT_ORDER_SECONDS = 13.0
 """An order is sent again so often: one without an answer may be carried out after later ones."""
 _FIRST_ORDER_SECONDS = 2.0
-"""After taking over, the counts of all gateways and the entries of all engines have come."""
+"""After taking over, the counts of all gateways have come."""
+_STEADY_SECONDS = 2.5
+"""Two heartbeats of engines: where nothing was ordered yet, their number is believed once it has
+not risen for so long. Entries come one by one after a start, and what is missing would be given
+back."""
+_MOST_UNANSWERED = 3
 
 
 class Store(Protocol):
@@ -157,6 +162,8 @@
         self._reported: set[int] = set()
         """Windows whose reports the platform has taken."""
         self._orders: dict[str, StandingOrders] = {}
+        self._bases: dict[str, int] = {}
+        """How many engines of each service stood before anything was ordered."""
         self._sent: dict[tuple[str, bool], tuple[int, float]] = {}
         """What was ordered last for each place and kind, and when; it is taken for done."""
         self._ledger = UsageLedger()
@@ -164,6 +171,10 @@
         self._sizings: dict[str, EngineSizing] = {}
         self._unanswered_since: float | None = None
         """When the first of the calls began that the platform has not answered lately."""
+        self._unanswered = 0
+        """How many these are."""
+        self._standing: dict[str, tuple[int, float]] = {}
+        """The most engines that were seen of each service, and since when."""
 
     async def run(self) -> None:
         """Do what falls to this gateway, for ever."""
@@ -252,11 +263,13 @@
 
     def _begin_office(self, former: DutyRecord) -> None:
         self._unanswered_since = None
+        self._unanswered = 0
         self._recorded = {}
         self._reported = set()
         self._sent = {}
         self._sizings = {}
         self._orders = dict(former.orders)
+        self._bases = dict(former.bases)
         self._ledger.go_on_from(former.checkpoint)
         self._log.note(
             "duty.taken", token=self.lease.token, former=former.holder, settled=former.settled
@@ -278,7 +291,8 @@
 
     def _platform_is_silent(self) -> bool:
         since = self._unanswered_since
-        return since is not None and self._clock() - since > _FAILING_SECONDS
+        failing = since is not None and self._clock() - since > _FAILING_SECONDS
+        return failing and self._unanswered >= _MOST_UNANSWERED
 
     def _next_record(self, record: DutyRecord) -> DutyRecord:
         pending = {
@@ -294,6 +308,7 @@
             reports=pending,
             checkpoint=self._ledger.checkpoint(settled, self._time.now()),
             orders=dict(self._orders),
+            bases=dict(self._bases),
         )
 
     async def _try_write(self, record: DutyRecord) -> bool:
@@ -430,7 +445,10 @@
     def _note_call(self, end: CallEnd, began: float) -> None:
         if end in (CallEnd.DONE, CallEnd.REFUSED):
             self._unanswered_since = None
-        elif self._unanswered_since is None:
+            self._unanswered = 0
+            return
+        self._unanswered += 1
+        if self._unanswered_since is None:
             self._unanswered_since = began
 
     # Orders
@@ -455,10 +473,9 @@
             return []
         now = self._clock()
         halls = self._halls(service)
-        sizing = self._sizings.get(service.name)
+        sizing = self._sizing(service, halls)
         if sizing is None:
-            base = sum(_base(hall) for hall in halls.values())
-            sizing = self._sizings[service.name] = EngineSizing(base, now)
+            return []
         live = {member.name for member in self._sight.members()}
         told = self._demand.get(service.name, {})
         sizing.note_demand(sum(told[name] for name in told.keys() & live), now)
@@ -472,6 +489,36 @@
             return [order for order in out if not order.reclaimable]
         return out
 
+    def _sizing(self, service: Service, halls: Mapping[str, HallEngines]) -> EngineSizing | None:
+        """Return what follows the demand for a service, None while its engines still appear."""
+        found = self._sizings.get(service.name)
+        if found is not None:
+            return found
+        now = self._clock()
+        base = self._bases.get(service.name)
+        if base is None:
+            base = self._steady_count(service.name, halls, now)
+            if base is None:
+                return None
+            self._bases[service.name] = base
+        ordered = sum(
+            hall.ordered.ordinary + hall.ordered.reclaimable
+            for hall in halls.values()
+            if hall.ordered is not None
+        )
+        return self._sizings.setdefault(service.name, EngineSizing(base, now, ordered))
+
+    def _steady_count(
+        self, service: str, halls: Mapping[str, HallEngines], now: float
+    ) -> int | None:
+        """Return how many engines stand, None while more of them still appear."""
+        count = sum(hall.serving for hall in halls.values())
+        most, since = self._standing.get(service, (0, now))
+        if count > most:
+            most, since = count, now
+        self._standing[service] = (most, since)
+        return most if now - since >= _STEADY_SECONDS else None
+
     def _halls(self, service: Service) -> dict[str, HallEngines]:
         serving: dict[str, int] = {}
         for upstream in self._sight.upstreams.of(service.name):
@@ -521,10 +568,3 @@
 
 def _place(service: str, hall: str) -> str:
     return f"{service}/{hall}"
-
-
-def _base(hall: HallEngines) -> int:
-    """Return the engines that a hall is meant to have, before any demand is known."""
-    if hall.ordered is None:
-        return hall.serving
-    return hall.ordered.ordinary + hall.ordered.reclaimable
--- a/src/lotushill/duties/duty_record.py
+++ b/src/lotushill/duties/duty_record.py
@@ -49,6 +49,8 @@
     checkpoint: Checkpoint = Checkpoint()
     orders: dict[str, StandingOrders] = field(default_factory=dict)
     """By service and hall, as `service/hall`."""
+    bases: dict[str, int] = field(default_factory=dict)
+    """How many engines of each service stood before anything was ordered."""
 
     def is_of(self, holder: str, life: int) -> bool:
         """Return whether one process of one gateway holds the duties."""
@@ -67,6 +69,7 @@
         "orders": {
             place: [orders.ordinary, orders.reclaimable] for place, orders in record.orders.items()
         },
+        "bases": record.bases,
     }
 
 
@@ -85,6 +88,7 @@
                 str(place): StandingOrders(int(ordinary), int(reclaimable))
                 for place, (ordinary, reclaimable) in spec["orders"].items()
             },
+            bases={str(name): int(count) for name, count in spec["bases"].items()},
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
--- a/src/lotushill/duties/engine_sizing.py
+++ b/src/lotushill/duties/engine_sizing.py
@@ -24,13 +24,18 @@
 _HEADROOM = 2.0
 """Times the requests in progress of late that there is room for: most of a burst comes before the
 engines that are ordered for it."""
-_PEAK_SECONDS = 20.0
-"""The demand of so long counts; less is given back only after it, since engines that come and go
-read the shared parts of prompts again."""
-_ORDINARY_SHARE = 0.2
-"""Of the engines of a hall that are not reclaimable, so that a hall that loses all others, or is
-cut off meanwhile, goes on serving its most urgent requests."""
+_PEAK_SECONDS = 30.0
+"""The demand of so long counts: bursts come again, and engines that were given back between them
+start too late and have read no shared part of a prompt."""
+_UNKNOWN_HEADROOM = 1.6
+"""Times the engines that stand at first, while nothing is known of the demand and where engines
+that may be taken away are to be had: a burst within the first seconds finds room."""
+_ORDINARY_SHARE = 0.15
+"""Of the engines that stand at first, those that are kept and may not be taken away: a hall that
+loses all others, or is cut off meanwhile, goes on serving its most urgent requests."""
 _LEAST_ORDINARY = 2
+_LEAST_GIVEN_BACK = 2
+"""Ordinary engines of a hall that go back at once where all stand that it may have."""
 _SHORT_SHARE = 0.7
 """Of the engines that are needed; with fewer, and no reclaimable ones anywhere, ordinary ones are
 ordered."""
@@ -51,9 +56,14 @@
 class EngineSizing:
     """Follows the demand for one service and says what to order."""
 
-    def __init__(self, base: int, started: float) -> None:
-        """Begin at some moment with the number of engines that stand, or were ordered, then."""
-        self._base = base
+    def __init__(self, base: int, started: float, ordered: int = 0) -> None:
+        """Begin at some moment.
+
+        `base` is how many engines stood before anything was ordered, and `ordered` how many a
+        former holder of the duties ordered last, 0 for none.
+        """
+        self.base = base
+        self._ordered = ordered
         self._started = started
         self._demand: deque[tuple[float, int]] = deque()
         self._dry: dict[str, float] = {}
@@ -76,25 +86,27 @@
         """Return the most requests that were in progress of late."""
         return self._demand[0][1] if self._demand else 0
 
-    def wanted(self, slots: int, now: float) -> int:
-        """Return how many engines the fleet needs."""
+    def wanted(self, slots: int, now: float, cheap: bool = True) -> int:
+        """Return how many engines the fleet needs; `cheap` says that some may be taken away."""
         needed = math.ceil(_HEADROOM * self.peak / (_FULL_SHARE * slots))
         if now - self._started < _PEAK_SECONDS or not self.peak:
-            # Nothing is known yet of what the day needs: as many as whoever set it up chose.
-            return max(needed, self._base)
+            # Nothing is known yet of what is needed, but what whoever set it up chose.
+            usual = math.ceil(self.base * (_UNKNOWN_HEADROOM if cheap else 1.0))
+            return max(needed, self._ordered or usual)
         return needed
 
     def orders(
         self, scaling: ScalingProfile, slots: int, halls: Mapping[str, HallEngines], now: float
     ) -> dict[str, StandingOrders]:
         """Return the engines to have in each hall."""
-        wanted = self.wanted(slots, now)
+        wanted = self.wanted(slots, now, scaling.reclaimable_price is not None)
         dry = {hall for hall in halls if self._dry.get(hall, now) > now}
         usual = math.ceil(wanted / max(1, len(halls)))
         if scaling.reclaimable_price is None:
             engines = min(scaling.most, max(scaling.least, usual))
             return {hall: StandingOrders(engines, 0) for hall in halls}
-        share = max(scaling.least, _LEAST_ORDINARY, round(_ORDINARY_SHARE * usual))
+        base = self.base / max(1, len(halls))
+        share = max(scaling.least, _LEAST_ORDINARY, round(_ORDINARY_SHARE * base))
         if len(dry) == len(halls) and self._is_short(wanted, halls):
             share = usual
         each = math.ceil(wanted / max(1, len(halls) - len(dry)))
@@ -103,7 +115,7 @@
             ordinary = min(scaling.most, share)
             total = min(scaling.most, max(ordinary, usual if hall in dry else each))
             kept = self._kept(now_there, ordinary, total)
-            found[hall] = StandingOrders(kept, total - ordinary)
+            found[hall] = StandingOrders(kept, min(total - ordinary, scaling.most - kept))
         return found
 
     def _is_short(self, wanted: int, halls: Mapping[str, HallEngines]) -> bool:
@@ -114,4 +126,6 @@
         held = engines.ordered.ordinary if engines.ordered else engines.serving
         if held <= ordinary or not self.peak:
             return ordinary
-        return max(ordinary, min(held, held - (engines.serving - total)))
+        if engines.serving < total:
+            return held
+        return max(ordinary, held - max(_LEAST_GIVEN_BACK, engines.serving - total))
