Replay loads at their worst before emulated engines, and the fault that shows there

lotushill-load policy SCENARIO plays the real decisions of some schedulers before engines that step a batch, read prompts in pieces beside it and keep prompt parts, in virtual time, and compares variants of figures over seeds.

--- a/src/lotushill/console/load.py
+++ b/src/lotushill/console/load.py
@@ -9,6 +9,10 @@
 
 from lotushill.console.program import EXIT_OK
 from lotushill.console.program import new_parser
+from lotushill.contracts.yaml_text import parse_file
+from lotushill.load.policy.comparison import compare
+from lotushill.load.policy.comparison import table as table_of_variants
+from lotushill.load.policy.scenario import parse_scenario
 from lotushill.load.slopes import measure
 from lotushill.load.slopes import table
 from lotushill.load.slopes import to_json
@@ -22,6 +26,7 @@
     parser = new_parser("lotushill-load", "Measure what the mechanisms of a gateway cost.")
     commands = parser.add_subparsers(dest="command", required=True)
     _add_slopes(commands)
+    _add_policy(commands)
     options = parser.parse_args(arguments)
     sys.exit(options.run(options))
 
@@ -33,6 +38,22 @@
     parser.set_defaults(run=_run_slopes)
 
 
+def _add_policy(commands: Any) -> None:
+    parser = commands.add_parser(
+        "policy", help="replay a load before emulated engines, and compare variants of decisions"
+    )
+    parser.add_argument("scenario", type=Path, help="YAML, as in bench/scenarios")
+    parser.add_argument("--seeds", type=int, default=3, help="plays of each variant")
+    parser.add_argument("--processes", type=int, default=2, help="plays at a time")
+    parser.set_defaults(run=_run_policy)
+
+
+def _run_policy(options: argparse.Namespace) -> int:
+    scenario = parse_scenario(parse_file(options.scenario))
+    print(table_of_variants(compare(scenario, options.seeds, options.processes)))
+    return EXIT_OK
+
+
 def _run_slopes(options: argparse.Namespace) -> int:
     slopes = measure(repeats=options.repeats)
     print(table(slopes))
--- /dev/null
+++ b/src/lotushill/load/policy/comparison.py
@@ -0,0 +1,93 @@
+"""Compares variants of the decisions on one scenario over some seeds."""
+
+from __future__ import annotations
+
+import importlib
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lotushill.load.policy.replay import Replay
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from lotushill.load.policy.replay import Result
+    from lotushill.load.policy.scenario import Scenario
+
+_PACKAGE = "lotushill."
+
+
+class UnknownFigureError(Exception):
+    """A variant names a constant that no module has."""
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What one variant brought with one seed."""
+
+    variant: str
+    seed: int
+    result: Result
+
+
+def compare(scenario: Scenario, seeds: int, processes: int) -> list[Outcome]:
+    """Play each variant of a scenario, or the decisions as they are, with each seed."""
+    variants = scenario.variants or {"as it is": {}}
+    with ProcessPoolExecutor(processes) as pool:
+        plays = [
+            pool.submit(_play, scenario, name, figures, seed)
+            for name, figures in variants.items()
+            for seed in range(seeds)
+        ]
+        return [play.result() for play in plays]
+
+
+def table(outcomes: list[Outcome]) -> str:
+    """Return a line for each variant: mean of the credit, its range, and each class."""
+    lines = []
+    for name in dict.fromkeys(item.variant for item in outcomes):
+        results = [item.result for item in outcomes if item.variant == name]
+        credits = [result.credit for result in results]
+        worst = statistics.mean(result.worst_windows() for result in results)
+        classes = "  ".join(
+            f"{kind} {_in_time(results, kind):.2f} in time" for kind in results[0].classes
+        )
+        lines.append(
+            f"{name:20} credit {statistics.mean(credits):.3f} "
+            f"({min(credits):.3f} to {max(credits):.3f})  worst windows {worst:.2f}  {classes}  "
+            f"put behind {sum(len(result.put_behind) for result in results)}"
+        )
+    return "\n".join(lines)
+
+
+def _in_time(results: list[Result], kind: str) -> float:
+    asked = sum(result.classes[kind].asked for result in results)
+    return sum(result.classes[kind].in_time for result in results) / max(1, asked)
+
+
+def _play(scenario: Scenario, name: str, figures: Mapping[str, float], seed: int) -> Outcome:
+    with _figures(figures):
+        return Outcome(name, seed, Replay(scenario, seed).play())
+
+
+@contextmanager
+def _figures(figures: Mapping[str, float]) -> Iterator[None]:
+    """Put other figures in force for a while: `module.CONSTANT` within the package."""
+    former = {}
+    for path, value in figures.items():
+        module_name, _, constant = path.rpartition(".")
+        try:
+            module = importlib.import_module(_PACKAGE + module_name)
+            former[module, constant] = getattr(module, constant)
+        except (ImportError, AttributeError) as error:
+            raise UnknownFigureError(path) from error
+        setattr(module, constant, value)
+    try:
+        yield
+    finally:
+        for (module, constant), value in former.items():
+            setattr(module, constant, value)
--- /dev/null
+++ b/src/lotushill/load/policy/engine.py
@@ -0,0 +1,167 @@
+"""A model engine in virtual time: it steps a batch, and reads prompts in pieces beside it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.placement.kept_parts import Chain
+
+_MOST_STEPS = 10
+"""Steps taken as one where nothing is read: the events of a stream lie about so far apart."""
+
+
+@dataclass(frozen=True)
+class EngineFigures:
+    """How one kind of engine works."""
+
+    slots: int = 12
+    memory_tokens: int = 396_000
+    tokens_per_event: int = 10
+    step_seconds: float = 0.0031
+    step_seconds_each: float = 0.0000165
+    """Added by each request that runs."""
+    context_seconds: float = 6.8e-9
+    """Added by each token held by those that run."""
+    read_rate: float = 61_800.0
+    """Prompt tokens a second."""
+    piece: int = 1024
+    """Prompt tokens that are read in one step, at most."""
+    queue: int = 25
+    """Requests that may wait for a slot."""
+
+
+@dataclass
+class Run:
+    """One request at one engine."""
+
+    number: int
+    tier: int
+    unread: int
+    output: int
+    context: int
+    chain: Chain = ()
+    written: int = 0
+    arrived: float = 0.0
+    events: list[float] = field(default_factory=list)
+    """When its events came."""
+
+    @property
+    def done(self) -> bool:
+        """Return whether its answer is whole."""
+        return self.written >= self.output
+
+
+class Engine:
+    """One engine; `on_event` and `on_end` hear of its runs."""
+
+    def __init__(
+        self,
+        figures: EngineFigures,
+        slowness: float,
+        on_event: Callable[[Run, float], None],
+        on_end: Callable[[Run, float], None],
+    ) -> None:
+        self.figures = figures
+        self.slowness = slowness
+        self._on_event = on_event
+        self._on_end = on_end
+        self.running: list[Run] = []
+        self.waiting: list[Run] = []
+        self._kept: OrderedDict[int, int] = OrderedDict()
+        self._kept_tokens = 0
+        self.read_tokens = 0
+        """Prompt tokens read so far."""
+
+    def accept(self, run: Run, now: float) -> bool:
+        """Take a request, or refuse it since too many wait."""
+        if len(self.waiting) >= self.figures.queue:
+            return False
+        run.arrived = now
+        self.waiting.append(run)
+        self.waiting.sort(key=lambda item: (item.tier, item.arrived))
+        return True
+
+    def drop(self, run: Run) -> None:
+        """End a request whose client has left."""
+        for held in (self.running, self.waiting):
+            if run in held:
+                held.remove(run)
+
+    def step(self, now: float) -> float | None:
+        """Do one step and return when it is over, None while there is nothing to do."""
+        self._admit()
+        if not self.running:
+            return None
+        reading = min(
+            (run for run in self.running if run.unread > 0),
+            key=lambda run: (run.tier, run.arrived),
+            default=None,
+        )
+        steps = 1 if reading or self.waiting else self._quiet_steps()
+        seconds = steps * self._step_seconds()
+        if reading is not None:
+            piece = min(self.figures.piece, reading.unread)
+            reading.unread -= piece
+            self.read_tokens += piece
+            seconds += piece / self.figures.read_rate
+        ends = now + seconds * self.slowness
+        for run in list(self.running):
+            if run.unread <= 0:
+                self._write(run, steps, ends)
+        return ends
+
+    def _quiet_steps(self) -> int:
+        stride = self.figures.tokens_per_event
+        due = min(
+            min(run.output - run.written, stride - run.written % stride) for run in self.running
+        )
+        return max(1, min(_MOST_STEPS, due))
+
+    def _step_seconds(self) -> float:
+        figures = self.figures
+        context = sum(run.context + run.written for run in self.running)
+        each = figures.step_seconds_each * len(self.running)
+        return figures.step_seconds + each + figures.context_seconds * context
+
+    def _write(self, run: Run, tokens: int, now: float) -> None:
+        first = run.written == 0
+        before = run.written // self.figures.tokens_per_event
+        run.written += tokens
+        if first or run.done or run.written // self.figures.tokens_per_event > before:
+            run.events.append(now)
+            self._on_event(run, now)
+        if run.done:
+            self.running.remove(run)
+            self._on_end(run, now)
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.running) < self.figures.slots:
+            run = self.waiting.pop(0)
+            run.unread = max(1, run.unread - self._find(run.chain))
+            self._keep(run.chain)
+            self.running.append(run)
+
+    def _find(self, chain: Chain) -> int:
+        found = 0
+        for key, part in chain:
+            if key not in self._kept:
+                return found
+            found += part.tokens
+        return found
+
+    def _keep(self, chain: Chain) -> None:
+        held = sum(run.context + run.output for run in self.running)
+        for key, part in chain:
+            if key not in self._kept:
+                self._kept[key] = part.tokens
+                self._kept_tokens += part.tokens
+            self._kept.move_to_end(key)
+        while self._kept and self._kept_tokens > self.figures.memory_tokens - held:
+            _, tokens = self._kept.popitem(last=False)
+            self._kept_tokens -= tokens
--- /dev/null
+++ b/src/lotushill/load/policy/replay.py
@@ -0,0 +1,482 @@
+"""Plays a scenario: real decisions of some schedulers before emulated engines."""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import itertools
+import math
+import random
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from lotushill.load.policy.engine import Engine
+from lotushill.load.policy.engine import EngineFigures
+from lotushill.load.policy.engine import Run
+from lotushill.placement.choice import Choice
+from lotushill.placement.fleet import PACED_EVENTS
+from lotushill.placement.fleet import Fleet
+from lotushill.placement.kept_parts import chained
+from lotushill.placement.messages import Began
+from lotushill.placement.messages import Ended
+from lotushill.placement.messages import Outcome
+from lotushill.placement.messages import Paced
+from lotushill.placement.need import Need
+from lotushill.placement.placed import placed
+from lotushill.routing.demand import PromptPart
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+from lotushill.routing.upstream import Upstream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.load.policy.scenario import Loss
+    from lotushill.load.policy.scenario import RequestClass
+    from lotushill.load.policy.scenario import Scenario
+    from lotushill.placement.choice import NoChoice
+
+_NEWS_SECONDS = 0.03
+"""Until other schedulers hear of something: a batch and the way."""
+_WAY_SECONDS = 0.002
+_WAIT_SHARE = 0.2
+"""Of its target, how long a request waits at a gateway before it is refused."""
+_POLL_SECONDS = 0.03
+_MOST_UNSENT = 4
+_RETURN_SHARE = 1.0 / 3.0
+"""Of the time left: a client comes back no later than this."""
+_PROMPT_CAP = 8.0
+"""Times the mean, the longest prompt."""
+_FLAT, _BY_SIZE = 0.3, 0.7
+"""A request is worth this, and this times its size beside the mean of its class."""
+_TIER_SECONDS = 5.0
+_TIER_LEAST = 10
+_TIER_SHARE = 1.0 / 12.0
+_TIER_TIMES = 2.0
+"""Within so many seconds, so many requests and more than this share of their kind may not get
+nothing while less urgent ones of so many times their size begin."""
+_OUTPUT_WORTH = 10.0
+_MOST_TIMES_WORTH = 4.0
+
+
+@dataclass
+class Tally:
+    """What became of the requests of one class."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    why: Counter[str] = field(default_factory=Counter)
+    """What made them late, or ended them."""
+    earned: float = 0.0
+    owed: float = 0.0
+    burnt: float = 0.0
+    """Seconds in slots of runs that were not whole."""
+
+    @property
+    def share(self) -> float:
+        """Return the credit earned of the credit owed."""
+        return self.earned / self.owed if self.owed else 1.0
+
+
+@dataclass(frozen=True)
+class PutBehind:
+    """A kind of request got nothing for some seconds while less urgent, larger ones began."""
+
+    name: str
+    second: int
+    asked: int
+    nothing: int
+    larger: int
+
+
+@dataclass
+class Result:
+    """What one play showed."""
+
+    classes: dict[str, Tally]
+    windows: dict[int, Tally]
+    """By two seconds of arrival."""
+    put_behind: list[PutBehind]
+
+    @property
+    def credit(self) -> float:
+        """Return the share of all credit that was earned."""
+        owed = sum(item.owed for item in self.classes.values())
+        return sum(item.earned for item in self.classes.values()) / owed if owed else 1.0
+
+    def worst_windows(self) -> float:
+        """Return the mean of the two worst windows."""
+        shares = sorted(item.share for item in self.windows.values() if item.asked)
+        return sum(shares[:2]) / max(1, len(shares[:2]))
+
+
+@dataclass
+class _Client:
+    """One request of a client, over its tries."""
+
+    kind: RequestClass
+    need: Need
+    output: int
+    arrived: float
+    worth: float
+    scheduler: int
+    number: int = 0
+    tries: int = 1
+    waited_since: float = 0.0
+    began_at: float = 0.0
+    """When its first event came, 0 for never."""
+    served: bool = False
+    engine: int = -1
+    run: Run | None = None
+    choice: Choice | None = None
+    sent_at: float = 0.0
+    over: bool = False
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(order=True)
+class _Event:
+    at: float
+    order: int
+    act: Callable[[], None] = field(compare=False)
+
+
+class Replay:
+    """One play of a scenario with one seed."""
+
+    def __init__(self, scenario: Scenario, seed: int, figures: EngineFigures | None = None) -> None:
+        self.scenario = scenario
+        self.figures = figures or EngineFigures()
+        self.now = 0.0
+        self._rng = random.Random(seed)
+        # Arrivals are the same whatever is decided, so that variants can be compared.
+        self._arrivals = {
+            item.name: random.Random(f"{seed}/{item.name}") for item in scenario.classes
+        }
+        self._events: list[_Event] = []
+        self._order = itertools.count()
+        self._numbers = itertools.count(1)
+        profile = EngineProfile(
+            self.figures.slots, self.figures.memory_tokens, self.figures.tokens_per_event
+        )
+        self.service = Service("llm", 600, profile)
+        self.fleets = [Fleet("h0") for _ in range(scenario.schedulers)]
+        self.upstreams = [
+            Upstream(
+                f"e{n}", "llm", f"10.0.0.{n}:1", f"h{n % scenario.halls}", profile.slots, False
+            )
+            for n in range(scenario.engines)
+        ]
+        self.engines = [
+            Engine(
+                self.figures,
+                1.3 if n % 3 == 2 else 1.0,
+                self._on_event,
+                self._on_end,
+            )
+            for n in range(scenario.engines)
+        ]
+        self._busy = [False] * scenario.engines
+        self._up = [True] * scenario.engines
+        self._listed = [True] * scenario.engines
+        self._clients: dict[int, _Client] = {}
+        self._all: list[_Client] = []
+        self.tallies = {item.name: Tally() for item in scenario.classes}
+        self.windows: dict[int, Tally] = {}
+
+    def play(self) -> Result:
+        """Play to the end."""
+        for kind in self.scenario.classes:
+            self._next_arrival(kind)
+        for loss in self.scenario.losses:
+            self._plan(loss)
+        ends = self.scenario.seconds + max(item.deadline for item in self.scenario.classes)
+        while self._events and self._events[0].at <= ends:
+            event = heapq.heappop(self._events)
+            self.now = event.at
+            event.act()
+        return Result(self.tallies, self.windows, self._put_behind())
+
+    def _put_behind(self) -> list[PutBehind]:
+        """Return where requests got nothing while larger ones that are less urgent began."""
+        found = []
+        for kind in self.scenario.classes:
+            own = [client for client in self._all if client.kind is kind]
+            size = kind.prompt + kind.shared
+            for second in range(int(self.scenario.seconds - _TIER_SECONDS) + 1):
+                ends = second + _TIER_SECONDS
+                asked = [client for client in own if second <= client.arrived < ends]
+                nothing = sum(not client.served for client in asked)
+                if nothing < _TIER_LEAST or nothing <= _TIER_SHARE * len(asked):
+                    continue
+                larger = sum(
+                    client.kind.tier > kind.tier
+                    and client.need.prompt_tokens > _TIER_TIMES * size
+                    and second <= client.began_at < ends
+                    for client in self._all
+                )
+                if larger:
+                    found.append(PutBehind(kind.name, second, len(asked), nothing, larger))
+        return found
+
+    def _at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, _Event(when, next(self._order), act))
+
+    # Arrivals
+
+    def _next_arrival(self, kind: RequestClass) -> None:
+        rate = self.scenario.rate(kind, self.now)
+        when = self.now + self._arrivals[kind.name].expovariate(rate)
+        if when < self.scenario.seconds:
+            self._at(when, lambda: self._arrive(kind))
+
+    def _arrive(self, kind: RequestClass) -> None:
+        self._next_arrival(kind)
+        rng = self._arrivals[kind.name]
+        own = int(_lognormal(rng, kind.prompt, kind.prompt_spread))
+        output = max(1, int(_lognormal(rng, kind.output, kind.output_spread)))
+        subject = rng.randrange(kind.subjects)
+        base = xxhash.xxh32_intdigest(f"{kind.name}/{subject}")
+        parts = [PromptPart(base, int(kind.shared))] if kind.shared else []
+        parts.append(PromptPart(rng.getrandbits(60), max(1, own)))
+        prompt = sum(part.tokens for part in parts)
+        # The length of an answer is guessed right in the median, and often far off.
+        guess = max(1, int(output * rng.lognormvariate(0.0, 0.5)))
+        need = Need(
+            "llm", kind.name, kind.target, kind.gap, kind.deadline, True, prompt, guess,
+            tuple(parts), kind.tier,
+        )  # fmt: skip
+        mean = kind.prompt + kind.shared + _OUTPUT_WORTH * kind.output
+        size = (prompt + _OUTPUT_WORTH * output) / mean
+        worth = min(_MOST_TIMES_WORTH, _FLAT + _BY_SIZE * size)
+        scheduler = rng.randrange(len(self.fleets))
+        client = _Client(kind, need, output, self.now, worth, scheduler, waited_since=self.now)
+        self._all.append(client)
+        for tally in (self.tallies[kind.name], self._window(client)):
+            tally.asked += 1
+            tally.owed += worth * kind.worth
+        self.fleets[scheduler].shedding.usual.note_size(need.route, need.size)
+        self._at(self.now + kind.deadline, lambda: self._leave(client))
+        self._place(client)
+
+    def _window(self, client: _Client) -> Tally:
+        return self.windows.setdefault(int(client.arrived // 2) * 2, Tally())
+
+    # Placing
+
+    def _place(self, client: _Client) -> None:
+        if client.over:
+            return
+        fleet = self.fleets[client.scheduler]
+        known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
+        found = fleet.choose(client.need, self.service, known, client.excluded, self.now)
+        if isinstance(found, Choice):
+            self._send(client, found)
+            return
+        pause = _POLL_SECONDS * self._rng.uniform(0.7, 1.3)
+        if self.now + pause <= client.waited_since + _WAIT_SHARE * client.kind.target:
+            self._at(self.now + pause, lambda: self._place(client))
+            return
+        self._refuse(client, found)
+
+    def _refuse(self, client: _Client, refusal: NoChoice) -> None:
+        left = client.arrived + client.kind.deadline - self.now
+        pause = min(refusal.retry_after, _RETURN_SHARE * left)
+        if client.tries > 1:
+            self._finish(client, "refused")
+            return
+        client.tries += 1
+        client.scheduler = self._rng.randrange(len(self.fleets))
+
+        def come_back() -> None:
+            client.waited_since = self.now
+            self._place(client)
+
+        self._at(self.now + pause, come_back)
+
+    def _send(self, client: _Client, choice: Choice) -> None:
+        number = next(self._numbers)
+        client.number, client.choice = number, choice
+        client.engine = int(choice.upstream.id[1:])
+        client.sent_at = self.now
+        self._clients[number] = client
+        told = placed(number, client.need, choice, True)
+        mine = self.fleets[client.scheduler]
+        mine.start(told, self.service, self.now)
+        mine.pace("llm").note_reading(told.reading)
+        for fleet in self.fleets:
+            if fleet is not mine:
+                start = functools.partial(fleet.start, told, self.service)
+                self._at(self.now + _NEWS_SECONDS, self._with_clock(start))
+        self._at(self.now + _WAY_SECONDS, lambda: self._reach(client, number))
+
+    def _with_clock(self, act: Callable[[float], None]) -> Callable[[], None]:
+        return lambda: act(self.now)
+
+    def _tell_all(self, client: _Client, act: Callable[[Fleet, float], None]) -> None:
+        """Let all schedulers hear of something, the client's own at once."""
+        for fleet in self.fleets:
+            if fleet is self.fleets[client.scheduler]:
+                act(fleet, self.now)
+            else:
+                told = self._with_clock(functools.partial(act, fleet))
+                self._at(self.now + _NEWS_SECONDS, told)
+
+    def _reach(self, client: _Client, number: int) -> None:
+        if client.over or client.number != number:
+            return
+        engine = self.engines[client.engine]
+        chain = tuple(chained(client.need.parts))
+        run = Run(
+            number, client.need.tier, client.need.prompt_tokens, client.output,
+            client.need.prompt_tokens, chain,
+        )  # fmt: skip
+        if not self._up[client.engine] or not engine.accept(run, self.now):
+            self._not_run(client)
+            return
+        client.run = run
+        if client.need.patience < client.kind.deadline:
+            self._at(client.sent_at + client.need.patience, lambda: self._impatient(client, run))
+        self._wake(client.engine)
+
+    def _not_run(self, client: _Client) -> None:
+        """Try another engine: this one is down, or full."""
+        name = self.upstreams[client.engine].id
+        if not self._up[client.engine]:
+            self.fleets[client.scheduler].load(name).note_unreachable(self.now)
+        self._end_run(client, Outcome.NOT_SENT)
+        client.excluded |= {name}
+        if len(client.excluded) >= _MOST_UNSENT:
+            self._finish(client, "failed", "not sent")
+            return
+        self._place(client)
+
+    def _impatient(self, client: _Client, run: Run) -> None:
+        if client.run is run and not run.events and not client.over:
+            self._leave(client, "no event for too long")
+
+    # Engines
+
+    def _wake(self, index: int) -> None:
+        if not self._busy[index] and self._up[index]:
+            self._busy[index] = True
+            self._step(index)
+
+    def _step(self, index: int) -> None:
+        ends = self.engines[index].step(self.now) if self._up[index] else None
+        if ends is None:
+            self._busy[index] = False
+            return
+        self._at(ends, lambda: self._step(index))
+
+    def _on_event(self, run: Run, at: float) -> None:
+        client = self._clients[run.number]
+        if len(run.events) == 1:
+            client.began_at = at
+            began = Began(run.number, at - client.sent_at)
+            self._at(at, lambda: self._tell_all(client, lambda fleet, now: fleet.begin(began, now)))
+        elif len(run.events) == PACED_EVENTS + 1:
+            pauses = sorted(b - a for a, b in itertools.pairwise(run.events))
+            paced = Paced(run.number, pauses[2])
+            self._at(
+                at, lambda: self._tell_all(client, lambda fleet, now: fleet.note_paced(paced, now))
+            )
+
+    def _on_end(self, run: Run, at: float) -> None:
+        self._at(at, lambda: self._whole(run))
+
+    def _whole(self, run: Run) -> None:
+        client = self._clients.get(run.number)
+        if client is None or client.over or client.run is not run:
+            return
+        self._end_run(client, Outcome.WHOLE)
+        pauses = [b - a for a, b in itertools.pairwise(run.events)]
+        first = run.events[0] - client.arrived
+        longest = max(pauses, default=0.0)
+        if first > client.kind.target:
+            self._finish(client, "late", "late, first event")
+        elif longest > client.kind.gap:
+            self._finish(client, "late", "late, a pause")
+        else:
+            self._finish(client, "in_time")
+
+    def _end_run(self, client: _Client, outcome: Outcome) -> None:
+        ended = Ended(client.number, outcome, self.now - client.sent_at)
+        self._clients.pop(client.number, None)
+        self._tell_all(client, lambda fleet, now: fleet.end(ended, now))
+
+    def _lost(self, client: _Client, outcome: Outcome) -> None:
+        if client.run is not None:
+            self.engines[client.engine].drop(client.run)
+        self._end_run(client, outcome)
+        client.run = None
+        if client.tries > 1 or outcome is Outcome.CUT:
+            self._finish(client, "failed", outcome.name)
+            return
+        client.tries += 1
+        client.waited_since = self.now
+        self._place(client)
+
+    def _leave(self, client: _Client, why: str = "") -> None:
+        if client.over:
+            return
+        if not why:
+            began = client.run is not None and bool(client.run.events)
+            why = "deadline, running" if began else "deadline, waiting"
+        if client.run is not None:
+            self.engines[client.engine].drop(client.run)
+            self.tallies[client.kind.name].burnt += self.now - client.sent_at
+            self._end_run(client, Outcome.UNKNOWN)
+        self._finish(client, "failed", why)
+
+    def _finish(self, client: _Client, end: str, why: str = "") -> None:
+        client.over = True
+        client.served = end in ("in_time", "late")
+        if why:
+            self.tallies[client.kind.name].why[why] += 1
+        kind = client.kind
+        earned = {"in_time": kind.worth, "late": kind.late_worth}.get(end, 0.0) * client.worth
+        for tally in (self.tallies[kind.name], self._window(client)):
+            setattr(tally, end, getattr(tally, end) + 1)
+            tally.earned += earned
+
+    # Losses of engines
+
+    def _plan(self, loss: Loss) -> None:
+        count = round(loss.share * len(self.engines))
+        struck = self._rng.sample(range(len(self.engines)), count)
+        if loss.hall is not None:
+            struck = [n for n in range(len(self.engines)) if n % self.scenario.halls == loss.hall]
+            struck = struck[: round(loss.share * len(struck))]
+        for index in struck:
+            if loss.notice:
+                self._at(loss.at - loss.notice, functools.partial(self._unlist, index))
+            self._at(loss.at, functools.partial(self._crash, index))
+            self._at(loss.at + loss.seconds, functools.partial(self._return, index))
+
+    def _unlist(self, index: int) -> None:
+        self._listed[index] = False
+
+    def _crash(self, index: int) -> None:
+        self._up[index] = False
+        for client in list(self._clients.values()):
+            if client.engine == index and client.run is not None:
+                self._lost(client, Outcome.CUT if client.run.events else Outcome.FAILED)
+
+    def _return(self, index: int) -> None:
+        self._up[index] = self._listed[index] = True
+        self.engines[index] = Engine(
+            self.figures, self.engines[index].slowness, self._on_event, self._on_end
+        )
+
+
+def _lognormal(rng: random.Random, mean: float, spread: float) -> float:
+    drawn = rng.lognormvariate(math.log(mean) - spread * spread / 2, spread)
+    return min(_PROMPT_CAP * mean, drawn)
--- /dev/null
+++ b/src/lotushill/load/policy/scenario.py
@@ -0,0 +1,93 @@
+"""A load to replay: classes of requests, their bursts, and what happens to engines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+
+@dataclass(frozen=True)
+class RequestClass:
+    """One kind of request; times are seconds, lengths tokens."""
+
+    name: str
+    tier: int
+    rate: float
+    """Requests a second in calm times."""
+    target: float
+    gap: float
+    deadline: float
+    prompt: float
+    shared: float
+    """Of a prompt, the part that all requests about one subject share."""
+    subjects: int
+    output: float
+    worth: float
+    late_worth: float
+    prompt_spread: float = 1.0
+    """Of the logarithm."""
+    output_spread: float = 0.5
+
+
+@dataclass(frozen=True)
+class Burst:
+    """One class, or all, comes at a multiple of its rate for a while."""
+
+    at: float
+    seconds: float
+    times: float
+    name: str = ""
+    """Empty for all classes."""
+
+
+@dataclass(frozen=True)
+class Loss:
+    """A share of the engines is away for a while."""
+
+    at: float
+    seconds: float
+    share: float
+    hall: int | None = None
+    """All of one hall, where given."""
+    notice: float = 0.0
+    """How long before it nothing new is sent there; 0 for a crash."""
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """One load."""
+
+    name: str
+    seconds: float
+    engines: int
+    halls: int
+    schedulers: int
+    classes: tuple[RequestClass, ...]
+    bursts: tuple[Burst, ...] = ()
+    losses: tuple[Loss, ...] = ()
+    variants: dict[str, dict[str, float]] = field(default_factory=dict)
+    """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
+
+    def rate(self, item: RequestClass, now: float) -> float:
+        """Return the requests a second of a class at some moment."""
+        times = 1.0
+        for burst in self.bursts:
+            if burst.name in ("", item.name) and burst.at <= now < burst.at + burst.seconds:
+                times *= burst.times
+        return item.rate * times
+
+
+def parse_scenario(value: Any) -> Scenario:
+    """Return a scenario from plain data; raise TypeError or KeyError for what does not fit."""
+    return Scenario(
+        name=str(value["name"]),
+        seconds=float(value["seconds"]),
+        engines=int(value["engines"]),
+        halls=int(value["halls"]),
+        schedulers=int(value.get("schedulers", 1)),
+        classes=tuple(RequestClass(**item) for item in value["classes"]),
+        bursts=tuple(Burst(**item) for item in value.get("bursts", ())),
+        losses=tuple(Loss(**item) for item in value.get("losses", ())),
+        variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
+    )
--- /dev/null
+++ b/tests/load/policy/test_replay.py
@@ -0,0 +1,78 @@
+"""Loads at their worst, replayed before emulated engines: what waits, is refused and is served.
+
+Seen on a fleet whose long prompts came at 2.6 times their rate while a burst of the most urgent
+requests followed: engines were filled with long requests, urgent ones waited for their slots, and
+of these over a third were late and some got nothing, though hardly anybody was refused.
+"""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from lotushill.contracts.yaml_text import parse_file
+from lotushill.load.policy.replay import Replay
+from lotushill.load.policy.replay import Result
+from lotushill.load.policy.scenario import Burst
+from lotushill.load.policy.scenario import Scenario
+from lotushill.load.policy.scenario import parse_scenario
+
+SCENARIOS = Path(__file__).parents[3] / "bench" / "scenarios"
+
+
+def scenario(name: str) -> Scenario:
+    return parse_scenario(parse_file(SCENARIOS / f"{name}.yaml"))
+
+
+def scarce(engines: int) -> Scenario:
+    """Return a load of two bursts that overlap, before far too few engines."""
+    bursts = (Burst(1.0, 9.0, 3.0, "letter"), Burst(4.0, 6.0, 2.9, "query"))
+    return replace(scenario("overlapping-bursts"), engines=engines, seconds=12.0, bursts=bursts)
+
+
+def share_in_time(result: Result, name: str) -> float:
+    tally = result.classes[name]
+    return tally.in_time / tally.asked
+
+
+class TestBursts(unittest.TestCase):
+    def test_urgent_requests_find_slots_in_a_burst_of_long_ones(self) -> None:
+        result = Replay(scenario("overlapping-bursts"), 1).play()
+        self.assertGreater(share_in_time(result, "query"), 0.85)
+        self.assertGreater(share_in_time(result, "triage"), 0.95)
+        self.assertGreater(result.credit, 0.64)
+
+    def test_more_urgent_ones_do_not_get_nothing_while_larger_ones_begin(self) -> None:
+        for engines, seed in ((6, 1), (7, 2), (8, 2)):
+            with self.subTest(engines=engines, seed=seed):
+                self.assertEqual(Replay(scarce(engines), seed).play().put_behind, [])
+
+    def test_nor_where_a_third_of_the_engines_needed_is_left(self) -> None:
+        self.assertEqual(Replay(scarce(6), 2).play().put_behind, [])
+
+    def test_in_calm_hardly_anybody_is_refused(self) -> None:
+        calm = replace(scenario("overlapping-bursts"), bursts=(), seconds=6.0)
+        result = Replay(calm, 1).play()
+        asked = sum(item.asked for item in result.classes.values())
+        refused = sum(item.refused for item in result.classes.values())
+        self.assertLess(refused, 0.01 * asked)
+        self.assertGreater(result.credit, 0.93)
+
+    def test_a_burst_of_long_requests_alone_takes_all_slots(self) -> None:
+        """Without more urgent requests nothing is left free for them."""
+        load = scenario("overlapping-bursts")
+        letters = tuple(item for item in load.classes if item.name == "letter")
+        result = Replay(replace(load, classes=letters, seconds=6.0), 1).play()
+        self.assertGreater(share_in_time(result, "letter"), 0.7)
+
+
+class TestComparable(unittest.TestCase):
+    def test_the_same_requests_come_whatever_is_decided(self) -> None:
+        load = replace(scenario("overlapping-bursts"), seconds=3.0)
+        few = replace(load, engines=4)
+        asked = [
+            {name: item.asked for name, item in Replay(case, 5).play().classes.items()}
+            for case in (load, few)
+        ]
+        self.assertEqual(*asked)
