--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -22,6 +22,7 @@
 from lotushill.placement.messages import Outcome
 from lotushill.placement.pace import Pace
 from lotushill.placement.recent_parts import RecentParts
+from lotushill.placement.reserve import with_reserve
 from lotushill.placement.shedding import Shedding
 from lotushill.placement.shortlist import shortlist
 from lotushill.placement.upstream_load import UpstreamLoad
@@ -210,6 +211,9 @@
         choices = [
             weigher.weigh(item, self.load(item.id), ranks.get(item.id, 0.0)) for item in weighed
         ]
+        if service.engine is not None and self.shedding.is_long(need):
+            urgent = sum(self.load(item.upstream.id).more_urgent(need.tier) for item in choices)
+            choices = with_reserve(choices, urgent, service.engine.slots)
         refused = self.shedding.refuse(need, choices, now)
         if refused is not None:
             return refused
--- a/src/lotushill/placement/upstream_load.py
+++ b/src/lotushill/placement/upstream_load.py
@@ -87,6 +87,10 @@
         """Return how many requests keep their slots from a new one of a tier."""
         return sum(count for other, count in self._tiers.items() if other <= tier)
 
+    def more_urgent(self, tier: int) -> int:
+        """Return how many requests run that are more urgent than a tier."""
+        return sum(count for other, count in self._tiers.items() if other < tier)
+
     # Health
 
     def slowness(self, now: float) -> float:
