--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     import argparse
+    from collections.abc import Mapping
 
     from lotushill.platform.object_store import ObjectStore
 
@@ -75,6 +76,7 @@
             f"{len(rows) - len(silent)} of {len(rows)} gateways answer"
             + (", all with the same in force" if agree else "")
         ]
+        lines += duty_lines(rows)
         lines += [_status_line(item, rows[item.name]) for item in gateways]
         return Result("\n".join(lines), rows, EXIT_OK if agree else EXIT_FAILED)
 
@@ -119,6 +121,29 @@
     return [status["configuration"]["revision"], status["settings"]["in_force"]]
 
 
+def duty_lines(rows: Mapping[str, dict[str, Any] | None]) -> list[str]:
+    """Return who does the duties of the fleet, and what was last ordered, by gateways' status."""
+    duties = {name: row["duties"] for name, row in rows.items() if row and row.get("duties")}
+    if not duties:
+        return []
+    holders = [name for name, item in duties.items() if item["held_here"]]
+    if not holders:
+        return ["duties: nobody says that it holds them"]
+    lines = []
+    for name in holders:
+        item = duties[name]
+        lines.append(
+            f"duties: held by {name} for {item['seconds']:.0f} s with token {item['token']}, "
+            f"usage recorded up to window {item['settled_window']}, "
+            f"{len(item['unreported'])} not yet reported"
+        )
+        lines += [
+            f"  {place}: {engines['ordinary']} engines, {engines['reclaimable']} reclaimable"
+            for place, engines in item["orders"].items()
+        ]
+    return lines
+
+
 def _status_line(gateway: Gateway, status: dict[str, Any] | None) -> str:
     if status is None:
         return f"{gateway.name} ({gateway.hall}): no answer"
--- a/src/lotushill/duties/duty_keeper.py
+++ b/src/lotushill/duties/duty_keeper.py
@@ -207,6 +207,7 @@
             "holder": record.holder if record else None,
             "held_here": self.lease.held,
             "token": self.lease.token,
+            "seconds": round(self._clock() - self.lease.since, 1),
             "settled_window": record.settled if record else None,
             "unreported": sorted(record.reports) if record else [],
             "orders": {
--- /dev/null
+++ b/tests/console/test_fleet_commands.py
@@ -0,0 +1,34 @@
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from lotushill.console.fleet_commands import duty_lines
+
+HELD: dict[str, Any] = {
+    "holder": "gw-1",
+    "held_here": True,
+    "token": 84,
+    "seconds": 61.0,
+    "settled_window": 7,
+    "unreported": [7],
+    "orders": {"llm/east": {"ordinary": 2, "reclaimable": 21}},
+}
+
+
+class TestDutyLines(unittest.TestCase):
+    def test_one_line_says_who_holds_them(self) -> None:
+        rows = {"gw-1": {"duties": HELD}, "gw-2": {"duties": {**HELD, "held_here": False}}}
+        lines = duty_lines(rows)
+        self.assertIn("held by gw-1 for 61 s with token 84", lines[0])
+        self.assertIn("llm/east: 2 engines, 21 reclaimable", lines[1])
+        self.assertEqual(len(lines), 2)
+
+    def test_two_that_say_so_are_both_shown(self) -> None:
+        rows = {name: {"duties": {**HELD, "orders": {}}} for name in ("gw-1", "gw-2")}
+        self.assertEqual(len(duty_lines(rows)), 2)
+
+    def test_nobody_is_said_too_and_a_fleet_without_duties_says_nothing(self) -> None:
+        nobody = {"gw-1": {"duties": {**HELD, "held_here": False}}}
+        self.assertEqual(duty_lines(nobody), ["duties: nobody says that it holds them"])
+        self.assertEqual(duty_lines({"gw-1": {"duties": None}, "gw-2": None}), [])
