--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -426,6 +426,71 @@
         "pass",
         "tests.placement.test_pauses",
     ),
+    Break(
+        "duties: a successor waits a whole lease",
+        "duties/lease.py",
+        "return now - self._seen_at >= self._options.seconds + patience",
+        "return True",
+        "tests.duties",
+    ),
+    Break(
+        "duties: one that lost stays out",
+        "duties/lease.py",
+        "_REST_LEASES = 2.0",
+        "_REST_LEASES = 0.0",
+        "tests.duties",
+    ),
+    Break(
+        "duties: acts end with the lease where tokens are not checked",
+        "duties/lease.py",
+        "return fresh or self._options.fenced",
+        "return True",
+        "tests.duties",
+    ),
+    Break(
+        "duties: recorded counts never change",
+        "duties/duty_keeper.py",
+        "            settled=settled,\n",
+        "            settled=record.settled,\n",
+        "tests.duties",
+    ),
+    Break(
+        "duties: counts are recorded before they are reported",
+        "duties/duty_keeper.py",
+        "for window in sorted(record.reports.keys() - self._reported):\n"
+        "                if not await self._report_one(window, record.reports[window]):",
+        "for window in sorted(self._recorded.keys() - self._reported):\n"
+        "                if not await self._report_one(window, self._recorded[window]):",
+        "tests.duties",
+    ),
+    Break(
+        "duties: true time is the median of all clocks",
+        "duties/true_time.py",
+        "median_low([*fresh,",
+        "max([*fresh,",
+        "tests.duties",
+    ),
+    Break(
+        "a fault in a side task does not end the gateway",
+        "gateway/side_tasks.py",
+        "except Exception as error:",
+        "except ZeroDivisionError as error:",
+        "tests.gateway.test_side_tasks",
+    ),
+    Break(
+        "tiers: long requests leave slots to the more urgent",
+        "placement/reserve.py",
+        "_MOST_RESERVED = 0.4",
+        "_MOST_RESERVED = 0.0",
+        "tests.placement.test_reserve",
+    ),
+    Break(
+        "a part is copied only once it was read",
+        "placement/kept_parts.py",
+        "if key not in self._tokens or key in self._unread_keys:",
+        "if key not in self._tokens:",
+        "tests.placement.test_kept_parts",
+    ),
 )
 
 
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -17,6 +17,10 @@
 _EDITOR = "tests.contracts.test_editor.TestEditor"
 _PROGRAM = "tests.console.test_gateway_program.TestGatewayProgram"
 _VIEWS = "tests.views.test_views"
+_DUTIES = "tests.duties.test_duty_keeper.TestDuties"
+_LEASE = "tests.duties.test_lease.TestLease"
+_TIME = "tests.duties.test_true_time.TestTrueTime"
+_REPLAY = "tests.load.policy.test_replay.TestBursts"
 
 
 @dataclass(frozen=True)
@@ -433,6 +437,86 @@
             ),
         ),
     ),
+    Promise(
+        "One gateway at a time does the duties of the fleet, and no window is reported twice.",
+        "ONE, Duty",
+        (
+            Case(
+                "the holder is killed, or stopped in a planned way",
+                (
+                    f"{_DUTIES}.test_a_killed_holder_is_followed_and_no_window_is_missed",
+                    f"{_DUTIES}.test_a_stopped_holder_hands_over_within_a_second",
+                ),
+            ),
+            Case(
+                "all power lost",
+                (
+                    f"{_DUTIES}.test_after_all_power_is_lost_the_open_window_is_reported_from_the_store",
+                ),
+            ),
+            Case(
+                "the holder stands still and wakes up again",
+                (f"{_DUTIES}.test_a_former_holder_that_wakes_up_changes_nothing",),
+            ),
+            Case(
+                "the holder is cut off from the store, tokens not checked",
+                (
+                    f"{_DUTIES}.test_without_checked_tokens_a_holder_without_the_store_stops_acting",
+                    f"{_LEASE}.test_without_checked_tokens_acts_end_half_a_lease_after_the_last_write",
+                ),
+            ),
+            Case(
+                "the holder is cut off from the platform",
+                (f"{_DUTIES}.test_a_holder_that_the_platform_does_not_answer_is_followed",),
+            ),
+            Case(
+                "calls without an answer that are carried out later",
+                (f"{_DUTIES}.test_reports_that_are_carried_out_late_are_the_same",),
+            ),
+            Case(
+                "writes to the store without an answer, and an outage of it",
+                (
+                    f"{_DUTIES}.test_writes_without_answers_make_no_second_holder",
+                    f"{_DUTIES}.test_an_outage_of_the_store_costs_reports_and_never_doubles_one",
+                ),
+            ),
+            Case(
+                "clocks that step",
+                (
+                    f"{_DUTIES}.test_a_clock_that_is_seconds_off_shifts_no_window",
+                    f"{_TIME}.test_a_minority_of_wrong_clocks_does_not_show",
+                ),
+            ),
+            Case(
+                "several of these, alone and overlapping, 3 to 9 gateways",
+                (f"{_DUTIES}.test_drawn_histories_keep_what_must_hold",),
+            ),
+            Case(
+                "a fault in the code of a duty",
+                (
+                    "tests.gateway.test_side_tasks.TestSideTasks"
+                    ".test_a_fault_is_logged_and_the_task_starts_again_with_a_growing_pause",
+                ),
+            ),
+        ),
+    ),
+    Promise(
+        "The more urgent find slots while long requests come in a burst.",
+        "TIER, Prices",
+        (
+            Case(
+                "bursts of long and of the most urgent requests that overlap",
+                (f"{_REPLAY}.test_urgent_requests_find_slots_in_a_burst_of_long_ones",),
+            ),
+            Case(
+                "far too few engines",
+                (
+                    f"{_REPLAY}.test_more_urgent_ones_do_not_get_nothing_while_larger_ones_begin",
+                    f"{_REPLAY}.test_nor_where_a_third_of_the_engines_needed_is_left",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "A planned stop cuts off nothing; a start serves nothing that it does not know.",
         "LOST, DRAIN, RECOVER",
