--- a/src/lotushill/duties/duty_keeper.py
+++ b/src/lotushill/duties/duty_keeper.py
@@ -222,14 +222,16 @@
         lease_seconds = self._settings.lease_seconds
         while True:
             due = self._clock()
+            recorded = True
             if self.lease.held:
-                await self._renew()
+                recorded = await self._renew()
                 due += lease_seconds / _RENEWALS_A_LEASE
             elif self._sight.reads_store():
                 await self._look()
                 due += lease_seconds / _LOOKS_A_LEASE * (1 + min(2, self._sight.rank()))
             await anyio.sleep(_TICK_SECONDS)
-            while self._clock() < due and not self._has_unrecorded():
+            # What was settled is recorded at once, but for a store that does not take it.
+            while self._clock() < due and not (recorded and self._has_unrecorded()):
                 await anyio.sleep(_TICK_SECONDS)
 
     def _has_unrecorded(self) -> bool:
@@ -276,19 +278,24 @@
             "duty.taken", token=self.lease.token, former=former.holder, settled=former.settled
         )
 
-    async def _renew(self) -> None:
-        """Confirm the ownership; what was settled meanwhile is recorded with the same write."""
+    async def _renew(self) -> bool:
+        """Confirm the ownership, and record with the same write what was settled meanwhile.
+
+        Return whether the write is known to be in force.
+        """
         record = self._record
         if record is None:
             self._lose("no record")
-            return
+            return False
         if self._platform_is_silent():
             self._lose("platform does not answer")
             await self._try_write(replace(record, holder="", beat=record.beat + 1))
-            return
+            return False
         sent_at = self._clock()
-        if await self._try_write(self._next_record(record)):
+        written = await self._try_write(self._next_record(record))
+        if written:
             self.lease.renew(sent_at)
+        return written
 
     def _platform_is_silent(self) -> bool:
         since = self._unanswered_since
--- a/src/lotushill/duties/engine_sizing.py
+++ b/src/lotushill/duties/engine_sizing.py
@@ -27,6 +27,8 @@
 _PEAK_SECONDS = 30.0
 """The demand of so long counts: bursts come again, and engines that were given back between them
 start too late and have read no shared part of a prompt."""
+_TAKEN_OVER_SECONDS = 10.0
+"""After a change of holder, what the former one ordered stands for so long."""
 _UNKNOWN_HEADROOM = 1.6
 """Times the engines that stand at first, while nothing is known of the demand and where engines
 that may be taken away are to be had: a burst within the first seconds finds room."""
@@ -89,7 +91,8 @@
     def wanted(self, slots: int, now: float, cheap: bool = True) -> int:
         """Return how many engines the fleet needs; `cheap` says that some may be taken away."""
         needed = math.ceil(_HEADROOM * self.peak / (_FULL_SHARE * slots))
-        if now - self._started < _PEAK_SECONDS or not self.peak:
+        unknown = _TAKEN_OVER_SECONDS if self._ordered else _PEAK_SECONDS
+        if now - self._started < unknown or not self.peak:
             # Nothing is known yet of what is needed, but what whoever set it up chose.
             usual = math.ceil(self.base * (_UNKNOWN_HEADROOM if cheap else 1.0))
             return max(needed, self._ordered or usual)
--- a/src/lotushill/placement/pauses.py
+++ b/src/lotushill/placement/pauses.py
@@ -69,14 +69,36 @@
 
     def beside(self, waiting: float, running: int, slowness: float) -> float:
         """Return the pause of a stream beside readings of `waiting` seconds."""
-        usual = self.quiet.at(running) * slowness
-        return usual + min(waiting, self.bound * slowness)
+        return self.at(running, slowness).beside(waiting)
 
     def missed(self, waiting: float, running: int, slowness: float, longest: float) -> float:
         """Return how likely a pause beside readings of `waiting` seconds exceeds `longest`."""
-        likely = self.beside(waiting, running, slowness)
-        share = likely / max(_LEAST_ALLOWED_SECONDS, longest)
-        return logistic(_MISS_STEEPNESS * (share - _MISS_MIDDLE))
+        return missed(self.beside(waiting, running, slowness), longest)
+
+    def at(self, running: int, slowness: float) -> UpstreamPauses:
+        """Return the pauses on one upstream, where so many requests run."""
+        return UpstreamPauses(self.quiet.at(running) * slowness, self.bound * slowness)
+
+
+class UpstreamPauses:
+    """The pauses on one upstream at one moment, worked out once for all that is asked of them."""
+
+    __slots__ = ("_bound", "quiet")
+
+    def __init__(self, quiet: float, bound: float) -> None:
+        self.quiet = quiet
+        """Seconds, while nothing is read."""
+        self._bound = bound
+
+    def beside(self, waiting: float) -> float:
+        """Return the pause beside readings of `waiting` seconds."""
+        return self.quiet + (waiting if waiting < self._bound else self._bound)
+
+
+def missed(likely: float, longest: float) -> float:
+    """Return how likely a pause that is likely so long exceeds `longest`."""
+    share = likely / max(_LEAST_ALLOWED_SECONDS, longest)
+    return logistic(_MISS_STEEPNESS * (share - _MISS_MIDDLE))
 
 
 _CERTAIN = 40.0
@@ -87,4 +109,6 @@
     """Return the logistic function, without overflow."""
     if value > _CERTAIN:
         return 1.0
+    if value < -_CERTAIN:
+        return 0.0
     return 1.0 / (1.0 + math.exp(-value))
--- a/src/lotushill/placement/weigher.py
+++ b/src/lotushill/placement/weigher.py
@@ -8,6 +8,7 @@
 from lotushill.placement.backup import COPY_LOSS_PER_TOKEN
 from lotushill.placement.choice import Choice
 from lotushill.placement.pauses import logistic
+from lotushill.placement.pauses import missed
 
 if TYPE_CHECKING:
     from lotushill.placement.fetch import Fetch
@@ -15,6 +16,7 @@
     from lotushill.placement.kept_parts import Chain
     from lotushill.placement.need import Need
     from lotushill.placement.pace import Pace
+    from lotushill.placement.pauses import UpstreamPauses
     from lotushill.placement.recent_parts import RecentParts
     from lotushill.placement.upstream_load import UpstreamLoad
     from lotushill.routing.service import EngineProfile
@@ -42,6 +44,8 @@
 """Requests beside which a pause is held against what is allowed, to tell delicate streams."""
 _DELICATE_MARGIN = 1.05
 _LATE_STEEPNESS = 6.0
+_MOST_ROUGH_TARGETS = 2.0
+"""A first event later than so many targets is as bad as one at that time."""
 _MEMORY_SHARE = 0.95
 _FULL_MEMORY_LOSS = 1.0
 _CROWDING_LOSS = 0.05
@@ -98,8 +102,8 @@
 class _Forecast:
     """What a request is likely to meet on one upstream; times are seconds, lengths tokens."""
 
-    slowness: float
-    """Of its steps, against its like."""
+    pauses: UpstreamPauses
+    """Between the events of its streams."""
     rate: float
     """Prompt tokens that it reads in a second."""
     due: float
@@ -156,11 +160,20 @@
         beside = pace.pauses.beside(pace.long_reading, _FEW_RUNNING, 1.0)
         self._delicate = 0 < need.gap < _DELICATE_MARGIN * beside
 
+    def rough_cost(self, load: UpstreamLoad, rank: float) -> float:
+        """Return about what an upstream costs, for a fifth of the work of weighing it."""
+        rate = self._pace.read_rate / load.step_slowness(self._now)
+        reading = self._need.prompt_tokens - load.kept.matched_chain(self._chain)
+        first = (load.unread.all(rate, self._now) + reading) / rate
+        cost = _LATE_LOSS * min(_MOST_ROUGH_TARGETS, first / self._need.target)
+        cost += self._packing_loss(rank, len(load.running) / self._engine.slots)
+        cost += _FAILURE_LOSS * load.failures.rate(self._now)
+        return cost + (load.before(self._need.tier) >= self._engine.slots)
+
     def weigh(self, upstream: Upstream, load: UpstreamLoad, rank: float) -> Choice:
         """Return the choice of one upstream; `rank` is its place, 0 to 1, in the shared order."""
         seen = self._forecast(upstream, load)
-        harm = self._harm(load, seen.due, seen.reading_seconds, seen.slowness)
-        harm += self._own_gap_loss(seen, len(load.running))
+        harm = self._harm(load, seen, seen.reading_seconds) + self._own_gap_loss(seen)
         read = self._need.prompt_tokens - seen.reading
         again = self._recent.again_chain(self._shared, read, self._now)
         fetched = seen.fetch.tokens if seen.fetch else 0
@@ -197,14 +210,15 @@
         fetch = self._planner.plan(upstream, matched, rate) if self._planner else None
         reading = max(0, need.prompt_tokens - matched - (fetch.tokens if fetch else 0))
         wait = ahead / rate
-        quiet = pace.pauses.quiet.at(len(load.running)) * slowness
+        pauses = pace.pauses.at(len(load.running), slowness)
+        quiet = pauses.quiet
         first = max(wait, fetch.seconds if fetch else 0.0) + reading / rate + quiet
         seconds = first + self._events * quiet
         # Engines let the more urgent in first: only those as urgent keep a request from a slot.
         excess = load.before(need.tier) + 1 - slots
         queue = max(0, excess) * seconds / slots
         return _Forecast(
-            slowness=slowness,
+            pauses=pauses,
             rate=rate,
             due=load.unread.all(rate, self._now) / rate,
             ahead=ahead,
@@ -217,12 +231,12 @@
             seconds=seconds,
         )
 
-    def _own_gap_loss(self, seen: _Forecast, running: int) -> float:
+    def _own_gap_loss(self, seen: _Forecast) -> float:
         """Return what the request loses by readings that are due beside its own events."""
         gap = self._need.gap
         if not gap:
             return 0.0
-        return _GAP_LOSS * self._pace.pauses.missed(seen.due, running, seen.slowness, gap)
+        return _GAP_LOSS * missed(seen.pauses.beside(seen.due), gap)
 
     def _usual_loss(self, load: UpstreamLoad, seen: _Forecast, rank: float) -> float:
         if not self._usual.long:
@@ -230,23 +244,23 @@
         reading = self._usual.reading / seen.rate
         late = _late(seen.wait + seen.queue + reading, self._need.target)
         crowd = len(load.running) / self._engine.slots
-        harm = self._harm(load, seen.due, reading, seen.slowness)
+        harm = self._harm(load, seen, reading)
         return late + harm + self._packing_loss(rank, crowd)
 
-    def _harm(self, load: UpstreamLoad, before: float, reading: float, slowness: float) -> float:
+    def _harm(self, load: UpstreamLoad, seen: _Forecast, reading: float) -> float:
         """Return what reading a prompt for so many seconds costs the streams beside it.
 
         Those that run may miss a pause now. As many come again while the prompt is read, and
         they miss theirs also where those that run have missed one already.
         """
-        pace = self._pace
         harm = 0.0
-        running = len(load.running)
-        coming = min(1.0, reading / pace.stream_seconds)
+        coming = min(1.0, reading / self._pace.stream_seconds)
+        before = seen.pauses.beside(seen.due)
+        after = seen.pauses.beside(seen.due + reading)
         for gap, count in load.gaps.items():
-            missed = pace.pauses.missed(before + reading, running, slowness, gap)
-            harm += count * (missed - pace.pauses.missed(before, running, slowness, gap))
-            harm += count * coming * missed
+            misses = missed(after, gap)
+            added = misses - missed(before, gap) if after > before else 0.0
+            harm += count * (added + coming * misses)
         return _GAP_LOSS * harm
 
     def _packing_loss(self, rank: float, crowd: float) -> float:
