--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -296,7 +296,7 @@
         for item in sources:
             load = self.load(item.id)
             if item.hall not in cut and load.failures.rate(now) < _SOUND_RATE:
-                kept[item.id] = load.kept.read_chain(shared)
+                kept[item.id] = load.kept.matched_chain(shared)
         return FetchPlanner(engine, kept, known)
 
 
