Divide the keeper of the duties by job; a refusal that the store has not confirmed is a loss

ownership (lease and record), usage, orders and the health of calls are modules of their own; what a gateway counts and the keeper stand together in gateway/duties.py.

The platform answers 409 both to an old token and where no reclaimable engines are to be had. A holder cut off from the store alone could take the first for the second and go on calling until an ordinary order was due, 13 s later; it now stops where the store has not confirmed it for a whole lease. Found by reading: the new test of such a holder holds, but also without the change, since an ordinary order is refused in time there.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -449,14 +449,14 @@
     ),
     Break(
         "duties: recorded counts never change",
-        "duties/duty_keeper.py",
-        "            settled=settled,\n",
-        "            settled=record.settled,\n",
+        "duties/usage_duty.py",
+        "return replace(record, settled=settled,",
+        "return replace(record, settled=record.settled,",
         "tests.duties",
     ),
     Break(
         "duties: counts are recorded before they are reported",
-        "duties/duty_keeper.py",
+        "duties/usage_duty.py",
         "for window in sorted(record.reports.keys() - self._reported):\n"
         "                if not await self._report_one(window, record.reports[window]):",
         "for window in sorted(self._recorded.keys() - self._reported):\n"
--- a/src/lotushill/duties/lease.py
+++ b/src/lotushill/duties/lease.py
@@ -95,6 +95,10 @@
         fresh = now - self._confirmed_at < _ACT_SHARE * self._options.seconds
         return fresh or self._options.fenced
 
+    def confirmed_lately(self, now: float) -> bool:
+        """Return whether the store has confirmed the ownership within the last lease."""
+        return now - self._confirmed_at < self._options.seconds
+
     def lose(self, now: float) -> None:
         """Stop for good with this token, and stay out for a while."""
         self.token = None
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -15,10 +15,9 @@
 import anyio
 
 from lotushill.contracts.exceptions import SettingsError
-from lotushill.duties.true_time import TrueTime
-from lotushill.duties.work_counts import WorkCounts
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
+from lotushill.gateway.duties import FleetDuties
 from lotushill.gateway.front import Front
 from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
@@ -27,7 +26,6 @@
 from lotushill.gateway.reader_role import ReaderRole
 from lotushill.gateway.registration import Registration
 from lotushill.gateway.retry_budgets import RetryBudgets
-from lotushill.gateway.settings import DutySettings
 from lotushill.gateway.side_tasks import SideTasks
 from lotushill.gateway.status_app import StatusApp
 from lotushill.gateway.store_views import StoreViews
@@ -45,14 +43,10 @@
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from anyio.abc import TaskGroup
 
-    from lotushill.duties.duty_keeper import DutyKeeper
     from lotushill.gateway.settings import GatewaySettings
-    from lotushill.links.messages import WorkPage
-    from lotushill.links.messages import WorkPull
     from lotushill.routing.service import Service
     from lotushill.routing.upstream import Upstream
 
@@ -77,11 +71,7 @@
         self.metrics = Metrics()
         self.log = EventLog(settings.name, journal=self.journal)
         rng = random.Random()
-        self.rng = rng
-        self.true_time = TrueTime(time.time, time.monotonic)
-        window_seconds = (settings.duties or DutySettings("")).report_window_seconds
-        self.work = WorkCounts(settings.name, window_seconds, self.true_time, time.monotonic)
-        self._keeper: DutyKeeper | None = None
+        self.duties = FleetDuties(self)
         self._side_tasks = SideTasks(self.log, rng)
         self.store = ObjectStore(settings.store)
         role = ReaderRole(lambda: self.peers.membership, time.monotonic)
@@ -130,7 +120,7 @@
                 placer=placer,
                 pool=self.pool,
                 budgets=self.budgets,
-                work=self.work,
+                work=self.duties.work,
                 log=self.log,
                 metrics=self.metrics,
                 rng=rng,
@@ -172,28 +162,7 @@
         group.start_soon(self._side_tasks.run, "registration", self.registration.run)
         group.start_soon(self._side_tasks.run, "sweep", self._sweep)
         if self.settings.duties is not None:
-            group.start_soon(self._side_tasks.run, "duties", self._keep_duties)
-
-    async def _keep_duties(self) -> None:
-        """Do what falls to this gateway for the whole fleet, once it can serve."""
-        while not self.ready():
-            await anyio.sleep(_TICK_SECONDS)
-        # Loaded late: nothing of it is needed to serve.
-        from lotushill.gateway.duties import new_keeper
-
-        self._keeper = new_keeper(self)
-        try:
-            await self._keeper.run()
-        finally:
-            self._keeper = None
-
-    def _work_pages(self, pull: WorkPull) -> Iterable[WorkPage]:
-        self.true_time.adopt(pull.now)
-        return self.work.pages(pull.since)
-
-    def _on_work_page(self, page: WorkPage) -> None:
-        if self._keeper is not None:
-            self._keeper.receive(page)
+            group.start_soon(self._side_tasks.run, "duties", self.duties.run)
 
     async def _sweep(self) -> None:
         while True:
@@ -237,8 +206,7 @@
         self._stopping = True
         self.front.closing = True
         self.log.note("process.stopping", in_progress=self.front.in_progress)
-        if self._keeper is not None:
-            await self._keeper.hand_over()
+        await self.duties.hand_over()
         await anyio.sleep(self.settings.leave_seconds)
         self.front.open = False
         self.clients.stop()
@@ -263,8 +231,8 @@
             on_gone=lambda name: self.shared_load.drop_sender(name),
             answer=lambda ask, now: self.desk.answer(ask, now),
             on_late=lambda request: self.shared_load.give_up(request),
-            on_work_pull=self._work_pages,
-            on_work_page=self._on_work_page,
+            on_work_pull=self.duties.pages,
+            on_work_page=self.duties.receive,
         )
 
     def _add_gauges(self) -> None:
@@ -342,7 +310,7 @@
             "store_calls": self.store.calls,
             "connections_opened": self.pool.opened,
             "peer_bytes": self.peers.bytes_sent,
-            "duties": self._keeper.status() if self._keeper else None,
+            "duties": self.duties.status(),
         }
 
 
--- a/tests/duties/test_duty_keeper.py
+++ b/tests/duties/test_duty_keeper.py
@@ -137,6 +137,25 @@
             world.end()
             self.assertEqual(world.platform.differing, [])
 
+    @in_virtual_time
+    async def test_a_holder_without_the_store_stops_after_a_call_was_refused(self) -> None:
+        """The answer to it is the same as where no reclaimable engines are to be had."""
+        world = await started()
+        holder = world.holder()
+        assert holder is not None
+        holder.store_cut = True
+        await world.serve(8.0)
+        # More is to be had of the reclaimable engines alone, and only these are ordered anew.
+        for _ in range(400):
+            holder.work.enter("llm")
+        await world.serve(12.0)
+        world.end()
+        refused = [
+            call.at for call in world.platform.calls if call.node == holder.name and not call.taken
+        ]
+        self.assertLessEqual(len([at for at in refused if at > refused[0] + LEASE]), 3)
+        self.check(world)
+
     @in_virtual_time
     async def test_without_checked_tokens_a_holder_without_the_store_stops_acting(self) -> None:
         world = await started(fenced=False)
--- a/tests/duties/virtual_duties.py
+++ b/tests/duties/virtual_duties.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from lotushill.duties.duty_keeper import DutyKeeper
-from lotushill.duties.duty_keeper import FleetSight
+from lotushill.duties.ports import FleetSight
 from lotushill.duties.true_time import TrueTime
 from lotushill.duties.work_counts import WorkCounts
 from lotushill.event_log import EventLog
@@ -138,7 +138,6 @@
             ),
             self.time,
             EventLog(self.name, self.lines.append, world.now),
-            world.rng,
             world.now,
         )
         self.task = asyncio.get_running_loop().create_task(self.keeper.run())
