--- a/src/lotushill/load/policy/comparison.py
+++ b/src/lotushill/load/policy/comparison.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterator
     from collections.abc import Mapping
 
-    from lotushill.load.policy.replay import Result
+    from lotushill.load.policy.result import Result
     from lotushill.load.policy.scenario import Scenario
 
 _PACKAGE = "lotushill."
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -7,16 +7,19 @@
 import itertools
 import math
 import random
-from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from lotushill.load.policy.client import Client
 from lotushill.load.policy.engine import Engine
 from lotushill.load.policy.engine import EngineFigures
 from lotushill.load.policy.engine import Run
+from lotushill.load.policy.result import Result
+from lotushill.load.policy.result import Tally
+from lotushill.load.policy.result import put_behind
 from lotushill.placement.choice import Choice
 from lotushill.placement.fleet import PACED_EVENTS
 from lotushill.placement.fleet import Fleet
@@ -53,94 +56,10 @@
 """Times the mean, the longest prompt."""
 _FLAT, _BY_SIZE = 0.3, 0.7
 """A request is worth this, and this times its size beside the mean of its class."""
-_TIER_SECONDS = 5.0
-_TIER_LEAST = 10
-_TIER_SHARE = 1.0 / 12.0
-_TIER_TIMES = 2.0
-"""Within so many seconds, so many requests and more than this share of their kind may not get
-nothing while less urgent ones of so many times their size begin."""
 _OUTPUT_WORTH = 10.0
 _MOST_TIMES_WORTH = 4.0
 
 
-@dataclass
-class Tally:
-    """What became of the requests of one class."""
-
-    asked: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-    why: Counter[str] = field(default_factory=Counter)
-    """What made them late, or ended them."""
-    earned: float = 0.0
-    owed: float = 0.0
-    burnt: float = 0.0
-    """Seconds in slots of runs that were not whole."""
-
-    @property
-    def share(self) -> float:
-        """Return the credit earned of the credit owed."""
-        return self.earned / self.owed if self.owed else 1.0
-
-
-@dataclass(frozen=True)
-class PutBehind:
-    """A kind of request got nothing for some seconds while less urgent, larger ones began."""
-
-    name: str
-    second: int
-    asked: int
-    nothing: int
-    larger: int
-
-
-@dataclass
-class Result:
-    """What one play showed."""
-
-    classes: dict[str, Tally]
-    windows: dict[int, Tally]
-    """By two seconds of arrival."""
-    put_behind: list[PutBehind]
-
-    @property
-    def credit(self) -> float:
-        """Return the share of all credit that was earned."""
-        owed = sum(item.owed for item in self.classes.values())
-        return sum(item.earned for item in self.classes.values()) / owed if owed else 1.0
-
-    def worst_windows(self) -> float:
-        """Return the mean of the two worst windows."""
-        shares = sorted(item.share for item in self.windows.values() if item.asked)
-        return sum(shares[:2]) / max(1, len(shares[:2]))
-
-
-@dataclass
-class _Client:
-    """One request of a client, over its tries."""
-
-    kind: RequestClass
-    need: Need
-    output: int
-    arrived: float
-    worth: float
-    scheduler: int
-    number: int = 0
-    tries: int = 1
-    waited_since: float = 0.0
-    began_at: float = 0.0
-    """When its first event came, 0 for never."""
-    served: bool = False
-    engine: int = -1
-    run: Run | None = None
-    choice: Choice | None = None
-    sent_at: float = 0.0
-    over: bool = False
-    excluded: frozenset[str] = frozenset()
-
-
 @dataclass(order=True)
 class _Event:
     at: float
@@ -186,8 +105,8 @@
         self._busy = [False] * scenario.engines
         self._up = [True] * scenario.engines
         self._listed = [True] * scenario.engines
-        self._clients: dict[int, _Client] = {}
-        self._all: list[_Client] = []
+        self._clients: dict[int, Client] = {}
+        self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
         self.windows: dict[int, Tally] = {}
 
@@ -202,29 +121,7 @@
             event = heapq.heappop(self._events)
             self.now = event.at
             event.act()
-        return Result(self.tallies, self.windows, self._put_behind())
-
-    def _put_behind(self) -> list[PutBehind]:
-        """Return where requests got nothing while larger ones that are less urgent began."""
-        found = []
-        for kind in self.scenario.classes:
-            own = [client for client in self._all if client.kind is kind]
-            size = kind.prompt + kind.shared
-            for second in range(int(self.scenario.seconds - _TIER_SECONDS) + 1):
-                ends = second + _TIER_SECONDS
-                asked = [client for client in own if second <= client.arrived < ends]
-                nothing = sum(not client.served for client in asked)
-                if nothing < _TIER_LEAST or nothing <= _TIER_SHARE * len(asked):
-                    continue
-                larger = sum(
-                    client.kind.tier > kind.tier
-                    and client.need.prompt_tokens > _TIER_TIMES * size
-                    and second <= client.began_at < ends
-                    for client in self._all
-                )
-                if larger:
-                    found.append(PutBehind(kind.name, second, len(asked), nothing, larger))
-        return found
+        return Result(self.tallies, self.windows, put_behind(self.scenario, self._all))
 
     def _at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, _Event(when, next(self._order), act))
@@ -257,7 +154,7 @@
         size = (prompt + _OUTPUT_WORTH * output) / mean
         worth = min(_MOST_TIMES_WORTH, _FLAT + _BY_SIZE * size)
         scheduler = rng.randrange(len(self.fleets))
-        client = _Client(kind, need, output, self.now, worth, scheduler, waited_since=self.now)
+        client = Client(kind, need, output, self.now, worth, scheduler, waited_since=self.now)
         self._all.append(client)
         for tally in (self.tallies[kind.name], self._window(client)):
             tally.asked += 1
@@ -266,12 +163,12 @@
         self._at(self.now + kind.deadline, lambda: self._leave(client))
         self._place(client)
 
-    def _window(self, client: _Client) -> Tally:
+    def _window(self, client: Client) -> Tally:
         return self.windows.setdefault(int(client.arrived // 2) * 2, Tally())
 
     # Placing
 
-    def _place(self, client: _Client) -> None:
+    def _place(self, client: Client) -> None:
         if client.over:
             return
         fleet = self.fleets[client.scheduler]
@@ -286,7 +183,7 @@
             return
         self._refuse(client, found)
 
-    def _refuse(self, client: _Client, refusal: NoChoice) -> None:
+    def _refuse(self, client: Client, refusal: NoChoice) -> None:
         left = client.arrived + client.kind.deadline - self.now
         pause = min(refusal.retry_after, _RETURN_SHARE * left)
         if client.tries > 1:
@@ -301,7 +198,7 @@
 
         self._at(self.now + pause, come_back)
 
-    def _send(self, client: _Client, choice: Choice) -> None:
+    def _send(self, client: Client, choice: Choice) -> None:
         number = next(self._numbers)
         client.number, client.choice = number, choice
         client.engine = int(choice.upstream.id[1:])
@@ -320,7 +217,7 @@
     def _with_clock(self, act: Callable[[float], None]) -> Callable[[], None]:
         return lambda: act(self.now)
 
-    def _tell_all(self, client: _Client, act: Callable[[Fleet, float], None]) -> None:
+    def _tell_all(self, client: Client, act: Callable[[Fleet, float], None]) -> None:
         """Let all schedulers hear of something, the client's own at once."""
         for fleet in self.fleets:
             if fleet is self.fleets[client.scheduler]:
@@ -329,7 +226,7 @@
                 told = self._with_clock(functools.partial(act, fleet))
                 self._at(self.now + _NEWS_SECONDS, told)
 
-    def _reach(self, client: _Client, number: int) -> None:
+    def _reach(self, client: Client, number: int) -> None:
         if client.over or client.number != number:
             return
         engine = self.engines[client.engine]
@@ -346,7 +243,7 @@
             self._at(client.sent_at + client.need.patience, lambda: self._impatient(client, run))
         self._wake(client.engine)
 
-    def _not_run(self, client: _Client) -> None:
+    def _not_run(self, client: Client) -> None:
         """Try another engine: this one is down, or full."""
         name = self.upstreams[client.engine].id
         if not self._up[client.engine]:
@@ -358,7 +255,7 @@
             return
         self._place(client)
 
-    def _impatient(self, client: _Client, run: Run) -> None:
+    def _impatient(self, client: Client, run: Run) -> None:
         if client.run is run and not run.events and not client.over:
             self._leave(client, "no event for too long")
 
@@ -407,12 +304,12 @@
         else:
             self._finish(client, "in_time")
 
-    def _end_run(self, client: _Client, outcome: Outcome) -> None:
+    def _end_run(self, client: Client, outcome: Outcome) -> None:
         ended = Ended(client.number, outcome, self.now - client.sent_at)
         self._clients.pop(client.number, None)
         self._tell_all(client, lambda fleet, now: fleet.end(ended, now))
 
-    def _lost(self, client: _Client, outcome: Outcome) -> None:
+    def _lost(self, client: Client, outcome: Outcome) -> None:
         if client.run is not None:
             self.engines[client.engine].drop(client.run)
         self._end_run(client, outcome)
@@ -424,7 +321,7 @@
         client.waited_since = self.now
         self._place(client)
 
-    def _leave(self, client: _Client, why: str = "") -> None:
+    def _leave(self, client: Client, why: str = "") -> None:
         if client.over:
             return
         if not why:
@@ -436,7 +333,7 @@
             self._end_run(client, Outcome.UNKNOWN)
         self._finish(client, "failed", why)
 
-    def _finish(self, client: _Client, end: str, why: str = "") -> None:
+    def _finish(self, client: Client, end: str, why: str = "") -> None:
         client.over = True
         client.served = end in ("in_time", "late")
         if why:
--- /dev/null
+++ b/src/lotushill/load/policy/result.py
@@ -0,0 +1,98 @@
+"""What became of the requests of a replay."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lotushill.load.policy.client import Client
+    from lotushill.load.policy.scenario import Scenario
+
+_TIER_SECONDS = 5.0
+_TIER_LEAST = 10
+_TIER_SHARE = 1.0 / 12.0
+_TIER_TIMES = 2.0
+"""Within so many seconds, so many requests and more than this share of their kind may not get
+nothing while less urgent ones of so many times their size begin."""
+
+
+@dataclass
+class Tally:
+    """What became of the requests of one class."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    why: Counter[str] = field(default_factory=Counter)
+    """What made them late, or ended them."""
+    earned: float = 0.0
+    owed: float = 0.0
+    burnt: float = 0.0
+    """Seconds in slots of runs that were not whole."""
+
+    @property
+    def share(self) -> float:
+        """Return the credit earned of the credit owed."""
+        return self.earned / self.owed if self.owed else 1.0
+
+
+@dataclass(frozen=True)
+class PutBehind:
+    """A kind of request got nothing for some seconds while less urgent, larger ones began."""
+
+    name: str
+    second: int
+    asked: int
+    nothing: int
+    larger: int
+
+
+@dataclass
+class Result:
+    """What one play showed."""
+
+    classes: dict[str, Tally]
+    windows: dict[int, Tally]
+    """By two seconds of arrival."""
+    put_behind: list[PutBehind]
+
+    @property
+    def credit(self) -> float:
+        """Return the share of all credit that was earned."""
+        owed = sum(item.owed for item in self.classes.values())
+        return sum(item.earned for item in self.classes.values()) / owed if owed else 1.0
+
+    def worst_windows(self) -> float:
+        """Return the mean of the two worst windows."""
+        shares = sorted(item.share for item in self.windows.values() if item.asked)
+        return sum(shares[:2]) / max(1, len(shares[:2]))
+
+
+def put_behind(scenario: Scenario, clients: Sequence[Client]) -> list[PutBehind]:
+    """Return where requests got nothing while larger ones that are less urgent began."""
+    found = []
+    for kind in scenario.classes:
+        own = [client for client in clients if client.kind is kind]
+        size = kind.prompt + kind.shared
+        for second in range(int(scenario.seconds - _TIER_SECONDS) + 1):
+            ends = second + _TIER_SECONDS
+            asked = [client for client in own if second <= client.arrived < ends]
+            nothing = sum(not client.served for client in asked)
+            if nothing < _TIER_LEAST or nothing <= _TIER_SHARE * len(asked):
+                continue
+            larger = sum(
+                client.kind.tier > kind.tier
+                and client.need.prompt_tokens > _TIER_TIMES * size
+                and second <= client.began_at < ends
+                for client in clients
+            )
+            if larger:
+                found.append(PutBehind(kind.name, second, len(asked), nothing, larger))
+    return found
--- a/tests/load/policy/test_replay.py
+++ b/tests/load/policy/test_replay.py
@@ -10,14 +10,17 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from lotushill.contracts.yaml_text import parse_file
 from lotushill.load.policy.replay import Replay
-from lotushill.load.policy.replay import Result
 from lotushill.load.policy.scenario import Burst
 from lotushill.load.policy.scenario import Scenario
 from lotushill.load.policy.scenario import parse_scenario
 
+if TYPE_CHECKING:
+    from lotushill.load.policy.result import Result
+
 SCENARIOS = Path(__file__).parents[3] / "bench" / "scenarios"
 
 
