Tell of a cut request by caller, path and body

Cause looked for: whether cuts of several arrivals belong to one request. The log had only the id, which is another one at each arrival. The line of an attempt that was cut now has a hash of caller, path and body. Ruled out nothing yet. Cost: a hash of each request that was cut, of no other.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -12,6 +12,7 @@
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.placement.choice import Choice
+from lotushill.quarantine.identity import identity_of
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
@@ -185,9 +186,19 @@
         if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
             self.runs -= 1
         if end.kind is not EndKind.WHOLE:
-            self._note("attempt.ended", upstream=self.upstream, kind=end.kind.value, why=end.detail)
+            self._note(
+                "attempt.ended",
+                upstream=self.upstream,
+                kind=end.kind.value,
+                why=end.detail,
+                identity=self._identity(end),
+            )
         return end
 
+    def _identity(self, end: AttemptEnd) -> str:
+        """Return what tells that another arrival of a cut request is the same, else nothing."""
+        return identity_of(self._request).hex() if end.kind is EndKind.BROKEN else ""
+
     def _note_ran(self) -> None:
         if not self._counted:
             self._counted = True
--- a/tests/gateway/test_sight.py
+++ b/tests/gateway/test_sight.py
@@ -16,6 +16,10 @@
     seen.whole()
 
 
+async def reset(seen: Seen) -> None:
+    seen.reset()
+
+
 def noted(rig: Rig, event: str) -> list[dict[str, object]]:
     lines = [json.loads(line) for line in rig.lines]
     return [line for line in lines if line["event"] == event]
@@ -36,6 +40,17 @@
         text = rig.parts.metrics.text().decode()
         self.assertIn('reason="overload",service="s",tier="2"} 1.0', text)
 
+    async def test_a_cut_request_is_told_apart_from_others_and_known_again(self) -> None:
+        upstreams = [ScriptedUpstream([reset])]
+        async with Rig(upstreams, max_attempts=1) as rig:
+            await rig.call("r1", body=b"one")
+            await rig.call("r2", body=b"one")
+            await rig.call("r3", body=b"two")
+            await rig.call("r4", body=b"one", path="/p/y")
+        first, again, body, path = (line["identity"] for line in noted(rig, "attempt.ended"))
+        self.assertEqual(first, again)
+        self.assertEqual(3, len({first, body, path}))
+
     async def test_a_fault_of_ours_leaves_its_trace(self) -> None:
         def fail(*_: object) -> NoChoice:
             raise ZeroDivisionError
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.quarantine."""
+
+from __future__ import annotations
