--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from lotushill.gateway.attempt_end import AttemptEnd
 from lotushill.gateway.attempt_end import EndKind
+from lotushill.gateway.exceptions import LostConnectionError
 from lotushill.gateway.exceptions import NotSentError
 from lotushill.gateway.exceptions import SilentUpstreamError
 from lotushill.gateway.exceptions import UpstreamError
@@ -70,7 +71,8 @@
             self._parts.pool.give_back(upstream, connection)
         except UpstreamError as error:
             connection.close()
-            end = AttemptEnd(EndKind.BROKEN, repr(error))
+            lost = isinstance(error, LostConnectionError)
+            end = AttemptEnd(EndKind.BROKEN, repr(error), lost=lost)
         except BaseException:
             connection.close()
             raise
--- a/src/lotushill/gateway/attempt_end.py
+++ b/src/lotushill/gateway/attempt_end.py
@@ -33,3 +33,5 @@
     detail: str = ""
     head: AnswerHead | None = None
     body: bytes = b""
+    lost: bool = False
+    """Whether the connection ended under a request that had been sent."""
--- a/src/lotushill/gateway/exceptions.py
+++ b/src/lotushill/gateway/exceptions.py
@@ -15,6 +15,10 @@
     """The connection ended or spoke nonsense after the request was written."""
 
 
+class LostConnectionError(BrokenAnswerError):
+    """The connection ended before the answer was whole."""
+
+
 class SilentUpstreamError(UpstreamError):
     """The upstream showed no sign of life for longer than allowed."""
 
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -12,7 +12,6 @@
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.placement.choice import Choice
-from lotushill.quarantine.identity import identity_of
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
@@ -29,6 +28,8 @@
 _MOST_UNSENT = 4
 _MOST_REJECTED = 3
 _RETRY_SECONDS = 0.5
+_HELD_RETRY_SECONDS = 30.0
+"""Coming back sooner does not help a request that is held."""
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits here before it is refused as not run."""
 _POLL_SECONDS = 0.03
@@ -69,17 +70,21 @@
         request = self._request
         self._parts.budgets.note_request(request.service.name, self._loop.time())
         while True:
+            if self._parts.quarantine.holds(request):
+                return await self._keep_back()
             placement = await self._find()
             if placement is None:
                 return await self._give_up("no upstream", None)
             choice = placement.choice
             end = await self._attempt(placement)
-            if end.kind is EndKind.BROKEN and choice.backup is not None:
+            check = self._check_upstream(choice.upstream, end)
+            if choice.backup is not None and await self._may_go_on(end, check):
                 end = await self._continue(choice.backup, end)
             if end.kind is EndKind.WHOLE:
                 self.outcome = "whole"
+                self._parts.quarantine.note_whole(request)
                 return None
-            if not self._may_repeat(end):
+            if not await self._may_repeat(end, check):
                 return await self._give_up(end.detail, end)
             self._excluded.add(choice.upstream.id)
             self._splitter.drop_partial()
@@ -92,8 +97,31 @@
         else:
             await self._answer.give(_UNAVAILABLE, _RETRY_SECONDS)
 
+    async def _keep_back(self) -> None:
+        """Answer a request under which upstreams end, without sending it to one more."""
+        request = self._request
+        self._parts.quarantine.note_held(request)
+        self._parts.metrics.note_refused(request.service.name, request.need.tier, "quarantined")
+        self._retry_after = _HELD_RETRY_SECONDS
+        await self._give_up("quarantined", None)
+
     # Upstreams
 
+    def _check_upstream(self, upstream: Upstream, end: AttemptEnd) -> asyncio.Task[None] | None:
+        """Find out whether the upstream ended under the request, where its connection did."""
+        return self._parts.quarantine.note_cut(self._request, upstream) if end.lost else None
+
+    async def _may_go_on(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
+        """Return whether a cut request may reach a further upstream, as far as is known now.
+
+        One that ended this upstream would end the next one as well.
+        """
+        if end.kind is not EndKind.BROKEN:
+            return False
+        if check is not None:
+            await asyncio.wait((check,))
+        return self._parts.quarantine.may_be_sent_on(self._request)
+
     async def _find(self) -> Placement | None:
         """Return an upstream, waiting for one for a small share of the target at most."""
         request = self._request
@@ -197,7 +225,7 @@
 
     def _identity(self, end: AttemptEnd) -> str:
         """Return what tells that another arrival of a cut request is the same, else nothing."""
-        return identity_of(self._request).hex() if end.kind is EndKind.BROKEN else ""
+        return self._request.identity.hex() if end.kind is EndKind.BROKEN else ""
 
     def _note_ran(self) -> None:
         if not self._counted:
@@ -240,7 +268,7 @@
 
     # Repeats
 
-    def _may_repeat(self, end: AttemptEnd) -> bool:
+    async def _may_repeat(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
         now = self._loop.time()
         service = self._request.service.name
         if end.kind is EndKind.NOT_SENT:
@@ -254,7 +282,9 @@
             return False
         if self._answer.started and not self._splitter.events:
             return False
-        return self._parts.budgets.spend(service, now)
+        if end.kind is EndKind.BROKEN and not await self._may_go_on(end, check):
+            return False
+        return self._parts.budgets.spend(service, self._loop.time())
 
     async def _give_up(self, why: str, end: AttemptEnd | None) -> None:
         self.outcome = f"given-up:{why}"
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -21,6 +21,7 @@
 from lotushill.gateway.parts import GatewayParts
 from lotushill.gateway.peers import PeerHooks
 from lotushill.gateway.peers import Peers
+from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.gateway.reader_role import ReaderRole
 from lotushill.gateway.registration import Registration
 from lotushill.gateway.retry_budgets import RetryBudgets
@@ -35,6 +36,8 @@
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
+from lotushill.quarantine.hold_store import HoldStore
+from lotushill.quarantine.quarantine import Quarantine
 from lotushill.routing.limits import ClientLimits
 from lotushill.scheduling.desk import PlacementDesk
 from lotushill.scheduling.placer import Placer
@@ -54,6 +57,8 @@
 _LAST_SECONDS = 1.0
 """Kept of the time to stop, so that the process ends by itself."""
 _TICK_SECONDS = 0.05
+_HOLDS_SECONDS = 2.0
+"""A gateway that cannot learn from its start which requests are held serves all the same."""
 _FIXED_SETTINGS = ("name", "hall", "region", "clients", "readiness", "peers", "store", "duties")
 """Settings that take a restart."""
 
@@ -75,7 +80,9 @@
         self.side_tasks = SideTasks(self.log, rng)
         self.store = ObjectStore(settings.store)
         role = ReaderRole(lambda: self.peers.membership, time.monotonic)
-        self.views = StoreViews(self.store, rng, self.log, self._on_configuration, role)
+        self.views = StoreViews(
+            self.store, rng, self.log, self._on_configuration, role, on_holds=self._on_holds
+        )
         self.fleet = Fleet(
             settings.hall, settings.recent_seconds, lambda hall: self.peers.is_cut_off(hall)
         )
@@ -107,6 +114,18 @@
             self.peers.client,
         )
         self.pool = UpstreamPool(request_head.answered_id, self._most_idle)
+        self.quarantine = Quarantine()
+        self.keeper = QuarantineKeeper(
+            settings.name,
+            self.quarantine,
+            self.views.upstreams,
+            self.pool.has_ended,
+            self.peers.tell_all,
+            self.log,
+            rng,
+            time.monotonic,
+        )
+        self.hold_store = HoldStore(self.store, self.quarantine, self.views.holds, self.log, rng)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
         self.budgets = RetryBudgets(settings.retry, self._sharing, time.monotonic())
         self.front = Front(
@@ -120,6 +139,7 @@
                 placer=placer,
                 pool=self.pool,
                 budgets=self.budgets,
+                quarantine=self.keeper,
                 work=self.duties.work,
                 log=self.log,
                 metrics=self.metrics,
@@ -134,13 +154,22 @@
             settings.readiness,
         )
         add_gauges(self)
+        self._started = time.monotonic()
         self._stopping = False
         self._following: list[asyncio.Task[None]] = []
 
     def ready(self) -> bool:
         """Return whether clients may be sent here."""
         known = self.views.configuration.table is not None and self.views.upstreams.known
-        return known and not self._stopping
+        return known and self._knows_holds() and not self._stopping
+
+    def _knows_holds(self) -> bool:
+        """Return whether it is known, or has been asked for long enough, which requests are held.
+
+        One that started with nothing would send them to upstreams again.
+        """
+        waited = time.monotonic() - self._started
+        return self.views.holds.revision >= 0 or waited > _HOLDS_SECONDS
 
     async def run(self) -> None:
         """Serve until a signal says to stop, and then finish what is in progress."""
@@ -163,6 +192,8 @@
         self._following = self.views.tasks()
         group.start_soon(self.side_tasks.run, "registration", self.registration.run)
         group.start_soon(self.side_tasks.run, "sweep", self._sweep)
+        group.start_soon(self.side_tasks.run, "quarantine", self.keeper.run)
+        group.start_soon(self.side_tasks.run, "holds", self._store_holds)
         if self.settings.duties is not None:
             group.start_soon(self.side_tasks.run, "duties", self.duties.run)
 
@@ -174,9 +205,15 @@
             self.fleet.forget(known, time.monotonic())
             self.shared_load.expire()
             self.views.expire()
+            self.keeper.look()
             for load in self.shared_load.due_lists(self.peers.count()):
                 self.peers.tell_load(load)
 
+    async def _store_holds(self) -> None:
+        while True:
+            await anyio.sleep(_SWEEP_SECONDS)
+            await self.hold_store.look()
+
     # Settings
 
     def _reload(self) -> None:
@@ -234,6 +271,7 @@
             on_late=lambda request: self.shared_load.give_up(request),
             on_work_pull=self.duties.pages,
             on_work_page=self.duties.receive,
+            on_suspects=lambda news: self.keeper.receive(news),
         )
 
     def _sharing(self) -> int:
@@ -263,6 +301,9 @@
         table = self.views.configuration.table
         return table.limits if table is not None else ClientLimits()
 
+    def _on_holds(self) -> None:
+        self.keeper.take_stored(self.views.holds.holds)
+
     def _on_configuration(self) -> None:
         table = self.views.configuration.table
         if table is not None:
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -13,6 +13,7 @@
     from lotushill.duties.work_counts import WorkCounts
     from lotushill.event_log import EventLog
     from lotushill.gateway.metrics import Metrics
+    from lotushill.gateway.quarantine_keeper import QuarantineKeeper
     from lotushill.gateway.retry_budgets import RetryBudgets
     from lotushill.gateway.upstream_pool import UpstreamPool
     from lotushill.placement.fleet import Fleet
@@ -35,6 +36,7 @@
     placer: Placer
     pool: UpstreamPool
     budgets: RetryBudgets
+    quarantine: QuarantineKeeper
     work: WorkCounts
     log: EventLog
     metrics: Metrics
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -20,6 +20,7 @@
 from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.load_records import pack
 from lotushill.links.load_records import unpack
+from lotushill.links.messages import ClearedNews
 from lotushill.links.messages import LoadBatch
 from lotushill.links.messages import LoadNews
 from lotushill.links.messages import MemberPhase
@@ -33,6 +34,7 @@
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
 from lotushill.links.messages import StoreContact
+from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
@@ -93,6 +95,8 @@
     """Tells what this gateway counted."""
     on_work_page: Callable[[WorkPage], None]
     """Hears what another gateway counted."""
+    on_suspects: Callable[[SuspectNews | ClearedNews], None]
+    """Hears of requests under which upstreams ended, or did not."""
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -191,6 +195,13 @@
         """Ask for counts, or tell them."""
         self._send_message(message, address)
 
+    def tell_all(self, message: Message) -> None:
+        """Send a message to every other gateway that is heard."""
+        data = self._seal.sign(to_datagram(message), _CONTEXT)
+        for member in self.membership.live():
+            if member.name != self.membership.own.name:
+                self._send(data, member.address)
+
     def _take_records(self, records: bytes) -> None:
         try:
             loads = unpack(records, self._hooks.upstream_id)
@@ -227,6 +238,8 @@
                 self.send_work(page, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, WorkPage):
             self._hooks.on_work_page(message)
+        elif isinstance(message, SuspectNews | ClearedNews):
+            self._hooks.on_suspects(message)
         elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
             source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
@@ -273,6 +286,7 @@
             revisions[ViewKind.UPSTREAMS],
             revisions[ViewKind.SETTINGS],
             contact,
+            revisions[ViewKind.HOLDS],
         )
         if changed and contact is not StoreContact.PASSIVE:
             self._send_all(self.membership.announce())
--- /dev/null
+++ b/src/lotushill/gateway/quarantine_keeper.py
@@ -0,0 +1,234 @@
+"""Learns which requests end upstreams, and tells the other gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+
+from lotushill.links.messages import ClearedNews
+from lotushill.links.messages import SuspectNews
+from lotushill.links.messages import SuspectState
+from lotushill.quarantine.end_watch import Cut
+from lotushill.quarantine.end_watch import EndWatch
+from lotushill.quarantine.news_plan import NewsPlan
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from lotushill.event_log import EventLog
+    from lotushill.gateway.request import Request
+    from lotushill.quarantine.quarantine import Quarantine
+    from lotushill.quarantine.stored_hold import StoredHold
+    from lotushill.routing.upstream import Upstream
+    from lotushill.views.upstream_view import UpstreamView
+
+    Clock = Callable[[], float]
+
+_ENDS_TO_STOP = 2
+"""Upstreams that ended under a request, after which one arrival of it is not sent on again."""
+_MOST_IN_DATAGRAM = 8
+_MOST_PATH = 120
+_MOST_UPSTREAMS = 4
+"""Told with a suspect; more than hold it need not be known elsewhere."""
+
+
+class QuarantineKeeper:
+    """Stands between the request path, the peers and the quarantine."""
+
+    def __init__(
+        self,
+        name: str,
+        quarantine: Quarantine,
+        upstreams: UpstreamView,
+        has_ended: Callable[[Upstream], Coroutine[Any, Any, bool | None]],
+        tell: Callable[[SuspectNews | ClearedNews], None],
+        log: EventLog,
+        rng: random.Random,
+        clock: Clock,
+    ) -> None:
+        """Ask `has_ended` of upstreams that cut a request; `tell` sends to all other gateways."""
+        self._name = name
+        self._quarantine = quarantine
+        self._upstreams = upstreams
+        self._has_ended = has_ended
+        self._tell = tell
+        self._log = log
+        self._clock = clock
+        self._plan = NewsPlan(rng)
+        self._watch = EndWatch()
+        self._checks: dict[str, asyncio.Task[bool | None]] = {}
+        """Questions under way, by upstream."""
+        self._notes: set[asyncio.Task[None]] = set()
+        self._wake = anyio.Event()
+        self.upstream_ends = 0
+        """Ends of upstreams under requests of this gateway, once for each request."""
+        self.held = 0
+        """Requests that were kept from upstreams."""
+
+    # The request path
+
+    def holds(self, request: Request) -> bool:
+        """Return whether a request is to reach no upstream."""
+        if self._quarantine.empty:
+            return False
+        return self._quarantine.holds(request.identity, self._clock())
+
+    def may_be_sent_on(self, request: Request) -> bool:
+        """Return whether an arrival that was cut may go to a further upstream."""
+        if self._quarantine.empty:
+            return True
+        if self._quarantine.ends_under(request.identity) >= _ENDS_TO_STOP:
+            return False
+        return not self._quarantine.holds(request.identity, self._clock())
+
+    def note_held(self, request: Request) -> None:
+        """Note that a request was kept from upstreams."""
+        self.held += 1
+        self._log.note(
+            "quarantine.kept_back",
+            request=request.demand.request_id,
+            identity=request.identity.hex(),
+            team=request.team,
+        )
+
+    def note_whole(self, request: Request) -> None:
+        """Note a whole answer."""
+        if self._quarantine.note_whole(request.identity, self._clock()):
+            self._plan.clear(request.identity)
+            self._wake.set()
+
+    def note_cut(self, request: Request, upstream: Upstream) -> asyncio.Task[None]:
+        """Find out whether a request that lost its connection ended its upstream."""
+        path = request.target.partition(b"?")[0].decode("latin-1")[:_MOST_PATH]
+        cut = Cut(request.identity, request.team, path, upstream.id)
+        task = asyncio.create_task(self._check(cut, upstream))
+        self._notes.add(task)
+        task.add_done_callback(self._notes.discard)
+        return task
+
+    async def _check(self, cut: Cut, upstream: Upstream) -> None:
+        if not self._is_serving(upstream.id):
+            # It was leaving, and ended as planned.
+            return
+        check = self._checks.get(upstream.id)
+        if check is None:
+            check = asyncio.create_task(self._has_ended(upstream))
+            self._checks[upstream.id] = check
+            check.add_done_callback(lambda _: self._checks.pop(upstream.id, None))
+        if await check:
+            self._note_end(cut)
+        else:
+            self._watch.note(cut, self._clock())
+
+    def _is_serving(self, upstream_id: str) -> bool:
+        found = self._upstreams.find(upstream_id)
+        return found is not None and not found.draining
+
+    def _note_end(self, cut: Cut) -> None:
+        now = self._clock()
+        if not self._quarantine.note_end(cut.identity, cut.team, cut.path, cut.upstream, now):
+            return
+        self.upstream_ends += 1
+        self._log.note(
+            "quarantine.end",
+            identity=cut.identity.hex(),
+            team=cut.team,
+            path=cut.path,
+            upstream=cut.upstream,
+            ends=self._quarantine.ends_under(cut.identity),
+            held=self._quarantine.holds(cut.identity, now),
+        )
+        self._plan.tell(cut.identity, now)
+        self._tell_proof(cut.identity, now)
+        self._wake.set()
+
+    def _tell_proof(self, identity: bytes, now: float) -> None:
+        if self._quarantine.knows_whole(identity, now):
+            self._plan.prove(identity, now)
+
+    # Peers
+
+    def receive(self, news: SuspectNews | ClearedNews) -> None:
+        """Take what another gateway knows."""
+        now = self._clock()
+        if isinstance(news, SuspectNews):
+            for state in news.suspects:
+                self._take(state, now)
+            return
+        for identity in news.since:
+            self._quarantine.clear(identity)
+            self._plan.forget(identity)
+        for identity in news.before:
+            self._quarantine.prove(identity, now)
+            self._plan.heard(identity)
+
+    def _take(self, state: SuspectState, now: float) -> None:
+        was_held = self._quarantine.holds(state.identity, now)
+        if not self._quarantine.take(state, now):
+            return
+        if self._quarantine.holds(state.identity, now) and not was_held:
+            self._log.note(
+                "quarantine.held",
+                identity=state.identity.hex(),
+                team=state.team,
+                path=state.path,
+                upstreams=list(state.upstreams),
+            )
+        self._tell_proof(state.identity, now)
+        self._wake.set()
+
+    def take_stored(self, holds: dict[bytes, StoredHold]) -> None:
+        """Take what the store has."""
+        for identity in self._quarantine.take_stored(holds):
+            self._log.note("quarantine.released", identity=identity.hex())
+
+    # What is due
+
+    def look(self) -> None:
+        """Find upstreams that are gone since, and go on telling what the store has not got."""
+        now = self._clock()
+        for cut in self._watch.take_ended(self._is_listed, now):
+            self._note_end(cut)
+        for identity in self._quarantine.unstored():
+            self._plan.go_on(identity, now)
+            self._wake.set()
+
+    def _is_listed(self, upstream_id: str) -> bool:
+        return self._upstreams.find(upstream_id) is not None
+
+    async def run(self) -> None:
+        """Tell what is due, for ever; nothing is woken up for while nothing is."""
+        while True:
+            wait = self.next_due() - self._clock()
+            if wait > 0:
+                with anyio.move_on_after(wait if wait < math.inf else None):
+                    await self._wake.wait()
+            self._wake = anyio.Event()
+            self.tell_due()
+
+    def next_due(self) -> float:
+        """Return when something is to be told."""
+        return self._plan.next_due()
+
+    def tell_due(self) -> None:
+        """Send what is due."""
+        due = self._plan.take(self._clock())
+        states = [state for item in due.suspects if (state := self._state(item)) is not None]
+        for start in range(0, len(states), _MOST_IN_DATAGRAM):
+            group = tuple(states[start : start + _MOST_IN_DATAGRAM])
+            self._tell(SuspectNews(self._name, group))
+        if due.cleared_since or due.cleared_before:
+            self._tell(ClearedNews(self._name, due.cleared_since, due.cleared_before))
+
+    def _state(self, identity: bytes) -> SuspectState | None:
+        suspect = self._quarantine.find(identity)
+        if suspect is None or not suspect.ends:
+            return None
+        upstreams = tuple(suspect.ends)[-_MOST_UPSTREAMS:]
+        return SuspectState(identity, suspect.team, suspect.path, upstreams)
--- a/src/lotushill/gateway/request.py
+++ b/src/lotushill/gateway/request.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import TYPE_CHECKING
 
+from lotushill.quarantine.identity import identity_of
+
 if TYPE_CHECKING:
     from lotushill.gateway.upstream_connection import Headers
     from lotushill.placement.need import Need
@@ -33,3 +36,8 @@
     arrived: float
     ends: float
     """When its client or its route no longer waits."""
+
+    @cached_property
+    def identity(self) -> bytes:
+        """Return what stays the same when the caller sends the request again."""
+        return identity_of(self.team, self.demand.host, self.method, self.target, self.body)
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -16,6 +16,8 @@
 from lotushill.platform import names
 from lotushill.platform.configuration import parse_table
 from lotushill.platform.upstreams import parse_upstream
+from lotushill.quarantine.hold_view import HoldView
+from lotushill.quarantine.stored_hold import KIND as HOLDS_KIND
 from lotushill.routing.exceptions import InvalidTableError
 from lotushill.views.configuration_view import ConfigurationView
 from lotushill.views.upstream_view import UpstreamView
@@ -38,6 +40,8 @@
 _SETTINGS_INTERVAL = 0.5
 _SETTINGS_WATCH_SECONDS = 25.0
 """Edits of the tree come as soon as they are made; only a silent cut is noticed later."""
+_HOLDS_INTERVAL = 0.5
+_HOLDS_WATCH_SECONDS = 25.0
 _RELISTED_SECONDS = 1.8
 """After an outage of the store, living upstreams have their entries again within about so long.
 
@@ -61,14 +65,18 @@
         on_configuration: Callable[[], None],
         role: ReaderRole | None = None,
         clock: Callable[[], float] = time.monotonic,
+        on_holds: Callable[[], None] = lambda: None,
     ) -> None:
         """Follow `store` while `role` says so; without a role, always.
 
-        `on_configuration` is called when another configuration is in force.
+        `on_configuration` is called when another configuration is in force, `on_holds` when other
+        requests are held.
         """
         self.configuration = ConfigurationView()
         self.upstreams = UpstreamView()
         self.settings = SettingsView()
+        self.holds = HoldView()
+        self._on_holds = on_holds
         self._log = log
         self._clock = clock
         self._role = role
@@ -83,10 +91,16 @@
         self._watch_configuration = follow(self._configuration_kind())
         self._watch_upstreams = follow(self._upstreams_kind())
         self._watch_settings = follow(self._settings_kind())
+        self._watch_holds = follow(self._holds_kind())
 
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start to follow the store, for ever."""
-        watchers = (self._watch_configuration, self._watch_upstreams, self._watch_settings)
+        watchers = (
+            self._watch_configuration,
+            self._watch_upstreams,
+            self._watch_settings,
+            self._watch_holds,
+        )
         return [asyncio.create_task(watcher.run()) for watcher in watchers]
 
     def contact(self) -> StoreContact:
@@ -132,6 +146,16 @@
             _SETTINGS_WATCH_SECONDS,
         )
 
+    def _holds_kind(self) -> WatchedKind:
+        return WatchedKind(
+            HOLDS_KIND,
+            lambda listed: self._take_holds(_specs(listed), listed.revision, "store"),
+            self._on_hold_changes,
+            lambda: self.holds.revision,
+            _HOLDS_INTERVAL,
+            _HOLDS_WATCH_SECONDS,
+        )
+
     def expire(self) -> None:
         """Take for gone what stayed away for too long after an outage of the store."""
         for upstream in self.upstreams.expire(self._clock()):
@@ -145,6 +169,8 @@
             return self.configuration.revision, self._configuration_text
         if kind is ViewKind.SETTINGS:
             return self.settings.revision, json.dumps(self.settings.objects)
+        if kind is ViewKind.HOLDS:
+            return self.holds.revision, json.dumps(self.holds.objects)
         now = self._clock()
         left = {name: until - now for name, until in self.upstreams.lapsed.items()}
         page = {_ENTRIES: self._specs, _LAPSED: left}
@@ -156,6 +182,8 @@
             return self.configuration.revision
         if kind is ViewKind.SETTINGS:
             return self.settings.revision
+        if kind is ViewKind.HOLDS:
+            return self.holds.revision
         return self.upstreams.revision
 
     def take_from_peer(self, kind: ViewKind, revision: int, text: str) -> None:
@@ -166,6 +194,8 @@
                 self._take_configuration(value, revision, "peer")
             elif kind is ViewKind.SETTINGS:
                 self._take_settings(dict(value), revision, "peer")
+            elif kind is ViewKind.HOLDS:
+                self._take_holds(dict(value), revision, "peer")
             else:
                 self._take_upstreams_of_peer(value, revision)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -211,8 +241,7 @@
     # The settings tree
 
     def _on_settings_list(self, listed: ObjectList) -> None:
-        specs = {item.name: item.spec for item in listed.objects}
-        self._take_settings(specs, listed.revision, "store")
+        self._take_settings(_specs(listed), listed.revision, "store")
 
     def _on_settings_changes(self, changes: list[Change], revision: int) -> None:
         self._take_settings(_changed(self.settings.objects, changes), revision, "store")
@@ -224,12 +253,23 @@
         for name, error in self.settings.faults.items():
             self._log.note("settings.rejected", object=name, error=str(error), revision=revision)
 
+    # Requests that are held
+
+    def _on_hold_changes(self, changes: list[Change], revision: int) -> None:
+        self._take_holds(_changed(self.holds.objects, changes), revision, "store")
+
+    def _take_holds(self, specs: Specs, revision: int, source: str) -> None:
+        if self.holds.replace(specs, revision):
+            self._log.note("holds.in_force", revision=revision, objects=len(specs), source=source)
+            self._on_holds()
+
     # The upstreams
 
     def _on_upstream_list(self, listed: ObjectList) -> None:
-        specs = {item.name: item.spec for item in listed.objects}
         if listed.revision > self.upstreams.revision:
-            self._replace_upstreams(specs, listed.revision, "store", self._kept_after_outage())
+            self._replace_upstreams(
+                _specs(listed), listed.revision, "store", self._kept_after_outage()
+            )
 
     def _on_upstream_changes(self, changes: list[Change], revision: int) -> None:
         if revision <= self.upstreams.revision:
@@ -278,6 +318,10 @@
         )
 
 
+def _specs(listed: ObjectList) -> Specs:
+    return {item.name: item.spec for item in listed.objects}
+
+
 def _changed(specs: Specs, changes: list[Change]) -> Specs:
     """Return specs with changes made."""
     out = dict(specs)
--- a/src/lotushill/gateway/upstream_connection.py
+++ b/src/lotushill/gateway/upstream_connection.py
@@ -17,6 +17,7 @@
 import httptools
 
 from lotushill.gateway.exceptions import BrokenAnswerError
+from lotushill.gateway.exceptions import LostConnectionError
 from lotushill.gateway.exceptions import SilentUpstreamError
 
 if TYPE_CHECKING:
@@ -67,7 +68,7 @@
         self._complete = False
         self._until_end = False
         self._keep_alive = True
-        self._error: str | None = None
+        self._error: BrokenAnswerError | None = None
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         """How long the connection may rest before it must not be used again."""
         self.idle_since = 0.0
@@ -152,11 +153,11 @@
 
     def _raise_if_broken(self) -> None:
         if self._error is not None:
-            raise BrokenAnswerError(self._error)
+            raise self._error
 
     def _break(self, reason: str) -> None:
         if self._error is None and not (self._complete and not self._idle):
-            self._error = reason
+            self._error = BrokenAnswerError(reason)
         self._keep_alive = False
         if self._transport is not None:
             self._transport.abort()
@@ -199,7 +200,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
         if self._error is None and not self._complete:
-            self._error = f"connection ended: {exc!r}"
+            self._error = LostConnectionError(f"connection ended: {exc!r}")
         self._keep_alive = False
         self._wake()
 
--- a/src/lotushill/gateway/upstream_pool.py
+++ b/src/lotushill/gateway/upstream_pool.py
@@ -68,6 +68,15 @@
             if not kept:
                 del self._idle[upstream_id]
 
+    async def has_ended(self, upstream: Upstream) -> bool | None:
+        """Return whether nothing listens at an upstream's address any more, None if unknown."""
+        try:
+            connection = await self._open(upstream)
+        except NotSentError as error:
+            return True if isinstance(error.__cause__, ConnectionRefusedError) else None
+        connection.close()
+        return False
+
     async def _open(self, upstream: Upstream) -> UpstreamConnection:
         host, port = split_address(upstream.address)
         loop = asyncio.get_running_loop()
--- a/src/lotushill/gateway/view_exchange.py
+++ b/src/lotushill/gateway/view_exchange.py
@@ -95,6 +95,12 @@
 
 
 def _revision(member: MemberState, kind: ViewKind) -> int:
-    if kind is ViewKind.CONFIGURATION:
-        return member.configuration
-    return member.upstreams if kind is ViewKind.UPSTREAMS else member.settings
+    match kind:
+        case ViewKind.CONFIGURATION:
+            return member.configuration
+        case ViewKind.UPSTREAMS:
+            return member.upstreams
+        case ViewKind.SETTINGS:
+            return member.settings
+        case ViewKind.HOLDS:
+            return member.holds
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -16,6 +16,7 @@
 import capnp
 
 from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import ClearedNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
 from lotushill.links.messages import Ping
@@ -24,6 +25,7 @@
 from lotushill.links.messages import Pong
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
+from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 from lotushill.links.messages import WorkPage
@@ -42,6 +44,8 @@
     | PlacementAnswer
     | WorkPull
     | WorkPage
+    | SuspectNews
+    | ClearedNews
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -175,6 +179,8 @@
     PlacementAnswer,
     WorkPull,
     WorkPage,
+    SuspectNews,
+    ClearedNews,
 )
 _SHAPES = {kind: _Shape(kind) for kind in _KINDS}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -13,6 +13,7 @@
   upstreams @7 :Int64;
   settings @8 :Int64;
   contact @9 :Text;
+  holds @10 :Int64;
 }
 
 struct ViewPull {
@@ -130,6 +131,24 @@
   demand @4 :List(ServiceDemand);
 }
 
+struct SuspectState {
+  identity @0 :Data;
+  team @1 :Text;
+  path @2 :Text;
+  upstreams @3 :List(Text);
+}
+
+struct SuspectNews {
+  sender @0 :Text;
+  suspects @1 :List(SuspectState);
+}
+
+struct ClearedNews {
+  sender @0 :Text;
+  since @1 :List(Data);
+  before @2 :List(Data);
+}
+
 struct Frame {
   union {
     ping @0 :Ping;
@@ -144,5 +163,7 @@
     placementanswer @9 :PlacementAnswer;
     workpull @10 :WorkPull;
     workpage @11 :WorkPage;
+    suspectnews @12 :SuspectNews;
+    clearednews @13 :ClearedNews;
   }
 }
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -12,6 +12,7 @@
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
     SETTINGS = "settings"
+    HOLDS = "holds"
 
 
 @dataclass(frozen=True)
@@ -154,6 +155,8 @@
     settings: int = -1
     """Revision of the member's view of the settings tree."""
     contact: StoreContact = StoreContact.PASSIVE
+    holds: int = -1
+    """Revision of the member's view of the requests that are held."""
 
 
 @dataclass(frozen=True)
@@ -240,3 +243,33 @@
 
     sender: str
     members: tuple[MemberState, ...]
+
+
+@dataclass(frozen=True)
+class SuspectState:
+    """What a gateway holds against one request."""
+
+    identity: bytes
+    team: str
+    path: str
+    upstreams: tuple[str, ...]
+    """Those that ended under it since it was last cleared."""
+
+
+@dataclass(frozen=True)
+class SuspectNews:
+    """Requests under which upstreams ended."""
+
+    sender: str
+    suspects: tuple[SuspectState, ...]
+
+
+@dataclass(frozen=True)
+class ClearedNews:
+    """Requests that were answered whole."""
+
+    sender: str
+    since: tuple[bytes, ...]
+    """Since their last end, so that it was not theirs."""
+    before: tuple[bytes, ...]
+    """Before their first end."""
--- a/src/lotushill/membership/membership.py
+++ b/src/lotushill/membership/membership.py
@@ -139,7 +139,12 @@
     # Own state
 
     def set_views(
-        self, configuration: int, upstreams: int, settings: int, contact: StoreContact
+        self,
+        configuration: int,
+        upstreams: int,
+        settings: int,
+        contact: StoreContact,
+        holds: int = -1,
     ) -> bool:
         """Let the next packets tell which views are held and how; return whether that is news."""
         state = replace(
@@ -148,6 +153,7 @@
             upstreams=upstreams,
             settings=settings,
             contact=contact,
+            holds=holds,
         )
         if state == self.own:
             return False
--- /dev/null
+++ b/src/lotushill/quarantine/end_watch.py
@@ -0,0 +1,46 @@
+"""Requests that were cut, while it is not known whether their upstream ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_SECONDS = 12.0
+"""An upstream that ended without a word is listed for three of its heartbeats, which are some
+1.2 s, and then three more where the store was away."""
+_MOST = 1024
+
+
+@dataclass(frozen=True)
+class Cut:
+    """One request that lost its upstream."""
+
+    identity: bytes
+    team: str
+    path: str
+    upstream: str
+
+
+class EndWatch:
+    """Keeps cuts until their upstream is seen to be gone, for a bounded time."""
+
+    def __init__(self) -> None:
+        self._cuts: list[tuple[Cut, float]] = []
+
+    def note(self, cut: Cut, now: float) -> None:
+        """Note a cut by an upstream that may have ended."""
+        self._cuts.append((cut, now + _SECONDS))
+        del self._cuts[:-_MOST]
+
+    def take_ended(self, is_listed: Callable[[str], bool], now: float) -> list[Cut]:
+        """Return the cuts whose upstream is no longer listed."""
+        if not self._cuts:
+            return []
+        ended = [cut for cut, _ in self._cuts if not is_listed(cut.upstream)]
+        self._cuts = [
+            (cut, until) for cut, until in self._cuts if now < until and is_listed(cut.upstream)
+        ]
+        return ended
--- /dev/null
+++ b/src/lotushill/quarantine/hold_store.py
@@ -0,0 +1,121 @@
+"""Writes what is held to the platform's store, and takes away what was cleared."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+from lotushill.quarantine.stored_hold import KIND
+from lotushill.quarantine.stored_hold import StoredHold
+from lotushill.views.exceptions import RevisionConflictError
+from lotushill.views.exceptions import StoreError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lotushill.event_log import EventLog
+    from lotushill.quarantine.hold_view import HoldView
+    from lotushill.quarantine.quarantine import Quarantine
+
+_SETTLED_SECONDS = 0.5
+"""A hold is written when it has stood for so long: until then others may speak for the request."""
+_TAKEN_OVER_SECONDS = (4.0, 30.0)
+"""After a moment between these a gateway writes what others saw, if they did not: 360 of them that
+write at once would take all of the store's 400 writes a second."""
+_AWAY_SECONDS = (1.0, 3.0)
+"""Between two tries while the store is away."""
+_MOST_STORED = 512
+"""Objects of the kind; beyond it the oldest one of the same team goes, else the oldest one."""
+_MOST_CALLS = 4
+"""At one look, so that many suspects at once take little of the store's rates."""
+
+
+class Store(Protocol):
+    """The calls that are made."""
+
+    async def create(self, kind: str, name: str, spec: Any) -> object:
+        """Make an object; raise RevisionConflictError if it is there."""
+        ...
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        ...
+
+
+class HoldStore:
+    """Brings the store in line with a quarantine, a few calls at a time."""
+
+    def __init__(
+        self,
+        store: Store,
+        quarantine: Quarantine,
+        view: HoldView,
+        log: EventLog,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._quarantine = quarantine
+        self._view = view
+        self._log = log
+        self._rng = rng
+        self._clock = clock
+        self._wall = wall
+        self._due: dict[bytes, float] = {}
+        """Holds that are not in the store, by when this gateway writes them."""
+        self._away_until = float("-inf")
+        self._written: set[bytes] = set()
+        """Those written here that the view has not shown yet."""
+
+    async def look(self) -> None:
+        """Write what has settled, and remove what was cleared; an outage is tried again."""
+        now = self._clock()
+        if now < self._away_until:
+            return
+        due = self._settled(now)
+        vain = self._quarantine.stored_in_vain()
+        try:
+            for identity in due[:_MOST_CALLS]:
+                await self._write(identity)
+            for identity in vain[:_MOST_CALLS]:
+                await self._store.delete(KIND, identity.hex())
+        except StoreError as error:
+            self._away_until = self._clock() + self._rng.uniform(*_AWAY_SECONDS)
+            self._log.note("quarantine.unwritten", error=repr(error))
+
+    def _settled(self, now: float) -> list[bytes]:
+        unstored = set(self._quarantine.unstored())
+        self._due = {item: self._due.get(item) or self._when(item, now) for item in unstored}
+        self._written &= unstored
+        return [item for item, due in self._due.items() if now >= due and item not in self._written]
+
+    def _when(self, identity: bytes, now: float) -> float:
+        suspect = self._quarantine.find(identity)
+        if suspect is not None and suspect.seen_here:
+            return now + _SETTLED_SECONDS
+        return now + self._rng.uniform(*_TAKEN_OVER_SECONDS)
+
+    async def _write(self, identity: bytes) -> None:
+        suspect = self._quarantine.find(identity)
+        if suspect is None:
+            return
+        await self._make_room(suspect.team)
+        hold = StoredHold(suspect.team, suspect.path, tuple(suspect.ends), round(self._wall(), 3))
+        try:
+            await self._store.create(KIND, identity.hex(), hold.spec())
+        except RevisionConflictError:
+            # Another gateway that saw the same ends was first.
+            pass
+        self._written.add(identity)
+
+    async def _make_room(self, team: str) -> None:
+        holds = self._view.holds
+        if len(holds) < _MOST_STORED:
+            return
+        same = [item for item, hold in holds.items() if hold.team == team]
+        oldest = min(same or holds, key=lambda item: holds[item].since)
+        await self._store.delete(KIND, oldest.hex())
--- a/src/lotushill/quarantine/identity.py
+++ b/src/lotushill/quarantine/identity.py
@@ -3,27 +3,17 @@
 from __future__ import annotations
 
 import hashlib
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from lotushill.gateway.request import Request
 
 IDENTITY_BYTES = 16
 
 
-def identity_of(request: Request) -> bytes:
+def identity_of(team: str, host: str, method: bytes, target: bytes, body: bytes) -> bytes:
     """Return what stays the same when a caller sends a request again, under whatever id.
 
     A cryptographic hash, so that no caller can make a request that is taken for another's.
     """
     digest = hashlib.blake2b(digest_size=IDENTITY_BYTES)
-    for part in (
-        request.team.encode(),
-        request.demand.host.encode("latin-1", "replace"),
-        request.method,
-        request.target,
-        request.body,
-    ):
+    for part in (team.encode(), host.encode("latin-1", "replace"), method, target, body):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
--- /dev/null
+++ b/src/lotushill/quarantine/quarantine.py
@@ -0,0 +1,159 @@
+"""Which requests are kept from upstreams, since upstreams end under them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from lotushill.quarantine.suspect import Suspect
+from lotushill.quarantine.whole_memory import WholeMemory
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from lotushill.links.messages import SuspectState
+    from lotushill.quarantine.stored_hold import StoredHold
+
+_MOST_SUSPECTS = 2048
+_MOST_OF_TEAM = 256
+"""So that the requests of one team cannot push those of another out."""
+
+
+class Quarantine:
+    """Suspects by identity, from own sight, from peers and from the store; the time is passed in.
+
+    A request that ends its upstream ends all that runs there. One caller that repeats it would take
+    most of a service from all others, whichever gateways it calls.
+    """
+
+    def __init__(self) -> None:
+        self._suspects: OrderedDict[bytes, Suspect] = OrderedDict()
+        self._of_team: Counter[str] = Counter()
+        self._stored: dict[bytes, StoredHold] = {}
+        self._whole = WholeMemory()
+
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    @property
+    def empty(self) -> bool:
+        """Return whether nothing is suspected, so that no identity has to be worked out."""
+        return not self._suspects and not self._stored
+
+    def holds(self, identity: bytes, now: float) -> bool:
+        """Return whether a request is to reach no upstream."""
+        suspect = self._suspects.get(identity)
+        if suspect is not None and suspect.held(now):
+            return True
+        return identity in self._stored and (suspect is None or not suspect.proven)
+
+    def ends_under(self, identity: bytes) -> int:
+        """Return how many upstreams ended under a request since it was last cleared."""
+        suspect = self._suspects.get(identity)
+        return len(suspect.ends) if suspect is not None else 0
+
+    def find(self, identity: bytes) -> Suspect | None:
+        """Return a suspect."""
+        return self._suspects.get(identity)
+
+    def held(self, now: float) -> list[bytes]:
+        """Return the identities of all requests that are held."""
+        return [item for item in {*self._suspects, *self._stored} if self.holds(item, now)]
+
+    # Against a request
+
+    def note_end(self, identity: bytes, team: str, path: str, upstream: str, now: float) -> bool:
+        """Note that an upstream ended while it had the request; return whether that is news."""
+        suspect = self._suspect(identity, team, path, now)
+        suspect.seen_here = True
+        return suspect.add(upstream, now)
+
+    def take(self, state: SuspectState, now: float) -> bool:
+        """Take what a peer holds against a request; return whether any of it is news."""
+        suspect = self._suspect(state.identity, state.team, state.path, now)
+        news = [suspect.add(upstream, now) for upstream in state.upstreams]
+        return any(news)
+
+    # For a request
+
+    def note_whole(self, identity: bytes, now: float) -> bool:
+        """Note a whole answer; return whether it clears a suspect."""
+        self._whole.note(identity, now)
+        return self.clear(identity)
+
+    def clear(self, identity: bytes) -> bool:
+        """Note that a request was answered whole since; return whether it was suspected."""
+        suspect = self._suspects.get(identity)
+        if suspect is None or not suspect.ends:
+            return False
+        suspect.clear()
+        return True
+
+    def prove(self, identity: bytes, now: float) -> None:
+        """Note that a request was answered whole before upstreams ended under it."""
+        suspect = self._suspects.get(identity)
+        if suspect is not None:
+            suspect.prove(now)
+
+    def knows_whole(self, identity: bytes, now: float) -> bool:
+        """Return whether a request was answered whole here, which the others may not know."""
+        return self._whole.knows(identity, now)
+
+    # The store
+
+    def take_stored(self, holds: Mapping[bytes, StoredHold]) -> list[bytes]:
+        """Take what the store has; return what was released there since."""
+        released = [identity for identity in self._stored if identity not in holds]
+        for identity in released:
+            suspect = self._suspects.get(identity)
+            if suspect is not None and not suspect.proven:
+                suspect.release()
+        self._stored = dict(holds)
+        return released
+
+    def unstored(self) -> list[bytes]:
+        """Return what is held for good and is not in the store yet."""
+        return [
+            identity
+            for identity, suspect in self._suspects.items()
+            if suspect.held_for_good and identity not in self._stored
+        ]
+
+    def stored_in_vain(self) -> list[bytes]:
+        """Return what is in the store though it was answered whole."""
+        return [
+            identity
+            for identity in self._stored
+            if (suspect := self._suspects.get(identity)) is not None and suspect.proven
+        ]
+
+    # Bounds
+
+    def _suspect(self, identity: bytes, team: str, path: str, now: float) -> Suspect:
+        found = self._suspects.get(identity)
+        if found is None:
+            self._make_room(team)
+            found = self._suspects[identity] = Suspect(team, path)
+            found.proven = self._whole.knows(identity, now)
+            self._of_team[team] += 1
+        self._suspects.move_to_end(identity)
+        return found
+
+    def _make_room(self, team: str) -> None:
+        if self._of_team[team] >= _MOST_OF_TEAM:
+            same = [item for item, suspect in self._suspects.items() if suspect.team == team]
+            self._forget_one(same)
+        elif len(self._suspects) >= _MOST_SUSPECTS:
+            self._forget_one(self._suspects)
+
+    def _forget_one(self, candidates: Iterable[bytes]) -> None:
+        """Forget who was heard of longest ago; one that is held goes after all that are not."""
+        among = list(candidates)
+        loose = (item for item in among if not self._suspects[item].held_for_good)
+        identity = next(loose, among[0])
+        team = self._suspects.pop(identity).team
+        self._of_team[team] -= 1
+        if not self._of_team[team]:
+            del self._of_team[team]
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -20,12 +20,14 @@
 from lotushill.gateway.front import Front
 from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
+from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.gateway.retry_budgets import RetryBudgets
 from lotushill.gateway.settings import RetrySettings
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
+from lotushill.quarantine.quarantine import Quarantine
 from lotushill.routing.limits import ClientLimits
 from lotushill.routing.route import Route
 from lotushill.routing.route import RouteKind
@@ -45,6 +47,9 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from lotushill.links.messages import ClearedNews
+    from lotushill.links.messages import SuspectNews
+
 HOST = "a.example"
 KEY = "secret-key"
 TEAM = "bakery"
@@ -215,6 +220,9 @@
         self.slack = slack
         self.team_priority = team_priority
         self.lines: list[bytes] = []
+        self.quarantine = Quarantine()
+        self.told: list[SuspectNews | ClearedNews] = []
+        """What was told to other gateways, when `keeper.tell_due` was called."""
 
     async def __aenter__(self) -> Rig:
         """Start everything."""
@@ -231,6 +239,12 @@
             1,
         )
         shared_load = SharedLoad("gw", fleet, loop.time, lambda _: self.service, lambda _: None)
+        pool = UpstreamPool(request_head.answered_id)
+        log = EventLog("gw", self.lines.append)
+        self.keeper = QuarantineKeeper(
+            "gw", self.quarantine, self.view, pool.has_ended, self.told.append, log,
+            random.Random(3), loop.time,
+        )  # fmt: skip
         self.parts = GatewayParts(
             name="gw",
             configuration=self.configuration,
@@ -239,10 +253,11 @@
             fleet=fleet,
             shared_load=shared_load,
             placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), loop.time),
-            pool=UpstreamPool(request_head.answered_id),
+            pool=pool,
+            quarantine=self.keeper,
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
             work=WorkCounts("gw", 5.0, TrueTime(time.time, loop.time), loop.time),
-            log=EventLog("gw", self.lines.append),
+            log=log,
             metrics=Metrics(),
             rng=random.Random(1),
             view_is_fresh=lambda: self.fresh,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -80,6 +80,7 @@
             everything=lambda: [Load(name, False, ended=(Ended(7),))],
             on_work_pull=lambda pull: [],
             on_work_page=lambda page: None,
+            on_suspects=lambda news: None,
             on_gone=lambda name: None,
             answer=lambda ask, now: PlacementAnswer(name, ask.request, refusal=UNREADY),
             on_late=lambda request: None,
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -13,6 +13,7 @@
 from lotushill.links.codec import encode
 from lotushill.links.exceptions import ForgedFrameError
 from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import ClearedNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
 from lotushill.links.messages import Ping
@@ -21,6 +22,7 @@
 from lotushill.links.messages import Pong
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
+from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 from lotushill.links.messages import WorkPage
@@ -45,6 +47,8 @@
     PlacementAnswer,
     WorkPull,
     WorkPage,
+    SuspectNews,
+    ClearedNews,
 ]
 
 
--- /dev/null
+++ b/tests/quarantine/test_fleet.py
@@ -0,0 +1,74 @@
+"""One caller of a deadly request before whole fleets, and ends for which no request is to blame."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.quarantine.virtual_fleet import COMMON
+from tests.quarantine.virtual_fleet import DEADLY
+from tests.quarantine.virtual_fleet import TICK
+from tests.quarantine.virtual_fleet import VirtualFleet
+
+FLEETS = ((9, 9), (81, 20), (360, 60))
+"""Gateways and upstreams."""
+LATE = 3
+CONTACT_SECONDS = 3.0
+
+
+async def run(
+    fleet: VirtualFleet, seconds: float, deadly: float, others: float, storm: float = 0.0
+) -> None:
+    """Let requests come, so many a second; every `storm` seconds half of the upstreams end."""
+    due = fleet.now + storm
+    number = 0
+    for _ in range(round(seconds / TICK)):
+        if fleet.rng.random() < deadly * TICK:
+            await fleet.arrive(DEADLY, 0.1)
+        for _ in range(round(others * TICK + fleet.rng.random() - 0.5)):
+            number += 1
+            common = fleet.rng.random() < 0.25
+            identity = COMMON if common else f"{fleet.now:.3f}-{number}".encode().ljust(16)
+            await fleet.arrive(identity, fleet.rng.uniform(0.2, 2.0))
+        if storm and fleet.now >= due:
+            due += storm
+            await fleet.end_share(0.5)
+        await fleet.step()
+
+
+class TestDeadly(unittest.IsolatedAsyncioTestCase):
+    async def test_it_reaches_no_upstream_soon_after_its_third_and_all_others_are_served(
+        self,
+    ) -> None:
+        for gateways, upstreams in FLEETS:
+            for seed in range(3):
+                with self.subTest(gateways=gateways, seed=seed):
+                    fleet = VirtualFleet(gateways, upstreams, seed, loss=0.1)
+                    await run(fleet, 5.0, deadly=0.0, others=50.0)
+                    await run(fleet, 8.0, deadly=3.0, others=50.0)
+                    fleet.outcomes.clear()
+                    await run(fleet, 10.0, deadly=3.0, others=50.0)
+                    third = fleet.deadly_ends[2]
+                    late = [at for at in fleet.deadly_sent if at > third + CONTACT_SECONDS]
+                    self.assertEqual([], late)
+                    self.assertLessEqual(len(fleet.deadly_ends), 5)
+                    self.assertGreaterEqual(fleet.share_whole(b"other"), 0.97)
+                    self.assertGreaterEqual(fleet.share_whole(COMMON), 0.97)
+
+    async def test_a_gateway_that_saw_nothing_knows_after_the_news_alone(self) -> None:
+        fleet = VirtualFleet(9, 9, 1)
+        await run(fleet, 8.0, deadly=3.0, others=20.0)
+        self.assertEqual([True] * 9, [item.holds(DEADLY, fleet.now) for item in fleet.quarantines])
+
+
+class TestNobodyToBlame(unittest.IsolatedAsyncioTestCase):
+    """Half of the upstreams end at once, every few seconds; no request is the cause."""
+
+    async def test_the_common_request_goes_on_and_hardly_any_other_is_held(self) -> None:
+        for storm in (2.0, 5.0):
+            fleet = VirtualFleet(9, 9, 4, loss=0.1)
+            await run(fleet, 5.0, deadly=0.0, others=50.0)
+            fleet.outcomes.clear()
+            await run(fleet, 30.0, deadly=0.0, others=50.0, storm=storm)
+            with self.subTest(storm=storm):
+                self.assertEqual(0, fleet.outcomes[COMMON, "held"])
+                self.assertEqual(0, fleet.outcomes[b"other", "held"])
--- /dev/null
+++ b/tests/quarantine/test_suspect.py
@@ -0,0 +1,90 @@
+"""When one request is held, from its ends and its whole answers."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.quarantine.suspect import ENDS_TO_HOLD
+from lotushill.quarantine.suspect import Suspect
+
+ENDS = st.lists(st.sampled_from("abcdefgh"), max_size=20)
+
+
+def suspect_after(ends: str, proven: bool = False, apart: float = 0.0) -> tuple[Suspect, float]:
+    """Return a suspect under which upstreams ended, each so long after the other, and the time."""
+    suspect = Suspect("team", "/p", proven=proven)
+    now = 100.0
+    for name in ends:
+        suspect.add(name, now)
+        now += apart
+    return suspect, now
+
+
+class TestNeverWhole(unittest.TestCase):
+    def test_it_is_held_for_good_after_three_upstreams_and_not_before(self) -> None:
+        self.assertFalse(suspect_after("ab")[0].held(100.0))
+        self.assertTrue(suspect_after("abc")[0].held(1e9))
+
+    def test_one_upstream_counts_once_whoever_tells_of_it(self) -> None:
+        self.assertFalse(suspect_after("ababaab")[0].held(100.0))
+
+    def test_a_whole_answer_clears_it_and_late_news_of_those_ends_do_not_count(self) -> None:
+        suspect, now = suspect_after("ab")
+        suspect.clear()
+        for name in "abc":
+            suspect.add(name, now)
+        self.assertFalse(suspect.held(now))
+
+    def test_after_its_release_it_takes_as_many_ends_as_at_first(self) -> None:
+        suspect, now = suspect_after("abc")
+        suspect.release()
+        suspect.add("d", now)
+        suspect.add("e", now)
+        self.assertFalse(suspect.held(now))
+        suspect.add("f", now)
+        self.assertTrue(suspect.held_for_good)
+
+    @given(ENDS, st.randoms(use_true_random=False))
+    def test_the_order_in_which_ends_are_heard_does_not_matter(self, ends: list[str], rng) -> None:  # type: ignore[no-untyped-def]
+        first, _ = suspect_after("".join(ends))
+        rng.shuffle(ends)
+        second, _ = suspect_after("".join(ends))
+        self.assertEqual(first.held(0.0), second.held(0.0))
+        self.assertEqual(len(set(ends)) >= ENDS_TO_HOLD, first.held(0.0))
+
+
+class TestAnsweredWholeBefore(unittest.TestCase):
+    """A common request runs at many upstreams, so that many may end under it at once."""
+
+    def test_a_hall_that_loses_power_says_no_more_than_one_end(self) -> None:
+        suspect, now = suspect_after("abcdefgh", proven=True)
+        self.assertFalse(suspect.held(now))
+
+    def test_rounds_of_ends_hold_it_for_a_term(self) -> None:
+        suspect, now = suspect_after("abc", proven=True, apart=1.0)
+        self.assertTrue(suspect.held(now))
+        self.assertFalse(suspect.held_for_good)
+        self.assertFalse(suspect.held(now + 15.0))
+
+    def test_after_its_term_one_end_more_holds_it_for_twice_as_long(self) -> None:
+        suspect, now = suspect_after("abc", proven=True, apart=1.0)
+        now += 15.0
+        suspect.add("d", now)
+        self.assertTrue(suspect.held(now + 29.0))
+        self.assertFalse(suspect.held(now + 30.0))
+
+    def test_a_whole_answer_ends_the_term(self) -> None:
+        suspect, now = suspect_after("abc", proven=True, apart=1.0)
+        suspect.clear()
+        self.assertFalse(suspect.held(now))
+        suspect.add("d", now)
+        self.assertFalse(suspect.held(now))
+
+    def test_a_proof_that_comes_after_the_ends_lets_it_go(self) -> None:
+        suspect, now = suspect_after("abc")
+        self.assertTrue(suspect.held(now))
+        suspect.prove(now)
+        self.assertFalse(suspect.held(now))
--- /dev/null
+++ b/tests/quarantine/virtual_fleet.py
@@ -0,0 +1,198 @@
+"""Keepers of many gateways in virtual time, before upstreams that end under a deadly request."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import cast
+
+from lotushill.event_log import EventLog
+from lotushill.gateway.quarantine_keeper import QuarantineKeeper
+from lotushill.quarantine.quarantine import Quarantine
+from lotushill.routing.upstream import Upstream
+from lotushill.views.upstream_view import UpstreamView
+
+if TYPE_CHECKING:
+    from lotushill.gateway.request import Request
+    from lotushill.links.messages import ClearedNews
+    from lotushill.links.messages import SuspectNews
+
+TICK = 0.02
+DEADLY = b"deadly----------"
+COMMON = b"common----------"
+_BACK_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class Demand:
+    """As much of a demand as a keeper reads."""
+
+    request_id: str
+
+
+@dataclass
+class Arrival:
+    """One request at one gateway."""
+
+    identity: bytes
+    gateway: int
+    ends: float
+    team: str = "team"
+    target: bytes = b"/p"
+    demand: Demand = field(default_factory=lambda: Demand("r"))
+    sent: int = 0
+
+    def as_request(self) -> Request:
+        """Return what the keeper takes it for."""
+        return cast("Request", self)
+
+
+class VirtualFleet:
+    """Gateways that share what they know over a network that loses datagrams."""
+
+    def __init__(self, gateways: int, upstreams: int, seed: int, loss: float = 0.0) -> None:
+        self.now = 1000.0
+        self.rng = random.Random(seed)
+        self._loss = loss
+        self._numbers = itertools.count(1)
+        self._view = UpstreamView()
+        self._running: dict[str, list[Arrival]] = {}
+        self._back: list[float] = []
+        self._revision = 0
+        self.quarantines = [Quarantine() for _ in range(gateways)]
+        self.keepers = [self._keeper(number) for number in range(gateways)]
+        self.alive = set(range(gateways))
+        self.outcomes: Counter[tuple[bytes, str]] = Counter()
+        """Of arrivals, by identity (or "other") and outcome."""
+        self.deadly_ends: list[float] = []
+        self.deadly_sent: list[float] = []
+        self.datagrams = 0
+        for _ in range(upstreams):
+            self._start_upstream()
+        self._list_upstreams()
+
+    def _keeper(self, number: int) -> QuarantineKeeper:
+        return QuarantineKeeper(
+            f"gw-{number}",
+            self.quarantines[number],
+            self._view,
+            self._has_ended,
+            lambda news: self._tell(number, news),
+            EventLog("gw", lambda _: None),
+            random.Random(number),
+            lambda: self.now,
+        )
+
+    async def _has_ended(self, upstream: Upstream) -> bool:
+        return upstream.id not in self._running
+
+    def _tell(self, sender: int, news: SuspectNews | ClearedNews) -> None:
+        for number in self.alive - {sender}:
+            self.datagrams += 1
+            if self.rng.random() >= self._loss:
+                self.keepers[number].receive(news)
+
+    # Upstreams
+
+    def _start_upstream(self) -> None:
+        self._running[f"u{next(self._numbers)}"] = []
+
+    def _list_upstreams(self) -> None:
+        self._revision += 1
+        found = [Upstream(name, "s", "10.0.0.1:1", "z", 8, False) for name in self._running]
+        self._view.replace(found, self._revision)
+
+    async def end_upstream(self, name: str) -> None:
+        """Let an upstream end with all that runs there, and another come after some seconds."""
+        lost = self._running.pop(name)
+        self._back.append(self.now + _BACK_SECONDS)
+        for arrival in lost:
+            await self._cut(arrival, name)
+
+    async def end_share(self, share: float) -> None:
+        """End a share of the upstreams at once."""
+        names = list(self._running)
+        lost = {name: self._running.pop(name) for name in names[: round(share * len(names))]}
+        self._back += [self.now + _BACK_SECONDS] * len(lost)
+        for name, arrivals in lost.items():
+            for arrival in arrivals:
+                await self._cut(arrival, name)
+
+    # Requests
+
+    async def arrive(self, identity: bytes, seconds: float) -> None:
+        """Let a request come to some gateway and run for so long."""
+        gateway = self.rng.choice(sorted(self.alive))
+        await self._send(Arrival(identity, gateway, seconds))
+
+    async def _send(self, arrival: Arrival) -> None:
+        keeper = self.keepers[arrival.gateway]
+        if keeper.holds(arrival.as_request()):
+            return self._note(arrival, "held")
+        if not self._running:
+            return self._note(arrival, "none")
+        name = self.rng.choice(sorted(self._running))
+        arrival.sent += 1
+        if arrival.identity == DEADLY:
+            self.deadly_sent.append(self.now)
+        seconds = 0.1 if arrival.identity == DEADLY else arrival.ends
+        self._running[name].append(
+            Arrival(
+                arrival.identity, arrival.gateway, self.now + seconds, sent=arrival.sent
+            )
+        )  # fmt: skip
+        return None
+
+    async def _cut(self, arrival: Arrival, upstream: str) -> None:
+        keeper = self.keepers[arrival.gateway]
+        found = self._view.find(upstream)
+        if arrival.gateway not in self.alive or found is None:
+            return
+        await asyncio.wait((keeper.note_cut(arrival.as_request(), found),))
+        keeper.tell_due()
+        if arrival.sent < 2 and keeper.may_be_sent_on(arrival.as_request()):
+            arrival.ends = 0.5
+            await self._send(arrival)
+        else:
+            self._note(arrival, "cut")
+
+    def _note(self, arrival: Arrival, outcome: str) -> None:
+        kind = arrival.identity if arrival.identity in (DEADLY, COMMON) else b"other"
+        self.outcomes[kind, outcome] += 1
+
+    # Time
+
+    async def step(self) -> None:
+        """Let a little time pass."""
+        self.now += TICK
+        while self._back and self._back[0] <= self.now:
+            self._back.pop(0)
+            self._start_upstream()
+            self._list_upstreams()
+        for name in list(self._running):
+            await self._finish_at(name)
+        for number in self.alive:
+            if self.keepers[number].next_due() <= self.now:
+                self.keepers[number].tell_due()
+
+    async def _finish_at(self, name: str) -> None:
+        done = [item for item in self._running.get(name, []) if item.ends <= self.now]
+        if any(item.identity == DEADLY for item in done):
+            self.deadly_ends.append(self.now)
+            await self.end_upstream(name)
+            self._list_upstreams()
+            return
+        for arrival in done:
+            self._running[name].remove(arrival)
+            self.keepers[arrival.gateway].note_whole(arrival.as_request())
+            self._note(arrival, "whole")
+
+    def share_whole(self, kind: bytes) -> float:
+        """Return which share of the arrivals of a kind was answered whole."""
+        total = sum(count for (of, _), count in self.outcomes.items() if of == kind)
+        return self.outcomes[kind, "whole"] / max(1, total)
