Read entries of upstreams strictly, and tell lives of one instance apart

Cause: every reader took whatever stood in an entry. One whose address is no IP:PORT looked like an idle engine and drew 99 of 100 requests; one with Infinity ended the following of all upstreams for good; all that is known of an engine hung on its name, so that one that starts again under it would be held for what it was before.

Change: each field is checked for type and range (views/fields.py), one item that cannot be read costs none beside it, is told of once and counted, and shows in lotushill status. A fault of ours in following ends no watch for good. An upstream's id is its name and birth, decided where the entry is read; the name alone is what requests are addressed with. A fault of ours in an attempt counts against the upstream it shows at. The two clients of the platform share their plumbing (links/json_client.py).

Ruled out: pydantic for these readers, which takes a third of a gateway's start to load. Tests: fields missing, of other types and out of range; any plain data by hypothesis; a view beside bad entries; an instance that drained, ended and came back.

--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -155,7 +155,8 @@
         f"{status['in_progress']} in progress"
     )
     faults = [f"  {name}: {fault}" for name, fault in status["settings"]["faults"].items()]
-    return "\n".join([line, *faults])
+    ignored = [f"  {name}: ignored, {why}" for name, why in status["upstreams"]["ignored"].items()]
+    return "\n".join([line, *faults, *ignored])
 
 
 def _event_line(event: dict[str, Any]) -> str:
--- a/src/lotushill/duties/duty_record.py
+++ b/src/lotushill/duties/duty_record.py
@@ -90,7 +90,7 @@
             },
             bases={str(name): int(count) for name, count in spec["bases"].items()},
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError):
         return None
 
 
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -165,7 +165,7 @@
         if last_event_id:
             headers = request_head.without_last_event_id(headers)
         own = request_head.attempt_headers(
-            self._choice.upstream.id,
+            self._choice.upstream.name,
             request.ends - self._loop.time(),
             request.route.urgency,
             request.team,
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -204,6 +204,11 @@
         try:
             end = await attempt.run()
             kind = end.kind
+        except Exception:
+            # A fault of ours counts against the upstream it shows at: as an idle one that fails
+            # at once it would draw all requests.
+            kind = EndKind.BROKEN
+            raise
         finally:
             ran = self._loop.time() - attempt.sent_at if attempt.sent_at else 0.0
             news.ended(kind, ran)
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 from typing import Any
@@ -24,6 +25,28 @@
     )
     gauge("unanswered_asks", "Asks without an answer", lambda: gateway.peers.client.unanswered)
     gauge("upstreams", "Upstreams that are known", lambda: len(gateway.views.upstreams.all()))
+    gauge(
+        "entries_ignored",
+        "Entries of upstreams that cannot be read",
+        lambda: len(gateway.views.upstream_faults.held),
+    )
+    gauge(
+        "entry_faults",
+        "Entries of upstreams that could not be read, so far",
+        lambda: gateway.views.upstream_faults.counted,
+    )
+    gauge(
+        "requests_held",
+        "Requests that are kept from upstreams, by caller, path and body",
+        lambda: len(gateway.quarantine.held(time.monotonic())),
+    )
+    gauge("requests_suspected", "Requests under which upstreams ended", gateway.quarantine.__len__)
+    gauge("kept_back", "Arrivals kept from upstreams so far", lambda: gateway.keeper.held)
+    gauge(
+        "upstream_ends",
+        "Ends of upstreams under requests of this gateway so far, once for each request",
+        lambda: gateway.keeper.upstream_ends,
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -47,6 +70,7 @@
         "upstreams": {
             "revision": gateway.views.upstreams.revision,
             "known": [asdict(item) for item in gateway.views.upstreams.all()],
+            "ignored": dict(gateway.views.upstream_faults.held),
         },
         "settings": {
             "revision": gateway.views.settings.revision,
@@ -54,6 +78,10 @@
             "faults": {name: str(fault) for name, fault in gateway.views.settings.faults.items()},
         },
         "members": [_member(item) for item in gateway.peers.membership.all()],
+        "held_requests": {
+            item.hex(): gateway.quarantine.ends_under(item)
+            for item in gateway.quarantine.held(time.monotonic())
+        },
         "in_progress": gateway.front.in_progress,
         "store_calls": gateway.store.calls,
         "connections_opened": gateway.pool.opened,
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -20,6 +20,8 @@
 from lotushill.quarantine.stored_hold import KIND as HOLDS_KIND
 from lotushill.routing.exceptions import InvalidTableError
 from lotushill.views.configuration_view import ConfigurationView
+from lotushill.views.entry_faults import EntryFaults
+from lotushill.views.exceptions import MalformedEntryError
 from lotushill.views.upstream_view import UpstreamView
 from lotushill.views.watcher import WatchedKind
 from lotushill.views.watcher import Watcher
@@ -50,6 +52,16 @@
 _ENTRIES = "entries"
 _LAPSED = "lapsed"
 
+_UNREADABLE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading plain data of any shape may raise."""
+
 Specs = dict[str, Any]
 """The specs of all objects of a kind, by name, as the store has them."""
 
@@ -76,6 +88,8 @@
         self.upstreams = UpstreamView()
         self.settings = SettingsView()
         self.holds = HoldView()
+        self.upstream_faults = EntryFaults(names.BACKEND_KIND, log)
+        self.hold_faults = EntryFaults(HOLDS_KIND, log)
         self._on_holds = on_holds
         self._log = log
         self._clock = clock
@@ -198,7 +212,7 @@
                 self._take_holds(dict(value), revision, "peer")
             else:
                 self._take_upstreams_of_peer(value, revision)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except _UNREADABLE as error:
             raise MalformedViewError(kind.value) from error
 
     def _take_upstreams_of_peer(self, page: Any, revision: int) -> None:
@@ -260,6 +274,7 @@
 
     def _take_holds(self, specs: Specs, revision: int, source: str) -> None:
         if self.holds.replace(specs, revision):
+            self.hold_faults.replace(self.holds.faults, revision)
             self._log.note("holds.in_force", revision=revision, objects=len(specs), source=source)
             self._on_holds()
 
@@ -289,8 +304,15 @@
     ) -> None:
         self._specs = specs
         former = {item.id: item.draining for item in self.upstreams.all()}
-        found = [parse_upstream(name, spec) for name, spec in specs.items()]
-        self.upstreams.replace([item for item in found if item is not None], revision, keep)
+        found: list[Upstream] = []
+        faults: dict[str, str] = {}
+        for name, spec in specs.items():
+            try:
+                found.append(parse_upstream(name, spec))
+            except MalformedEntryError as error:
+                faults[name] = str(error)
+        self.upstreams.replace(found, revision, keep, frozenset(faults))
+        self.upstream_faults.replace(faults, revision)
         self._note_upstreams(former, self.upstreams.all(), source)
 
     def _note_upstreams(
--- a/src/lotushill/links/exceptions.py
+++ b/src/lotushill/links/exceptions.py
@@ -26,3 +26,7 @@
 
 class LinkClosedError(LinkError):
     """The other end has gone."""
+
+
+class NoAnswerError(Exception):
+    """A call that brought no answer that can be read; it may have been done."""
--- /dev/null
+++ b/src/lotushill/links/json_client.py
@@ -0,0 +1,87 @@
+"""Calls over HTTP/1.1 with JSON in both directions."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpcore
+
+from lotushill.links.exceptions import NoAnswerError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    Header = tuple[str, str]
+
+_WRITE_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class JsonAnswer:
+    """Status and content of an answer."""
+
+    status: int
+    content: bytes
+
+    def read(self) -> Any:
+        """Return what the answer says, nothing for an empty one; raise NoAnswerError for no JSON.
+
+        Bytes that are no text cost the value that they stand in, and no other.
+        """
+        if not self.content:
+            return {}
+        try:
+            return json.loads(self.content.decode("utf-8", "replace"), strict=False)
+        except (ValueError, RecursionError) as error:
+            raise NoAnswerError(repr(error)) from error
+
+
+class JsonClient:
+    """Client of the server at `address` (IP:PORT), over a few connections that are kept."""
+
+    def __init__(
+        self, address: str, most_connections: int, kept_seconds: float, connect_seconds: float
+    ) -> None:
+        self._host = address
+        self._connect_seconds = connect_seconds
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=most_connections, keepalive_expiry=kept_seconds
+        )
+        self.calls = 0
+        """Calls made so far."""
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        content: Any = None,
+        patience: float = 2.0,
+        headers: Iterable[Header] = (),
+    ) -> JsonAnswer:
+        """Make one call and return its answer; raise NoAnswerError if none comes in `patience`."""
+        self.calls += 1
+        sent = [("host", self._host), *headers]
+        body = b""
+        if content is not None:
+            body = json.dumps(content).encode()
+            sent += [("content-type", "application/json"), ("content-length", str(len(body)))]
+        timeout = {
+            "connect": self._connect_seconds,
+            "read": patience,
+            "write": _WRITE_SECONDS,
+            "pool": _WRITE_SECONDS,
+        }
+        try:
+            response = await self._pool.request(
+                method,
+                f"http://{self._host}{path}",
+                headers=[(name.encode(), value.encode()) for name, value in sent],
+                content=body,
+                extensions={"timeout": timeout},
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            raise NoAnswerError(repr(error)) from error
+        return JsonAnswer(response.status, response.content)
--- a/src/lotushill/load/slopes.py
+++ b/src/lotushill/load/slopes.py
@@ -32,6 +32,7 @@
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
+from lotushill.standin.registration import upstream_spec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -156,7 +157,7 @@
 
 
 def _view(count: int, repeats: int) -> Slope:
-    spec = {"service": "llm", "address": "10.1.0.1:80", "zone": "h", "slots": 16, "state": "ready"}
+    spec = upstream_spec("llm", "10.1.0.1:80", "h", 16, born=1)
     text = json.dumps({f"i-{n}": spec for n in range(count)})
 
     def read() -> object:
--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -32,7 +32,7 @@
         )
     except KeyError as error:
         raise InvalidTableError(str(error.args[0]), "is missing") from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError, RecursionError) as error:
         raise InvalidTableError("spec", str(error)) from error
 
 
--- a/src/lotushill/platform/duty_api.py
+++ b/src/lotushill/platform/duty_api.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
 
-import httpcore
-
+from lotushill.links.exceptions import NoAnswerError
+from lotushill.links.json_client import JsonClient
 from lotushill.platform import names
 
 if TYPE_CHECKING:
@@ -18,6 +17,8 @@
 _ANSWER_SECONDS = 1.5
 """A report that is due within ten seconds can be sent some times more after one without answer."""
 _CONNECT_SECONDS = 0.7
+_MOST_CONNECTIONS = 16
+_KEPT_SECONDS = 3.0
 _OK = 200
 _REFUSED = 409
 
@@ -57,11 +58,12 @@
     """Client of the platform's API at `address` (IP:PORT)."""
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
-        self._host = address
-        self._pool = httpcore.AsyncConnectionPool(max_connections=16, keepalive_expiry=3.0)
-        self.calls = 0
-        """Calls made so far."""
+        self._client = JsonClient(address, _MOST_CONNECTIONS, _KEPT_SECONDS, _CONNECT_SECONDS)
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls were made so far."""
+        return self._client.calls
 
     async def report_usage(
         self, window: int, counts: Mapping[str, int], signature: Signature
@@ -82,26 +84,14 @@
         return await self._call(names.ORDER_PATH, content, signature)
 
     async def _call(self, path: str, content: Any, signature: Signature) -> CallEnd:
-        self.calls += 1
-        body = json.dumps(content).encode()
-        headers = [
-            (b"host", self._host.encode()),
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-            (names.LEASE_HOLDER.encode(), signature.holder.encode()),
-            (names.FENCING_TOKEN.encode(), str(signature.token).encode()),
-        ]
-        timeout = {"connect": _CONNECT_SECONDS, "read": _ANSWER_SECONDS, "write": 1.0, "pool": 1.0}
+        headers = (
+            (names.LEASE_HOLDER, signature.holder),
+            (names.FENCING_TOKEN, str(signature.token)),
+        )
         try:
-            response = await self._pool.request(
-                "POST",
-                self._base + path,
-                headers=headers,
-                content=body,
-                extensions={"timeout": timeout},
-            )
-        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+            answer = await self._client.call("POST", path, content, _ANSWER_SECONDS, headers)
+        except NoAnswerError:
             return CallEnd.UNANSWERED
-        if response.status == _OK:
+        if answer.status == _OK:
             return CallEnd.DONE
-        return CallEnd.REFUSED if response.status == _REFUSED else CallEnd.NOT_NOW
+        return CallEnd.REFUSED if answer.status == _REFUSED else CallEnd.NOT_NOW
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -35,6 +35,7 @@
 CONFIGURATION_NAME = "main"
 BACKEND_KIND = "servers"
 DRAINING = "draining"
+STATES = frozenset(("ready", DRAINING))
 
 # Calls that one gateway makes for the whole fleet.
 USAGE_PATH = "/usage"
--- a/src/lotushill/platform/object_store.py
+++ b/src/lotushill/platform/object_store.py
@@ -2,27 +2,38 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
 from urllib.parse import quote
 
-import httpcore
-
+from lotushill.links.exceptions import NoAnswerError
+from lotushill.links.json_client import JsonClient
 from lotushill.views.exceptions import HistoryGoneError
+from lotushill.views.exceptions import MalformedEntryError
 from lotushill.views.exceptions import RevisionConflictError
 from lotushill.views.exceptions import StoreUnavailableError
+from lotushill.views.fields import Fields
+from lotushill.views.fields import readable
 from lotushill.views.stored_object import Change
 from lotushill.views.stored_object import ObjectList
 from lotushill.views.stored_object import StoredObject
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+Item = TypeVar("Item")
+
 _ANSWER_SECONDS = 2.0
 _CONNECT_SECONDS = 1.0
+_MOST_CONNECTIONS = 8
+_KEPT_SECONDS = 5.0
 _MS = 1000
 _OK = (200, 201)
 _NOT_FOUND = 404
-_CONFLICT = 409
-_GONE = 410
+_ERRORS = {409: RevisionConflictError, 410: HistoryGoneError}
+_MOST_REVISION = 2**63 - 1
 
 
 @dataclass(frozen=True)
@@ -35,11 +46,12 @@
     """Client of the store at `address` (IP:PORT)."""
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
-        self._host = address
-        self._pool = httpcore.AsyncConnectionPool(max_connections=8, keepalive_expiry=5.0)
-        self.calls = 0
-        """Calls made so far."""
+        self._client = JsonClient(address, _MOST_CONNECTIONS, _KEPT_SECONDS, _CONNECT_SECONDS)
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls were made so far."""
+        return self._client.calls
 
     async def list_kind(self, kind: str, stale: bool = False) -> ObjectList:
         """Return all objects of a kind with the store's revision."""
@@ -48,27 +60,26 @@
         first_revision: int | None = None
         while True:
             query = ([f"sinceRev={quote(after)}"] if after else []) + ["stale=1"] * stale
-            body = (await self._call("GET", f"/objects/{kind}?{'&'.join(query)}")).body
-            items = [_stored(item) for item in body["items"]]
-            objects += items
+            answer = await self._call("GET", f"/objects/{kind}?{'&'.join(query)}".removesuffix("?"))
+            page = _parsed(_page, answer.body)
+            objects += page.objects
             # Later pages may be newer than the first: a watch goes on from the oldest.
             if first_revision is None:
-                first_revision = int(body["at"])
-            if not body.get("more") or not items:
+                first_revision = page.revision
+            if not answer.body.get("more") or not page.objects:
                 return ObjectList(tuple(objects), first_revision)
-            after = items[-1].name
+            after = page.objects[-1].name
 
     async def get(self, kind: str, name: str, stale: bool = False) -> StoredObject | None:
         """Return one object, None if there is none; a stale answer may be seconds old."""
         answer = await self._call("GET", f"/objects/{kind}/{quote(name)}{'?stale=1' * stale}")
-        return None if answer.status == _NOT_FOUND else _stored(answer.body)
+        return None if answer.status == _NOT_FOUND else _parsed(_stored, answer.body)
 
     async def watch(self, kind: str, revision: int, seconds: float) -> tuple[list[Change], int]:
         """Return changes after a revision as soon as there are some, and where to go on."""
         path = f"/objects/{kind}?watch={revision}&waitMs={int(seconds * _MS)}"
-        body = (await self._call("GET", path, patience=seconds + _ANSWER_SECONDS)).body
-        changes = [Change(_stored(item["object"]), bool(item["gone"])) for item in body["events"]]
-        return changes, int(body["at"])
+        answer = await self._call("GET", path, patience=seconds + _ANSWER_SECONDS)
+        return _parsed(_events, answer.body)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Make an object and return it; raise RevisionConflictError if it is there."""
@@ -91,55 +102,48 @@
 
     async def _write(self, method: str, path: str, content: Any) -> StoredObject:
         answer = await self._call(method, path, content)
-        try:
-            return _stored(answer.body)
-        except (KeyError, TypeError, ValueError) as error:
-            raise StoreUnavailableError(f"no object in the answer: {error!r}") from error
+        return _parsed(_stored, answer.body)
 
     async def _call(
         self, method: str, path: str, content: Any = None, patience: float = _ANSWER_SECONDS
     ) -> _Answer:
-        self.calls += 1
-        headers = [(b"host", self._host.encode())]
-        body = b""
-        if content is not None:
-            body = json.dumps(content).encode()
-            headers += [(b"content-type", b"application/json")]
-            headers += [(b"content-length", str(len(body)).encode())]
-        timeout = {"connect": _CONNECT_SECONDS, "read": patience, "write": 1.0, "pool": 1.0}
         try:
-            response = await self._pool.request(
-                method,
-                self._base + path.removesuffix("?"),
-                headers=headers,
-                content=body,
-                extensions={"timeout": timeout},
-            )
-            return _answer(response)
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ) as error:
-            raise StoreUnavailableError(repr(error)) from error
-
-
-def _answer(response: httpcore.Response) -> _Answer:
-    status = response.status
-    if status == _GONE:
-        raise HistoryGoneError
-    if status == _CONFLICT:
-        raise RevisionConflictError
-    if status == _NOT_FOUND:
-        return _Answer(status, {"items": [], "events": [], "at": 0})
-    if status not in _OK:
-        raise StoreUnavailableError(f"status {status}")
-    return _Answer(status, json.loads(response.content) if response.content else {})
-
-
-def _stored(item: dict[str, Any]) -> StoredObject:
-    metadata = item["metadata"]
-    return StoredObject(str(metadata["name"]), int(metadata["revision"]), item.get("spec"))
+            answer = await self._client.call(method, path, content, patience)
+            if answer.status == _NOT_FOUND:
+                return _Answer(answer.status, {"items": [], "events": [], "at": 0})
+            if answer.status in _OK:
+                return _Answer(answer.status, answer.read())
+        except NoAnswerError as error:
+            raise StoreUnavailableError(str(error)) from error
+        raise _ERRORS.get(answer.status, StoreUnavailableError)(f"status {answer.status}")
+
+
+def _parsed(read: Callable[[Any], Item], body: Any) -> Item:
+    try:
+        return read(body)
+    except MalformedEntryError as error:
+        raise StoreUnavailableError(f"an answer that cannot be read: {error}") from error
+
+
+def _page(body: Any) -> ObjectList:
+    fields = Fields(body)
+    objects = readable(_stored, fields.all_of("items"))
+    return ObjectList(tuple(objects), fields.whole("at", 0, _MOST_REVISION))
+
+
+def _events(body: Any) -> tuple[list[Change], int]:
+    fields = Fields(body)
+    changes = readable(_change, fields.all_of("events"))
+    return changes, fields.whole("at", 0, _MOST_REVISION)
+
+
+def _stored(item: Any) -> StoredObject:
+    fields = Fields(item)
+    metadata = fields.inner("metadata")
+    revision = metadata.whole("revision", 0, _MOST_REVISION)
+    return StoredObject(metadata.text("name"), revision, fields.raw("spec"))
+
+
+def _change(item: Any) -> Change:
+    fields = Fields(item)
+    return Change(_stored(fields.raw("object")), bool(fields.raw("gone")))
--- a/src/lotushill/quarantine/hold_view.py
+++ b/src/lotushill/quarantine/hold_view.py
@@ -20,8 +20,8 @@
         self.objects: dict[str, Any] = {}
         """The specs of all objects by name, as the store has them."""
         self.holds: dict[bytes, StoredHold] = {}
-        self.unreadable: frozenset[str] = frozenset()
-        """Names of objects that say nothing."""
+        self.faults: dict[str, str] = {}
+        """What is wrong with objects that say nothing, by name."""
 
     def replace(self, objects: dict[str, Any], revision: int) -> bool:
         """Take all objects of a newer revision; return whether the view is another now."""
@@ -37,4 +37,4 @@
         self.objects = objects
         found = {name: read_hold(name, spec) for name, spec in objects.items()}
         self.holds = dict(item for item in found.values() if item is not None)
-        self.unreadable = frozenset(name for name, item in found.items() if item is None)
+        self.faults = {name: "is no hold" for name, item in found.items() if item is None}
--- a/src/lotushill/routing/upstream.py
+++ b/src/lotushill/routing/upstream.py
@@ -7,9 +7,10 @@
 
 @dataclass(frozen=True)
 class Upstream:
-    """One instance; every start of a program is a new instance with a new `id`."""
+    """One life of an instance: whoever starts again holds and knows nothing of before."""
 
     id: str
+    """Of the life: all that is known, kept or connected hangs on it."""
     service: str
     address: str
     """IP number and port."""
@@ -19,3 +20,10 @@
     """Whether it is leaving and gets no new requests."""
     slow_seconds: float = 0.0
     """How much longer it is slow from its start."""
+    instance: str = ""
+    """Its name at the platform, which later lives may share; empty where it is the `id`."""
+
+    @property
+    def name(self) -> str:
+        """Return what requests to it are addressed with."""
+        return self.instance or self.id
--- a/src/lotushill/standin/registration.py
+++ b/src/lotushill/standin/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from lotushill.platform import names
@@ -22,6 +23,7 @@
         assert settings.store is not None
         self._settings = settings
         self._store = ObjectStore(settings.store)
+        self._born = time.time_ns() // 1_000_000
 
     async def keep(self) -> None:
         """Write the entry for ever."""
@@ -42,13 +44,9 @@
 
     async def _write(self, state: str) -> None:
         settings = self._settings
-        spec = {
-            "service": settings.service,
-            "address": settings.address,
-            "zone": settings.hall,
-            "slots": settings.slots,
-            "state": state,
-        }
+        spec = upstream_spec(
+            settings.service, settings.address, settings.hall, settings.slots, self._born, state
+        )
         try:
             if await self._store.get(names.BACKEND_KIND, settings.name) is None:
                 await self._store.create(names.BACKEND_KIND, settings.name, spec)
@@ -57,3 +55,20 @@
         except StoreError:
             # The store is away: the next heartbeat tries again.
             pass
+
+
+def upstream_spec(
+    service: str, address: str, hall: str, slots: int, born: int, state: str = "ready"
+) -> dict[str, object]:
+    """Return the entry of an upstream; `born` is in milliseconds since 1970."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": hall,
+        "version": "v1",
+        "slots": slots,
+        "state": state,
+        "coldRemainingMs": 0,
+        "seqNo": 0,
+        "born": born,
+    }
--- a/src/lotushill/views/exceptions.py
+++ b/src/lotushill/views/exceptions.py
@@ -17,3 +17,10 @@
 
 class RevisionConflictError(StoreError):
     """The object is there already, or has another revision."""
+
+
+class MalformedEntryError(ValueError):
+    """An object that another writer made or spoilt: one of its fields is not as it should be."""
+
+    def __init__(self, field: str, why: str) -> None:
+        super().__init__(f"{field} {why}")
--- a/src/lotushill/views/upstream_view.py
+++ b/src/lotushill/views/upstream_view.py
@@ -59,18 +59,28 @@
         return tuple(self._upstreams.values())
 
     def replace(
-        self, upstreams: Iterable[Upstream], revision: int, keep: Mapping[str, float] = NOTHING_KEPT
+        self,
+        upstreams: Iterable[Upstream],
+        revision: int,
+        keep: Mapping[str, float] = NOTHING_KEPT,
+        unreadable: frozenset[str] = frozenset(),
     ) -> bool:
         """Take a whole list; return whether it was newer than what is held.
 
         Upstreams in `keep` that are missing and were not leaving stay until the time given
-        there, and so do those that were kept before.
+        there, and so do those that were kept before, unless a later life of theirs is listed
+        or their entries are `unreadable`.
         """
         if revision <= self.revision:
             return False
         listed = {item.id: self._bound(item) for item in upstreams}
         wanted = {**keep, **self._lapsed}
-        missing = {name: item for name, item in self._upstreams.items() if name not in listed}
+        replaced = unreadable | {item.name for item in listed.values()}
+        missing = {
+            name: item
+            for name, item in self._upstreams.items()
+            if name not in listed and item.name not in replaced
+        }
         kept = {
             name: item for name, item in missing.items() if name in wanted and not item.draining
         }
@@ -91,7 +101,7 @@
         return gone
 
     def _bound(self, upstream: Upstream) -> Upstream:
-        """Return the newer of two entries; an instance that once drained never returns."""
+        """Return the newer of two entries; a life that once drained takes no more requests."""
         known = self._upstreams.get(upstream.id)
         return known if known is not None and known.draining else upstream
 
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -138,6 +138,11 @@
                 await anyio.sleep(self._jitter(_FIRST_PAUSE_SECONDS))
             except StoreError as error:
                 await self._back_off(error)
+            except Exception as error:
+                # A fault of ours in reading must not end the following for good.
+                self._log.note("watch.fault", kind=self._kind.name, error=repr(error))
+                self._history_gone = True
+                await anyio.sleep(self._jitter(_LONGEST_PAUSE_SECONDS))
 
     def _rest(self) -> None:
         """Go on later from what the others brought meanwhile."""
--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -15,6 +15,7 @@
 from lotushill.links.http_server import HttpServer
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
+from tests.entries import entry
 from tests.gateway.rig import ScriptedUpstream
 from tests.gateway.rig import Seen
 from tests.gateway.rig import read_answer
@@ -70,8 +71,7 @@
         self.upstream = ScriptedUpstream([self.answer])
         await self.upstream.start()
         self.store.create("config", "main", SPEC)
-        entry = {"service": "app", "address": self.upstream.address, "zone": "z", "slots": 4}
-        self.store.create("servers", "i-1", {**entry, "state": "ready"})
+        self.store.create("servers", "i-1", entry("app", self.upstream.address))
         self.folder = tempfile.TemporaryDirectory()
         self.clients, self.readiness = free_address(), free_address()
 
--- a/tests/gateway/test_sight.py
+++ b/tests/gateway/test_sight.py
@@ -4,6 +4,7 @@
 
 import json
 import unittest
+from typing import TYPE_CHECKING
 
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
@@ -11,6 +12,10 @@
 from tests.gateway.rig import ScriptedUpstream
 from tests.gateway.rig import Seen
 
+if TYPE_CHECKING:
+    from lotushill.gateway.upstream_connection import UpstreamConnection
+    from lotushill.routing.upstream import Upstream
+
 
 async def whole(seen: Seen) -> None:
     seen.whole()
@@ -51,6 +56,20 @@
         self.assertEqual(first, again)
         self.assertEqual(3, len({first, body, path}))
 
+    async def test_an_upstream_at_which_a_fault_of_ours_shows_does_not_draw_all(self) -> None:
+        upstreams = [ScriptedUpstream([whole]) for _ in range(3)]
+        async with Rig(upstreams) as rig:
+            take = rig.parts.pool.take
+
+            async def fail_at_one(upstream: Upstream) -> UpstreamConnection:
+                if upstream.id == "b0":
+                    raise ZeroDivisionError
+                return await take(upstream)
+
+            rig.parts.pool.take = fail_at_one  # type: ignore[method-assign]
+            statuses = [(await rig.call(f"r{n}")).status for n in range(30)]
+        self.assertLessEqual(30 - statuses.count(200), 3)
+
     async def test_a_fault_of_ours_leaves_its_trace(self) -> None:
         def fail(*_: object) -> NoChoice:
             raise ZeroDivisionError
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -11,6 +11,7 @@
 from lotushill.platform.upstreams import parse_upstream
 from lotushill.routing.exceptions import InvalidTableError
 from lotushill.routing.route import RouteKind
+from lotushill.views.exceptions import MalformedEntryError
 
 SPEC: dict[str, Any] = {
     "version": 7,
@@ -116,7 +117,6 @@
 
     def test_every_field_finds_its_place(self) -> None:
         upstream = parse_upstream("i-1", self.SPEC)
-        assert upstream is not None
         self.assertEqual(("i-1", "llm", "10.0.0.9:80", "z", 48, False, 1.5), (
             upstream.id, upstream.service, upstream.address, upstream.hall, upstream.slots,
             upstream.draining, upstream.slow_seconds,
@@ -127,5 +127,6 @@
         self.assertTrue(upstream and upstream.draining)
 
     def test_an_entry_that_cannot_be_read_is_passed_over(self) -> None:
-        self.assertIsNone(parse_upstream("i-1", {"service": "llm"}))
-        self.assertIsNone(parse_upstream("i-1", None))
+        for spec in ({"service": "llm"}, None):
+            with self.assertRaises(MalformedEntryError):
+                parse_upstream("i-1", spec)
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -20,9 +20,10 @@
 from lotushill.views.exceptions import HistoryGoneError
 from lotushill.views.exceptions import RevisionConflictError
 from lotushill.views.exceptions import StoreUnavailableError
+from tests.entries import entry
 from tests.platform.test_configuration import SPEC
 
-UPSTREAM = {"service": "llm", "address": "127.0.0.1:9", "zone": "z", "slots": 4, "state": "ready"}
+UPSTREAM = entry("llm", "127.0.0.1:9")
 
 
 class StoreCase(unittest.IsolatedAsyncioTestCase):
