List and release held requests; tests of suspects, news, holds and the store

The proofs are of the parts and of a gateway: ends that are none, planned ends, ends that only the list shows, suspects and their bystanders.

--- a/src/lotushill/console/operator.py
+++ b/src/lotushill/console/operator.py
@@ -17,6 +17,7 @@
 from lotushill.console.program import EXIT_FAILED
 from lotushill.console.program import EXIT_UNAVAILABLE
 from lotushill.console.program import new_parser
+from lotushill.console.quarantine_commands import QuarantineCommands
 from lotushill.console.settings_commands import SettingsCommands
 from lotushill.contracts.exceptions import EditConflictError
 from lotushill.contracts.exceptions import EndlessRaceError
@@ -121,6 +122,11 @@
     explain = _add(commands, "explain", "tell what happened to a request", _fleet("explain"))
     explain.add_argument("request")
 
+    _add(commands, "held", "list requests kept from upstreams", _quarantine("held"))
+
+    release = _add(commands, "release", "let a held request go", _quarantine("release"))
+    release.add_argument("identity", help="as listed by `held`, or how it begins")
+
 
 def _settings(name: str) -> Command:
     def start(store: ObjectStore, options: argparse.Namespace) -> Awaitable[Result]:
@@ -138,6 +144,14 @@
     return start
 
 
+def _quarantine(name: str) -> Command:
+    def start(store: ObjectStore, options: argparse.Namespace) -> Awaitable[Result]:
+        found: Awaitable[Result] = getattr(QuarantineCommands(store), name)(options)
+        return found
+
+    return start
+
+
 def _add(commands: Any, name: str, text: str, run: Command) -> argparse.ArgumentParser:
     parser: argparse.ArgumentParser = commands.add_parser(name, help=text, epilog=_EXIT_CODES)
     parser.set_defaults(run=run)
--- /dev/null
+++ b/src/lotushill/console/quarantine_commands.py
@@ -0,0 +1,59 @@
+"""The commands of `lotushill` on requests that are held since upstreams end under them."""
+
+from __future__ import annotations
+
+from datetime import UTC
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+from lotushill.console.program import EXIT_FAILED
+from lotushill.console.result import Result
+from lotushill.quarantine.stored_hold import KIND
+from lotushill.quarantine.stored_hold import StoredHold
+from lotushill.quarantine.stored_hold import read_hold
+
+if TYPE_CHECKING:
+    import argparse
+
+    from lotushill.platform.object_store import ObjectStore
+
+
+class QuarantineCommands:
+    """The commands against the holds of one store."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def held(self, options: argparse.Namespace) -> Result:
+        """List what is held, since when and by what evidence."""
+        del options
+        holds = await self._holds()
+        value = {identity.hex(): hold.spec() for identity, hold in holds.items()}
+        if not holds:
+            return Result("no request is held", value)
+        lines = [_line(identity, hold) for identity, hold in holds.items()]
+        return Result("\n".join(lines), value)
+
+    async def release(self, options: argparse.Namespace) -> Result:
+        """Let a request go; it is held again after three more upstreams."""
+        names = [item.hex() for item in await self._holds()]
+        found = [name for name in names if name.startswith(options.identity)]
+        if len(found) != 1:
+            told = "no request" if not found else f"{len(found)} requests"
+            return Result(f"{told} held as {options.identity}", None, EXIT_FAILED)
+        await self._store.delete(KIND, found[0])
+        return Result(f"released {found[0]}", {"released": found[0]})
+
+    async def _holds(self) -> dict[bytes, StoredHold]:
+        listed = await self._store.list_kind(KIND)
+        read = [read_hold(item.name, item.spec) for item in listed.objects]
+        found = [item for item in read if item is not None]
+        return dict(sorted(found, key=lambda item: item[1].since))
+
+
+def _line(identity: bytes, hold: StoredHold) -> str:
+    since = datetime.fromtimestamp(hold.since, UTC).isoformat(timespec="seconds")
+    return (
+        f"{identity.hex()}  {hold.team or '-'}  {hold.path}  since {since}  "
+        f"ended: {', '.join(hold.upstreams)}"
+    )
--- a/src/lotushill/quarantine/stored_hold.py
+++ b/src/lotushill/quarantine/stored_hold.py
@@ -9,7 +9,7 @@
 
 KIND = "lotushill-quarantine"
 """The kind of the store with an object for each request that is held, named by its identity."""
-_LATEST = 2**40
+_LATEST = 2**37
 """Seconds since 1970; far beyond any."""
 
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -10,19 +10,27 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import os
 import sys
 import tempfile
 import unittest
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from lotushill.links.http_server import HttpServer
+from lotushill.links.messages import ClearedNews
+from lotushill.quarantine.identity import identity_of
+from lotushill.routing.route import RouteKind
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
 from tests.console.test_gateway_program import SPEC
 from tests.console.test_gateway_program import free_address
 from tests.console.test_gateway_program import get_status
+from tests.entries import entry
+from tests.gateway.rig import HOST
+from tests.gateway.rig import TEAM
 from tests.gateway.rig import Got
 from tests.gateway.rig import Rig
 from tests.gateway.rig import ScriptedUpstream
@@ -30,6 +38,10 @@
 from tests.gateway.rig import read_answer
 from tests.gateway.rig import request_bytes
 
+if TYPE_CHECKING:
+    from lotushill.routing.upstream import Upstream
+    from tests.gateway.rig import Script
+
 DEADLY = b"a body under which every upstream ends"
 COMMON = b"a body that many send"
 TOLD = 3
@@ -64,6 +76,120 @@
         self.assertGreater(float(last.headers["retry-after"]), 1.0)
 
 
+class TestWhatIsNoEnd(unittest.IsolatedAsyncioTestCase):
+    """Cuts for which the request is not to blame."""
+
+    async def test_a_connection_that_ends_while_its_upstream_goes_on_counts_for_nothing(
+        self,
+    ) -> None:
+        async def cut(seen: Seen) -> None:
+            seen.reset()
+
+        async with Rig([ScriptedUpstream([cut]) for _ in range(4)], slack=1000.0) as rig:
+            for number in range(8):
+                got = await rig.call(f"r{number}", body=COMMON)
+                self.assertEqual(502, got.status)
+        self.assertEqual(0, len(rig.quarantine))
+
+    async def test_an_upstream_that_was_leaving_ends_as_planned(self) -> None:
+        ended: list[ScriptedUpstream] = []
+        async with Rig([mortal(ended) for _ in range(4)]) as rig:
+            leaving = [dataclasses.replace(item, draining=True) for item in rig.view.all()]
+            listed = rig.view.all()
+            rig.parts.upstreams.of = lambda service: list(listed)  # type: ignore[method-assign]
+            rig.view.replace(leaving, 2)
+            for number in range(2):
+                await rig.call(f"r{number}", body=DEADLY)
+        self.assertEqual((4, 0), (len(ended), len(rig.quarantine)))
+
+    async def test_an_end_that_shows_only_in_the_list_counts_then(self) -> None:
+        ended: list[ScriptedUpstream] = []
+        async with Rig([mortal(ended) for _ in range(4)], RouteKind.NON_IDEMPOTENT) as rig:
+
+            async def cannot_tell(_: Upstream) -> None:
+                return None
+
+            rig.keeper._has_ended = cannot_tell
+            got = await rig.call("r1", body=DEADLY)
+            self.assertEqual(502, got.status)
+            while rig.keeper._notes:
+                await asyncio.sleep(0)
+            self.assertEqual(0, len(rig.quarantine))
+            rig.view.replace([], 2)
+            rig.keeper.look()
+        self.assertEqual(1, len(rig.quarantine))
+
+
+class TestSuspects(unittest.IsolatedAsyncioTestCase):
+    async def test_an_arrival_that_ended_two_upstreams_is_not_sent_on(self) -> None:
+        ended: list[ScriptedUpstream] = []
+        async with Rig([mortal(ended) for _ in range(8)], max_attempts=8) as rig:
+            got = await rig.call(body=DEADLY)
+        self.assertEqual((502, 2), (got.status, len(ended)))
+
+    async def test_others_that_were_cut_with_it_are_sent_on_and_cleared_by_their_answer(
+        self,
+    ) -> None:
+        ended: list[ScriptedUpstream] = []
+        began = asyncio.Event()
+
+        def slow_then(upstream: ScriptedUpstream) -> Script:
+            async def answer(seen: Seen) -> None:
+                if seen.body == DEADLY:
+                    ended.append(upstream)
+                    upstream.crash(seen)
+                if not ended:
+                    began.set()
+                    await asyncio.sleep(30)
+                seen.whole()
+
+            return answer
+
+        upstreams = [ScriptedUpstream([]) for _ in range(2)]
+        for upstream in upstreams:
+            upstream.scripts.append(slow_then(upstream))
+        async with Rig(upstreams) as rig:
+            first, second = rig.view.all()
+            other = asyncio.create_task(rig.call("other", body=COMMON))
+            await began.wait()
+            busy = next(item for item in (first, second) if rig.parts.fleet.load(item.id).running)
+            rig.parts.upstreams.of = lambda service: [busy]  # type: ignore[method-assign]
+            deadly = asyncio.create_task(rig.call("deadly", body=DEADLY))
+            while not ended:
+                await asyncio.sleep(0.01)
+            rig.parts.upstreams.of = lambda service: [first, second]  # type: ignore[method-assign]
+            got = await other
+            await deadly
+            rig.keeper.tell_due()
+        self.assertEqual((200, b"done"), (got.status, got.body))
+        cleared = [news for news in rig.told if isinstance(news, ClearedNews)]
+        self.assertEqual(1, len(cleared))
+
+    async def test_a_copy_of_its_memory_is_not_where_a_suspect_goes_on(self) -> None:
+        ended: list[ScriptedUpstream] = []
+
+        def streams(upstream: ScriptedUpstream) -> Script:
+            async def answer(seen: Seen) -> None:
+                seen.start_events()
+                seen.event(1)
+                await seen.writer.drain()
+                ended.append(upstream)
+                upstream.crash(seen)
+
+            return answer
+
+        upstreams = [ScriptedUpstream([]) for _ in range(6)]
+        for upstream in upstreams:
+            upstream.scripts.append(streams(upstream))
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            rig.quarantine.note_end(
+                identity_of(TEAM, HOST, b"POST", b"/p/x", DEADLY), TEAM, "/p/x", "before", 1.0
+            )
+            headers = "Token-Usage: 1000,400\r\nPrompt-Prefix: 0a:600,0b:400\r\n"
+            await rig.call(headers=headers, body=DEADLY)
+        self.assertEqual(1, len(ended))
+
+
 class TestFleet(unittest.IsolatedAsyncioTestCase):
     """Three gateways as processes, upstreams that come back, and one caller of the deadly body."""
 
@@ -94,8 +220,7 @@
         upstream = mortal(self.ended)
         await upstream.start()
         self.upstreams.append(upstream)
-        entry = {"service": "app", "address": upstream.address, "zone": "z", "slots": 4}
-        self.store.create("servers", f"i-{len(self.upstreams)}", {**entry, "state": "ready"})
+        self.store.create("servers", f"i-{len(self.upstreams)}", entry("app", upstream.address))
 
     async def replace_ended(self) -> None:
         """Let an upstream come for each that ended and has an entry."""
--- /dev/null
+++ b/tests/quarantine/test_hold_store.py
@@ -0,0 +1,123 @@
+"""How holds come to the platform's store and go from it."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import Any
+
+from lotushill.event_log import EventLog
+from lotushill.links.messages import SuspectState
+from lotushill.quarantine.hold_store import HoldStore
+from lotushill.quarantine.hold_view import HoldView
+from lotushill.quarantine.quarantine import Quarantine
+from lotushill.quarantine.stored_hold import StoredHold
+from lotushill.views.exceptions import RevisionConflictError
+from lotushill.views.exceptions import StoreUnavailableError
+
+ONE = b"1" * 16
+
+
+class FakeStore:
+    def __init__(self) -> None:
+        self.objects: dict[str, Any] = {}
+        self.calls: list[str] = []
+        self.away = False
+
+    async def create(self, kind: str, name: str, spec: Any) -> object:
+        self.calls.append(f"create {name}")
+        if self.away:
+            raise StoreUnavailableError("away")
+        if name in self.objects:
+            raise RevisionConflictError
+        self.objects[name] = spec
+        return spec
+
+    async def delete(self, kind: str, name: str) -> None:
+        self.calls.append(f"delete {name}")
+        self.objects.pop(name, None)
+
+
+class TestHoldStore(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.store = FakeStore()
+        self.quarantine = Quarantine()
+        self.view = HoldView()
+        self.holds = HoldStore(
+            self.store,
+            self.quarantine,
+            self.view,
+            EventLog("gw", lambda _: None),
+            random.Random(1),
+            lambda: self.now,
+            lambda: 1.7e9,
+        )
+
+    async def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.5)):
+            self.now += 0.5
+            await self.holds.look()
+
+    def hold(self, identity: bytes = ONE) -> None:
+        for upstream in "abc":
+            self.quarantine.note_end(identity, "team", "/p", upstream, self.now)
+
+    async def test_a_hold_is_written_once_it_has_stood_for_half_a_second(self) -> None:
+        self.hold()
+        await self.holds.look()
+        self.assertEqual({}, self.store.objects)
+        await self.pass_time(5.0)
+        self.assertEqual([f"create {ONE.hex()}"], self.store.calls)
+        self.assertEqual(["a", "b", "c"], self.store.objects[ONE.hex()]["upstreams"])
+
+    async def test_one_that_is_cleared_before_is_never_written(self) -> None:
+        self.hold()
+        await self.holds.look()
+        self.quarantine.clear(ONE)
+        await self.pass_time(5.0)
+        self.assertEqual([], self.store.calls)
+
+    async def test_one_that_another_gateway_wrote_is_not_written_again(self) -> None:
+        self.store.objects[ONE.hex()] = {}
+        self.hold()
+        await self.pass_time(5.0)
+        self.assertEqual(1, len(self.store.calls))
+
+    async def test_an_outage_is_tried_again_now_and_then(self) -> None:
+        self.store.away = True
+        self.hold()
+        await self.pass_time(30.0)
+        self.assertLess(len(self.store.calls), 30)
+        self.store.away = False
+        await self.pass_time(4.0)
+        self.assertIn(ONE.hex(), self.store.objects)
+
+    async def test_what_only_others_saw_is_left_to_them_for_some_seconds(self) -> None:
+        self.quarantine.take(SuspectState(ONE, "team", "/p", ("a", "b", "c")), self.now)
+        await self.pass_time(3.5)
+        self.assertEqual([], self.store.calls)
+        await self.pass_time(30.0)
+        self.assertEqual(1, len(self.store.calls))
+
+    async def test_what_was_answered_whole_is_taken_away(self) -> None:
+        hold = StoredHold("team", "/p", (), 1.7e9)
+        self.store.objects[ONE.hex()] = hold.spec()
+        self.quarantine.take_stored({ONE: hold})
+        self.quarantine.note_end(ONE, "team", "/p", "a", self.now)
+        self.quarantine.clear(ONE)
+        await self.holds.look()
+        self.assertEqual({}, self.store.objects)
+
+    async def test_the_objects_are_bounded_and_the_oldest_of_the_same_team_goes(self) -> None:
+        specs = {
+            number.to_bytes(16, "big").hex(): StoredHold(
+                "team" if number % 2 else "other", "/p", (), 1e9 + number
+            ).spec()
+            for number in range(512)
+        }
+        self.view.replace(specs, 1)
+        self.hold()
+        await self.pass_time(1.5)
+        oldest = (1).to_bytes(16, "big").hex()
+        self.assertEqual([f"delete {oldest}", f"create {ONE.hex()}"], self.store.calls)
