Go by a clock that does not stand still in a suspension, and take what was believed for old after it

Cause: deadlines, the lease of the duties, retry windows, members' silence and lapsed upstreams all went by the steady clock, which stands still while a host is suspended: a holder that slept ten seconds believed its lease fresh, a request outlived its client.

Change: one clock (clock.py) that goes on, passed to every part, so that a suspension is to them what a freeze is. The loop's timers keep the steady clock; a watch compares the two some twenty times a second and before each choice and each sending. After 0.25 s and more: requests end when their time is up, resting connections are closed, all that is followed is listed again, and requests wait for that for 0.3 s at most. An upstream chosen before is chosen again.

Not closed: a call of a duty that had begun before the host slept; the platform's fencing refuses it.

--- a/src/lotushill/event_log.py
+++ b/src/lotushill/event_log.py
@@ -4,9 +4,10 @@
 
 import json
 import os
-import time
 from typing import TYPE_CHECKING
 
+from lotushill import clock as clocks
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -23,7 +24,7 @@
         self,
         name: str,
         write: Callable[[bytes], None] | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
         journal: Journal | None = None,
     ) -> None:
         """Write lines of the node `name`; `journal` keeps the last ones about requests."""
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -50,7 +50,8 @@
         self._news = news
         self._models_all = parts.placer.models_all()
         """Whether all that runs at the upstream is known, so that its pauses can be explained."""
-        self._loop = asyncio.get_running_loop()
+        self._clock = parts.clock
+        self._wakes = parts.suspension.wakes
         self.sent_at = 0.0
         self.first_at = 0.0
         self.last_at = 0.0
@@ -64,8 +65,11 @@
         try:
             connection = await self._parts.pool.take(upstream)
         except NotSentError as error:
-            load.note_unreachable(self._loop.time())
+            load.note_unreachable(self._clock())
             return AttemptEnd(EndKind.NOT_SENT, str(error))
+        if self._was_suspended():
+            connection.close()
+            return AttemptEnd(EndKind.NOT_SENT, "the host was suspended")
         try:
             end = await self._exchange(connection)
             self._parts.pool.give_back(upstream, connection)
@@ -78,8 +82,13 @@
             raise
         return end
 
+    def _was_suspended(self) -> bool:
+        """Return whether the host was, since the upstream was chosen: it may have left."""
+        self._parts.suspension.look()
+        return self._parts.suspension.wakes != self._wakes
+
     async def _exchange(self, connection: UpstreamConnection) -> AttemptEnd:
-        self.sent_at = self._loop.time()
+        self.sent_at = self._clock()
         connection.send(self._request.demand.request_id, self._request.method, self._wire())
         head = await self._read_head(connection)
         self._parts.fleet.load(self._choice.upstream.id).note_reached()
@@ -166,7 +175,7 @@
             headers = request_head.without_last_event_id(headers)
         own = request_head.attempt_headers(
             self._choice.upstream.name,
-            request.ends - self._loop.time(),
+            request.ends - self._clock(),
             request.route.urgency,
             request.team,
             last_event_id,
@@ -190,7 +199,7 @@
     # What is learned
 
     def _note_event(self) -> None:
-        now = self._loop.time()
+        now = self._clock()
         if not self.first_at:
             self.first_at = now
             self._note_first(now)
--- a/src/lotushill/gateway/duties.py
+++ b/src/lotushill/gateway/duties.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from lotushill import clock as clocks
 from lotushill.duties.true_time import TrueTime
 from lotushill.duties.work_counts import WorkCounts
 from lotushill.gateway.settings import DutySettings
@@ -34,9 +35,9 @@
         """Count for a gateway; its other parts are used once it runs."""
         settings = gateway.settings
         self._gateway = gateway
-        self._time = TrueTime(time.time, time.monotonic)
+        self._time = TrueTime(time.time, clocks.now)
         window_seconds = (settings.duties or DutySettings("")).report_window_seconds
-        self.work = WorkCounts(settings.name, window_seconds, self._time, time.monotonic)
+        self.work = WorkCounts(settings.name, window_seconds, self._time, clocks.now)
         self._keeper: DutyKeeper | None = None
 
     async def run(self) -> None:
@@ -96,7 +97,7 @@
             sight,
             self._time,
             gateway.log,
-            time.monotonic,
+            clocks.now,
         )
 
     def _reads_store(self) -> bool:
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -49,7 +49,7 @@
         self._request = request
         self._answer = answer
         self._splitter = EventSplitter()
-        self._loop = asyncio.get_running_loop()
+        self._clock = parts.clock
         self._excluded: set[str] = set()
         self._retry_after = _RETRY_SECONDS
         self._unsent = 0
@@ -68,13 +68,16 @@
     async def run(self) -> None:
         """Try upstreams until there is an answer."""
         request = self._request
-        self._parts.budgets.note_request(request.service.name, self._loop.time())
+        self._parts.budgets.note_request(request.service.name, self._clock())
         while True:
             if self._parts.quarantine.holds(request):
                 return await self._keep_back()
+            await self._parts.suspension.settle()
             placement = await self._find()
             if placement is None:
                 return await self._give_up("no upstream", None)
+            if self._clock() >= request.ends:
+                return await self.time_out()
             choice = placement.choice
             end = await self._attempt(placement)
             check = self._check_upstream(choice.upstream, end)
@@ -134,7 +137,7 @@
             if isinstance(found, Placement):
                 return found
             pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
-            if self._loop.time() + pause > gives_up:
+            if self._clock() + pause > gives_up:
                 break
             await anyio.sleep(pause)
         self._note_refusal(found)
@@ -158,7 +161,7 @@
             first_ms=round(found.first * 1000, 1),
             usual_prompt=round(found.usual_prompt),
             longest_prompt=round(found.longest_prompt),
-            waited_ms=round((self._loop.time() - request.arrived) * 1000, 1),
+            waited_ms=round((self._clock() - request.arrived) * 1000, 1),
         )
 
     async def _continue(self, backup: Upstream, cut: AttemptEnd) -> AttemptEnd:
@@ -168,9 +171,7 @@
         copy the upstream runs nothing, and the run has ended as it was cut.
         """
         service = self._request.service.name
-        if not self._may_continue(backup) or not self._parts.budgets.spend(
-            service, self._loop.time()
-        ):
+        if not self._may_continue(backup) or not self._parts.budgets.spend(service, self._clock()):
             return cut
         self._splitter.drop_partial()
         seconds = self._parts.fleet.pace(service).stream_seconds
@@ -187,7 +188,7 @@
         service = self._request.service.name
         known = any(item.id == backup.id for item in self._parts.upstreams.of(service))
         failures = self._parts.fleet.load(backup.id).failures
-        sound = failures.rate(self._loop.time()) < _SOUND_RATE
+        sound = failures.rate(self._clock()) < _SOUND_RATE
         return known and sound and self._splitter.events > 0
 
     async def _attempt(self, placement: Placement) -> AttemptEnd:
@@ -210,7 +211,7 @@
             kind = EndKind.BROKEN
             raise
         finally:
-            ran = self._loop.time() - attempt.sent_at if attempt.sent_at else 0.0
+            ran = self._clock() - attempt.sent_at if attempt.sent_at else 0.0
             news.ended(kind, ran)
             self.first_ms = round((attempt.first_at - attempt.sent_at) * 1000, 1)
         self._parts.metrics.note_attempt(
@@ -274,7 +275,7 @@
     # Repeats
 
     async def _may_repeat(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
-        now = self._loop.time()
+        now = self._clock()
         service = self._request.service.name
         if end.kind is EndKind.NOT_SENT:
             self._unsent += 1
@@ -289,7 +290,7 @@
             return False
         if end.kind is EndKind.BROKEN and not await self._may_go_on(end, check):
             return False
-        return self._parts.budgets.spend(service, self._loop.time())
+        return self._parts.budgets.spend(service, self._clock())
 
     async def _give_up(self, why: str, end: AttemptEnd | None) -> None:
         self.outcome = f"given-up:{why}"
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -49,18 +49,37 @@
         self.retry_after = retry_after
 
 
+class _Lost:
+    """Ends the work on a request whose client has gone, and remembers that this was why."""
+
+    def __init__(self, scope: anyio.CancelScope) -> None:
+        self._scope = scope
+        self.noted = False
+
+    def note(self) -> None:
+        self.noted = True
+        self._scope.cancel()
+
+
 class Front:
     """Takes in requests."""
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self._numbers = itertools.count()
+        self._scopes: set[anyio.CancelScope] = set()
+        """Of the requests in progress."""
         self.in_progress = 0
         self.closing = False
         """Whether connections end after their answer, since the process is stopping."""
         self.open = True
         """False when new requests are turned away, since they could not be finished."""
 
+    def note_suspension(self, seconds: float) -> None:
+        """Let requests in progress end when their time is up, though timers stood still so long."""
+        for scope in self._scopes:
+            scope.deadline -= seconds
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
@@ -72,7 +91,8 @@
             self.in_progress -= 1
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
-        arrived = asyncio.get_running_loop().time()
+        self._parts.suspension.look()
+        arrived = self._parts.clock()
         demand = request_head.read_demand(scope["headers"])
         answer = ClientAnswer(send, demand.request_id)
         answer.closing = self.closing
@@ -95,12 +115,15 @@
         await self._bring_to_answer(scope, request, answer)
 
     async def _bring_to_answer(self, scope: Scope, request: Request, answer: ClientAnswer) -> None:
-        loop = asyncio.get_running_loop()
+        clock = self._parts.clock
         connection = cast("ClientProtocol", scope[CONNECTION])
         exchange = Exchange(self._parts, request, answer)
         self._parts.work.enter(request.service.name)
-        with anyio.CancelScope(deadline=request.ends) as cancel:
-            connection.on_lost = cancel.cancel
+        left = request.ends - clock()
+        with anyio.CancelScope(deadline=asyncio.get_running_loop().time() + left) as cancel:
+            lost = _Lost(cancel)
+            connection.on_lost = lost.note
+            self._scopes.add(cancel)
             try:
                 await exchange.run()
             except Exception as error:
@@ -112,13 +135,14 @@
                     trace="".join(traceback.format_exception(error)),
                 )
                 await answer.give(502 if exchange.runs else 503, _NOT_READY_SECONDS)
+        self._scopes.discard(cancel)
         connection.on_lost = None
         if cancel.cancelled_caught:
-            if loop.time() < request.ends:
+            if lost.noted:
                 exchange.outcome = "client-gone"
             else:
                 await exchange.time_out()
-        took = loop.time() - request.arrived
+        took = clock() - request.arrived
         self._parts.work.leave(request.service.name)
         self._parts.metrics.note_request(request.service.name, exchange.outcome, took)
         self._parts.log.note(
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from lotushill import clock as clocks
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
@@ -30,6 +31,7 @@
 from lotushill.gateway.status_report import add_gauges
 from lotushill.gateway.status_report import status
 from lotushill.gateway.store_views import StoreViews
+from lotushill.gateway.suspension import SuspensionWatch
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.journal import Journal
 from lotushill.links.http_server import HttpServer
@@ -79,7 +81,7 @@
         self.duties = FleetDuties(self)
         self.side_tasks = SideTasks(self.log, rng)
         self.store = ObjectStore(settings.store)
-        role = ReaderRole(lambda: self.peers.membership, time.monotonic)
+        role = ReaderRole(lambda: self.peers.membership, clocks.now)
         self.views = StoreViews(
             self.store, rng, self.log, self._on_configuration, role, on_holds=self._on_holds
         )
@@ -90,7 +92,7 @@
         self.shared_load = SharedLoad(
             settings.name,
             self.fleet,
-            time.monotonic,
+            clocks.now,
             self._service_of,
             self.peers.tell_load,
             self.peers.is_near,
@@ -109,7 +111,7 @@
             self.shared_load,
             self.views.upstreams,
             rng,
-            time.monotonic,
+            clocks.now,
             self.peers.schedulers,
             self.peers.client,
         )
@@ -123,11 +125,14 @@
             self.peers.tell_all,
             self.log,
             rng,
-            time.monotonic,
+            clocks.now,
         )
         self.hold_store = HoldStore(self.store, self.quarantine, self.views.holds, self.log, rng)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
-        self.budgets = RetryBudgets(settings.retry, self._sharing, time.monotonic())
+        self.suspension = SuspensionWatch(
+            clocks.now, time.monotonic, self._on_woke, self.views.confirmed
+        )
+        self.budgets = RetryBudgets(settings.retry, self._sharing, clocks.now())
         self.front = Front(
             GatewayParts(
                 name=settings.name,
@@ -144,6 +149,8 @@
                 log=self.log,
                 metrics=self.metrics,
                 rng=rng,
+                clock=clocks.now,
+                suspension=self.suspension,
                 view_is_fresh=self.views.fresh,
             )
         )
@@ -154,7 +161,7 @@
             settings.readiness,
         )
         add_gauges(self)
-        self._started = time.monotonic()
+        self._started = clocks.now()
         self._stopping = False
         self._following: list[asyncio.Task[None]] = []
 
@@ -168,7 +175,7 @@
 
         One that started with nothing would send them to upstreams again.
         """
-        waited = time.monotonic() - self._started
+        waited = clocks.now() - self._started
         return self.views.holds.revision >= 0 or waited > _HOLDS_SECONDS
 
     async def run(self) -> None:
@@ -202,7 +209,7 @@
             await anyio.sleep(_SWEEP_SECONDS)
             known = {upstream.id for upstream in self.views.upstreams.all()}
             self.pool.sweep(known)
-            self.fleet.forget(known, time.monotonic())
+            self.fleet.forget(known, clocks.now())
             self.shared_load.expire()
             self.views.expire()
             self.keeper.look()
@@ -241,14 +248,14 @@
 
     async def _drain(self) -> None:
         """Be taken out by the balancer first, then finish every request in progress."""
-        ends = time.monotonic() + self.settings.grace_seconds - _LAST_SECONDS
+        ends = clocks.now() + self.settings.grace_seconds - _LAST_SECONDS
         self._stopping = True
         self.front.closing = True
         self.log.note("process.stopping", in_progress=self.front.in_progress)
         await anyio.sleep(self.settings.leave_seconds)
         self.front.open = False
         self.clients.stop()
-        while self.front.in_progress and time.monotonic() < ends:
+        while self.front.in_progress and clocks.now() < ends:
             await anyio.sleep(_TICK_SECONDS)
         self.peers.leave()
         if self.front.in_progress:
@@ -272,6 +279,7 @@
             on_work_pull=self.duties.pages,
             on_work_page=self.duties.receive,
             on_suspects=lambda news: self.keeper.receive(news),
+            on_tick=lambda: self.suspension.look(),
         )
 
     def _sharing(self) -> int:
@@ -301,6 +309,13 @@
         table = self.views.configuration.table
         return table.limits if table is not None else ClientLimits()
 
+    def _on_woke(self, seconds: float) -> None:
+        """Take what was believed before a suspension for old."""
+        self.log.note("process.woke", suspended=round(seconds, 2))
+        self.front.note_suspension(seconds)
+        self.pool.drop_idle()
+        self.views.doubt()
+
     def _on_holds(self) -> None:
         self.keeper.take_stored(self.views.holds.holds)
 
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -15,6 +15,7 @@
     from lotushill.gateway.metrics import Metrics
     from lotushill.gateway.quarantine_keeper import QuarantineKeeper
     from lotushill.gateway.retry_budgets import RetryBudgets
+    from lotushill.gateway.suspension import SuspensionWatch
     from lotushill.gateway.upstream_pool import UpstreamPool
     from lotushill.placement.fleet import Fleet
     from lotushill.scheduling.placer import Placer
@@ -41,5 +42,8 @@
     log: EventLog
     metrics: Metrics
     rng: random.Random
+    clock: Callable[[], float]
+    """Goes on while the host is suspended."""
+    suspension: SuspensionWatch
     view_is_fresh: Callable[[], bool]
     """Whether the store or a peer has lately confirmed what is known."""
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from lotushill import clock as clocks
 from lotushill.gateway.member_log import MemberLog
 from lotushill.gateway.view_exchange import ViewExchange
 from lotushill.links.address import split_address
@@ -97,6 +98,8 @@
     """Hears what another gateway counted."""
     on_suspects: Callable[[SuspectNews | ClearedNews], None]
     """Hears of requests under which upstreams ended, or did not."""
+    on_tick: Callable[[], None]
+    """Called some twenty times a second."""
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -108,7 +111,7 @@
         log: EventLog,
         rng: random.Random,
         hooks: PeerHooks,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
     ) -> None:
         """Make the parts."""
         self._member_log = MemberLog(log)
@@ -279,6 +282,7 @@
     # What is due
 
     def _tick(self, now: float) -> None:
+        self._hooks.on_tick()
         revisions = {kind: self._hooks.view_revision(kind) for kind in ViewKind}
         contact = self._hooks.contact()
         changed = self.membership.set_views(
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill import clock as clocks
+
 if TYPE_CHECKING:
     from lotushill.gateway.gateway import Gateway
 
@@ -38,7 +39,7 @@
     gauge(
         "requests_held",
         "Requests that are kept from upstreams, by caller, path and body",
-        lambda: len(gateway.quarantine.held(time.monotonic())),
+        lambda: len(gateway.quarantine.held(clocks.now())),
     )
     gauge("requests_suspected", "Requests under which upstreams ended", gateway.quarantine.__len__)
     gauge("kept_back", "Arrivals kept from upstreams so far", lambda: gateway.keeper.held)
@@ -80,7 +81,7 @@
         "members": [_member(item) for item in gateway.peers.membership.all()],
         "held_requests": {
             item.hex(): gateway.quarantine.ends_under(item)
-            for item in gateway.quarantine.held(time.monotonic())
+            for item in gateway.quarantine.held(clocks.now())
         },
         "in_progress": gateway.front.in_progress,
         "store_calls": gateway.store.calls,
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import json
-import time
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill import clock as clocks
 from lotushill.contracts.names import KIND as SETTINGS_KIND
 from lotushill.contracts.settings_view import SettingsView
 from lotushill.gateway.exceptions import MalformedViewError
@@ -76,7 +76,7 @@
         log: EventLog,
         on_configuration: Callable[[], None],
         role: ReaderRole | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
         on_holds: Callable[[], None] = lambda: None,
     ) -> None:
         """Follow `store` while `role` says so; without a role, always.
@@ -98,6 +98,7 @@
         self._specs: Specs = {}
         self._configuration_text = ""
         self._rejected = -1
+        self._doubted_at = float("-inf")
 
         def follow(kind: WatchedKind) -> Watcher:
             return Watcher(store, kind, rng, log, role, clock)
@@ -109,13 +110,27 @@
 
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start to follow the store, for ever."""
-        watchers = (
+        watchers = self._watchers()
+        return [asyncio.create_task(watcher.run()) for watcher in watchers]
+
+    def _watchers(self) -> tuple[Watcher, ...]:
+        return (
             self._watch_configuration,
             self._watch_upstreams,
             self._watch_settings,
             self._watch_holds,
         )
-        return [asyncio.create_task(watcher.run()) for watcher in watchers]
+
+    def doubt(self) -> None:
+        """Ask the store again for all that this gateway reads, since it may be old."""
+        self._doubted_at = self._clock()
+        for watcher in self._watchers():
+            watcher.doubt()
+
+    def confirmed(self, since: float) -> bool:
+        """Return whether this gateway read configuration and upstreams from a time on."""
+        watchers = (self._watch_configuration, self._watch_upstreams)
+        return all(watcher.confirmed_from >= since for watcher in watchers)
 
     def contact(self) -> StoreContact:
         """Return how this gateway stands with the store."""
@@ -129,7 +144,7 @@
     def fresh(self) -> bool:
         """Return whether nothing newer is known anywhere than the configuration in force."""
         if self._watch_configuration.active and not self._watch_configuration.failing:
-            return True
+            return self._watch_configuration.confirmed_from >= self._doubted_at
         return self._role is not None and self._role.told_by_others(self.configuration.revision)
 
     def _configuration_kind(self) -> WatchedKind:
--- a/src/lotushill/gateway/upstream_connection.py
+++ b/src/lotushill/gateway/upstream_connection.py
@@ -72,8 +72,6 @@
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         """How long the connection may rest before it must not be used again."""
         self.idle_since = 0.0
-        self.last_heard = 0.0
-        """When the last byte came, on the loop's clock."""
 
     # Requests
 
@@ -174,7 +172,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came; bytes that belong to no request end the connection."""
-        self.last_heard = asyncio.get_running_loop().time()
         if self._idle or self._complete:
             self._break("bytes after a whole answer")
             return
--- a/src/lotushill/gateway/upstream_pool.py
+++ b/src/lotushill/gateway/upstream_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lotushill import clock as clocks
 from lotushill.gateway.exceptions import NotSentError
 from lotushill.gateway.upstream_connection import UpstreamConnection
 from lotushill.links.address import split_address
@@ -27,21 +28,22 @@
         self,
         answered_id: Callable[[Headers], str],
         most_idle: Callable[[Upstream], int] = lambda _: _MOST_IDLE,
+        clock: Callable[[], float] = clocks.now,
     ) -> None:
         """Make an empty pool; `most_idle` bounds the connections that rest at an upstream."""
         self._answered_id = answered_id
         self._most_idle = most_idle
+        self._clock = clock
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self.opened = 0
         """Connections opened so far."""
 
     async def take(self, upstream: Upstream) -> UpstreamConnection:
         """Return a connection that carries nothing; raise NotSentError if none can be had."""
-        loop = asyncio.get_running_loop()
         kept = self._idle.get(upstream.id, [])
         while kept:
             connection = kept.pop()
-            if connection.open and loop.time() - connection.idle_since < connection.idle_seconds:
+            if connection.open and self._clock() - connection.idle_since < connection.idle_seconds:
                 return connection
             connection.close()
         return await self._open(upstream)
@@ -52,12 +54,19 @@
         if not connection.reusable or len(kept) >= min(_MOST_IDLE, self._most_idle(upstream)):
             connection.close()
             return
-        connection.rest(asyncio.get_running_loop().time())
+        connection.rest(self._clock())
         kept.append(connection)
 
+    def drop_idle(self) -> None:
+        """Close all connections that rest."""
+        for kept in self._idle.values():
+            for connection in kept:
+                connection.close()
+        self._idle.clear()
+
     def sweep(self, known: set[str]) -> None:
         """Close connections that rested too long or lead to upstreams that are gone."""
-        now = asyncio.get_running_loop().time()
+        now = self._clock()
         for upstream_id, kept in list(self._idle.items()):
             for connection in list(kept):
                 fresh = now - connection.idle_since < connection.idle_seconds
--- a/src/lotushill/quarantine/hold_store.py
+++ b/src/lotushill/quarantine/hold_store.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import Protocol
 
+from lotushill import clock as clocks
 from lotushill.quarantine.stored_hold import KIND
 from lotushill.quarantine.stored_hold import StoredHold
 from lotushill.views.exceptions import RevisionConflictError
@@ -55,7 +56,7 @@
         view: HoldView,
         log: EventLog,
         rng: random.Random,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
         wall: Callable[[], float] = time.time,
     ) -> None:
         self._store = store
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
 
 import anyio
 
+from lotushill import clock as clocks
 from lotushill.views.exceptions import HistoryGoneError
 from lotushill.views.exceptions import StoreError
 
@@ -94,7 +94,7 @@
         rng: random.Random,
         log: EventLog,
         reading: Reading | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
     ) -> None:
         """Follow `kind` while `reading` says that this gateway reads."""
         self._store = store
@@ -108,6 +108,9 @@
         self._pause = _FIRST_PAUSE_SECONDS
         self._asked_at = 0.0
         self._away_at: float | None = None
+        self._step_scope: anyio.CancelScope | None = None
+        self.confirmed_from = float("-inf")
+        """When the last list was asked for that has come."""
         self.active = False
         """Whether this gateway reads the kind itself."""
         self.failing = False
@@ -122,6 +125,12 @@
         """
         return self._away_at
 
+    def doubt(self) -> None:
+        """List again at once: what was told may be old, and the watch under way may have died."""
+        self._history_gone = True
+        if self._step_scope is not None:
+            self._step_scope.cancel()
+
     async def run(self) -> None:
         """Follow for ever."""
         while True:
@@ -131,7 +140,8 @@
                 await anyio.sleep(self._jitter(_PASSIVE_SECONDS))
                 continue
             try:
-                await self._step()
+                with anyio.CancelScope() as self._step_scope:
+                    await self._step()
             except HistoryGoneError:
                 self._log.note("watch.gap", kind=self._kind.name, revision=self._revision)
                 self._history_gone = True
@@ -166,6 +176,7 @@
         self._note_answer()
         self._history_gone = False
         self._revision = listed.revision
+        self.confirmed_from = self._asked_at
         self._kind.on_list(listed)
 
     async def _watch(self) -> None:
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
+from lotushill import clock as clocks
 from lotushill.contracts.settings_view import SettingsView
 from lotushill.duties.true_time import TrueTime
 from lotushill.duties.work_counts import WorkCounts
@@ -23,6 +24,7 @@
 from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.gateway.retry_budgets import RetryBudgets
 from lotushill.gateway.settings import RetrySettings
+from lotushill.gateway.suspension import SuspensionWatch
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
@@ -220,16 +222,32 @@
         self.slack = slack
         self.team_priority = team_priority
         self.lines: list[bytes] = []
+        self.suspended = 0.0
+        self.woke: list[float] = []
+        self.confirmed = True
+        """Whether the views were confirmed since the last suspension."""
         self.quarantine = Quarantine()
         self.told: list[SuspectNews | ClearedNews] = []
         """What was told to other gateways, when `keeper.tell_due` was called."""
 
+    def clock(self) -> float:
+        """Return seconds that go on in a suspension."""
+        return clocks.now() + self.suspended
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass in which the steady clock stands still."""
+        self.suspended += seconds
+
+    def _on_woke(self, seconds: float) -> None:
+        self.woke.append(seconds)
+        self.front.note_suspension(seconds)
+        self.parts.pool.drop_idle()
+
     async def __aenter__(self) -> Rig:
         """Start everything."""
         for upstream in self.upstreams:
             await upstream.start()
         fleet = Fleet("z")
-        loop = asyncio.get_running_loop()
         self.take_table(1)
         self.view.replace(
             [
@@ -238,12 +256,15 @@
             ],
             1,
         )
-        shared_load = SharedLoad("gw", fleet, loop.time, lambda _: self.service, lambda _: None)
-        pool = UpstreamPool(request_head.answered_id)
+        shared_load = SharedLoad("gw", fleet, self.clock, lambda _: self.service, lambda _: None)
+        pool = UpstreamPool(request_head.answered_id, clock=self.clock)
+        self.suspension = SuspensionWatch(
+            self.clock, time.monotonic, self._on_woke, lambda _: self.confirmed
+        )
         log = EventLog("gw", self.lines.append)
         self.keeper = QuarantineKeeper(
             "gw", self.quarantine, self.view, pool.has_ended, self.told.append, log,
-            random.Random(3), loop.time,
+            random.Random(3), self.clock,
         )  # fmt: skip
         self.parts = GatewayParts(
             name="gw",
@@ -252,14 +273,16 @@
             settings=self.settings,
             fleet=fleet,
             shared_load=shared_load,
-            placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), loop.time),
+            placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), self.clock),
             pool=pool,
             quarantine=self.keeper,
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
-            work=WorkCounts("gw", 5.0, TrueTime(time.time, loop.time), loop.time),
+            work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
             log=log,
             metrics=Metrics(),
             rng=random.Random(1),
+            clock=self.clock,
+            suspension=self.suspension,
             view_is_fresh=lambda: self.fresh,
         )
         self.front = Front(self.parts)
--- /dev/null
+++ b/tests/gateway/test_suspension.py
@@ -0,0 +1,170 @@
+"""Hosts that are suspended: the steady clock, by which the loop's timers go, stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+
+from lotushill.duties.duty_record import DutyRecord
+from lotushill.duties.lease import Lease
+from lotushill.duties.lease import LeaseOptions
+from lotushill.gateway.suspension import SuspensionWatch
+from lotushill.routing.route import RouteKind
+from tests.gateway.rig import Rig
+from tests.gateway.rig import ScriptedUpstream
+from tests.gateway.rig import Seen
+
+SECONDS = (0.5, 3.0, 10.0, 60.0)
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+class TwoClocks:
+    """A clock that goes on in a suspension, and one that does not."""
+
+    def __init__(self) -> None:
+        self.at = 1000.0
+        self.steady_at = 500.0
+
+    def clock(self) -> float:
+        return self.at
+
+    def steady(self) -> float:
+        return self.steady_at
+
+    def run(self, seconds: float) -> None:
+        self.at += seconds
+        self.steady_at += seconds
+
+    def suspend(self, seconds: float) -> None:
+        self.at += seconds
+
+
+class TestSuspensionWatch(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clocks = TwoClocks()
+        self.woke: list[float] = []
+        self.confirmed = False
+        self.watch = SuspensionWatch(
+            self.clocks.clock, self.clocks.steady, self.woke.append, lambda _: self.confirmed
+        )
+
+    def test_each_suspension_is_noticed_once_with_its_length(self) -> None:
+        for seconds in SECONDS:
+            self.clocks.run(1.0)
+            self.clocks.suspend(seconds)
+            self.watch.look()
+            self.watch.look()
+        self.assertEqual(list(SECONDS), [round(item, 6) for item in self.woke])
+
+    def test_a_host_that_only_stood_still_or_was_slow_was_not_suspended(self) -> None:
+        self.clocks.run(60.0)
+        self.watch.look()
+        self.assertEqual([], self.woke)
+        self.assertTrue(self.watch.settled)
+
+    def test_after_it_what_is_believed_is_old_until_confirmed_or_for_a_bounded_time(self) -> None:
+        self.clocks.suspend(3.0)
+        self.watch.look()
+        self.assertFalse(self.watch.settled)
+        self.confirmed = True
+        self.assertTrue(self.watch.settled)
+        self.confirmed = False
+        self.clocks.run(0.4)
+        self.assertTrue(self.watch.settled)
+
+
+def _record_of_one() -> DutyRecord:
+    return DutyRecord("one", 1)
+
+
+class TestLease(unittest.TestCase):
+    """Two that hold one lease after another: whenever the first sleeps, they never act together."""
+
+    def test_a_holder_that_slept_starts_no_act_once_another_may_have_taken_over(self) -> None:
+        options = LeaseOptions(seconds=3.0, fenced=False)
+        for seconds, before in itertools.product(SECONDS, (0.0, 0.4, 1.4, 2.9)):
+            clocks = TwoClocks()
+            lease = Lease("one", 1, options, clocks.clock())
+            other = Lease("two", 1, options, clocks.clock())
+            clocks.run(10.0)
+            lease.take(7, clocks.clock())
+            other.observe(7, clocks.clock())
+            clocks.run(before)
+            clocks.suspend(seconds)
+            taken = other.may_take(_record_of_one(), clocks.clock())
+            with self.subTest(seconds=seconds, before=before):
+                self.assertFalse(taken and lease.may_act(clocks.clock()))
+
+
+class TestRequests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_ends_when_its_time_is_up_though_its_timer_stood_still(self) -> None:
+        async def silent(_: Seen) -> None:
+            await asyncio.sleep(30)
+
+        for kind in (RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT):
+            upstream = ScriptedUpstream([silent])
+            async with Rig([upstream], kind, timeout=20.0) as rig:
+                call = asyncio.create_task(rig.call())
+                while not upstream.seen:
+                    await asyncio.sleep(0.01)
+                rig.suspend(60.0)
+                rig.suspension.look()
+                got = await asyncio.wait_for(call, 5.0)
+            self.assertEqual(504, got.status)
+
+    async def test_connections_that_rested_through_it_are_not_used_again(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            await rig.call("r1")
+            rig.suspend(0.5)
+            await rig.call("r2")
+        self.assertEqual(2, upstream.connections)
+
+    async def test_what_was_chosen_before_it_is_chosen_again(self) -> None:
+        """An upstream may have left while the host slept between its choice and the sending."""
+        upstreams = [ScriptedUpstream([whole]) for _ in range(2)]
+        async with Rig(upstreams) as rig:
+            take = rig.parts.pool.take
+            chosen: list[str] = []
+
+            async def suspended_while_connecting(upstream):  # type: ignore[no-untyped-def]
+                connection = await take(upstream)
+                chosen.append(upstream.id)
+                if len(chosen) == 1:
+                    rig.suspend(3.0)
+                    rig.view.replace([i for i in rig.view.all() if i.id != upstream.id], 2)
+                return connection
+
+            rig.parts.pool.take = suspended_while_connecting  # type: ignore[method-assign]
+            got = await rig.call()
+        left = upstreams[int(chosen[0][1:])]
+        self.assertEqual((200, 0), (got.status, len(left.seen)))
+
+    async def test_nothing_is_sent_beyond_the_deadline(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            place = rig.parts.placer.place
+
+            async def suspended_while_choosing(*arguments):  # type: ignore[no-untyped-def]
+                found = await place(*arguments)
+                rig.suspend(60.0)
+                return found
+
+            rig.parts.placer.place = suspended_while_choosing  # type: ignore[method-assign]
+            got = await rig.call()
+        self.assertEqual((503, 0), (got.status, len(upstream.seen)))
+
+    async def test_requests_wait_for_the_views_for_a_bounded_time(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            rig.confirmed = False
+            rig.suspend(10.0)
+            got = await rig.call()
+            self.assertEqual(200, got.status)
+            waited = [line for line in rig.lines if b"request.ended" in line]
+        self.assertEqual(1, len(waited))
+        self.assertEqual([10.0], [round(item, 1) for item in rig.woke])
--- a/tests/views/test_watcher.py
+++ b/tests/views/test_watcher.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from lotushill import clock as clocks
 from lotushill.event_log import EventLog
 from lotushill.views.exceptions import HistoryGoneError
 from lotushill.views.exceptions import StoreUnavailableError
@@ -119,6 +120,41 @@
         self.assertEqual(["list@10", "list@10", "['a']@12"], await self.follow(store))
         self.assertEqual((2, [10, 10, 10, 12]), (store.lists, store.watched))
 
+    async def test_what_is_doubted_is_listed_again_though_a_watch_still_waits(self) -> None:
+        store = ScriptedStore(([change("a", 12)], 12))
+        kind = WatchedKind(
+            "k", lambda listed: None, lambda changes, revision: None, lambda: 10, 0.0
+        )
+        watcher = Watcher(store, kind, random.Random(1), EventLog("gw", lambda _: None))
+        task = asyncio.create_task(watcher.run())
+        await store.done.wait()
+        self.assertEqual(float("-inf"), watcher.confirmed_from)
+        asked = clocks.now()
+        watcher.doubt()
+        while not store.lists:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertGreaterEqual(watcher.confirmed_from, asked)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def test_a_fault_in_reading_ends_no_following(self) -> None:
+        seen: list[int] = []
+
+        def fail_once(listed: ObjectList) -> None:
+            seen.append(listed.revision)
+            if len(seen) == 1:
+                raise ZeroDivisionError
+
+        store = ScriptedStore()
+        kind = WatchedKind("k", fail_once, lambda changes, revision: None, lambda: -1, 0.0)
+        watcher = Watcher(store, kind, random.Random(1), EventLog("gw", lambda _: None))
+        task = asyncio.create_task(watcher.run())
+        await store.done.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(2, len(seen))
+
     async def test_one_that_leaves_reading_to_others_makes_no_call_and_goes_on_from_theirs(
         self,
     ) -> None:
