Proofs of holds, lives, foreign entries and suspensions, each seen to fail; a bound on the wait for a check

A cut request waits 50 ms at most to hear whether its upstream ended; before, a silent host held it for 0.35 s.

--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -30,6 +30,9 @@
 _RETRY_SECONDS = 0.5
 _HELD_RETRY_SECONDS = 30.0
 """Coming back sooner does not help a request that is held."""
+_CHECK_SECONDS = 0.05
+"""A request that was cut waits so long, before it is sent on, to hear whether its upstream ended:
+an address that nothing listens at any more refuses within a round trip."""
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits here before it is refused as not run."""
 _POLL_SECONDS = 0.03
@@ -122,7 +125,7 @@
         if end.kind is not EndKind.BROKEN:
             return False
         if check is not None:
-            await asyncio.wait((check,))
+            await asyncio.wait((check,), timeout=_CHECK_SECONDS)
         return self._parts.quarantine.may_be_sent_on(self._request)
 
     async def _find(self) -> Placement | None:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -21,6 +21,11 @@
 _LEASE = "tests.duties.test_lease.TestLease"
 _TIME = "tests.duties.test_true_time.TestTrueTime"
 _REPLAY = "tests.load.policy.test_replay.TestBursts"
+_QUARANTINE = "tests.gateway.test_quarantine"
+_HELD = "tests.quarantine.test_quarantine.TestQuarantine"
+_HOLD_STORE = "tests.quarantine.test_hold_store.TestHoldStore"
+_ENTRIES = "tests.platform.test_upstreams"
+_ASLEEP = "tests.gateway.test_suspension"
 
 
 @dataclass(frozen=True)
@@ -532,6 +537,157 @@
             Case("all power lost", (), "days of the bench alone: served again is measured there"),
         ),
     ),
+    Promise(
+        "A request that ends its upstreams reaches no more than a few, whoever sends it and where.",
+        "BUDGET",
+        (
+            Case(
+                "it comes again under another id, at one gateway or many",
+                (
+                    f"{_QUARANTINE}.TestOneGateway.test_after_three_upstreams_a_request_reaches_no_other",
+                    f"{_QUARANTINE}.TestFleet.test_what_one_gateway_saw_holds_at_all_and_after_all_were_killed",
+                    "tests.quarantine.test_fleet.TestDeadly.test_it_reaches_no_upstream_soon_after_its_third_and_all_others_are_served",
+                ),
+            ),
+            Case(
+                "its route allows many attempts, or a copy of its memory is kept",
+                (
+                    f"{_QUARANTINE}.TestSuspects.test_an_arrival_that_ended_two_upstreams_is_not_sent_on",
+                    f"{_QUARANTINE}.TestSuspects.test_a_copy_of_its_memory_is_not_where_a_suspect_goes_on",
+                ),
+            ),
+            Case(
+                "the upstream goes dark, so that only its entry shows the end",
+                (
+                    f"{_QUARANTINE}.TestWhatIsNoEnd.test_an_end_that_shows_only_in_the_list_counts_then",
+                ),
+            ),
+            Case(
+                "connections are reset, or upstreams end as planned: no request is to blame",
+                (
+                    f"{_QUARANTINE}.TestWhatIsNoEnd.test_a_connection_that_ends_while_its_upstream_goes_on_counts_for_nothing",
+                    f"{_QUARANTINE}.TestWhatIsNoEnd.test_an_upstream_that_was_leaving_ends_as_planned",
+                ),
+            ),
+            Case(
+                "half of all upstreams end at once, again and again, beside a common request",
+                (
+                    "tests.quarantine.test_fleet.TestNobodyToBlame.test_the_common_request_goes_on_and_hardly_any_other_is_held",
+                    "tests.quarantine.test_suspect.TestAnsweredWholeBefore.test_a_hall_that_loses_power_says_no_more_than_one_end",
+                ),
+            ),
+            Case(
+                "news are lost, repeated, or late",
+                (
+                    "tests.quarantine.test_suspect.TestNeverWhole.test_the_order_in_which_ends_are_heard_does_not_matter",
+                    "tests.quarantine.test_suspect.TestNeverWhole.test_a_whole_answer_clears_it_and_late_news_of_those_ends_do_not_count",
+                ),
+            ),
+            Case(
+                "the store is away, or the gateway that saw it is gone",
+                (
+                    f"{_HOLD_STORE}.test_an_outage_is_tried_again_now_and_then",
+                    f"{_HOLD_STORE}.test_what_only_others_saw_is_left_to_them_for_some_seconds",
+                ),
+            ),
+            Case(
+                "very many such requests",
+                (
+                    f"{_HELD}.test_one_team_cannot_push_the_suspects_of_another_out",
+                    f"{_HOLD_STORE}.test_the_objects_are_bounded_and_the_oldest_of_the_same_team_goes",
+                ),
+            ),
+            Case(
+                "an operator lets it go",
+                (
+                    f"{_HELD}.test_a_release_counts_also_where_the_ends_are_known",
+                    "tests.console.test_quarantine_commands.TestQuarantineCommands.test_one_is_released_by_how_it_begins_and_no_other",
+                ),
+            ),
+            Case(
+                "a caller whose deadly bodies differ each time",
+                (),
+                "each of them ends up to three upstreams: nothing counts ends by caller",
+            ),
+        ),
+    ),
+    Promise(
+        "What another writer left in the store costs nothing beside it.",
+        "DENIED, DRAIN",
+        (
+            Case(
+                "fields missing, of another type or out of range",
+                (
+                    f"{_ENTRIES}.TestEntries.test_an_entry_that_lacks_a_field_or_has_one_of_another_type_names_nothing",
+                    f"{_ENTRIES}.TestViewOfEntries.test_a_bad_entry_costs_none_of_the_others_and_later_changes_are_seen",
+                ),
+            ),
+            Case(
+                "any plain data, from the store or a peer",
+                (
+                    f"{_ENTRIES}.TestEntries.test_any_plain_data_is_an_upstream_or_a_typed_error",
+                    f"{_ENTRIES}.TestViewOfEntries.test_whatever_a_peer_sends_is_taken_or_a_typed_error",
+                ),
+            ),
+            Case(
+                "a fault of ours in reading or using it",
+                (
+                    "tests.views.test_watcher.TestWatcher.test_a_fault_in_reading_ends_no_following",
+                    "tests.gateway.test_sight.TestSight.test_an_upstream_at_which_a_fault_of_ours_shows_does_not_draw_all",
+                ),
+            ),
+        ),
+    ),
+    Promise(
+        "An upstream that starts again under its name is a new one.",
+        "DRAIN, MIXED",
+        (
+            Case(
+                "it drained, ended and came back",
+                (
+                    f"{_ENTRIES}.TestViewOfEntries.test_one_that_drained_and_ended_works_again_under_its_name",
+                ),
+            ),
+            Case(
+                "the store was away meanwhile",
+                (
+                    f"{_ENTRIES}.TestViewOfEntries.test_a_former_life_is_not_kept_beside_the_present_one",
+                ),
+            ),
+        ),
+    ),
+    Promise(
+        "A host that was suspended believes nothing of before until it is confirmed.",
+        "BUDGET, DRAIN",
+        (
+            Case(
+                "requests and connections that were open",
+                (
+                    f"{_ASLEEP}.TestRequests.test_a_request_ends_when_its_time_is_up_though_its_timer_stood_still",
+                    f"{_ASLEEP}.TestRequests.test_connections_that_rested_through_it_are_not_used_again",
+                    f"{_ASLEEP}.TestRequests.test_nothing_is_sent_beyond_the_deadline",
+                ),
+            ),
+            Case(
+                "an upstream that left meanwhile",
+                (
+                    f"{_ASLEEP}.TestRequests.test_what_was_chosen_before_it_is_chosen_again",
+                    "tests.views.test_watcher.TestWatcher.test_what_is_doubted_is_listed_again_though_a_watch_still_waits",
+                ),
+            ),
+            Case(
+                "the holder of the duties",
+                (
+                    f"{_ASLEEP}.TestLease.test_a_holder_that_slept_starts_no_act_once_another_may_have_taken_over",
+                ),
+            ),
+            Case(
+                "a call of a duty that had begun before",
+                (),
+                "only the platform's check of tokens stops it",
+            ),
+        ),
+    ),
 )
 _HEAD = """# Promises, faults and proofs
 
--- a/tests/views/test_watcher.py
+++ b/tests/views/test_watcher.py
@@ -150,9 +150,11 @@
         kind = WatchedKind("k", fail_once, lambda changes, revision: None, lambda: -1, 0.0)
         watcher = Watcher(store, kind, random.Random(1), EventLog("gw", lambda _: None))
         task = asyncio.create_task(watcher.run())
-        await store.done.wait()
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        waiting = asyncio.create_task(store.done.wait())
+        await asyncio.wait((task, waiting), return_when=asyncio.FIRST_COMPLETED)
+        for item in (task, waiting):
+            item.cancel()
+        await asyncio.gather(task, waiting, return_exceptions=True)
         self.assertEqual(2, len(seen))
 
     async def test_one_that_leaves_reading_to_others_makes_no_call_and_goes_on_from_theirs(
