A fault soak: real gateways under series of faults, one caller that ends engines, odd entries, new lives

Gateways are killed, stopped, frozen, reloaded and all killed at once; engines end, drain and come back under their names with another birth; entries of other writers come and go, entries of engines are spoilt; the store is busy or silent; the configuration changes; clients use their connections until they are gone. Checked: own and whole answers, one run of what may run once, refusals that ran nothing, nothing sent where only an odd entry points, sends of the deadly request after three engines.

--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,64 @@
+"""Runs the soak over many seeds, some at a time, and prints a line for each.
+
+    python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4]
+
+Real gateways before engines that come and go, with one caller whose request ends engines. Exits
+with 1 if a promise was broken, or if less than 0.97 of the ordinary requests at an end were served.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from tests.soak.soak import Result
+from tests.soak.soak import Soak
+
+_LEAST_SERVED = 0.97
+
+
+def play(seed: int, seconds: float) -> Result:
+    """Make one run."""
+    return asyncio.run(Soak(seed, seconds).run())
+
+
+def main() -> int:
+    """Run all seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.seeds)
+    bad = 0
+    with ProcessPoolExecutor(options.jobs) as pool:
+        results = pool.map(play, seeds, [options.seconds] * options.seeds)
+        for seed, result in zip(seeds, results):
+            bad += _print(seed, result)
+    print(f"{len(seeds) - bad} of {len(seeds)} seeds without a fault")
+    return 1 if bad else 0
+
+
+def _print(seed: int, result: Result) -> bool:
+    wrong = [*result.faults, *result.errors]
+    if result.share < _LEAST_SERVED:
+        wrong.append("too few served at the end")
+    print(
+        f"seed {seed}: {result.tries} tries, {result.engines_ended} engines ended by the deadly "
+        f"request, {result.late_sends} late sends; at the end served: ordinary "
+        f"{result.served[0]}/{result.served[1]}, common "
+        f"{result.common_served[0]}/{result.common_served[1]}; "
+        f"{len(result.idle_engines)} engines idle{'; WRONG: ' if wrong else ''}{'; '.join(wrong)}",
+        flush=True,
+    )
+    return bool(wrong)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/client.py
@@ -0,0 +1,77 @@
+"""Clients of the soak: each uses its connection until it is gone, and then another gateway's."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+from tests.gateway.rig import Got
+from tests.gateway.rig import read_answer
+from tests.gateway.rig import request_bytes
+from tests.soak.engine import DEADLY
+from tests.soak.ledger import Answer
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from tests.soak.ledger import Ledger
+
+COMMON = b"a body that a quarter of all requests have"
+_PATHS = {"any": "/p/x", "common": "/p/x", "once": "/once/x", "deadly": "/p/deadly"}
+_DEADLINE_SECONDS = 3.0
+_PATIENCE_SECONDS = 5.0
+_NOTHING = Got(0, {}, b"", False)
+
+
+class Client:
+    """Sends one request after the other, some of them with the same body."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, addresses: Sequence[str], ledger: Ledger, rng: random.Random) -> None:
+        self._addresses = addresses
+        self._ledger = ledger
+        self._rng = rng
+        self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def run(self, pause: float, deadly: bool = False) -> None:
+        """Send until cancelled, some `pause` seconds apart."""
+        while True:
+            kind = "deadly" if deadly else self._rng.choice(("any", "any", "common", "once"))
+            await self._try(kind)
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
+
+    async def _try(self, kind: str) -> None:
+        attempt = f"a{next(self._numbers)}"
+        body = {"deadly": DEADLY, "common": COMMON}.get(kind, f"body of {attempt}".encode())
+        sent_at = time.monotonic()
+        got = await self._exchange(attempt, body, _PATHS[kind])
+        own = got.body == f"{attempt} done".encode() and "response-signature" in got.headers
+        self._ledger.answers.append(Answer(attempt, kind, sent_at, got.status, got.whole, own))
+
+    async def _exchange(self, attempt: str, body: bytes, path: str) -> Got:
+        headers = f"Deadline-Ms: {int(_DEADLINE_SECONDS * 1000)}\r\n"
+        try:
+            async with asyncio.timeout(_PATIENCE_SECONDS):
+                reader, writer = self._stream or await self._connect()
+                writer.write(request_bytes(attempt, headers, body, path))
+                got = await read_answer(reader)
+        except (OSError, TimeoutError):
+            got = _NOTHING
+        if not got.whole or got.headers.get("connection") == "close":
+            self.close()
+        return got
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self._rng.choice(self._addresses).partition(":")
+        self._stream = await asyncio.open_connection(host, int(port))
+        return self._stream
+
+    def close(self) -> None:
+        """Give the connection up."""
+        if self._stream is not None:
+            self._stream[1].close()
+            self._stream = None
--- /dev/null
+++ b/tests/soak/engine.py
@@ -0,0 +1,114 @@
+"""Engines of the soak: they come back under their names, and end under a deadly body."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from tests.entries import entry
+from tests.gateway.rig import ScriptedUpstream
+from tests.soak.ledger import Arrival
+
+if TYPE_CHECKING:
+    import random
+
+    from lotushill.standin.metadata_store import MetadataStore
+    from tests.gateway.rig import Seen
+    from tests.soak.ledger import Ledger
+
+DEADLY = b"every engine that begins this ends"
+KIND = "servers"
+_BACK_SECONDS = 1.5
+_DRAIN_SECONDS = 1.0
+
+
+class Engine:
+    """One instance, life after life, at addresses that change."""
+
+    def __init__(self, name: str, store: MetadataStore, ledger: Ledger, rng: random.Random) -> None:
+        self.name = name
+        self._store = store
+        self._ledger = ledger
+        self._rng = rng
+        self._born = 0
+        self._server: ScriptedUpstream | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def life(self) -> str:
+        """Return which life this is."""
+        return f"{self.name}@{self._born}"
+
+    async def start(self) -> None:
+        """Begin a life and tell of it."""
+        self._born = max(self._born + 1, time.time_ns() // 1_000_000)
+        self._server = ScriptedUpstream([self._answer])
+        await self._server.start()
+        self.tell()
+
+    def tell(self, **changes: object) -> None:
+        """Write the entry, with some fields changed."""
+        assert self._server is not None
+        spec = entry("app", self._server.address, born=self._born, **changes)
+        self._store.put(KIND, self.name, spec)
+
+    def spoil(self) -> None:
+        """Overwrite the entry with what no reader can use."""
+        self._store.put(KIND, self.name, {"service": "app", "address": None, "slots": "many"})
+
+    def tell_again(self) -> None:
+        """Write the entry as it should be, if this life goes on."""
+        if self._server is not None:
+            self.tell()
+
+    async def end(self) -> None:
+        """End without a word, and come back after a while."""
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        await server.end()
+        self._later(self._come_back())
+
+    async def drain(self) -> None:
+        """Say that this life leaves, and end it some time later."""
+        if self._server is not None:
+            self.tell(state="draining")
+            self._later(self._end_drained())
+
+    async def stop(self) -> None:
+        """End for good."""
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            await self._server.end()
+
+    async def _end_drained(self) -> None:
+        await asyncio.sleep(_DRAIN_SECONDS + 0.5)
+        await self.end()
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(_BACK_SECONDS)
+        await self.start()
+
+    def _later(self, work: object) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, seen: Seen) -> None:
+        now = time.monotonic()
+        server = self._server
+        if seen.headers.get("target-instance") != self.name or server is None:
+            seen.answer("421 Other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n")
+            return
+        if seen.body == DEADLY:
+            self._ledger.deadly_sends.append(now)
+            await asyncio.sleep(self._rng.uniform(0.03, 0.1))
+            self._ledger.deadly_ends.append(time.monotonic())
+            self._server = None
+            self._later(self._come_back())
+            server.crash(seen)
+        self._ledger.runs.append(Arrival(seen.id, self.life, now))
+        await asyncio.sleep(self._rng.uniform(0.01, 0.15))
+        seen.whole(f"{seen.id} done".encode())
--- /dev/null
+++ b/tests/soak/gateways.py
@@ -0,0 +1,128 @@
+"""The gateways of the soak: real processes that are killed, stopped, frozen and started again."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tests.console.test_gateway_program import free_address
+from tests.console.test_gateway_program import get_status
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_AGAIN_SECONDS = 0.3
+
+
+@dataclass
+class Gateway:
+    """One gateway and its process of the moment."""
+
+    name: str
+    clients: str
+    readiness: str
+    settings: Path
+    process: asyncio.subprocess.Process | None = None
+    frozen: bool = False
+
+
+class Gateways:
+    """Starts gateways, and starts each again that has ended."""
+
+    def __init__(self, folder: Path, store: str, count: int) -> None:
+        self._folder = folder
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._over = False
+        self.all = [self._new(f"gw-{number}", store) for number in range(count)]
+        self.lines: list[dict[str, object]] = []
+        """Everything that the gateways logged."""
+        self.errors: list[str] = []
+        """What they wrote on standard error, and ends of their own."""
+
+    def _new(self, name: str, store: str) -> Gateway:
+        clients, readiness = free_address(), free_address()
+        settings = {
+            "name": name,
+            "hall": f"hall-{name[-1]}",
+            "region": "r",
+            "clients": clients,
+            "readiness": readiness,
+            "peers": free_address(),
+            "store": store,
+            "leave_seconds": 0.3,
+            "grace_seconds": 4.0,
+            "retry": {"ratio": 0.2, "slack": 100, "window_seconds": 10},
+        }
+        path = self._folder / f"{name}.yaml"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        return Gateway(name, clients, readiness, path)
+
+    async def start(self) -> None:
+        """Start all, and return when they are ready."""
+        for gateway in self.all:
+            await self._start(gateway)
+        for gateway in self.all:
+            while await get_status(gateway.readiness, "/readyz") != 200:
+                await asyncio.sleep(0.05)
+
+    async def _start(self, gateway: Gateway) -> None:
+        gateway.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "lotushill.console.gateway",
+            env={**os.environ, "LOTUSHILL_NODE_FILE": str(gateway.settings)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self._later(self._follow(gateway, gateway.process))
+
+    async def _follow(self, gateway: Gateway, process: asyncio.subprocess.Process) -> None:
+        output, errors = await process.communicate()
+        for line in output.splitlines():
+            try:
+                self.lines.append(json.loads(line))
+            except ValueError:
+                # The last line of a killed process may be cut.
+                continue
+        if errors.strip():
+            self.errors.append(f"{gateway.name}: {errors.decode()[-2000:]}")
+        if process.returncode not in (0, -signal.SIGKILL):
+            self.errors.append(f"{gateway.name}: ended by itself with {process.returncode}")
+        if not self._over:
+            await asyncio.sleep(_AGAIN_SECONDS)
+            await self._start(gateway)
+
+    def signal(self, gateway: Gateway, number: int) -> None:
+        """Send a signal to one that runs."""
+        if gateway.process is not None and gateway.process.returncode is None:
+            gateway.process.send_signal(number)
+
+    async def freeze(self, gateway: Gateway, seconds: float) -> None:
+        """Let one stand still for a while."""
+        process = gateway.process
+        if process is None or gateway.frozen:
+            return
+        gateway.frozen = True
+        self.signal(gateway, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.frozen = False
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def end(self) -> None:
+        """End all for good."""
+        self._over = True
+        for gateway in self.all:
+            self.signal(gateway, signal.SIGKILL)
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _later(self, work: object) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,66 @@
+"""What happens to the fleet and when, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+QUIET_SECONDS = 5.0
+"""At the end nothing more happens for so long, so that what is served then can be judged."""
+_LONGEST_FAULT = 3.0
+
+
+class Deed(Enum):
+    """One thing that happens."""
+
+    KILL_GATEWAY = "kill a gateway"
+    STOP_GATEWAY = "stop a gateway as planned"
+    FREEZE_GATEWAY = "let a gateway stand still"
+    RELOAD_GATEWAY = "let a gateway read its settings again"
+    KILL_ALL_GATEWAYS = "kill all gateways"
+    END_ENGINE = "end an engine"
+    DRAIN_ENGINE = "drain an engine, then end it"
+    PUT_ODD_ENTRY = "put an entry of another writer"
+    SPOIL_ENTRY = "spoil the entry of an engine for a while"
+    CHANGE_CONFIGURATION = "put another configuration"
+    TROUBLE_STORE = "let the store be in trouble for a while"
+
+
+_WEIGHTS = {
+    Deed.KILL_GATEWAY: 3,
+    Deed.STOP_GATEWAY: 3,
+    Deed.FREEZE_GATEWAY: 4,
+    Deed.RELOAD_GATEWAY: 2,
+    Deed.END_ENGINE: 4,
+    Deed.DRAIN_ENGINE: 3,
+    Deed.PUT_ODD_ENTRY: 4,
+    Deed.SPOIL_ENTRY: 2,
+    Deed.CHANGE_CONFIGURATION: 3,
+    Deed.TROUBLE_STORE: 2,
+}
+
+
+@dataclass(frozen=True)
+class Step:
+    """A deed at some second; `pick` chooses among what there is then, `seconds` how long."""
+
+    at: float
+    deed: Deed
+    pick: int
+    seconds: float
+
+
+def draw(seed: int, seconds: float) -> list[Step]:
+    """Return steps that come in series and overlap; all gateways are killed once in the middle."""
+    rng = random.Random(seed)
+    steps = [Step(seconds * 0.4, Deed.KILL_ALL_GATEWAYS, 0, 0.0)]
+    at = 2.0
+    while at < seconds - QUIET_SECONDS - _LONGEST_FAULT:
+        for _ in range(rng.randint(1, 3)):
+            deed = rng.choices(list(_WEIGHTS), list(_WEIGHTS.values()))[0]
+            length = rng.uniform(0.5, _LONGEST_FAULT)
+            steps.append(Step(at, deed, rng.randrange(1_000), length))
+            at += rng.uniform(0.0, 0.5)
+        at += rng.uniform(0.5, 2.0)
+    return sorted(steps, key=lambda step: step.at)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,222 @@
+"""One run of the soak: a plan, real gateways, engines that come and go, and clients throughout."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from lotushill.links.http_server import HttpServer
+from lotushill.standin.metadata_app import MetadataApp
+from lotushill.standin.metadata_app import Trouble
+from lotushill.standin.metadata_store import MetadataStore
+from tests.console.test_gateway_program import SPEC
+from tests.entries import entry
+from tests.gateway.rig import ScriptedUpstream
+from tests.soak.client import Client
+from tests.soak.engine import KIND
+from tests.soak.engine import Engine
+from tests.soak.gateways import Gateways
+from tests.soak.ledger import Ledger
+from tests.soak.plan import QUIET_SECONDS
+from tests.soak.plan import Deed
+from tests.soak.plan import draw
+
+if TYPE_CHECKING:
+    from tests.gateway.rig import Seen
+    from tests.soak.plan import Step
+
+_GATEWAYS = 4
+_ENGINES = 8
+_CLIENTS = 16
+_PAUSE_SECONDS = 0.25
+_DEADLY_PAUSE_SECONDS = 0.35
+_SETTLED_SECONDS = 2.0
+_ODD = (
+    {"address": "here"},
+    {"address": None},
+    {"slots": float("inf")},
+    {"state": "standby"},
+    {"state": None},
+    {"service": ["app"]},
+    {"zone": 7},
+    {"seqNo": "one"},
+    {"born": 1.5},
+    {"coldRemainingMs": -1},
+)
+"""Fields of entries that name no engine; the address of each leads to a decoy where it has one."""
+_TROUBLES = (Trouble.BUSY, Trouble.SILENT, Trouble.MANY)
+
+
+@dataclass(frozen=True)
+class Result:
+    """What a run showed."""
+
+    faults: list[str]
+    errors: list[str]
+    late_sends: int
+    engines_ended: int
+    """By the deadly request."""
+    served: tuple[int, int]
+    """Of ordinary requests at the end: served, and sent."""
+    common_served: tuple[int, int]
+    idle_engines: set[str]
+    """Names of engines that got nothing at the end."""
+    tries: int
+
+    @property
+    def share(self) -> float:
+        """Return which share of ordinary and common requests was served at the end."""
+        served = self.served[0] + self.common_served[0]
+        return served / max(1, self.served[1] + self.common_served[1])
+
+
+class Soak:
+    """Everything that one run needs."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._plan = draw(seed, seconds)
+        self._store = MetadataStore()
+        self._app = MetadataApp(self._store)
+        self._server = HttpServer(self._app, "127.0.0.1:0")
+        self._ledger = Ledger()
+        self._engines = [
+            Engine(f"i-{number}", self._store, self._ledger, self._rng)
+            for number in range(_ENGINES)
+        ]
+        self._decoy = ScriptedUpstream([self._count_odd])
+        self._gateways: Gateways | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._version = 3
+
+    async def run(self) -> Result:
+        """Run to the end and return what was seen."""
+        serving = asyncio.create_task(self._server.serve())
+        await self._server.wait_started()
+        await self._decoy.start()
+        self._put_configuration()
+        for engine in self._engines:
+            await engine.start()
+        with tempfile.TemporaryDirectory(prefix="lotushill-soak-") as folder:
+            self._gateways = Gateways(Path(folder), self._server.address, _GATEWAYS)
+            await self._gateways.start()
+            try:
+                quiet_since = await self._play()
+            finally:
+                for task in self._tasks:
+                    task.cancel()
+                await asyncio.gather(*self._tasks, return_exceptions=True)
+                await self._gateways.end()
+                for engine in self._engines:
+                    await engine.stop()
+                await self._decoy.end()
+                self._server.abort()
+                serving.cancel()
+                await asyncio.gather(serving, return_exceptions=True)
+        return self._result(quiet_since)
+
+    async def _play(self) -> float:
+        assert self._gateways is not None
+        addresses = [gateway.clients for gateway in self._gateways.all]
+        for number in range(_CLIENTS):
+            client = Client(addresses, self._ledger, random.Random(number))
+            self._later(client.run(_PAUSE_SECONDS))
+        deadly = Client(addresses, self._ledger, random.Random(99))
+        began = time.monotonic()
+        self._later(deadly.run(_DEADLY_PAUSE_SECONDS, deadly=True))
+        for step in self._plan:
+            await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
+            self._later(self._do(step))
+        quiet = began + self._seconds - QUIET_SECONDS + _SETTLED_SECONDS
+        await asyncio.sleep(max(0.0, quiet - time.monotonic()))
+        since = time.monotonic()
+        await asyncio.sleep(QUIET_SECONDS - _SETTLED_SECONDS)
+        return since
+
+    def _result(self, since: float) -> Result:
+        assert self._gateways is not None
+        once, sent_once = self._ledger.served("once", since)
+        other, sent_other = self._ledger.served("any", since)
+        used = {life.partition("@")[0] for life in self._ledger.engines_used(since)}
+        ours = [
+            str(line)
+            for line in self._gateways.lines
+            if line.get("event") in ("request.fault", "task.failed", "watch.fault")
+        ]
+        return Result(
+            faults=self._ledger.faults(),
+            errors=self._gateways.errors + ours,
+            late_sends=self._ledger.late_sends(),
+            engines_ended=len(self._ledger.deadly_ends),
+            served=(once + other, sent_once + sent_other),
+            common_served=self._ledger.served("common", since),
+            idle_engines={engine.name for engine in self._engines} - used,
+            tries=len(self._ledger.answers),
+        )
+
+    # Deeds
+
+    async def _do(self, step: Step) -> None:
+        assert self._gateways is not None
+        gateway = self._gateways.all[step.pick % _GATEWAYS]
+        engine = self._engines[step.pick % _ENGINES]
+        match step.deed:
+            case Deed.KILL_GATEWAY:
+                self._gateways.signal(gateway, signal.SIGKILL)
+            case Deed.STOP_GATEWAY:
+                self._gateways.signal(gateway, signal.SIGTERM)
+            case Deed.RELOAD_GATEWAY:
+                self._gateways.signal(gateway, signal.SIGHUP)
+            case Deed.FREEZE_GATEWAY:
+                await self._gateways.freeze(gateway, step.seconds)
+            case Deed.KILL_ALL_GATEWAYS:
+                for each in self._gateways.all:
+                    self._gateways.signal(each, signal.SIGKILL)
+            case Deed.END_ENGINE:
+                await engine.end()
+            case Deed.DRAIN_ENGINE:
+                await engine.drain()
+            case Deed.PUT_ODD_ENTRY:
+                self._put_odd(step.pick)
+            case Deed.SPOIL_ENTRY:
+                await self._spoil(engine, step.seconds)
+            case Deed.CHANGE_CONFIGURATION:
+                self._version += 1
+                self._put_configuration()
+            case Deed.TROUBLE_STORE:
+                self._app.trouble = _TROUBLES[step.pick % len(_TROUBLES)]
+                await asyncio.sleep(step.seconds)
+                self._app.trouble = Trouble.NONE
+
+    def _put_odd(self, pick: int) -> None:
+        spec = entry("app", self._decoy.address, **_ODD[pick % len(_ODD)])
+        self._store.put(KIND, f"odd-{pick % len(_ODD)}", spec)
+
+    async def _spoil(self, engine: Engine, seconds: float) -> None:
+        engine.spoil()
+        await asyncio.sleep(seconds)
+        engine.tell_again()
+
+    def _put_configuration(self) -> None:
+        route: dict[str, Any] = SPEC["routes"][0]  # type: ignore[index]
+        idempotent = {**route, "kind": "idempotent", "maxAttempts": 3}
+        once = {**route, "name": "once", "pathPrefix": "/once/"}
+        spec = {**SPEC, "version": self._version, "routes": [idempotent, once]}
+        self._store.put("config", "main", spec)
+
+    async def _count_odd(self, seen: Seen) -> None:
+        self._ledger.odd_requests += 1
+        seen.reset()
+
+    def _later(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,19 @@
+"""A short run of the soak; `scripts/soak.py` makes long ones of many seeds."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.soak.soak import Soak
+
+_SEED = 1
+_SECONDS = 25.0
+
+
+class TestSoak(unittest.IsolatedAsyncioTestCase):
+    async def test_no_promise_is_broken_through_faults_that_overlap(self) -> None:
+        result = await Soak(_SEED, _SECONDS).run()
+        self.assertEqual([], result.faults)
+        self.assertEqual([], result.errors)
+        self.assertGreater(result.served[0], 0)
+        self.assertGreater(result.common_served[0], 0)
