--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -210,8 +210,8 @@
     ),
     Break(
         "gateway: entries that lapsed in an outage are kept for a while",
-        "gateway/store_views.py",
-        "        return {item.id: away + _RELISTED_SECONDS for item in self.upstreams.all()}",
+        "following/upstreams.py",
+        "        return {item.id: away + _RELISTED_SECONDS for item in self.view.all()}",
         "        return {}",
         "tests.platform.test_object_store",
     ),
@@ -563,7 +563,7 @@
     ),
     Break(
         "one bad entry costs none beside it",
-        "gateway/store_views.py",
+        "following/upstreams.py",
         "except MalformedEntryError as error:",
         "except ZeroDivisionError as error:",
         "tests.platform.test_upstreams",
--- /dev/null
+++ b/src/lotushill/gateway/fleet_quarantine.py
@@ -0,0 +1,65 @@
+"""A gateway's part in keeping requests from upstreams that they would end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from lotushill import clock as clocks
+from lotushill.gateway.quarantine_keeper import QuarantineKeeper
+from lotushill.quarantine.hold_store import HoldStore
+from lotushill.quarantine.quarantine import Quarantine
+
+if TYPE_CHECKING:
+    import random
+
+    from lotushill.event_log import EventLog
+    from lotushill.gateway.peers import Peers
+    from lotushill.gateway.store_views import StoreViews
+    from lotushill.gateway.upstream_pool import UpstreamPool
+    from lotushill.platform.object_store import ObjectStore
+
+_LOOK_SECONDS = 0.5
+
+
+class FleetQuarantine:
+    """The suspects of one gateway, what it tells of them, and what of them is stored."""
+
+    def __init__(
+        self,
+        name: str,
+        views: StoreViews,
+        pool: UpstreamPool,
+        peers: Peers,
+        store: ObjectStore,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._views = views
+        self.suspects = Quarantine()
+        self.keeper = QuarantineKeeper(
+            name,
+            self.suspects,
+            views.upstreams,
+            pool.has_ended,
+            peers.tell_all,
+            log,
+            rng,
+            clocks.now,
+        )
+        self._hold_store = HoldStore(store, self.suspects, views.holds, log, rng)
+
+    def held(self) -> list[bytes]:
+        """Return the identities of all requests that are held now."""
+        return self.suspects.held(clocks.now())
+
+    def take_stored(self) -> None:
+        """Take what the store has, since it has changed."""
+        self.keeper.take_stored(self._views.holds.holds)
+
+    async def store_for_ever(self) -> None:
+        """Bring the store in line with what is held."""
+        while True:
+            await anyio.sleep(_LOOK_SECONDS)
+            await self._hold_store.look()
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -17,12 +17,12 @@
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
 from lotushill.gateway.duties import FleetDuties
+from lotushill.gateway.fleet_quarantine import FleetQuarantine
 from lotushill.gateway.front import Front
 from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
 from lotushill.gateway.peers import PeerHooks
 from lotushill.gateway.peers import Peers
-from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.gateway.reader_role import ReaderRole
 from lotushill.gateway.registration import Registration
 from lotushill.gateway.retry_budgets import RetryBudgets
@@ -38,8 +38,6 @@
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
-from lotushill.quarantine.hold_store import HoldStore
-from lotushill.quarantine.quarantine import Quarantine
 from lotushill.routing.limits import ClientLimits
 from lotushill.scheduling.desk import PlacementDesk
 from lotushill.scheduling.placer import Placer
@@ -84,7 +82,12 @@
         self.store = ObjectStore(settings.store)
         role = ReaderRole(lambda: self.peers.membership, clocks.now)
         self.views = StoreViews(
-            self.store, rng, self.log, self._on_configuration, role, on_holds=self._on_holds
+            self.store,
+            rng,
+            self.log,
+            self._on_configuration,
+            role,
+            on_holds=lambda: self.quarantine.take_stored(),
         )
         self.fleet = Fleet(
             settings.hall, settings.recent_seconds, lambda hall: self.peers.is_cut_off(hall)
@@ -117,18 +120,9 @@
             self.peers.client,
         )
         self.pool = UpstreamPool(request_head.answered_id, self._most_idle)
-        self.quarantine = Quarantine()
-        self.keeper = QuarantineKeeper(
-            settings.name,
-            self.quarantine,
-            self.views.upstreams,
-            self.pool.has_ended,
-            self.peers.tell_all,
-            self.log,
-            rng,
-            clocks.now,
+        self.quarantine = FleetQuarantine(
+            settings.name, self.views, self.pool, self.peers, self.store, self.log, rng
         )
-        self.hold_store = HoldStore(self.store, self.quarantine, self.views.holds, self.log, rng)
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
         self.suspension = SuspensionWatch(
             clocks.now, time.monotonic, self._on_woke, self.views.confirmed
@@ -145,7 +139,7 @@
                 placer=placer,
                 pool=self.pool,
                 budgets=self.budgets,
-                quarantine=self.keeper,
+                quarantine=self.quarantine.keeper,
                 work=self.duties.work,
                 log=self.log,
                 metrics=self.metrics,
@@ -203,8 +197,8 @@
         self._following = self.views.tasks()
         group.start_soon(self.side_tasks.run, "registration", self.registration.run)
         group.start_soon(self.side_tasks.run, "sweep", self._sweep)
-        group.start_soon(self.side_tasks.run, "quarantine", self.keeper.run)
-        group.start_soon(self.side_tasks.run, "holds", self._store_holds)
+        group.start_soon(self.side_tasks.run, "quarantine", self.quarantine.keeper.run)
+        group.start_soon(self.side_tasks.run, "holds", self.quarantine.store_for_ever)
         if self.settings.duties is not None:
             group.start_soon(self.side_tasks.run, "duties", self.duties.run)
 
@@ -216,15 +210,10 @@
             self.fleet.forget(known, clocks.now())
             self.shared_load.expire()
             self.views.expire()
-            self.keeper.look()
+            self.quarantine.keeper.look()
             for load in self.shared_load.due_lists(self.peers.count()):
                 self.peers.tell_load(load)
 
-    async def _store_holds(self) -> None:
-        while True:
-            await anyio.sleep(_SWEEP_SECONDS)
-            await self.hold_store.look()
-
     # Settings
 
     def _reload(self) -> None:
@@ -282,7 +271,7 @@
             on_late=lambda request: self.shared_load.give_up(request),
             on_work_pull=self.duties.pages,
             on_work_page=self.duties.receive,
-            on_suspects=lambda news: self.keeper.receive(news),
+            on_suspects=lambda news: self.quarantine.keeper.receive(news),
             on_tick=lambda: self.suspension.look(),
         )
 
@@ -320,9 +309,6 @@
         self.pool.drop_idle()
         self.views.doubt()
 
-    def _on_holds(self) -> None:
-        self.keeper.take_stored(self.views.holds.holds)
-
     def _on_configuration(self) -> None:
         table = self.views.configuration.table
         if table is not None:
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from lotushill import clock as clocks
-
 if TYPE_CHECKING:
     from lotushill.gateway.gateway import Gateway
 
@@ -39,14 +37,20 @@
     gauge(
         "requests_held",
         "Requests that are kept from upstreams, by caller, path and body",
-        lambda: len(gateway.quarantine.held(clocks.now())),
+        lambda: len(gateway.quarantine.held()),
+    )
+    gauge(
+        "requests_suspected",
+        "Requests under which upstreams ended",
+        lambda: len(gateway.quarantine.suspects),
+    )
+    gauge(
+        "kept_back", "Arrivals kept from upstreams so far", lambda: gateway.quarantine.keeper.held
     )
-    gauge("requests_suspected", "Requests under which upstreams ended", gateway.quarantine.__len__)
-    gauge("kept_back", "Arrivals kept from upstreams so far", lambda: gateway.keeper.held)
     gauge(
         "upstream_ends",
         "Ends of upstreams under requests of this gateway so far, once for each request",
-        lambda: gateway.keeper.upstream_ends,
+        lambda: gateway.quarantine.keeper.upstream_ends,
     )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
@@ -80,8 +84,8 @@
         },
         "members": [_member(item) for item in gateway.peers.membership.all()],
         "held_requests": {
-            item.hex(): gateway.quarantine.ends_under(item)
-            for item in gateway.quarantine.held(clocks.now())
+            item.hex(): gateway.quarantine.suspects.ends_under(item)
+            for item in gateway.quarantine.held()
         },
         "in_progress": gateway.front.in_progress,
         "store_calls": gateway.store.calls,
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -91,7 +91,7 @@
     def put(self, **specs: Any) -> None:
         self.revision += 1
         objects = tuple(StoredObject(name, self.revision, spec) for name, spec in specs.items())
-        self.views._on_upstream_list(ObjectList(objects, self.revision))
+        self.views._upstreams._on_list(ObjectList(objects, self.revision))
 
     def ready(self) -> list[str]:
         return [item.id for item in self.views.upstreams.of("llm")]
