--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -146,6 +146,59 @@
         registered = self.store.list_kind("lotushill-gateways")["items"]
         self.assertEqual(["gw-1"], [item["metadata"]["name"] for item in registered])
 
+    async def start_and_hold(self) -> tuple[asyncio.subprocess.Process, int]:
+        """Return a process that waits for its settings, and where to write them.
+
+        Once they are written, the file that it may read again has another grace time.
+        """
+        path = Path(self.folder.name) / "settings.yaml"
+        process = await self.start(grace_seconds=5.0)
+        process.kill()
+        await process.communicate()
+        again = path.rename(path.with_suffix(".again"))
+        os.mkfifo(path)
+        held = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            _MODULE,
+            env={**os.environ, "LOTUSHILL_NODE_FILE": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        while True:
+            try:
+                writer = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                break
+            except OSError:
+                # Nobody reads yet.
+                await asyncio.sleep(0.01)
+        again.replace(path)
+        return held, writer
+
+    async def test_a_signal_to_read_settings_that_comes_while_it_starts_ends_nothing(self) -> None:
+        """Gateways were told so just as they started again: the signal ended them, and the next
+        start came later."""
+        async with asyncio.timeout(_PATIENCE):
+            process, writer = await self.start_and_hold()
+            process.send_signal(signal.SIGHUP)
+            first = json.loads((Path(self.folder.name) / "settings.yaml").read_text())
+            os.write(writer, json.dumps({**first, "grace_seconds": 9.0}).encode())
+            os.close(writer)
+            await self.ready(process)
+            process.send_signal(signal.SIGTERM)
+            output, errors = await process.communicate()
+        self.assertEqual((0, b""), (process.returncode, errors))
+        reloads = [json.loads(line) for line in output.splitlines() if b"process.reload" in line]
+        self.assertEqual(["in force"], [line["outcome"] for line in reloads])
+
+    async def test_a_planned_stop_while_it_starts_is_one(self) -> None:
+        async with asyncio.timeout(_PATIENCE):
+            process, writer = await self.start_and_hold()
+            process.send_signal(signal.SIGTERM)
+            output, errors = await process.communicate()
+            os.close(writer)
+        self.assertEqual((0, b"", b""), (process.returncode, output, errors))
+
     async def test_without_a_configuration_it_is_not_ready(self) -> None:
         self.store.delete("config", "main")
         async with asyncio.timeout(_PATIENCE):
