The soak has streams, and looks for lost and late answers

A try that ran and ended without an answer, one answered over a second after its deadline, and a stream whose events are not the first ones in order, are faults, unless its gateway was killed or stood still meanwhile.

--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -11,6 +11,8 @@
 from tests.gateway.rig import read_answer
 from tests.gateway.rig import request_bytes
 from tests.soak.engine import DEADLY
+from tests.soak.engine import events
+from tests.soak.ledger import DEADLINE_SECONDS
 from tests.soak.ledger import Answer
 
 if TYPE_CHECKING:
@@ -20,8 +22,14 @@
     from tests.soak.ledger import Ledger
 
 COMMON = b"a body that a quarter of all requests have"
-_PATHS = {"any": "/p/x", "common": "/p/x", "once": "/once/x", "deadly": "/p/deadly"}
-_DEADLINE_SECONDS = 3.0
+_PATHS = {
+    "any": "/p/x",
+    "common": "/p/x",
+    "once": "/once/x",
+    "stream": "/stream/x",
+    "deadly": "/p/deadly",
+}
+_KINDS = ("any", "any", "common", "once", "stream")
 _PATIENCE_SECONDS = 5.0
 _NOTHING = Got(0, {}, b"", False)
 
@@ -35,12 +43,13 @@
         self._addresses = addresses
         self._ledger = ledger
         self._rng = rng
+        self._gateway = ""
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def run(self, pause: float, deadly: bool = False) -> None:
         """Send until cancelled, some `pause` seconds apart."""
         while True:
-            kind = "deadly" if deadly else self._rng.choice(("any", "any", "common", "once"))
+            kind = "deadly" if deadly else self._rng.choice(_KINDS)
             await self._try(kind)
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
 
@@ -49,11 +58,25 @@
         body = {"deadly": DEADLY, "common": COMMON}.get(kind, f"body of {attempt}".encode())
         sent_at = time.monotonic()
         got = await self._exchange(attempt, body, _PATHS[kind])
-        own = got.body == f"{attempt} done".encode() and "response-signature" in got.headers
-        self._ledger.answers.append(Answer(attempt, kind, sent_at, got.status, got.whole, own))
+        signed = "response-signature" in got.headers
+        wanted = b"".join(events(attempt)) if kind == "stream" else f"{attempt} done".encode()
+        in_order = kind != "stream" or not signed or wanted.startswith(got.body)
+        self._ledger.answers.append(
+            Answer(
+                attempt,
+                kind,
+                sent_at,
+                got.status,
+                got.whole,
+                signed and got.body == wanted,
+                self._gateway,
+                time.monotonic(),
+                in_order,
+            )
+        )
 
     async def _exchange(self, attempt: str, body: bytes, path: str) -> Got:
-        headers = f"Deadline-Ms: {int(_DEADLINE_SECONDS * 1000)}\r\n"
+        headers = f"Deadline-Ms: {int(DEADLINE_SECONDS * 1000)}\r\n"
         try:
             async with asyncio.timeout(_PATIENCE_SECONDS):
                 reader, writer = self._stream or await self._connect()
@@ -66,7 +89,8 @@
         return got
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        host, _, port = self._rng.choice(self._addresses).partition(":")
+        self._gateway = self._rng.choice(self._addresses)
+        host, _, port = self._gateway.partition(":")
         self._stream = await asyncio.open_connection(host, int(port))
         return self._stream
 
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -19,10 +19,17 @@
 
 DEADLY = b"every engine that begins this ends"
 KIND = "servers"
+_STREAMS = "/stream/"
+_EVENTS = 8
 _BACK_SECONDS = 1.5
 _DRAIN_SECONDS = 1.0
 
 
+def events(attempt: str) -> list[bytes]:
+    """Return all events of a stream."""
+    return [f"id: {n}\ndata: {attempt} {n}\n\n".encode() for n in range(1, _EVENTS + 1)]
+
+
 class Engine:
     """One instance, life after life, at addresses that change."""
 
@@ -110,5 +117,18 @@
             self._later(self._come_back())
             server.crash(seen)
         self._ledger.runs.append(Arrival(seen.id, self.life, now))
+        if seen.line.split()[1].startswith(_STREAMS):
+            await self._stream_events(seen)
+            return
         await asyncio.sleep(self._rng.uniform(0.01, 0.15))
         seen.whole(f"{seen.id} done".encode())
+
+    async def _stream_events(self, seen: Seen) -> None:
+        """Send the events that come after the last one that the request names."""
+        seen.start_events()
+        done = int(seen.headers.get("last-event-id") or 0)
+        for event in events(seen.id)[done:]:
+            seen.chunk(event)
+            await seen.writer.drain()
+            await asyncio.sleep(self._rng.uniform(0.01, 0.1))
+        seen.end_events()
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -14,9 +15,12 @@
 from tests.console.test_gateway_program import get_status
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 _AGAIN_SECONDS = 0.3
+_ABOUT_SECONDS = 1.0
+"""Around a kill, and after standing still, in which nothing is asked of a gateway."""
 
 
 @dataclass
@@ -41,6 +45,8 @@
         self.all = [self._new(f"gw-{number}", store) for number in range(count)]
         self.lines: list[dict[str, object]] = []
         """Everything that the gateways logged."""
+        self.on_absence: Callable[[str, float, float], None] = lambda *_: None
+        """Hears of a gateway, by its address, that was killed or stood still between two times."""
         self.errors: list[str] = []
         """Traces on standard error, and ends of their own."""
 
@@ -98,6 +104,12 @@
             await asyncio.sleep(_AGAIN_SECONDS)
             await self._start(gateway)
 
+    def kill(self, gateway: Gateway) -> None:
+        """Kill one at once."""
+        now = time.monotonic()
+        self.on_absence(gateway.clients, now - _ABOUT_SECONDS, now + _ABOUT_SECONDS)
+        self.signal(gateway, signal.SIGKILL)
+
     def signal(self, gateway: Gateway, number: int) -> None:
         """Send a signal to one that runs."""
         if gateway.process is not None and gateway.process.returncode is None:
@@ -108,10 +120,12 @@
         process = gateway.process
         if process is None or gateway.frozen:
             return
+        since = time.monotonic()
         gateway.frozen = True
         self.signal(gateway, signal.SIGSTOP)
         await asyncio.sleep(seconds)
         gateway.frozen = False
+        self.on_absence(gateway.clients, since, time.monotonic() + _ABOUT_SECONDS)
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 from tests.soak.engine import KIND
 from tests.soak.engine import Engine
 from tests.soak.gateways import Gateways
+from tests.soak.ledger import Absence
 from tests.soak.ledger import Ledger
 from tests.soak.plan import QUIET_SECONDS
 from tests.soak.plan import Deed
@@ -107,6 +108,7 @@
             await engine.start()
         with tempfile.TemporaryDirectory(prefix="lotushill-soak-") as folder:
             self._gateways = Gateways(Path(folder), self._server.address, _GATEWAYS)
+            self._gateways.on_absence = self._note_absence
             await self._gateways.start()
             try:
                 quiet_since = await self._play()
@@ -145,6 +147,7 @@
         assert self._gateways is not None
         once, sent_once = self._ledger.served("once", since)
         other, sent_other = self._ledger.served("any", since)
+        streams, sent_streams = self._ledger.served("stream", since)
         used = {life.partition("@")[0] for life in self._ledger.engines_used(since)}
         ours = [
             str(line)
@@ -156,12 +159,15 @@
             errors=self._gateways.errors + ours,
             late_sends=self._ledger.late_sends(),
             engines_ended=len(self._ledger.deadly_ends),
-            served=(once + other, sent_once + sent_other),
+            served=(once + other + streams, sent_once + sent_other + sent_streams),
             common_served=self._ledger.served("common", since),
             idle_engines={engine.name for engine in self._engines} - used,
             tries=len(self._ledger.answers),
         )
 
+    def _note_absence(self, gateway: str, since: float, until: float) -> None:
+        self._ledger.absences.append(Absence(gateway, since, until))
+
     # Deeds
 
     async def _do(self, step: Step) -> None:
@@ -170,7 +176,7 @@
         engine = self._engines[step.pick % _ENGINES]
         match step.deed:
             case Deed.KILL_GATEWAY:
-                self._gateways.signal(gateway, signal.SIGKILL)
+                self._gateways.kill(gateway)
             case Deed.STOP_GATEWAY:
                 self._gateways.signal(gateway, signal.SIGTERM)
             case Deed.RELOAD_GATEWAY:
@@ -179,7 +185,7 @@
                 await self._gateways.freeze(gateway, step.seconds)
             case Deed.KILL_ALL_GATEWAYS:
                 for each in self._gateways.all:
-                    self._gateways.signal(each, signal.SIGKILL)
+                    self._gateways.kill(each)
             case Deed.END_ENGINE:
                 await engine.end()
             case Deed.DRAIN_ENGINE:
@@ -209,7 +215,14 @@
         route: dict[str, Any] = SPEC["routes"][0]  # type: ignore[index]
         idempotent = {**route, "kind": "idempotent", "maxAttempts": 3}
         once = {**route, "name": "once", "pathPrefix": "/once/"}
-        spec = {**SPEC, "version": self._version, "routes": [idempotent, once]}
+        stream = {
+            **idempotent,
+            "name": "stream",
+            "pathPrefix": "/stream/",
+            "kind": "stream",
+            "streamResume": True,
+        }
+        spec = {**SPEC, "version": self._version, "routes": [idempotent, once, stream]}
         self._store.put("config", "main", spec)
 
     async def _count_odd(self, seen: Seen) -> None:
