--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -101,11 +101,14 @@
         }
         path = Path(self.folder.name) / "settings.yaml"
         path.write_text(json.dumps(settings), encoding="utf-8")
+        return await self.spawn(path)
+
+    async def spawn(self, settings: Path) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             _MODULE,
-            env={**os.environ, "LOTUSHILL_NODE_FILE": str(path)},
+            env={**os.environ, "LOTUSHILL_NODE_FILE": str(settings)},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
@@ -157,14 +160,7 @@
         await process.communicate()
         again = path.rename(path.with_suffix(".again"))
         os.mkfifo(path)
-        held = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            _MODULE,
-            env={**os.environ, "LOTUSHILL_NODE_FILE": str(path)},
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-        )
+        held = await self.spawn(path)
         while True:
             try:
                 writer = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
