--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -19,6 +19,7 @@
 from tests.gateway.rig import ScriptedUpstream
 from tests.gateway.rig import Seen
 from tests.gateway.rig import read_answer
+from tests.gateway.rig import request_bytes
 
 _MODULE = "lotushill.console.gateway"
 _PATIENCE = 30.0
@@ -195,6 +196,44 @@
             os.close(writer)
         self.assertEqual((0, b"", b""), (process.returncode, output, errors))
 
+    async def test_entries_of_another_writer_cost_no_request(self) -> None:
+        """One entry without a usable address took 99 of 100 requests; one with Infinity in a number
+        ended the following of all upstreams."""
+        self.proceed.set()
+        good = entry("app", self.upstream.address)
+        odd: dict[str, object] = {
+            "no-address": {**good, "address": None},
+            "a-name": {**good, "address": "here"},
+            "infinite": {**good, "slots": float("inf")},
+            "unknown-state": {**good, "address": "127.0.0.1:1", "state": "standby"},
+            "no-state": {**good, "address": "127.0.0.1:1", "state": None},
+            "a-list": {**good, "address": "127.0.0.1:1", "service": ["app"]},
+            "no-object": "text",
+            "nothing": None,
+        }
+        async with asyncio.timeout(_PATIENCE):
+            for name, spec in odd.items():
+                self.store.create("servers", name, spec)
+            process = await self.start()
+            await self.ready(process)
+            statuses = [await self.call(f"r{number}") for number in range(100)]
+            self.store.put("servers", "i-1", {**good, "state": "draining"})
+            while await self.call("later") == 200:
+                await asyncio.sleep(0.05)
+            process.send_signal(signal.SIGTERM)
+            output, _ = await process.communicate()
+        self.assertEqual([200] * 100, statuses)
+        ignored = [json.loads(line) for line in output.splitlines() if b"entry.ignored" in line]
+        self.assertEqual(sorted(odd), sorted(line["object"] for line in ignored))
+
+    async def call(self, request: str) -> int:
+        host, _, port = self.clients.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request_bytes(request))
+        got = await read_answer(reader)
+        writer.close()
+        return got.status
+
     async def test_without_a_configuration_it_is_not_ready(self) -> None:
         self.store.delete("config", "main")
         async with asyncio.timeout(_PATIENCE):
