--- /dev/null
+++ b/tests/console/test_early_signals.py
@@ -0,0 +1,46 @@
+"""Signals while a program loads: a stop must not be lost where errors are."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import unittest
+
+_PROGRAM = """
+import signal
+import weakref
+from lotushill.console.early_signals import EarlySignals
+
+class Thing:
+    pass
+
+def stop(_):
+    # What is raised here is told on standard error and lost, as in the locks of the import system.
+    signal.raise_signal(signal.{name})
+
+signals = EarlySignals()
+signals.install()
+thing = Thing()
+watch = weakref.ref(thing, stop)
+del thing
+print("goes on", signals.reload_asked)
+"""
+
+
+class TestEarlySignals(unittest.TestCase):
+    def run_with(self, number: signal.Signals) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-c", _PROGRAM.format(name=number.name)],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def test_a_stop_ends_the_program_wherever_it_comes(self) -> None:
+        done = self.run_with(signal.SIGTERM)
+        self.assertEqual((0, "", ""), (done.returncode, done.stdout, done.stderr))
+
+    def test_settings_are_read_again_later(self) -> None:
+        done = self.run_with(signal.SIGHUP)
+        self.assertEqual((0, "goes on True\n", ""), (done.returncode, done.stdout, done.stderr))
--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -150,6 +150,27 @@
         registered = self.store.list_kind("lotushill-gateways")["items"]
         self.assertEqual(["gw-1"], [item["metadata"]["name"] for item in registered])
 
+    async def test_signals_that_come_during_a_planned_stop_cut_nothing(self) -> None:
+        """A gateway was stopped, and told to read its settings again a tenth of a second later: the
+        second signal ended it at once, with everything that was in progress."""
+        async with asyncio.timeout(_PATIENCE):
+            process = await self.start()
+            await self.ready(process)
+            call = asyncio.create_task(self.call("r1"))
+            while not self.upstream.seen:
+                await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGTERM)
+            while await get_status(self.readiness, "/readyz") == 200:
+                await asyncio.sleep(0.02)
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                process.send_signal(number)
+            # It answers still, so that the signals have been taken.
+            await get_status(self.readiness, "/readyz")
+            self.proceed.set()
+            status = await call
+            _, errors = await process.communicate()
+        self.assertEqual((200, 0, b""), (status, process.returncode, errors))
+
     async def start_and_hold(self) -> tuple[asyncio.subprocess.Process, int]:
         """Return a process that waits for its settings, and where to write them.
 
