Take signals until the process has ended

Cause: the loop took signals up to the first one that says to stop. During the stop, which lasts as long as requests in progress do, the next one did what it does by default: a gateway that was told to read its settings 0.1 s after it was told to stop ended at once. Before the loop ran, a stop was raised as an error, which is lost in a callback. Change: the loop takes signals until everything has ended, and they change nothing after that; a stop before the loop runs ends the process at once, as nothing was taken on yet. Ruled out: ignoring them in the program that starts gateways, which is the platform's.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -624,6 +624,20 @@
         "return True",
         "tests.platform.test_object_store",
     ),
+    Break(
+        "signals during a planned stop cut nothing",
+        "gateway/gateway.py",
+        "self._stopping = True\n",
+        "self._stopping = True; signal.signal(signal.SIGHUP, signal.SIG_DFL)\n",
+        "tests.console.test_gateway_program",
+    ),
+    Break(
+        "a stop during a start is not lost",
+        "console/process_signals.py",
+        "os._exit(0)",
+        "raise SystemExit(0)",
+        "tests.console.test_process_signals",
+    ),
 )
 
 
--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from lotushill.console.early_signals import EarlySignals
+from lotushill.console.process_signals import ProcessSignals
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,7 +20,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run one gateway."""
-    signals = EarlySignals()
+    signals = ProcessSignals()
     signals.install()
     # Loading makes many objects and no garbage: without the collector it takes a tenth less
     # time, which counts when all hosts come back at once. What was loaded stays for good.
@@ -45,7 +45,7 @@
     run(_serve, read_or_exit(read_settings, Path(path)), Path(path), signals)
 
 
-async def _serve(settings: GatewaySettings, path: Path, signals: EarlySignals) -> None:
+async def _serve(settings: GatewaySettings, path: Path, signals: ProcessSignals) -> None:
     from lotushill.gateway.gateway import Gateway
     from lotushill.gateway.settings_file import read_settings
 
@@ -53,6 +53,7 @@
     gc.freeze()
     gc.enable()
     await gateway.run(lambda: signals.reload_asked)
+    signals.ignore()
 
 
 if __name__ == "__main__":
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -45,6 +45,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import AsyncIterator
     from collections.abc import Callable
 
     from anyio.abc import TaskGroup
@@ -57,6 +58,7 @@
 _LAST_SECONDS = 1.0
 """Kept of the time to stop, so that the process ends by itself."""
 _TICK_SECONDS = 0.05
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _HOLDS_SECONDS = 2.0
 """A gateway that knows its configuration and cannot learn which requests are held serves all the
 same after so long."""
@@ -181,16 +183,19 @@
 
         `reload_asked` tells whether the settings were to be read again while the program started.
         """
-        async with anyio.create_task_group() as group:
-            self._start(group)
-            self.log.note("process.started", pid=os.getpid(), hall=self.settings.hall)
-            await self._wait_for_stop(reload_asked)
-            # Beside the stop: a silent store must not take the time of requests in progress.
-            group.start_soon(self.side_tasks.run, "hand over", self.duties.hand_over)
-            await self._drain()
-            group.cancel_scope.cancel()
-            for task in self._following:
-                task.cancel()
+        # Open until the end: a signal that comes during the stop, to read settings or to stop once
+        # more, would otherwise end the process with all that is in progress.
+        with anyio.open_signal_receiver(*_SIGNALS) as signals:
+            async with anyio.create_task_group() as group:
+                self._start(group)
+                self.log.note("process.started", pid=os.getpid(), hall=self.settings.hall)
+                await self._wait_for_stop(signals, reload_asked)
+                # Beside the stop: a silent store must not take the time of requests in progress.
+                group.start_soon(self.side_tasks.run, "hand over", self.duties.hand_over)
+                await self._drain()
+                group.cancel_scope.cancel()
+                for task in self._following:
+                    task.cancel()
         self.log.note("process.stopped")
 
     def _start(self, group: TaskGroup) -> None:
@@ -235,14 +240,15 @@
 
     # Stopping
 
-    async def _wait_for_stop(self, reload_asked: Callable[[], bool]) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            if reload_asked():
-                self._reload()
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
-                self._reload()
+    async def _wait_for_stop(
+        self, signals: AsyncIterator[signal.Signals], reload_asked: Callable[[], bool]
+    ) -> None:
+        if reload_asked():
+            self._reload()
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            self._reload()
 
     async def _drain(self) -> None:
         """Be taken out by the balancer first, then finish every request in progress."""
--- a/tests/console/test_early_signals.py
+++ b/tests/console/test_process_signals.py
@@ -10,7 +10,7 @@
 _PROGRAM = """
 import signal
 import weakref
-from lotushill.console.early_signals import EarlySignals
+from lotushill.console.process_signals import ProcessSignals
 
 class Thing:
     pass
@@ -19,7 +19,7 @@
     # What is raised here is told on standard error and lost, as in the locks of the import system.
     signal.raise_signal(signal.{name})
 
-signals = EarlySignals()
+signals = ProcessSignals()
 signals.install()
 thing = Thing()
 watch = weakref.ref(thing, stop)
@@ -28,7 +28,7 @@
 """
 
 
-class TestEarlySignals(unittest.TestCase):
+class TestProcessSignals(unittest.TestCase):
     def run_with(self, number: signal.Signals) -> subprocess.CompletedProcess[str]:
         return subprocess.run(
             [sys.executable, "-c", _PROGRAM.format(name=number.name)],
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -535,10 +535,12 @@
                 (f"{_PROGRAM}.test_without_a_configuration_it_is_not_ready",),
             ),
             Case(
-                "signals while a gateway starts",
+                "signals while a gateway starts, and during its planned stop",
                 (
+                    f"{_PROGRAM}.test_signals_that_come_during_a_planned_stop_cut_nothing",
                     f"{_PROGRAM}.test_a_signal_to_read_settings_that_comes_while_it_starts_ends_nothing",
                     f"{_PROGRAM}.test_a_planned_stop_while_it_starts_is_one",
+                    "tests.console.test_process_signals.TestProcessSignals.test_a_stop_ends_the_program_wherever_it_comes",
                 ),
             ),
             Case("all power lost", (), "days of the bench alone: served again is measured there"),
