A run of the soak that does not come to its end shows where it stands

A gateway that had been waiting to start again was started after the run had ended all, and would never end: the soak's own, mended. Whether that was the cause is not shown.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -20,11 +21,27 @@
 from tests.soak.soak import Soak
 
 _LEAST_SERVED = 0.97
+_SPARE_SECONDS = 40.0
+"""Beyond its length that a run may take, for its start and its end."""
 
 
 def play(seed: int, seconds: float) -> Result:
-    """Make one run."""
-    return asyncio.run(Soak(seed, seconds).run())
+    """Make one run; one that does not come to its end shows where it stands."""
+    faulthandler.dump_traceback_later(seconds + _SPARE_SECONDS, exit=True)
+    try:
+        return asyncio.run(_play(seed, seconds))
+    finally:
+        faulthandler.cancel_dump_traceback_later()
+
+
+async def _play(seed: int, seconds: float) -> Result:
+    try:
+        async with asyncio.timeout(seconds + _SPARE_SECONDS / 2):
+            return await Soak(seed, seconds).run()
+    except TimeoutError:
+        for task in asyncio.all_tasks():
+            task.print_stack()
+        raise
 
 
 def main() -> int:
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -106,8 +106,8 @@
         allowed = (0, -signal.SIGKILL, -gateway.uncaught)
         if process.returncode not in allowed:
             self.errors.append(f"{gateway.name}: ended by itself with {process.returncode}")
+        await asyncio.sleep(_AGAIN_SECONDS)
         if not self._over:
-            await asyncio.sleep(_AGAIN_SECONDS)
             await self._start(gateway)
 
     def kill(self, gateway: Gateway) -> None:
