--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -97,6 +97,7 @@
         self._gateways: Gateways | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._version = 3
+        self._own_faults: list[str] = []
 
     async def run(self) -> Result:
         """Run to the end and return what was seen."""
@@ -156,7 +157,7 @@
         ]
         return Result(
             faults=self._ledger.faults(),
-            errors=self._gateways.errors + ours,
+            errors=self._gateways.errors + ours + self._own_faults,
             late_sends=self._ledger.late_sends(),
             engines_ended=len(self._ledger.deadly_ends),
             served=(once + other + streams, sent_once + sent_other + sent_streams),
@@ -203,7 +204,8 @@
                 self._app.trouble = Trouble.NONE
 
     def _put_odd(self, pick: int) -> None:
-        spec = entry("app", self._decoy.address, **_ODD[pick % len(_ODD)])
+        odd: dict[str, Any] = _ODD[pick % len(_ODD)]
+        spec = {**entry("app", self._decoy.address), **odd}
         self._store.put(KIND, f"odd-{pick % len(_ODD)}", spec)
 
     async def _spoil(self, engine: Engine, seconds: float) -> None:
@@ -232,4 +234,9 @@
     def _later(self, work: Any) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._own_faults.append(f"the soak itself: {task.exception()!r}")
