--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -23,6 +24,7 @@
 
 _MODULE = "lotushill.console.gateway"
 _PATIENCE = 30.0
+_PORTS = random.SystemRandom()
 
 SPEC = {
     "version": 3,
@@ -44,10 +46,19 @@
 
 
 def free_address() -> str:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        host, port = found.getsockname()
-        return f"{host}:{port}"
+    """Return an address below the ports that connections are given.
+
+    One of those may be taken by a connection before the process that it is for binds it: two of 50
+    runs of the soak ended so.
+    """
+    while True:
+        port = _PORTS.randrange(10_240, 32_768)
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
 
 
 async def get_status(address: str, path: str) -> int:
