One typed reader of what an answer says of its upstream; rejections tell it in the log

Sight for the incident: the line of a turned away attempt has the rest that was asked for and whether the upstream leaves, so that the way on which a wish is lost can be told. No logic is changed: not run is read as before.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -12,6 +12,7 @@
 from lotushill.gateway.exceptions import SilentUpstreamError
 from lotushill.gateway.exceptions import UpstreamError
 from lotushill.platform import request_head
+from lotushill.platform.upstream_answer import read_statement
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
@@ -92,12 +93,13 @@
         connection.send(self._request.demand.request_id, self._request.method, self._wire())
         head = await self._read_head(connection)
         self._parts.fleet.load(self._choice.upstream.id).note_reached()
-        if request_head.not_executed(head.status, head.headers):
+        said = read_statement(head.status, head.headers)
+        if said.not_executed:
             await self._read_all(connection)
-            return AttemptEnd(EndKind.REJECTED, str(head.status))
+            return AttemptEnd(EndKind.REJECTED, str(head.status), said=said)
         if head.status not in _SUCCESS:
             body = await self._read_all(connection)
-            return AttemptEnd(EndKind.FAILED, str(head.status), head, body)
+            return AttemptEnd(EndKind.FAILED, str(head.status), head, body, said)
         if any(name == b"content-encoding" for name, _ in head.headers):
             connection.close()
             return AttemptEnd(EndKind.BROKEN, "content-encoding")
--- a/src/lotushill/gateway/attempt_end.py
+++ b/src/lotushill/gateway/attempt_end.py
@@ -6,6 +6,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from lotushill.availability.statement import NOTHING_SAID
+from lotushill.availability.statement import Statement
+
 if TYPE_CHECKING:
     from lotushill.gateway.upstream_connection import AnswerHead
 
@@ -33,5 +36,7 @@
     detail: str = ""
     head: AnswerHead | None = None
     body: bytes = b""
+    said: Statement = NOTHING_SAID
+    """What the upstream said of itself."""
     lost: bool = False
     """Whether the connection ended under a request that had been sent."""
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -229,6 +229,9 @@
                 kind=end.kind.value,
                 why=end.detail,
                 identity=self._identity(end),
+                rest=end.said.rest,
+                leaving=end.said.leaving,
+                unreadable=end.said.unreadable,
             )
         return end
 
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -28,6 +28,7 @@
 SIGNATURE = "response-signature"
 NOT_EXECUTED = "not-executed"
 RETRY_AFTER = "retry-after"
+SERVER_LEAVING = "server-leaving"
 INSTANCE_ID = "instance-id"
 
 # Kinds and objects of the store.
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -144,11 +144,6 @@
     return _value(headers, names.REQUEST_ID)
 
 
-def not_executed(status: int, headers: Headers) -> bool:
-    """Return whether an upstream says that it did not run the request."""
-    return status == 421 or bool(_value(headers, names.NOT_EXECUTED))
-
-
 def relayed(headers: Headers) -> Headers:
     """Return the headers of an answer that travel on to the client."""
     return [item for item in headers if item[0] not in _ANSWER_DROPPED]
--- /dev/null
+++ b/src/lotushill/platform/upstream_answer.py
@@ -0,0 +1,25 @@
+"""What the head of an answer says of the upstream that gave it."""
+
+from __future__ import annotations
+
+from lotushill.availability.statement import Statement
+from lotushill.availability.statement import read_rest
+from lotushill.platform import names
+
+Headers = list[tuple[bytes, bytes]]
+
+_UNAVAILABLE = 503
+_MISDIRECTED = 421
+_YES = b"1"
+_NOT_EXECUTED = names.NOT_EXECUTED.encode()
+_RETRY_AFTER = names.RETRY_AFTER.encode()
+_SERVER_LEAVING = names.SERVER_LEAVING.encode()
+
+
+def read_statement(status: int, headers: Headers) -> Statement:
+    """Return what an answer says of its upstream."""
+    refused = status == _UNAVAILABLE
+    rest = read_rest([value for name, value in headers if refused and name == _RETRY_AFTER])
+    ran_not = any(name == _NOT_EXECUTED and value for name, value in headers)
+    leaving = any(name == _SERVER_LEAVING and value.strip() == _YES for name, value in headers)
+    return Statement(ran_not or status == _MISDIRECTED, rest.seconds, leaving, rest.unreadable)
--- /dev/null
+++ b/tests/availability/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.availability."""
+
+from __future__ import annotations
--- a/tests/gateway/test_sight.py
+++ b/tests/gateway/test_sight.py
@@ -56,6 +56,19 @@
         self.assertEqual(first, again)
         self.assertEqual(3, len({first, body, path}))
 
+    async def test_a_rejection_tells_what_the_upstream_asked_for(self) -> None:
+        async def reject(seen: Seen) -> None:
+            seen.answer(
+                "503 Busy\r\nContent-Length: 0\r\nNot-Executed: 1\r\nRetry-After: 3\r\n"
+                "Server-Leaving: 1\r\n"
+            )
+
+        async with Rig([ScriptedUpstream([reject])]) as rig:
+            await rig.call()
+        (line,) = noted(rig, "attempt.ended")
+        told = (line["kind"], line["rest"], line["leaving"], line["unreadable"])
+        self.assertEqual(("rejected", 3.0, True, ""), told)
+
     async def test_an_upstream_at_which_a_fault_of_ours_shows_does_not_draw_all(self) -> None:
         upstreams = [ScriptedUpstream([whole]) for _ in range(3)]
         async with Rig(upstreams) as rig:
--- a/tests/platform/test_request_head.py
+++ b/tests/platform/test_request_head.py
@@ -75,12 +75,6 @@
 
 
 class TestAnswers(unittest.TestCase):
-    def test_what_promises_that_nothing_ran(self) -> None:
-        self.assertTrue(request_head.not_executed(503, [(b"not-executed", b"1")]))
-        self.assertTrue(request_head.not_executed(421, []))
-        self.assertFalse(request_head.not_executed(503, []))
-        self.assertFalse(request_head.not_executed(500, []))
-
     def test_the_signature_travels_and_the_hop_does_not(self) -> None:
         kept = request_head.relayed(
             [(b"response-signature", b"s"), (b"connection", b"close"), (b"keep-alive", b"x")]
--- /dev/null
+++ b/tests/platform/test_upstream_answer.py
@@ -0,0 +1,70 @@
+"""What answers say of upstreams is read once, whatever stands in their headers."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.availability.statement import LONGEST_REST_SECONDS
+from lotushill.platform.upstream_answer import read_statement
+
+RETRY = b"retry-after"
+
+
+class TestNotExecuted(unittest.TestCase):
+    def test_what_promises_that_nothing_ran(self) -> None:
+        self.assertTrue(read_statement(503, [(b"not-executed", b"1")]).not_executed)
+        self.assertTrue(read_statement(421, []).not_executed)
+        self.assertFalse(read_statement(503, []).not_executed)
+        self.assertFalse(read_statement(500, []).not_executed)
+
+
+class TestRest(unittest.TestCase):
+    def test_seconds_and_parts_of_them(self) -> None:
+        for text, seconds in ((b"3", 3.0), (b"0.25", 0.25), (b" 2 ", 2.0), (b"0", 0.0)):
+            with self.subTest(text=text):
+                said = read_statement(503, [(RETRY, text)])
+                self.assertEqual((seconds, ""), (said.rest, said.unreadable))
+
+    def test_only_a_refusal_asks_for_it(self) -> None:
+        for status in (200, 429, 500, 502, 504):
+            with self.subTest(status=status):
+                self.assertEqual(0.0, read_statement(status, [(RETRY, b"3")]).rest)
+
+    def test_a_refusal_that_may_have_run_the_request_asks_for_it_as_well(self) -> None:
+        self.assertEqual(3.0, read_statement(503, [(RETRY, b"3")]).rest)
+
+    def test_of_several_the_longest_that_can_be_read_holds(self) -> None:
+        said = read_statement(503, [(RETRY, b"1"), (RETRY, b"soon"), (RETRY, b"4"), (RETRY, b"2")])
+        self.assertEqual((4.0, "soon"), (said.rest, said.unreadable))
+
+    def test_what_is_no_span_of_time_is_told_and_not_followed(self) -> None:
+        odd = (b"-1", b"nan", b"inf", b"1e999", b"", b"Wed, 21 Oct 2026 07:28:00 GMT", b"1, 2")
+        for text in odd:
+            with self.subTest(text=text):
+                self.assertEqual(0.0, read_statement(503, [(RETRY, text)]).rest)
+
+    def test_an_absurd_length_is_bounded(self) -> None:
+        said = read_statement(503, [(RETRY, b"9" * 20)])
+        self.assertEqual(LONGEST_REST_SECONDS, said.rest)
+
+    @given(st.integers(100, 599), st.lists(st.tuples(st.just(RETRY), st.binary(max_size=30))))
+    def test_any_bytes_give_a_rest_within_bounds(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        said = read_statement(status, headers)
+        self.assertTrue(0.0 <= said.rest <= LONGEST_REST_SECONDS)
+
+
+class TestLeaving(unittest.TestCase):
+    def test_any_answer_may_say_it(self) -> None:
+        for status in (200, 206, 421, 500, 503, 504):
+            with self.subTest(status=status):
+                self.assertTrue(read_statement(status, [(b"server-leaving", b"1")]).leaving)
+
+    def test_nothing_else_says_it(self) -> None:
+        for headers in ([], [(b"server-leaving", b"0")], [(b"connection", b"close")]):
+            with self.subTest(headers=headers):
+                self.assertFalse(read_statement(200, headers).leaving)
