Tests that fail: an upstream that asked for rest, or said that it leaves, gets more requests

The incident in one process: three upstreams that answer 503 with a rest got 20 requests each from one gateway where one is right, and one that says in its answers that it leaves got 20 of 20.

--- /dev/null
+++ b/tests/gateway/test_leaving.py
@@ -0,0 +1,100 @@
+"""An upstream says in an answer that it leaves, and its entry says nothing.
+
+What the answer says was dropped: with two of six engines that said so in each answer while their
+entries stayed `ready`, one gateway sent them 1,208 requests later than two seconds after the first
+such answer. The entry is late or silent just when it would be needed: in an outage of the store, or
+where an upstream never says there that it drains.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.routing.route import RouteKind
+from lotushill.routing.upstream import Upstream
+from tests.gateway.rig import Got
+from tests.gateway.rig import Rig
+from tests.gateway.rig import ScriptedUpstream
+from tests.gateway.rig import Seen
+from tests.gateway.test_rest import prefer
+
+LEAVES = "Server-Leaving: 1\r\n"
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+async def leaves(seen: Seen) -> None:
+    seen.whole(status=f"200 OK\r\n{LEAVES.strip()}")
+
+
+class TestOneGateway(unittest.IsolatedAsyncioTestCase):
+    async def test_a_whole_answer_that_says_so_is_the_last(self) -> None:
+        upstreams = [ScriptedUpstream([leaves]), ScriptedUpstream([whole])]
+        async with Rig(upstreams) as rig:
+            got = [await rig.call(f"r{number}") for number in range(20)]
+        self.assertEqual({200}, {item.status for item in got})
+        self.assertEqual(1, len(upstreams[0].seen))
+
+    async def test_a_refusal_or_a_failure_says_it_as_well(self) -> None:
+        for head in ("421 No\r\n", "503 Busy\r\nNot-Executed: 1\r\n", "500 Bad\r\n"):
+            with self.subTest(head=head):
+
+                async def answer(seen: Seen, head: str = head) -> None:
+                    seen.answer(f"{head}{LEAVES}Content-Length: 0\r\n")
+
+                upstreams = [ScriptedUpstream([answer]), ScriptedUpstream([whole])]
+                async with Rig(upstreams) as rig:
+                    for number in range(20):
+                        await rig.call(f"r{number}")
+                self.assertGreaterEqual(1, len(upstreams[0].seen))
+
+    async def test_the_head_of_a_stream_says_it_while_the_stream_goes_on(self) -> None:
+        async def stream(seen: Seen) -> None:
+            seen.answer(
+                f"200 OK\r\nTransfer-Encoding: chunked\r\n{LEAVES}Response-Signature: s1\r\n"
+            )
+            seen.event(0)
+            await seen.writer.drain()
+            others.append(await rig.call("other"))
+            seen.event(1)
+            seen.end_events()
+
+        async def serve(seen: Seen) -> None:
+            await (stream if seen.id == "first" else whole)(seen)
+
+        others: list[Got] = []
+        upstreams = [ScriptedUpstream([serve]), ScriptedUpstream([serve])]
+        async with Rig(upstreams, RouteKind.STREAM, resumable=True) as rig:
+            got = await rig.call("first")
+        self.assertTrue(got.whole)
+        self.assertEqual([200], [item.status for item in others])
+        self.assertEqual([["first"], ["other"]], sorted([s.id for s in u.seen] for u in upstreams))
+
+    async def test_an_entry_that_says_ready_later_does_not_take_it_back(self) -> None:
+        upstreams = [ScriptedUpstream([leaves]), ScriptedUpstream([whole])]
+        async with Rig(upstreams) as rig:
+            prefer(rig, "b0")
+            await rig.call("r1")
+            entries = [entry(upstreams, number) for number in range(2)]
+            rig.view.replace(entries[1:], 2)
+            rig.view.replace(entries, 3)
+            for number in range(10):
+                await rig.call(f"later{number}")
+        self.assertEqual(["r1"], [seen.id for seen in upstreams[0].seen])
+
+    async def test_a_later_life_under_its_name_is_sent_requests(self) -> None:
+        upstreams = [ScriptedUpstream([leaves, whole])]
+        async with Rig(upstreams) as rig:
+            await rig.call("r1")
+            refused = await rig.call("r2")
+            rig.view.replace([entry(upstreams, 0, life="b0@2")], 2)
+            served = await rig.call("r3")
+        self.assertEqual((503, 200), (refused.status, served.status))
+
+
+def entry(upstreams: list[ScriptedUpstream], number: int, life: str = "") -> Upstream:
+    name = f"b{number}"
+    address = upstreams[number].address
+    return Upstream(life or name, "s", address, "z", 8, False, instance=name)
--- /dev/null
+++ b/tests/gateway/test_rest.py
@@ -0,0 +1,169 @@
+"""An engine turned a request away, asked for three seconds of rest, and got three more meanwhile.
+
+What an engine says of itself in an answer was dropped: the request that it turned away went
+elsewhere, and the next ones were placed as if nothing had been said. The failure made the engine
+dearer for a while, and that kept most away from it, until others were dearer still. In the record
+it was sent a request 1.124 s after it had answered 503 with Retry-After: 3, from the gateway that
+had the answer, where the way there and back takes 6 ms; in a play that followed an engine that
+rested got 17 requests from nine gateways within eight seconds and turned all of them away. With
+all of six engines at rest one got 39 requests in 1.5 s from one gateway.
+"""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from lotushill.placement.choice import Choice
+from lotushill.routing.route import RouteKind
+from tests.gateway.rig import SIGNED
+from tests.gateway.rig import Rig
+from tests.gateway.rig import ScriptedUpstream
+from tests.gateway.rig import Seen
+
+if TYPE_CHECKING:
+    from lotushill.gateway.request import Request
+    from lotushill.gateway.upstream_connection import UpstreamConnection
+    from lotushill.placement.choice import NoChoice
+    from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.placement import Placement
+
+REST = 120.0
+"""Seconds that no test lasts."""
+ASKS_FOR_REST = f"503 Busy\r\nContent-Length: 0\r\nNot-Executed: 1\r\nRetry-After: {REST}\r\n"
+
+
+async def rests(seen: Seen) -> None:
+    seen.answer(ASKS_FOR_REST)
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+class TestOneGateway(unittest.IsolatedAsyncioTestCase):
+    async def test_while_some_rest_the_others_get_all(self) -> None:
+        upstreams = [ScriptedUpstream([rests]) for _ in range(2)] + [ScriptedUpstream([whole])]
+        async with Rig(upstreams) as rig:
+            got = [await rig.call(f"r{number}") for number in range(20)]
+        self.assertEqual({200}, {item.status for item in got})
+        self.assertGreaterEqual(1, max(len(item.seen) for item in upstreams[:2]))
+
+    async def test_while_all_rest_none_gets_anything(self) -> None:
+        upstreams = [ScriptedUpstream([rests]) for _ in range(3)]
+        async with Rig(upstreams, max_attempts=5) as rig:
+            got = [await rig.call(f"r{number}") for number in range(20)]
+        self.assertEqual({503}, {item.status for item in got})
+        self.assertEqual([1, 1, 1], [len(item.seen) for item in upstreams])
+
+    async def test_it_is_over_when_its_time_is_up_also_after_a_suspension(self) -> None:
+        upstream = ScriptedUpstream([rests, whole])
+        async with Rig([upstream]) as rig:
+            await rig.call("r1")
+            rig.suspend(REST - 5.0)
+            early = await rig.call("r2")
+            rig.suspend(10.0)
+            late = await rig.call("r3")
+        self.assertEqual((503, 200), (early.status, late.status))
+
+    async def test_one_that_may_have_run_the_request_rests_as_well(self) -> None:
+        async def fails(seen: Seen) -> None:
+            seen.answer(f"503 Busy\r\nContent-Length: 0\r\nRetry-After: {REST}\r\n{SIGNED}")
+
+        upstream = ScriptedUpstream([fails, whole])
+        async with Rig([upstream], RouteKind.NON_IDEMPOTENT) as rig:
+            await rig.call("r1")
+            await rig.call("r2")
+        self.assertEqual(1, len(upstream.seen))
+
+    async def test_odd_wishes_change_nothing(self) -> None:
+        for text in ("soon", "-1", "nan", "1e999", "", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(text=text):
+
+                async def odd(seen: Seen, text: str = text) -> None:
+                    head = "503 Busy\r\nContent-Length: 0\r\nNot-Executed: 1\r\n"
+                    seen.answer(f"{head}Retry-After: {text}\r\n")
+
+                upstream = ScriptedUpstream([odd, whole])
+                async with Rig([upstream]) as rig:
+                    await rig.call("r1")
+                    got = await rig.call("r2")
+                self.assertEqual(200, got.status)
+
+
+class TestEveryWay(unittest.IsolatedAsyncioTestCase):
+    """Whoever chose it, nothing is written to an upstream that rests."""
+
+    async def test_what_waited_for_a_connection_is_chosen_again(self) -> None:
+        upstreams = [ScriptedUpstream([rests]), ScriptedUpstream([whole])]
+        async with Rig(upstreams, max_attempts=1, slack=0.0) as rig:
+            await_connection(rig, "b0", "r1")
+            got = await rig.call("r1")
+        self.assertEqual(200, got.status)
+        self.assertEqual(["asked"], [item.id for item in upstreams[0].seen])
+
+    async def test_a_choice_that_does_not_know_of_it_is_not_followed(self) -> None:
+        upstreams = [ScriptedUpstream([rests]), ScriptedUpstream([whole])]
+        async with Rig(upstreams, max_attempts=1, slack=1.0) as rig:
+            prefer(rig, "b0")
+            got = [await rig.call(f"r{number}") for number in range(5)]
+        self.assertEqual({200}, {item.status for item in got})
+        self.assertEqual(1, len(upstreams[0].seen))
+
+    async def test_a_run_does_not_go_on_there(self) -> None:
+        async def serve(seen: Seen) -> None:
+            if seen.id == "asked":
+                return seen.answer(ASKS_FOR_REST)
+            if "kv-from" in seen.headers:
+                return seen.whole()
+            seen.start_events()
+            seen.event(0)
+            await seen.writer.drain()
+            copy = next(item for item in rig.view.all() if item.address == backup_of(seen))
+            prefer(rig, copy.id)
+            await rig.call("asked", headers="Token-Usage: 50,20\r\n")
+            seen.reset()
+            return None
+
+        upstreams = [ScriptedUpstream([serve]) for _ in range(2)]
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            got = await rig.call("runs", headers="Token-Usage: 50,20\r\n")
+        sent = [seen for item in upstreams for seen in item.seen if seen.id == "runs"]
+        self.assertFalse(got.whole)
+        self.assertEqual(1, len(sent))
+
+
+def backup_of(seen: Seen) -> str:
+    return seen.headers["kv-backup"]
+
+
+def await_connection(rig: Rig, upstream_id: str, request_id: str) -> None:
+    """Have the first connection to an upstream wait until that has turned another away."""
+    take = rig.parts.pool.take
+    waited: list[str] = []
+
+    async def wait(upstream: Upstream) -> UpstreamConnection:
+        if upstream.id == upstream_id and not waited:
+            waited.append(upstream.id)
+            await rig.call("asked")
+        return await take(upstream)
+
+    prefer(rig, upstream_id)
+    rig.parts.pool.take = wait  # type: ignore[method-assign]
+
+
+def prefer(rig: Rig, upstream_id: str) -> None:
+    """Place as one does that was not told of rests: at one upstream unless it is excluded."""
+    place = rig.parts.placer.place
+    wanted = rig.view.find(upstream_id)
+    assert wanted is not None
+    choice = Choice(wanted, 0.0, 0.0, 0, 0, 0.0)
+
+    async def chosen(
+        request: Request, excluded: frozenset[str], again: bool
+    ) -> Placement | NoChoice:
+        if upstream_id in excluded:
+            return await place(request, excluded, again)
+        return rig.parts.placer.continued(request, choice)
+
+    rig.parts.placer.place = chosen  # type: ignore[method-assign]
