An upstream that asks for rest, or says that it leaves, gets nothing more from this gateway

Cause: what an upstream says of itself in an answer was dropped (first hypothesis). Change: rests are kept by the upstream's life and looked at by those who choose; one gate before the bytes are written holds for all ways there, and what it keeps back has spent neither a run nor a retry. One that says that it leaves takes no more requests in that life, whatever its entry says. Ruled out: that the wish was lost on one way only; sends that cross the answer (1.124 s after it).

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -71,6 +71,11 @@
         if self._was_suspended():
             connection.close()
             return AttemptEnd(EndKind.NOT_SENT, "the host was suspended")
+        # Whoever chose it may not have known, or chose before it said so: with all of six upstreams
+        # at rest for 1.5 s, one of them got 39 requests of one gateway.
+        if not self._parts.gate.pass_on(upstream.id):
+            connection.close()
+            return AttemptEnd(EndKind.BARRED)
         try:
             end = await self._exchange(connection)
             self._parts.pool.give_back(upstream, connection)
@@ -94,6 +99,7 @@
         head = await self._read_head(connection)
         self._parts.fleet.load(self._choice.upstream.id).note_reached()
         said = read_statement(head.status, head.headers)
+        self._parts.gate.hear(self._choice.upstream.id, said)
         if said.not_executed:
             await self._read_all(connection)
             return AttemptEnd(EndKind.REJECTED, str(head.status), said=said)
--- a/src/lotushill/gateway/attempt_end.py
+++ b/src/lotushill/gateway/attempt_end.py
@@ -20,6 +20,8 @@
     """The client has the whole answer."""
     NOT_SENT = "not-sent"
     """No byte was written."""
+    BARRED = "barred"
+    """No byte was written, since the upstream wants no new request."""
     REJECTED = "rejected"
     """The upstream says that it did not run the request."""
     FAILED = "failed"
--- a/src/lotushill/gateway/attempt_news.py
+++ b/src/lotushill/gateway/attempt_news.py
@@ -21,6 +21,7 @@
     EndKind.FAILED: Outcome.FAILED,
     EndKind.REJECTED: Outcome.FAILED,
     EndKind.NOT_SENT: Outcome.NOT_SENT,
+    EndKind.BARRED: Outcome.UNKNOWN,
 }
 
 
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -12,6 +12,7 @@
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.placement.choice import Choice
+from lotushill.placement.choice import Refusal
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
     from lotushill.placement.choice import NoChoice
     from lotushill.routing.upstream import Upstream
 
+_RAN_NOTHING = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
@@ -139,7 +141,7 @@
             self._asked = True
             if isinstance(found, Placement):
                 return found
-            pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+            pause = self._pause(found)
             if self._clock() + pause > gives_up:
                 break
             await anyio.sleep(pause)
@@ -147,6 +149,12 @@
         self._retry_after = found.retry_after
         return None
 
+    def _pause(self, found: NoChoice) -> float:
+        """Return after how many seconds an upstream is worth looking for again."""
+        if found.refusal is Refusal.RESTING:
+            return found.retry_after
+        return _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+
     def _note_refusal(self, found: NoChoice) -> None:
         request = self._request
         self._parts.metrics.note_refused(
@@ -192,7 +200,8 @@
         known = any(item.id == backup.id for item in self._parts.upstreams.of(service))
         failures = self._parts.fleet.load(backup.id).failures
         sound = failures.rate(self._clock()) < _SOUND_RATE
-        return known and sound and self._splitter.events > 0
+        wanted = self._parts.gate.wants(backup.id)
+        return known and sound and wanted and self._splitter.events > 0
 
     async def _attempt(self, placement: Placement) -> AttemptEnd:
         choice, number = placement.choice, placement.placed.request
@@ -220,7 +229,7 @@
         self._parts.metrics.note_attempt(
             self._request.service.name, self._request.need.tier, end.kind.value
         )
-        if end.kind in (EndKind.NOT_SENT, EndKind.REJECTED):
+        if end.kind in _RAN_NOTHING:
             self.runs -= 1
         if end.kind is not EndKind.WHOLE:
             self._note(
@@ -283,6 +292,8 @@
     async def _may_repeat(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
         now = self._clock()
         service = self._request.service.name
+        if end.kind is EndKind.BARRED:
+            return True
         if end.kind is EndKind.NOT_SENT:
             self._unsent += 1
             return self._unsent < _MOST_UNSENT
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -13,6 +13,7 @@
 import anyio
 
 from lotushill import clock as clocks
+from lotushill.availability.rests import Rests
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
@@ -32,6 +33,7 @@
 from lotushill.gateway.status_report import status
 from lotushill.gateway.store_views import StoreViews
 from lotushill.gateway.suspension import SuspensionWatch
+from lotushill.gateway.upstream_gate import UpstreamGate
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.journal import Journal
 from lotushill.links.http_server import HttpServer
@@ -111,6 +113,7 @@
             self.views.upstreams.of,
             self.peers.model_sync.ready,
         )
+        self.rests = Rests(rng)
         placer = Placer(
             settings.name,
             self.fleet,
@@ -118,6 +121,7 @@
             self.views.upstreams,
             rng,
             clocks.now,
+            self.rests,
             self.peers.schedulers,
             self.peers.client,
         )
@@ -129,6 +133,7 @@
         self.suspension = SuspensionWatch(
             clocks.now, time.monotonic, self._on_woke, self.views.confirmed
         )
+        self.gate = UpstreamGate(self.views.upstreams, self.rests, self.log, clocks.now)
         self.budgets = RetryBudgets(settings.retry, self._sharing, clocks.now())
         self.front = Front(
             GatewayParts(
@@ -140,6 +145,7 @@
                 shared_load=self.shared_load,
                 placer=placer,
                 pool=self.pool,
+                gate=self.gate,
                 budgets=self.budgets,
                 quarantine=self.quarantine.keeper,
                 work=self.duties.work,
@@ -216,6 +222,7 @@
             known = {upstream.id for upstream in self.views.upstreams.all()}
             self.pool.sweep(known)
             self.fleet.forget(known, clocks.now())
+            self.rests.forget(known)
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -16,6 +16,7 @@
     from lotushill.gateway.quarantine_keeper import QuarantineKeeper
     from lotushill.gateway.retry_budgets import RetryBudgets
     from lotushill.gateway.suspension import SuspensionWatch
+    from lotushill.gateway.upstream_gate import UpstreamGate
     from lotushill.gateway.upstream_pool import UpstreamPool
     from lotushill.placement.fleet import Fleet
     from lotushill.scheduling.placer import Placer
@@ -36,6 +37,7 @@
     shared_load: SharedLoad
     placer: Placer
     pool: UpstreamPool
+    gate: UpstreamGate
     budgets: RetryBudgets
     quarantine: QuarantineKeeper
     work: WorkCounts
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill import clock as clocks
+
 if TYPE_CHECKING:
     from lotushill.gateway.gateway import Gateway
 
@@ -52,6 +54,22 @@
         "Ends of upstreams under requests of this gateway so far, once for each request",
         lambda: gateway.quarantine.keeper.upstream_ends,
     )
+    gauge("rests_asked", "Rests that upstreams asked for so far", lambda: gateway.rests.asked)
+    gauge(
+        "upstreams_resting",
+        "Upstreams that want nothing from this gateway now",
+        lambda: len(gateway.rests.barred(clocks.now())),
+    )
+    gauge(
+        "sends_barred",
+        "Requests kept from upstreams that were chosen and want none, so far",
+        lambda: gateway.gate.barred,
+    )
+    gauge(
+        "rests_unreadable",
+        "Wishes for rest that could not be read so far",
+        lambda: gateway.gate.unreadable,
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -76,6 +94,7 @@
             "revision": gateway.views.upstreams.revision,
             "known": [asdict(item) for item in gateway.views.upstreams.all()],
             "ignored": dict(gateway.views.upstream_faults.held),
+            "resting": sorted(gateway.rests.barred(clocks.now())),
         },
         "settings": {
             "revision": gateway.views.settings.revision,
--- /dev/null
+++ b/src/lotushill/gateway/upstream_gate.py
@@ -0,0 +1,66 @@
+"""The last check before a request is written to an upstream: whether that wants any now."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.availability.rests import Rests
+    from lotushill.availability.statement import Statement
+    from lotushill.event_log import EventLog
+    from lotushill.views.upstream_view import UpstreamView
+
+
+class UpstreamGate:
+    """Hears what upstreams say of themselves and keeps requests from those that want none.
+
+    Requests come to an upstream on several ways: chosen here, by a scheduler, among a few when no
+    scheduler answers, as a run that goes on from its copy, or after waiting for a connection or
+    through a suspension. Those who choose look at the same facts; this holds for all of them.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamView,
+        rests: Rests,
+        log: EventLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._upstreams = upstreams
+        self._rests = rests
+        self._log = log
+        self._clock = clock
+        self.barred = 0
+        """Sends that were kept back so far, after the upstream had been chosen."""
+        self.unreadable = 0
+        """Wishes for rest that could not be read so far."""
+
+    def hear(self, upstream_id: str, said: Statement) -> None:
+        """Take in what an answer says of its upstream."""
+        now = self._clock()
+        if said.unreadable:
+            self.unreadable += 1
+        if said.rest:
+            self._rests.note_asked(upstream_id, said.rest, now)
+            self._log.note("upstream.rests", upstream=upstream_id, seconds=said.rest)
+        else:
+            self._rests.note_taken(upstream_id, now)
+        if said.leaving and self._upstreams.note_leaving(upstream_id):
+            self._log.note("upstream.leaving", upstream=upstream_id, source="answer")
+
+    def wants(self, upstream_id: str) -> bool:
+        """Return whether an upstream takes new requests of this gateway now, as far as is known."""
+        known = self._upstreams.find(upstream_id)
+        if known is None or known.draining:
+            return False
+        return not self._rests.bars(upstream_id, self._clock())
+
+    def pass_on(self, upstream_id: str) -> bool:
+        """Return whether a request may be written now, and count it if so."""
+        if not self.wants(upstream_id):
+            self.barred += 1
+            return False
+        self._rests.note_sent(upstream_id, self._clock())
+        return True
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -51,6 +51,8 @@
     NO_UPSTREAM = "no upstream"
     OVERLOAD = "overload"
     """It would wait longer than the longest prompts may, and is one of them."""
+    RESTING = "all rest"
+    """All upstreams that could serve it have asked this gateway for rest."""
     NO_ROOM = "no room in time"
     """No upstream would begin it before its client gives up."""
 
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -59,7 +59,7 @@
 may be what is cut off."""
 _MOST_RANKED = 10_000
 _RANKS_KEPT = 32
-_NO_UPSTREAM_RETRY = 1.0
+NO_UPSTREAM_RETRY = 1.0
 """Seconds after which an upstream may have come."""
 
 
@@ -205,7 +205,7 @@
         candidates = [item for item in known.values() if item.id not in excluded]
         reachable = [item for item in candidates if not self.load(item.id).away(now)]
         if not candidates:
-            return NoChoice(Refusal.NO_UPSTREAM, _NO_UPSTREAM_RETRY)
+            return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
         if self._keeps_slots_from(need, service, reachable, now):
             return self.shedding.refuse_for_others(need)
         weighed = shortlist(need, reachable or candidates)
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -14,6 +14,7 @@
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
 from lotushill.placement.fetch import Fetch
+from lotushill.placement.fleet import NO_UPSTREAM_RETRY
 from lotushill.placement.placed import placed
 from lotushill.routing.route import RouteKind
 from lotushill.scheduling.placement import Placement
@@ -22,6 +23,7 @@
     import random
     from collections.abc import Callable
 
+    from lotushill.availability.rests import Rests
     from lotushill.gateway.request import Request
     from lotushill.links.messages import PlacementAnswer
     from lotushill.placement.fleet import Fleet
@@ -54,16 +56,21 @@
         upstreams: UpstreamView,
         rng: random.Random,
         clock: Callable[[], float],
+        rests: Rests,
         schedulers: Schedulers | None = None,
         client: PlacementClient | None = None,
     ) -> None:
-        """Place for the gateway `name`; without schedulers, always by the own model."""
+        """Place for the gateway `name`; without schedulers, always by the own model.
+
+        `rests` tells which upstreams want nothing from this gateway, which no other one knows.
+        """
         self._name = name
         self._fleet = fleet
         self._shared_load = shared_load
         self._upstreams = upstreams
         self._rng = rng
         self._clock = clock
+        self._rests = rests
         self._schedulers = schedulers
         self._client = client
         self._salt = rng.getrandbits(64)
@@ -81,6 +88,11 @@
         self, request: Request, excluded: frozenset[str], again: bool
     ) -> Placement | NoChoice:
         """Return where a request is to go; `again` says that it was asked for before."""
+        resting = self._rests.barred(self._clock())
+        if resting:
+            if self._none_is_awake(request, excluded | resting):
+                return self._all_rest(request, resting)
+            excluded |= resting
         if self._client is None or self.models_all():
             if not again:
                 self._note_size(request.need)
@@ -102,6 +114,17 @@
             unknown.add(answer.upstream)
         return NoChoice(Refusal.NO_UPSTREAM, _UNKNOWN_RETRY)
 
+    def _none_is_awake(self, request: Request, barred: frozenset[str]) -> bool:
+        return all(item.id in barred for item in self._upstreams.of(request.service.name))
+
+    def _all_rest(self, request: Request, resting: frozenset[str]) -> NoChoice:
+        """Refuse until the first upstream is awake, or say that there is none."""
+        known = [item.id for item in self._upstreams.of(request.service.name)]
+        asleep = [name for name in known if name in resting]
+        if not asleep:
+            return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
+        return NoChoice(Refusal.RESTING, self._rests.first_end(asleep, self._clock()))
+
     def _note_size(self, need: Need) -> None:
         self._fleet.shedding.usual.note_size(need.route, need.size)
 
--- a/src/lotushill/views/upstream_view.py
+++ b/src/lotushill/views/upstream_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
 
     from lotushill.routing.upstream import Upstream
 
+_MOST_LEAVING = 4096
+"""Lives that are remembered as leaving: some times as many as the largest fleet has upstreams."""
 NOTHING_KEPT: Mapping[str, float] = MappingProxyType({})
 
 
@@ -29,6 +32,8 @@
         self._upstreams: dict[str, Upstream] = {}
         self._lapsed: dict[str, float] = {}
         """Upstreams that no entry names any longer, by when they are taken for gone."""
+        self._leaving: dict[str, None] = {}
+        """Lives that said that they leave, whatever their entries say; the latest last."""
         self._by_service: dict[str, list[Upstream]] = {}
         self._by_number: dict[int, str] = {}
 
@@ -90,6 +95,25 @@
         self._index()
         return True
 
+    def note_leaving(self, upstream_id: str) -> bool:
+        """Note that a life takes no more requests; return whether that is news.
+
+        It holds until the life has ended: an entry that is late, or silent in an outage of the
+        store, does not take it back.
+        """
+        if upstream_id in self._leaving:
+            return False
+        self._leaving[upstream_id] = None
+        while len(self._leaving) > _MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        known = self._upstreams.get(upstream_id)
+        if known is not None and known.draining:
+            return False
+        if known is not None:
+            self._upstreams[upstream_id] = replace(known, draining=True)
+            self._index()
+        return True
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop upstreams whose entries stayed away for too long, and return their ids."""
         gone = tuple(name for name, until in self._lapsed.items() if now >= until)
@@ -102,6 +126,8 @@
 
     def _bound(self, upstream: Upstream) -> Upstream:
         """Return the newer of two entries; a life that once drained takes no more requests."""
+        if upstream.id in self._leaving:
+            return replace(upstream, draining=True)
         known = self._upstreams.get(upstream.id)
         return known if known is not None and known.draining else upstream
 
