A caller whose deadly bodies differ is kept apart at one upstream of the service, one request at a time

Cause: evidence hung on all bytes of a request, and one that changes a byte each time was new each time. Change: ends count for the team's route, path and prompt as well, where no event of the request had come; a group is kept apart after three rounds of ends unless whole answers or a smaller group speak for it, and after each end apart nothing of it is tried for a pause that doubles. All others keep off that upstream. Storms without a cause: none kept apart. Tried and dropped: whole answers of those alone that saw an end (at 360 gateways everybody was kept apart), groups that hold each other judged alone (sound ones of the same team were kept apart with the cause), and a term that is over before the pause is. Ruled out: holds by team, which take its sound requests.

--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -82,7 +82,7 @@
         except UpstreamError as error:
             connection.close()
             lost = isinstance(error, LostConnectionError)
-            end = AttemptEnd(EndKind.BROKEN, repr(error), lost=lost)
+            end = AttemptEnd(EndKind.BROKEN, repr(error), lost=lost, begun=bool(self.first_at))
         except BaseException:
             connection.close()
             raise
--- a/src/lotushill/gateway/attempt_end.py
+++ b/src/lotushill/gateway/attempt_end.py
@@ -42,3 +42,5 @@
     """What the upstream said of itself."""
     lost: bool = False
     """Whether the connection ended under a request that had been sent."""
+    begun: bool = False
+    """Whether anything of the answer had come."""
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -12,6 +12,7 @@
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.placement.choice import Choice
+from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
 from lotushill.scheduling.placement import Placement
 
@@ -20,7 +21,6 @@
     from lotushill.gateway.client_answer import ClientAnswer
     from lotushill.gateway.parts import GatewayParts
     from lotushill.gateway.request import Request
-    from lotushill.placement.choice import NoChoice
     from lotushill.routing.upstream import Upstream
 
 _RAN_NOTHING = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
@@ -117,7 +117,10 @@
 
     def _check_upstream(self, upstream: Upstream, end: AttemptEnd) -> asyncio.Task[None] | None:
         """Find out whether the upstream ended under the request, where its connection did."""
-        return self._parts.quarantine.note_cut(self._request, upstream) if end.lost else None
+        if not end.lost:
+            return None
+        begun = end.begun or self._splitter.events > 0
+        return self._parts.quarantine.note_cut(self._request, upstream, begun)
 
     async def _may_go_on(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
         """Return whether a cut request may reach a further upstream, as far as is known now.
@@ -137,8 +140,7 @@
             request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
         )
         while True:
-            found = await self._parts.placer.place(request, frozenset(self._excluded), self._asked)
-            self._asked = True
+            found = await self._look()
             if isinstance(found, Placement):
                 return found
             pause = self._pause(found)
@@ -149,9 +151,23 @@
         self._retry_after = found.retry_after
         return None
 
+    async def _look(self) -> Placement | NoChoice:
+        """Look for an upstream once."""
+        request, ward = self._request, self._parts.ward
+        wait = ward.wait(request)
+        if wait > 0:
+            return NoChoice(Refusal.ISOLATED, wait)
+        excluded = frozenset(self._excluded) | ward.barred(request)
+        found = await self._parts.placer.place(request, excluded, self._asked)
+        self._asked = True
+        if isinstance(found, Placement) and not ward.admits(request, found.choice):
+            self._parts.shared_load.give_up(found.placed.request)
+            return NoChoice(Refusal.ISOLATED, _RETRY_SECONDS)
+        return found
+
     def _pause(self, found: NoChoice) -> float:
         """Return after how many seconds an upstream is worth looking for again."""
-        if found.refusal is Refusal.RESTING:
+        if found.refusal in (Refusal.RESTING, Refusal.ISOLATED):
             return found.retry_after
         return _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
 
--- a/src/lotushill/gateway/fleet_quarantine.py
+++ b/src/lotushill/gateway/fleet_quarantine.py
@@ -9,6 +9,7 @@
 from lotushill import clock as clocks
 from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.quarantine.hold_store import HoldStore
+from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
     from lotushill.gateway.store_views import StoreViews
     from lotushill.gateway.upstream_pool import UpstreamPool
     from lotushill.platform.object_store import ObjectStore
+    from lotushill.quarantine.group import Group
 
 _LOOK_SECONDS = 0.5
 
@@ -38,9 +40,11 @@
     ) -> None:
         self._views = views
         self.suspects = Quarantine()
+        self.isolation = Isolation()
         self.keeper = QuarantineKeeper(
             name,
             self.suspects,
+            self.isolation,
             views.upstreams,
             pool.has_ended,
             peers.tell_all,
@@ -54,6 +58,10 @@
         """Return the identities of all requests that are held now."""
         return self.suspects.held(clocks.now())
 
+    def isolated(self) -> list[Group]:
+        """Return the groups of requests that run apart now."""
+        return self.isolation.groups(clocks.now())
+
     def take_stored(self) -> None:
         """Take what the store has, since it has changed."""
         self.keeper.take_stored(self._views.holds.holds)
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -36,6 +36,7 @@
 from lotushill.gateway.suspension import SuspensionWatch
 from lotushill.gateway.upstream_gate import UpstreamGate
 from lotushill.gateway.upstream_pool import UpstreamPool
+from lotushill.gateway.ward import Ward
 from lotushill.journal import Journal
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
@@ -152,6 +153,7 @@
                 placer=placer,
                 pool=self.pool,
                 gate=self.gate,
+                ward=Ward(self.quarantine.isolation, self.views.upstreams, clocks.now),
                 budgets=self.budgets,
                 quarantine=self.quarantine.keeper,
                 work=self.duties.work,
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -18,6 +18,7 @@
     from lotushill.gateway.suspension import SuspensionWatch
     from lotushill.gateway.upstream_gate import UpstreamGate
     from lotushill.gateway.upstream_pool import UpstreamPool
+    from lotushill.gateway.ward import Ward
     from lotushill.placement.fleet import Fleet
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.shared_load import SharedLoad
@@ -38,6 +39,7 @@
     placer: Placer
     pool: UpstreamPool
     gate: UpstreamGate
+    ward: Ward
     budgets: RetryBudgets
     quarantine: QuarantineKeeper
     work: WorkCounts
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -22,6 +22,7 @@
 from lotushill.links.load_records import pack
 from lotushill.links.load_records import unpack
 from lotushill.links.messages import ClearedNews
+from lotushill.links.messages import GroupNews
 from lotushill.links.messages import LeavingNews
 from lotushill.links.messages import LoadBatch
 from lotushill.links.messages import LoadNews
@@ -97,7 +98,7 @@
     """Tells what this gateway counted."""
     on_work_page: Callable[[WorkPage], None]
     """Hears what another gateway counted."""
-    on_suspects: Callable[[SuspectNews | ClearedNews], None]
+    on_suspects: Callable[[SuspectNews | ClearedNews | GroupNews], None]
     """Hears of requests under which upstreams ended, or did not."""
     on_leaving: Callable[[LeavingNews], None]
     """Hears of upstreams that said that they leave."""
@@ -244,7 +245,7 @@
                 self.send_work(page, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, WorkPage):
             self._hooks.on_work_page(message)
-        elif isinstance(message, SuspectNews | ClearedNews):
+        elif isinstance(message, SuspectNews | ClearedNews | GroupNews):
             self._hooks.on_suspects(message)
         elif isinstance(message, LeavingNews):
             self._hooks.on_leaving(message)
--- a/src/lotushill/gateway/quarantine_keeper.py
+++ b/src/lotushill/gateway/quarantine_keeper.py
@@ -9,12 +9,17 @@
 import anyio
 
 from lotushill.links.messages import ClearedNews
+from lotushill.links.messages import GroupEnd
+from lotushill.links.messages import GroupNews
 from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import SuspectState
 from lotushill.quarantine.end_watch import Cut
 from lotushill.quarantine.end_watch import EndWatch
 from lotushill.quarantine.end_watch import Listing
+from lotushill.quarantine.group import Group
+from lotushill.quarantine.news_plan import PROOF_SECONDS
 from lotushill.quarantine.news_plan import NewsPlan
+from lotushill.quarantine.repeat_plan import RepeatPlan
 
 if TYPE_CHECKING:
     import random
@@ -24,6 +29,7 @@
 
     from lotushill.event_log import EventLog
     from lotushill.gateway.request import Request
+    from lotushill.quarantine.isolation import Isolation
     from lotushill.quarantine.quarantine import Quarantine
     from lotushill.quarantine.stored_hold import StoredHold
     from lotushill.routing.upstream import Upstream
@@ -46,9 +52,10 @@
         self,
         name: str,
         quarantine: Quarantine,
+        isolation: Isolation,
         upstreams: UpstreamView,
         has_ended: Callable[[Upstream], Coroutine[Any, Any, bool | None]],
-        tell: Callable[[SuspectNews | ClearedNews], None],
+        tell: Callable[[SuspectNews | ClearedNews | GroupNews], None],
         log: EventLog,
         rng: random.Random,
         clock: Clock,
@@ -56,12 +63,16 @@
         """Ask `has_ended` of upstreams that cut a request; `tell` sends to all other gateways."""
         self._name = name
         self._quarantine = quarantine
+        self._isolation = isolation
         self._upstreams = upstreams
         self._has_ended = has_ended
         self._tell = tell
         self._log = log
         self._clock = clock
         self._plan = NewsPlan(rng)
+        self._group_plan: RepeatPlan[GroupEnd] = RepeatPlan()
+        self._group_proofs: RepeatPlan[Group] = RepeatPlan()
+        self._rng = rng
         self._watch = EndWatch()
         self._checks: dict[str, asyncio.Task[bool | None]] = {}
         """Questions under way, by upstream."""
@@ -82,6 +93,8 @@
 
     def may_be_sent_on(self, request: Request) -> bool:
         """Return whether an arrival that was cut may go to a further upstream."""
+        if self._isolation.isolates(request.groups, self._clock()):
+            return False
         if self._quarantine.empty:
             return True
         if self._quarantine.ends_under(request.identity) >= _ENDS_TO_STOP:
@@ -100,14 +113,19 @@
 
     def note_whole(self, request: Request) -> None:
         """Note a whole answer."""
+        self._isolation.note_whole(request.groups, self._clock())
         if self._quarantine.note_whole(request.identity, self._clock()):
             self._plan.clear(request.identity)
             self._wake.set()
 
-    def note_cut(self, request: Request, upstream: Upstream) -> asyncio.Task[None]:
-        """Find out whether a request that lost its connection ended its upstream."""
+    def note_cut(self, request: Request, upstream: Upstream, begun: bool) -> asyncio.Task[None]:
+        """Find out whether a request that lost its connection ended its upstream.
+
+        `begun` says that some of its answer had come.
+        """
         path = request.target.partition(b"?")[0].decode("latin-1")[:_MOST_PATH]
-        cut = Cut(request.identity, request.team, path, upstream.id)
+        groups = () if begun else request.groups
+        cut = Cut(request.identity, request.team, path, upstream.id, groups)
         task = asyncio.create_task(self._check(cut, upstream))
         self._notes.add(task)
         task.add_done_callback(self._notes.discard)
@@ -135,6 +153,8 @@
 
     def _note_end(self, cut: Cut) -> None:
         now = self._clock()
+        for group in cut.groups:
+            self._note_group(group, cut.upstream, now)
         if not self._quarantine.note_end(cut.identity, cut.team, cut.path, cut.upstream, now):
             return
         self.upstream_ends += 1
@@ -151,15 +171,44 @@
         self._tell_proof(cut.identity, now)
         self._wake.set()
 
+    def _note_group(self, group: Group, upstream: str, now: float) -> None:
+        whole = self._isolation.whole(group, now)
+        end = GroupEnd(group.service, group.label, upstream, whole)
+        self._group_plan.tell(end, now)
+        self._wake.set()
+        self._take_group(end, self._name, now)
+
+    def _hear_group(self, end: GroupEnd, teller: str, now: float) -> None:
+        """Take what a peer tells of a group, and tell of whole answers that speak for it."""
+        group = Group(end.service, end.label)
+        if not end.upstream:
+            self._isolation.take_whole(group, teller, end.whole, now)
+            return
+        self._take_group(end, teller, now)
+        if self._isolation.whole(group, now) and group not in self._group_proofs:
+            self._group_proofs.tell_at(group, now + self._rng.uniform(0.0, PROOF_SECONDS))
+            self._wake.set()
+
+    def _take_group(self, end: GroupEnd, teller: str, now: float) -> None:
+        group = Group(end.service, end.label)
+        if self._isolation.note_end(group, end.upstream, teller, end.whole, now):
+            self._log.note(
+                "quarantine.isolated", service=end.service, group=end.label, upstream=end.upstream
+            )
+
     def _tell_proof(self, identity: bytes, now: float) -> None:
         if self._quarantine.knows_whole(identity, now):
             self._plan.prove(identity, now)
 
     # Peers
 
-    def receive(self, news: SuspectNews | ClearedNews) -> None:
+    def receive(self, news: SuspectNews | ClearedNews | GroupNews) -> None:
         """Take what another gateway knows."""
         now = self._clock()
+        if isinstance(news, GroupNews):
+            for end in news.ends:
+                self._hear_group(end, news.sender, now)
+            return
         if isinstance(news, SuspectNews):
             for state in news.suspects:
                 self._take(state, now)
@@ -197,6 +246,7 @@
         """Find upstreams that are gone since, and go on telling what the store has not got."""
         now = self._clock()
         self._quarantine.expire(now)
+        self._isolation.expire(now)
         for cut in self._watch.take_ended(self._listing, now):
             self._note_end(cut)
         for identity in self._quarantine.unstored():
@@ -215,7 +265,9 @@
 
     def next_due(self) -> float:
         """Return when something is to be told."""
-        return self._plan.next_due()
+        return min(
+            self._plan.next_due(), self._group_plan.next_due(), self._group_proofs.next_due()
+        )
 
     def tell_due(self) -> None:
         """Send what is due."""
@@ -226,6 +278,24 @@
             self._tell(SuspectNews(self._name, group))
         if due.cleared_since or due.cleared_before:
             self._tell(ClearedNews(self._name, due.cleared_since, due.cleared_before))
+        ends = [*self._group_plan.take(self._clock()), *self._due_group_proofs()]
+        for start in range(0, len(ends), _MOST_IN_DATAGRAM):
+            self._tell(GroupNews(self._name, tuple(ends[start : start + _MOST_IN_DATAGRAM])))
+
+    def _due_group_proofs(self) -> list[GroupEnd]:
+        """Return whole answers that are due to be told: once enough are known, no more are."""
+        now = self._clock()
+        due = [
+            group
+            for group in self._group_proofs.take(now)
+            if self._isolation.needs_proof(group, now)
+        ]
+        for group in due:
+            self._isolation.take_whole(group, self._name, self._isolation.whole(group, now), now)
+        return [
+            GroupEnd(group.service, group.label, "", self._isolation.whole(group, now))
+            for group in due
+        ]
 
     def _state(self, identity: bytes) -> SuspectState | None:
         suspect = self._quarantine.find(identity)
--- a/src/lotushill/gateway/request.py
+++ b/src/lotushill/gateway/request.py
@@ -6,11 +6,13 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
+from lotushill.quarantine.group import groups_of
 from lotushill.quarantine.identity import identity_of
 
 if TYPE_CHECKING:
     from lotushill.gateway.upstream_connection import Headers
     from lotushill.placement.need import Need
+    from lotushill.quarantine.group import Group
     from lotushill.routing.demand import Demand
     from lotushill.routing.route import Route
     from lotushill.routing.service import Service
@@ -41,3 +43,10 @@
     def identity(self) -> bytes:
         """Return what stays the same when the caller sends the request again."""
         return identity_of(self.team, self.demand.host, self.method, self.target, self.body)
+
+    @cached_property
+    def groups(self) -> tuple[Group, ...]:
+        """Return what its caller's next request may have in common with it."""
+        return groups_of(
+            self.service.name, self.team, self.route.name, self.target, self.need.parts
+        )
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -46,6 +46,11 @@
         "Requests under which upstreams ended",
         lambda: len(gateway.quarantine.suspects),
     )
+    gauge(
+        "groups_isolated",
+        "Groups of requests that run apart, since upstreams end under them",
+        lambda: len(gateway.quarantine.isolated()),
+    )
     gauge(
         "kept_back", "Arrivals kept from upstreams so far", lambda: gateway.quarantine.keeper.held
     )
@@ -106,6 +111,9 @@
             item.hex(): gateway.quarantine.suspects.ends_under(item)
             for item in gateway.quarantine.held()
         },
+        "isolated_groups": [
+            f"{group.label} ({group.service})" for group in gateway.quarantine.isolated()
+        ],
         "in_progress": gateway.front.in_progress,
         "store_calls": gateway.store.calls,
         "connections_opened": gateway.pool.opened,
--- /dev/null
+++ b/src/lotushill/gateway/ward.py
@@ -0,0 +1,60 @@
+"""Where requests run that may end their upstream: at one of a service, one at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.membership.rendezvous import owner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.gateway.request import Request
+    from lotushill.placement.choice import Choice
+    from lotushill.quarantine.isolation import Isolation
+    from lotushill.views.upstream_view import UpstreamView
+
+_LEAST_UPSTREAMS = 2
+_NOBODY: frozenset[str] = frozenset()
+
+
+class Ward:
+    """Keeps groups that are isolated at one upstream of their service, and all others from it.
+
+    Whatever ends there takes nothing with it that is not suspected itself, and since nothing else
+    runs beside it, an end shows its cause. All gateways know the same groups and upstreams, and so
+    come to the same one without asking.
+    """
+
+    def __init__(
+        self, isolation: Isolation, upstreams: UpstreamView, clock: Callable[[], float]
+    ) -> None:
+        self._isolation = isolation
+        self._upstreams = upstreams
+        self._clock = clock
+
+    def barred(self, request: Request) -> frozenset[str]:
+        """Return the upstreams of its service that a request is to be kept from."""
+        if self._isolation.empty:
+            return _NOBODY
+        now = self._clock()
+        service = request.service.name
+        if service not in self._isolation.services(now):
+            return _NOBODY
+        known = frozenset(item.id for item in self._upstreams.of(service))
+        if len(known) < _LEAST_UPSTREAMS:
+            return _NOBODY
+        ward = frozenset((owner(service, known) or "",))
+        return known - ward if self._isolation.isolates(request.groups, now) else ward
+
+    def wait(self, request: Request) -> float:
+        """Return for how many seconds a request is not to be tried at all."""
+        if self._isolation.empty:
+            return 0.0
+        return self._isolation.wait(request.groups, self._clock())
+
+    def admits(self, request: Request, choice: Choice) -> bool:
+        """Return whether a request may run beside what runs at its upstream."""
+        if self._isolation.empty or not choice.running:
+            return True
+        return not self._isolation.isolates(request.groups, self._clock())
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -17,6 +17,7 @@
 
 from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.messages import ClearedNews
+from lotushill.links.messages import GroupNews
 from lotushill.links.messages import LeavingNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
@@ -48,6 +49,7 @@
     | SuspectNews
     | ClearedNews
     | LeavingNews
+    | GroupNews
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -195,6 +197,7 @@
     SuspectNews,
     ClearedNews,
     LeavingNews,
+    GroupNews,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -155,6 +155,18 @@
   complete @2 :Bool;
 }
 
+struct GroupEnd {
+  service @0 :Text;
+  label @1 :Text;
+  upstream @2 :Text;
+  whole @3 :UInt32;
+}
+
+struct GroupNews {
+  sender @0 :Text;
+  ends @1 :List(GroupEnd);
+}
+
 struct Frame {
   union {
     ping @0 :Ping;
@@ -172,5 +184,6 @@
     suspectnews @12 :SuspectNews;
     clearednews @13 :ClearedNews;
     leavingnews @14 :LeavingNews;
+    groupnews @15 :GroupNews;
   }
 }
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -264,6 +264,27 @@
     suspects: tuple[SuspectState, ...]
 
 
+@dataclass(frozen=True)
+class GroupEnd:
+    """An upstream ended before a request of a group had its first event."""
+
+    service: str
+    label: str
+    """Of the group."""
+    upstream: str
+    """Empty where only whole answers are told."""
+    whole: int
+    """Requests of the group that the sender had answered whole of late."""
+
+
+@dataclass(frozen=True)
+class GroupNews:
+    """Groups of requests under which upstreams ended."""
+
+    sender: str
+    ends: tuple[GroupEnd, ...]
+
+
 @dataclass(frozen=True)
 class LeavingNews:
     """Upstreams that said in answers that they leave, and whose entries do not say it."""
--- a/src/lotushill/quarantine/end_watch.py
+++ b/src/lotushill/quarantine/end_watch.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.quarantine.group import Group
+
 _SECONDS = 12.0
 """An upstream that ended without a word is listed for three of its heartbeats, which are some
 1.2 s, and then three more where the store was away."""
@@ -31,6 +33,8 @@
     team: str
     path: str
     upstream: str
+    groups: tuple[Group, ...] = ()
+    """Its groups where no event of it had come, so that it may be what its upstream ended by."""
 
 
 class EndWatch:
--- a/src/lotushill/quarantine/news_plan.py
+++ b/src/lotushill/quarantine/news_plan.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.quarantine.repeat_plan import RepeatPlan
+
 if TYPE_CHECKING:
     import random
 
-_REPEAT_SECONDS = (0.0, 0.15, 0.5, 1.2)
-"""After an end. With one datagram in ten lost, one gateway in 10,000 misses all of them."""
 _HELD_REPEAT_SECONDS = 2.0
 """Between two tellings of what is held and not in the store, so that joiners hear of it."""
-_PROOF_SECONDS = 0.2
+PROOF_SECONDS = 0.2
 """Of gateways that all know a request as sound, the first to speak within it speaks for all."""
 
 
@@ -31,8 +31,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._suspects: dict[bytes, list[float]] = {}
-        """The further times at which each one is told."""
+        self._suspects: RepeatPlan[bytes] = RepeatPlan()
         self._cleared: set[bytes] = set()
         self._proofs: dict[bytes, float] = {}
 
@@ -40,28 +39,27 @@
         """Return when something is due, infinity for never."""
         if self._cleared:
             return -math.inf
-        firsts = [times[0] for times in self._suspects.values()]
-        return min([*firsts, *self._proofs.values()], default=math.inf)
+        return min([self._suspects.next_due(), *self._proofs.values()])
 
     def tell(self, identity: bytes, now: float) -> None:
         """Tell of an end under a request, now and some times more."""
-        self._suspects[identity] = [now + after for after in _REPEAT_SECONDS]
+        self._suspects.tell(identity, now)
 
     def go_on(self, identity: bytes, now: float) -> None:
         """Go on telling of a request that is held and not in the store."""
         if identity not in self._suspects:
-            self._suspects[identity] = [now + _HELD_REPEAT_SECONDS]
+            self._suspects.tell_at(identity, now + _HELD_REPEAT_SECONDS)
 
     def clear(self, identity: bytes) -> None:
         """Tell that a request was answered whole since, and no more against it."""
-        self._suspects.pop(identity, None)
+        self._suspects.forget(identity)
         self._proofs.pop(identity, None)
         self._cleared.add(identity)
 
     def prove(self, identity: bytes, now: float) -> None:
         """Tell that a request was answered whole before, unless another one does first."""
         if identity not in self._proofs:
-            self._proofs[identity] = now + self._rng.uniform(0.0, _PROOF_SECONDS)
+            self._proofs[identity] = now + self._rng.uniform(0.0, PROOF_SECONDS)
 
     def heard(self, identity: bytes) -> None:
         """Note that another one has told the proof."""
@@ -69,18 +67,12 @@
 
     def forget(self, identity: bytes) -> None:
         """Tell no more against a request that another one has cleared."""
-        self._suspects.pop(identity, None)
+        self._suspects.forget(identity)
         self._proofs.pop(identity, None)
 
     def take(self, now: float) -> DueNews:
         """Return what is due, which is told by then."""
-        suspects = [item for item, times in self._suspects.items() if times[0] <= now]
-        for identity in suspects:
-            times = self._suspects[identity]
-            while times and times[0] <= now:
-                times.pop(0)
-            if not times:
-                del self._suspects[identity]
+        suspects = self._suspects.take(now)
         proofs = [item for item, at in self._proofs.items() if at <= now]
         for identity in proofs:
             del self._proofs[identity]
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -29,9 +29,11 @@
 from lotushill.gateway.suspension import SuspensionWatch
 from lotushill.gateway.upstream_gate import UpstreamGate
 from lotushill.gateway.upstream_pool import UpstreamPool
+from lotushill.gateway.ward import Ward
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
+from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
 from lotushill.routing.limits import ClientLimits
 from lotushill.routing.route import Route
@@ -53,6 +55,7 @@
     from collections.abc import Callable
 
     from lotushill.links.messages import ClearedNews
+    from lotushill.links.messages import GroupNews
     from lotushill.links.messages import LeavingNews
     from lotushill.links.messages import SuspectNews
 
@@ -231,8 +234,9 @@
         self.confirmed = True
         """Whether the views were confirmed since the last suspension."""
         self.quarantine = Quarantine()
+        self.isolation = Isolation()
         self.told_leaving: list[LeavingNews] = []
-        self.told: list[SuspectNews | ClearedNews] = []
+        self.told: list[SuspectNews | ClearedNews | GroupNews] = []
         """What was told to other gateways, when `keeper.tell_due` was called."""
 
     def clock(self) -> float:
@@ -272,7 +276,7 @@
             "gw", self.view, self.told_leaving.append, log, random.Random(5), self.clock
         )
         self.keeper = QuarantineKeeper(
-            "gw", self.quarantine, self.view, pool.has_ended, self.told.append, log,
+            "gw", self.quarantine, self.isolation, self.view, pool.has_ended, self.told.append, log,
             random.Random(3), self.clock,
         )  # fmt: skip
         self.parts = GatewayParts(
@@ -284,6 +288,7 @@
             shared_load=shared_load,
             placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), self.clock, rests),
             pool=pool,
+            ward=Ward(self.isolation, self.view, self.clock),
             gate=UpstreamGate(self.view, rests, self.leaving.note, log, self.clock),
             quarantine=self.keeper,
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
--- /dev/null
+++ b/tests/gateway/test_ward.py
@@ -0,0 +1,87 @@
+"""Requests of a group under which upstreams end run at one upstream, one at a time.
+
+The group is known by its path here: its requests differ in each byte of their bodies, so that each
+was a new request, might end three upstreams, and took with it whatever ran there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from lotushill.quarantine.group import groups_of
+from tests.gateway.rig import TEAM
+from tests.gateway.rig import Rig
+from tests.gateway.rig import ScriptedUpstream
+from tests.gateway.rig import Seen
+
+SUSPECT = "/p/suspect"
+ENDS_APART = (2.4, 1.2, 0.0)
+"""Seconds before now at which upstreams ended under the group."""
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+def isolate(rig: Rig) -> None:
+    """Let three upstreams that are gone have ended under the group."""
+    now = rig.clock()
+    for number, before in enumerate(ENDS_APART):
+        for group in groups_of("s", TEAM, rig.route.name, SUSPECT.encode(), ()):
+            rig.isolation.note_end(group, f"former{number}", "gw", 0, now - before)
+
+
+def got_suspect(upstreams: list[ScriptedUpstream]) -> list[ScriptedUpstream]:
+    return [item for item in upstreams if any(SUSPECT in seen.line for seen in item.seen)]
+
+
+class TestWard(unittest.IsolatedAsyncioTestCase):
+    async def test_the_group_runs_at_one_upstream_and_all_others_elsewhere(self) -> None:
+        upstreams = [ScriptedUpstream([whole]) for _ in range(4)]
+        async with Rig(upstreams) as rig:
+            isolate(rig)
+            for number in range(8):
+                suspect = await rig.call(f"s{number}", path=SUSPECT, body=f"{number}".encode())
+                other = await rig.call(f"o{number}", body=f"{number}".encode())
+                self.assertEqual((200, 200), (suspect.status, other.status))
+        (ward,) = got_suspect(upstreams)
+        self.assertEqual(8, len(ward.seen))
+
+    async def test_one_runs_at_a_time_and_the_next_is_refused_as_not_run(self) -> None:
+        async def slow(seen: Seen) -> None:
+            began.set()
+            await release.wait()
+            seen.whole()
+
+        began, release = asyncio.Event(), asyncio.Event()
+        upstreams = [ScriptedUpstream([slow]) for _ in range(4)]
+        async with Rig(upstreams) as rig:
+            isolate(rig)
+            first = asyncio.create_task(rig.call("s1", path=SUSPECT, body=b"1"))
+            await began.wait()
+            second = await rig.call("s2", path=SUSPECT, body=b"2")
+            release.set()
+            self.assertEqual((200, 503), ((await first).status, second.status))
+        self.assertEqual(1, sum(len(item.seen) for item in upstreams))
+
+    async def test_one_that_ends_the_upstream_is_not_sent_on_and_the_next_waits(self) -> None:
+        async def ends(seen: Seen) -> None:
+            upstream = next(item for item in upstreams if seen in item.seen)
+            upstream.crash(seen)
+
+        upstreams = [ScriptedUpstream([ends]) for _ in range(4)]
+        async with Rig(upstreams, max_attempts=4) as rig:
+            isolate(rig)
+            first = await rig.call("s1", path=SUSPECT, body=b"1")
+            second = await rig.call("s2", path=SUSPECT, body=b"2")
+        self.assertEqual((502, 503), (first.status, second.status))
+        self.assertGreater(float(second.headers["retry-after"]), 0.5)
+        self.assertEqual(1, sum(len(item.seen) for item in upstreams))
+
+    async def test_with_one_upstream_left_nobody_is_kept_from_it(self) -> None:
+        upstreams = [ScriptedUpstream([whole])]
+        async with Rig(upstreams) as rig:
+            isolate(rig)
+            got = [await rig.call("s", path=SUSPECT), await rig.call("o")]
+        self.assertEqual([200, 200], [item.status for item in got])
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -14,6 +14,7 @@
 from lotushill.links.exceptions import ForgedFrameError
 from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.messages import ClearedNews
+from lotushill.links.messages import GroupNews
 from lotushill.links.messages import LeavingNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
@@ -51,6 +52,7 @@
     SuspectNews,
     ClearedNews,
     LeavingNews,
+    GroupNews,
 ]
 
 
--- a/tests/quarantine/test_fleet.py
+++ b/tests/quarantine/test_fleet.py
@@ -121,3 +121,14 @@
             with self.subTest(storm=storm):
                 self.assertEqual(0, fleet.outcomes[COMMON, "held"])
                 self.assertEqual(0, fleet.outcomes[b"other", "held"])
+
+    async def test_no_group_is_kept_apart_however_few_its_requests_are(self) -> None:
+        for gateways, upstreams in FLEETS:
+            for mates in (0.3, 3.0):
+                fleet = VirtualFleet(gateways, upstreams, 4, loss=0.1)
+                await run(fleet, 5.0, deadly=0.0, others=50.0, mates=mates)
+                fleet.outcomes.clear()
+                await run(fleet, 30.0, deadly=0.0, others=50.0, storm=3.0, mates=mates)
+                isolated = {kind for kind, outcome in fleet.outcomes if outcome == "isolated"}
+                with self.subTest(gateways=gateways, mates=mates):
+                    self.assertEqual(set(), isolated)
--- /dev/null
+++ b/tests/quarantine/test_isolation.py
@@ -0,0 +1,105 @@
+"""When groups of requests are kept apart, for how long, and what speaks for them."""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.quarantine.group import Group
+from lotushill.quarantine.group import groups_of
+from lotushill.quarantine.isolation import Isolation
+from lotushill.routing.demand import PromptPart
+
+CALLER = Group("s", "bakery on r")
+PATH = Group("s", "bakery on r, /p/deadly")
+
+
+class TestGroups(unittest.TestCase):
+    def test_a_request_is_of_its_callers_route_and_of_what_is_smaller(self) -> None:
+        parts = (PromptPart(10, 5), PromptPart(11, 5), PromptPart(12, 5))
+        groups = groups_of("s", "bakery", "r", b"/p/deadly?at=3", parts)
+        self.assertEqual((CALLER, PATH), groups[:2])
+        self.assertEqual("bakery on r, prompt b", groups[2].label)
+        self.assertTrue(PATH.is_within(CALLER))
+        self.assertFalse(CALLER.is_within(PATH))
+        self.assertFalse(PATH.is_within(Group("s", "bakery on r2")))
+
+
+class TestIsolation(unittest.TestCase):
+    def setUp(self) -> None:
+        self.isolation = Isolation()
+
+    def end(self, group: Group, *times: float, whole: int = 0) -> None:
+        for at in times:
+            self.isolation.note_end(group, f"u{at}", "gw", whole, at)
+
+    def test_three_ends_apart_in_time_isolate(self) -> None:
+        self.end(PATH, 1.0, 2.1)
+        self.assertFalse(self.isolation.isolates((PATH,), 3.0))
+        self.end(PATH, 3.2)
+        self.assertTrue(self.isolation.isolates((CALLER, PATH), 3.2))
+        self.assertEqual(frozenset(("s",)), self.isolation.services(3.2))
+
+    def test_many_ends_at_once_do_not(self) -> None:
+        self.end(PATH, 1.0, 1.1, 1.2, 1.3, 1.4, 1.9)
+        self.assertFalse(self.isolation.isolates((PATH,), 2.0))
+
+    def test_ends_long_ago_do_not(self) -> None:
+        self.end(PATH, 1.0, 2.1, 13.0)
+        self.assertFalse(self.isolation.isolates((PATH,), 13.0))
+
+    def test_the_same_end_told_by_many_counts_once(self) -> None:
+        for number in range(9):
+            self.isolation.note_end(PATH, "u1", f"gw{number}", 0, 1.0 + number)
+        self.assertFalse(self.isolation.isolates((PATH,), 10.0))
+
+    def test_a_group_that_is_mostly_answered_whole_was_beside_them(self) -> None:
+        self.end(CALLER, 1.0, 2.1, 3.2, whole=7)
+        self.assertFalse(self.isolation.isolates((CALLER,), 3.2))
+
+    def test_whole_answers_that_are_told_later_let_it_go(self) -> None:
+        self.end(CALLER, 1.0, 2.1, 3.2)
+        self.assertTrue(self.isolation.needs_proof(CALLER, 3.3))
+        for number in range(12):
+            self.isolation.take_whole(CALLER, f"gw{number}", 4, 3.3)
+        self.assertFalse(self.isolation.isolates((CALLER,), 3.4))
+        self.assertFalse(self.isolation.needs_proof(CALLER, 3.4))
+
+    def test_of_groups_that_hold_each_other_the_smallest_is_isolated(self) -> None:
+        for at in (1.0, 2.1, 3.2):
+            self.end(PATH, at)
+            self.end(CALLER, at)
+        self.assertEqual([PATH], self.isolation.groups(3.2))
+
+    def test_where_no_smaller_one_was_at_the_ends_the_caller_is(self) -> None:
+        for number, at in enumerate((1.0, 2.1, 3.2)):
+            self.end(Group("s", f"bakery on r, /p/{number}"), at)
+            self.end(CALLER, at)
+        self.assertEqual([CALLER], self.isolation.groups(3.2))
+
+    def test_an_end_while_it_is_apart_stops_it_for_a_pause_that_doubles(self) -> None:
+        self.end(PATH, 1.0, 2.1, 3.2)
+        self.assertEqual(0.0, self.isolation.wait((PATH,), 3.3))
+        waits = []
+        at = 4.0
+        for _ in range(7):
+            self.end(PATH, at)
+            waits.append(round(self.isolation.wait((PATH,), at), 3))
+            at += waits[-1] + 0.1
+        self.assertEqual([1.0, 2.0, 4.0, 8.0, 16.0, 30.0, 30.0], waits)
+        self.assertTrue(self.isolation.isolates((PATH,), at))
+
+    def test_what_was_shown_to_be_the_cause_is_not_let_go_by_whole_answers(self) -> None:
+        self.end(PATH, 1.0, 2.1, 3.2, 4.0)
+        self.isolation.take_whole(PATH, "gw1", 100, 4.1)
+        self.assertTrue(self.isolation.isolates((PATH,), 4.2))
+
+    def test_it_ends_and_is_forgotten(self) -> None:
+        self.end(PATH, 1.0, 2.1, 3.2)
+        self.assertFalse(self.isolation.isolates((PATH,), 24.0))
+        self.isolation.expire(24.0)
+        self.assertTrue(self.isolation.empty)
+
+    def test_evidence_is_bounded(self) -> None:
+        for number in range(5000):
+            self.end(Group("s", f"g{number}"), float(number))
+        self.assertLessEqual(len(self.isolation._evidence), 512)
--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -8,18 +8,26 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import cast
 
 from lotushill.event_log import EventLog
 from lotushill.gateway.quarantine_keeper import QuarantineKeeper
+from lotushill.gateway.ward import Ward
+from lotushill.placement.choice import Choice
+from lotushill.quarantine.group import Group
+from lotushill.quarantine.group import groups_of
+from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
+from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
 from lotushill.views.upstream_view import UpstreamView
 
 if TYPE_CHECKING:
     from lotushill.gateway.request import Request
     from lotushill.links.messages import ClearedNews
+    from lotushill.links.messages import GroupNews
     from lotushill.links.messages import SuspectNews
 
 TICK = 0.02
@@ -28,6 +36,9 @@
 VARYING = b"varying"
 """How identities begin of requests of one caller that each end an upstream under other bytes."""
 _BACK_SECONDS = 2.0
+_FIRST_EVENT_SECONDS = 0.25
+"""What ran for so long when it was cut had begun to answer."""
+SERVICE = Service("s", 50, None)
 MATE = b"mate"
 """How identities begin of sound requests of the same team, on another path."""
 
@@ -55,6 +66,17 @@
     target: bytes = b"/p"
     demand: Demand = field(default_factory=lambda: Demand("r"))
     sent: int = 0
+    sent_at: float = 0.0
+
+    @property
+    def service(self) -> Service:
+        """Return the one service that there is."""
+        return SERVICE
+
+    @property
+    def groups(self) -> tuple[Group, ...]:
+        """Return its groups, all on one route."""
+        return groups_of(SERVICE.name, self.team, "route", self.target, ())
 
     def as_request(self) -> Request:
         """Return what the keeper takes it for."""
@@ -74,6 +96,8 @@
         self._back: list[float] = []
         self._revision = 0
         self.quarantines = [Quarantine() for _ in range(gateways)]
+        self.isolations = [Isolation() for _ in range(gateways)]
+        self.wards = [Ward(item, self._view, lambda: self.now) for item in self.isolations]
         self.keepers = [self._keeper(number) for number in range(gateways)]
         self.alive = set(range(gateways))
         self.outcomes: Counter[tuple[bytes, str]] = Counter()
@@ -89,6 +113,7 @@
         return QuarantineKeeper(
             f"gw-{number}",
             self.quarantines[number],
+            self.isolations[number],
             self._view,
             self._has_ended,
             lambda news: self._tell(number, news),
@@ -100,7 +125,7 @@
     async def _has_ended(self, upstream: Upstream) -> bool:
         return upstream.id not in self._running
 
-    def _tell(self, sender: int, news: SuspectNews | ClearedNews) -> None:
+    def _tell(self, sender: int, news: SuspectNews | ClearedNews | GroupNews) -> None:
         for number in self.alive - {sender}:
             self.datagrams += 1
             if self.rng.random() >= self._loss:
@@ -137,7 +162,9 @@
     async def arrive(self, identity: bytes, seconds: float) -> None:
         """Let a request come to some gateway and run for so long."""
         gateway = self.rng.choice(sorted(self.alive))
-        await self._send(Arrival(identity, gateway, seconds))
+        kind = next((kind for kind in (VARYING, MATE) if identity.startswith(kind)), b"p")
+        team = "team" if kind == b"p" else "caller"
+        await self._send(Arrival(identity, gateway, seconds, team, b"/" + kind))
 
     async def _send(self, arrival: Arrival) -> None:
         keeper = self.keepers[arrival.gateway]
@@ -145,24 +172,37 @@
             return self._note(arrival, "held")
         if not self._running:
             return self._note(arrival, "none")
-        name = self.rng.choice(sorted(self._running))
+        name = self._choose(arrival)
+        if name is None:
+            return self._note(arrival, "isolated")
         arrival.sent += 1
         if is_deadly(arrival.identity):
             self.deadly_sent.append(self.now)
         seconds = 0.1 if is_deadly(arrival.identity) else arrival.ends
-        self._running[name].append(
-            Arrival(
-                arrival.identity, arrival.gateway, self.now + seconds, sent=arrival.sent
-            )
-        )  # fmt: skip
+        self._running[name].append(replace(arrival, ends=self.now + seconds, sent_at=self.now))
         return None
 
+    def _choose(self, arrival: Arrival) -> str | None:
+        ward = self.wards[arrival.gateway]
+        request = arrival.as_request()
+        if ward.wait(request):
+            return None
+        free = sorted(self._running.keys() - ward.barred(request))
+        if not free:
+            return None
+        name = self.rng.choice(free)
+        upstream = Upstream(name, "s", "10.0.0.1:1", "z", 8, False)
+        running = len(self._running[name])
+        choice = Choice(upstream, 0.0, 0.0, 0, 0, 0.0, running=running)
+        return name if ward.admits(request, choice) else None
+
     async def _cut(self, arrival: Arrival, upstream: str) -> None:
         keeper = self.keepers[arrival.gateway]
         found = self._view.find(upstream)
         if arrival.gateway not in self.alive or found is None:
             return
-        await asyncio.wait((keeper.note_cut(arrival.as_request(), found),))
+        begun = self.now - arrival.sent_at >= _FIRST_EVENT_SECONDS
+        await asyncio.wait((keeper.note_cut(arrival.as_request(), found, begun),))
         keeper.tell_due()
         if arrival.sent < 2 and keeper.may_be_sent_on(arrival.as_request()):
             arrival.ends = 0.5
