A gateway that starts in an outage asks for the requests that are held first, and serves none before

Cause: the two seconds after which a gateway serves without the holds counted from its start, so that one which started in a longer outage read configuration and holds at once when the store was back and served with the first of both; requests were taken also before it was ready. Change: they count while the store answers other calls, and before them requests are turned away as not run. The test of it fails on the code before. What is left: a store that answers other calls for two seconds and not this one; holds that could not be stored before all were killed. Ruled out: waiting for the holds for ever, which would serve nobody where they alone cannot be read.

--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/gateway/front.py
@@ -164,7 +164,7 @@
         self, scope: Scope, receive: Receive, demand: Demand, arrived: float
     ) -> Request:
         table = self._parts.configuration.table
-        if table is None or not self.open:
+        if table is None or not self.open or not self._parts.knows_holds():
             raise _TurnedAwayError(503, _NOT_READY_SECONDS)
         headers = list(scope["headers"])
         if sum(len(name) + len(value) + 4 for name, value in headers) > table.limits.header_bytes:
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -63,9 +63,6 @@
 """Kept of the time to stop, so that the process ends by itself."""
 _TICK_SECONDS = 0.05
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-_HOLDS_SECONDS = 2.0
-"""A gateway that knows its configuration and cannot learn which requests are held serves all the
-same after so long."""
 _FIXED_SETTINGS = ("name", "hall", "region", "clients", "readiness", "peers", "store", "duties")
 """Settings that take a restart."""
 
@@ -163,6 +160,7 @@
                 clock=clocks.now,
                 suspension=self.suspension,
                 view_is_fresh=self.views.fresh,
+                knows_holds=self.views.knows_holds,
             )
         )
         protocol = functools.partial(ClientProtocol, limits=self._client_limits)
@@ -172,25 +170,13 @@
             settings.readiness,
         )
         add_gauges(self)
-        self._configured_at: float | None = None
-        """When the configuration was first seen to be known."""
         self._stopping = False
         self._following: list[asyncio.Task[None]] = []
 
     def ready(self) -> bool:
         """Return whether clients may be sent here."""
         known = self.views.configuration.table is not None and self.views.upstreams.known
-        return known and self._knows_holds() and not self._stopping
-
-    def _knows_holds(self) -> bool:
-        """Return whether it is known, or has been asked for long enough, which requests are held.
-
-        One that started with nothing would send them to upstreams again.
-        """
-        if self._configured_at is None:
-            self._configured_at = clocks.now()
-        waited = clocks.now() - self._configured_at
-        return self.views.holds.revision >= 0 or waited > _HOLDS_SECONDS
+        return known and self.views.knows_holds() and not self._stopping
 
     async def run(self, reload_asked: Callable[[], bool] = lambda: False) -> None:
         """Serve until a signal says to stop, and then finish what is in progress.
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -51,3 +51,5 @@
     suspension: SuspensionWatch
     view_is_fresh: Callable[[], bool]
     """Whether the store or a peer has lately confirmed what is known."""
+    knows_holds: Callable[[], bool]
+    """Whether it is known which requests are to reach no upstream."""
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -26,7 +26,8 @@
     from lotushill.views.watcher import Store
 
 _HOLDS_FIRST_SECONDS = 2.0
-"""Where the holds alone cannot be read, the configuration is read all the same after so long."""
+"""Where the holds alone cannot be read, requests are served all the same after so long: one that is
+held may end upstreams, and none served ends all."""
 _UNREADABLE = (
     ValueError,
     TypeError,
@@ -59,7 +60,8 @@
         self._clock = clock
         self._role = role
         self._on_configuration = on_configuration
-        self._started = clock()
+        self._configured_at: float | None = None
+        """When a configuration was first in force, whoever told it."""
         self._doubted_at = float("-inf")
         self._configuration = FollowedConfiguration(log, self._note_configuration, self._may_start)
         self._upstreams = FollowedUpstreams(log, clock, self._away_at)
@@ -89,6 +91,16 @@
         """Take for gone what stayed away for too long after an outage of the store."""
         self._upstreams.expire()
 
+    def knows_holds(self) -> bool:
+        """Return whether it is known, or has been asked for long enough, which requests are held.
+
+        A gateway that served before would send them to upstreams again.
+        """
+        if self._may_start():
+            return True
+        configured = self._configured_at
+        return configured is not None and self._clock() - configured > _HOLDS_FIRST_SECONDS
+
     # How this gateway stands with the store
 
     def contact(self) -> StoreContact:
@@ -128,12 +140,18 @@
         """Return whether the configuration, without which nothing is served, may be read.
 
         It is read after the holds: a gateway that had read it alone before the store went away
-        would send what is held to upstreams.
+        would send what is held to upstreams. Only a store that has answered other calls all the
+        while says that the holds alone cannot be read: with the time counted from the start, a
+        gateway that started in an outage read both at once when the store was back.
         """
-        waited = self._clock() - self._started
-        return self.holds.revision >= 0 or waited > _HOLDS_FIRST_SECONDS
+        if self.holds.revision >= 0:
+            return True
+        since = self._watchers[ViewKind.UPSTREAMS].answering_since
+        return since is not None and self._clock() - since > _HOLDS_FIRST_SECONDS
 
     def _note_configuration(self) -> None:
+        if self._configured_at is None:
+            self._configured_at = self._clock()
         self.settings.forget_routes()
         self._on_configuration()
 
--- a/src/lotushill/standin/metadata_app.py
+++ b/src/lotushill/standin/metadata_app.py
@@ -46,6 +46,8 @@
     def __init__(self, store: MetadataStore) -> None:
         self.store = store
         self.trouble = Trouble.NONE
+        self.busy_kind = ""
+        """A kind of objects whose calls alone are turned away, empty for none."""
         self.calls: list[str] = []
         """Every call so far, as method and path with its query."""
 
@@ -53,8 +55,9 @@
         """Serve one call."""
         query = scope["query_string"].decode("latin-1")
         self.calls.append(f"{scope['method']} {scope['path']}?{query}")
-        if self.trouble in (Trouble.BUSY, Trouble.MANY):
-            await send_json(send, 503 if self.trouble is Trouble.BUSY else 429, {})
+        busy = self.trouble is Trouble.BUSY or self._is_of_busy_kind(str(scope["path"]))
+        if busy or self.trouble is Trouble.MANY:
+            await send_json(send, 503 if busy else 429, {})
             return
         if self.trouble is Trouble.SILENT:
             await asyncio.Event().wait()
@@ -63,6 +66,9 @@
             await asyncio.Event().wait()
         await send_json(send, status, body)
 
+    def _is_of_busy_kind(self, path: str) -> bool:
+        return bool(self.busy_kind) and path.split("/")[2:3] == [self.busy_kind]
+
     async def _answer(self, scope: Scope, receive: Receive, query: str) -> tuple[int, Any]:
         text = await read_body(receive, _MAX_BODY, _BODY_SECONDS)
         kind, _, name = unquote(str(scope["path"]).removeprefix(_ROOT)).partition("/")
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -119,6 +119,8 @@
         """Whether this gateway reads the kind itself."""
         self.failing = False
         """Whether the last call brought no answer."""
+        self.answering_since: float | None = None
+        """Since when each call was answered, None while the last one was not."""
 
     @property
     def away_at(self) -> float | None:
@@ -200,12 +202,15 @@
 
     def _note_answer(self) -> None:
         self._pause = _FIRST_PAUSE_SECONDS
+        if self.answering_since is None:
+            self.answering_since = self._clock()
         if self.failing:
             self.failing = False
             self._log.note("dependency.regained", name="store", kind=self._kind.name)
 
     async def _back_off(self, error: StoreError) -> None:
         self._away_at = self._asked_at
+        self.answering_since = None
         if not self.failing:
             self.failing = True
             self._log.note("dependency.lost", name="store", kind=self._kind.name, error=repr(error))
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -226,6 +226,7 @@
         self.view = UpstreamView()
         self.settings = SettingsView()
         self.fresh = True
+        self.knows_holds = True
         self.slack = slack
         self.team_priority = team_priority
         self.lines: list[bytes] = []
@@ -299,6 +300,7 @@
             clock=self.clock,
             suspension=self.suspension,
             view_is_fresh=lambda: self.fresh,
+            knows_holds=lambda: self.knows_holds,
         )
         self.front = Front(self.parts)
         self.server = HttpServer(self.front, "127.0.0.1:0", protocol=ClientProtocol)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -76,6 +76,25 @@
         self.assertGreater(float(last.headers["retry-after"]), 1.0)
 
 
+class TestBeforeTheHoldsAreKnown(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_sent_though_the_configuration_is_known(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            rig.knows_holds = False
+            early = await rig.call("r1")
+            rig.knows_holds = True
+            later = await rig.call("r2")
+        self.assertEqual((503, 200, ["r2"]), (early.status, later.status, ids(upstream)))
+
+
+async def whole(seen: Seen) -> None:
+    seen.whole()
+
+
+def ids(upstream: ScriptedUpstream) -> list[str]:
+    return [seen.id for seen in upstream.seen]
+
+
 class TestWhatIsNoEnd(unittest.IsolatedAsyncioTestCase):
     """Cuts for which the request is not to blame."""
 
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -265,6 +265,59 @@
 
 
 class TestOrderOfReading(StoreCase):
+    """All gateways were killed while the store was away, and one held request was sent once more.
+
+    A gateway that had started in an outage of two seconds and more read its configuration and the
+    holds at once when the store was back, and served as soon as it had the first of both. It took
+    requests also before it was ready.
+    """
+
+    async def test_a_store_that_comes_back_late_is_asked_for_the_holds_first(self) -> None:
+        self.store.put("config", "main", SPEC)
+        self.app.trouble = Trouble.BUSY
+        views = self.follow_from_start()
+        while not any(b"dependency.lost" in line for line in self.lines):
+            await asyncio.sleep(0.005)
+        self.now += 10.0
+        self.app.busy_kind = "lotushill-quarantine"
+        self.app.trouble = Trouble.NONE
+        while not views.upstreams.known:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.2)
+        before = views.configuration.table
+        self.app.busy_kind = ""
+        while views.configuration.table is None:
+            await asyncio.sleep(0.005)
+        await self.stop_following()
+        self.assertIsNone(before)
+        self.assertGreaterEqual(views.holds.revision, 0)
+
+    async def test_where_the_holds_alone_cannot_be_read_it_serves_after_two_seconds(self) -> None:
+        self.store.put("config", "main", SPEC)
+        self.app.busy_kind = "lotushill-quarantine"
+        views = self.follow_from_start()
+        while not views.upstreams.known:
+            await asyncio.sleep(0.005)
+        self.assertFalse(views.knows_holds())
+        self.now += 2.1
+        while views.configuration.table is None:
+            await asyncio.sleep(0.005)
+        await self.stop_following()
+        self.assertTrue(views.knows_holds())
+
+    def follow_from_start(self) -> StoreViews:
+        self.lines: list[bytes] = []
+        self.now = 1000.0
+        log = EventLog("gw", self.lines.append)
+        views = StoreViews(self.client, random.Random(1), log, lambda: None, clock=lambda: self.now)
+        self.tasks = views.tasks()
+        return views
+
+    async def stop_following(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
     async def test_the_configuration_is_read_after_the_requests_that_are_held(self) -> None:
         """A store that goes away between would leave a gateway that serves and knows no holds."""
         self.store.put("config", "main", SPEC)
