--- /dev/null
+++ b/src/lotushill/availability/patience.py
@@ -0,0 +1,31 @@
+"""Whether a request waits where all upstreams that could serve it want a rest. Pure.
+
+The load that it answers: all engines of a service turn requests away for some seconds and ask for
+rest. A caller that is refused comes back to any gateway, mostly with its last try, and no sooner
+than it is told to; one that waits here is served as soon as the first engine takes requests again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.placement.need import Need
+
+WAIT_SHARE = 1.0
+"""Of its target, up to which a request waits for the end of a rest.
+
+Replayed with nine gateways before ten engines that all turn away, with rests of 0.4 s and of 3 s,
+and before five of them: credit earned 0.866, 0.819 and 0.794, against 0.838, 0.797 and 0.784 where
+all are refused at once (means of six seeds). Twice the target earned 0.873, 0.821 and 0.791, and
+holds callers longer.
+"""
+_TIER_SECONDS = 0.01
+"""By so much later each less urgent tier looks again: at a rest's end one request goes first, and
+it is to be one of the most urgent."""
+
+
+def rest_pause(rest_ends_in: float, waited: float, need: Need) -> float | None:
+    """Return for how long a request that has waited so long is to wait, None if it is refused."""
+    pause = rest_ends_in + need.tier * _TIER_SECONDS
+    return pause if waited + pause <= WAIT_SHARE * need.target else None
--- a/src/lotushill/availability/rests.py
+++ b/src/lotushill/availability/rests.py
@@ -11,16 +11,13 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Iterable
 
-_SPREAD_SHARE = 0.1
-_LONGEST_SPREAD_SECONDS = 0.5
-"""A rest is kept longer by up to so much, drawn for each: what waited at all gateways would come
-back within the same moment, and be turned away together."""
 _TRIAL_SECONDS = 0.1
 """After a rest one request goes first. Whoever still wants none turns it away within a round trip
-of some milliseconds; who has not done so after ten times as long has taken it."""
+of some milliseconds; who has not done so after ten times as long has taken it. In replays of ten
+and of five engines that turn all away for two seconds, with rests of 0.4 s, they refused 455 and
+351 requests without it, 382 and 248 with it (means of four seeds)."""
 _NOBODY: frozenset[str] = frozenset()
 
 
@@ -43,8 +40,7 @@
 class Rests:
     """Rests by the id of an upstream's life: a later life is free at once."""
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self) -> None:
         self._rests: dict[str, _Rest] = {}
         self.asked = 0
         """Rests that were asked for so far."""
@@ -56,8 +52,7 @@
         word to a later one takes nothing back of what was asked before.
         """
         self.asked += 1
-        spread = min(_LONGEST_SPREAD_SECONDS, _SPREAD_SHARE * seconds)
-        until = now + seconds + self._rng.uniform(0.0, spread)
+        until = now + seconds
         known = self._rests.get(upstream_id)
         self._rests[upstream_id] = _Rest(max(until, known.until if known else until))
 
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from lotushill.availability.patience import rest_pause
 from lotushill.gateway.attempt import Attempt
 from lotushill.gateway.attempt_end import EndKind
 from lotushill.gateway.attempt_news import AttemptNews
@@ -143,8 +144,8 @@
             found = await self._look()
             if isinstance(found, Placement):
                 return found
-            pause = self._pause(found)
-            if self._clock() + pause > gives_up:
+            pause = self._pause(found, gives_up)
+            if pause is None:
                 break
             await anyio.sleep(pause)
         self._note_refusal(found)
@@ -165,11 +166,16 @@
             return NoChoice(Refusal.ISOLATED, _RETRY_SECONDS)
         return found
 
-    def _pause(self, found: NoChoice) -> float:
-        """Return after how many seconds an upstream is worth looking for again."""
-        if found.refusal in (Refusal.RESTING, Refusal.ISOLATED):
-            return found.retry_after
-        return _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+    def _pause(self, found: NoChoice, gives_up: float) -> float | None:
+        """Return after how many seconds to look again, None to refuse now."""
+        request, now = self._request, self._clock()
+        if found.refusal is Refusal.RESTING:
+            pause = rest_pause(found.retry_after, now - request.arrived, request.need)
+            return pause if pause is not None and now + pause < request.ends else None
+        pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+        if found.refusal is Refusal.ISOLATED:
+            pause = found.retry_after
+        return pause if now + pause <= gives_up else None
 
     def _note_refusal(self, found: NoChoice) -> None:
         request = self._request
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -112,7 +112,7 @@
             self.views.upstreams.of,
             self.peers.model_sync.ready,
         )
-        self.rests = Rests(rng)
+        self.rests = Rests()
         placer = Placer(
             settings.name,
             self.fleet,
--- a/src/lotushill/load/policy/client.py
+++ b/src/lotushill/load/policy/client.py
@@ -34,3 +34,5 @@
     sent_at: float = 0.0
     over: bool = False
     excluded: frozenset[str] = frozenset()
+    rejected: int = 0
+    """Engines that have turned this try away."""
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -10,6 +10,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from lotushill.availability.patience import rest_pause
+from lotushill.availability.rests import Rests
 from lotushill.load.policy.arrivals import Arrivals
 from lotushill.load.policy.engine import Engine
 from lotushill.load.policy.engine import EngineFigures
@@ -18,6 +20,8 @@
 from lotushill.load.policy.result import Tally
 from lotushill.load.policy.result import put_behind
 from lotushill.placement.choice import Choice
+from lotushill.placement.choice import NoChoice
+from lotushill.placement.choice import Refusal
 from lotushill.placement.fleet import PACED_EVENTS
 from lotushill.placement.fleet import Fleet
 from lotushill.placement.kept_parts import chained
@@ -37,7 +41,7 @@
     from lotushill.load.policy.scenario import Loss
     from lotushill.load.policy.scenario import RequestClass
     from lotushill.load.policy.scenario import Scenario
-    from lotushill.placement.choice import NoChoice
+    from lotushill.load.policy.scenario import Shed
 
 _NEWS_SECONDS = 0.03
 """Until other schedulers hear of something: a batch and the way."""
@@ -46,6 +50,7 @@
 """Of its target, how long a request waits at a gateway before it is refused."""
 _POLL_SECONDS = 0.03
 _MOST_UNSENT = 4
+_MOST_REJECTED = 3
 _RETURN_SHARE = 1.0 / 3.0
 """Of the time left: a client comes back no later than this."""
 
@@ -92,10 +97,15 @@
         self._busy = [False] * scenario.engines
         self._up = [True] * scenario.engines
         self._listed = [True] * scenario.engines
+        self._rest_asked = [0.0] * scenario.engines
+        """Seconds of rest that an engine asks for while it turns all away, 0 while it does not."""
+        self._rests = [Rests() for _ in range(scenario.schedulers)]
         self._clients: dict[int, Client] = {}
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
         self.windows: dict[int, Tally] = {}
+        self.turned_away = 0
+        """Requests that engines have refused with a wish for rest."""
 
     def play(self) -> Result:
         """Play to the end."""
@@ -103,12 +113,15 @@
             self._next_arrival(kind)
         for loss in self.scenario.losses:
             self._plan(loss)
+        for shed in self.scenario.sheds:
+            self._plan_shed(shed)
         ends = self.scenario.seconds + max(item.deadline for item in self.scenario.classes)
         while self._events and self._events[0].at <= ends:
             event = heapq.heappop(self._events)
             self.now = event.at
             event.act()
-        return Result(self.tallies, self.windows, put_behind(self.scenario, self._all))
+        behind = put_behind(self.scenario, self._all)
+        return Result(self.tallies, self.windows, behind, self.turned_away)
 
     def _at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, _Event(when, next(self._order), act))
@@ -140,18 +153,34 @@
     def _place(self, client: Client) -> None:
         if client.over:
             return
-        fleet = self.fleets[client.scheduler]
-        known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
-        found = fleet.choose(client.need, self.service, known, client.excluded, self.now)
+        found = self._choose(client)
         if isinstance(found, Choice):
             self._send(client, found)
             return
-        pause = _POLL_SECONDS * self._rng.uniform(0.7, 1.3)
-        if self.now + pause <= client.waited_since + _WAIT_SHARE * client.kind.target:
+        pause = self._pause(client, found)
+        if pause is not None:
             self._at(self.now + pause, lambda: self._place(client))
             return
         self._refuse(client, found)
 
+    def _choose(self, client: Client) -> Choice | NoChoice:
+        fleet, rests = self.fleets[client.scheduler], self._rests[client.scheduler]
+        known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
+        resting = rests.barred(self.now)
+        awake = [item for item in known if item.id not in resting | client.excluded]
+        if resting and not awake:
+            return NoChoice(Refusal.RESTING, rests.first_end(resting, self.now))
+        excluded = client.excluded | resting
+        return fleet.choose(client.need, self.service, known, excluded, self.now)
+
+    def _pause(self, client: Client, found: NoChoice) -> float | None:
+        """Return after how long a request is looked at again, None where it is refused now."""
+        waited, target = self.now - client.waited_since, client.kind.target
+        if found.refusal is Refusal.RESTING:
+            return rest_pause(found.retry_after, waited, client.need)
+        pause = _POLL_SECONDS * self._rng.uniform(0.7, 1.3)
+        return pause if waited + pause <= _WAIT_SHARE * target else None
+
     def _refuse(self, client: Client, refusal: NoChoice) -> None:
         left = client.arrived + client.kind.deadline - self.now
         pause = min(refusal.retry_after, _RETURN_SHARE * left)
@@ -163,6 +192,8 @@
 
         def come_back() -> None:
             client.waited_since = self.now
+            client.excluded = frozenset()
+            client.rejected = 0
             self._place(client)
 
         self._at(self.now + pause, come_back)
@@ -172,6 +203,7 @@
         client.number, client.choice = number, choice
         client.engine = int(choice.upstream.id[1:])
         client.sent_at = self.now
+        self._rests[client.scheduler].note_sent(choice.upstream.id, self.now)
         self._clients[number] = client
         told = placed(number, client.need, choice, True)
         mine = self.fleets[client.scheduler]
@@ -204,9 +236,17 @@
             number, client.need.tier, client.need.prompt_tokens, client.output,
             client.need.prompt_tokens, chain,
         )  # fmt: skip
+        if self._rest_asked[client.engine]:
+            self._turn_away(client)
+            return
         if not self._up[client.engine] or not engine.accept(run, self.now):
             self._not_run(client)
             return
+        name = self.upstreams[client.engine].id
+        self._at(
+            self.now + _WAY_SECONDS,
+            lambda: self._rests[client.scheduler].note_taken(name, self.now),
+        )
         client.run = run
         if client.need.patience < client.kind.deadline:
             self._at(client.sent_at + client.need.patience, lambda: self._impatient(client, run))
@@ -224,6 +264,19 @@
             return
         self._place(client)
 
+    def _turn_away(self, client: Client) -> None:
+        """Let an engine refuse a request and ask for rest."""
+        self.turned_away += 1
+        name, seconds = self.upstreams[client.engine].id, self._rest_asked[client.engine]
+        self._rests[client.scheduler].note_asked(name, seconds, self.now)
+        self._end_run(client, Outcome.FAILED)
+        client.excluded |= {name}
+        client.rejected += 1
+        if client.rejected >= _MOST_REJECTED:
+            self._refuse(client, NoChoice(Refusal.RESTING, seconds))
+            return
+        self._at(self.now + _WAY_SECONDS, lambda: self._place(client))
+
     def _impatient(self, client: Client, run: Run) -> None:
         if client.run is run and not run.events and not client.over:
             self._leave(client, "no event for too long")
@@ -312,7 +365,16 @@
             setattr(tally, end, getattr(tally, end) + 1)
             tally.earned += earned
 
-    # Losses of engines
+    # Engines that shed, and losses of engines
+
+    def _plan_shed(self, shed: Shed) -> None:
+        count = round(shed.share * len(self.engines))
+        for index in self._rng.sample(range(len(self.engines)), count):
+            self._at(shed.at, functools.partial(self._ask_rest, index, shed.rest))
+            self._at(shed.at + shed.seconds, functools.partial(self._ask_rest, index, 0.0))
+
+    def _ask_rest(self, index: int, seconds: float) -> None:
+        self._rest_asked[index] = seconds
 
     def _plan(self, loss: Loss) -> None:
         count = round(loss.share * len(self.engines))
--- a/src/lotushill/load/policy/result.py
+++ b/src/lotushill/load/policy/result.py
@@ -60,6 +60,8 @@
     windows: dict[int, Tally]
     """By two seconds of arrival."""
     put_behind: list[PutBehind]
+    turned_away: int = 0
+    """Requests that engines refused with a wish for rest."""
 
     @property
     def credit(self) -> float:
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -54,6 +54,17 @@
     """How long before it nothing new is sent there; 0 for a crash."""
 
 
+@dataclass(frozen=True)
+class Shed:
+    """A share of the engines turns all requests away for a while, and asks for rest."""
+
+    at: float
+    seconds: float
+    share: float
+    rest: float
+    """Seconds that each refusal asks for."""
+
+
 @dataclass(frozen=True)
 class Scenario:
     """One load."""
@@ -66,6 +77,7 @@
     classes: tuple[RequestClass, ...]
     bursts: tuple[Burst, ...] = ()
     losses: tuple[Loss, ...] = ()
+    sheds: tuple[Shed, ...] = ()
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
@@ -89,5 +101,6 @@
         classes=tuple(RequestClass(**item) for item in value["classes"]),
         bursts=tuple(Burst(**item) for item in value.get("bursts", ())),
         losses=tuple(Loss(**item) for item in value.get("losses", ())),
+        sheds=tuple(Shed(**item) for item in value.get("sheds", ())),
         variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
     )
