The soak has engines that shed and leave by word, and a caller whose bodies differ; what it found

Rests are now kept until their end, whether or not their upstream is listed. A gateway that starts anew hears which groups are kept apart (before, it sent them to any engine until it had seen three ends itself). The stand-in of the store prints no trace when it stops with calls that wait.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,6 +1,6 @@
 """Runs the soak over many seeds, some at a time, and prints a line for each.
 
-    python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4]
+    python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain]
 
 Real gateways before engines that come and go, with one caller whose request ends engines. Exits
 with 1 if a promise was broken, or if less than 0.97 of the ordinary requests at an end were served.
@@ -25,19 +25,19 @@
 """Beyond its length that a run may take, for its start and its end."""
 
 
-def play(seed: int, seconds: float) -> Result:
+def play(seed: int, seconds: float, words: bool) -> Result:
     """Make one run; one that does not come to its end shows where it stands."""
     faulthandler.dump_traceback_later(seconds + _SPARE_SECONDS, exit=True)
     try:
-        return asyncio.run(_play(seed, seconds))
+        return asyncio.run(_play(seed, seconds, words))
     finally:
         faulthandler.cancel_dump_traceback_later()
 
 
-async def _play(seed: int, seconds: float) -> Result:
+async def _play(seed: int, seconds: float, words: bool) -> Result:
     try:
         async with asyncio.timeout(seconds + _SPARE_SECONDS / 2):
-            return await Soak(seed, seconds).run()
+            return await Soak(seed, seconds, words).run()
     except TimeoutError:
         for task in asyncio.all_tasks():
             task.print_stack()
@@ -51,11 +51,15 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument(
+        "--plain", action="store_true", help="without engines that shed or leave by word"
+    )
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     bad = 0
     with ProcessPoolExecutor(options.jobs) as pool:
-        results = pool.map(play, seeds, [options.seconds] * options.seeds)
+        lengths = [options.seconds] * options.seeds
+        results = pool.map(play, seeds, lengths, [not options.plain] * options.seeds)
         for seed, result in zip(seeds, results):
             bad += _print(seed, result)
     print(f"{len(seeds) - bad} of {len(seeds)} seeds without a fault")
@@ -68,7 +72,9 @@
         wrong.append("too few served at the end")
     print(
         f"seed {seed}: {result.tries} tries, {result.engines_ended} engines ended by the deadly "
-        f"request, {result.late_sends} late sends; at the end served: ordinary "
+        f"request, {result.late_sends} late sends, {result.ended_by_varying} by bodies that "
+        f"differ; {result.rests} rests, {result.leavings} answers that say leaving; at the end "
+        f"served: ordinary "
         f"{result.served[0]}/{result.served[1]}, common "
         f"{result.common_served[0]}/{result.common_served[1]}; "
         f"{len(result.idle_engines)} engines idle{'; WRONG: ' if wrong else ''}{'; '.join(wrong)}",
--- a/src/lotushill/availability/rests.py
+++ b/src/lotushill/availability/rests.py
@@ -88,7 +88,12 @@
         ends = [self._rests[name].ends() for name in upstream_ids if name in self._rests]
         return max(0.0, min(ends, default=now) - now)
 
-    def forget(self, known: set[str]) -> None:
-        """Drop the rests of upstreams that no view knows."""
+    def forget(self, known: set[str], now: float) -> None:
+        """Drop the rests of upstreams that no view knows, once they are over.
+
+        An entry that lapses or cannot be read for a while comes back within the rest: forgotten
+        with the entry, one engine was sent three requests in 1.2 s of rest.
+        """
         for upstream_id in self._rests.keys() - known:
-            del self._rests[upstream_id]
+            if now >= self._rests[upstream_id].until:
+                del self._rests[upstream_id]
--- a/src/lotushill/availability/trickle.py
+++ b/src/lotushill/availability/trickle.py
@@ -39,6 +39,11 @@
         """Return whether there is anything to tell."""
         return self._ends < math.inf
 
+    @property
+    def next_due(self) -> float:
+        """Return when `is_due` is to be asked, infinity for never."""
+        return min(self._tells, self._ends)
+
     def reset(self, now: float) -> None:
         """Begin with the shortest interval, since something is new here or to another one."""
         if self.running and self._interval == SHORTEST_SECONDS:
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -216,7 +216,7 @@
             known = {upstream.id for upstream in self.views.upstreams.all()}
             self.pool.sweep(known)
             self.fleet.forget(known, clocks.now())
-            self.rests.forget(known)
+            self.rests.forget(known, clocks.now())
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
--- a/src/lotushill/gateway/quarantine_keeper.py
+++ b/src/lotushill/gateway/quarantine_keeper.py
@@ -8,9 +8,11 @@
 
 import anyio
 
+from lotushill.availability.trickle import Trickle
 from lotushill.links.messages import ClearedNews
 from lotushill.links.messages import GroupEnd
 from lotushill.links.messages import GroupNews
+from lotushill.links.messages import IsolatedGroup
 from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import SuspectState
 from lotushill.quarantine.end_watch import Cut
@@ -72,6 +74,7 @@
         self._plan = NewsPlan(rng)
         self._group_plan: RepeatPlan[GroupEnd] = RepeatPlan()
         self._group_proofs: RepeatPlan[Group] = RepeatPlan()
+        self._isolated_timer = Trickle(rng)
         self._rng = rng
         self._watch = EndWatch()
         self._checks: dict[str, asyncio.Task[bool | None]] = {}
@@ -189,12 +192,28 @@
             self._group_proofs.tell_at(group, now + self._rng.uniform(0.0, PROOF_SECONDS))
             self._wake.set()
 
+    def _hear_isolated(self, told: tuple[IsolatedGroup, ...], now: float) -> None:
+        """Keep apart what a peer keeps apart: one that starts anew saw none of the ends."""
+        if not told:
+            return
+        for item in told:
+            group = Group(item.service, item.label)
+            if self._isolation.adopt(group, item.left, item.pause, now):
+                self._note_isolated(group, "")
+        if {Group(item.service, item.label) for item in told} >= set(self._isolation.groups(now)):
+            self._isolated_timer.hear()
+
+    def _note_isolated(self, group: Group, upstream: str) -> None:
+        self._log.note(
+            "quarantine.isolated", service=group.service, group=group.label, upstream=upstream
+        )
+        self._isolated_timer.reset(self._clock())
+        self._wake.set()
+
     def _take_group(self, end: GroupEnd, teller: str, now: float) -> None:
         group = Group(end.service, end.label)
         if self._isolation.note_end(group, end.upstream, teller, end.whole, now):
-            self._log.note(
-                "quarantine.isolated", service=end.service, group=end.label, upstream=end.upstream
-            )
+            self._note_isolated(group, end.upstream)
 
     def _tell_proof(self, identity: bytes, now: float) -> None:
         if self._quarantine.knows_whole(identity, now):
@@ -208,6 +227,7 @@
         if isinstance(news, GroupNews):
             for end in news.ends:
                 self._hear_group(end, news.sender, now)
+            self._hear_isolated(news.isolated, now)
             return
         if isinstance(news, SuspectNews):
             for state in news.suspects:
@@ -266,7 +286,10 @@
     def next_due(self) -> float:
         """Return when something is to be told."""
         return min(
-            self._plan.next_due(), self._group_plan.next_due(), self._group_proofs.next_due()
+            self._plan.next_due(),
+            self._group_plan.next_due(),
+            self._group_proofs.next_due(),
+            self._isolated_timer.next_due,
         )
 
     def tell_due(self) -> None:
@@ -282,6 +305,20 @@
         for start in range(0, len(ends), _MOST_IN_DATAGRAM):
             self._tell(GroupNews(self._name, tuple(ends[start : start + _MOST_IN_DATAGRAM])))
 
+        self._tell_isolated()
+
+    def _tell_isolated(self) -> None:
+        now = self._clock()
+        terms = self._isolation.terms(now)
+        if not terms:
+            self._isolated_timer.stop()
+        elif self._isolated_timer.is_due(now):
+            told = [
+                IsolatedGroup(group.service, group.label, term.left, term.pause)
+                for group, term in terms.items()
+            ]
+            self._tell(GroupNews(self._name, isolated=tuple(told[:_MOST_IN_DATAGRAM])))
+
     def _due_group_proofs(self) -> list[GroupEnd]:
         """Return whole answers that are due to be told: once enough are known, no more are."""
         now = self._clock()
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -162,9 +162,17 @@
   whole @3 :UInt32;
 }
 
+struct IsolatedGroup {
+  service @0 :Text;
+  label @1 :Text;
+  left @2 :Float64;
+  pause @3 :Float64;
+}
+
 struct GroupNews {
   sender @0 :Text;
   ends @1 :List(GroupEnd);
+  isolated @2 :List(IsolatedGroup);
 }
 
 struct Frame {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -277,12 +277,26 @@
     """Requests of the group that the sender had answered whole of late."""
 
 
+@dataclass(frozen=True)
+class IsolatedGroup:
+    """A group that is kept apart; times are seconds."""
+
+    service: str
+    label: str
+    left: float
+    """How much longer."""
+    pause: float
+    """After its next end."""
+
+
 @dataclass(frozen=True)
 class GroupNews:
     """Groups of requests under which upstreams ended."""
 
     sender: str
-    ends: tuple[GroupEnd, ...]
+    ends: tuple[GroupEnd, ...] = ()
+    isolated: tuple[IsolatedGroup, ...] = ()
+    """What the sender keeps apart, empty where it tells of ends alone."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/quarantine/isolation.py
+++ b/src/lotushill/quarantine/isolation.py
@@ -40,6 +40,7 @@
 _LONGEST_PAUSE_SECONDS = 30.0
 """After each end of an upstream under a group that is kept apart nothing of it is tried for a pause
 that doubles: what ran alone has been shown to be the cause."""
+_LONGEST_TERM_SECONDS = _TERM_SECONDS + _LONGEST_PAUSE_SECONDS
 _MOST_GROUPS = 512
 _MOST_ENDS = 16
 _WHOLE_TOLD = 3 * _MOST_ENDS
@@ -47,6 +48,14 @@
 upstreams end at once their ends are heard before what speaks for the groups beside them."""
 
 
+@dataclass(frozen=True)
+class Term:
+    """How long a group is still kept apart, and the pause after its next end; seconds."""
+
+    left: float
+    pause: float
+
+
 @dataclass
 class _Evidence:
     """What stands against one group; times are on a steady clock."""
@@ -132,6 +141,27 @@
         if not evidence.shown and evidence.is_mostly_whole(now):
             evidence.until = float("-inf")
 
+    def adopt(self, group: Group, seconds: float, pause: float, now: float) -> bool:
+        """Keep a group apart for so long as a peer does; return whether that is news.
+
+        Not where whole answers that are known here speak for it.
+        """
+        evidence = self._of(group)
+        if evidence.is_mostly_whole(now):
+            return False
+        was_apart = now < evidence.until
+        evidence.until = max(evidence.until, now + min(_LONGEST_TERM_SECONDS, seconds))
+        evidence.pause = max(evidence.pause, min(_LONGEST_PAUSE_SECONDS, pause))
+        return not was_apart
+
+    def terms(self, now: float) -> dict[Group, Term]:
+        """Return all groups that are kept apart, with what is left of it."""
+        return {
+            group: Term(item.until - now, item.pause)
+            for group, item in self._evidence.items()
+            if now < item.until
+        }
+
     def needs_proof(self, group: Group, now: float) -> bool:
         """Return whether whole answers of a group that were not told yet speak for it."""
         evidence = self._evidence.get(group)
--- a/src/lotushill/standin/metadata_app.py
+++ b/src/lotushill/standin/metadata_app.py
@@ -59,12 +59,22 @@
         if busy or self.trouble is Trouble.MANY:
             await send_json(send, 503 if busy else 429, {})
             return
+        try:
+            status, body = await self._answer_in_trouble(scope, receive, query)
+        except asyncio.CancelledError:
+            # The server stops with calls that wait, which is no fault to be logged with a trace.
+            status, body = 503, {}
+        await send_json(send, status, body)
+
+    async def _answer_in_trouble(
+        self, scope: Scope, receive: Receive, query: str
+    ) -> tuple[int, Any]:
         if self.trouble is Trouble.SILENT:
             await asyncio.Event().wait()
-        status, body = await self._answer(scope, receive, query)
+        answer = await self._answer(scope, receive, query)
         if self.trouble is Trouble.LOST:
             await asyncio.Event().wait()
-        await send_json(send, status, body)
+        return answer
 
     def _is_of_busy_kind(self, path: str) -> bool:
         return bool(self.busy_kind) and path.split("/")[2:3] == [self.busy_kind]
--- a/tests/availability/test_rests.py
+++ b/tests/availability/test_rests.py
@@ -64,11 +64,14 @@
         self.assertAlmostEqual(0.9, kept.first_end(["a", "b"], 10.1), delta=0.01)
         self.assertEqual(0.0, kept.first_end(["c"], 10.1))
 
-    def test_what_no_view_knows_is_forgotten(self) -> None:
+    def test_what_no_view_knows_is_kept_until_its_end(self) -> None:
+        """An entry that could not be read for a second took the rest of its engine with it."""
         kept = Rests()
         kept.note_asked("a", 3.0, 10.0)
-        kept.forget({"b"})
-        self.assertFalse(kept.bars("a", 10.1))
+        kept.forget({"b"}, 11.0)
+        self.assertTrue(kept.bars("a", 11.1))
+        kept.forget({"b"}, 13.1)
+        self.assertEqual(0, len(kept._rests))
 
     @given(st.lists(st.tuples(st.floats(0.0, 40.0), st.floats(0.2, 30.0)), min_size=1, max_size=12))
     def test_however_wishes_overlap_none_is_broken_and_none_kept_long_after(
--- a/tests/quarantine/test_fleet.py
+++ b/tests/quarantine/test_fleet.py
@@ -98,6 +98,14 @@
                     self.assertGreaterEqual(fleet.share_whole(b"other"), 0.97)
                     self.assertGreaterEqual(fleet.share_whole(COMMON), 0.97)
 
+    async def test_a_gateway_that_starts_anew_keeps_apart_what_the_others_do(self) -> None:
+        fleet = VirtualFleet(9, 9, 1, loss=0.1)
+        await run(fleet, 5.0, deadly=0.0, others=50.0)
+        await run(fleet, 8.0, deadly=3.0, others=50.0, varying=True)
+        fleet.restart(0)
+        await run(fleet, 5.0, deadly=0.0, others=50.0)
+        self.assertEqual([True] * 9, [bool(item.groups(fleet.now)) for item in fleet.isolations])
+
     async def test_sound_requests_of_the_same_team_are_served_as_those_of_others(self) -> None:
         for seed in range(3):
             fleet = VirtualFleet(9, 9, seed, loss=0.1)
--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -122,6 +122,13 @@
             lambda: self.now,
         )
 
+    def restart(self, number: int) -> None:
+        """Let a gateway start anew, with nothing that it knew."""
+        self.quarantines[number] = Quarantine()
+        self.isolations[number] = Isolation()
+        self.wards[number] = Ward(self.isolations[number], self._view, lambda: self.now)
+        self.keepers[number] = self._keeper(number)
+
     async def _has_ended(self, upstream: Upstream) -> bool:
         return upstream.id not in self._running
 
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -11,6 +11,7 @@
 from tests.gateway.rig import read_answer
 from tests.gateway.rig import request_bytes
 from tests.soak.engine import DEADLY
+from tests.soak.engine import VARYING
 from tests.soak.engine import events
 from tests.soak.ledger import DEADLINE_SECONDS
 from tests.soak.ledger import Answer
@@ -28,6 +29,7 @@
     "once": "/once/x",
     "stream": "/stream/x",
     "deadly": "/p/deadly",
+    "varying": "/p/varying",
 }
 _KINDS = ("any", "any", "common", "once", "stream")
 _PATIENCE_SECONDS = 5.0
@@ -46,16 +48,19 @@
         self._gateway = ""
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def run(self, pause: float, deadly: bool = False) -> None:
-        """Send until cancelled, some `pause` seconds apart."""
+    async def run(self, pause: float, only: str = "") -> None:
+        """Send until cancelled, some `pause` seconds apart; without `only`, all ordinary kinds."""
         while True:
-            kind = "deadly" if deadly else self._rng.choice(_KINDS)
-            await self._try(kind)
+            await self._try(only or self._rng.choice(_KINDS))
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
 
     async def _try(self, kind: str) -> None:
         attempt = f"a{next(self._numbers)}"
-        body = {"deadly": DEADLY, "common": COMMON}.get(kind, f"body of {attempt}".encode())
+        body = {
+            "deadly": DEADLY,
+            "varying": VARYING + attempt.encode(),
+            "common": COMMON,
+        }.get(kind, f"body of {attempt}".encode())
         sent_at = time.monotonic()
         got = await self._exchange(attempt, body, _PATHS[kind])
         signed = "response-signature" in got.headers
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -7,8 +7,10 @@
 from typing import TYPE_CHECKING
 
 from tests.entries import entry
+from tests.gateway.rig import SIGNED
 from tests.gateway.rig import ScriptedUpstream
 from tests.soak.ledger import Arrival
+from tests.soak.ledger import Rest
 
 if TYPE_CHECKING:
     import random
@@ -18,11 +20,17 @@
     from tests.soak.ledger import Ledger
 
 DEADLY = b"every engine that begins this ends"
+VARYING = b"and so with all that begin like this: "
 KIND = "servers"
 _STREAMS = "/stream/"
 _EVENTS = 8
 _BACK_SECONDS = 1.5
 _DRAIN_SECONDS = 1.0
+_REST_DECIMALS = 2
+"""Rests are told as they are kept: one that was told 2 ms shorter looked broken by those that came
+right at its end."""
+_LEAVE_SECONDS = 6.0
+"""Some time after the last request that may still be sent to one that leaves."""
 
 
 def events(attempt: str) -> list[bytes]:
@@ -40,6 +48,10 @@
         self._rng = rng
         self._born = 0
         self._server: ScriptedUpstream | None = None
+        self._sheds_until = 0.0
+        self._rest = 0.0
+        self._leaving = ""
+        """The life that says in its answers that it leaves, empty for none."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -83,6 +95,22 @@
             self.tell(state="draining")
             self._later(self._end_drained())
 
+    def shed(self, seconds: float) -> None:
+        """Turn all away for so long, and ask for as much rest each time."""
+        self._rest = round(seconds, _REST_DECIMALS)
+        self._sheds_until = time.monotonic() + self._rest
+
+    async def leave_by_word(self) -> None:
+        """Say in answers that this life leaves, while its entry says `ready`, and end it later."""
+        if self._server is not None:
+            self._leaving = self.life
+            self._later(self._end_left(self.life))
+
+    async def _end_left(self, life: str) -> None:
+        await asyncio.sleep(_LEAVE_SECONDS)
+        if self.life == life:
+            await self.end()
+
     async def stop(self) -> None:
         """End for good."""
         for task in self._tasks:
@@ -109,10 +137,20 @@
         if seen.headers.get("target-instance") != self.name or server is None:
             seen.answer("421 Other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n")
             return
-        if seen.body == DEADLY:
-            self._ledger.deadly_sends.append(now)
+        self._ledger.arrivals.append(Arrival(seen.id, self.life, now))
+        if now < self._sheds_until:
+            self._ledger.rests.append(Rest(seen.id, self.life, now, self._rest))
+            seen.answer(
+                f"503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\nRetry-After: {self._rest}\r\n"
+            )
+            return
+        varying = seen.body.startswith(VARYING)
+        if varying or seen.body == DEADLY:
+            sends = self._ledger.varying_sends if varying else self._ledger.deadly_sends
+            sends.append(now)
             await asyncio.sleep(self._rng.uniform(0.03, 0.1))
-            self._ledger.deadly_ends.append(time.monotonic())
+            ends = self._ledger.varying_ends if varying else self._ledger.deadly_ends
+            ends.append(time.monotonic())
             self._server = None
             self._later(self._come_back())
             server.crash(seen)
@@ -121,11 +159,18 @@
             await self._stream_events(seen)
             return
         await asyncio.sleep(self._rng.uniform(0.01, 0.15))
-        seen.whole(f"{seen.id} done".encode())
+        seen.whole(f"{seen.id} done".encode(), f"200 OK{self._word(seen)}")
+
+    def _word(self, seen: Seen) -> str:
+        """Return the header of one that leaves, and note that it was said."""
+        if self._leaving != self.life:
+            return ""
+        self._ledger.leavings.append(Arrival(seen.id, self.life, time.monotonic()))
+        return "\r\nServer-Leaving: 1"
 
     async def _stream_events(self, seen: Seen) -> None:
         """Send the events that come after the last one that the request names."""
-        seen.start_events()
+        seen.answer(f"200 OK{self._word(seen)}\r\nTransfer-Encoding: chunked\r\n{SIGNED}")
         done = int(seen.headers.get("last-event-id") or 0)
         for event in events(seen.id)[done:]:
             seen.chunk(event)
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -50,6 +50,8 @@
         """Everything that the gateways logged."""
         self.on_absence: Callable[[str, float, float], None] = lambda *_: None
         """Hears of a gateway, by its address, that was killed or stood still between two times."""
+        self.on_restart: Callable[[str, float], None] = lambda *_: None
+        """Hears of a gateway, by its address, that starts with nothing it knew."""
         self.errors: list[str] = []
         """Traces on standard error, and ends of their own."""
 
@@ -80,6 +82,7 @@
                 await asyncio.sleep(0.05)
 
     async def _start(self, gateway: Gateway) -> None:
+        self.on_restart(gateway.clients, time.monotonic())
         gateway.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -15,6 +15,10 @@
 """After its third engine, every gateway knows within so long that a request is held."""
 _LATE_SENDS = 3
 _ENDS_TO_KNOW = 3
+_GRACE_SECONDS = 0.5
+_SENT_IN_REST = 2
+"""After the grace, what may still be under way to an engine that asked for rest."""
+_LEAVE_SECONDS = 2.0
 _REFUSED = frozenset((408, 421, 429, 503))
 
 
@@ -45,6 +49,16 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Rest:
+    """One request that an engine turned away, asking for rest."""
+
+    attempt: str
+    engine: str
+    at: float
+    seconds: float
+
+
 @dataclass(frozen=True)
 class Absence:
     """A time in which a gateway was killed, or stood still."""
@@ -62,7 +76,16 @@
     runs: list[Arrival] = field(default_factory=list)
     deadly_sends: list[float] = field(default_factory=list)
     deadly_ends: list[float] = field(default_factory=list)
+    varying_sends: list[float] = field(default_factory=list)
+    varying_ends: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    """All that reached an engine, run or not."""
+    rests: list[Rest] = field(default_factory=list)
+    leavings: list[Arrival] = field(default_factory=list)
+    """Answers in which an engine said that it leaves, by when it was said."""
     absences: list[Absence] = field(default_factory=list)
+    restarts: list[Absence] = field(default_factory=list)
+    """Starts of gateways, which know nothing of before."""
     odd_requests: int = 0
     """Requests that came to an address which only an odd entry names."""
 
@@ -86,6 +109,7 @@
         ]
         found += [f"{answer.attempt}: ran, and got no answer" for answer in self._lost(runs)]
         found += [f"{answer.attempt}: answered late" for answer in self._late()]
+        found += self._broken_rests() + self._sent_to_leaving()
         if self.odd_requests:
             found.append(f"{self.odd_requests} requests sent where only an odd entry points")
         late = self.late_sends()
@@ -95,6 +119,59 @@
             )
         return found
 
+    def _broken_rests(self) -> list[str]:
+        """Return rests in which the same gateway sent more than may have been under way."""
+        gateways = {answer.attempt: answer.gateway for answer in self.answers}
+        found = []
+        for rest in self.rests:
+            gateway = gateways.get(rest.attempt)
+            since, until = rest.at + _GRACE_SECONDS, rest.at + rest.seconds
+            if gateway is None or self._has_forgotten(gateway, rest.at, until):
+                continue
+            sent = sum(
+                since < item.at < until
+                and item.engine == rest.engine
+                and gateways.get(item.attempt) == gateway
+                for item in self.arrivals
+            )
+            if sent > _SENT_IN_REST:
+                found.append(f"{rest.engine}: {sent} requests in a rest of {rest.seconds:.1f} s")
+        return found
+
+    def _sent_to_leaving(self) -> list[str]:
+        """Return requests that were sent to an engine long after it said that it leaves."""
+        answers = {answer.attempt: answer for answer in self.answers}
+        said: dict[tuple[str, str], float] = {}
+        for item in self.leavings:
+            answer = answers.get(item.attempt)
+            if answer is not None:
+                key = (item.engine, answer.gateway)
+                said[key] = min(said.get(key, item.at), item.at)
+        found = []
+        for item in self.arrivals:
+            answer = answers.get(item.attempt)
+            if answer is None:
+                continue
+            at = said.get((item.engine, answer.gateway))
+            if at is None or answer.sent_at <= at + _LEAVE_SECONDS:
+                continue
+            if not self._has_forgotten(answer.gateway, at, item.at):
+                found.append(f"{item.attempt}: sent to {item.engine}, which had said it leaves")
+        return found
+
+    def _has_forgotten(self, gateway: str, since: float, until: float) -> bool:
+        """Return whether a gateway was away, or started anew, in some time."""
+        started = any(
+            item.gateway == gateway and since <= item.since <= until for item in self.restarts
+        )
+        return started or self._was_away(gateway, since, until)
+
+    def _was_away(self, gateway: str, since: float, until: float) -> bool:
+        return any(
+            item.gateway == gateway and item.since <= until and since <= item.until
+            for item in self.absences
+        )
+
     def _lost(self, runs: Counter[str]) -> list[Answer]:
         """Return tries that ran and ended without an answer, though their gateway was there."""
         return [
@@ -113,12 +190,7 @@
         ]
 
     def _was_absent(self, answer: Answer) -> bool:
-        return any(
-            item.gateway == answer.gateway
-            and item.since <= answer.ended_at
-            and answer.sent_at <= item.until
-            for item in self.absences
-        )
+        return self._was_away(answer.gateway, answer.sent_at, answer.ended_at)
 
     def late_sends(self) -> int:
         """Return how often the deadly request reached engines after all must have known."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -25,6 +25,9 @@
     SPOIL_ENTRY = "spoil the entry of an engine for a while"
     CHANGE_CONFIGURATION = "put another configuration"
     TROUBLE_STORE = "let the store be in trouble for a while"
+    SHED_ENGINE = "let an engine turn all away and ask for rest"
+    SHED_ALL_ENGINES = "let all engines turn all away and ask for rest"
+    LEAVE_BY_WORD = "let an engine say in its answers alone that it leaves, then end it"
 
 
 _WEIGHTS = {
@@ -41,6 +44,9 @@
 }
 
 
+_WORDS = (Deed.SHED_ENGINE, Deed.SHED_ENGINE, Deed.SHED_ALL_ENGINES, Deed.LEAVE_BY_WORD)
+
+
 @dataclass(frozen=True)
 class Step:
     """A deed at some second; `pick` chooses among what there is then, `seconds` how long."""
@@ -64,3 +70,15 @@
             at += rng.uniform(0.0, 0.5)
         at += rng.uniform(0.5, 2.0)
     return sorted(steps, key=lambda step: step.at)
+
+
+def draw_words(seed: int, seconds: float) -> list[Step]:
+    """Return steps in which engines say something of themselves, beside those of `draw`."""
+    rng = random.Random(f"{seed} words")
+    steps = []
+    at = 2.0
+    while at < seconds - QUIET_SECONDS - _LONGEST_FAULT:
+        length = rng.uniform(0.5, _LONGEST_FAULT)
+        steps.append(Step(at, rng.choice(_WORDS), rng.randrange(1_000), length))
+        at += rng.uniform(0.8, 2.5)
+    return steps
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,7 @@
 from tests.soak.plan import QUIET_SECONDS
 from tests.soak.plan import Deed
 from tests.soak.plan import draw
+from tests.soak.plan import draw_words
 
 if TYPE_CHECKING:
     from tests.gateway.rig import Seen
@@ -64,6 +65,10 @@
     late_sends: int
     engines_ended: int
     """By the deadly request."""
+    ended_by_varying: int
+    """By requests whose deadly bodies differ."""
+    rests: int
+    leavings: int
     served: tuple[int, int]
     """Of ordinary requests at the end: served, and sent."""
     common_served: tuple[int, int]
@@ -81,10 +86,16 @@
 class Soak:
     """Everything that one run needs."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, words: bool = True) -> None:
+        """Play `seed`; with `words`, engines shed and leave, and a second caller varies its bodies.
+
+        Without them a seed plays as it did before there were any.
+        """
+        self._words = words
         self._rng = random.Random(seed)
         self._seconds = seconds
-        self._plan = draw(seed, seconds)
+        steps = draw(seed, seconds) + (draw_words(seed, seconds) if words else [])
+        self._plan = sorted(steps, key=lambda step: step.at)
         self._store = MetadataStore()
         self._app = MetadataApp(self._store)
         self._server = HttpServer(self._app, "127.0.0.1:0")
@@ -110,6 +121,7 @@
         with tempfile.TemporaryDirectory(prefix="lotushill-soak-") as folder:
             self._gateways = Gateways(Path(folder), self._server.address, _GATEWAYS)
             self._gateways.on_absence = self._note_absence
+            self._gateways.on_restart = self._note_restart
             await self._gateways.start()
             try:
                 quiet_since = await self._play()
@@ -134,7 +146,10 @@
             self._later(client.run(_PAUSE_SECONDS))
         deadly = Client(addresses, self._ledger, random.Random(99))
         began = time.monotonic()
-        self._later(deadly.run(_DEADLY_PAUSE_SECONDS, deadly=True))
+        self._later(deadly.run(_DEADLY_PAUSE_SECONDS, "deadly"))
+        if self._words:
+            varying = Client(addresses, self._ledger, random.Random(98))
+            self._later(varying.run(_DEADLY_PAUSE_SECONDS, "varying"))
         for step in self._plan:
             await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
             self._later(self._do(step))
@@ -160,6 +175,9 @@
             errors=self._gateways.errors + ours + self._own_faults,
             late_sends=self._ledger.late_sends(),
             engines_ended=len(self._ledger.deadly_ends),
+            ended_by_varying=len(self._ledger.varying_ends),
+            rests=len(self._ledger.rests),
+            leavings=len(self._ledger.leavings),
             served=(once + other + streams, sent_once + sent_other + sent_streams),
             common_served=self._ledger.served("common", since),
             idle_engines={engine.name for engine in self._engines} - used,
@@ -169,6 +187,9 @@
     def _note_absence(self, gateway: str, since: float, until: float) -> None:
         self._ledger.absences.append(Absence(gateway, since, until))
 
+    def _note_restart(self, gateway: str, at: float) -> None:
+        self._ledger.restarts.append(Absence(gateway, at, at))
+
     # Deeds
 
     async def _do(self, step: Step) -> None:
@@ -198,6 +219,13 @@
             case Deed.CHANGE_CONFIGURATION:
                 self._version += 1
                 self._put_configuration()
+            case Deed.SHED_ENGINE:
+                engine.shed(step.seconds)
+            case Deed.SHED_ALL_ENGINES:
+                for each_engine in self._engines:
+                    each_engine.shed(step.seconds / 2)
+            case Deed.LEAVE_BY_WORD:
+                await engine.leave_by_word()
             case Deed.TROUBLE_STORE:
                 self._app.trouble = _TROUBLES[step.pick % len(_TROUBLES)]
                 await asyncio.sleep(step.seconds)
