--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -5,16 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import anyio
-
-from lotushill.availability.patience import rest_pause
 from lotushill.gateway.attempt import Attempt
 from lotushill.gateway.attempt_end import EndKind
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
+from lotushill.gateway.upstream_search import UpstreamSearch
 from lotushill.placement.choice import Choice
-from lotushill.placement.choice import NoChoice
-from lotushill.placement.choice import Refusal
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
@@ -36,15 +32,10 @@
 _CHECK_SECONDS = 0.05
 """A request that was cut waits so long, before it is sent on, to hear whether its upstream ended:
 an address that nothing listens at any more refuses within a round trip."""
-_WAIT_SHARE = 0.2
-"""Of its target, how long a request waits here before it is refused as not run."""
-_POLL_SECONDS = 0.03
 _CONTINUE_SECONDS = 0.1
 """Predicted until a run goes on from its copy: a connection and a few steps."""
 _SOUND_RATE = 0.05
 """A run goes on at no upstream with more failures: above it any of the last seconds shows."""
-_LEAST_SECONDS = 0.05
-"""With less time left than this no upstream is tried."""
 
 
 class Exchange:
@@ -60,8 +51,7 @@
         self._retry_after = _RETRY_SECONDS
         self._unsent = 0
         self._rejected = 0
-        self._asked = False
-        """Whether an upstream was looked for before."""
+        self._search = UpstreamSearch(parts, request)
         self._counted = False
         """Whether the request was counted as begun."""
         self.runs = 0
@@ -79,8 +69,9 @@
             if self._parts.quarantine.holds(request):
                 return await self._keep_back()
             await self._parts.suspension.settle()
-            placement = await self._find()
-            if placement is None:
+            placement = await self._search.find(frozenset(self._excluded))
+            if not isinstance(placement, Placement):
+                self._retry_after = placement.retry_after
                 return await self._give_up("no upstream", None)
             if self._clock() >= request.ends:
                 return await self.time_out()
@@ -134,69 +125,6 @@
             await asyncio.wait((check,), timeout=_CHECK_SECONDS)
         return self._parts.quarantine.may_be_sent_on(self._request)
 
-    async def _find(self) -> Placement | None:
-        """Return an upstream, waiting for one for a small share of the target at most."""
-        request = self._request
-        gives_up = min(
-            request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
-        )
-        while True:
-            found = await self._look()
-            if isinstance(found, Placement):
-                return found
-            pause = self._pause(found, gives_up)
-            if pause is None:
-                break
-            await anyio.sleep(pause)
-        self._note_refusal(found)
-        self._retry_after = found.retry_after
-        return None
-
-    async def _look(self) -> Placement | NoChoice:
-        """Look for an upstream once."""
-        request, ward = self._request, self._parts.ward
-        wait = ward.wait(request)
-        if wait > 0:
-            return NoChoice(Refusal.ISOLATED, wait)
-        excluded = frozenset(self._excluded) | ward.barred(request)
-        found = await self._parts.placer.place(request, excluded, self._asked)
-        self._asked = True
-        if isinstance(found, Placement) and not ward.admits(request, found.choice):
-            self._parts.shared_load.give_up(found.placed.request)
-            return NoChoice(Refusal.ISOLATED, _RETRY_SECONDS)
-        return found
-
-    def _pause(self, found: NoChoice, gives_up: float) -> float | None:
-        """Return after how many seconds to look again, None to refuse now."""
-        request, now = self._request, self._clock()
-        if found.refusal is Refusal.RESTING:
-            pause = rest_pause(found.retry_after, now - request.arrived, request.need)
-            return pause if pause is not None and now + pause < request.ends else None
-        pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
-        if found.refusal is Refusal.ISOLATED:
-            pause = found.retry_after
-        return pause if now + pause <= gives_up else None
-
-    def _note_refusal(self, found: NoChoice) -> None:
-        request = self._request
-        self._parts.metrics.note_refused(
-            request.service.name, request.need.tier, found.refusal.value
-        )
-        self._note(
-            "placement.none",
-            reason=found.refusal.value,
-            retry_after=found.retry_after,
-            route=request.route.name,
-            service=request.service.name,
-            tier=request.need.tier,
-            prompt=request.need.prompt_tokens,
-            wait_ms=round(found.wait * 1000, 1),
-            first_ms=round(found.first * 1000, 1),
-            usual_prompt=round(found.usual_prompt),
-            longest_prompt=round(found.longest_prompt),
-            waited_ms=round((self._clock() - request.arrived) * 1000, 1),
-        )
-
     async def _continue(self, backup: Upstream, cut: AttemptEnd) -> AttemptEnd:
         """Go on with a run at the upstream that holds a copy of its memory.
 
--- a/src/lotushill/gateway/fleet_quarantine.py
+++ b/src/lotushill/gateway/fleet_quarantine.py
@@ -7,6 +7,7 @@
 import anyio
 
 from lotushill import clock as clocks
+from lotushill.gateway.group_keeper import GroupKeeper
 from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.quarantine.hold_store import HoldStore
 from lotushill.quarantine.isolation import Isolation
@@ -44,7 +45,7 @@
         self.keeper = QuarantineKeeper(
             name,
             self.suspects,
-            self.isolation,
+            GroupKeeper(name, self.isolation, peers.tell_all, log, rng, clocks.now),
             views.upstreams,
             pool.has_ended,
             peers.tell_all,
--- a/src/lotushill/gateway/quarantine_keeper.py
+++ b/src/lotushill/gateway/quarantine_keeper.py
@@ -8,20 +8,14 @@
 
 import anyio
 
-from lotushill.availability.trickle import Trickle
 from lotushill.links.messages import ClearedNews
-from lotushill.links.messages import GroupEnd
 from lotushill.links.messages import GroupNews
-from lotushill.links.messages import IsolatedGroup
 from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import SuspectState
 from lotushill.quarantine.end_watch import Cut
 from lotushill.quarantine.end_watch import EndWatch
 from lotushill.quarantine.end_watch import Listing
-from lotushill.quarantine.group import Group
-from lotushill.quarantine.news_plan import PROOF_SECONDS
 from lotushill.quarantine.news_plan import NewsPlan
-from lotushill.quarantine.repeat_plan import RepeatPlan
 
 if TYPE_CHECKING:
     import random
@@ -30,8 +24,8 @@
     from typing import Any
 
     from lotushill.event_log import EventLog
+    from lotushill.gateway.group_keeper import GroupKeeper
     from lotushill.gateway.request import Request
-    from lotushill.quarantine.isolation import Isolation
     from lotushill.quarantine.quarantine import Quarantine
     from lotushill.quarantine.stored_hold import StoredHold
     from lotushill.routing.upstream import Upstream
@@ -54,10 +48,10 @@
         self,
         name: str,
         quarantine: Quarantine,
-        isolation: Isolation,
+        groups: GroupKeeper,
         upstreams: UpstreamView,
         has_ended: Callable[[Upstream], Coroutine[Any, Any, bool | None]],
-        tell: Callable[[SuspectNews | ClearedNews | GroupNews], None],
+        tell: Callable[[SuspectNews | ClearedNews], None],
         log: EventLog,
         rng: random.Random,
         clock: Clock,
@@ -65,17 +59,13 @@
         """Ask `has_ended` of upstreams that cut a request; `tell` sends to all other gateways."""
         self._name = name
         self._quarantine = quarantine
-        self._isolation = isolation
+        self._groups = groups
         self._upstreams = upstreams
         self._has_ended = has_ended
         self._tell = tell
         self._log = log
         self._clock = clock
         self._plan = NewsPlan(rng)
-        self._group_plan: RepeatPlan[GroupEnd] = RepeatPlan()
-        self._group_proofs: RepeatPlan[Group] = RepeatPlan()
-        self._isolated_timer = Trickle(rng)
-        self._rng = rng
         self._watch = EndWatch()
         self._checks: dict[str, asyncio.Task[bool | None]] = {}
         """Questions under way, by upstream."""
@@ -96,7 +86,7 @@
 
     def may_be_sent_on(self, request: Request) -> bool:
         """Return whether an arrival that was cut may go to a further upstream."""
-        if self._isolation.isolates(request.groups, self._clock()):
+        if self._groups.isolates(request.groups):
             return False
         if self._quarantine.empty:
             return True
@@ -116,7 +106,7 @@
 
     def note_whole(self, request: Request) -> None:
         """Note a whole answer."""
-        self._isolation.note_whole(request.groups, self._clock())
+        self._groups.note_whole(request.groups)
         if self._quarantine.note_whole(request.identity, self._clock()):
             self._plan.clear(request.identity)
             self._wake.set()
@@ -156,8 +146,9 @@
 
     def _note_end(self, cut: Cut) -> None:
         now = self._clock()
-        for group in cut.groups:
-            self._note_group(group, cut.upstream, now)
+        if cut.groups:
+            self._groups.note_end(cut.groups, cut.upstream)
+            self._wake.set()
         if not self._quarantine.note_end(cut.identity, cut.team, cut.path, cut.upstream, now):
             return
         self.upstream_ends += 1
@@ -174,47 +165,6 @@
         self._tell_proof(cut.identity, now)
         self._wake.set()
 
-    def _note_group(self, group: Group, upstream: str, now: float) -> None:
-        whole = self._isolation.whole(group, now)
-        end = GroupEnd(group.service, group.label, upstream, whole)
-        self._group_plan.tell(end, now)
-        self._wake.set()
-        self._take_group(end, self._name, now)
-
-    def _hear_group(self, end: GroupEnd, teller: str, now: float) -> None:
-        """Take what a peer tells of a group, and tell of whole answers that speak for it."""
-        group = Group(end.service, end.label)
-        if not end.upstream:
-            self._isolation.take_whole(group, teller, end.whole, now)
-            return
-        self._take_group(end, teller, now)
-        if self._isolation.whole(group, now) and group not in self._group_proofs:
-            self._group_proofs.tell_at(group, now + self._rng.uniform(0.0, PROOF_SECONDS))
-            self._wake.set()
-
-    def _hear_isolated(self, told: tuple[IsolatedGroup, ...], now: float) -> None:
-        """Keep apart what a peer keeps apart: one that starts anew saw none of the ends."""
-        if not told:
-            return
-        for item in told:
-            group = Group(item.service, item.label)
-            if self._isolation.adopt(group, item.left, item.pause, now):
-                self._note_isolated(group, "")
-        if {Group(item.service, item.label) for item in told} >= set(self._isolation.groups(now)):
-            self._isolated_timer.hear()
-
-    def _note_isolated(self, group: Group, upstream: str) -> None:
-        self._log.note(
-            "quarantine.isolated", service=group.service, group=group.label, upstream=upstream
-        )
-        self._isolated_timer.reset(self._clock())
-        self._wake.set()
-
-    def _take_group(self, end: GroupEnd, teller: str, now: float) -> None:
-        group = Group(end.service, end.label)
-        if self._isolation.note_end(group, end.upstream, teller, end.whole, now):
-            self._note_isolated(group, end.upstream)
-
     def _tell_proof(self, identity: bytes, now: float) -> None:
         if self._quarantine.knows_whole(identity, now):
             self._plan.prove(identity, now)
@@ -225,9 +175,8 @@
         """Take what another gateway knows."""
         now = self._clock()
         if isinstance(news, GroupNews):
-            for end in news.ends:
-                self._hear_group(end, news.sender, now)
-            self._hear_isolated(news.isolated, now)
+            self._groups.receive(news)
+            self._wake.set()
             return
         if isinstance(news, SuspectNews):
             for state in news.suspects:
@@ -266,7 +215,7 @@
         """Find upstreams that are gone since, and go on telling what the store has not got."""
         now = self._clock()
         self._quarantine.expire(now)
-        self._isolation.expire(now)
+        self._groups.expire()
         for cut in self._watch.take_ended(self._listing, now):
             self._note_end(cut)
         for identity in self._quarantine.unstored():
@@ -285,12 +234,7 @@
 
     def next_due(self) -> float:
         """Return when something is to be told."""
-        return min(
-            self._plan.next_due(),
-            self._group_plan.next_due(),
-            self._group_proofs.next_due(),
-            self._isolated_timer.next_due,
-        )
+        return min(self._plan.next_due(), self._groups.next_due())
 
     def tell_due(self) -> None:
         """Send what is due."""
@@ -301,38 +245,7 @@
             self._tell(SuspectNews(self._name, group))
         if due.cleared_since or due.cleared_before:
             self._tell(ClearedNews(self._name, due.cleared_since, due.cleared_before))
-        ends = [*self._group_plan.take(self._clock()), *self._due_group_proofs()]
-        for start in range(0, len(ends), _MOST_IN_DATAGRAM):
-            self._tell(GroupNews(self._name, tuple(ends[start : start + _MOST_IN_DATAGRAM])))
-
-        self._tell_isolated()
-
-    def _tell_isolated(self) -> None:
-        now = self._clock()
-        terms = self._isolation.terms(now)
-        if not terms:
-            self._isolated_timer.stop()
-        elif self._isolated_timer.is_due(now):
-            told = [
-                IsolatedGroup(group.service, group.label, term.left, term.pause)
-                for group, term in terms.items()
-            ]
-            self._tell(GroupNews(self._name, isolated=tuple(told[:_MOST_IN_DATAGRAM])))
-
-    def _due_group_proofs(self) -> list[GroupEnd]:
-        """Return whole answers that are due to be told: once enough are known, no more are."""
-        now = self._clock()
-        due = [
-            group
-            for group in self._group_proofs.take(now)
-            if self._isolation.needs_proof(group, now)
-        ]
-        for group in due:
-            self._isolation.take_whole(group, self._name, self._isolation.whole(group, now), now)
-        return [
-            GroupEnd(group.service, group.label, "", self._isolation.whole(group, now))
-            for group in due
-        ]
+        self._groups.tell_due()
 
     def _state(self, identity: bytes) -> SuspectState | None:
         suspect = self._quarantine.find(identity)
--- /dev/null
+++ b/src/lotushill/gateway/upstream_search.py
@@ -0,0 +1,96 @@
+"""The search for an upstream of one request: asked until there is one or waiting is of no use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from lotushill.availability.patience import rest_pause
+from lotushill.placement.choice import NoChoice
+from lotushill.placement.choice import Refusal
+from lotushill.scheduling.placement import Placement
+
+if TYPE_CHECKING:
+    from lotushill.gateway.parts import GatewayParts
+    from lotushill.gateway.request import Request
+
+_WAIT_SHARE = 0.2
+"""Of its target, how long a request waits here before it is refused as not run."""
+_POLL_SECONDS = 0.03
+_LEAST_SECONDS = 0.05
+"""With less time left than this no upstream is tried."""
+_ISOLATED_RETRY_SECONDS = 0.5
+"""What runs where a group is kept apart takes about as long."""
+
+
+class UpstreamSearch:
+    """Finds where one request goes next."""
+
+    def __init__(self, parts: GatewayParts, request: Request) -> None:
+        self._parts = parts
+        self._request = request
+        self._clock = parts.clock
+        self._gives_up = min(
+            request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
+        )
+        self._asked = False
+        """Whether an upstream was looked for before."""
+
+    async def find(self, excluded: frozenset[str]) -> Placement | NoChoice:
+        """Return an upstream, or why there is none for as long as the request may wait."""
+        while True:
+            found = await self._look(excluded)
+            if isinstance(found, Placement):
+                return found
+            pause = self._pause(found)
+            if pause is None:
+                self._note_refusal(found)
+                return found
+            await anyio.sleep(pause)
+
+    async def _look(self, excluded: frozenset[str]) -> Placement | NoChoice:
+        """Look for an upstream once."""
+        request, ward = self._request, self._parts.ward
+        wait = ward.wait(request)
+        if wait > 0:
+            return NoChoice(Refusal.ISOLATED, wait)
+        barred = excluded | ward.barred(request)
+        found = await self._parts.placer.place(request, barred, self._asked)
+        self._asked = True
+        if isinstance(found, Placement) and not ward.admits(request, found.choice):
+            self._parts.shared_load.give_up(found.placed.request)
+            return NoChoice(Refusal.ISOLATED, _ISOLATED_RETRY_SECONDS)
+        return found
+
+    def _pause(self, found: NoChoice) -> float | None:
+        """Return after how many seconds to look again, None to refuse now."""
+        request, now = self._request, self._clock()
+        if found.refusal is Refusal.RESTING:
+            pause = rest_pause(found.retry_after, now - request.arrived, request.need)
+            return pause if pause is not None and now + pause < request.ends else None
+        pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+        if found.refusal is Refusal.ISOLATED:
+            pause = found.retry_after
+        return pause if now + pause <= self._gives_up else None
+
+    def _note_refusal(self, found: NoChoice) -> None:
+        request = self._request
+        self._parts.metrics.note_refused(
+            request.service.name, request.need.tier, found.refusal.value
+        )
+        self._parts.log.note(
+            "placement.none",
+            request=request.demand.request_id,
+            reason=found.refusal.value,
+            retry_after=found.retry_after,
+            route=request.route.name,
+            service=request.service.name,
+            tier=request.need.tier,
+            prompt=request.need.prompt_tokens,
+            wait_ms=round(found.wait * 1000, 1),
+            first_ms=round(found.first * 1000, 1),
+            usual_prompt=round(found.usual_prompt),
+            longest_prompt=round(found.longest_prompt),
+            waited_ms=round((self._clock() - request.arrived) * 1000, 1),
+        )
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -20,6 +20,7 @@
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
 from lotushill.gateway.front import Front
+from lotushill.gateway.group_keeper import GroupKeeper
 from lotushill.gateway.leaving_keeper import LeavingKeeper
 from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
@@ -276,8 +277,11 @@
         self.leaving = LeavingKeeper(
             "gw", self.view, self.told_leaving.append, log, random.Random(5), self.clock
         )
+        groups = GroupKeeper(
+            "gw", self.isolation, self.told.append, log, random.Random(6), self.clock
+        )
         self.keeper = QuarantineKeeper(
-            "gw", self.quarantine, self.isolation, self.view, pool.has_ended, self.told.append, log,
+            "gw", self.quarantine, groups, self.view, pool.has_ended, self.told.append, log,
             random.Random(3), self.clock,
         )  # fmt: skip
         self.parts = GatewayParts(
--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -13,6 +13,7 @@
 from typing import cast
 
 from lotushill.event_log import EventLog
+from lotushill.gateway.group_keeper import GroupKeeper
 from lotushill.gateway.quarantine_keeper import QuarantineKeeper
 from lotushill.gateway.ward import Ward
 from lotushill.placement.choice import Choice
@@ -110,15 +111,20 @@
         self._list_upstreams()
 
     def _keeper(self, number: int) -> QuarantineKeeper:
+        log, rng = EventLog("gw", lambda _: None), random.Random(number)
+
+        def tell(news: SuspectNews | ClearedNews | GroupNews) -> None:
+            self._tell(number, news)
+
         return QuarantineKeeper(
             f"gw-{number}",
             self.quarantines[number],
-            self.isolations[number],
+            GroupKeeper(f"gw-{number}", self.isolations[number], tell, log, rng, lambda: self.now),
             self._view,
             self._has_ended,
-            lambda news: self._tell(number, news),
-            EventLog("gw", lambda _: None),
-            random.Random(number),
+            tell,
+            log,
+            rng,
             lambda: self.now,
         )
 
