--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -26,6 +26,11 @@
 _HOLD_STORE = "tests.quarantine.test_hold_store.TestHoldStore"
 _ENTRIES = "tests.platform.test_upstreams"
 _ASLEEP = "tests.gateway.test_suspension"
+_REST = "tests.gateway.test_rest"
+_RESTS = "tests.availability.test_rests"
+_LEAVING = "tests.gateway.test_leaving.TestOneGateway"
+_LEAVING_NEWS = "tests.gateway.test_leaving_keeper.TestLeavingKeeper"
+_WARD = "tests.gateway.test_ward.TestWard"
 
 
 @dataclass(frozen=True)
@@ -214,10 +219,82 @@
             ),
         ),
     ),
+    Promise(
+        "An upstream that asks for rest gets none of this gateway's requests until its end.",
+        "BUDGET",
+        (
+            Case(
+                "one, some or all of a service ask",
+                (
+                    f"{_REST}.TestOneGateway.test_while_some_rest_the_others_get_all",
+                    f"{_REST}.TestOneGateway.test_while_all_rest_none_gets_anything",
+                    f"{_REST}.TestOneGateway.test_one_that_may_have_run_the_request_rests_as_well",
+                ),
+            ),
+            Case(
+                "whoever chose it did not know, or chose before",
+                (
+                    f"{_REST}.TestEveryWay.test_a_choice_that_does_not_know_of_it_is_not_followed",
+                    f"{_REST}.TestEveryWay.test_what_waited_for_a_connection_is_chosen_again",
+                    f"{_REST}.TestEveryWay.test_a_run_does_not_go_on_there",
+                ),
+            ),
+            Case(
+                "the host is suspended",
+                (
+                    f"{_REST}.TestOneGateway.test_it_is_over_when_its_time_is_up_also_after_a_suspension",
+                ),
+            ),
+            Case(
+                "wishes overlap, are shorter, or cannot be read",
+                (
+                    f"{_RESTS}.TestRests.test_however_wishes_overlap_none_is_broken_and_none_kept_long_after",
+                    f"{_REST}.TestOneGateway.test_odd_wishes_change_nothing",
+                    "tests.platform.test_upstream_answer.TestRest.test_any_bytes_give_a_rest_within_bounds",
+                ),
+            ),
+            Case(
+                "its entry lapses meanwhile",
+                (f"{_RESTS}.TestRests.test_what_no_view_knows_is_kept_until_its_end",),
+            ),
+            Case(
+                "it ends at many gateways at once",
+                (
+                    f"{_RESTS}.TestRests.test_after_it_one_goes_first_and_the_others_with_its_answer",
+                    f"{_RESTS}.TestGateways.test_none_sends_more_than_one_into_a_rest_or_at_its_end",
+                ),
+            ),
+            Case(
+                "all rest, and callers wait",
+                (
+                    "tests.availability.test_patience.TestReplay.test_waiting_for_the_first_end_serves_more_than_refusing",
+                    "tests.availability.test_patience.TestRestPause.test_the_more_urgent_look_first",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "An upstream that leaves gets no new work, and one that lives is not forgotten.",
         "DRAIN",
         (
+            Case(
+                "it says so in answers alone, while its entry says it is ready",
+                (
+                    f"{_LEAVING}.test_a_whole_answer_that_says_so_is_the_last",
+                    f"{_LEAVING}.test_a_refusal_or_a_failure_says_it_as_well",
+                    f"{_LEAVING}.test_the_head_of_a_stream_says_it_while_the_stream_goes_on",
+                    f"{_LEAVING}.test_an_entry_that_says_ready_later_does_not_take_it_back",
+                    f"{_LEAVING}.test_a_later_life_under_its_name_is_sent_requests",
+                ),
+            ),
+            Case(
+                "one gateway hears it, and datagrams are lost, halls cut off, gateways join",
+                (
+                    f"{_LEAVING_NEWS}.test_all_know_within_a_heartbeat_whoever_was_answered",
+                    f"{_LEAVING_NEWS}.test_halls_that_were_cut_off_from_each_other_learn_from_each_other",
+                    f"{_LEAVING_NEWS}.test_one_that_joins_later_hears_of_it",
+                ),
+            ),
             Case(
                 "it says that it leaves",
                 (
@@ -616,8 +693,37 @@
             ),
             Case(
                 "a caller whose deadly bodies differ each time",
+                (
+                    "tests.quarantine.test_fleet.TestBodiesThatDiffer.test_others_are_served_soon_after_its_third_end",
+                    "tests.quarantine.test_fleet.TestBodiesThatDiffer.test_sound_requests_of_the_same_team_are_served_as_those_of_others",
+                    f"{_WARD}.test_the_group_runs_at_one_upstream_and_all_others_elsewhere",
+                    f"{_WARD}.test_one_runs_at_a_time_and_the_next_is_refused_as_not_run",
+                    f"{_WARD}.test_one_that_ends_the_upstream_is_not_sent_on_and_the_next_waits",
+                ),
+            ),
+            Case(
+                "a gateway starts anew while such a caller is kept apart",
+                (
+                    "tests.quarantine.test_fleet.TestBodiesThatDiffer.test_a_gateway_that_starts_anew_keeps_apart_what_the_others_do",
+                ),
+            ),
+            Case(
+                "half of all upstreams end again and again, with no caller to blame",
+                (
+                    "tests.quarantine.test_fleet.TestNobodyToBlame.test_no_group_is_kept_apart_however_few_its_requests_are",
+                ),
+            ),
+            Case(
+                "all gateways start in a long outage of the store",
+                (
+                    f"{_STORE}.TestOrderOfReading.test_a_store_that_comes_back_late_is_asked_for_the_holds_first",
+                    f"{_QUARANTINE}.TestBeforeTheHoldsAreKnown.test_nothing_is_sent_though_the_configuration_is_known",
+                ),
+            ),
+            Case(
+                "a caller whose team has one upstream left, or that varies team, path and prompt",
                 (),
-                "each of them ends up to three upstreams: nothing counts ends by caller",
+                "with one upstream nothing can be kept apart; who varies all of these is not seen",
             ),
         ),
     ),
