--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -718,8 +718,8 @@
     Break(
         "groups under which upstreams end are kept apart",
         "gateway/ward.py",
-        "return known - ward if self._isolation.isolates(request.groups, now) else ward",
-        "return _NOBODY",
+        "if ward is None or service not in self._isolation.services(now):",
+        "if True:",
         "tests.gateway.test_ward",
     ),
     Break(
--- a/src/lotushill/gateway/ward.py
+++ b/src/lotushill/gateway/ward.py
@@ -39,13 +39,12 @@
             return _NOBODY
         now = self._clock()
         service = request.service.name
-        if service not in self._isolation.services(now):
+        ward = self._ward_of(service)
+        if ward is None or service not in self._isolation.services(now):
             return _NOBODY
-        known = frozenset(item.id for item in self._upstreams.of(service))
-        if len(known) < _LEAST_UPSTREAMS:
-            return _NOBODY
-        ward = frozenset((owner(service, known) or "",))
-        return known - ward if self._isolation.isolates(request.groups, now) else ward
+        if self._isolation.isolates(request.groups, now):
+            return frozenset(item.id for item in self._upstreams.of(service)) - {ward}
+        return frozenset((ward,))
 
     def wait(self, request: Request) -> float:
         """Return for how many seconds a request is not to be tried at all."""
@@ -57,4 +56,11 @@
         """Return whether a request may run beside what runs at its upstream."""
         if self._isolation.empty or not choice.running:
             return True
+        if self._ward_of(request.service.name) is None:
+            return True
         return not self._isolation.isolates(request.groups, self._clock())
+
+    def _ward_of(self, service: str) -> str | None:
+        """Return the upstream for those kept apart, None where there is no other one."""
+        known = [item.id for item in self._upstreams.of(service)]
+        return owner(service, known) if len(known) >= _LEAST_UPSTREAMS else None
--- a/src/lotushill/quarantine/isolation.py
+++ b/src/lotushill/quarantine/isolation.py
@@ -56,13 +56,21 @@
     pause: float
 
 
+@dataclass(frozen=True)
+class _Told:
+    """How many whole answers a gateway told of, and when."""
+
+    count: int
+    at: float
+
+
 @dataclass
 class _Evidence:
     """What stands against one group; times are on a steady clock."""
 
     ends: dict[str, float] = field(default_factory=dict)
     """Upstreams that ended under it, by when that was heard."""
-    whole: dict[str, int] = field(default_factory=dict)
+    whole: dict[str, _Told] = field(default_factory=dict)
     """Its whole answers of late, as gateways have told."""
     until: float = float("-inf")
     """When it is no longer kept apart."""
@@ -79,8 +87,12 @@
     def recent(self, now: float) -> set[str]:
         return {name for name, at in self.ends.items() if now - at < _WINDOW_SECONDS}
 
+    def whole_of_late(self, now: float) -> int:
+        """Without what was told long ago: a group that was sound may turn deadly."""
+        return sum(told.count for told in self.whole.values() if now - told.at < _WINDOW_SECONDS)
+
     def is_mostly_whole(self, now: float) -> bool:
-        return sum(self.whole.values()) > _WHOLE_PER_END * len(self.recent(now))
+        return self.whole_of_late(now) > _WHOLE_PER_END * len(self.recent(now))
 
     @property
     def shown(self) -> bool:
@@ -115,7 +127,7 @@
         `teller` is the gateway that saw it, which had so many `whole` answers of the group of late.
         Return whether the group is kept apart from now on.
         """
-        evidence = self._of(group)
+        evidence = self._of(group, now)
         self.take_whole(group, teller, whole, now)
         if upstream in evidence.ends:
             return False
@@ -137,7 +149,7 @@
         evidence = self._evidence.get(group)
         if evidence is None:
             return
-        evidence.whole[teller] = whole
+        evidence.whole[teller] = _Told(whole, now)
         if not evidence.shown and evidence.is_mostly_whole(now):
             evidence.until = float("-inf")
 
@@ -146,7 +158,7 @@
 
         Not where whole answers that are known here speak for it.
         """
-        evidence = self._of(group)
+        evidence = self._of(group, now)
         if evidence.is_mostly_whole(now):
             return False
         was_apart = now < evidence.until
@@ -165,7 +177,7 @@
     def needs_proof(self, group: Group, now: float) -> bool:
         """Return whether whole answers of a group that were not told yet speak for it."""
         evidence = self._evidence.get(group)
-        return evidence is not None and sum(evidence.whole.values()) < _WHOLE_TOLD
+        return evidence is not None and evidence.whole_of_late(now) < _WHOLE_TOLD
 
     def _is_cause(self, group: Group, evidence: _Evidence, now: float) -> bool:
         if evidence.rounds(now) < ROUNDS_TO_ISOLATE or evidence.is_mostly_whole(now):
@@ -208,11 +220,16 @@
         found = self._evidence.get(group)
         return found.until if found is not None else float("-inf")
 
-    def _of(self, group: Group) -> _Evidence:
+    def _of(self, group: Group, now: float) -> _Evidence:
         found = self._evidence.get(group)
         if found is None:
             if len(self._evidence) >= _MOST_GROUPS:
-                self._evidence.popitem(last=False)
+                self._forget_one(now)
             found = self._evidence[group] = _Evidence()
         self._evidence.move_to_end(group)
         return found
+
+    def _forget_one(self, now: float) -> None:
+        """Forget who was heard of longest ago; one that is kept apart goes after all others."""
+        loose = (group for group, item in self._evidence.items() if now >= item.until)
+        del self._evidence[next(loose, next(iter(self._evidence)))]
--- a/tests/gateway/test_ward.py
+++ b/tests/gateway/test_ward.py
@@ -79,6 +79,25 @@
         self.assertGreater(float(second.headers["retry-after"]), 0.5)
         self.assertEqual(1, sum(len(item.seen) for item in upstreams))
 
+    async def test_with_one_upstream_left_none_waits_for_it_to_be_idle(self) -> None:
+        async def slow(seen: Seen) -> None:
+            began.set()
+            await release.wait()
+            seen.whole()
+
+        async def serve(seen: Seen) -> None:
+            await (slow if seen.id == "o" else whole)(seen)
+
+        began, release = asyncio.Event(), asyncio.Event()
+        async with Rig([ScriptedUpstream([serve])]) as rig:
+            isolate(rig)
+            other = asyncio.create_task(rig.call("o"))
+            await began.wait()
+            suspect = await rig.call("s", path=SUSPECT)
+            release.set()
+            await other
+        self.assertEqual(200, suspect.status)
+
     async def test_with_one_upstream_left_nobody_is_kept_from_it(self) -> None:
         upstreams = [ScriptedUpstream([whole])]
         async with Rig(upstreams) as rig:
--- a/tests/quarantine/test_isolation.py
+++ b/tests/quarantine/test_isolation.py
@@ -64,6 +64,23 @@
         self.assertFalse(self.isolation.isolates((CALLER,), 3.4))
         self.assertFalse(self.isolation.needs_proof(CALLER, 3.4))
 
+    def test_whole_answers_of_before_do_not_speak_for_a_group_that_turned_deadly(self) -> None:
+        """A group was sound for long, and a release of its client ends each upstream."""
+        for number in range(12):
+            self.isolation.note_end(CALLER, "u0", f"gw{number}", 10, 1.0)
+        for number in range(1, 16):
+            at = 1.0 + 1.5 * number
+            self.isolation.note_end(CALLER, f"u{number}", "gw0", 0, at)
+            if at < 9.0:
+                self.assertFalse(self.isolation.isolates((CALLER,), at))
+        self.assertTrue(self.isolation.isolates((CALLER,), at))
+
+    def test_a_flood_of_other_groups_does_not_set_one_free(self) -> None:
+        self.end(PATH, 1.0, 2.1, 3.2)
+        for number in range(600):
+            self.end(Group("s", f"other {number}"), 4.0 + number / 1000)
+        self.assertTrue(self.isolation.isolates((PATH,), 5.0))
+
     def test_of_groups_that_hold_each_other_the_smallest_is_isolated(self) -> None:
         for at in (1.0, 2.1, 3.2):
             self.end(PATH, at)
