--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -659,6 +659,13 @@
         "wanted = True",
         "tests.gateway.test_rest",
     ),
+    Break(
+        "schedulers are told who rests",
+        "scheduling/placer.py",
+        "excluded |= resting",
+        "excluded |= frozenset()",
+        "tests.scheduling.test_placer",
+    ),
     Break(
         "a shorter word does not end a rest",
         "availability/rests.py",
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -239,6 +239,13 @@
                     f"{_REST}.TestEveryWay.test_a_run_does_not_go_on_there",
                 ),
             ),
+            Case(
+                "schedulers choose, or none of them answers",
+                (
+                    "tests.scheduling.test_placer.TestRests.test_a_scheduler_is_told_whom_to_leave_out",
+                    "tests.scheduling.test_placer.TestRests.test_nor_is_one_of_them_chosen_where_no_scheduler_answers",
+                ),
+            ),
             Case(
                 "the host is suspended",
                 (
