--- a/src/lotushill/availability/statement.py
+++ b/src/lotushill/availability/statement.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import math
+import re
 from dataclasses import dataclass
 
+from lotushill.limits.stated_limits import NO_LIMIT
+
 LONGEST_REST_SECONDS = 300.0
 """A longer wish is cut to this: whoever wants nothing for minutes says that it leaves, and a figure
 that is absurd by mistake must not take an upstream away for hours."""
+LEAST_LIMIT = 0.1
+"""A lower limit is taken for this: with nothing sent, nobody would hear of its end."""
+MOST_LIMIT = 100_000.0
+"""A higher limit is taken for this: no fleet sends one upstream as much."""
 _MOST_LOGGED = 60
+_EMPTY = "(empty)"
+_DECIMAL = re.compile(rb"[0-9]{1,30}(?:\.[0-9]{0,30})?|\.[0-9]{1,30}")
 
 
 @dataclass(frozen=True)
@@ -23,6 +32,13 @@
     """Whether it is about to end, and wants no new request from anybody."""
     unreadable: str = ""
     """A wish for rest that could not be read, and so is not followed."""
+    limit: float | None = NO_LIMIT
+    """Requests a second that it takes from all gateways together, `NO_LIMIT` where it names none.
+
+    None where it names one that cannot be read: then what is known of it stays.
+    """
+    unreadable_limit: str = ""
+    """What stands in the place of such a limit."""
 
 
 NOTHING_SAID = Statement()
@@ -36,13 +52,21 @@
     unreadable: str = ""
 
 
+@dataclass(frozen=True)
+class Limit:
+    """How much an upstream takes from all gateways together, as far as that can be read."""
+
+    rate: float | None = NO_LIMIT
+    unreadable: str = ""
+
+
 def read_rest(values: list[bytes]) -> Rest:
     """Return the longest of several wishes in seconds; dates are not among the forms in use."""
     longest, unreadable = 0.0, ""
     for value in values:
         seconds = _seconds(value)
         if seconds is None:
-            unreadable = value.decode("latin-1")[:_MOST_LOGGED]
+            unreadable = _shown(value)
         else:
             longest = max(longest, min(LONGEST_REST_SECONDS, seconds))
     return Rest(longest, unreadable)
@@ -54,3 +78,23 @@
     except ValueError:
         return None
     return seconds if 0.0 <= seconds < math.inf else None
+
+
+def read_limit(values: list[bytes]) -> Limit:
+    """Return the lowest of several limits; one alone that cannot be read leaves it open."""
+    read = [_decimal(value) for value in values]
+    rates = [max(LEAST_LIMIT, min(MOST_LIMIT, rate)) for rate in read if rate is not None]
+    odd = [_shown(value) for value, rate in zip(values, read) if rate is None]
+    if rates:
+        return Limit(min(rates), *odd[-1:])
+    return Limit(None, odd[-1] or _EMPTY) if odd else Limit()
+
+
+def _decimal(value: bytes) -> float | None:
+    """Return a decimal number of at least 0, None for anything else."""
+    text = value.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
+def _shown(value: bytes) -> str:
+    return value.decode("latin-1")[:_MOST_LOGGED]
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -99,7 +99,7 @@
         head = await self._read_head(connection)
         self._parts.fleet.load(self._choice.upstream.id).note_reached()
         said = read_statement(head.status, head.headers)
-        self._parts.gate.hear(self._choice.upstream.id, said)
+        self._parts.gate.hear(self._choice.upstream.id, said, self.sent_at)
         if said.not_executed:
             await self._read_all(connection)
             return AttemptEnd(EndKind.REJECTED, str(head.status), said=said)
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -10,6 +10,7 @@
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.gateway.upstream_search import UpstreamSearch
+from lotushill.limits.stated_limits import NO_LIMIT
 from lotushill.placement.choice import Choice
 from lotushill.scheduling.placement import Placement
 
@@ -191,6 +192,7 @@
                 rest=end.said.rest,
                 leaving=end.said.leaving,
                 unreadable=end.said.unreadable,
+                limit=_finite(end.said.limit),
             )
         return end
 
@@ -275,3 +277,8 @@
 
     def _note(self, event: str, **fields: object) -> None:
         self._parts.log.note(event, request=self._request.demand.request_id, **fields)
+
+
+def _finite(rate: float | None) -> float | None:
+    """Return a limit as a log line can hold it, None where none was named."""
+    return rate if rate is not None and rate < NO_LIMIT else None
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -38,6 +38,7 @@
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.gateway.ward import Ward
 from lotushill.journal import Journal
+from lotushill.limits.stated_limits import StatedLimits
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
@@ -113,6 +114,7 @@
             self.peers.model_sync.ready,
         )
         self.rests = Rests()
+        self.limits = StatedLimits()
         placer = Placer(
             settings.name,
             self.fleet,
@@ -136,7 +138,12 @@
             settings.name, self.views.upstreams, self.peers.tell_all, self.log, rng, clocks.now
         )
         self.gate = UpstreamGate(
-            self.views.upstreams, self.rests, self.leaving.note, self.log, clocks.now
+            self.views.upstreams,
+            self.rests,
+            self.limits,
+            self.leaving.note,
+            self.log,
+            clocks.now,
         )
         self.budgets = RetryBudgets(settings.retry, self._sharing, clocks.now())
         self.front = Front(
@@ -217,6 +224,7 @@
             self.pool.sweep(known)
             self.fleet.forget(known, clocks.now())
             self.rests.forget(known, clocks.now())
+            self.limits.forget(known, clocks.now())
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -75,6 +75,16 @@
         "Wishes for rest that could not be read so far",
         lambda: gateway.gate.unreadable,
     )
+    gauge(
+        "upstreams_limited",
+        "Upstreams that name a limit for all gateways together",
+        lambda: len(gateway.limits.limited()),
+    )
+    gauge(
+        "limits_unreadable",
+        "Limits that could not be read so far",
+        lambda: gateway.gate.unreadable_limits,
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -100,6 +110,7 @@
             "known": [asdict(item) for item in gateway.views.upstreams.all()],
             "ignored": dict(gateway.views.upstream_faults.held),
             "resting": sorted(gateway.rests.barred(clocks.now())),
+            "limited": gateway.limits.limited(),
         },
         "settings": {
             "revision": gateway.views.settings.revision,
--- a/src/lotushill/gateway/upstream_gate.py
+++ b/src/lotushill/gateway/upstream_gate.py
@@ -4,12 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.limits.stated_limits import NO_LIMIT
+from lotushill.limits.stated_limits import Word
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lotushill.availability.rests import Rests
     from lotushill.availability.statement import Statement
     from lotushill.event_log import EventLog
+    from lotushill.limits.stated_limits import StatedLimits
     from lotushill.views.upstream_view import UpstreamView
 
 
@@ -25,6 +29,7 @@
         self,
         upstreams: UpstreamView,
         rests: Rests,
+        limits: StatedLimits,
         on_leaving: Callable[[str], None],
         log: EventLog,
         clock: Callable[[], float],
@@ -32,6 +37,7 @@
         """Tell `on_leaving` of each upstream that says that it leaves."""
         self._upstreams = upstreams
         self._rests = rests
+        self._limits = limits
         self._on_leaving = on_leaving
         self._log = log
         self._clock = clock
@@ -39,9 +45,11 @@
         """Sends that were kept back so far, after the upstream had been chosen."""
         self.unreadable = 0
         """Wishes for rest that could not be read so far."""
+        self.unreadable_limits = 0
+        """Limits that could not be read so far."""
 
-    def hear(self, upstream_id: str, said: Statement) -> None:
-        """Take in what an answer says of its upstream."""
+    def hear(self, upstream_id: str, said: Statement, asked: float) -> None:
+        """Take in what the answer to a request that was sent at `asked` says of its upstream."""
         now = self._clock()
         if said.unreadable:
             self.unreadable += 1
@@ -52,6 +60,17 @@
             self._rests.note_taken(upstream_id, now)
         if said.leaving:
             self._on_leaving(upstream_id)
+        self._hear_limit(upstream_id, said, Word(said.limit or 0.0, asked, now))
+
+    def _hear_limit(self, upstream_id: str, said: Statement, word: Word) -> None:
+        if said.unreadable_limit:
+            self.unreadable_limits += 1
+            self._log.note(
+                "upstream.limit_unreadable", upstream=upstream_id, value=said.unreadable_limit
+            )
+        if said.limit is not None and self._limits.take(upstream_id, word):
+            rate = word.rate if word.rate < NO_LIMIT else None
+            self._log.note("upstream.limits", upstream=upstream_id, rate=rate, source="answer")
 
     def wants(self, upstream_id: str) -> bool:
         """Return whether an upstream takes new requests of this gateway now, as far as is known."""
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -29,6 +29,7 @@
 NOT_EXECUTED = "not-executed"
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
+SERVER_LIMIT = "server-limit"
 INSTANCE_ID = "instance-id"
 
 # Kinds and objects of the store.
--- a/src/lotushill/platform/upstream_answer.py
+++ b/src/lotushill/platform/upstream_answer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lotushill.availability.statement import Statement
+from lotushill.availability.statement import read_limit
 from lotushill.availability.statement import read_rest
 from lotushill.platform import names
 
@@ -14,6 +15,7 @@
 _NOT_EXECUTED = names.NOT_EXECUTED.encode()
 _RETRY_AFTER = names.RETRY_AFTER.encode()
 _SERVER_LEAVING = names.SERVER_LEAVING.encode()
+_SERVER_LIMIT = names.SERVER_LIMIT.encode()
 
 
 def read_statement(status: int, headers: Headers) -> Statement:
@@ -22,4 +24,12 @@
     rest = read_rest([value for name, value in headers if refused and name == _RETRY_AFTER])
     ran_not = any(name == _NOT_EXECUTED and value for name, value in headers)
     leaving = any(name == _SERVER_LEAVING and value.strip() == _YES for name, value in headers)
-    return Statement(ran_not or status == _MISDIRECTED, rest.seconds, leaving, rest.unreadable)
+    limit = read_limit([value for name, value in headers if name == _SERVER_LIMIT])
+    return Statement(
+        not_executed=ran_not or status == _MISDIRECTED,
+        rest=rest.seconds,
+        leaving=leaving,
+        unreadable=rest.unreadable,
+        limit=limit.rate,
+        unreadable_limit=limit.unreadable,
+    )
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -31,6 +31,7 @@
 from lotushill.gateway.upstream_gate import UpstreamGate
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.gateway.ward import Ward
+from lotushill.limits.stated_limits import StatedLimits
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
@@ -274,6 +275,7 @@
         )
         log = EventLog("gw", self.lines.append)
         rests = Rests()
+        self.limits = StatedLimits()
         self.leaving = LeavingKeeper(
             "gw", self.view, self.told_leaving.append, log, random.Random(5), self.clock
         )
@@ -294,7 +296,7 @@
             placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), self.clock, rests),
             pool=pool,
             ward=Ward(self.isolation, self.view, self.clock),
-            gate=UpstreamGate(self.view, rests, self.leaving.note, log, self.clock),
+            gate=UpstreamGate(self.view, rests, self.limits, self.leaving.note, log, self.clock),
             quarantine=self.keeper,
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
             work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.limits."""
+
+from __future__ import annotations
--- a/tests/platform/test_upstream_answer.py
+++ b/tests/platform/test_upstream_answer.py
@@ -7,10 +7,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lotushill.availability.statement import LEAST_LIMIT
 from lotushill.availability.statement import LONGEST_REST_SECONDS
+from lotushill.availability.statement import MOST_LIMIT
+from lotushill.limits.stated_limits import NO_LIMIT
 from lotushill.platform.upstream_answer import read_statement
 
 RETRY = b"retry-after"
+LIMIT = b"server-limit"
 
 
 class TestNotExecuted(unittest.TestCase):
@@ -68,3 +72,53 @@
         for headers in ([], [(b"server-leaving", b"0")], [(b"connection", b"close")]):
             with self.subTest(headers=headers):
                 self.assertFalse(read_statement(200, headers).leaving)
+
+
+class TestLimit(unittest.TestCase):
+    def test_any_answer_may_name_it(self) -> None:
+        for status in (200, 421, 429, 500, 503):
+            with self.subTest(status=status):
+                self.assertEqual(1.5, read_statement(status, [(LIMIT, b"1.5")]).limit)
+
+    def test_one_that_names_none_has_none(self) -> None:
+        self.assertEqual(NO_LIMIT, read_statement(200, []).limit)
+
+    def test_decimal_numbers_in_their_usual_forms(self) -> None:
+        for text, rate in ((b"4", 4.0), (b" 0.25 ", 0.25), (b".5", 0.5), (b"50.", 50.0)):
+            with self.subTest(text=text):
+                self.assertEqual(rate, read_statement(200, [(LIMIT, text)]).limit)
+
+    def test_of_several_the_lowest_that_can_be_read_holds(self) -> None:
+        said = read_statement(200, [(LIMIT, b"4"), (LIMIT, b"few"), (LIMIT, b"2"), (LIMIT, b"3")])
+        self.assertEqual((2.0, "few"), (said.limit, said.unreadable_limit))
+
+    def test_what_is_no_decimal_number_leaves_it_open(self) -> None:
+        odd = (
+            b"-1",
+            b"nan",
+            b"inf",
+            b"1e999",
+            b"1e2",
+            b"0x2",
+            b"1_0",
+            b"",
+            b"few",
+            b"1, 2",
+            b"1 2",
+        )
+        for text in odd:
+            with self.subTest(text=text):
+                said = read_statement(200, [(LIMIT, text)])
+                self.assertIsNone(said.limit)
+                self.assertEqual(text.decode() or "(empty)", said.unreadable_limit)
+
+    def test_absurd_figures_are_bounded(self) -> None:
+        self.assertEqual(LEAST_LIMIT, read_statement(200, [(LIMIT, b"0")]).limit)
+        self.assertEqual(MOST_LIMIT, read_statement(200, [(LIMIT, b"9" * 25)]).limit)
+
+    @given(st.lists(st.tuples(st.just(LIMIT), st.binary(max_size=30))))
+    def test_any_bytes_give_a_limit_within_bounds_or_leave_it_open(
+        self, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        limit = read_statement(200, headers).limit
+        self.assertTrue(limit is None or limit == NO_LIMIT or LEAST_LIMIT <= limit <= MOST_LIMIT)
