Tests that fail: engines that name a limit get many times as much

One gateway sends all of 20 requests to an engine that takes one in ten seconds; four real gateways send two engines that take one a second 14 and 21 requests in 4 s, where 11 may be. The soak's engines can name limits, and its ledger holds arrivals against them.

--- a/src/lotushill/platform/upstream_answer.py
+++ b/src/lotushill/platform/upstream_answer.py
@@ -25,11 +25,5 @@
     ran_not = any(name == _NOT_EXECUTED and value for name, value in headers)
     leaving = any(name == _SERVER_LEAVING and value.strip() == _YES for name, value in headers)
     limit = read_limit([value for name, value in headers if name == _SERVER_LIMIT])
-    return Statement(
-        not_executed=ran_not or status == _MISDIRECTED,
-        rest=rest.seconds,
-        leaving=leaving,
-        unreadable=rest.unreadable,
-        limit=limit.rate,
-        unreadable_limit=limit.unreadable,
-    )
+    said = (rest.seconds, leaving, rest.unreadable, limit.rate, limit.unreadable)
+    return Statement(ran_not or status == _MISDIRECTED, *said)
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from tests.gateway.rig import SIGNED
 from tests.gateway.rig import ScriptedUpstream
 from tests.soak.ledger import Arrival
+from tests.soak.ledger import LimitWord
 from tests.soak.ledger import Rest
 
 if TYPE_CHECKING:
@@ -52,6 +54,10 @@
         self._rest = 0.0
         self._leaving = ""
         """The life that says in its answers that it leaves, empty for none."""
+        self._limit = math.inf
+        """Requests a second that it says it takes, infinity for no limit."""
+        self._limited = ""
+        """The life that names the limit."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -100,6 +106,10 @@
         self._rest = round(seconds, _REST_DECIMALS)
         self._sheds_until = time.monotonic() + self._rest
 
+    def limit(self, rate: float) -> None:
+        """Name a limit from now on in this life, none with infinity."""
+        self._limit, self._limited = rate, self.life
+
     async def leave_by_word(self) -> None:
         """Say in answers that this life leaves, while its entry says `ready`, and end it later."""
         if self._server is not None:
@@ -141,7 +151,8 @@
         if now < self._sheds_until:
             self._ledger.rests.append(Rest(seen.id, self.life, now, self._rest))
             seen.answer(
-                f"503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\nRetry-After: {self._rest}\r\n"
+                f"503 Busy{self._words(seen)}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+                f"Retry-After: {self._rest}\r\n"
             )
             return
         varying = seen.body.startswith(VARYING)
@@ -159,18 +170,22 @@
             await self._stream_events(seen)
             return
         await asyncio.sleep(self._rng.uniform(0.01, 0.15))
-        seen.whole(f"{seen.id} done".encode(), f"200 OK{self._word(seen)}")
-
-    def _word(self, seen: Seen) -> str:
-        """Return the header of one that leaves, and note that it was said."""
-        if self._leaving != self.life:
-            return ""
-        self._ledger.leavings.append(Arrival(seen.id, self.life, time.monotonic()))
-        return "\r\nServer-Leaving: 1"
+        seen.whole(f"{seen.id} done".encode(), f"200 OK{self._words(seen)}")
+
+    def _words(self, seen: Seen) -> str:
+        """Return what an answer says of its engine, as headers, and note that it was said."""
+        now, words = time.monotonic(), ""
+        if self._leaving == self.life:
+            self._ledger.leavings.append(Arrival(seen.id, self.life, now))
+            words += "\r\nServer-Leaving: 1"
+        if self._limited != self.life:
+            return words
+        self._ledger.limit_words.append(LimitWord(seen.id, self.life, now, self._limit))
+        return words if self._limit == math.inf else f"{words}\r\nServer-Limit: {self._limit:g}"
 
     async def _stream_events(self, seen: Seen) -> None:
         """Send the events that come after the last one that the request names."""
-        seen.answer(f"200 OK{self._word(seen)}\r\nTransfer-Encoding: chunked\r\n{SIGNED}")
+        seen.answer(f"200 OK{self._words(seen)}\r\nTransfer-Encoding: chunked\r\n{SIGNED}")
         done = int(seen.headers.get("last-event-id") or 0)
         for event in events(seen.id)[done:]:
             seen.chunk(event)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections import defaultdict
 from dataclasses import dataclass
@@ -19,6 +20,10 @@
 _SENT_IN_REST = 2
 """After the grace, what may still be under way to an engine that asked for rest."""
 _LEAVE_SECONDS = 2.0
+_LIMIT_WINDOW = 4.0
+_LIMIT_RATIO = 1.5
+_LIMIT_SLACK = 5
+"""Of what a limit allows in a window, and beyond it, what may reach an engine that names it."""
 _REFUSED = frozenset((408, 421, 429, 503))
 
 
@@ -59,6 +64,17 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class LimitWord:
+    """One answer of an engine, by when it was sent, with the limit that it names."""
+
+    attempt: str
+    engine: str
+    at: float
+    rate: float
+    """Requests a second, infinity where it names none."""
+
+
 @dataclass(frozen=True)
 class Absence:
     """A time in which a gateway was killed, or stood still."""
@@ -83,6 +99,7 @@
     rests: list[Rest] = field(default_factory=list)
     leavings: list[Arrival] = field(default_factory=list)
     """Answers in which an engine said that it leaves, by when it was said."""
+    limit_words: list[LimitWord] = field(default_factory=list)
     absences: list[Absence] = field(default_factory=list)
     restarts: list[Absence] = field(default_factory=list)
     """Starts of gateways, which know nothing of before."""
@@ -109,7 +126,7 @@
         ]
         found += [f"{answer.attempt}: ran, and got no answer" for answer in self._lost(runs)]
         found += [f"{answer.attempt}: answered late" for answer in self._late()]
-        found += self._broken_rests() + self._sent_to_leaving()
+        found += self._broken_rests() + self._sent_to_leaving() + self.over_limits()
         if self.odd_requests:
             found.append(f"{self.odd_requests} requests sent where only an odd entry points")
         late = self.late_sends()
@@ -159,6 +176,49 @@
                 found.append(f"{item.attempt}: sent to {item.engine}, which had said it leaves")
         return found
 
+    def over_limits(self) -> list[str]:
+        """Return engines that got more than they had named, all gateways that knew together."""
+        found = []
+        for engine in sorted({word.engine for word in self.limit_words if word.rate < math.inf}):
+            words = sorted(
+                (word for word in self.limit_words if word.engine == engine),
+                key=lambda word: word.at,
+            )
+            first = next(word.at for word in words if word.rate < math.inf)
+            sent = self._sent_by_told(engine, words)
+            starts = [at for at in sent if at >= first + CONTACT_SECONDS]
+            for start in starts:
+                count = sum(start <= at < start + _LIMIT_WINDOW for at in sent)
+                rate = _rate_around(words, start)
+                if count > _LIMIT_RATIO * rate * _LIMIT_WINDOW + _LIMIT_SLACK:
+                    found.append(f"{engine}: {count} requests in 4 s at a limit of {rate:g}")
+                    break
+        return found
+
+    def limited_runs(self) -> dict[str, int]:
+        """Return how many requests ran at each engine that ever named a limit."""
+        limited = {word.engine for word in self.limit_words if word.rate < math.inf}
+        return {engine: sum(run.engine == engine for run in self.runs) for engine in limited}
+
+    def _sent_by_told(self, engine: str, words: list[LimitWord]) -> list[float]:
+        """Return when requests reached an engine from gateways that had passed on its limit."""
+        gateways = {answer.attempt: answer.gateway for answer in self.answers}
+        sent = []
+        for item in self.arrivals:
+            gateway = gateways.get(item.attempt)
+            if item.engine != engine or gateway is None:
+                continue
+            told = [
+                word.at
+                for word in words
+                if word.rate < math.inf
+                and word.at <= item.at - _GRACE_SECONDS
+                and gateways.get(word.attempt) == gateway
+            ]
+            if told and not self._has_forgotten(gateway, told[-1], item.at):
+                sent.append(item.at)
+        return sorted(sent)
+
     def _has_forgotten(self, gateway: str, since: float, until: float) -> bool:
         """Return whether a gateway was away, or started anew, in some time."""
         started = any(
@@ -211,3 +271,10 @@
             if run.at >= since:
                 used[run.engine] += 1
         return set(used)
+
+
+def _rate_around(words: list[LimitWord], start: float) -> float:
+    """Return the highest limit that held in a window, or was about to end when it began."""
+    before = [word for word in words if word.at < start]
+    within = [word.rate for word in words if start <= word.at < start + _LIMIT_WINDOW]
+    return max(within + [word.rate for word in before[-1:]])
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -27,6 +27,9 @@
     TROUBLE_STORE = "let the store be in trouble for a while"
     SHED_ENGINE = "let an engine turn all away and ask for rest"
     SHED_ALL_ENGINES = "let all engines turn all away and ask for rest"
+    LIMIT_ENGINE = "let an engine name a limit for all gateways together"
+    LIMIT_ALL_ENGINES = "let all engines name such a limit"
+    LIFT_LIMITS = "let no engine name a limit any more"
     LEAVE_BY_WORD = "let an engine say in its answers alone that it leaves, then end it"
 
 
@@ -55,6 +58,8 @@
     deed: Deed
     pick: int
     seconds: float
+    rate: float = 0.0
+    """Of a limit, in requests a second."""
 
 
 def draw(seed: int, seconds: float) -> list[Step]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import tempfile
@@ -69,6 +70,8 @@
     """By requests whose deadly bodies differ."""
     rests: int
     leavings: int
+    limited_runs: dict[str, int]
+    """Runs at each engine that ever named a limit."""
     served: tuple[int, int]
     """Of ordinary requests at the end: served, and sent."""
     common_served: tuple[int, int]
@@ -86,16 +89,20 @@
 class Soak:
     """Everything that one run needs."""
 
-    def __init__(self, seed: int, seconds: float, words: bool = True) -> None:
+    def __init__(
+        self, seed: int, seconds: float, words: bool = True, plan: list[Step] | None = None
+    ) -> None:
         """Play `seed`; with `words`, engines shed and leave, and a second caller varies its bodies.
 
-        Without them a seed plays as it did before there were any.
+        Without them a seed plays as it did before there were any. With a `plan` of its own a run
+        has ordinary callers alone.
         """
-        self._words = words
+        self._words = words and plan is None
+        self._deadly = plan is None
         self._rng = random.Random(seed)
         self._seconds = seconds
         steps = draw(seed, seconds) + (draw_words(seed, seconds) if words else [])
-        self._plan = sorted(steps, key=lambda step: step.at)
+        self._plan = sorted(steps if plan is None else plan, key=lambda step: step.at)
         self._store = MetadataStore()
         self._app = MetadataApp(self._store)
         self._server = HttpServer(self._app, "127.0.0.1:0")
@@ -144,9 +151,10 @@
         for number in range(_CLIENTS):
             client = Client(addresses, self._ledger, random.Random(number))
             self._later(client.run(_PAUSE_SECONDS))
-        deadly = Client(addresses, self._ledger, random.Random(99))
         began = time.monotonic()
-        self._later(deadly.run(_DEADLY_PAUSE_SECONDS, "deadly"))
+        if self._deadly:
+            deadly = Client(addresses, self._ledger, random.Random(99))
+            self._later(deadly.run(_DEADLY_PAUSE_SECONDS, "deadly"))
         if self._words:
             varying = Client(addresses, self._ledger, random.Random(98))
             self._later(varying.run(_DEADLY_PAUSE_SECONDS, "varying"))
@@ -178,6 +186,7 @@
             ended_by_varying=len(self._ledger.varying_ends),
             rests=len(self._ledger.rests),
             leavings=len(self._ledger.leavings),
+            limited_runs=self._ledger.limited_runs(),
             served=(once + other + streams, sent_once + sent_other + sent_streams),
             common_served=self._ledger.served("common", since),
             idle_engines={engine.name for engine in self._engines} - used,
@@ -224,6 +233,14 @@
             case Deed.SHED_ALL_ENGINES:
                 for each_engine in self._engines:
                     each_engine.shed(step.seconds / 2)
+            case Deed.LIMIT_ENGINE:
+                engine.limit(step.rate)
+            case Deed.LIMIT_ALL_ENGINES:
+                for each_engine in self._engines:
+                    each_engine.limit(step.rate)
+            case Deed.LIFT_LIMITS:
+                for each_engine in self._engines:
+                    each_engine.limit(math.inf)
             case Deed.LEAVE_BY_WORD:
                 await engine.leave_by_word()
             case Deed.TROUBLE_STORE:
