One gateway of the fleet counts what an engine with a limit gets, and all ask it before they send

Callers saw nothing yet: the engine that had named a limit of one request a second was sent four times as much, by gateways that had each passed the word on.

The mend holds since the word is believed by its newest time, told to all gateways as leavings are, and each request needs a permit before a connection is opened, a run counted or a repeat spent; no attempt can be made without one. One gateway of the engine's hall, found by hash among the live members, counts with a token bucket of depth 2 that starts empty. Where two think they count, each hands out only the part that the gateways which it hears are of all that are known, so that both sides of a cut together stay at the limit. Shares that each gateway spends by itself were ruled out: nine buckets that are full at once give 13 in 4 s where 11 may be.

--- a/src/lotushill/availability/statement.py
+++ b/src/lotushill/availability/statement.py
@@ -6,7 +6,7 @@
 import re
 from dataclasses import dataclass
 
-from lotushill.limits.stated_limits import NO_LIMIT
+from lotushill.availability.stated_limits import NO_LIMIT
 
 LONGEST_REST_SECONDS = 300.0
 """A longer wish is cut to this: whoever wants nothing for minutes says that it leaves, and a figure
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/gateway/attempt.py
@@ -23,6 +23,7 @@
     from lotushill.gateway.request import Request
     from lotushill.gateway.upstream_connection import AnswerHead
     from lotushill.gateway.upstream_connection import UpstreamConnection
+    from lotushill.gateway.upstream_gate import Permit
     from lotushill.placement.choice import Choice
 
 _SUCCESS = range(200, 300)
@@ -42,6 +43,7 @@
         answer: ClientAnswer,
         splitter: EventSplitter,
         news: AttemptNews,
+        permit: Permit,
     ) -> None:
         self._parts = parts
         self._request = request
@@ -49,6 +51,7 @@
         self._answer = answer
         self._splitter = splitter
         self._news = news
+        self._permit = permit
         self._models_all = parts.placer.models_all()
         """Whether all that runs at the upstream is known, so that its pauses can be explained."""
         self._clock = parts.clock
@@ -73,7 +76,7 @@
             return AttemptEnd(EndKind.NOT_SENT, "the host was suspended")
         # Whoever chose it may not have known, or chose before it said so: with all of six upstreams
         # at rest for 1.5 s, one of them got 39 requests of one gateway.
-        if not self._parts.gate.pass_on(upstream.id):
+        if not self._parts.gate.pass_on(self._permit):
             connection.close()
             return AttemptEnd(EndKind.BARRED)
         try:
--- a/src/lotushill/gateway/duties.py
+++ b/src/lotushill/gateway/duties.py
@@ -85,7 +85,7 @@
             rank=self._rank,
             services=self._services,
             upstreams=gateway.views.upstreams,
-            pull=gateway.peers.send_work,
+            pull=gateway.peers.send_message,
             own_pages=self.work.pages,
         )
         return DutyKeeper(
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.gateway.attempt import Attempt
 from lotushill.gateway.attempt_end import EndKind
 from lotushill.gateway.attempt_news import AttemptNews
 from lotushill.gateway.event_stream import EventSplitter
 from lotushill.gateway.upstream_search import UpstreamSearch
-from lotushill.limits.stated_limits import NO_LIMIT
 from lotushill.placement.choice import Choice
 from lotushill.scheduling.placement import Placement
 
@@ -19,6 +19,7 @@
     from lotushill.gateway.client_answer import ClientAnswer
     from lotushill.gateway.parts import GatewayParts
     from lotushill.gateway.request import Request
+    from lotushill.gateway.upstream_gate import Permit
     from lotushill.routing.upstream import Upstream
 
 _RAN_NOTHING = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
@@ -48,7 +49,6 @@
         self._answer = answer
         self._splitter = EventSplitter()
         self._clock = parts.clock
-        self._excluded: set[str] = set()
         self._retry_after = _RETRY_SECONDS
         self._unsent = 0
         self._rejected = 0
@@ -70,14 +70,18 @@
             if self._parts.quarantine.holds(request):
                 return await self._keep_back()
             await self._parts.suspension.settle()
-            placement = await self._search.find(frozenset(self._excluded))
+            placement = await self._search.find()
             if not isinstance(placement, Placement):
                 self._retry_after = placement.retry_after
                 return await self._give_up("no upstream", None)
             if self._clock() >= request.ends:
                 return await self.time_out()
             choice = placement.choice
-            end = await self._attempt(placement)
+            permit = await self._parts.gate.admit(choice.upstream, request.need.tier)
+            if permit is None:
+                self._put_off(placement)
+                continue
+            end = await self._attempt(placement, permit)
             check = self._check_upstream(choice.upstream, end)
             if choice.backup is not None and await self._may_go_on(end, check):
                 end = await self._continue(choice.backup, end)
@@ -87,7 +91,7 @@
                 return None
             if not await self._may_repeat(end, check):
                 return await self._give_up(end.detail, end)
-            self._excluded.add(choice.upstream.id)
+            self._search.exclude(choice.upstream.id)
             self._splitter.drop_partial()
 
     async def time_out(self) -> None:
@@ -133,12 +137,15 @@
         copy the upstream runs nothing, and the run has ended as it was cut.
         """
         service = self._request.service.name
-        if not self._may_continue(backup) or not self._parts.budgets.spend(service, self._clock()):
+        if not self._may_continue(backup):
+            return cut
+        permit = await self._parts.gate.admit(backup, self._request.need.tier)
+        if permit is None or not self._parts.budgets.spend(service, self._clock()):
             return cut
         self._splitter.drop_partial()
         seconds = self._parts.fleet.pace(service).stream_seconds
         choice = Choice(backup, 0.0, _CONTINUE_SECONDS, 0, 0, seconds, continues=True)
-        end = await self._attempt(self._parts.placer.continued(self._request, choice))
+        end = await self._attempt(self._parts.placer.continued(self._request, choice), permit)
         return end if end.kind is EndKind.WHOLE else cut
 
     def _may_continue(self, backup: Upstream) -> bool:
@@ -154,7 +161,13 @@
         wanted = self._parts.gate.wants(backup.id)
         return known and sound and wanted and self._splitter.events > 0
 
-    async def _attempt(self, placement: Placement) -> AttemptEnd:
+    def _put_off(self, placement: Placement) -> None:
+        """Look for another upstream, as there is no permit for this one now."""
+        self._search.put_off(placement.choice.upstream.id)
+        if placement.scheduler:
+            self._parts.shared_load.give_up(placement.placed.request)
+
+    async def _attempt(self, placement: Placement, permit: Permit) -> AttemptEnd:
         choice, number = placement.choice, placement.placed.request
         self.upstream = choice.upstream.id
         self._note_choice(placement)
@@ -163,7 +176,9 @@
         )
         self.runs += 1
         news = AttemptNews(self._parts.shared_load, number, self._note_ran)
-        attempt = Attempt(self._parts, self._request, choice, self._answer, self._splitter, news)
+        attempt = Attempt(
+            self._parts, self._request, choice, self._answer, self._splitter, news, permit
+        )
         kind = None
         try:
             end = await attempt.run()
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -38,7 +38,9 @@
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.gateway.ward import Ward
 from lotushill.journal import Journal
-from lotushill.limits.stated_limits import StatedLimits
+from lotushill.limits.barred_upstreams import BarredUpstreams
+from lotushill.limits.counting import CountingGateways
+from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
@@ -105,6 +107,16 @@
             self.peers.tell_load,
             self.peers.is_near,
         )
+        self.rests = Rests()
+        self.limits = FleetLimits(
+            self.views.upstreams,
+            CountingGateways(self.peers.membership, lambda: self.registration.listed),
+            self.peers.send_message,
+            self.peers.tell_all,
+            self.log,
+            rng,
+            clocks.now,
+        )
         self.desk = PlacementDesk(
             settings.name,
             self.fleet,
@@ -112,9 +124,8 @@
             self._service_named,
             self.views.upstreams.of,
             self.peers.model_sync.ready,
+            self.limits.stated,
         )
-        self.rests = Rests()
-        self.limits = StatedLimits()
         placer = Placer(
             settings.name,
             self.fleet,
@@ -122,7 +133,8 @@
             self.views.upstreams,
             rng,
             clocks.now,
-            self.rests,
+            BarredUpstreams(self.rests, self.limits.denials),
+            self.limits.stated,
             self.peers.schedulers,
             self.peers.client,
         )
@@ -157,6 +169,7 @@
                 placer=placer,
                 pool=self.pool,
                 gate=self.gate,
+                limits=self.limits,
                 ward=Ward(self.quarantine.isolation, self.views.upstreams, clocks.now),
                 budgets=self.budgets,
                 quarantine=self.quarantine.keeper,
@@ -224,7 +237,7 @@
             self.pool.sweep(known)
             self.fleet.forget(known, clocks.now())
             self.rests.forget(known, clocks.now())
-            self.limits.forget(known, clocks.now())
+            self.limits.forget(known)
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
@@ -293,12 +306,16 @@
             on_work_page=self.duties.receive,
             on_suspects=lambda news: self.quarantine.keeper.receive(news),
             on_leaving=lambda news: self.leaving.receive(news),
+            on_limits=lambda news: self.limits.keeper.receive(news),
+            on_permit_ask=lambda ask: self.limits.answer(ask),
+            on_permit_answer=lambda answer: self.limits.client.receive(answer),
             on_tick=self._on_tick,
         )
 
     def _on_tick(self) -> None:
         self.suspension.look()
         self.leaving.tell_due()
+        self.limits.keeper.tell_due()
 
     def _sharing(self) -> int:
         """Return how many gateways there may be, 0 while the store has not told.
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/gateway/parts.py
@@ -19,6 +19,7 @@
     from lotushill.gateway.upstream_gate import UpstreamGate
     from lotushill.gateway.upstream_pool import UpstreamPool
     from lotushill.gateway.ward import Ward
+    from lotushill.limits.fleet_limits import FleetLimits
     from lotushill.placement.fleet import Fleet
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.shared_load import SharedLoad
@@ -39,6 +40,7 @@
     placer: Placer
     pool: UpstreamPool
     gate: UpstreamGate
+    limits: FleetLimits
     ward: Ward
     budgets: RetryBudgets
     quarantine: QuarantineKeeper
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/gateway/peers.py
@@ -24,12 +24,15 @@
 from lotushill.links.messages import ClearedNews
 from lotushill.links.messages import GroupNews
 from lotushill.links.messages import LeavingNews
+from lotushill.links.messages import LimitNews
 from lotushill.links.messages import LoadBatch
 from lotushill.links.messages import LoadNews
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
+from lotushill.links.messages import PermitAnswer
+from lotushill.links.messages import PermitAsk
 from lotushill.links.messages import Ping
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import PlacementAsk
@@ -102,6 +105,11 @@
     """Hears of requests under which upstreams ended, or did not."""
     on_leaving: Callable[[LeavingNews], None]
     """Hears of upstreams that said that they leave."""
+    on_limits: Callable[[LimitNews], None]
+    """Hears of limits that upstreams named."""
+    on_permit_ask: Callable[[PermitAsk], PermitAnswer]
+    """Counts for an upstream with a limit."""
+    on_permit_answer: Callable[[PermitAnswer], None]
     on_tick: Callable[[], None]
     """Called some twenty times a second."""
 
@@ -138,11 +146,11 @@
             settings.name, self._seal, self._address_of, self._on_message, lambda _: None
         )
         self.schedulers = Schedulers(self.membership)
-        self.client = PlacementClient(self.schedulers, self._send_message, hooks.on_late, clock)
+        self.client = PlacementClient(self.schedulers, self.send_message, hooks.on_late, clock)
         self.model_sync = ModelSync(self.schedulers)
         self._hall_contact = HallContact(self.schedulers)
         self._views = ViewExchange(self.membership, self.links, rng, hooks.view_text, hooks.on_view)
-        self._relay = LoadRelay(settings.name, self.schedulers, self._send_message)
+        self._relay = LoadRelay(settings.name, self.schedulers, self.send_message)
         self._transport: asyncio.DatagramTransport | None = None
         self._cut_off: set[str] = set()
         self._cut_off_at = -1
@@ -198,10 +206,6 @@
         """Tell the schedulers of requests placed and ended."""
         self._relay.tell(pack(load), load.number, self._clock())
 
-    def send_work(self, message: WorkPull | WorkPage, address: str) -> None:
-        """Ask for counts, or tell them."""
-        self._send_message(message, address)
-
     def tell_all(self, message: Message) -> None:
         """Send a message to every other gateway that is heard."""
         data = self._seal.sign(to_datagram(message), _CONTEXT)
@@ -237,18 +241,24 @@
             self._relay.collect(message.records, now)
         elif isinstance(message, PlacementAsk):
             answer = self._hooks.answer(message, now)
-            self._send_message(answer, f"{addr[0]}:{addr[1]}")
+            self.send_message(answer, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, PlacementAnswer):
             self.client.receive(message)
         elif isinstance(message, WorkPull):
             for page in self._hooks.on_work_pull(message):
-                self.send_work(page, f"{addr[0]}:{addr[1]}")
+                self.send_message(page, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, WorkPage):
             self._hooks.on_work_page(message)
         elif isinstance(message, SuspectNews | ClearedNews | GroupNews):
             self._hooks.on_suspects(message)
         elif isinstance(message, LeavingNews):
             self._hooks.on_leaving(message)
+        elif isinstance(message, LimitNews):
+            self._hooks.on_limits(message)
+        elif isinstance(message, PermitAsk):
+            self.send_message(self._hooks.on_permit_ask(message), f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, PermitAnswer):
+            self._hooks.on_permit_answer(message)
         elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
             source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
@@ -259,9 +269,10 @@
 
     def _send_all(self, packets: Iterable[Outgoing]) -> None:
         for packet in packets:
-            self._send_message(packet.message, packet.address)
+            self.send_message(packet.message, packet.address)
 
-    def _send_message(self, message: Datagram, address: str) -> None:
+    def send_message(self, message: Datagram, address: str) -> None:
+        """Send one datagram to an address."""
         self._send(self._seal.sign(to_datagram(message), _CONTEXT), address)
 
     def _send(self, data: bytes, address: str) -> None:
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -78,7 +78,22 @@
     gauge(
         "upstreams_limited",
         "Upstreams that name a limit for all gateways together",
-        lambda: len(gateway.limits.limited()),
+        lambda: len(gateway.limits.stated.limited()),
+    )
+    gauge(
+        "sends_unpermitted",
+        "Requests for which there was no permit at the upstream that was chosen, so far",
+        lambda: gateway.gate.unpermitted,
+    )
+    gauge(
+        "permits_denied",
+        "Permits that this gateway denied for upstreams that it counts for, so far",
+        lambda: gateway.limits.denied,
+    )
+    gauge(
+        "permits_unanswered",
+        "Permits that were asked for and not answered, so far",
+        lambda: gateway.limits.client.unanswered,
     )
     gauge(
         "limits_unreadable",
@@ -110,7 +125,7 @@
             "known": [asdict(item) for item in gateway.views.upstreams.all()],
             "ignored": dict(gateway.views.upstream_faults.held),
             "resting": sorted(gateway.rests.barred(clocks.now())),
-            "limited": gateway.limits.limited(),
+            "limited": gateway.limits.stated.limited(),
         },
         "settings": {
             "revision": gateway.views.settings.revision,
--- a/src/lotushill/gateway/upstream_gate.py
+++ b/src/lotushill/gateway/upstream_gate.py
@@ -1,11 +1,11 @@
-"""The last check before a request is written to an upstream: whether that wants any now."""
+"""The last checks before a request is written to an upstream: whether that wants any now."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from lotushill.limits.stated_limits import NO_LIMIT
-from lotushill.limits.stated_limits import Word
+from lotushill.availability.stated_limits import Word
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -13,10 +13,18 @@
     from lotushill.availability.rests import Rests
     from lotushill.availability.statement import Statement
     from lotushill.event_log import EventLog
-    from lotushill.limits.stated_limits import StatedLimits
+    from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.routing.upstream import Upstream
     from lotushill.views.upstream_view import UpstreamView
 
 
+@dataclass(frozen=True)
+class Permit:
+    """Lets one request be written to one upstream: without it none is."""
+
+    upstream_id: str
+
+
 class UpstreamGate:
     """Hears what upstreams say of themselves and keeps requests from those that want none.
 
@@ -29,7 +37,7 @@
         self,
         upstreams: UpstreamView,
         rests: Rests,
-        limits: StatedLimits,
+        limits: FleetLimits,
         on_leaving: Callable[[str], None],
         log: EventLog,
         clock: Callable[[], float],
@@ -45,6 +53,8 @@
         """Sends that were kept back so far, after the upstream had been chosen."""
         self.unreadable = 0
         """Wishes for rest that could not be read so far."""
+        self.unpermitted = 0
+        """Requests for which there was no permit at the upstream that was chosen, so far."""
         self.unreadable_limits = 0
         """Limits that could not be read so far."""
 
@@ -60,17 +70,13 @@
             self._rests.note_taken(upstream_id, now)
         if said.leaving:
             self._on_leaving(upstream_id)
-        self._hear_limit(upstream_id, said, Word(said.limit or 0.0, asked, now))
-
-    def _hear_limit(self, upstream_id: str, said: Statement, word: Word) -> None:
         if said.unreadable_limit:
             self.unreadable_limits += 1
             self._log.note(
                 "upstream.limit_unreadable", upstream=upstream_id, value=said.unreadable_limit
             )
-        if said.limit is not None and self._limits.take(upstream_id, word):
-            rate = word.rate if word.rate < NO_LIMIT else None
-            self._log.note("upstream.limits", upstream=upstream_id, rate=rate, source="answer")
+        if said.limit is not None:
+            self._limits.keeper.hear(upstream_id, Word(said.limit, asked, now))
 
     def wants(self, upstream_id: str) -> bool:
         """Return whether an upstream takes new requests of this gateway now, as far as is known."""
@@ -79,10 +85,21 @@
             return False
         return not self._rests.bars(upstream_id, self._clock())
 
-    def pass_on(self, upstream_id: str) -> bool:
+    async def admit(self, upstream: Upstream, tier: int) -> Permit | None:
+        """Return the permit for one request of a tier, None if it has to go elsewhere.
+
+        Asked before a connection is opened, a run counted or a repeat spent: what is not admitted
+        has cost nothing.
+        """
+        if not await self._limits.admit(upstream, tier):
+            self.unpermitted += 1
+            return None
+        return Permit(upstream.id)
+
+    def pass_on(self, permit: Permit) -> bool:
         """Return whether a request may be written now, and count it if so."""
-        if not self.wants(upstream_id):
+        if not self.wants(permit.upstream_id):
             self.barred += 1
             return False
-        self._rests.note_sent(upstream_id, self._clock())
+        self._rests.note_sent(permit.upstream_id, self._clock())
         return True
--- a/src/lotushill/gateway/upstream_search.py
+++ b/src/lotushill/gateway/upstream_search.py
@@ -34,13 +34,23 @@
         self._gives_up = min(
             request.arrived + _WAIT_SHARE * request.route.target, request.ends - _LEAST_SECONDS
         )
+        self._excluded: set[str] = set()
+        self._put_off: set[str] = set()
         self._asked = False
         """Whether an upstream was looked for before."""
 
-    async def find(self, excluded: frozenset[str]) -> Placement | NoChoice:
+    def exclude(self, upstream_id: str) -> None:
+        """Look at an upstream no more: it had the request, or did not take it."""
+        self._excluded.add(upstream_id)
+
+    def put_off(self, upstream_id: str) -> None:
+        """Look at an upstream no more for as long as there is no permit for it."""
+        self._put_off.add(upstream_id)
+
+    async def find(self) -> Placement | NoChoice:
         """Return an upstream, or why there is none for as long as the request may wait."""
         while True:
-            found = await self._look(excluded)
+            found = await self._look()
             if isinstance(found, Placement):
                 return found
             pause = self._pause(found)
@@ -49,13 +59,13 @@
                 return found
             await anyio.sleep(pause)
 
-    async def _look(self, excluded: frozenset[str]) -> Placement | NoChoice:
+    async def _look(self) -> Placement | NoChoice:
         """Look for an upstream once."""
         request, ward = self._request, self._parts.ward
         wait = ward.wait(request)
         if wait > 0:
             return NoChoice(Refusal.ISOLATED, wait)
-        barred = excluded | ward.barred(request)
+        barred = ward.barred(request) | self._excluded | self._without_permit()
         found = await self._parts.placer.place(request, barred, self._asked)
         self._asked = True
         if isinstance(found, Placement) and not ward.admits(request, found.choice):
@@ -63,10 +73,15 @@
             return NoChoice(Refusal.ISOLATED, _ISOLATED_RETRY_SECONDS)
         return found
 
+    def _without_permit(self) -> set[str]:
+        """Return what was put off and still is, whether or not those who choose know of it."""
+        tier, now = self._request.need.tier, self._clock()
+        return {name for name in self._put_off if self._parts.limits.denials.bars(name, tier, now)}
+
     def _pause(self, found: NoChoice) -> float | None:
         """Return after how many seconds to look again, None to refuse now."""
         request, now = self._request, self._clock()
-        if found.refusal is Refusal.RESTING:
+        if found.refusal in (Refusal.RESTING, Refusal.LIMITED):
             pause = rest_pause(found.retry_after, now - request.arrived, request.need)
             return pause if pause is not None and now + pause < request.ends else None
         pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
--- a/src/lotushill/limits/__init__.py
+++ b/src/lotushill/limits/__init__.py
@@ -1,3 +1,3 @@
-"""The rates that upstreams name for all gateways together, and how the fleet keeps to them."""
+"""How all gateways together keep to the rates that upstreams name for them."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/lotushill/limits/barred_upstreams.py
@@ -0,0 +1,37 @@
+"""Upstreams that are to be sent nothing now: they rest, or there is no permit for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lotushill.availability.rests import Rests
+    from lotushill.limits.denials import Denials
+
+
+class BarredUpstreams:
+    """What those who choose leave out. Pure, with the clock passed in."""
+
+    def __init__(self, rests: Rests, denials: Denials) -> None:
+        self._rests = rests
+        self._denials = denials
+
+    def names(self, tier: int, now: float) -> frozenset[str]:
+        """Return all upstreams that a request of a tier is not to be sent to now."""
+        return self._rests.barred(now) | self._denials.barred(tier, now)
+
+    def any_limited(self, upstream_ids: Iterable[str], tier: int, now: float) -> bool:
+        """Return whether for any of some upstreams there is no permit."""
+        return any(self._denials.bars(name, tier, now) for name in upstream_ids)
+
+    def first_end(self, upstream_ids: Iterable[str], tier: int, now: float) -> float:
+        """Return after how many seconds the first of some upstreams may be sent a request."""
+        return min((self._end(name, tier, now) for name in upstream_ids), default=0.0)
+
+    def _end(self, upstream_id: str, tier: int, now: float) -> float:
+        return max(
+            self._rests.first_end((upstream_id,), now),
+            self._denials.left(upstream_id, tier, now),
+        )
--- /dev/null
+++ b/src/lotushill/limits/denials.py
@@ -0,0 +1,63 @@
+"""Upstreams with a limit for which this gateway has no permit now. Pure.
+
+The load that it answers: a gateway with hundreds of requests a second for an upstream that takes
+one. Each of them asking for a permit would cost a round trip and the counting gateway its time.
+"""
+
+from __future__ import annotations
+
+import math
+
+_NOBODY: frozenset[str] = frozenset()
+
+
+class Denials:
+    """Until when nothing is to be asked, by upstream and tier."""
+
+    def __init__(self) -> None:
+        self._until: dict[str, dict[int, float]] = {}
+        self._asked: dict[str, float] = {}
+        """Upstreams for which an answer is awaited, by when it is given up."""
+
+    def note_asked(self, upstream_id: str, until: float) -> None:
+        """Note that a permit is asked for: one ask of a gateway is under way at a time."""
+        self._asked[upstream_id] = until
+
+    def note_answered(self, upstream_id: str) -> None:
+        """Note that no answer is awaited any longer."""
+        self._asked.pop(upstream_id, None)
+
+    def note_denied(self, upstream_id: str, tier: int, until: float) -> None:
+        """Note that a tier was denied a permit; no less urgent one gets any meanwhile."""
+        self._until.setdefault(upstream_id, {})[tier] = until
+
+    def clear(self, upstream_id: str) -> None:
+        """Forget what was denied, since the limit is another one."""
+        self._until.pop(upstream_id, None)
+
+    def bars(self, upstream_id: str, tier: int, now: float) -> bool:
+        """Return whether nothing is to be asked for a tier now."""
+        return self._ends(upstream_id, tier) > now
+
+    def barred(self, tier: int, now: float) -> frozenset[str]:
+        """Return all upstreams for which nothing is to be asked for a tier now."""
+        if not self._until and not self._asked:
+            return _NOBODY
+        names = self._until.keys() | self._asked.keys()
+        return frozenset(name for name in names if self.bars(name, tier, now))
+
+    def left(self, upstream_id: str, tier: int, now: float) -> float:
+        """Return after how many seconds an upstream may be asked for again."""
+        return max(0.0, self._ends(upstream_id, tier) - now)
+
+    def forget(self, limited: set[str], now: float) -> None:
+        """Drop what is over, and what was said of upstreams without a limit."""
+        for upstream_id, tiers in list(self._until.items()):
+            if upstream_id not in limited or max(tiers.values()) <= now:
+                del self._until[upstream_id]
+
+    def _ends(self, upstream_id: str, tier: int) -> float:
+        denied = self._until.get(upstream_id, {})
+        ends = [until for other, until in denied.items() if other <= tier]
+        ends.append(self._asked.get(upstream_id, -math.inf))
+        return max(ends)
--- /dev/null
+++ b/src/lotushill/limits/limit_keeper.py
@@ -0,0 +1,99 @@
+"""What gateways tell each other of the limits that upstreams name in their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.availability.stated_limits import Word
+from lotushill.availability.trickle import Trickle
+from lotushill.links.messages import LimitNews
+from lotushill.links.messages import LimitState
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lotushill.availability.stated_limits import StatedLimits
+    from lotushill.event_log import EventLog
+
+_MOST_IN_DATAGRAM = 16
+_WAY_SECONDS = 0.05
+"""What news take on their way at most, as a rule. Taken for sent so much earlier, the word that
+they bring is never held for later than one which it crossed."""
+
+
+class LimitKeeper:
+    """Passes on the newest word of each limit, its end included, to all other gateways.
+
+    An engine names its limit to the few gateways that it answers, and means all of them.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        limits: StatedLimits,
+        tell: Callable[[LimitNews], None],
+        on_change: Callable[[str], None],
+        log: EventLog,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        """Tell as the gateway `name`; `on_change` hears of each upstream with another limit."""
+        self._name = name
+        self._limits = limits
+        self._tell = tell
+        self._on_change = on_change
+        self._log = log
+        self._rng = rng
+        self._clock = clock
+        self._timer = Trickle(rng)
+
+    def hear(self, upstream_id: str, word: Word) -> None:
+        """Take in what an answer to a request of this gateway said."""
+        self._take(upstream_id, word, "answer")
+
+    def take(self, state: LimitState, source: str) -> None:
+        """Take in what another gateway was told."""
+        now = self._clock()
+        word = Word(state.rate, now - state.asked_age - _WAY_SECONDS, now - state.heard_age)
+        if word.rate > 0.0 and word.asked <= word.heard <= now:
+            self._take(state.upstream, word, source)
+
+    def receive(self, news: LimitNews) -> None:
+        """Take in news, and see whether their sender lacks any."""
+        for state in news.limits:
+            self.take(state, news.sender)
+        told = {state.upstream: state.rate for state in news.limits}
+        own = self._limits.words()
+        if all(told.get(name) == word.rate for name, word in own.items()):
+            self._timer.hear()
+        elif news.complete:
+            self._timer.reset(self._clock())
+
+    def state(self, upstream_id: str, word: Word) -> LimitState:
+        """Return a word as it is told."""
+        now = self._clock()
+        return LimitState(upstream_id, word.rate, now - word.asked, now - word.heard)
+
+    def tell_due(self) -> None:
+        """Tell the others, if that is due."""
+        if self._limits.empty:
+            self._timer.stop()
+            return
+        now = self._clock()
+        if not self._timer.running:
+            self._timer.reset(now)
+        if self._timer.is_due(now):
+            words = self._limits.words()
+            told = self._rng.sample(sorted(words), min(_MOST_IN_DATAGRAM, len(words)))
+            states = tuple(self.state(name, words[name]) for name in told)
+            self._tell(LimitNews(self._name, states, len(told) == len(words)))
+
+    def _take(self, upstream_id: str, word: Word, source: str) -> None:
+        if not self._limits.take(upstream_id, word):
+            return
+        rate = word.rate if word.rate < NO_LIMIT else None
+        self._log.note("upstream.limits", upstream=upstream_id, rate=rate, source=source)
+        self._on_change(upstream_id)
+        self._timer.reset(self._clock())
--- /dev/null
+++ b/src/lotushill/limits/permit_desk.py
@@ -0,0 +1,77 @@
+"""Hands out what upstreams with a limit take, for all gateways. Pure, with the clock passed in.
+
+The load that it answers: an engine in need takes one request a second, and hundreds of gateways
+have one for it at the same moment. Shares of its limit that each gateway spends by itself either
+add up to many times as much at once, or lie unused where nobody asks. So one gateway counts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+DEPTH = 2.0
+"""Permits that are kept while nobody asks."""
+_TIER_LEVEL = 0.4
+"""What has to be left for each more urgent tier: those that are asked for often never let it rise
+so far, and where nobody else asks it costs no permit."""
+_TIERS = 2
+"""Below which all count alike, so that what they need is less than the depth."""
+_ASKS_FOR_ONE = 4.0
+"""Asks for each permit. With fewer, permits run out while all who want one wait to ask again."""
+_LEAST_PAUSE = 0.02
+_LONGEST_PAUSE = 5.0
+"""Seconds; a limit of one in many seconds may end meanwhile, but that is told to all."""
+_ASKER_SECONDS = 2 * _LONGEST_PAUSE
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Whether a request may be sent, and if not, after how many seconds to ask again."""
+
+    granted: bool
+    again_in: float = 0.0
+
+
+@dataclass
+class _Bucket:
+    """A token bucket; empty at first, since another gateway may have counted until now."""
+
+    at: float
+    level: float = 0.0
+    askers: dict[str, float] = field(default_factory=dict)
+    """When each gateway last asked."""
+
+
+class PermitDesk:
+    """One token bucket for each upstream that this gateway counts."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+
+    def ask(self, upstream_id: str, rate: float, tier: int, asker: str, now: float) -> Verdict:
+        """Return whether `asker` may send a request of a tier, at so many a second for all."""
+        bucket = self._buckets.setdefault(upstream_id, _Bucket(now))
+        bucket.level = min(DEPTH, bucket.level + rate * max(0.0, now - bucket.at))
+        bucket.at = now
+        bucket.askers[asker] = now
+        wanted = 1.0 + _TIER_LEVEL * min(tier, _TIERS)
+        if bucket.level >= wanted:
+            bucket.level -= 1.0
+            return Verdict(True)
+        return Verdict(False, self._pause(bucket, rate, wanted, now))
+
+    def forget(self, limited: set[str]) -> None:
+        """Drop the buckets of upstreams without a limit."""
+        for upstream_id in self._buckets.keys() - limited:
+            del self._buckets[upstream_id]
+
+    def _pause(self, bucket: _Bucket, rate: float, wanted: float, now: float) -> float:
+        """Return when to ask again, so that all who ask together do so a few times a permit."""
+        for asker, at in list(bucket.askers.items()):
+            if now - at > _ASKER_SECONDS:
+                del bucket.askers[asker]
+        if rate <= 0.0:
+            return _LONGEST_PAUSE
+        turns = len(bucket.askers) / (_ASKS_FOR_ONE * rate)
+        return min(_LONGEST_PAUSE, max(_LEAST_PAUSE, turns, (wanted - bucket.level) / rate))
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -19,8 +19,11 @@
 from lotushill.links.messages import ClearedNews
 from lotushill.links.messages import GroupNews
 from lotushill.links.messages import LeavingNews
+from lotushill.links.messages import LimitNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
+from lotushill.links.messages import PermitAnswer
+from lotushill.links.messages import PermitAsk
 from lotushill.links.messages import Ping
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import PlacementAsk
@@ -50,6 +53,9 @@
     | ClearedNews
     | LeavingNews
     | GroupNews
+    | LimitNews
+    | PermitAsk
+    | PermitAnswer
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -198,6 +204,9 @@
     ClearedNews,
     LeavingNews,
     GroupNews,
+    LimitNews,
+    PermitAsk,
+    PermitAnswer,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -155,6 +155,32 @@
   complete @2 :Bool;
 }
 
+struct LimitState {
+  upstream @0 :Text;
+  rate @1 :Float64;
+  askedAge @2 :Float64;
+  heardAge @3 :Float64;
+}
+
+struct LimitNews {
+  sender @0 :Text;
+  limits @1 :List(LimitState);
+  complete @2 :Bool;
+}
+
+struct PermitAsk {
+  sender @0 :Text;
+  number @1 :UInt64;
+  limit @2 :LimitState;
+  tier @3 :UInt8;
+}
+
+struct PermitAnswer {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  againIn @2 :Float64;
+}
+
 struct GroupEnd {
   service @0 :Text;
   label @1 :Text;
@@ -193,5 +219,8 @@
     clearednews @13 :ClearedNews;
     leavingnews @14 :LeavingNews;
     groupnews @15 :GroupNews;
+    limitnews @16 :LimitNews;
+    permitask @17 :PermitAsk;
+    permitanswer @18 :PermitAnswer;
   }
 }
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -53,6 +53,8 @@
     """It would wait longer than the longest prompts may, and is one of them."""
     RESTING = "all rest"
     """All upstreams that could serve it have asked this gateway for rest."""
+    LIMITED = "all limited"
+    """For some upstreams that could serve it there is no permit, and the others rest."""
     ISOLATED = "isolated"
     """Upstreams end under its group, which runs at one of them, one request at a time."""
     NO_ROOM = "no room in time"
--- a/src/lotushill/scheduling/desk.py
+++ b/src/lotushill/scheduling/desk.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import PlacementAnswer
 from lotushill.placement.choice import NoChoice
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.availability.stated_limits import StatedLimits
     from lotushill.links.messages import PlacementAsk
     from lotushill.placement.choice import Choice
     from lotushill.placement.fleet import Fleet
@@ -34,6 +36,7 @@
         service_named: Callable[[str], Service | None],
         upstreams_of: Callable[[str], list[Upstream]],
         is_ready: Callable[[], bool],
+        limits: StatedLimits,
     ) -> None:
         """Answer for the gateway `name`; `is_ready` tells whether the model is filled."""
         self._name = name
@@ -42,6 +45,7 @@
         self._service_named = service_named
         self._upstreams_of = upstreams_of
         self._is_ready = is_ready
+        self._limits = limits
 
     def answer(self, ask: PlacementAsk, now: float) -> PlacementAnswer:
         """Choose an upstream, count the request in, and tell the other schedulers."""
@@ -56,7 +60,8 @@
         if isinstance(found, NoChoice):
             return self._refused(ask, found)
         if ask.copied:
-            backup = self._fleet.backup(need, service, found, upstreams, now)
+            targets = [item for item in upstreams if self._limits.rate(item.id) == NO_LIMIT]
+            backup = self._fleet.backup(need, service, found, targets, now)
             found = replace(found, backup=backup)
         memory = self._fleet.load(found.upstream.id).memory
         engine = service.engine is not None
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.links.messages import PlacementAsk
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
@@ -23,8 +24,9 @@
     import random
     from collections.abc import Callable
 
-    from lotushill.availability.rests import Rests
+    from lotushill.availability.stated_limits import StatedLimits
     from lotushill.gateway.request import Request
+    from lotushill.limits.barred_upstreams import BarredUpstreams
     from lotushill.links.messages import PlacementAnswer
     from lotushill.placement.fleet import Fleet
     from lotushill.placement.messages import Placed
@@ -56,13 +58,15 @@
         upstreams: UpstreamView,
         rng: random.Random,
         clock: Callable[[], float],
-        rests: Rests,
+        barred: BarredUpstreams,
+        limits: StatedLimits,
         schedulers: Schedulers | None = None,
         client: PlacementClient | None = None,
     ) -> None:
         """Place for the gateway `name`; without schedulers, always by the own model.
 
-        `rests` tells which upstreams want nothing from this gateway, which no other one knows.
+        `barred` tells which upstreams are to be sent nothing by this gateway now, which no other
+        one knows, and `limits` which ones are sent few.
         """
         self._name = name
         self._fleet = fleet
@@ -70,7 +74,8 @@
         self._upstreams = upstreams
         self._rng = rng
         self._clock = clock
-        self._rests = rests
+        self._barred = barred
+        self._limits = limits
         self._schedulers = schedulers
         self._client = client
         self._salt = rng.getrandbits(64)
@@ -88,11 +93,11 @@
         self, request: Request, excluded: frozenset[str], again: bool
     ) -> Placement | NoChoice:
         """Return where a request is to go; `again` says that it was asked for before."""
-        resting = self._rests.barred(self._clock())
-        if resting:
-            if self._none_is_awake(request, excluded | resting):
-                return self._all_rest(request, resting)
-            excluded |= resting
+        barred = self._barred.names(request.need.tier, self._clock())
+        if barred:
+            if self._none_is_open(request, excluded | barred):
+                return self._all_barred(request, barred)
+            excluded |= barred
         if self._client is None or self.models_all():
             if not again:
                 self._note_size(request.need)
@@ -114,16 +119,19 @@
             unknown.add(answer.upstream)
         return NoChoice(Refusal.NO_UPSTREAM, _UNKNOWN_RETRY)
 
-    def _none_is_awake(self, request: Request, barred: frozenset[str]) -> bool:
+    def _none_is_open(self, request: Request, barred: frozenset[str]) -> bool:
         return all(item.id in barred for item in self._upstreams.of(request.service.name))
 
-    def _all_rest(self, request: Request, resting: frozenset[str]) -> NoChoice:
-        """Refuse until the first upstream is awake, or say that there is none."""
+    def _all_barred(self, request: Request, barred: frozenset[str]) -> NoChoice:
+        """Refuse until the first upstream may be sent a request, or say that there is none."""
         known = [item.id for item in self._upstreams.of(request.service.name)]
-        asleep = [name for name in known if name in resting]
-        if not asleep:
+        closed = [name for name in known if name in barred]
+        if not closed:
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
-        return NoChoice(Refusal.RESTING, self._rests.first_end(asleep, self._clock()))
+        now, tier = self._clock(), request.need.tier
+        limited = self._barred.any_limited(closed, tier, now)
+        refusal = Refusal.LIMITED if limited else Refusal.RESTING
+        return NoChoice(refusal, self._barred.first_end(closed, tier, now))
 
     def _note_size(self, need: Need) -> None:
         self._fleet.shedding.usual.note_size(need.route, need.size)
@@ -139,7 +147,8 @@
         if isinstance(found, NoChoice):
             return found
         if _may_be_copied(request):
-            backup = self._fleet.backup(request.need, service, found, candidates, now)
+            targets = [item for item in candidates if self._limits.rate(item.id) == NO_LIMIT]
+            backup = self._fleet.backup(request.need, service, found, targets, now)
             found = replace(found, backup=backup)
         memory = self._fleet.load(found.upstream.id).memory
         return Placement(found, self._placed(self.number(), request, found), memory)
--- a/tests/limits/test_stated_limits.py
+++ b/tests/availability/test_stated_limits.py
@@ -7,9 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lotushill.limits.stated_limits import NO_LIMIT
-from lotushill.limits.stated_limits import StatedLimits
-from lotushill.limits.stated_limits import Word
+from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.availability.stated_limits import StatedLimits
+from lotushill.availability.stated_limits import Word
 
 
 class TestStatedLimits(unittest.TestCase):
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -31,8 +31,14 @@
 from lotushill.gateway.upstream_gate import UpstreamGate
 from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.gateway.ward import Ward
-from lotushill.limits.stated_limits import StatedLimits
+from lotushill.limits.barred_upstreams import BarredUpstreams
+from lotushill.limits.counting import CountingGateways
+from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.links.http_server import HttpServer
+from lotushill.links.messages import MemberPhase
+from lotushill.links.messages import MemberState
+from lotushill.membership.membership import Membership
+from lotushill.membership.membership_options import MembershipOptions
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.quarantine.isolation import Isolation
@@ -275,7 +281,15 @@
         )
         log = EventLog("gw", self.lines.append)
         rests = Rests()
-        self.limits = StatedLimits()
+        self.limits = FleetLimits(
+            self.view,
+            CountingGateways(alone("gw"), lambda: 1),
+            lambda *_: None,
+            lambda _: None,
+            log,
+            random.Random(7),
+            self.clock,
+        )
         self.leaving = LeavingKeeper(
             "gw", self.view, self.told_leaving.append, log, random.Random(5), self.clock
         )
@@ -293,10 +307,20 @@
             settings=self.settings,
             fleet=fleet,
             shared_load=shared_load,
-            placer=Placer("gw", fleet, shared_load, self.view, random.Random(2), self.clock, rests),
+            placer=Placer(
+                "gw",
+                fleet,
+                shared_load,
+                self.view,
+                random.Random(2),
+                self.clock,
+                BarredUpstreams(rests, self.limits.denials),
+                self.limits.stated,
+            ),
             pool=pool,
             ward=Ward(self.isolation, self.view, self.clock),
             gate=UpstreamGate(self.view, rests, self.limits, self.leaving.note, log, self.clock),
+            limits=self.limits,
             quarantine=self.keeper,
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
             work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
@@ -358,6 +382,12 @@
         return await read_answer(reader)
 
 
+def alone(name: str) -> Membership:
+    """Return the membership of a gateway that knows no other one."""
+    own = MemberState(name, "127.0.0.1:1", "z", "r", 1, MemberPhase.ALIVE)
+    return Membership(own, (), MembershipOptions(), random.Random(8))
+
+
 def request_bytes(
     request_id: str = "r1", headers: str = "", body: bytes = b"", path: str = "/p/x"
 ) -> bytes:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -13,6 +13,7 @@
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
+from lotushill.links.messages import PermitAnswer
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
@@ -82,6 +83,9 @@
             on_work_page=lambda page: None,
             on_suspects=lambda news: None,
             on_leaving=lambda _: None,
+            on_limits=lambda _: None,
+            on_permit_ask=lambda ask: PermitAnswer(ask.number, True, 0.0),
+            on_permit_answer=lambda _: None,
             on_tick=lambda: None,
             on_gone=lambda name: None,
             answer=lambda ask, now: PlacementAnswer(name, ask.request, refusal=UNREADY),
--- a/tests/gateway/test_sight.py
+++ b/tests/gateway/test_sight.py
@@ -98,7 +98,7 @@
 class TestLimits(unittest.IsolatedAsyncioTestCase):
     async def test_a_word_of_a_limit_is_told_when_it_changes(self) -> None:
         async def limits(seen: Seen) -> None:
-            words = {"r1": "", "r2": "1.5", "r3": "1.5", "r4": "few", "r5": ""}
+            words = {"r1": "", "r2": "1500.5", "r3": "1500.5", "r4": "few", "r5": ""}
             word = words[seen.id]
             seen.whole(status=f"200 OK\r\nServer-Limit: {word}" if word else "200 OK")
 
@@ -106,5 +106,5 @@
             for number in range(1, 6):
                 await rig.call(f"r{number}")
         told = [(line["rate"], line["source"]) for line in noted(rig, "upstream.limits")]
-        self.assertEqual([(1.5, "answer"), (None, "answer")], told)
+        self.assertEqual([(1500.5, "answer"), (None, "answer")], told)
         self.assertEqual(["few"], [x["value"] for x in noted(rig, "upstream.limit_unreadable")])
--- a/tests/platform/test_upstream_answer.py
+++ b/tests/platform/test_upstream_answer.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.statement import LEAST_LIMIT
 from lotushill.availability.statement import LONGEST_REST_SECONDS
 from lotushill.availability.statement import MOST_LIMIT
-from lotushill.limits.stated_limits import NO_LIMIT
 from lotushill.platform.upstream_answer import read_statement
 
 RETRY = b"retry-after"
--- a/tests/scheduling/test_placer.py
+++ b/tests/scheduling/test_placer.py
@@ -8,6 +8,9 @@
 from typing import cast
 
 from lotushill.availability.rests import Rests
+from lotushill.availability.stated_limits import StatedLimits
+from lotushill.limits.barred_upstreams import BarredUpstreams
+from lotushill.limits.denials import Denials
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import PlacementAsk
 from lotushill.placement.choice import NoChoice
@@ -80,6 +83,7 @@
         view.replace(UPSTREAMS, 1)
         fleet = Fleet("h0")
         self.rests = Rests()
+        self.denials = Denials()
         self.client = Client()
         load = SharedLoad("gw", fleet, lambda: self.now, lambda _: SERVICE, lambda _: None)
         self.placer = Placer(
@@ -89,7 +93,8 @@
             view,
             random.Random(1),
             lambda: self.now,
-            self.rests,
+            BarredUpstreams(self.rests, self.denials),
+            StatedLimits(),
             cast("Schedulers", AskingOnly()),
             cast("PlacementClient", self.client),
         )
@@ -134,3 +139,19 @@
         found = await self.place()
         assert isinstance(found, Placement)
         self.assertEqual("e0", found.choice.upstream.id)
+
+    async def test_what_has_no_permit_is_left_out_for_that_tier_and_less_urgent_ones(self) -> None:
+        tier = FakeRequest.need.tier
+        self.denials.note_denied("e0", tier, self.now + 2.0)
+        self.denials.note_denied("e1", tier + 1, self.now + 2.0)
+        found = await self.place()
+        assert isinstance(found, Placement)
+        self.assertEqual("e1", found.choice.upstream.id)
+        self.assertEqual({"e0"}, set(self.client.asks[0].excluded))
+
+    async def test_where_some_are_limited_and_the_others_rest_the_first_end_is_told(self) -> None:
+        self.ask_for_rest(*(item.id for item in UPSTREAMS[1:]), seconds=9.0)
+        self.denials.note_denied("e0", 0, self.now + 2.0)
+        found = await self.place()
+        assert isinstance(found, NoChoice)
+        self.assertEqual((Refusal.LIMITED, 2.0), (found.refusal, found.retry_after))
--- a/tests/scheduling/virtual_fleet.py
+++ b/tests/scheduling/virtual_fleet.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from lotushill.availability.stated_limits import StatedLimits
 from lotushill.links.messages import PlacementAsk
 from lotushill.placement.fleet import Fleet
 from lotushill.placement.messages import Outcome
@@ -110,7 +111,13 @@
 
         load = SharedLoad(name, fleet, lambda: self.now, lambda _: SERVICE, tell, is_near)
         desk = PlacementDesk(
-            name, fleet, load, lambda _: SERVICE, lambda _: self.upstreams, lambda: True
+            name,
+            fleet,
+            load,
+            lambda _: SERVICE,
+            lambda _: self.upstreams,
+            lambda: True,
+            StatedLimits(),
         )
         self.schedulers.append(Scheduler(name, hall, fleet, load, desk))
 
