--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/gateway/exchange.py
@@ -77,7 +77,7 @@
             if self._clock() >= request.ends:
                 return await self.time_out()
             choice = placement.choice
-            permit = await self._parts.gate.admit(choice.upstream, request.need.tier)
+            permit = await self._parts.gate.admit(choice.upstream, request.need)
             if permit is None:
                 self._put_off(placement)
                 continue
@@ -139,7 +139,7 @@
         service = self._request.service.name
         if not self._may_continue(backup):
             return cut
-        permit = await self._parts.gate.admit(backup, self._request.need.tier)
+        permit = await self._parts.gate.admit(backup, self._request.need)
         if permit is None or not self._parts.budgets.spend(service, self._clock()):
             return cut
         self._splitter.drop_partial()
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -14,6 +14,7 @@
 
 from lotushill import clock as clocks
 from lotushill.availability.rests import Rests
+from lotushill.availability.stated_limits import StatedLimits
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.event_log import EventLog
 from lotushill.gateway.client_protocol import ClientProtocol
@@ -41,6 +42,7 @@
 from lotushill.limits.barred_upstreams import BarredUpstreams
 from lotushill.limits.counting import CountingGateways
 from lotushill.limits.fleet_limits import FleetLimits
+from lotushill.limits.permit_rank import PermitRanks
 from lotushill.links.http_server import HttpServer
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
@@ -108,9 +110,14 @@
             self.peers.is_near,
         )
         self.rests = Rests()
+        stated = StatedLimits()
         self.limits = FleetLimits(
             self.views.upstreams,
-            CountingGateways(self.peers.membership, lambda: self.registration.listed),
+            CountingGateways(
+                self.peers.membership, self.peers.schedulers, lambda: self.registration.listed
+            ),
+            stated,
+            PermitRanks(self.fleet, stated, self.views.upstreams.of),
             self.peers.send_message,
             self.peers.tell_all,
             self.log,
@@ -124,7 +131,7 @@
             self._service_named,
             self.views.upstreams.of,
             self.peers.model_sync.ready,
-            self.limits.stated,
+            stated,
         )
         placer = Placer(
             settings.name,
@@ -134,7 +141,7 @@
             rng,
             clocks.now,
             BarredUpstreams(self.rests, self.limits.denials),
-            self.limits.stated,
+            stated,
             self.peers.schedulers,
             self.peers.client,
         )
--- a/src/lotushill/gateway/upstream_gate.py
+++ b/src/lotushill/gateway/upstream_gate.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import Word
+from lotushill.limits.permit_request import permit_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,6 +15,7 @@
     from lotushill.availability.statement import Statement
     from lotushill.event_log import EventLog
     from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.placement.need import Need
     from lotushill.routing.upstream import Upstream
     from lotushill.views.upstream_view import UpstreamView
 
@@ -85,13 +87,13 @@
             return False
         return not self._rests.bars(upstream_id, self._clock())
 
-    async def admit(self, upstream: Upstream, tier: int) -> Permit | None:
-        """Return the permit for one request of a tier, None if it has to go elsewhere.
+    async def admit(self, upstream: Upstream, need: Need) -> Permit | None:
+        """Return the permit for one request, None if it has to go elsewhere.
 
         Asked before a connection is opened, a run counted or a repeat spent: what is not admitted
         has cost nothing.
         """
-        if not await self._limits.admit(upstream, tier):
+        if not await self._limits.admit(permit_request(upstream, need)):
             self.unpermitted += 1
             return None
         return Permit(upstream.id)
--- a/src/lotushill/gateway/upstream_search.py
+++ b/src/lotushill/gateway/upstream_search.py
@@ -75,8 +75,9 @@
 
     def _without_permit(self) -> set[str]:
         """Return what was put off and still is, whether or not those who choose know of it."""
-        tier, now = self._request.need.tier, self._clock()
-        return {name for name in self._put_off if self._parts.limits.denials.bars(name, tier, now)}
+        route, denials = self._request.need.route, self._parts.limits.denials
+        now = self._clock()
+        return {name for name in self._put_off if denials.bars(name, route, now)}
 
     def _pause(self, found: NoChoice) -> float | None:
         """Return after how many seconds to look again, None to refuse now."""
--- a/src/lotushill/limits/barred_upstreams.py
+++ b/src/lotushill/limits/barred_upstreams.py
@@ -18,20 +18,20 @@
         self._rests = rests
         self._denials = denials
 
-    def names(self, tier: int, now: float) -> frozenset[str]:
-        """Return all upstreams that a request of a tier is not to be sent to now."""
-        return self._rests.barred(now) | self._denials.barred(tier, now)
+    def names(self, route: str, now: float) -> frozenset[str]:
+        """Return all upstreams that a request of a route is not to be sent to now."""
+        return self._rests.barred(now) | self._denials.barred(route, now)
 
-    def any_limited(self, upstream_ids: Iterable[str], tier: int, now: float) -> bool:
+    def any_limited(self, upstream_ids: Iterable[str], route: str, now: float) -> bool:
         """Return whether for any of some upstreams there is no permit."""
-        return any(self._denials.bars(name, tier, now) for name in upstream_ids)
+        return any(self._denials.bars(name, route, now) for name in upstream_ids)
 
-    def first_end(self, upstream_ids: Iterable[str], tier: int, now: float) -> float:
+    def first_end(self, upstream_ids: Iterable[str], route: str, now: float) -> float:
         """Return after how many seconds the first of some upstreams may be sent a request."""
-        return min((self._end(name, tier, now) for name in upstream_ids), default=0.0)
+        return min((self._end(name, route, now) for name in upstream_ids), default=0.0)
 
-    def _end(self, upstream_id: str, tier: int, now: float) -> float:
+    def _end(self, upstream_id: str, route: str, now: float) -> float:
         return max(
             self._rests.first_end((upstream_id,), now),
-            self._denials.left(upstream_id, tier, now),
+            self._denials.left(upstream_id, route, now),
         )
--- a/src/lotushill/limits/counting.py
+++ b/src/lotushill/limits/counting.py
@@ -11,21 +11,27 @@
     from collections.abc import Callable
 
     from lotushill.links.messages import MemberState
-    from lotushill.membership.membership import Membership
+    from lotushill.membership.members import Members
     from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.schedulers import Schedulers
 
 
 class CountingGateways:
-    """One gateway for each upstream, worked out from the live members by all of them alike.
+    """One scheduler for each upstream, worked out from the live members by all of them alike.
+
+    Schedulers know what runs, and so which requests are to come first.
 
     Members that disagree may take two for it at the same time. They never add up to more than the
     limit for long: each hands out what the gateways that it hears are of all that are known, and
     both sides of a cut together are no more than all.
     """
 
-    def __init__(self, membership: Membership, registered: Callable[[], int]) -> None:
-        """Choose among `membership`; `registered` tells how many the store lists, 0 if unknown."""
+    def __init__(
+        self, membership: Members, schedulers: Schedulers, registered: Callable[[], int]
+    ) -> None:
+        """Choose among `schedulers`; `registered` tells how many the store lists, 0 if unknown."""
         self._membership = membership
+        self._schedulers = schedulers
         self._registered = registered
 
     @property
@@ -35,10 +41,12 @@
 
     def of(self, upstream: Upstream) -> MemberState:
         """Return who counts for an upstream: one of its hall, which is cut off together with it."""
-        live = {item.name: item for item in self._membership.live()}
-        near = [name for name, item in live.items() if item.hall == upstream.hall]
-        name = owner(upstream.id, near or live)
-        return live[name] if name is not None else self._membership.own
+        halls = self._schedulers.halls()
+        near = halls.get(upstream.hall)
+        names = near or [name for hall in halls.values() for name in hall]
+        name = owner(upstream.id, names)
+        found = self._membership.find(name) if name is not None else None
+        return found if found is not None else self._membership.own
 
     def is_own(self, upstream: Upstream) -> bool:
         """Return whether this gateway counts."""
--- a/src/lotushill/limits/denials.py
+++ b/src/lotushill/limits/denials.py
@@ -12,10 +12,14 @@
 
 
 class Denials:
-    """Until when nothing is to be asked, by upstream and tier."""
+    """Until when nothing is to be asked, by upstream and rank.
+
+    The counting gateway ranks requests; those of a route are taken to rank as the last one did.
+    """
 
     def __init__(self) -> None:
         self._until: dict[str, dict[int, float]] = {}
+        self._ranks: dict[str, int] = {}
         self._asked: dict[str, float] = {}
         """Upstreams for which an answer is awaited, by when it is given up."""
 
@@ -27,37 +31,37 @@
         """Note that no answer is awaited any longer."""
         self._asked.pop(upstream_id, None)
 
-    def note_denied(self, upstream_id: str, tier: int, until: float) -> None:
-        """Note that a tier was denied a permit; no less urgent one gets any meanwhile."""
-        self._until.setdefault(upstream_id, {})[tier] = until
+    def note_denied(self, upstream_id: str, route: str, rank: int, until: float) -> None:
+        """Note that a request was denied a permit; none of a later rank gets any meanwhile."""
+        self._ranks[route] = rank
+        self._until.setdefault(upstream_id, {})[rank] = until
 
     def clear(self, upstream_id: str) -> None:
         """Forget what was denied, since the limit is another one."""
         self._until.pop(upstream_id, None)
 
-    def bars(self, upstream_id: str, tier: int, now: float) -> bool:
-        """Return whether nothing is to be asked for a tier now."""
-        return self._ends(upstream_id, tier) > now
+    def left(self, upstream_id: str, route: str, now: float) -> float:
+        """Return for how many seconds nothing is to be asked for a route, 0 for not at all."""
+        rank = self._ranks.get(route, -1)
+        denied = self._until.get(upstream_id, {})
+        ends = [until for other, until in denied.items() if other <= rank]
+        return max(0.0, max([*ends, self._asked.get(upstream_id, -math.inf)]) - now)
+
+    def bars(self, upstream_id: str, route: str, now: float) -> bool:
+        """Return whether nothing is to be asked for a route now."""
+        return self.left(upstream_id, route, now) > 0.0
 
-    def barred(self, tier: int, now: float) -> frozenset[str]:
-        """Return all upstreams for which nothing is to be asked for a tier now."""
+    def barred(self, route: str, now: float) -> frozenset[str]:
+        """Return all upstreams for which nothing is to be asked for a route now."""
         if not self._until and not self._asked:
             return _NOBODY
         names = self._until.keys() | self._asked.keys()
-        return frozenset(name for name in names if self.bars(name, tier, now))
-
-    def left(self, upstream_id: str, tier: int, now: float) -> float:
-        """Return after how many seconds an upstream may be asked for again."""
-        return max(0.0, self._ends(upstream_id, tier) - now)
+        return frozenset(name for name in names if self.bars(name, route, now))
 
     def forget(self, limited: set[str], now: float) -> None:
         """Drop what is over, and what was said of upstreams without a limit."""
-        for upstream_id, tiers in list(self._until.items()):
-            if upstream_id not in limited or max(tiers.values()) <= now:
+        for upstream_id, ranks in list(self._until.items()):
+            if upstream_id not in limited or max(ranks.values()) <= now:
                 del self._until[upstream_id]
-
-    def _ends(self, upstream_id: str, tier: int) -> float:
-        denied = self._until.get(upstream_id, {})
-        ends = [until for other, until in denied.items() if other <= tier]
-        ends.append(self._asked.get(upstream_id, -math.inf))
-        return max(ends)
+        if not limited:
+            self._ranks.clear()
--- a/src/lotushill/limits/fleet_limits.py
+++ b/src/lotushill/limits/fleet_limits.py
@@ -5,24 +5,24 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import NO_LIMIT
-from lotushill.availability.stated_limits import StatedLimits
 from lotushill.limits.denials import Denials
 from lotushill.limits.limit_keeper import LimitKeeper
 from lotushill.limits.permit_client import ANSWER_SECONDS
 from lotushill.limits.permit_client import PermitClient
 from lotushill.limits.permit_desk import PermitDesk
-from lotushill.limits.permit_desk import Verdict
+from lotushill.limits.permit_request import PermitRequest
 from lotushill.links.messages import PermitAnswer
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
+    from lotushill.availability.stated_limits import StatedLimits
     from lotushill.event_log import EventLog
     from lotushill.limits.counting import CountingGateways
+    from lotushill.limits.permit_rank import PermitRanks
     from lotushill.links.messages import LimitNews
     from lotushill.links.messages import PermitAsk
-    from lotushill.routing.upstream import Upstream
     from lotushill.views.upstream_view import UpstreamView
 
 _OTHERS_PAUSE = 0.3
@@ -37,6 +37,8 @@
         self,
         upstreams: UpstreamView,
         counting: CountingGateways,
+        stated: StatedLimits,
+        ranks: PermitRanks,
         send: Callable[[PermitAsk, str], None],
         tell: Callable[[LimitNews], None],
         log: EventLog,
@@ -46,9 +48,10 @@
         """Send asks to an address with `send`, and news to all other gateways with `tell`."""
         self._upstreams = upstreams
         self._counting = counting
+        self._ranks = ranks
         self._rng = rng
         self._clock = clock
-        self.stated = StatedLimits()
+        self.stated = stated
         self.denials = Denials()
         self.client = PermitClient(counting.own_name, send)
         self.keeper = LimitKeeper(
@@ -62,29 +65,30 @@
         """Return whether an upstream names a limit."""
         return self.stated.rate(upstream_id) < NO_LIMIT
 
-    async def admit(self, upstream: Upstream, tier: int) -> bool:
-        """Return whether a request of a tier may be sent to an upstream now.
+    async def admit(self, request: PermitRequest) -> bool:
+        """Return whether a request may be sent to its upstream now.
 
         What may be is counted as sent, whether it is or not.
         """
-        if not self.is_limited(upstream.id):
+        upstream_id = request.upstream.id
+        if not self.is_limited(upstream_id):
             return True
-        if self.denials.bars(upstream.id, tier, self._clock()):
+        if self.denials.bars(upstream_id, request.route, self._clock()):
             return False
-        verdict = await self._ask(upstream, tier)
-        if not verdict.granted:
-            again_in = verdict.again_in * self._rng.uniform(*_SPREAD)
-            self.denials.note_denied(upstream.id, tier, self._clock() + again_in)
-        return verdict.granted
+        answer = await self._ask(request)
+        if not answer.granted:
+            until = self._clock() + answer.again_in * self._rng.uniform(*_SPREAD)
+            self.denials.note_denied(upstream_id, request.route, answer.rank, until)
+        return answer.granted
 
     def answer(self, ask: PermitAsk) -> PermitAnswer:
         """Answer another gateway that takes this one for the counting one."""
         self.keeper.take(ask.limit, ask.sender)
         upstream = self._upstreams.find(ask.limit.upstream)
         if upstream is None or not self._counting.is_own(upstream):
-            return PermitAnswer(ask.number, False, _OTHERS_PAUSE)
-        verdict = self._decide(upstream, ask.tier, ask.sender)
-        return PermitAnswer(ask.number, verdict.granted, verdict.again_in)
+            return PermitAnswer(ask.number, False, _OTHERS_PAUSE, 0)
+        request = PermitRequest(upstream, ask.route, ask.tier, ask.prompt_tokens)
+        return self._decide(request, ask.sender, ask.number)
 
     def forget(self, known: set[str]) -> None:
         """Drop what is of no more use, with the ids of all upstreams that are known."""
@@ -94,22 +98,26 @@
         self.denials.forget(limited, now)
         self._desk.forget(limited)
 
-    async def _ask(self, upstream: Upstream, tier: int) -> Verdict:
-        counting = self._counting.of(upstream)
+    async def _ask(self, request: PermitRequest) -> PermitAnswer:
+        upstream_id = request.upstream.id
+        counting = self._counting.of(request.upstream)
         if counting.name == self._counting.own_name:
-            return self._decide(upstream, tier, counting.name)
-        word = self.stated.words()[upstream.id]
-        self.denials.note_asked(upstream.id, self._clock() + ANSWER_SECONDS)
+            return self._decide(request, counting.name)
+        self.denials.note_asked(upstream_id, self._clock() + ANSWER_SECONDS)
         try:
-            state = self.keeper.state(upstream.id, word)
-            return await self.client.ask(state, tier, counting.address)
+            state = self.keeper.state(upstream_id, self.stated.words()[upstream_id])
+            return await self.client.ask(state, request, counting.address)
         finally:
-            self.denials.note_answered(upstream.id)
+            self.denials.note_answered(upstream_id)
 
-    def _decide(self, upstream: Upstream, tier: int, asker: str) -> Verdict:
+    def _decide(self, request: PermitRequest, asker: str, number: int = 0) -> PermitAnswer:
+        upstream = request.upstream
         if not self.is_limited(upstream.id):
-            return Verdict(True)
+            return PermitAnswer(number, True, 0.0, 0)
         rate = self.stated.rate(upstream.id) * self._counting.part()
-        verdict = self._desk.ask(upstream.id, rate, tier, asker, self._clock())
+        rank = self._ranks.rank(
+            upstream.service, request.route, request.tier, request.prompt_tokens
+        )
+        verdict = self._desk.ask(upstream.id, rate, rank, asker, self._clock())
         self.denied += not verdict.granted
-        return verdict
+        return PermitAnswer(number, verdict.granted, verdict.again_in, rank)
--- a/src/lotushill/limits/permit_client.py
+++ b/src/lotushill/limits/permit_client.py
@@ -6,14 +6,14 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from lotushill.limits.permit_desk import Verdict
+from lotushill.links.messages import PermitAnswer
 from lotushill.links.messages import PermitAsk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.limits.permit_request import PermitRequest
     from lotushill.links.messages import LimitState
-    from lotushill.links.messages import PermitAnswer
 
 ANSWER_SECONDS = 0.15
 """Some round trips between regions; a gateway that takes longer is frozen, lost or cut off."""
@@ -33,21 +33,23 @@
         self.unanswered = 0
         """Asks that were not answered in time."""
 
-    async def ask(self, limit: LimitState, tier: int, address: str) -> Verdict:
+    async def ask(self, limit: LimitState, request: PermitRequest, address: str) -> PermitAnswer:
         """Return the answer of the gateway at an address, a denial if there is none in time."""
         number = next(self._numbers)
-        waiting = asyncio.get_running_loop().create_future()
+        waiting: asyncio.Future[PermitAnswer] = asyncio.get_running_loop().create_future()
         self._waiting[number] = waiting
-        self._send(PermitAsk(self._name, number, limit, tier), address)
+        ask = PermitAsk(
+            self._name, number, limit, request.tier, request.route, request.prompt_tokens
+        )
+        self._send(ask, address)
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
-                answer = await waiting
+                return await waiting
         except TimeoutError:
             self.unanswered += 1
-            return Verdict(False, _SILENT_PAUSE)
+            return PermitAnswer(number, False, _SILENT_PAUSE, 0)
         finally:
             del self._waiting[number]
-        return Verdict(answer.granted, answer.again_in)
 
     def receive(self, answer: PermitAnswer) -> None:
         """Take in an answer; a permit that nobody waits for any longer is not used."""
--- a/src/lotushill/limits/permit_desk.py
+++ b/src/lotushill/limits/permit_desk.py
@@ -12,12 +12,12 @@
 
 DEPTH = 2.0
 """Permits that are kept while nobody asks."""
-_TIER_LEVEL = 0.4
-"""What has to be left for each more urgent tier: those that are asked for often never let it rise
-so far, and where nobody else asks it costs no permit."""
-_TIERS = 2
+_RANK_LEVEL = 0.45
+"""What has to be left for each rank before: those that are asked for often never let it rise so
+far, and where nobody else asks it costs no permit."""
+_RANKS = 2
 """Below which all count alike, so that what they need is less than the depth."""
-_ASKS_FOR_ONE = 4.0
+_ASKS_FOR_ONE = 8.0
 """Asks for each permit. With fewer, permits run out while all who want one wait to ask again."""
 _LEAST_PAUSE = 0.02
 _LONGEST_PAUSE = 5.0
@@ -49,13 +49,13 @@
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
 
-    def ask(self, upstream_id: str, rate: float, tier: int, asker: str, now: float) -> Verdict:
-        """Return whether `asker` may send a request of a tier, at so many a second for all."""
+    def ask(self, upstream_id: str, rate: float, rank: int, asker: str, now: float) -> Verdict:
+        """Return whether `asker` may send a request of a rank, at so many a second for all."""
         bucket = self._buckets.setdefault(upstream_id, _Bucket(now))
         bucket.level = min(DEPTH, bucket.level + rate * max(0.0, now - bucket.at))
-        bucket.at = now
+        bucket.at = max(bucket.at, now)
         bucket.askers[asker] = now
-        wanted = 1.0 + _TIER_LEVEL * min(tier, _TIERS)
+        wanted = 1.0 + _RANK_LEVEL * min(rank, _RANKS)
         if bucket.level >= wanted:
             bucket.level -= 1.0
             return Verdict(True)
--- /dev/null
+++ b/src/lotushill/limits/permit_rank.py
@@ -0,0 +1,62 @@
+"""Which requests come first where an upstream takes only some a second. Pure.
+
+The load that it answers: half of the engines of a service take one request a second each, and the
+others have to serve the rest. A permit is for one request, whatever its size: given to those with
+the longest prompts, it takes most work from the others. Where these are full as well, or all have
+limits, there is nobody whom that would help, and the most urgent come first.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.availability.stated_limits import NO_LIMIT
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from lotushill.availability.stated_limits import StatedLimits
+    from lotushill.placement.fleet import Fleet
+    from lotushill.routing.upstream import Upstream
+
+FULL_SHARE = 0.9
+"""Of the slots of upstreams without a limit; with more held, what is long is better refused than
+put before what is urgent."""
+
+
+def permit_rank(tier: int, is_long: bool, others_have_room: bool) -> int:
+    """Return the rank of a request of a tier, 0 for the first.
+
+    `is_long` tells whether its route has the longest prompts of the service, and
+    `others_have_room` whether upstreams without a limit have slots to spare.
+    """
+    if others_have_room:
+        return 0 if is_long else 1
+    return tier
+
+
+class PermitRanks:
+    """Ranks by the model of all upstreams."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        limits: StatedLimits,
+        upstreams_of: Callable[[str], Sequence[Upstream]],
+    ) -> None:
+        self._fleet = fleet
+        self._limits = limits
+        self._upstreams_of = upstreams_of
+
+    def rank(self, service: str, route: str, tier: int, prompt_tokens: int) -> int:
+        """Return the rank of a request of a service."""
+        is_long = self._fleet.shedding.is_long_route(service, route, prompt_tokens)
+        return permit_rank(tier, is_long, self._have_room(service))
+
+    def _have_room(self, service: str) -> bool:
+        open_ones = [
+            item for item in self._upstreams_of(service) if self._limits.rate(item.id) == NO_LIMIT
+        ]
+        held = sum(len(self._fleet.load(item.id).running) for item in open_ones)
+        return held < FULL_SHARE * sum(item.slots for item in open_ones)
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -173,12 +173,15 @@
   number @1 :UInt64;
   limit @2 :LimitState;
   tier @3 :UInt8;
+  route @4 :Text;
+  promptTokens @5 :UInt32;
 }
 
 struct PermitAnswer {
   number @0 :UInt64;
   granted @1 :Bool;
   againIn @2 :Float64;
+  rank @3 :UInt8;
 }
 
 struct GroupEnd {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -342,6 +342,8 @@
     limit: LimitState
     tier: int
     """0 is the most urgent."""
+    route: str
+    prompt_tokens: int
 
 
 @dataclass(frozen=True)
@@ -352,7 +354,9 @@
     """Of the ask."""
     granted: bool
     again_in: float
-    """Seconds until a request of that tier may be asked for again, where it was not granted."""
+    """Seconds until a request like it may be asked for again, where it was not granted."""
+    rank: int
+    """Where it comes among all that ask, 0 for the first."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/lotushill/load/limits/virtual_loop.py
@@ -0,0 +1,39 @@
+"""An event loop whose time passes only while nothing is left to do."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+T = TypeVar("T")
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs timers at once, in their order; for code that waits for nothing outside."""
+
+    _ready: Any
+    _scheduled: Any
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = 0.0
+
+    def time(self) -> float:
+        """Return virtual seconds."""
+        return self._now
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0].when())
+        super()._run_once()  # type: ignore[misc]
+
+
+def run_virtually(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(work)
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -12,6 +12,13 @@
 
 from lotushill.availability.patience import rest_pause
 from lotushill.availability.rests import Rests
+from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.availability.stated_limits import StatedLimits
+from lotushill.availability.stated_limits import Word
+from lotushill.limits.barred_upstreams import BarredUpstreams
+from lotushill.limits.denials import Denials
+from lotushill.limits.permit_desk import PermitDesk
+from lotushill.limits.permit_rank import PermitRanks
 from lotushill.load.policy.arrivals import Arrivals
 from lotushill.load.policy.engine import Engine
 from lotushill.load.policy.engine import EngineFigures
@@ -38,6 +45,7 @@
     from collections.abc import Callable
 
     from lotushill.load.policy.client import Client
+    from lotushill.load.policy.scenario import Limit
     from lotushill.load.policy.scenario import Loss
     from lotushill.load.policy.scenario import RequestClass
     from lotushill.load.policy.scenario import Scenario
@@ -46,6 +54,8 @@
 _NEWS_SECONDS = 0.03
 """Until other schedulers hear of something: a batch and the way."""
 _WAY_SECONDS = 0.002
+_PERMIT_SECONDS = 0.004
+"""There and back to whoever counts for an engine with a limit."""
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits at a gateway before it is refused."""
 _POLL_SECONDS = 0.03
@@ -100,6 +110,12 @@
         self._rest_asked = [0.0] * scenario.engines
         """Seconds of rest that an engine asks for while it turns all away, 0 while it does not."""
         self._rests = [Rests() for _ in range(scenario.schedulers)]
+        self._limits = StatedLimits()
+        self._ranks = [
+            PermitRanks(fleet, self._limits, lambda _: self.upstreams) for fleet in self.fleets
+        ]
+        self._desk = PermitDesk()
+        self._denials = [Denials() for _ in range(scenario.schedulers)]
         self._clients: dict[int, Client] = {}
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
@@ -115,6 +131,8 @@
             self._plan(loss)
         for shed in self.scenario.sheds:
             self._plan_shed(shed)
+        for limit in self.scenario.limits:
+            self._plan_limit(limit)
         ends = self.scenario.seconds + max(item.deadline for item in self.scenario.classes)
         while self._events and self._events[0].at <= ends:
             event = heapq.heappop(self._events)
@@ -155,7 +173,7 @@
             return
         found = self._choose(client)
         if isinstance(found, Choice):
-            self._send(client, found)
+            self._admit(client, found)
             return
         pause = self._pause(client, found)
         if pause is not None:
@@ -164,19 +182,44 @@
         self._refuse(client, found)
 
     def _choose(self, client: Client) -> Choice | NoChoice:
-        fleet, rests = self.fleets[client.scheduler], self._rests[client.scheduler]
+        rests, denials = self._rests[client.scheduler], self._denials[client.scheduler]
+        barred = BarredUpstreams(rests, denials)
         known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
-        resting = rests.barred(self.now)
-        awake = [item for item in known if item.id not in resting | client.excluded]
-        if resting and not awake:
-            return NoChoice(Refusal.RESTING, rests.first_end(resting, self.now))
-        excluded = client.excluded | resting
+        route = client.need.route
+        closed = barred.names(route, self.now)
+        open_ones = [item for item in known if item.id not in closed | client.excluded]
+        if closed and not open_ones:
+            limited = barred.any_limited(closed, route, self.now)
+            refusal = Refusal.LIMITED if limited else Refusal.RESTING
+            return NoChoice(refusal, barred.first_end(closed, route, self.now))
+        fleet, excluded = self.fleets[client.scheduler], client.excluded | closed
         return fleet.choose(client.need, self.service, known, excluded, self.now)
 
+    def _admit(self, client: Client, choice: Choice) -> None:
+        """Ask for a permit where the engine has a limit, and send with one."""
+        name, asker = choice.upstream.id, client.scheduler
+        rate, need = self._limits.rate(name), client.need
+        if rate == NO_LIMIT:
+            self._send(client, choice)
+            return
+        # Any scheduler's model would do; the one of the engine's own is as good as this one.
+        rank = self._ranks[asker].rank("llm", need.route, need.tier, need.prompt_tokens)
+        verdict = self._desk.ask(name, rate, rank, str(asker), self.now)
+        if verdict.granted:
+            self._at(self.now + _PERMIT_SECONDS, lambda: self._send_if_there(client, choice))
+            return
+        until = self.now + _PERMIT_SECONDS + verdict.again_in
+        self._denials[asker].note_denied(name, need.route, rank, until)
+        self._at(self.now + _PERMIT_SECONDS, lambda: self._place(client))
+
+    def _send_if_there(self, client: Client, choice: Choice) -> None:
+        if not client.over:
+            self._send(client, choice)
+
     def _pause(self, client: Client, found: NoChoice) -> float | None:
         """Return after how long a request is looked at again, None where it is refused now."""
         waited, target = self.now - client.waited_since, client.kind.target
-        if found.refusal is Refusal.RESTING:
+        if found.refusal in (Refusal.RESTING, Refusal.LIMITED):
             return rest_pause(found.retry_after, waited, client.need)
         pause = _POLL_SECONDS * self._rng.uniform(0.7, 1.3)
         return pause if waited + pause <= _WAIT_SHARE * target else None
@@ -365,7 +408,19 @@
             setattr(tally, end, getattr(tally, end) + 1)
             tally.earned += earned
 
-    # Engines that shed, and losses of engines
+    # Engines that shed, limit or are lost
+
+    def _plan_limit(self, limit: Limit) -> None:
+        count = round(limit.share * len(self.engines))
+        for index in self._rng.sample(range(len(self.engines)), count):
+            self._at(limit.at, functools.partial(self._name_limit, index, limit.rate))
+            ends = limit.at + limit.seconds
+            self._at(ends, functools.partial(self._name_limit, index, NO_LIMIT))
+
+    def _name_limit(self, index: int, rate: float) -> None:
+        self._limits.take(self.upstreams[index].id, Word(rate, self.now, self.now))
+        for denials in self._denials:
+            denials.clear(self.upstreams[index].id)
 
     def _plan_shed(self, shed: Shed) -> None:
         count = round(shed.share * len(self.engines))
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -65,6 +65,17 @@
     """Seconds that each refusal asks for."""
 
 
+@dataclass(frozen=True)
+class Limit:
+    """A share of the engines names a limit for a while."""
+
+    at: float
+    seconds: float
+    share: float
+    rate: float
+    """Requests a second that each of them takes from all schedulers together."""
+
+
 @dataclass(frozen=True)
 class Scenario:
     """One load."""
@@ -78,6 +89,7 @@
     bursts: tuple[Burst, ...] = ()
     losses: tuple[Loss, ...] = ()
     sheds: tuple[Shed, ...] = ()
+    limits: tuple[Limit, ...] = ()
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
@@ -102,5 +114,6 @@
         bursts=tuple(Burst(**item) for item in value.get("bursts", ())),
         losses=tuple(Loss(**item) for item in value.get("losses", ())),
         sheds=tuple(Shed(**item) for item in value.get("sheds", ())),
+        limits=tuple(Limit(**item) for item in value.get("limits", ())),
         variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
     )
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -55,8 +55,12 @@
         decides and not the request, so that the large ones of a route are served as often as the
         small ones. Before any gateway has sent one of the route, the request stands for it.
         """
-        usual = self.usual.prompt(need.service, need.route) or need.prompt_tokens
-        return 0.0 < _LONG_SHARE * self.usual.longest_prompt(need.service) < usual
+        return self.is_long_route(need.service, need.route, need.prompt_tokens)
+
+    def is_long_route(self, service: str, route: str, prompt_tokens: int) -> bool:
+        """Return the same of a request with so long a prompt."""
+        usual = self.usual.prompt(service, route) or prompt_tokens
+        return 0.0 < _LONG_SHARE * self.usual.longest_prompt(service) < usual
 
     def must_serve(self, need: Need, now: float) -> bool:
         """Return whether a refusal would put a request behind less urgent, larger ones.
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -93,7 +93,7 @@
         self, request: Request, excluded: frozenset[str], again: bool
     ) -> Placement | NoChoice:
         """Return where a request is to go; `again` says that it was asked for before."""
-        barred = self._barred.names(request.need.tier, self._clock())
+        barred = self._barred.names(request.need.route, self._clock())
         if barred:
             if self._none_is_open(request, excluded | barred):
                 return self._all_barred(request, barred)
@@ -128,10 +128,10 @@
         closed = [name for name in known if name in barred]
         if not closed:
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
-        now, tier = self._clock(), request.need.tier
-        limited = self._barred.any_limited(closed, tier, now)
+        now, route = self._clock(), request.need.route
+        limited = self._barred.any_limited(closed, route, now)
         refusal = Refusal.LIMITED if limited else Refusal.RESTING
-        return NoChoice(refusal, self._barred.first_end(closed, tier, now))
+        return NoChoice(refusal, self._barred.first_end(closed, route, now))
 
     def _note_size(self, need: Need) -> None:
         self._fleet.shedding.usual.note_size(need.route, need.size)
--- a/src/lotushill/scheduling/schedulers.py
+++ b/src/lotushill/scheduling/schedulers.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable
 
     from lotushill.links.messages import MemberState
-    from lotushill.membership.membership import Membership
+    from lotushill.membership.members import Members
 
 SMALL_FLEET = 16
 """Gateways up to which everybody schedules: hearing some 100 requests a second is then cheaper than
@@ -30,7 +30,7 @@
 class Schedulers:
     """The schedulers among the live members, worked out when these change."""
 
-    def __init__(self, membership: Membership) -> None:
+    def __init__(self, membership: Members) -> None:
         self._membership = membership
         self._looked_at = -1
         self._halls: dict[str, tuple[str, ...]] = {}
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -14,6 +14,7 @@
 
 from lotushill import clock as clocks
 from lotushill.availability.rests import Rests
+from lotushill.availability.stated_limits import StatedLimits
 from lotushill.contracts.settings_view import SettingsView
 from lotushill.duties.true_time import TrueTime
 from lotushill.duties.work_counts import WorkCounts
@@ -34,6 +35,7 @@
 from lotushill.limits.barred_upstreams import BarredUpstreams
 from lotushill.limits.counting import CountingGateways
 from lotushill.limits.fleet_limits import FleetLimits
+from lotushill.limits.permit_rank import PermitRanks
 from lotushill.links.http_server import HttpServer
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
@@ -54,6 +56,7 @@
 from lotushill.routing.upstream import Upstream
 from lotushill.routing.urgency import Urgency
 from lotushill.scheduling.placer import Placer
+from lotushill.scheduling.schedulers import Schedulers
 from lotushill.scheduling.shared_load import SharedLoad
 from lotushill.views.configuration_view import ConfigurationView
 from lotushill.views.upstream_view import UpstreamView
@@ -281,9 +284,12 @@
         )
         log = EventLog("gw", self.lines.append)
         rests = Rests()
+        members, stated = alone("gw"), StatedLimits()
         self.limits = FleetLimits(
             self.view,
-            CountingGateways(alone("gw"), lambda: 1),
+            CountingGateways(members, Schedulers(members), lambda: 1),
+            stated,
+            PermitRanks(fleet, stated, self.view.of),
             lambda *_: None,
             lambda _: None,
             log,
@@ -315,7 +321,7 @@
                 random.Random(2),
                 self.clock,
                 BarredUpstreams(rests, self.limits.denials),
-                self.limits.stated,
+                stated,
             ),
             pool=pool,
             ward=Ward(self.isolation, self.view, self.clock),
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -84,7 +84,7 @@
             on_suspects=lambda news: None,
             on_leaving=lambda _: None,
             on_limits=lambda _: None,
-            on_permit_ask=lambda ask: PermitAnswer(ask.number, True, 0.0),
+            on_permit_ask=lambda ask: PermitAnswer(ask.number, True, 0.0, 0),
             on_permit_answer=lambda _: None,
             on_tick=lambda: None,
             on_gone=lambda name: None,
--- /dev/null
+++ b/tests/limits/test_counting.py
@@ -0,0 +1,62 @@
+"""All gateways find the same one that counts, and both sides of a cut are no more than all."""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.limits.counting import CountingGateways
+from lotushill.links.messages import MemberPhase
+from lotushill.links.messages import MemberState
+from lotushill.load.limits.emulated_members import EmulatedMembers
+from lotushill.routing.upstream import Upstream
+from lotushill.scheduling.schedulers import Schedulers
+
+ENGINES = [Upstream(f"e{n}", "llm", f"10.0.0.{n}:1", f"h{n % 4}", 8, False) for n in range(20)]
+
+
+def states(count: int) -> list[MemberState]:
+    return [
+        MemberState(f"gw-{n}", f"10.1.0.{n}:7", f"h{n % 4}", "r", 1, MemberPhase.ALIVE)
+        for n in range(count)
+    ]
+
+
+def seen_by(known: list[MemberState], number: int) -> tuple[EmulatedMembers, CountingGateways]:
+    members = EmulatedMembers(known[number], [item for item in known if item != known[number]])
+    return members, CountingGateways(members, Schedulers(members), lambda: 0)
+
+
+class TestCountingGateways(unittest.TestCase):
+    def test_all_find_the_same_one_in_the_hall_of_the_engine(self) -> None:
+        for count in (9, 81):
+            with self.subTest(gateways=count):
+                known = states(count)
+                views = [seen_by(known, number)[1] for number in range(count)]
+                for engine in ENGINES:
+                    (found,) = {view.of(engine).name for view in views}
+                    self.assertEqual(engine.hall, views[0].of(engine).hall)
+                    own = [view.own_name for view in views if view.is_own(engine)]
+                    self.assertEqual([found], own)
+
+    def test_where_its_hall_has_none_any_other_counts(self) -> None:
+        known = [item for item in states(9) if item.hall != "h1"]
+        views = [seen_by(known, number)[1] for number in range(len(known))]
+        self.assertEqual(1, len({view.of(ENGINES[1]).name for view in views}))
+
+    def test_alone_it_counts_itself(self) -> None:
+        self.assertTrue(seen_by(states(1), 0)[1].is_own(ENGINES[3]))
+
+    def test_the_parts_of_both_sides_of_a_cut_are_no_more_than_all(self) -> None:
+        known = states(9)
+        parts = []
+        for number, side in ((0, known[:4]), (5, known[4:])):
+            members, counting = seen_by(known, number)
+            for item in known:
+                if item not in side:
+                    members.lose(item.name)
+            parts.append(counting.part())
+        self.assertLessEqual(sum(parts), 1.0 + 1e-9)
+
+    def test_those_that_are_registered_and_never_heard_count_as_lost(self) -> None:
+        members = EmulatedMembers(states(1)[0], [])
+        self.assertEqual(0.25, CountingGateways(members, Schedulers(members), lambda: 4).part())
--- /dev/null
+++ b/tests/limits/test_permit_rank.py
@@ -0,0 +1,47 @@
+"""Who gets what an upstream with a limit takes."""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.availability.stated_limits import StatedLimits
+from lotushill.availability.stated_limits import Word
+from lotushill.limits.permit_rank import PermitRanks
+from lotushill.placement.fleet import Fleet
+from lotushill.placement.messages import Placed
+from lotushill.placement.messages import route_number
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+from lotushill.routing.upstream import Upstream
+
+SERVICE = Service("llm", 600, EngineProfile(4, 100_000, 1))
+UPSTREAMS = [Upstream(f"e{n}", "llm", f"10.0.0.{n}:1", "h0", 4, False) for n in range(2)]
+
+
+class TestPermitRanks(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet, self.limits = Fleet("h0"), StatedLimits()
+        self.ranks = PermitRanks(self.fleet, self.limits, lambda _: UPSTREAMS)
+        for route, prompt in (("letters", 6000), ("queries", 600)):
+            self.fleet.shedding.usual.note_prompt("llm", route_number(route), prompt, prompt)
+        self.limits.take("e0", Word(1.0, 0.0, 0.1))
+
+    def ranked(self) -> tuple[int, int]:
+        return self.ranks.rank("llm", "letters", 2, 6000), self.ranks.rank("llm", "queries", 0, 600)
+
+    def hold(self, count: int) -> None:
+        for number in range(count):
+            placed = Placed(number, "e1", 10, 20, 0.0, 1.0, 0.0)
+            self.fleet.start(placed, SERVICE, 0.0)
+
+    def test_the_long_ones_first_where_they_relieve_the_others_most(self) -> None:
+        self.hold(3)
+        self.assertEqual((0, 1), self.ranked())
+
+    def test_the_urgent_ones_first_where_the_others_are_full(self) -> None:
+        self.hold(4)
+        self.assertEqual((2, 0), self.ranked())
+
+    def test_and_where_all_have_limits(self) -> None:
+        self.limits.take("e1", Word(1.0, 0.0, 0.1))
+        self.assertEqual((2, 0), self.ranked())
--- /dev/null
+++ b/tests/load/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.load.limits."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/load/limits/test_emulated_fleet.py
@@ -0,0 +1,80 @@
+"""All gateways together keep to a limit, whoever counts, and use it while there is demand.
+
+In virtual time, over a network that loses one datagram in fifty, with four times the demand that
+the engine takes; the engine's limit is held against what arrives in any four seconds.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.load.limits.emulated_fleet import EmulatedFleet
+from lotushill.load.limits.emulated_fleet import Fault
+from lotushill.load.limits.emulated_fleet import Outcome
+from lotushill.load.limits.emulated_fleet import Play
+from lotushill.load.limits.emulated_fleet import allowed
+
+LEAST_USED = 0.8
+
+
+def play(*args: int | float, **kwargs: object) -> Outcome:
+    return EmulatedFleet(Play(*args, **kwargs)).run()  # type: ignore[arg-type]
+
+
+class TestCalm(unittest.TestCase):
+    def test_what_arrives_stays_at_the_limit_and_most_of_it_is_used(self) -> None:
+        for gateways, rate, seconds in ((9, 0.2, 100.0), (9, 1, 40.0), (9, 4, 20.0), (81, 1, 30.0)):
+            with self.subTest(gateways=gateways, rate=rate):
+                outcome = play(gateways, rate, seconds=seconds)
+                self.assertLessEqual(outcome.most, 4 * rate + 2)
+                self.assertGreater(outcome.used, LEAST_USED)
+
+    def test_so_it_is_with_hundreds_of_gateways(self) -> None:
+        outcome = play(360, 4, seconds=12.0)
+        self.assertLessEqual(outcome.most, 4 * 4 + 2)
+        self.assertGreater(outcome.used, LEAST_USED)
+
+    def test_shares_that_each_spends_by_itself_break_it(self) -> None:
+        """What was weighed against one that counts: buckets that are full at the same moment."""
+        self.assertGreater(play(360, 4, way="shares", seconds=12.0).most, allowed(4))
+
+    def test_asks_are_bounded_whatever_the_demand(self) -> None:
+        calm, pressed = (play(9, 4, demand=demand) for demand in (4.0, 100.0))
+        self.assertLess(pressed.datagrams, 3 * calm.datagrams + 50)
+        self.assertLessEqual(pressed.most, 4 * 4 + 2)
+
+
+class TestFaults(unittest.TestCase):
+    def test_whatever_happens_to_the_gateways_it_holds(self) -> None:
+        for fault in Fault:
+            for gateways, rate, seed in ((9, 1, 1), (9, 4, 2), (81, 0.2, 3)):
+                with self.subTest(fault=fault, gateways=gateways, rate=rate, seed=seed):
+                    outcome = play(gateways, rate, fault=fault, seed=seed)
+                    self.assertLessEqual(outcome.most, allowed(rate))
+
+    def test_also_where_the_limit_is_high(self) -> None:
+        for fault in (Fault.KILL, Fault.CUT, Fault.DISAGREE):
+            with self.subTest(fault=fault):
+                outcome = play(9, 50, fault=fault, seconds=16.0)
+                self.assertLessEqual(outcome.most, allowed(50))
+
+
+class TestChanges(unittest.TestCase):
+    def sent(self, outcome: Outcome, since: float, until: float) -> int:
+        return sum(since <= at < until for at in outcome.sent)
+
+    def test_a_lower_limit_holds_soon_for_all(self) -> None:
+        outcome = play(81, 20, changes=((8.0, 1.0),), seconds=14.0)
+        self.assertLessEqual(self.sent(outcome, 9.0, 13.0), 4 * 1 + 2)
+
+    def test_a_higher_limit_is_used_soon(self) -> None:
+        outcome = play(81, 1, demand=80.0, changes=((8.0, 20.0),), seconds=15.0)
+        self.assertGreater(self.sent(outcome, 10.5, 14.5), LEAST_USED * 4 * 20)
+
+    def test_after_its_end_nobody_asks_any_more(self) -> None:
+        for rate in (0.2, 4):
+            with self.subTest(rate=rate):
+                demand = 40.0 / rate
+                outcome = play(9, rate, demand=demand, changes=((8.0, NO_LIMIT),))
+                self.assertGreater(self.sent(outcome, 18.0, 22.0), 0.85 * 4 * 40.0)
--- a/tests/load/policy/test_replay.py
+++ b/tests/load/policy/test_replay.py
@@ -70,6 +70,26 @@
         self.assertGreater(share_in_time(result, "letter"), 0.7)
 
 
+class TestLimits(unittest.TestCase):
+    """Engines name limits; seen on a day when requests for half of them went to the others."""
+
+    def test_where_half_take_one_a_second_hardly_anybody_loses(self) -> None:
+        """With permits for the most urgent, a seventh of the letters were refused or late."""
+        result = Replay(scenario("limited-half"), 1).play()
+        self.assertGreater(result.credit, 0.98)
+        self.assertGreater(share_in_time(result, "letter"), 0.95)
+
+    def test_where_the_others_are_full_no_urgent_one_is_put_behind(self) -> None:
+        result = Replay(scenario("limited-most"), 1).play()
+        self.assertEqual([], result.put_behind)
+        self.assertGreater(share_in_time(result, "query"), 0.9)
+
+    def test_where_all_have_limits_the_urgent_ones_come_first(self) -> None:
+        result = Replay(scenario("limited-all"), 1).play()
+        self.assertGreater(share_in_time(result, "query"), 0.85)
+        self.assertGreater(share_in_time(result, "query"), share_in_time(result, "letter"))
+
+
 class TestComparable(unittest.TestCase):
     def test_the_same_requests_come_whatever_is_decided(self) -> None:
         load = replace(scenario("overlapping-bursts"), seconds=3.0)
--- a/tests/scheduling/test_placer.py
+++ b/tests/scheduling/test_placer.py
@@ -140,10 +140,9 @@
         assert isinstance(found, Placement)
         self.assertEqual("e0", found.choice.upstream.id)
 
-    async def test_what_has_no_permit_is_left_out_for_that_tier_and_less_urgent_ones(self) -> None:
-        tier = FakeRequest.need.tier
-        self.denials.note_denied("e0", tier, self.now + 2.0)
-        self.denials.note_denied("e1", tier + 1, self.now + 2.0)
+    async def test_what_has_no_permit_is_left_out_for_its_rank_and_later_ones(self) -> None:
+        self.denials.note_denied("e1", "r", 1, self.now + 2.0)
+        self.denials.note_denied("e0", "r", 0, self.now + 2.0)
         found = await self.place()
         assert isinstance(found, Placement)
         self.assertEqual("e1", found.choice.upstream.id)
@@ -151,7 +150,7 @@
 
     async def test_where_some_are_limited_and_the_others_rest_the_first_end_is_told(self) -> None:
         self.ask_for_rest(*(item.id for item in UPSTREAMS[1:]), seconds=9.0)
-        self.denials.note_denied("e0", 0, self.now + 2.0)
+        self.denials.note_denied("e0", "r", 0, self.now + 2.0)
         found = await self.place()
         assert isinstance(found, NoChoice)
         self.assertEqual((Refusal.LIMITED, 2.0), (found.refusal, found.retry_after))
