--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -30,6 +30,8 @@
 _RESTS = "tests.availability.test_rests"
 _LEAVING = "tests.gateway.test_leaving.TestOneGateway"
 _LEAVING_NEWS = "tests.gateway.test_leaving_keeper.TestLeavingKeeper"
+_LIMIT = "tests.gateway.test_limit.TestOneGateway"
+_LIMITS = "tests.load.limits.test_emulated_fleet"
 _WARD = "tests.gateway.test_ward.TestWard"
 
 
@@ -280,6 +282,58 @@
             ),
         ),
     ),
+    Promise(
+        "An upstream that names a limit gets no more from all gateways together.",
+        "LIMIT",
+        (
+            Case(
+                "one or all of a service name one, in any answer",
+                (
+                    f"{_LIMIT}.test_what_is_over_the_limit_goes_to_the_others",
+                    f"{_LIMIT}.test_where_all_have_a_limit_what_is_over_is_refused_as_not_run",
+                    f"{_LIMIT}.test_any_answer_names_it",
+                    f"{_LIMIT}.test_the_head_of_a_stream_names_it_while_the_stream_goes_on",
+                    f"{_LIMIT}.test_with_other_words_in_one_answer_each_holds",
+                ),
+            ),
+            Case(
+                "whoever chose it did not know, or a run is to go on there",
+                (
+                    f"{_LIMIT}.test_what_is_kept_back_has_spent_neither_a_run_nor_a_repeat",
+                    f"{_LIMIT}.test_a_run_does_not_go_on_there_without_a_permit",
+                    f"{_LIMIT}.test_no_copy_is_kept_at_one_that_has_a_limit",
+                    "tests.scheduling.test_placer.TestRests.test_what_has_no_permit_is_left_out_for_its_rank_and_later_ones",
+                ),
+            ),
+            Case(
+                "many gateways, datagrams lost",
+                (
+                    f"{_LIMITS}.TestCalm.test_what_arrives_stays_at_the_limit_and_most_of_it_is_used",
+                    f"{_LIMITS}.TestCalm.test_so_it_is_with_hundreds_of_gateways",
+                    "tests.soak.test_limits.TestLimits.test_all_gateways_together_keep_to_the_limits_of_two_engines",
+                ),
+            ),
+            Case(
+                "gateways are killed, frozen, cut off, join, restart, or disagree on who counts",
+                (
+                    f"{_LIMITS}.TestFaults.test_whatever_happens_to_the_gateways_it_holds",
+                    f"{_LIMITS}.TestFaults.test_also_where_the_limit_is_high",
+                    "tests.limits.test_counting.TestCountingGateways.test_the_parts_of_both_sides_of_a_cut_are_no_more_than_all",
+                ),
+            ),
+            Case(
+                "it rises, falls, ends, or cannot be read; answers and news cross",
+                (
+                    f"{_LIMITS}.TestChanges.test_a_lower_limit_holds_soon_for_all",
+                    f"{_LIMITS}.TestChanges.test_a_higher_limit_is_used_soon",
+                    f"{_LIMITS}.TestChanges.test_after_its_end_nobody_asks_any_more",
+                    f"{_LIMIT}.test_a_word_that_cannot_be_read_ends_no_limit",
+                    f"{_LIMIT}.test_a_later_life_has_none",
+                    "tests.availability.test_stated_limits.TestStatedLimits.test_words_of_one_after_the_other_lead_to_the_last_in_any_order",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "An upstream that leaves gets no new work, and one that lives is not forgotten.",
         "DRAIN",
--- a/tests/gateway/test_limit.py
+++ b/tests/gateway/test_limit.py
@@ -16,6 +16,8 @@
 from tests.gateway.rig import Rig
 from tests.gateway.rig import ScriptedUpstream
 from tests.gateway.rig import Seen
+from tests.gateway.test_leaving import entry
+from tests.gateway.test_rest import backup_of
 from tests.gateway.test_rest import prefer
 
 LIMIT = "Server-Limit: 0.1\r\n"
@@ -76,3 +78,94 @@
             got = await rig.call("first")
         self.assertTrue(got.whole)
         self.assertEqual(["first"], [seen.id for seen in upstreams[0].seen])
+
+    async def test_what_is_kept_back_has_spent_neither_a_run_nor_a_repeat(self) -> None:
+        upstreams = [ScriptedUpstream([limits]), ScriptedUpstream([whole])]
+        async with Rig(upstreams, max_attempts=1, slack=0.0) as rig:
+            prefer(rig, "b0")
+            got = [await rig.call(f"r{number}") for number in range(10)]
+        self.assertEqual({200}, {item.status for item in got})
+        self.assertEqual(1, upstreams[0].connections)
+
+    async def test_a_run_does_not_go_on_there_without_a_permit(self) -> None:
+        async def serve(seen: Seen) -> None:
+            if seen.id == "asked":
+                seen.whole(status=f"200 OK\r\n{LIMIT.strip()}")
+                return
+            seen.start_events()
+            seen.event(0)
+            await seen.writer.drain()
+            copy = next(item for item in rig.view.all() if item.address == backup_of(seen))
+            prefer(rig, copy.id)
+            await rig.call("asked", headers="Token-Usage: 50,20\r\n")
+            seen.reset()
+
+        upstreams = [ScriptedUpstream([serve]) for _ in range(2)]
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            got = await rig.call("runs", headers="Token-Usage: 50,20\r\n")
+            unpermitted = rig.parts.gate.unpermitted
+        sent = [seen for item in upstreams for seen in item.seen if seen.id == "runs"]
+        self.assertEqual((False, 1, 1), (got.whole, len(sent), unpermitted))
+
+    async def test_no_copy_is_kept_at_one_that_has_a_limit(self) -> None:
+        """What goes on there would need a permit, just when another engine was lost."""
+
+        async def serve(seen: Seen) -> None:
+            words = f"\r\n{LIMIT.strip()}" if seen.id == "asked" else ""
+            seen.whole(status=f"200 OK{words}")
+
+        upstreams = [ScriptedUpstream([serve]) for _ in range(2)]
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            await rig.call("asked", headers="Token-Usage: 50,20\r\n")
+            limited = next(item for item in upstreams if item.seen)
+            for number in range(5):
+                await rig.call(f"r{number}", headers="Token-Usage: 50,20\r\n")
+        others = [seen for item in upstreams for seen in item.seen if seen.id != "asked"]
+        self.assertEqual(5, len(others))
+        self.assertNotIn(limited.address, [seen.headers.get("kv-backup") for seen in others])
+
+    async def test_a_later_life_has_none(self) -> None:
+        upstreams = [ScriptedUpstream([limits, limits, whole])]
+        async with Rig(upstreams) as rig:
+            await rig.call("r1")
+            refused = await rig.call("r2")
+            rig.view.replace([entry(upstreams, 0, life="b0@2")], 2)
+            served = await rig.call("r3")
+        self.assertEqual((503, 200), (refused.status, served.status))
+
+    async def test_with_other_words_in_one_answer_each_holds(self) -> None:
+        async def busy(seen: Seen) -> None:
+            head = f"503 Busy\r\nNot-Executed: 1\r\nRetry-After: 0.05\r\n{LIMIT}"
+            seen.answer(f"{head}Content-Length: 0\r\n")
+
+        upstreams = [ScriptedUpstream([busy]), ScriptedUpstream([whole])]
+        async with Rig(upstreams) as rig:
+            prefer(rig, "b0")
+            await rig.call("r1")
+            rig.suspend(0.2)
+            for number in range(10):
+                await rig.call(f"later{number}")
+        self.assertEqual(["r1"], [seen.id for seen in upstreams[0].seen])
+
+    async def test_a_word_that_cannot_be_read_ends_no_limit(self) -> None:
+        async def odd(seen: Seen) -> None:
+            seen.whole(status="200 OK\r\nServer-Limit: few")
+
+        upstreams = [ScriptedUpstream([limits, odd, whole])]
+        async with Rig(upstreams) as rig:
+            await rig.call("r1")
+            await rig.call("starts counting")
+            rig.suspend(20.0)
+            got = [await rig.call(f"r{number}") for number in range(2, 8)]
+        # After the long pause there is one permit for the least urgent.
+        self.assertEqual(2, len(upstreams[0].seen))
+        self.assertIn(503, [item.status for item in got])
+
+    async def test_its_end_is_heard_and_then_nothing_is_kept_back(self) -> None:
+        upstreams = [ScriptedUpstream([limits, whole])]
+        async with Rig(upstreams) as rig:
+            await rig.call("r1")
+            await rig.call("starts counting")
+            rig.suspend(20.0)
+            got = [await rig.call(f"r{number}") for number in range(2, 8)]
+        self.assertEqual({200}, {item.status for item in got})
