--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -21,6 +21,7 @@
 from lotushill.gateway.duties import FleetDuties
 from lotushill.gateway.fleet_quarantine import FleetQuarantine
 from lotushill.gateway.front import Front
+from lotushill.gateway.idle_connections import idle_connections
 from lotushill.gateway.leaving_keeper import LeavingKeeper
 from lotushill.gateway.metrics import Metrics
 from lotushill.gateway.parts import GatewayParts
@@ -345,7 +346,9 @@
         service = self._service_of(upstream.id)
         if service is None:
             return 0
-        return max(1, service.max_connections // (2 * max(1, self.peers.count())))
+        return idle_connections(
+            service.max_connections, self.peers.count(), upstream.id, self.settings.name
+        )
 
     def _client_limits(self) -> ClientLimits:
         table = self.views.configuration.table
