--- a/scripts/write_pages.py
+++ b/scripts/write_pages.py
@@ -25,8 +25,8 @@
 from lotushill.contracts.tree import Service  # noqa: E402
 from lotushill.contracts.tree import ServiceClass  # noqa: E402
 from lotushill.contracts.tree import TeamSettings  # noqa: E402
-from lotushill.gateway.settings import GatewaySettings  # noqa: E402
-from lotushill.gateway.settings import RetrySettings  # noqa: E402
+from lotushill.process.settings import GatewaySettings  # noqa: E402
+from lotushill.process.settings import RetrySettings  # noqa: E402
 from lotushill.standin.settings import StandinSettings  # noqa: E402
 
 _TREE: tuple[type[BaseModel], ...] = (Root, TeamSettings, Service, ServiceClass, Policy, Target)
--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -13,9 +13,9 @@
 from lotushill.console.program import EXIT_FAILED
 from lotushill.console.program import EXIT_OK
 from lotushill.console.result import Result
-from lotushill.gateway.registration import KIND
 from lotushill.gateway.status_app import EXPLAIN_PATH
 from lotushill.gateway.status_app import STATUS_PATH
+from lotushill.peering.registration import KIND
 
 if TYPE_CHECKING:
     import argparse
--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lotushill.gateway.settings import GatewaySettings
+    from lotushill.process.settings import GatewaySettings
 
 CONFIG_VARIABLE = "LOTUSHILL_NODE_FILE"
 """Names the settings file where no `--config` is given."""
@@ -29,7 +29,7 @@
     from lotushill.console.program import read_or_exit
     from lotushill.console.program import run
     from lotushill.console.program import start_logs
-    from lotushill.gateway.settings_file import read_settings
+    from lotushill.process.settings_file import read_settings
 
     parser = new_parser("lotushill-gateway", "Route requests on one node.")
     parser.add_argument(
@@ -47,7 +47,7 @@
 
 async def _serve(settings: GatewaySettings, path: Path, signals: ProcessSignals) -> None:
     from lotushill.gateway.gateway import Gateway
-    from lotushill.gateway.settings_file import read_settings
+    from lotushill.process.settings_file import read_settings
 
     gateway = Gateway(settings, lambda: read_settings(path))
     gc.freeze()
--- a/src/lotushill/duties/duty_keeper.py
+++ b/src/lotushill/duties/duty_keeper.py
@@ -23,8 +23,8 @@
     from lotushill.duties.ports import Store
     from lotushill.duties.true_time import TrueTime
     from lotushill.event_log import EventLog
-    from lotushill.gateway.settings import DutySettings
     from lotushill.links.messages import WorkPage
+    from lotushill.process.settings import DutySettings
 
 
 class DutyKeeper:
--- a/src/lotushill/duties/usage_duty.py
+++ b/src/lotushill/duties/usage_duty.py
@@ -25,9 +25,9 @@
     from lotushill.duties.ports import Platform
     from lotushill.duties.true_time import TrueTime
     from lotushill.event_log import EventLog
-    from lotushill.gateway.settings import DutySettings
     from lotushill.links.messages import MemberState
     from lotushill.links.messages import WorkPage
+    from lotushill.process.settings import DutySettings
 
 _PULL_SECONDS = 0.3
 """Between two looks at the counts of all gateways: what one counts in it is lost with its host."""
--- a/src/lotushill/gateway/duties.py
+++ b/src/lotushill/gateway/duties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,17 +11,23 @@
 from lotushill import clock as clocks
 from lotushill.duties.true_time import TrueTime
 from lotushill.duties.work_counts import WorkCounts
-from lotushill.gateway.settings import DutySettings
 from lotushill.links.messages import StoreContact
-from lotushill.membership.rendezvous import ranked
+from lotushill.process.settings import DutySettings
+from lotushill.rendezvous import ranked
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from lotushill.duties.duty_keeper import DutyKeeper
-    from lotushill.gateway.gateway import Gateway
+    from lotushill.event_log import EventLog
+    from lotushill.gateway.store_views import StoreViews
     from lotushill.links.messages import WorkPage
     from lotushill.links.messages import WorkPull
+    from lotushill.membership.membership import Membership
+    from lotushill.peering.peers import Peers
+    from lotushill.platform.object_store import ObjectStore
+    from lotushill.process.settings import GatewaySettings
     from lotushill.routing.service import Service
 
 _KEY = "duties"
@@ -28,23 +35,33 @@
 _TICK_SECONDS = 0.05
 
 
+@dataclass(frozen=True)
+class DutyParts:
+    """The parts of a running gateway that its duties use."""
+
+    ready: Callable[[], bool]
+    views: StoreViews
+    peers: Peers
+    store: ObjectStore
+    log: EventLog
+
+
 class FleetDuties:
     """Counts for the holder of the duties, and may be the holder where the settings ask for it."""
 
-    def __init__(self, gateway: Gateway) -> None:
-        """Count for a gateway; its other parts are used once it runs."""
-        settings = gateway.settings
-        self._gateway = gateway
+    def __init__(self, settings: GatewaySettings) -> None:
+        """Count for the gateway of `settings`."""
+        self._settings = settings
         self._time = TrueTime(time.time, clocks.now)
         window_seconds = (settings.duties or DutySettings("")).report_window_seconds
         self.work = WorkCounts(settings.name, window_seconds, self._time, clocks.now)
         self._keeper: DutyKeeper | None = None
 
-    async def run(self) -> None:
+    async def run(self, parts: DutyParts) -> None:
         """Do what falls to this gateway for the whole fleet, once it can serve."""
-        while not self._gateway.ready():
+        while not parts.ready():
             await anyio.sleep(_TICK_SECONDS)
-        self._keeper = self._new_keeper()
+        self._keeper = self._new_keeper(parts)
         try:
             await self._keeper.run()
         finally:
@@ -69,49 +86,46 @@
         """Return what operators ask of the duties, None without any."""
         return self._keeper.status() if self._keeper is not None else None
 
-    def _new_keeper(self) -> DutyKeeper:
+    def _new_keeper(self, parts: DutyParts) -> DutyKeeper:
         # Loaded late: nothing of it is needed to serve.
         from lotushill.duties.duty_keeper import DutyKeeper
         from lotushill.duties.ports import FleetSight
         from lotushill.platform.duty_api import DutyApi
 
-        gateway = self._gateway
-        settings = gateway.settings.duties
+        settings = self._settings.duties
         assert settings is not None
-        membership = gateway.peers.membership
+        membership = parts.peers.membership
         sight = FleetSight(
             members=membership.live,
-            reads_store=self._reads_store,
-            rank=self._rank,
-            services=self._services,
-            upstreams=gateway.views.upstreams,
-            pull=gateway.peers.send_message,
+            reads_store=lambda: parts.views.contact() is StoreContact.READING,
+            rank=lambda: _rank(membership),
+            services=lambda: _services(parts.views),
+            upstreams=parts.views.upstreams,
+            pull=parts.peers.send_message,
             own_pages=self.work.pages,
         )
         return DutyKeeper(
-            gateway.settings.name,
+            self._settings.name,
             membership.own.incarnation,
             settings,
-            gateway.store,
+            parts.store,
             DutyApi(settings.address),
             sight,
             self._time,
-            gateway.log,
+            parts.log,
             clocks.now,
         )
 
-    def _reads_store(self) -> bool:
-        return self._gateway.views.contact() is StoreContact.READING
-
-    def _rank(self) -> int:
-        """Return the place of this gateway among those that the store serves now."""
-        membership = self._gateway.peers.membership
-        own = membership.own.name
-        reading = {
-            member.name for member in membership.live() if member.contact is StoreContact.READING
-        }
-        return ranked(_KEY, {*reading, own}, _MOST_RANKED).index(own)
-
-    def _services(self) -> Iterable[Service]:
-        table = self._gateway.views.configuration.table
-        return list(table.services.values()) if table is not None else []
+
+def _rank(membership: Membership) -> int:
+    """Return the place of this gateway among those that the store serves now."""
+    own = membership.own.name
+    reading = {
+        member.name for member in membership.live() if member.contact is StoreContact.READING
+    }
+    return ranked(_KEY, {*reading, own}, _MOST_RANKED).index(own)
+
+
+def _services(views: StoreViews) -> list[Service]:
+    table = views.configuration.table
+    return list(table.services.values()) if table is not None else []
--- a/src/lotushill/gateway/fleet_quarantine.py
+++ b/src/lotushill/gateway/fleet_quarantine.py
@@ -7,8 +7,8 @@
 import anyio
 
 from lotushill import clock as clocks
-from lotushill.gateway.group_keeper import GroupKeeper
-from lotushill.gateway.quarantine_keeper import QuarantineKeeper
+from lotushill.peering.group_keeper import GroupKeeper
+from lotushill.peering.quarantine_keeper import QuarantineKeeper
 from lotushill.quarantine.hold_store import HoldStore
 from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
@@ -17,11 +17,11 @@
     import random
 
     from lotushill.event_log import EventLog
-    from lotushill.gateway.peers import Peers
     from lotushill.gateway.store_views import StoreViews
-    from lotushill.gateway.upstream_pool import UpstreamPool
+    from lotushill.peering.peers import Peers
     from lotushill.platform.object_store import ObjectStore
     from lotushill.quarantine.group import Group
+    from lotushill.requests.upstream_pool import UpstreamPool
 
 _LOOK_SECONDS = 0.5
 
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -17,37 +17,38 @@
 from lotushill.availability.stated_limits import StatedLimits
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.event_log import EventLog
-from lotushill.gateway.client_protocol import ClientProtocol
+from lotushill.gateway.duties import DutyParts
 from lotushill.gateway.duties import FleetDuties
 from lotushill.gateway.fleet_quarantine import FleetQuarantine
-from lotushill.gateway.front import Front
-from lotushill.gateway.idle_connections import idle_connections
-from lotushill.gateway.leaving_keeper import LeavingKeeper
-from lotushill.gateway.metrics import Metrics
-from lotushill.gateway.parts import GatewayParts
-from lotushill.gateway.peers import PeerHooks
-from lotushill.gateway.peers import Peers
-from lotushill.gateway.reader_role import ReaderRole
-from lotushill.gateway.registration import Registration
-from lotushill.gateway.retry_budgets import RetryBudgets
-from lotushill.gateway.side_tasks import SideTasks
 from lotushill.gateway.status_app import StatusApp
 from lotushill.gateway.status_report import add_gauges
 from lotushill.gateway.status_report import status
 from lotushill.gateway.store_views import StoreViews
-from lotushill.gateway.suspension import SuspensionWatch
-from lotushill.gateway.upstream_gate import UpstreamGate
-from lotushill.gateway.upstream_pool import UpstreamPool
-from lotushill.gateway.ward import Ward
 from lotushill.journal import Journal
 from lotushill.limits.barred_upstreams import BarredUpstreams
 from lotushill.limits.counting import CountingGateways
 from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.links.http_server import HttpServer
+from lotushill.peering.leaving_keeper import LeavingKeeper
+from lotushill.peering.peers import PeerHooks
+from lotushill.peering.peers import Peers
+from lotushill.peering.reader_role import ReaderRole
+from lotushill.peering.registration import Registration
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
+from lotushill.process.metrics import Metrics
+from lotushill.process.side_tasks import SideTasks
+from lotushill.process.suspension import SuspensionWatch
+from lotushill.requests.client_protocol import ClientProtocol
+from lotushill.requests.front import Front
+from lotushill.requests.idle_connections import idle_connections
+from lotushill.requests.parts import GatewayParts
+from lotushill.requests.retry_budgets import RetryBudgets
+from lotushill.requests.upstream_gate import UpstreamGate
+from lotushill.requests.upstream_pool import UpstreamPool
+from lotushill.requests.ward import Ward
 from lotushill.routing.limits import ClientLimits
 from lotushill.scheduling.desk import PlacementDesk
 from lotushill.scheduling.placer import Placer
@@ -60,7 +61,7 @@
 
     from anyio.abc import TaskGroup
 
-    from lotushill.gateway.settings import GatewaySettings
+    from lotushill.process.settings import GatewaySettings
     from lotushill.routing.service import Service
     from lotushill.routing.upstream import Upstream
 
@@ -86,7 +87,7 @@
         self.metrics = Metrics()
         self.log = EventLog(settings.name, journal=self.journal)
         rng = random.Random()
-        self.duties = FleetDuties(self)
+        self.duties = FleetDuties(settings)
         self.side_tasks = SideTasks(self.log, rng)
         self.store = ObjectStore(settings.store)
         role = ReaderRole(lambda: self.peers.membership, clocks.now)
@@ -236,7 +237,9 @@
         group.start_soon(self.side_tasks.run, "quarantine", self.quarantine.keeper.run)
         group.start_soon(self.side_tasks.run, "holds", self.quarantine.store_for_ever)
         if self.settings.duties is not None:
-            group.start_soon(self.side_tasks.run, "duties", self.duties.run)
+            parts = DutyParts(self.ready, self.views, self.peers, self.store, self.log)
+            run = functools.partial(self.duties.run, parts)
+            group.start_soon(self.side_tasks.run, "duties", run)
 
     async def _sweep(self) -> None:
         while True:
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -5,14 +5,50 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 from lotushill import clock as clocks
 
 if TYPE_CHECKING:
-    from lotushill.gateway.gateway import Gateway
+    from lotushill.availability.rests import Rests
+    from lotushill.event_log import EventLog
+    from lotushill.gateway.duties import FleetDuties
+    from lotushill.gateway.fleet_quarantine import FleetQuarantine
+    from lotushill.gateway.store_views import StoreViews
+    from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.peering.peers import Peers
+    from lotushill.platform.object_store import ObjectStore
+    from lotushill.process.metrics import Metrics
+    from lotushill.process.settings import GatewaySettings
+    from lotushill.process.side_tasks import SideTasks
+    from lotushill.requests.front import Front
+    from lotushill.requests.upstream_gate import UpstreamGate
+    from lotushill.requests.upstream_pool import UpstreamPool
 
 
-def add_gauges(gateway: Gateway) -> None:
+class Reported(Protocol):
+    """The parts of a gateway of which it tells."""
+
+    settings: GatewaySettings
+    metrics: Metrics
+    log: EventLog
+    duties: FleetDuties
+    store: ObjectStore
+    views: StoreViews
+    peers: Peers
+    rests: Rests
+    limits: FleetLimits
+    gate: UpstreamGate
+    pool: UpstreamPool
+    quarantine: FleetQuarantine
+    side_tasks: SideTasks
+    front: Front
+
+    def ready(self) -> bool:
+        """Return whether clients may be sent here."""
+
+
+def add_gauges(gateway: Reported) -> None:
     """Serve the figures that are read when asked for."""
     gauge = gateway.metrics.gauge
     gauge("in_progress", "Requests in progress", lambda: gateway.front.in_progress)
@@ -110,7 +146,7 @@
     )
 
 
-def status(gateway: Gateway) -> dict[str, object]:
+def status(gateway: Reported) -> dict[str, object]:
     """Return what one gateway knows and does, as plain data."""
     table = gateway.views.configuration.table
     return {
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -11,9 +11,9 @@
 from lotushill.following.holds import FollowedHolds
 from lotushill.following.settings import FollowedSettings
 from lotushill.following.upstreams import FollowedUpstreams
-from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
+from lotushill.views.exceptions import MalformedViewError
 from lotushill.views.watcher import Watcher
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 
     from lotushill.event_log import EventLog
     from lotushill.following.followed import Followed
-    from lotushill.gateway.reader_role import ReaderRole
+    from lotushill.peering.reader_role import ReaderRole
     from lotushill.views.watcher import Store
 
 _HOLDS_FIRST_SECONDS = 2.0
--- a/src/lotushill/limits/counting.py
+++ b/src/lotushill/limits/counting.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 
 from lotushill.links.messages import MemberPhase
-from lotushill.membership.rendezvous import owner
+from lotushill.rendezvous import owner
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lotushill.links.messages import MemberState
     from lotushill.membership.members import Members
+    from lotushill.membership.schedulers import Schedulers
     from lotushill.routing.upstream import Upstream
-    from lotushill.scheduling.schedulers import Schedulers
 
 
 class CountingGateways:
--- a/src/lotushill/load/limits/ways.py
+++ b/src/lotushill/load/limits/ways.py
@@ -12,9 +12,9 @@
 from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.limits.permit_request import PermitRequest
-from lotushill.membership.rendezvous import ranked
+from lotushill.membership.schedulers import Schedulers
 from lotushill.placement.fleet import Fleet
-from lotushill.scheduling.schedulers import Schedulers
+from lotushill.rendezvous import ranked
 from lotushill.views.upstream_view import UpstreamView
 
 if TYPE_CHECKING:
--- a/src/lotushill/membership/readers.py
+++ b/src/lotushill/membership/readers.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.links.messages import StoreContact
-from lotushill.membership.rendezvous import ranked
+from lotushill.rendezvous import ranked
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/lotushill/gateway/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -12,8 +12,6 @@
 import anyio
 
 from lotushill import clock as clocks
-from lotushill.gateway.member_log import MemberLog
-from lotushill.gateway.view_exchange import ViewExchange
 from lotushill.links.address import split_address
 from lotushill.links.datagram import from_datagram
 from lotushill.links.datagram import to_datagram
@@ -50,12 +48,14 @@
 from lotushill.links.seal import Seal
 from lotushill.membership.membership import Membership
 from lotushill.membership.membership_options import MembershipOptions
+from lotushill.membership.schedulers import Schedulers
+from lotushill.peering.member_log import MemberLog
+from lotushill.peering.view_exchange import ViewExchange
 from lotushill.scheduling.hall_contact import HallContact
 from lotushill.scheduling.load_relay import BATCH_SECONDS
 from lotushill.scheduling.load_relay import LoadRelay
 from lotushill.scheduling.model_sync import ModelSync
 from lotushill.scheduling.placement_client import PlacementClient
-from lotushill.scheduling.schedulers import Schedulers
 
 if TYPE_CHECKING:
     import random
@@ -65,11 +65,11 @@
     from anyio.abc import TaskGroup
 
     from lotushill.event_log import EventLog
-    from lotushill.gateway.settings import GatewaySettings
     from lotushill.links.codec import Message
     from lotushill.links.datagram import Datagram
     from lotushill.membership.membership import Outgoing
     from lotushill.placement.messages import Load
+    from lotushill.process.settings import GatewaySettings
 
 _TICK_SECONDS = 0.05
 _CONTEXT = b"gateway"
--- a/src/lotushill/gateway/quarantine_keeper.py
+++ b/src/lotushill/peering/quarantine_keeper.py
@@ -24,11 +24,11 @@
     from typing import Any
 
     from lotushill.event_log import EventLog
-    from lotushill.gateway.group_keeper import GroupKeeper
-    from lotushill.gateway.request import Request
+    from lotushill.peering.group_keeper import GroupKeeper
     from lotushill.quarantine.quarantine import Quarantine
     from lotushill.quarantine.stored_hold import StoredHold
     from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.request import Request
     from lotushill.views.upstream_view import UpstreamView
 
     Clock = Callable[[], float]
--- a/src/lotushill/gateway/registration.py
+++ b/src/lotushill/peering/registration.py
@@ -13,9 +13,9 @@
     import random
 
     from lotushill.event_log import EventLog
-    from lotushill.gateway.peers import Peers
-    from lotushill.gateway.settings import GatewaySettings
+    from lotushill.peering.peers import Peers
     from lotushill.platform.object_store import ObjectStore
+    from lotushill.process.settings import GatewaySettings
 
 KIND = "lotushill-gateways"
 """The kind of the platform's store that holds an object of each gateway."""
--- a/src/lotushill/gateway/view_exchange.py
+++ b/src/lotushill/peering/view_exchange.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.views.exceptions import MalformedViewError
 
 if TYPE_CHECKING:
     import random
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -11,7 +11,6 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from lotushill.membership.rendezvous import ranked
 from lotushill.placement.backup import backup_target
 from lotushill.placement.backup import is_worth_copying
 from lotushill.placement.choice import Choice
@@ -30,6 +29,7 @@
 from lotushill.placement.weigher import Place
 from lotushill.placement.weigher import PlainWeigher
 from lotushill.placement.weigher import Usual
+from lotushill.rendezvous import ranked
 from lotushill.routing.demand import PromptPart
 
 if TYPE_CHECKING:
--- a/src/lotushill/gateway/settings_file.py
+++ b/src/lotushill/process/settings_file.py
@@ -12,10 +12,10 @@
 from lotushill.contracts.exceptions import Fault
 from lotushill.contracts.exceptions import SettingsError
 from lotushill.contracts.yaml_text import parse_file
-from lotushill.gateway.settings import DutySettings
-from lotushill.gateway.settings import GatewaySettings
-from lotushill.gateway.settings import RetrySettings
 from lotushill.links.address import split_address
+from lotushill.process.settings import DutySettings
+from lotushill.process.settings import GatewaySettings
+from lotushill.process.settings import RetrySettings
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/src/lotushill/gateway/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -5,26 +5,26 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from lotushill.gateway.attempt_end import AttemptEnd
-from lotushill.gateway.attempt_end import EndKind
-from lotushill.gateway.exceptions import LostConnectionError
-from lotushill.gateway.exceptions import NotSentError
-from lotushill.gateway.exceptions import SilentUpstreamError
-from lotushill.gateway.exceptions import UpstreamError
 from lotushill.platform import request_head
 from lotushill.platform.upstream_answer import read_statement
+from lotushill.requests.attempt_end import AttemptEnd
+from lotushill.requests.attempt_end import EndKind
+from lotushill.requests.exceptions import LostConnectionError
+from lotushill.requests.exceptions import NotSentError
+from lotushill.requests.exceptions import SilentUpstreamError
+from lotushill.requests.exceptions import UpstreamError
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
-    from lotushill.gateway.attempt_news import AttemptNews
-    from lotushill.gateway.client_answer import ClientAnswer
-    from lotushill.gateway.event_stream import EventSplitter
-    from lotushill.gateway.parts import GatewayParts
-    from lotushill.gateway.request import Request
-    from lotushill.gateway.upstream_connection import AnswerHead
-    from lotushill.gateway.upstream_connection import UpstreamConnection
-    from lotushill.gateway.upstream_gate import Permit
     from lotushill.placement.choice import Choice
+    from lotushill.requests.attempt_news import AttemptNews
+    from lotushill.requests.client_answer import ClientAnswer
+    from lotushill.requests.event_stream import EventSplitter
+    from lotushill.requests.parts import GatewayParts
+    from lotushill.requests.upstream_connection import AnswerHead
+    from lotushill.requests.upstream_connection import UpstreamConnection
+    from lotushill.requests.upstream_gate import Permit
+    from lotushill.scheduling.request import Request
 
 _SUCCESS = range(200, 300)
 _SILENCE_SECONDS = 0.8
--- a/src/lotushill/gateway/attempt_end.py
+++ b/src/lotushill/requests/attempt_end.py
@@ -10,7 +10,7 @@
 from lotushill.availability.statement import Statement
 
 if TYPE_CHECKING:
-    from lotushill.gateway.upstream_connection import AnswerHead
+    from lotushill.requests.upstream_connection import AnswerHead
 
 
 class EndKind(Enum):
--- a/src/lotushill/gateway/attempt_news.py
+++ b/src/lotushill/requests/attempt_news.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.gateway.attempt_end import EndKind
 from lotushill.placement.fleet import PACED_EVENTS
 from lotushill.placement.messages import Outcome
+from lotushill.requests.attempt_end import EndKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/lotushill/gateway/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -21,7 +21,3 @@
 
 class SilentUpstreamError(UpstreamError):
     """The upstream showed no sign of life for longer than allowed."""
-
-
-class MalformedViewError(Exception):
-    """A view of a peer that cannot be read."""
--- a/src/lotushill/gateway/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -6,21 +6,21 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import NO_LIMIT
-from lotushill.gateway.attempt import Attempt
-from lotushill.gateway.attempt_end import EndKind
-from lotushill.gateway.attempt_news import AttemptNews
-from lotushill.gateway.event_stream import EventSplitter
-from lotushill.gateway.upstream_search import UpstreamSearch
 from lotushill.placement.choice import Choice
+from lotushill.requests.attempt import Attempt
+from lotushill.requests.attempt_end import EndKind
+from lotushill.requests.attempt_news import AttemptNews
+from lotushill.requests.event_stream import EventSplitter
+from lotushill.requests.upstream_search import UpstreamSearch
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
-    from lotushill.gateway.attempt_end import AttemptEnd
-    from lotushill.gateway.client_answer import ClientAnswer
-    from lotushill.gateway.parts import GatewayParts
-    from lotushill.gateway.request import Request
-    from lotushill.gateway.upstream_gate import Permit
+    from lotushill.requests.attempt_end import AttemptEnd
+    from lotushill.requests.client_answer import ClientAnswer
+    from lotushill.requests.parts import GatewayParts
+    from lotushill.requests.upstream_gate import Permit
     from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.request import Request
 
 _RAN_NOTHING = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
 _BAD_GATEWAY = 502
--- a/src/lotushill/gateway/front.py
+++ b/src/lotushill/requests/front.py
@@ -10,25 +10,25 @@
 
 import anyio
 
-from lotushill.gateway.client_answer import ClientAnswer
-from lotushill.gateway.client_protocol import CONNECTION
-from lotushill.gateway.client_protocol import TARGET
-from lotushill.gateway.exchange import Exchange
-from lotushill.gateway.request import Request
 from lotushill.links.asgi import BodyTooLargeError
 from lotushill.links.asgi import CallerGoneError
 from lotushill.links.asgi import SlowSenderError
 from lotushill.links.asgi import read_body
 from lotushill.placement.need import Need
 from lotushill.platform import request_head
+from lotushill.requests.client_answer import ClientAnswer
+from lotushill.requests.client_protocol import CONNECTION
+from lotushill.requests.client_protocol import TARGET
+from lotushill.requests.exchange import Exchange
 from lotushill.routing.route import RouteKind
+from lotushill.scheduling.request import Request
 
 if TYPE_CHECKING:
-    from lotushill.gateway.client_protocol import ClientProtocol
-    from lotushill.gateway.parts import GatewayParts
     from lotushill.links.asgi import Receive
     from lotushill.links.asgi import Scope
     from lotushill.links.asgi import Send
+    from lotushill.requests.client_protocol import ClientProtocol
+    from lotushill.requests.parts import GatewayParts
     from lotushill.routing.demand import Demand
     from lotushill.routing.route import Route
     from lotushill.routing.table import RoutingTable
--- a/src/lotushill/gateway/parts.py
+++ b/src/lotushill/requests/parts.py
@@ -12,15 +12,15 @@
     from lotushill.contracts.settings_view import SettingsView
     from lotushill.duties.work_counts import WorkCounts
     from lotushill.event_log import EventLog
-    from lotushill.gateway.metrics import Metrics
-    from lotushill.gateway.quarantine_keeper import QuarantineKeeper
-    from lotushill.gateway.retry_budgets import RetryBudgets
-    from lotushill.gateway.suspension import SuspensionWatch
-    from lotushill.gateway.upstream_gate import UpstreamGate
-    from lotushill.gateway.upstream_pool import UpstreamPool
-    from lotushill.gateway.ward import Ward
     from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.peering.quarantine_keeper import QuarantineKeeper
     from lotushill.placement.fleet import Fleet
+    from lotushill.process.metrics import Metrics
+    from lotushill.process.suspension import SuspensionWatch
+    from lotushill.requests.retry_budgets import RetryBudgets
+    from lotushill.requests.upstream_gate import UpstreamGate
+    from lotushill.requests.upstream_pool import UpstreamPool
+    from lotushill.requests.ward import Ward
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.shared_load import SharedLoad
     from lotushill.views.configuration_view import ConfigurationView
--- a/src/lotushill/gateway/retry_budgets.py
+++ b/src/lotushill/requests/retry_budgets.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.gateway.retry_budget import RetryBudget
+from lotushill.requests.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lotushill.gateway.settings import RetrySettings
+    from lotushill.process.settings import RetrySettings
 
 
 class RetryBudgets:
--- a/src/lotushill/gateway/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -16,9 +16,9 @@
 
 import httptools
 
-from lotushill.gateway.exceptions import BrokenAnswerError
-from lotushill.gateway.exceptions import LostConnectionError
-from lotushill.gateway.exceptions import SilentUpstreamError
+from lotushill.requests.exceptions import BrokenAnswerError
+from lotushill.requests.exceptions import LostConnectionError
+from lotushill.requests.exceptions import SilentUpstreamError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/lotushill/gateway/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -6,14 +6,14 @@
 from typing import TYPE_CHECKING
 
 from lotushill import clock as clocks
-from lotushill.gateway.exceptions import NotSentError
-from lotushill.gateway.upstream_connection import UpstreamConnection
 from lotushill.links.address import split_address
+from lotushill.requests.exceptions import NotSentError
+from lotushill.requests.upstream_connection import UpstreamConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lotushill.gateway.upstream_connection import Headers
+    from lotushill.requests.upstream_connection import Headers
     from lotushill.routing.upstream import Upstream
 
 CONNECT_SECONDS = 0.35
--- a/src/lotushill/gateway/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -12,8 +12,8 @@
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
-    from lotushill.gateway.parts import GatewayParts
-    from lotushill.gateway.request import Request
+    from lotushill.requests.parts import GatewayParts
+    from lotushill.scheduling.request import Request
 
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits here before it is refused as not run."""
--- a/src/lotushill/gateway/ward.py
+++ b/src/lotushill/requests/ward.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.membership.rendezvous import owner
+from lotushill.rendezvous import owner
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lotushill.gateway.request import Request
     from lotushill.placement.choice import Choice
     from lotushill.quarantine.isolation import Isolation
+    from lotushill.scheduling.request import Request
     from lotushill.views.upstream_view import UpstreamView
 
 _LEAST_UPSTREAMS = 2
--- a/src/lotushill/scheduling/hall_contact.py
+++ b/src/lotushill/scheduling/hall_contact.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.membership.schedulers import Schedulers
 
 SILENT_SECONDS = 0.8
 """Three batches that did not come, and some jitter. Members of a large hall are probed one by one,
--- a/src/lotushill/scheduling/load_relay.py
+++ b/src/lotushill/scheduling/load_relay.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.membership.schedulers import Schedulers
 
 BATCH_SECONDS = 0.01
 """Between two batches in a small fleet."""
--- a/src/lotushill/scheduling/model_sync.py
+++ b/src/lotushill/scheduling/model_sync.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.membership.schedulers import Schedulers
 
 _AGAIN_SECONDS = 0.5
 """A scheduler that was asked and did not answer for so long is passed over for the next one."""
--- a/src/lotushill/scheduling/placement_client.py
+++ b/src/lotushill/scheduling/placement_client.py
@@ -12,7 +12,7 @@
 
     from lotushill.links.messages import PlacementAnswer
     from lotushill.links.messages import PlacementAsk
-    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.membership.schedulers import Schedulers
 
 ANSWER_SECONDS = 0.05
 """A scheduler of the own hall answers in a few milliseconds; one that takes ten times as long is
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -25,15 +25,15 @@
     from collections.abc import Callable
 
     from lotushill.availability.stated_limits import StatedLimits
-    from lotushill.gateway.request import Request
     from lotushill.limits.barred_upstreams import BarredUpstreams
     from lotushill.links.messages import PlacementAnswer
+    from lotushill.membership.schedulers import Schedulers
     from lotushill.placement.fleet import Fleet
     from lotushill.placement.messages import Placed
     from lotushill.placement.need import Need
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.placement_client import PlacementClient
-    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.scheduling.request import Request
     from lotushill.scheduling.shared_load import SharedLoad
     from lotushill.views.upstream_view import UpstreamView
 
--- a/src/lotushill/gateway/request.py
+++ b/src/lotushill/scheduling/request.py
@@ -10,8 +10,8 @@
 from lotushill.quarantine.identity import identity_of
 
 if TYPE_CHECKING:
-    from lotushill.gateway.upstream_connection import Headers
     from lotushill.placement.need import Need
+    from lotushill.platform.upstream_answer import Headers
     from lotushill.quarantine.group import Group
     from lotushill.routing.demand import Demand
     from lotushill.routing.route import Route
--- a/src/lotushill/views/exceptions.py
+++ b/src/lotushill/views/exceptions.py
@@ -19,6 +19,10 @@
     """The object is there already, or has another revision."""
 
 
+class MalformedViewError(Exception):
+    """A view of a peer that cannot be read."""
+
+
 class MalformedEntryError(ValueError):
     """An object that another writer made or spoilt: one of its fields is not as it should be."""
 
--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -17,10 +17,10 @@
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
 from tests.entries import entry
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
-from tests.gateway.rig import read_answer
-from tests.gateway.rig import request_bytes
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
+from tests.requests.rig import read_answer
+from tests.requests.rig import request_bytes
 
 _MODULE = "lotushill.console.gateway"
 _PATIENCE = 30.0
--- a/tests/duties/virtual_duties.py
+++ b/tests/duties/virtual_duties.py
@@ -18,7 +18,6 @@
 from lotushill.duties.true_time import TrueTime
 from lotushill.duties.work_counts import WorkCounts
 from lotushill.event_log import EventLog
-from lotushill.gateway.settings import DutySettings
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.links.messages import StoreContact
@@ -27,6 +26,7 @@
 from lotushill.platform.duty_api import CallEnd
 from lotushill.platform.duty_api import EngineOrder
 from lotushill.platform.duty_api import Signature
+from lotushill.process.settings import DutySettings
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import ScalingProfile
 from lotushill.routing.service import Service
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -7,11 +7,11 @@
 
 from dataclasses import dataclass
 
-_PATH = "tests.gateway.test_request_path"
+_PATH = "tests.requests.test_request_path"
 _STORE = "tests.platform.test_object_store"
 _MEMBER = "tests.membership.test_membership.TestMembership"
 _FLEET = "tests.placement.test_fleet.TestEngines"
-_TIERS = "tests.gateway.test_tiers"
+_TIERS = "tests.requests.test_tiers"
 _CLIENT = "tests.scheduling.test_placement_client.TestPlacementClient"
 _LOAD = "tests.scheduling.test_shared_load.TestSharedLoad"
 _EDITOR = "tests.contracts.test_editor.TestEditor"
@@ -21,18 +21,18 @@
 _LEASE = "tests.duties.test_lease.TestLease"
 _TIME = "tests.duties.test_true_time.TestTrueTime"
 _REPLAY = "tests.load.policy.test_replay.TestBursts"
-_QUARANTINE = "tests.gateway.test_quarantine"
+_QUARANTINE = "tests.requests.test_quarantine"
 _HELD = "tests.quarantine.test_quarantine.TestQuarantine"
 _HOLD_STORE = "tests.quarantine.test_hold_store.TestHoldStore"
 _ENTRIES = "tests.platform.test_upstreams"
-_ASLEEP = "tests.gateway.test_suspension"
-_REST = "tests.gateway.test_rest"
+_ASLEEP = "tests.requests.test_suspension"
+_REST = "tests.requests.test_rest"
 _RESTS = "tests.availability.test_rests"
-_LEAVING = "tests.gateway.test_leaving.TestOneGateway"
-_LEAVING_NEWS = "tests.gateway.test_leaving_keeper.TestLeavingKeeper"
-_LIMIT = "tests.gateway.test_limit.TestOneGateway"
+_LEAVING = "tests.requests.test_leaving.TestOneGateway"
+_LEAVING_NEWS = "tests.peering.test_leaving_keeper.TestLeavingKeeper"
+_LIMIT = "tests.requests.test_limit.TestOneGateway"
 _LIMITS = "tests.load.limits.test_emulated_fleet"
-_WARD = "tests.gateway.test_ward.TestWard"
+_WARD = "tests.requests.test_ward.TestWard"
 
 
 @dataclass(frozen=True)
@@ -93,7 +93,7 @@
             Case(
                 "a stream broken within an event",
                 (
-                    "tests.gateway.test_event_stream.TestEventSplitter."
+                    "tests.requests.test_event_stream.TestEventSplitter."
                     "test_a_resumed_run_does_not_repeat_what_a_broken_one_left",
                     f"{_PATH}.TestStreams.test_a_stream_goes_on_after_the_last_whole_event",
                 ),
@@ -185,16 +185,16 @@
             Case(
                 "all gateways repeat at once",
                 (
-                    "tests.gateway.test_retry_budget.TestRetryBudget."
+                    "tests.requests.test_retry_budget.TestRetryBudget."
                     "test_gateways_that_each_take_all_they_can_stay_within_it_together",
                 ),
             ),
             Case(
                 "gateways cut off from each other, or newly started",
                 (
-                    "tests.gateway.test_retry_budget.TestFleetOfBudgets."
+                    "tests.requests.test_retry_budget.TestFleetOfBudgets."
                     "test_the_sum_holds_while_gateways_come_and_start_again",
-                    "tests.gateway.test_retry_budget.TestFleetOfBudgets."
+                    "tests.requests.test_retry_budget.TestFleetOfBudgets."
                     "test_without_the_number_of_gateways_only_the_share_of_own_requests_is_spent",
                 ),
             ),
@@ -215,7 +215,7 @@
             Case(
                 "a head that never ends",
                 (
-                    "tests.gateway.test_client_protocol.TestClientProtocol."
+                    "tests.requests.test_client_protocol.TestClientProtocol."
                     "test_a_head_that_never_ends_is_turned_away_as_not_run",
                 ),
             ),
@@ -411,7 +411,7 @@
                 (
                     "tests.membership.test_readers.TestReaders."
                     "test_each_hall_has_its_readers_whoever_is_turned_away",
-                    "tests.gateway.test_peers.TestPulls."
+                    "tests.peering.test_peers.TestPulls."
                     "test_a_passive_one_pulls_at_once_from_its_hall_and_a_reader_waits",
                 ),
             ),
@@ -529,14 +529,14 @@
             Case(
                 "one of them is lost",
                 (
-                    "tests.gateway.test_peers.TestSmallFleet.test_one_that_is_gone_keeps_nobody_in_the_dark",
+                    "tests.peering.test_peers.TestSmallFleet.test_one_that_is_gone_keeps_nobody_in_the_dark",
                 ),
             ),
             Case(
                 "one becomes a scheduler",
                 (
                     f"{_LOAD}.test_a_gateway_that_becomes_a_scheduler_is_told_all_that_runs_anywhere",
-                    "tests.gateway.test_peers.TestSmallFleet."
+                    "tests.peering.test_peers.TestSmallFleet."
                     "test_one_that_has_come_asks_one_other_for_all_that_runs",
                 ),
             ),
@@ -637,7 +637,7 @@
             Case(
                 "a fault in the code of a duty",
                 (
-                    "tests.gateway.test_side_tasks.TestSideTasks"
+                    "tests.process.test_side_tasks.TestSideTasks"
                     ".test_a_fault_is_logged_and_the_task_starts_again_with_a_growing_pause",
                 ),
             ),
@@ -810,7 +810,7 @@
                 "a fault of ours in reading or using it",
                 (
                     "tests.views.test_watcher.TestWatcher.test_a_fault_in_reading_ends_no_following",
-                    "tests.gateway.test_sight.TestSight.test_an_upstream_at_which_a_fault_of_ours_shows_does_not_draw_all",
+                    "tests.requests.test_sight.TestSight.test_an_upstream_at_which_a_fault_of_ours_shows_does_not_draw_all",
                 ),
             ),
         ),
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -17,7 +17,7 @@
 import sys
 from lotushill.console.gateway import main
 from lotushill.console import program
-from lotushill.gateway.settings_file import check_settings
+from lotushill.process.settings_file import check_settings
 from lotushill.gateway.gateway import Gateway
 
 address = "127.0.0.1:0"
--- a/tests/limits/test_counting.py
+++ b/tests/limits/test_counting.py
@@ -8,8 +8,8 @@
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.load.limits.emulated_members import EmulatedMembers
+from lotushill.membership.schedulers import Schedulers
 from lotushill.routing.upstream import Upstream
-from lotushill.scheduling.schedulers import Schedulers
 
 ENGINES = [Upstream(f"e{n}", "llm", f"10.0.0.{n}:1", f"h{n % 4}", 8, False) for n in range(20)]
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -11,7 +11,7 @@
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import Ping
 from lotushill.links.messages import StoreContact
-from lotushill.membership.rendezvous import owner
+from lotushill.rendezvous import owner
 from tests.membership.network import Network
 
 SECONDS_TO_NOTICE = 4.0
--- /dev/null
+++ b/tests/peering/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.peering."""
+
+from __future__ import annotations
--- a/tests/gateway/test_leaving_keeper.py
+++ b/tests/peering/test_leaving_keeper.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.leaving_keeper import LeavingKeeper
+from lotushill.peering.leaving_keeper import LeavingKeeper
 from lotushill.routing.upstream import Upstream
 from lotushill.views.upstream_view import UpstreamView
 
--- a/tests/gateway/test_member_log.py
+++ b/tests/peering/test_member_log.py
@@ -4,10 +4,10 @@
 import unittest
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.member_log import MemberLog
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.membership.roster import MemberChange
+from lotushill.peering.member_log import MemberLog
 
 
 def change(index: int, phase: MemberPhase = MemberPhase.ALIVE) -> MemberChange:
--- a/tests/gateway/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -7,9 +7,6 @@
 from typing import Any
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.peers import PeerHooks
-from lotushill.gateway.peers import Peers
-from lotushill.gateway.settings import GatewaySettings
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
@@ -17,9 +14,12 @@
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
+from lotushill.membership.schedulers import SCHEDULERS
+from lotushill.peering.peers import PeerHooks
+from lotushill.peering.peers import Peers
 from lotushill.placement.messages import Ended
 from lotushill.placement.messages import Load
-from lotushill.scheduling.schedulers import SCHEDULERS
+from lotushill.process.settings import GatewaySettings
 
 HALLS = ("z1", "z2", "z3")
 ROUNDS = 60
--- a/tests/gateway/test_registration.py
+++ b/tests/peering/test_registration.py
@@ -12,9 +12,9 @@
 import anyio
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.registration import KIND
-from lotushill.gateway.registration import Registration
-from lotushill.gateway.settings import GatewaySettings
+from lotushill.peering.registration import KIND
+from lotushill.peering.registration import Registration
+from lotushill.process.settings import GatewaySettings
 from lotushill.views.exceptions import RevisionConflictError
 from lotushill.views.stored_object import ObjectList
 from lotushill.views.stored_object import StoredObject
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.gateway.store_views import StoreViews
 from lotushill.links.http_server import HttpServer
 from lotushill.links.messages import ViewKind
@@ -18,6 +17,7 @@
 from lotushill.standin.metadata_app import Trouble
 from lotushill.standin.metadata_store import MetadataStore
 from lotushill.views.exceptions import HistoryGoneError
+from lotushill.views.exceptions import MalformedViewError
 from lotushill.views.exceptions import RevisionConflictError
 from lotushill.views.exceptions import StoreUnavailableError
 from tests.entries import entry
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -12,12 +12,12 @@
 from hypothesis import strategies as st
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.exceptions import MalformedViewError
 from lotushill.gateway.store_views import StoreViews
 from lotushill.links.messages import ViewKind
 from lotushill.platform.object_store import ObjectStore
 from lotushill.platform.upstreams import parse_upstream
 from lotushill.views.exceptions import MalformedEntryError
+from lotushill.views.exceptions import MalformedViewError
 from lotushill.views.stored_object import ObjectList
 from lotushill.views.stored_object import StoredObject
 from tests.entries import entry
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.process."""
+
+from __future__ import annotations
--- a/tests/gateway/test_metrics.py
+++ b/tests/process/test_metrics.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from lotushill.gateway.metrics import Metrics
+from lotushill.process.metrics import Metrics
 
 
 class TestMetrics(unittest.TestCase):
--- a/tests/gateway/test_settings_file.py
+++ b/tests/process/test_settings_file.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from lotushill.contracts.exceptions import SettingsError
-from lotushill.gateway.settings import GatewaySettings
-from lotushill.gateway.settings import RetrySettings
-from lotushill.gateway.settings_file import check_settings
-from lotushill.gateway.settings_file import read_settings
+from lotushill.process.settings import GatewaySettings
+from lotushill.process.settings import RetrySettings
+from lotushill.process.settings_file import check_settings
+from lotushill.process.settings_file import read_settings
 
 PLAIN: dict[str, Any] = {
     "name": "gw",
--- a/tests/gateway/test_side_tasks.py
+++ b/tests/process/test_side_tasks.py
@@ -9,7 +9,7 @@
 import anyio
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.side_tasks import SideTasks
+from lotushill.process.side_tasks import SideTasks
 from tests.duties.virtual_time import run_virtual
 
 
--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -13,23 +13,23 @@
 from typing import cast
 
 from lotushill.event_log import EventLog
-from lotushill.gateway.group_keeper import GroupKeeper
-from lotushill.gateway.quarantine_keeper import QuarantineKeeper
-from lotushill.gateway.ward import Ward
+from lotushill.peering.group_keeper import GroupKeeper
+from lotushill.peering.quarantine_keeper import QuarantineKeeper
 from lotushill.placement.choice import Choice
 from lotushill.quarantine.group import Group
 from lotushill.quarantine.group import groups_of
 from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
+from lotushill.requests.ward import Ward
 from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
 from lotushill.views.upstream_view import UpstreamView
 
 if TYPE_CHECKING:
-    from lotushill.gateway.request import Request
     from lotushill.links.messages import ClearedNews
     from lotushill.links.messages import GroupNews
     from lotushill.links.messages import SuspectNews
+    from lotushill.scheduling.request import Request
 
 TICK = 0.02
 DEADLY = b"deadly----------"
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.requests."""
+
+from __future__ import annotations
--- a/tests/gateway/test_client_protocol.py
+++ b/tests/requests/test_client_protocol.py
@@ -6,12 +6,12 @@
 import functools
 import unittest
 
-from lotushill.gateway.client_protocol import ClientProtocol
 from lotushill.links.asgi import Receive
 from lotushill.links.asgi import Scope
 from lotushill.links.asgi import Send
 from lotushill.links.asgi import send_whole
 from lotushill.links.http_server import HttpServer
+from lotushill.requests.client_protocol import ClientProtocol
 from lotushill.routing.limits import ClientLimits
 
 PATIENCE = 10.0
--- a/tests/gateway/test_event_stream.py
+++ b/tests/requests/test_event_stream.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lotushill.gateway.event_stream import EventSplitter
+from lotushill.requests.event_stream import EventSplitter
 
 
 def event(number: int) -> bytes:
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/requests/test_idle_connections.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from lotushill.gateway.idle_connections import idle_connections
+from lotushill.requests.idle_connections import idle_connections
 
 MOST = 310
 
--- a/tests/gateway/test_leaving.py
+++ b/tests/requests/test_leaving.py
@@ -12,11 +12,11 @@
 
 from lotushill.routing.route import RouteKind
 from lotushill.routing.upstream import Upstream
-from tests.gateway.rig import Got
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
-from tests.gateway.test_rest import prefer
+from tests.requests.rig import Got
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
+from tests.requests.test_rest import prefer
 
 LEAVES = "Server-Leaving: 1\r\n"
 
--- a/tests/gateway/test_limit.py
+++ b/tests/requests/test_limit.py
@@ -12,13 +12,13 @@
 import unittest
 
 from lotushill.routing.route import RouteKind
-from tests.gateway.rig import SIGNED
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
-from tests.gateway.test_leaving import entry
-from tests.gateway.test_rest import backup_of
-from tests.gateway.test_rest import prefer
+from tests.requests.rig import SIGNED
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
+from tests.requests.test_leaving import entry
+from tests.requests.test_rest import backup_of
+from tests.requests.test_rest import prefer
 
 LIMIT = "Server-Limit: 0.1\r\n"
 """Within a test at most one more request."""
--- a/tests/gateway/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -29,18 +29,18 @@
 from tests.console.test_gateway_program import free_address
 from tests.console.test_gateway_program import get_status
 from tests.entries import entry
-from tests.gateway.rig import HOST
-from tests.gateway.rig import TEAM
-from tests.gateway.rig import Got
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
-from tests.gateway.rig import read_answer
-from tests.gateway.rig import request_bytes
+from tests.requests.rig import HOST
+from tests.requests.rig import TEAM
+from tests.requests.rig import Got
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
+from tests.requests.rig import read_answer
+from tests.requests.rig import request_bytes
 
 if TYPE_CHECKING:
     from lotushill.routing.upstream import Upstream
-    from tests.gateway.rig import Script
+    from tests.requests.rig import Script
 
 DEADLY = b"a body under which every upstream ends"
 COMMON = b"a body that many send"
--- a/tests/gateway/test_request_path.py
+++ b/tests/requests/test_request_path.py
@@ -6,17 +6,17 @@
 import unittest
 
 from lotushill.routing.route import RouteKind
-from tests.gateway.rig import KEY
-from tests.gateway.rig import SIGNED
-from tests.gateway.rig import TEAM
-from tests.gateway.rig import Got
-from tests.gateway.rig import Rig
-from tests.gateway.rig import Script
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
-from tests.gateway.rig import event
-from tests.gateway.rig import read_answer
-from tests.gateway.rig import request_bytes
+from tests.requests.rig import KEY
+from tests.requests.rig import SIGNED
+from tests.requests.rig import TEAM
+from tests.requests.rig import Got
+from tests.requests.rig import Rig
+from tests.requests.rig import Script
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
+from tests.requests.rig import event
+from tests.requests.rig import read_answer
+from tests.requests.rig import request_bytes
 
 
 async def whole(seen: Seen) -> None:
--- a/tests/gateway/test_rest.py
+++ b/tests/requests/test_rest.py
@@ -17,17 +17,17 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.failure_rate import FailureRate
 from lotushill.routing.route import RouteKind
-from tests.gateway.rig import SIGNED
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
+from tests.requests.rig import SIGNED
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
 
 if TYPE_CHECKING:
-    from lotushill.gateway.request import Request
-    from lotushill.gateway.upstream_connection import UpstreamConnection
     from lotushill.placement.choice import NoChoice
+    from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.placement import Placement
+    from lotushill.scheduling.request import Request
 
 REST = 120.0
 """Seconds that no test lasts."""
--- a/tests/gateway/test_sight.py
+++ b/tests/requests/test_sight.py
@@ -8,12 +8,12 @@
 
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
 
 if TYPE_CHECKING:
-    from lotushill.gateway.upstream_connection import UpstreamConnection
+    from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.routing.upstream import Upstream
 
 
--- a/tests/gateway/test_suspension.py
+++ b/tests/requests/test_suspension.py
@@ -9,11 +9,11 @@
 from lotushill.duties.duty_record import DutyRecord
 from lotushill.duties.lease import Lease
 from lotushill.duties.lease import LeaseOptions
-from lotushill.gateway.suspension import SuspensionWatch
+from lotushill.process.suspension import SuspensionWatch
 from lotushill.routing.route import RouteKind
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
 
 SECONDS = (0.5, 3.0, 10.0, 60.0)
 
--- a/tests/gateway/test_tiers.py
+++ b/tests/requests/test_tiers.py
@@ -42,10 +42,10 @@
 from lotushill.routing.upstream import Upstream
 from lotushill.routing.urgency import Urgency
 from lotushill.scheduling.shared_load import SharedLoad
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
 from tests.placement.placing import placed
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/gateway/test_ward.py
+++ b/tests/requests/test_ward.py
@@ -10,10 +10,10 @@
 import unittest
 
 from lotushill.quarantine.group import groups_of
-from tests.gateway.rig import TEAM
-from tests.gateway.rig import Rig
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
+from tests.requests.rig import TEAM
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
 
 SUSPECT = "/p/suspect"
 ENDS_APART = (2.4, 1.2, 0.0)
--- a/tests/scheduling/test_lives.py
+++ b/tests/scheduling/test_lives.py
@@ -9,7 +9,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lotushill.gateway.upstream_pool import UpstreamPool
 from lotushill.links.load_records import pack
 from lotushill.links.load_records import unpack
 from lotushill.placement.fleet import Fleet
@@ -20,13 +19,14 @@
 from lotushill.placement.messages import Placed
 from lotushill.platform import request_head
 from lotushill.platform.upstreams import parse_upstream
+from lotushill.requests.upstream_pool import UpstreamPool
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import Service
 from lotushill.scheduling.shared_load import SharedLoad
 from lotushill.views.upstream_view import UpstreamView
 from tests.entries import entry
-from tests.gateway.rig import ScriptedUpstream
-from tests.gateway.rig import Seen
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import Seen
 
 SERVICE = Service("llm", 50, EngineProfile(8, 100_000, 1))
 
--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -16,9 +16,9 @@
 from lotushill.links.messages import PlacementAsk
 from lotushill.membership.membership import Membership
 from lotushill.membership.membership_options import MembershipOptions
+from lotushill.membership.schedulers import SMALL_FLEET
+from lotushill.membership.schedulers import Schedulers
 from lotushill.scheduling.placement_client import PlacementClient
-from lotushill.scheduling.schedulers import SMALL_FLEET
-from lotushill.scheduling.schedulers import Schedulers
 from tests.membership.network import Network
 
 FLEET = SMALL_FLEET + 14
--- a/tests/scheduling/test_placer.py
+++ b/tests/scheduling/test_placer.py
@@ -32,9 +32,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lotushill.gateway.request import Request
+    from lotushill.membership.schedulers import Schedulers
     from lotushill.scheduling.placement_client import PlacementClient
-    from lotushill.scheduling.schedulers import Schedulers
+    from lotushill.scheduling.request import Request
 
 SERVICE = Service("llm", 600, EngineProfile(8, 100_000, 1))
 UPSTREAMS = [Upstream(f"e{n}", "llm", f"10.0.0.{n}:1", "h0", 8, False) for n in range(12)]
--- a/tests/scheduling/virtual_fleet.py
+++ b/tests/scheduling/virtual_fleet.py
@@ -11,14 +11,14 @@
 
 from lotushill.availability.stated_limits import StatedLimits
 from lotushill.links.messages import PlacementAsk
+from lotushill.membership.schedulers import SCHEDULERS
+from lotushill.membership.schedulers import SMALL_FLEET
 from lotushill.placement.fleet import Fleet
 from lotushill.placement.messages import Outcome
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
 from lotushill.scheduling.desk import PlacementDesk
-from lotushill.scheduling.schedulers import SCHEDULERS
-from lotushill.scheduling.schedulers import SMALL_FLEET
 from lotushill.scheduling.shared_load import SharedLoad
 
 if TYPE_CHECKING:
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -7,9 +7,9 @@
 import time
 from typing import TYPE_CHECKING
 
-from tests.gateway.rig import Got
-from tests.gateway.rig import read_answer
-from tests.gateway.rig import request_bytes
+from tests.requests.rig import Got
+from tests.requests.rig import read_answer
+from tests.requests.rig import request_bytes
 from tests.soak.engine import DEADLY
 from tests.soak.engine import VARYING
 from tests.soak.engine import events
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 from tests.entries import entry
-from tests.gateway.rig import SIGNED
-from tests.gateway.rig import ScriptedUpstream
+from tests.requests.rig import SIGNED
+from tests.requests.rig import ScriptedUpstream
 from tests.soak.ledger import Arrival
 from tests.soak.ledger import LimitWord
 from tests.soak.ledger import Rest
@@ -18,7 +18,7 @@
     import random
 
     from lotushill.standin.metadata_store import MetadataStore
-    from tests.gateway.rig import Seen
+    from tests.requests.rig import Seen
     from tests.soak.ledger import Ledger
 
 DEADLY = b"every engine that begins this ends"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 from lotushill.standin.metadata_store import MetadataStore
 from tests.console.test_gateway_program import SPEC
 from tests.entries import entry
-from tests.gateway.rig import ScriptedUpstream
+from tests.requests.rig import ScriptedUpstream
 from tests.soak.client import Client
 from tests.soak.engine import KIND
 from tests.soak.engine import Engine
@@ -33,7 +33,7 @@
 from tests.soak.plan import draw_words
 
 if TYPE_CHECKING:
-    from tests.gateway.rig import Seen
+    from tests.requests.rig import Seen
     from tests.soak.plan import Step
 
 _GATEWAYS = 4
--- /dev/null
+++ b/tests/test_directions.py
@@ -0,0 +1,104 @@
+"""Packages use those below them alone, and modules have no circles; types count as well."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+SOURCE = Path(__file__).parents[1] / "src"
+PACKAGE = "lotushill"
+LAYERS = (
+    ("clock", "journal", "event_log", "rendezvous", "routing"),
+    ("placement",),
+    ("availability", "links", "views", "contracts"),
+    ("membership", "quarantine", "platform", "standin"),
+    ("process",),
+    ("limits", "duties", "following"),
+    ("scheduling",),
+    ("peering", "load"),
+    ("requests",),
+    ("gateway",),
+    ("console",),
+)
+"""From the lowest; a package uses those of lower lines, and of its own line where that is no
+circle."""
+IMPORT = re.compile(rf"^\s*from ({PACKAGE}[\w.]*) import (\w+)", re.MULTILINE)
+
+
+def modules() -> dict[str, str]:
+    """Return the text of each module by its name."""
+    found = {}
+    for path in SOURCE.rglob("*.py"):
+        name = ".".join(path.relative_to(SOURCE).with_suffix("").parts)
+        found[name.removesuffix(".__init__")] = path.read_text(encoding="utf-8")
+    return found
+
+
+def imports(texts: dict[str, str]) -> dict[str, set[str]]:
+    """Return which modules each module names."""
+    found = {}
+    for name, text in texts.items():
+        named = {
+            f"{module}.{item}" if f"{module}.{item}" in texts else module
+            for module, item in IMPORT.findall(text)
+        }
+        found[name] = named - {name, PACKAGE}
+    return found
+
+
+def package(module: str) -> str:
+    return module.split(".")[1]
+
+
+class TestDirections(unittest.TestCase):
+    def setUp(self) -> None:
+        self.imports = imports(modules())
+        self.layers = {name: number for number, line in enumerate(LAYERS) for name in line}
+
+    def test_every_package_has_its_place(self) -> None:
+        found = {package(name) for name in self.imports if "." in name}
+        self.assertEqual(set(self.layers), found)
+
+    def test_no_package_uses_one_above_it(self) -> None:
+        wrong = [
+            f"{name} uses {used}"
+            for name, named in self.imports.items()
+            if "." in name
+            for used in named
+            if self.layers[package(used)] > self.layers[package(name)]
+        ]
+        self.assertEqual([], wrong)
+
+    def test_no_module_reaches_itself(self) -> None:
+        circles = [name for name in self.imports if name in self.reached(name)]
+        self.assertEqual([], circles)
+
+    def test_nor_does_a_package(self) -> None:
+        uses: dict[str, set[str]] = {}
+        for name, named in self.imports.items():
+            if "." in name:
+                uses.setdefault(package(name), set()).update(package(used) for used in named)
+        for name, used in uses.items():
+            used.discard(name)
+        seen: dict[str, set[str]] = {}
+        for name in uses:
+            reached: set[str] = set()
+            waiting = list(uses[name])
+            while waiting:
+                current = waiting.pop()
+                if current not in reached:
+                    reached.add(current)
+                    waiting += uses.get(current, ())
+            seen[name] = reached
+        self.assertEqual([], [name for name, reached in seen.items() if name in reached])
+
+    def reached(self, name: str) -> set[str]:
+        found: set[str] = set()
+        waiting = list(self.imports[name])
+        while waiting:
+            current = waiting.pop()
+            if current not in found:
+                found.add(current)
+                waiting += self.imports.get(current, ())
+        return found
