Orders of engines make up for what engines with a limit do not do

An engine that takes one request a second and runs it for 1.4 s does a fifth of the work of one with twelve slots, and counted as a whole one: nobody ordered others in its place. What limits take away is added to what is wanted; half of 56 engines at one a second are 22.6 engines lost. Where nobody names a limit orders are what they were.

--- a/src/lotushill/duties/engine_sizing.py
+++ b/src/lotushill/duties/engine_sizing.py
@@ -15,6 +15,7 @@
 from lotushill.duties.duty_record import StandingOrders
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from lotushill.routing.service import ScalingProfile
@@ -45,6 +46,15 @@
 """After a refused order of reclaimable engines others are ordered in their place for so long."""
 
 
+def engines_lost(limits: Iterable[float], stream_seconds: float, slots: int) -> float:
+    """Return how many engines' work is not done where some take so many requests a second alone.
+
+    `stream_seconds` is how long a request runs; an engine without a limit has all that it can do.
+    """
+    usual = _FULL_SHARE * slots
+    return sum(max(0.0, 1.0 - rate * stream_seconds / usual) for rate in limits)
+
+
 @dataclass(frozen=True)
 class HallEngines:
     """Engines that a hall has now."""
@@ -99,10 +109,15 @@
         return needed
 
     def orders(
-        self, scaling: ScalingProfile, slots: int, halls: Mapping[str, HallEngines], now: float
+        self,
+        scaling: ScalingProfile,
+        slots: int,
+        halls: Mapping[str, HallEngines],
+        now: float,
+        lost: float = 0.0,
     ) -> dict[str, StandingOrders]:
-        """Return the engines to have in each hall."""
-        wanted = self.wanted(slots, now, scaling.reclaimable_price is not None)
+        """Return the engines to have in each hall, with so many more as limits take away."""
+        wanted = self.wanted(slots, now, scaling.reclaimable_price is not None) + math.ceil(lost)
         dry = {hall for hall in halls if self._dry.get(hall, now) > now}
         usual = math.ceil(wanted / max(1, len(halls)))
         if scaling.reclaimable_price is None:
--- a/src/lotushill/duties/order_duty.py
+++ b/src/lotushill/duties/order_duty.py
@@ -10,6 +10,7 @@
 
 from lotushill.duties.engine_sizing import EngineSizing
 from lotushill.duties.engine_sizing import HallEngines
+from lotushill.duties.engine_sizing import engines_lost
 from lotushill.platform.duty_api import CallEnd
 from lotushill.platform.duty_api import EngineOrder
 from lotushill.platform.duty_api import Signature
@@ -121,15 +122,20 @@
             return []
         sizing.note_demand(self._running(service), now)
         out = []
-        for hall, orders in sizing.orders(
-            service.scaling, service.engine.slots, halls, now
-        ).items():
+        slots = service.engine.slots
+        lost = self._lost(service, slots)
+        for hall, orders in sizing.orders(service.scaling, slots, halls, now, lost).items():
             self._orders[_place(service.name, hall)] = orders
             if service.scaling.reclaimable_price is not None:
                 out.append(EngineOrder(service.name, hall, orders.reclaimable, True))
             out.append(EngineOrder(service.name, hall, orders.ordinary, False))
         return out
 
+    def _lost(self, service: Service, slots: int) -> float:
+        """Return how many engines' work is not done since they name limits."""
+        rates = (self._sight.limit(item.id) for item in self._sight.upstreams.of(service.name))
+        return engines_lost(rates, self._sight.stream_seconds(service.name), slots)
+
     def _running(self, service: Service) -> int:
         """Return how many requests for a service are in progress in the whole fleet."""
         live = {member.name for member in self._sight.members()}
--- a/src/lotushill/duties/ports.py
+++ b/src/lotushill/duties/ports.py
@@ -69,5 +69,9 @@
     upstreams: UpstreamView
     pull: Callable[[WorkPull, str], None]
     """Sends a question for counts to an address."""
+    limit: Callable[[str], float]
+    """Requests a second that an upstream takes from all gateways, infinity without a limit."""
+    stream_seconds: Callable[[str], float]
+    """How long a request of a service runs, as far as this gateway knows."""
     own_pages: Callable[[int], Iterable[WorkPage]]
     """What this gateway counted since a window."""
--- a/src/lotushill/gateway/duties.py
+++ b/src/lotushill/gateway/duties.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from lotushill.availability.stated_limits import StatedLimits
     from lotushill.duties.duty_keeper import DutyKeeper
     from lotushill.event_log import EventLog
     from lotushill.gateway.store_views import StoreViews
@@ -26,6 +27,7 @@
     from lotushill.links.messages import WorkPull
     from lotushill.membership.membership import Membership
     from lotushill.peering.peers import Peers
+    from lotushill.placement.fleet import Fleet
     from lotushill.platform.object_store import ObjectStore
     from lotushill.process.settings import GatewaySettings
     from lotushill.routing.service import Service
@@ -42,6 +44,8 @@
     ready: Callable[[], bool]
     views: StoreViews
     peers: Peers
+    fleet: Fleet
+    limits: StatedLimits
     store: ObjectStore
     log: EventLog
 
@@ -102,6 +106,8 @@
             services=lambda: _services(parts.views),
             upstreams=parts.views.upstreams,
             pull=parts.peers.send_message,
+            limit=parts.limits.rate,
+            stream_seconds=lambda service: parts.fleet.pace(service).stream_seconds,
             own_pages=self.work.pages,
         )
         return DutyKeeper(
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -237,7 +237,15 @@
         group.start_soon(self.side_tasks.run, "quarantine", self.quarantine.keeper.run)
         group.start_soon(self.side_tasks.run, "holds", self.quarantine.store_for_ever)
         if self.settings.duties is not None:
-            parts = DutyParts(self.ready, self.views, self.peers, self.store, self.log)
+            parts = DutyParts(
+                self.ready,
+                self.views,
+                self.peers,
+                self.fleet,
+                self.limits.stated,
+                self.store,
+                self.log,
+            )
             run = functools.partial(self.duties.run, parts)
             group.start_soon(self.side_tasks.run, "duties", run)
 
--- a/tests/duties/test_engine_sizing.py
+++ b/tests/duties/test_engine_sizing.py
@@ -4,9 +4,11 @@
 
 import unittest
 
+from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.duties.duty_record import StandingOrders
 from lotushill.duties.engine_sizing import EngineSizing
 from lotushill.duties.engine_sizing import HallEngines
+from lotushill.duties.engine_sizing import engines_lost
 from lotushill.routing.service import ScalingProfile
 
 SLOTS = 12
@@ -35,6 +37,21 @@
         self.assertGreater(total(orders), 56)
         self.assertGreater(orders["a"].reclaimable, orders["a"].ordinary)
 
+    def test_what_engines_with_a_limit_do_not_do_others_are_ordered_for(self) -> None:
+        """Half of 56 engines take one request a second and run it for 1.4 s, in place of seven."""
+        for second in range(40):
+            self.sizing.note_demand(200, float(second))
+        rates = [1.0] * 28 + [NO_LIMIT] * 28
+        lost = engines_lost(rates, 1.4, SLOTS)
+        self.assertAlmostEqual(28 * (1 - 1.4 / 7.2), lost)
+        only = ScalingProfile(1, 28, None)
+        before = total(self.sizing.orders(only, SLOTS, standing(14), 40.0))
+        after = total(self.sizing.orders(only, SLOTS, standing(14), 40.0, lost))
+        self.assertAlmostEqual(before + lost, after, delta=len(HALLS))
+
+    def test_a_limit_above_what_an_engine_does_takes_nothing_away(self) -> None:
+        self.assertEqual(0.0, engines_lost([NO_LIMIT, 50.0], 1.4, SLOTS))
+
     def test_room_for_twice_the_demand_stands_before_a_burst(self) -> None:
         for second in range(40):
             self.sizing.note_demand(200, float(second))
--- a/tests/duties/virtual_duties.py
+++ b/tests/duties/virtual_duties.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.duties.duty_keeper import DutyKeeper
 from lotushill.duties.ports import FleetSight
 from lotushill.duties.true_time import TrueTime
@@ -134,6 +135,8 @@
                 services=lambda: [SERVICE],
                 upstreams=world.view,
                 pull=self._send,
+                limit=lambda _: NO_LIMIT,
+                stream_seconds=lambda _: 1.0,
                 own_pages=self.work.pages,
             ),
             self.time,
