--- a/src/lotushill/availability/patience.py
+++ b/src/lotushill/availability/patience.py
@@ -13,13 +13,7 @@
     from lotushill.placement.need import Need
 
 WAIT_SHARE = 1.0
-"""Of its target, up to which a request waits for the end of a rest.
-
-Replayed with nine gateways before ten engines that all turn away, with rests of 0.4 s and of 3 s,
-and before five of them: credit earned 0.866, 0.819 and 0.794, against 0.838, 0.797 and 0.784 where
-all are refused at once (means of six seeds). Twice the target earned 0.873, 0.821 and 0.791, and
-holds callers longer.
-"""
+"""Of its target, up to which a request waits for the end of a rest: it can still be in time."""
 _TIER_SECONDS = 0.01
 """By so much later each less urgent tier looks again: at a rest's end one request goes first, and
 it is to be one of the most urgent."""
--- a/src/lotushill/availability/rests.py
+++ b/src/lotushill/availability/rests.py
@@ -15,9 +15,7 @@
 
 _TRIAL_SECONDS = 0.1
 """After a rest one request goes first. Whoever still wants none turns it away within a round trip
-of some milliseconds; who has not done so after ten times as long has taken it. In replays of ten
-and of five engines that turn all away for two seconds, with rests of 0.4 s, they refused 455 and
-351 requests without it, 382 and 248 with it (means of four seeds)."""
+of some milliseconds; who has not done so after ten times as long has taken it."""
 _NOBODY: frozenset[str] = frozenset()
 
 
@@ -91,8 +89,7 @@
     def forget(self, known: set[str], now: float) -> None:
         """Drop the rests of upstreams that no view knows, once they are over.
 
-        An entry that lapses or cannot be read for a while comes back within the rest: forgotten
-        with the entry, one engine was sent three requests in 1.2 s of rest.
+        An entry that lapses or cannot be read for a while comes back within the rest.
         """
         for upstream_id in self._rests.keys() - known:
             if now >= self._rests[upstream_id].until:
--- a/src/lotushill/availability/trickle.py
+++ b/src/lotushill/availability/trickle.py
@@ -1,9 +1,8 @@
 """When a gateway tells what all are to know (the Trickle algorithm, RFC 6206). Pure.
 
 The load that it answers: hundreds of gateways learn the same fact within milliseconds. If each told
-all others, one upstream that leaves would cost 360 gateways 130,000 datagrams. With this, 360 of
-which one knows are all told after 0.2 s and 3,600 datagrams, one in ten of them lost (virtual time,
-three seeds), and whoever joins or was cut off is told soon after.
+all others, one upstream that leaves would cost the square of their number in datagrams. With this a
+few speak for all, and whoever joins or was cut off is told soon after.
 """
 
 from __future__ import annotations
@@ -19,8 +18,8 @@
 LONGEST_SECONDS = 3.2
 """Once nothing is new, all gateways together tell once in so long, for those that joined since."""
 _ENOUGH = 2
-"""Heard so often in an interval, nothing more is said in it. With one datagram in ten lost, one
-telling an interval left one of nine gateways untold after a heartbeat of an upstream."""
+"""Heard so often in an interval, nothing more is said in it: with one telling alone, a datagram
+that is lost leaves a gateway untold for long."""
 
 
 class Trickle:
--- a/src/lotushill/limits/fleet_limits.py
+++ b/src/lotushill/limits/fleet_limits.py
@@ -11,7 +11,7 @@
 from lotushill.limits.permit_client import PermitClient
 from lotushill.limits.permit_desk import PermitDesk
 from lotushill.limits.permit_request import PermitRequest
-from lotushill.links.messages import PermitAnswer
+from lotushill.links.limit_messages import PermitAnswer
 
 if TYPE_CHECKING:
     import random
@@ -21,8 +21,8 @@
     from lotushill.event_log import EventLog
     from lotushill.limits.counting import CountingGateways
     from lotushill.limits.permit_rank import PermitRanks
-    from lotushill.links.messages import LimitNews
-    from lotushill.links.messages import PermitAsk
+    from lotushill.links.limit_messages import LimitNews
+    from lotushill.links.limit_messages import PermitAsk
     from lotushill.views.upstream_view import UpstreamView
 
 _OTHERS_PAUSE = 0.3
--- a/src/lotushill/limits/limit_keeper.py
+++ b/src/lotushill/limits/limit_keeper.py
@@ -7,8 +7,8 @@
 from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.stated_limits import Word
 from lotushill.availability.trickle import Trickle
-from lotushill.links.messages import LimitNews
-from lotushill.links.messages import LimitState
+from lotushill.links.limit_messages import LimitNews
+from lotushill.links.limit_messages import LimitState
 
 if TYPE_CHECKING:
     import random
--- a/src/lotushill/limits/permit_client.py
+++ b/src/lotushill/limits/permit_client.py
@@ -6,14 +6,14 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from lotushill.links.messages import PermitAnswer
-from lotushill.links.messages import PermitAsk
+from lotushill.links.limit_messages import PermitAnswer
+from lotushill.links.limit_messages import PermitAsk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lotushill.limits.permit_request import PermitRequest
-    from lotushill.links.messages import LimitState
+    from lotushill.links.limit_messages import LimitState
 
 ANSWER_SECONDS = 0.15
 """Some round trips between regions; a gateway that takes longer is frozen, lost or cut off."""
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -16,25 +16,25 @@
 import capnp
 
 from lotushill.links.exceptions import MalformedFrameError
-from lotushill.links.messages import ClearedNews
-from lotushill.links.messages import GroupNews
+from lotushill.links.limit_messages import LimitNews
+from lotushill.links.limit_messages import PermitAnswer
+from lotushill.links.limit_messages import PermitAsk
 from lotushill.links.messages import LeavingNews
-from lotushill.links.messages import LimitNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
-from lotushill.links.messages import PermitAnswer
-from lotushill.links.messages import PermitAsk
 from lotushill.links.messages import Ping
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import PlacementAsk
 from lotushill.links.messages import Pong
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
-from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.quarantine_messages import ClearedNews
+from lotushill.links.quarantine_messages import GroupNews
+from lotushill.links.quarantine_messages import SuspectNews
 
 Message = (
     Ping
@@ -159,10 +159,7 @@
 
 
 def _shape(kind: type[Any]) -> _Shape:
-    """Return the shape of a dataclass, worked out when it is first used.
-
-    With all of them worked out beforehand a start took some 4 ms of processor time more.
-    """
+    """Return the shape of a dataclass, worked out when it is first used: starts are to be short."""
     found = _SHAPES.get(kind)
     if found is None:
         found = _SHAPES[kind] = _Shape(kind)
--- a/src/lotushill/links/datagram.py
+++ b/src/lotushill/links/datagram.py
@@ -1,7 +1,7 @@
 """Datagrams between gateways: one byte for the kind, then the message.
 
 News of load come hundreds of times a second and are records already, so that they travel as they
-are. Opening a packed frame around them took a scheduler about as long as the news themselves.
+are: opening a packed frame around them would cost a scheduler as much as the news themselves.
 """
 
 from __future__ import annotations
--- a/src/lotushill/load/limits/emulated_fleet.py
+++ b/src/lotushill/load/limits/emulated_fleet.py
@@ -26,8 +26,8 @@
     from collections.abc import Callable
 
     from lotushill.limits.fleet_limits import FleetLimits
-    from lotushill.links.messages import LimitNews
-    from lotushill.links.messages import PermitAsk
+    from lotushill.links.limit_messages import LimitNews
+    from lotushill.links.limit_messages import PermitAsk
     from lotushill.load.limits.ways import Way
 
 ENGINE = Upstream("engine@1", "llm", "10.9.0.1:80", "h0", 8, False)
--- a/src/lotushill/load/limits/ways.py
+++ b/src/lotushill/load/limits/ways.py
@@ -21,8 +21,8 @@
     import random
     from collections.abc import Callable
 
-    from lotushill.links.messages import LimitNews
-    from lotushill.links.messages import PermitAsk
+    from lotushill.links.limit_messages import LimitNews
+    from lotushill.links.limit_messages import PermitAsk
     from lotushill.membership.members import Members
     from lotushill.routing.upstream import Upstream
 
--- a/src/lotushill/membership/membership.py
+++ b/src/lotushill/membership/membership.py
@@ -173,8 +173,7 @@
     def leave(self) -> list[Outgoing]:
         """Tell the own hall and some others that this member takes no more work.
 
-        They tell the rest: a member of a large fleet that told everybody, and was answered, cost
-        the fleet 390 packets for each one that stopped.
+        They tell the rest: told by itself, everybody in a large fleet would answer it.
         """
         self._roster.set_own(replace(self.own, phase=MemberPhase.LEAVING))
         near = [state for state in self.live() if state.hall == self.own.hall]
--- a/src/lotushill/membership/membership_options.py
+++ b/src/lotushill/membership/membership_options.py
@@ -24,9 +24,8 @@
     helpers: int = 2
     """Members asked to probe on one's behalf."""
     first_seeds: int = 3
-    """Members that one which knows nobody pings at a time: each answers, so all would be a flood.
-    With 195 members and 40 that come at once, pinging all cost each member 8,250 states in half a
-    second, some half a second of processor time."""
+    """Members that one which knows nobody pings at a time: each answers with many states, so that
+    all of a large fleet would be a flood where many come at once."""
     pull_first: float = 0.2
     """Between two pulls of a roster by one that knows less than half of what others know."""
     pull_again: float = 1.0
--- a/src/lotushill/peering/group_keeper.py
+++ b/src/lotushill/peering/group_keeper.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.trickle import Trickle
-from lotushill.links.messages import GroupEnd
-from lotushill.links.messages import GroupNews
-from lotushill.links.messages import IsolatedGroup
+from lotushill.links.quarantine_messages import GroupEnd
+from lotushill.links.quarantine_messages import GroupNews
+from lotushill.links.quarantine_messages import IsolatedGroup
 from lotushill.quarantine.group import Group
 from lotushill.quarantine.news_plan import PROOF_SECONDS
 from lotushill.quarantine.repeat_plan import RepeatPlan
--- a/src/lotushill/peering/member_log.py
+++ b/src/lotushill/peering/member_log.py
@@ -9,8 +9,8 @@
     from lotushill.membership.roster import MemberChange
 
 _SINGLE_LINES = 4
-"""Changes with a line of their own within a span. Where 195 gateways restart in turn, a line at
-each gateway for each stop and start would be 76,000 lines."""
+"""Changes with a line of their own within a span: where hundreds of gateways restart in turn, each
+would write a line for each stop and start of all others."""
 _SPAN_SECONDS = 1.0
 _MOST_NAMES = 8
 """Named in a line on many; the others are counted."""
--- a/src/lotushill/peering/quarantine_keeper.py
+++ b/src/lotushill/peering/quarantine_keeper.py
@@ -8,10 +8,10 @@
 
 import anyio
 
-from lotushill.links.messages import ClearedNews
-from lotushill.links.messages import GroupNews
-from lotushill.links.messages import SuspectNews
-from lotushill.links.messages import SuspectState
+from lotushill.links.quarantine_messages import ClearedNews
+from lotushill.links.quarantine_messages import GroupNews
+from lotushill.links.quarantine_messages import SuspectNews
+from lotushill.links.quarantine_messages import SuspectState
 from lotushill.quarantine.end_watch import Cut
 from lotushill.quarantine.end_watch import EndWatch
 from lotushill.quarantine.end_watch import Listing
--- a/src/lotushill/placement/failure_rate.py
+++ b/src/lotushill/placement/failure_rate.py
@@ -6,8 +6,8 @@
 _PRIOR_FAILURES = 0.02
 _PRIOR_TOTAL = 1.0
 _MOST_TOTAL = 8.0
-"""Outcomes that count at most. All gateways tell theirs: without a bound, 24 streams lost at once
-would keep an upstream out for 18 s, and a few that went well would not bring it back."""
+"""Outcomes that count at most. All gateways tell theirs: without a bound, many streams lost at once
+would keep an upstream out for long, and a few that went well would not bring it back."""
 
 
 class FailureRate:
--- a/src/lotushill/placement/pauses.py
+++ b/src/lotushill/placement/pauses.py
@@ -22,7 +22,7 @@
 _MISS_MIDDLE = 0.95
 """Of the longest pause allowed; a reading that goes on for several pauses may miss in each."""
 _MISS_STEEPNESS = 10.0
-"""Pauses spread by about a twelfth around what is predicted (traces of 2,000 bounded pauses)."""
+"""Pauses spread by about a twelfth around what is predicted."""
 _LEAST_ALLOWED_SECONDS = 0.001
 
 
--- a/src/lotushill/placement/reserve.py
+++ b/src/lotushill/placement/reserve.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 _MOST_RESERVED = 0.4
-"""Of all slots. In replays of a burst while engines fail it raised the credit earned from 0.56 to
-0.66 and the most urgent requests in time from 0.62 to 0.87; with a quarter, more urgent requests
-got nothing while larger ones began. Over half of the slots are taken before it refuses anybody."""
+"""Of all slots: with less, urgent requests get nothing while larger ones begin. Over half of the
+slots are taken before it refuses anybody."""
 _RESERVE_TIMES = 2.0
 """Times the slots that more urgent requests hold now: they come in bursts as well."""
 
--- a/src/lotushill/platform/upstreams.py
+++ b/src/lotushill/platform/upstreams.py
@@ -23,7 +23,7 @@
     """Return the upstream of an entry; raise MalformedEntryError for one of another writer.
 
     An entry that lacks a field, or has one of another type, names nothing that serves: taken for an
-    idle upstream, one without a usable address drew 99 of 100 requests.
+    idle upstream, one without a usable address would draw most requests.
     """
     fields = Fields(spec)
     if not is_header_text(name) or _BORN in name:
--- a/src/lotushill/process/metrics.py
+++ b/src/lotushill/process/metrics.py
@@ -1,7 +1,6 @@
 """Counters and latency histograms of one gateway, in the usual text form.
 
-The library that writes the text is loaded at the first scrape: it takes as long to load as a tenth
-of a gateway's start.
+The library that writes the text is loaded at the first scrape, so that starts are short.
 """
 
 from __future__ import annotations
--- a/src/lotushill/process/settings.py
+++ b/src/lotushill/process/settings.py
@@ -1,7 +1,7 @@
 """The settings of `lotushill-gateway`.
 
-Plain dataclasses and not models: a gateway has to serve soon after its host has power, and loading
-the models' library took a fifth of the time from its start to its first answer.
+Plain dataclasses and not models: a gateway has to serve soon after its host has power, and the
+models' library takes long to load.
 """
 
 from __future__ import annotations
--- a/src/lotushill/quarantine/hold_store.py
+++ b/src/lotushill/quarantine/hold_store.py
@@ -24,8 +24,8 @@
 _SETTLED_SECONDS = 0.5
 """A hold is written when it has stood for so long: until then others may speak for the request."""
 _TAKEN_OVER_SECONDS = (4.0, 30.0)
-"""After a moment between these a gateway writes what others saw, if they did not: 360 of them that
-write at once would take all of the store's 400 writes a second."""
+"""After a moment between these a gateway writes what others saw, if they did not: hundreds that
+write at once would take all writes that the store allows."""
 _AWAY_SECONDS = (1.0, 3.0)
 """Between two tries while the store is away."""
 _MOST_STORED = 512
--- a/src/lotushill/quarantine/isolation.py
+++ b/src/lotushill/quarantine/isolation.py
@@ -1,8 +1,8 @@
 """Which groups of requests are kept apart, since upstreams end under them. Pure.
 
 The load that it answers: one caller whose requests each end the upstream that begins them, and
-whose bodies differ each time, so that no request comes again. Three a second before six upstreams
-left a quarter of all other requests served.
+whose bodies differ each time, so that no request comes again. A few a second leave hardly anybody
+else served.
 
 Upstreams end with all that runs there, so that busy groups are beside each end. Three things tell
 the cause from them: an upstream ends when it begins the cause, which so never had an event; hardly
@@ -30,8 +30,8 @@
 _WINDOW_SECONDS = 10.0
 """Ends and whole answers of so long are held against each other."""
 _WHOLE_PER_END = 2.0
-"""With more whole answers for each end, the group is taken for one that was beside them: of the
-requests of a bystander, one in ten or fewer is cut before its first event."""
+"""With more whole answers for each end, the group is taken for one that was beside them: hardly any
+request of a bystander is cut before its first event."""
 _EXPLAINED_SHARE = 0.6
 """Of the ends of a group, those at which a smaller one within it was as well."""
 _TERM_SECONDS = 20.0
--- a/src/lotushill/quarantine/quarantine.py
+++ b/src/lotushill/quarantine/quarantine.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from lotushill.links.messages import SuspectState
+    from lotushill.links.quarantine_messages import SuspectState
     from lotushill.quarantine.stored_hold import StoredHold
 
 _MOST_SUSPECTS = 2048
--- a/src/lotushill/quarantine/suspect.py
+++ b/src/lotushill/quarantine/suspect.py
@@ -8,8 +8,8 @@
 ENDS_TO_HOLD = 3
 """Upstreams that end under a request, without a whole answer since, before it is held.
 
-With one, each of the 16 and more that ran beside the cause would be held; with two, those of them
-that were sent on to the same upstream as the cause: 73 of 400 cut requests in a minute of ends.
+With one, each of those that ran beside the cause would be held; with two, those of them that were
+sent on to the same upstream as the cause.
 """
 _ROUND_SECONDS = 1.0
 """Ends so close together say no more of a request that was answered whole than one does: when a
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -74,8 +74,7 @@
         if self._was_suspended():
             connection.close()
             return AttemptEnd(EndKind.NOT_SENT, "the host was suspended")
-        # Whoever chose it may not have known, or chose before it said so: with all of six upstreams
-        # at rest for 1.5 s, one of them got 39 requests of one gateway.
+        # Whoever chose it may not have known that it wants none, or chose before it said so.
         if not self._parts.gate.pass_on(self._permit):
             connection.close()
             return AttemptEnd(EndKind.BARRED)
--- a/tests/limits/test_limit_keeper.py
+++ b/tests/limits/test_limit_keeper.py
@@ -15,8 +15,8 @@
 from lotushill.availability.stated_limits import Word
 from lotushill.event_log import EventLog
 from lotushill.limits.limit_keeper import LimitKeeper
-from lotushill.links.messages import LimitNews
-from lotushill.links.messages import LimitState
+from lotushill.links.limit_messages import LimitNews
+from lotushill.links.limit_messages import LimitState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -13,8 +13,6 @@
 from lotushill.links.codec import encode
 from lotushill.links.exceptions import ForgedFrameError
 from lotushill.links.exceptions import MalformedFrameError
-from lotushill.links.messages import ClearedNews
-from lotushill.links.messages import GroupNews
 from lotushill.links.messages import LeavingNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
@@ -24,11 +22,13 @@
 from lotushill.links.messages import Pong
 from lotushill.links.messages import RosterPage
 from lotushill.links.messages import RosterPull
-from lotushill.links.messages import SuspectNews
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.quarantine_messages import ClearedNews
+from lotushill.links.quarantine_messages import GroupNews
+from lotushill.links.quarantine_messages import SuspectNews
 from lotushill.links.seal import Seal
 
 TEXTS = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=12)
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from lotushill.event_log import EventLog
+from lotushill.links.limit_messages import PermitAnswer
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
-from lotushill.links.messages import PermitAnswer
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
--- a/tests/quarantine/test_hold_store.py
+++ b/tests/quarantine/test_hold_store.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from lotushill.event_log import EventLog
-from lotushill.links.messages import SuspectState
+from lotushill.links.quarantine_messages import SuspectState
 from lotushill.quarantine.hold_store import HoldStore
 from lotushill.quarantine.hold_view import HoldView
 from lotushill.quarantine.quarantine import Quarantine
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from lotushill.links.messages import SuspectState
+from lotushill.links.quarantine_messages import SuspectState
 from lotushill.quarantine.quarantine import Quarantine
 from lotushill.quarantine.stored_hold import StoredHold
 from lotushill.quarantine.stored_hold import read_hold
--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -26,9 +26,9 @@
 from lotushill.views.upstream_view import UpstreamView
 
 if TYPE_CHECKING:
-    from lotushill.links.messages import ClearedNews
-    from lotushill.links.messages import GroupNews
-    from lotushill.links.messages import SuspectNews
+    from lotushill.links.quarantine_messages import ClearedNews
+    from lotushill.links.quarantine_messages import GroupNews
+    from lotushill.links.quarantine_messages import SuspectNews
     from lotushill.scheduling.request import Request
 
 TICK = 0.02
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -65,10 +65,10 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from lotushill.links.messages import ClearedNews
-    from lotushill.links.messages import GroupNews
     from lotushill.links.messages import LeavingNews
-    from lotushill.links.messages import SuspectNews
+    from lotushill.links.quarantine_messages import ClearedNews
+    from lotushill.links.quarantine_messages import GroupNews
+    from lotushill.links.quarantine_messages import SuspectNews
 
 HOST = "a.example"
 KEY = "secret-key"
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -20,7 +20,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.links.http_server import HttpServer
-from lotushill.links.messages import ClearedNews
+from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.quarantine.identity import identity_of
 from lotushill.routing.route import RouteKind
 from lotushill.standin.metadata_app import MetadataApp
