--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
@@ -76,7 +77,7 @@
             f"{len(rows) - len(silent)} of {len(rows)} gateways answer"
             + (", all with the same in force" if agree else "")
         ]
-        lines += duty_lines(rows)
+        lines += duty_lines(rows) + limit_lines(rows)
         lines += [_status_line(item, rows[item.name]) for item in gateways]
         return Result("\n".join(lines), rows, EXIT_OK if agree else EXIT_FAILED)
 
@@ -144,6 +145,17 @@
     return lines
 
 
+def limit_lines(rows: Mapping[str, dict[str, Any] | None]) -> list[str]:
+    """Return the limits that upstreams name, and at how many gateways each is known."""
+    told = [row["upstreams"].get("limited", {}) for row in rows.values() if row]
+    known = Counter((name, rate) for limits in told for name, rate in limits.items())
+    return [
+        f"limit: {name} takes {rate:g} requests a second from all gateways, as {count} of "
+        f"{len(told)} know"
+        for (name, rate), count in sorted(known.items())
+    ]
+
+
 def _status_line(gateway: Gateway, status: dict[str, Any] | None) -> str:
     if status is None:
         return f"{gateway.name} ({gateway.hall}): no answer"
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -163,7 +163,10 @@
 
     def _put_off(self, placement: Placement) -> None:
         """Look for another upstream, as there is no permit for this one now."""
-        self._search.put_off(placement.choice.upstream.id)
+        upstream = placement.choice.upstream
+        self._search.put_off(upstream.id)
+        rate = self._parts.limits.stated.rate(upstream.id)
+        self._note("placement.put_off", upstream=upstream.id, why="no permit", limit=_finite(rate))
         if placement.scheduler:
             self._parts.shared_load.give_up(placement.placed.request)
 
--- a/tests/console/test_fleet_commands.py
+++ b/tests/console/test_fleet_commands.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from lotushill.console.fleet_commands import duty_lines
+from lotushill.console.fleet_commands import limit_lines
 
 HELD: dict[str, Any] = {
     "holder": "gw-1",
@@ -32,3 +33,22 @@
         nobody = {"gw-1": {"duties": {**HELD, "held_here": False}}}
         self.assertEqual(duty_lines(nobody), ["duties: nobody says that it holds them"])
         self.assertEqual(duty_lines({"gw-1": {"duties": None}, "gw-2": None}), [])
+
+
+class TestLimitLines(unittest.TestCase):
+    def test_each_limit_is_told_with_how_many_gateways_know_it(self) -> None:
+        def row(**limited: float) -> dict[str, Any]:
+            return {"upstreams": {"limited": limited}}
+
+        rows = {"a": row(e1=1.0), "b": row(e1=1.0, e2=0.5), "c": row(e1=4.0), "silent": None}
+        self.assertEqual(
+            [
+                "limit: e1 takes 1 requests a second from all gateways, as 2 of 3 know",
+                "limit: e1 takes 4 requests a second from all gateways, as 1 of 3 know",
+                "limit: e2 takes 0.5 requests a second from all gateways, as 1 of 3 know",
+            ],
+            limit_lines(rows),
+        )
+
+    def test_without_limits_nothing_is_told(self) -> None:
+        self.assertEqual([], limit_lines({"a": {"upstreams": {}}, "silent": None}))
--- a/tests/requests/test_sight.py
+++ b/tests/requests/test_sight.py
@@ -96,6 +96,18 @@
 
 
 class TestLimits(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_that_had_no_permit_tells_where(self) -> None:
+        async def limits(seen: Seen) -> None:
+            seen.whole(status="200 OK\r\nServer-Limit: 0.1")
+
+        async with Rig([ScriptedUpstream([limits]), ScriptedUpstream([limits])]) as rig:
+            for number in range(4):
+                await rig.call(f"r{number}")
+        lines = noted(rig, "placement.put_off")
+        self.assertTrue(lines)
+        self.assertEqual({("no permit", 0.1)}, {(line["why"], line["limit"]) for line in lines})
+        self.assertEqual(["all limited"] * 2, [x["reason"] for x in noted(rig, "placement.none")])
+
     async def test_a_word_of_a_limit_is_told_when_it_changes(self) -> None:
         async def limits(seen: Seen) -> None:
             words = {"r1": "", "r2": "1500.5", "r3": "1500.5", "r4": "few", "r5": ""}
