A limit that is new begins with what half a second of it gives; a rank keeps permits from later ones only while it asks

Where all engines name limits at the same moment nobody had a permit for the first quarter of a second, and of the most urgent one in a hundred got nothing. What is counted from then on is counted from half a second before; a bucket that another gateway may have counted still starts empty.

--- a/src/lotushill/console/load.py
+++ b/src/lotushill/console/load.py
@@ -10,6 +10,8 @@
 from lotushill.console.program import EXIT_OK
 from lotushill.console.program import new_parser
 from lotushill.contracts.yaml_text import parse_file
+from lotushill.load.limits.comparison import compare as compare_limits
+from lotushill.load.limits.comparison import table as limits_table
 from lotushill.load.policy.comparison import compare
 from lotushill.load.policy.comparison import table as table_of_variants
 from lotushill.load.policy.scenario import parse_scenario
@@ -27,6 +29,7 @@
     commands = parser.add_subparsers(dest="command", required=True)
     _add_slopes(commands)
     _add_policy(commands)
+    _add_limits(commands)
     options = parser.parse_args(arguments)
     sys.exit(options.run(options))
 
@@ -48,6 +51,21 @@
     parser.set_defaults(run=_run_policy)
 
 
+def _add_limits(commands: Any) -> None:
+    parser = commands.add_parser(
+        "limits", help="compare ways in which gateways keep to an upstream's limit together"
+    )
+    parser.add_argument("--gateways", type=int, nargs="+", default=[9, 81, 360])
+    parser.add_argument("--rates", type=float, nargs="+", default=[0.2, 1.0, 4.0, 50.0])
+    parser.add_argument("--processes", type=int, default=2, help="plays at a time")
+    parser.set_defaults(run=_run_limits)
+
+
+def _run_limits(options: argparse.Namespace) -> int:
+    print(limits_table(compare_limits(options.gateways, options.rates, options.processes)))
+    return EXIT_OK
+
+
 def _run_policy(options: argparse.Namespace) -> int:
     scenario = parse_scenario(parse_file(options.scenario))
     print(table_of_variants(compare(scenario, options.seeds, options.processes)))
--- a/src/lotushill/limits/fleet_limits.py
+++ b/src/lotushill/limits/fleet_limits.py
@@ -27,6 +27,8 @@
 
 _OTHERS_PAUSE = 0.3
 """Until one that takes another gateway for the counting one asks again: by then they agree."""
+_NEW_SECONDS = 1.0
+"""A limit that was named so lately was heard by all at about the same time."""
 _SPREAD = (0.8, 1.25)
 
 
@@ -55,7 +57,7 @@
         self.denials = Denials()
         self.client = PermitClient(counting.own_name, send)
         self.keeper = LimitKeeper(
-            counting.own_name, self.stated, tell, self.denials.clear, log, rng, clock
+            counting.own_name, self.stated, tell, self._note_changed, log, rng, clock
         )
         self._desk = PermitDesk()
         self.denied = 0
@@ -98,6 +100,15 @@
         self.denials.forget(limited, now)
         self._desk.forget(limited)
 
+    def _note_changed(self, upstream_id: str) -> None:
+        """Begin anew with an upstream that has named another limit, its first one or its end."""
+        self.denials.clear(upstream_id)
+        upstream = self._upstreams.find(upstream_id)
+        word, now = self.stated.words()[upstream_id], self._clock()
+        is_new = word.rate < NO_LIMIT and now - word.heard < _NEW_SECONDS
+        if is_new and upstream is not None and self._counting.is_own(upstream):
+            self._desk.begin(upstream_id, word.rate, now)
+
     async def _ask(self, request: PermitRequest) -> PermitAnswer:
         upstream_id = request.upstream.id
         counting = self._counting.of(request.upstream)
--- a/src/lotushill/limits/permit_desk.py
+++ b/src/lotushill/limits/permit_desk.py
@@ -7,21 +7,26 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 
 DEPTH = 2.0
 """Permits that are kept while nobody asks."""
 _RANK_LEVEL = 0.45
-"""What has to be left for each rank before: those that are asked for often never let it rise so
-far, and where nobody else asks it costs no permit."""
+"""What has to be left for each rank before that asks as well: those that ask often never let it
+rise so far."""
 _RANKS = 2
-"""Below which all count alike, so that what they need is less than the depth."""
+"""So many earlier ranks count at most, so that what the others need is less than the depth."""
+_PRESENT_TURNS = 2.0
+"""A rank asks for as long as so many permits take after its last ask."""
 _ASKS_FOR_ONE = 8.0
 """Asks for each permit. With fewer, permits run out while all who want one wait to ask again."""
 _LEAST_PAUSE = 0.02
 _LONGEST_PAUSE = 5.0
 """Seconds; a limit of one in many seconds may end meanwhile, but that is told to all."""
+_BEFORE_SECONDS = 0.5
+"""A limit that is new counts as if it had held for so long, with nothing sent."""
 _ASKER_SECONDS = 2 * _LONGEST_PAUSE
 
 
@@ -35,12 +40,20 @@
 
 @dataclass
 class _Bucket:
-    """A token bucket; empty at first, since another gateway may have counted until now."""
+    """A token bucket; empty at first where another gateway may have counted until now."""
 
     at: float
     level: float = 0.0
     askers: dict[str, float] = field(default_factory=dict)
     """When each gateway last asked."""
+    ranks: dict[int, float] = field(default_factory=dict)
+    """When a request of each rank was last asked for."""
+
+    def wanted(self, rank: int, rate: float, now: float) -> float:
+        """Return how many permits have to be there for a request of a rank to get one."""
+        since = now - _PRESENT_TURNS / rate if rate > 0.0 else -math.inf
+        before = sum(other < rank and at >= since for other, at in self.ranks.items())
+        return 1.0 + _RANK_LEVEL * min(_RANKS, before)
 
 
 class PermitDesk:
@@ -49,13 +62,21 @@
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
 
+    def begin(self, upstream_id: str, rate: float, now: float) -> None:
+        """Count for an upstream that has just named its first limit, and so been counted by nobody.
+
+        Where all engines name limits at once, what comes in the next moments is not all refused.
+        """
+        level = min(DEPTH, rate * _BEFORE_SECONDS)
+        self._buckets.setdefault(upstream_id, _Bucket(now, level))
+
     def ask(self, upstream_id: str, rate: float, rank: int, asker: str, now: float) -> Verdict:
         """Return whether `asker` may send a request of a rank, at so many a second for all."""
         bucket = self._buckets.setdefault(upstream_id, _Bucket(now))
         bucket.level = min(DEPTH, bucket.level + rate * max(0.0, now - bucket.at))
         bucket.at = max(bucket.at, now)
-        bucket.askers[asker] = now
-        wanted = 1.0 + _RANK_LEVEL * min(rank, _RANKS)
+        bucket.askers[asker] = bucket.ranks[rank] = now
+        wanted = bucket.wanted(rank, rate, now)
         if bucket.level >= wanted:
             bucket.level -= 1.0
             return Verdict(True)
--- /dev/null
+++ b/src/lotushill/load/limits/comparison.py
@@ -0,0 +1,57 @@
+"""Compares ways to keep to a limit, over numbers of gateways and rates."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lotushill.load.limits.emulated_fleet import WINDOW
+from lotushill.load.limits.emulated_fleet import EmulatedFleet
+from lotushill.load.limits.emulated_fleet import Play
+from lotushill.load.limits.emulated_fleet import allowed
+from lotushill.load.limits.ways import WAYS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lotushill.load.limits.emulated_fleet import Outcome
+
+_SECONDS = 20.0
+_TURNS = 12.0
+"""Seconds of a play allow so many requests at least."""
+
+
+@dataclass(frozen=True)
+class Row:
+    """One way with some gateways at a rate."""
+
+    play: Play
+    outcome: Outcome
+
+
+def compare(gateways: Sequence[int], rates: Sequence[float], processes: int) -> list[Row]:
+    """Play each way with each number of gateways and each rate, in calm."""
+    plays = [
+        Play(count, rate, way, seconds=max(_SECONDS, _TURNS / rate))
+        for count in gateways
+        for rate in rates
+        for way in WAYS
+    ]
+    with ProcessPoolExecutor(processes) as pool:
+        return [Row(play, outcome) for play, outcome in zip(plays, pool.map(_play, plays))]
+
+
+def table(rows: Sequence[Row]) -> str:
+    """Return a line for each play."""
+    return "\n".join(
+        f"{row.play.gateways:4} gateways  {row.play.rate:5g} a second  {row.play.way:8} "
+        f"most in {WINDOW:g} s {row.outcome.most:4} (promised {allowed(row.play.rate):g})  "
+        f"used {row.outcome.used:.2f}  {row.outcome.datagrams:7.0f} datagrams a second  "
+        f"{row.outcome.admit_ms:5.1f} ms a decision"
+        for row in rows
+    )
+
+
+def _play(play: Play) -> Outcome:
+    return EmulatedFleet(play).run()
--- a/src/lotushill/load/limits/ways.py
+++ b/src/lotushill/load/limits/ways.py
@@ -26,6 +26,7 @@
     from lotushill.membership.members import Members
     from lotushill.routing.upstream import Upstream
 
+WAYS = ("permits", "shares", "few")
 _SHARE_DEPTH = 1.0
 
 
@@ -121,7 +122,7 @@
     upstream: Upstream,
     clock: Callable[[], float],
 ) -> Way:
-    """Return one gateway's decisions in a way: `permits`, `shares` or `few`."""
+    """Return one gateway's decisions in one of `WAYS`."""
     if name == "permits":
         return Permits(limits, upstream)
     kind = {"shares": Shares, "few": Few}[name]
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -421,6 +421,8 @@
         self._limits.take(self.upstreams[index].id, Word(rate, self.now, self.now))
         for denials in self._denials:
             denials.clear(self.upstreams[index].id)
+        if rate < NO_LIMIT:
+            self._desk.begin(self.upstreams[index].id, rate, self.now)
 
     def _plan_shed(self, shed: Shed) -> None:
         count = round(shed.share * len(self.engines))
--- a/tests/limits/test_permit_desk.py
+++ b/tests/limits/test_permit_desk.py
@@ -29,6 +29,18 @@
         self.assertFalse(self.desk.ask("e1", 1.0, 0, "gw", 0.0).granted)
         self.assertTrue(self.desk.ask("e1", 1.0, 0, "gw", 1.0).granted)
 
+    def test_with_a_limit_that_is_new_it_starts_with_what_may_be_kept(self) -> None:
+        self.desk.begin("e1", 4.0, 0.0)
+        self.assertEqual(2, self.granted(4.0, 0, 0.0, 0.2, 0.1))
+        self.desk.begin("e2", 0.2, 0.0)
+        self.assertFalse(self.desk.ask("e2", 0.2, 0, "gw", 0.1).granted)
+
+    def test_a_second_word_of_it_gives_nothing_more(self) -> None:
+        self.desk.begin("e1", 4.0, 0.0)
+        self.granted(4.0, 0, 0.0, 0.2, 0.1)
+        self.desk.begin("e1", 4.0, 0.2)
+        self.assertFalse(self.desk.ask("e1", 4.0, 0, "gw", 0.2).granted)
+
     def test_each_rank_alone_gets_nearly_all(self) -> None:
         for rank in (0, 1, 2, 7):
             with self.subTest(rank=rank):
--- a/tests/load/policy/test_replay.py
+++ b/tests/load/policy/test_replay.py
@@ -96,6 +96,9 @@
         self.assertEqual([], result.put_behind)
         self.assertGreater(share_in_time(result, "query"), 0.9)
 
+    def test_nor_where_all_have_limits(self) -> None:
+        self.assertEqual([], Replay(scenario("limited-all"), 1).play().put_behind)
+
     def test_where_all_have_limits_the_urgent_ones_come_first(self) -> None:
         result = Replay(scenario("limited-all"), 1).play()
         self.assertGreater(share_in_time(result, "query"), 0.85)
