--- a/src/lotushill/limits/limit_keeper.py
+++ b/src/lotushill/limits/limit_keeper.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.availability.newest_first import NewestFirst
 from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.stated_limits import Word
 from lotushill.availability.trickle import Trickle
@@ -17,7 +18,6 @@
     from lotushill.availability.stated_limits import StatedLimits
     from lotushill.event_log import EventLog
 
-_MOST_IN_DATAGRAM = 16
 _WAY_SECONDS = 0.05
 """What news take on their way at most, as a rule. Taken for sent so much earlier, the word that
 they bring is never held for later than one which it crossed."""
@@ -45,9 +45,9 @@
         self._tell = tell
         self._on_change = on_change
         self._log = log
-        self._rng = rng
         self._clock = clock
         self._timer = Trickle(rng)
+        self._order = NewestFirst(rng)
 
     def hear(self, upstream_id: str, word: Word) -> None:
         """Take in what an answer to a request of this gateway said."""
@@ -64,12 +64,12 @@
         """Take in news, and see whether their sender lacks any."""
         for state in news.limits:
             self.take(state, news.sender)
-        told = {state.upstream: state.rate for state in news.limits}
-        own = self._limits.words()
-        if all(told.get(name) == word.rate for name, word in own.items()):
-            self._timer.hear()
-        elif news.complete:
+        agrees = all(self._limits.rate(item.upstream) == item.rate for item in news.limits)
+        lacks = news.complete and len(news.limits) < len(self._limits.words())
+        if lacks or not agrees:
             self._timer.reset(self._clock())
+        elif news.complete or self._order.is_told(item.upstream for item in news.limits):
+            self._timer.hear()
 
     def state(self, upstream_id: str, word: Word) -> LimitState:
         """Return a word as it is told."""
@@ -86,7 +86,7 @@
             self._timer.reset(now)
         if self._timer.is_due(now):
             words = self._limits.words()
-            told = self._rng.sample(sorted(words), min(_MOST_IN_DATAGRAM, len(words)))
+            told = self._order.choose(words)
             states = tuple(self.state(name, words[name]) for name in told)
             self._tell(LimitNews(self._name, states, len(told) == len(words)))
 
@@ -96,4 +96,5 @@
         rate = word.rate if word.rate < NO_LIMIT else None
         self._log.note("upstream.limits", upstream=upstream_id, rate=rate, source=source)
         self._on_change(upstream_id)
+        self._order.note(upstream_id, self._clock())
         self._timer.reset(self._clock())
--- a/src/lotushill/peering/leaving_keeper.py
+++ b/src/lotushill/peering/leaving_keeper.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.availability.newest_first import NewestFirst
 from lotushill.availability.trickle import Trickle
 from lotushill.links.messages import LeavingNews
 
@@ -14,8 +15,6 @@
     from lotushill.event_log import EventLog
     from lotushill.views.upstream_view import UpstreamView
 
-_MOST_IN_DATAGRAM = 16
-
 
 class LeavingKeeper:
     """Passes on what upstreams say in answers, for as long as their entries do not say it.
@@ -40,8 +39,8 @@
         self._tell = tell
         self._log = log
         self._clock = clock
-        self._rng = rng
         self._timer = Trickle(rng)
+        self._order = NewestFirst(rng)
 
     def note(self, upstream_id: str) -> None:
         """Note that an upstream has said in an answer that it leaves."""
@@ -52,14 +51,15 @@
         for upstream_id in news.upstreams:
             self._take(upstream_id, news.sender)
         missing = set(self._upstreams.leaving_by_word) - set(news.upstreams)
-        if not missing:
-            self._timer.hear()
-        elif news.complete:
+        if news.complete and missing:
             self._timer.reset(self._clock())
+        elif not missing or self._order.is_told(news.upstreams):
+            self._timer.hear()
 
     def _take(self, upstream_id: str, source: str) -> None:
         if self._upstreams.note_leaving(upstream_id):
             self._log.note("upstream.leaving", upstream=upstream_id, source=source)
+            self._order.note(upstream_id, self._clock())
             self._timer.reset(self._clock())
 
     def tell_due(self) -> None:
@@ -72,5 +72,5 @@
         if not self._timer.running:
             self._timer.reset(now)
         if self._timer.is_due(now):
-            told = self._rng.sample(leaving, min(_MOST_IN_DATAGRAM, len(leaving)))
+            told = self._order.choose(leaving)
             self._tell(LeavingNews(self._name, tuple(told), len(told) == len(leaving)))
--- a/tests/limits/test_limit_keeper.py
+++ b/tests/limits/test_limit_keeper.py
@@ -86,14 +86,14 @@
                     gateway.ticks_at += TICK
                     gateway.keeper.tell_due()
 
-    def answer(self, number: int, rate: float) -> None:
+    def answer(self, number: int, rate: float, engine: str = "e1") -> None:
         """Let one gateway have an answer that names a limit, or none."""
         word = Word(rate, self.now - 0.01, self.now)
-        self.all[number].keeper.hear("e1", word)
+        self.all[number].keeper.hear(engine, word)
 
-    def rates(self) -> set[float]:
+    def rates(self, engine: str = "e1") -> set[float]:
         """Return what the gateways believe."""
-        return {gateway.limits.rate("e1") for gateway in self.all}
+        return {gateway.limits.rate(engine) for gateway in self.all}
 
 
 class TestLimitKeeper(unittest.TestCase):
@@ -113,6 +113,20 @@
         fleet.run(4.0)
         self.assertLess(fleet.datagrams / 81, 0.15 * 81 + 60)
 
+    def test_among_hundreds_of_limits_what_is_new_is_told_soon_by_few(self) -> None:
+        """Each told sixteen drawn of all, whatever it heard: 81 gateways without end."""
+        fleet = Gateways(81)
+        for engine in range(300):
+            for number in range(81):
+                fleet.answer(number, 1.0, f"e{engine}")
+        fleet.run(20.0)
+        before = fleet.datagrams
+        fleet.run(20.0)
+        self.assertLess((fleet.datagrams - before) / 20.0, 4 * 81)
+        fleet.answer(7, 0.2, "e123")
+        fleet.run(HEARTBEAT)
+        self.assertEqual({0.2}, fleet.rates("e123"))
+
     def test_one_that_joins_later_hears_of_it(self) -> None:
         fleet = Gateways(9)
         fleet.loss = 0.0
--- a/tests/peering/test_leaving_keeper.py
+++ b/tests/peering/test_leaving_keeper.py
@@ -48,7 +48,10 @@
 class Gateways:
     """So many gateways that all hold the same entries."""
 
-    def __init__(self, count: int, seed: int = 1, loss: float = LOSS) -> None:
+    def __init__(
+        self, count: int, seed: int = 1, loss: float = LOSS, upstreams: int = len(SERVING)
+    ) -> None:
+        self.entries = [replace(SERVING[0], id=f"u{n}") for n in range(upstreams)]
         self.now = 1000.0
         self.rng = random.Random(seed)
         self.loss = loss
@@ -58,7 +61,7 @@
 
     def _make(self, number: int) -> Gateway:
         view = UpstreamView()
-        view.replace(SERVING, 1)
+        view.replace(self.entries, 1)
         keeper = LeavingKeeper(
             f"gw-{number}",
             view,
@@ -131,6 +134,19 @@
         fleet.run(2 * HEARTBEAT)
         self.assertEqual([81] * len(SERVING), [fleet.knowing(item.id) for item in SERVING])
 
+    def test_so_it_is_where_a_hall_of_many_leaves_and_few_tell_of_it(self) -> None:
+        fleet = Gateways(81, upstreams=150)
+        for gateway in fleet.gateways:
+            for number in range(149):
+                gateway.keeper.note(f"u{number}")
+        fleet.run(20.0)
+        before = fleet.datagrams
+        fleet.run(20.0)
+        self.assertLess((fleet.datagrams - before) / 20.0, 4 * 81)
+        fleet.gateways[3].keeper.note("u149")
+        fleet.run(2 * HEARTBEAT)
+        self.assertEqual(81, fleet.knowing("u149"))
+
     def test_one_that_joins_later_hears_of_it(self) -> None:
         fleet = Gateways(9, loss=0.0)
         fleet.gateways[0].keeper.note("u3")
