--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -120,7 +120,7 @@
     Break(
         "gateway: the budget is divided",
         "requests/retry_budget.py",
-        "self._slack / max(1, gateways)",
+        "return self._slack / gateways",
         "self._slack",
         "tests.requests.test_retry_budget",
     ),
@@ -148,7 +148,7 @@
     Break(
         "gateway: a client that leaves ends the work",
         "requests/front.py",
-        "            connection.on_lost = cancel.cancel\n",
+        "            connection.on_lost = lost.note\n",
         "",
         "tests.requests.test_request_path",
     ),
@@ -182,16 +182,16 @@
     ),
     Break(
         "gateway: a prompt is unread until its first event",
-        "placement/upstream_load.py",
-        "return self._unread_total - min(float(oldest), done)",
-        "return max(0.0, self._unread_total - done)",
+        "placement/unread_prompts.py",
+        "return min(float(tokens), max(0.0, now - self._since) * read_rate)",
+        "return max(0.0, now - self._since) * read_rate",
         "tests.placement.test_upstream_load",
     ),
     Break(
         "gateway: a short request is not refused while longer ones begin",
-        "placement/fleet.py",
-        "if self._is_long(need) and self._overloaded",
-        "if self._overloaded",
+        "placement/shedding.py",
+        "overload = self.is_long(need) and late",
+        "overload = late",
         "tests.placement.test_fleet",
     ),
     Break(
@@ -267,15 +267,15 @@
     Break(
         "gateway: a run goes on only after its first event",
         "requests/exchange.py",
-        "return known and sound and self._splitter.events > 0",
-        "return known and sound",
+        "return known and sound and wanted and self._splitter.events > 0",
+        "return known and sound and wanted",
         "tests.requests.test_request_path",
     ),
     Break(
         "gateway: a run goes on at no upstream that has just failed",
         "requests/exchange.py",
-        "return known and sound and self._splitter.events > 0",
-        "return known and self._splitter.events > 0",
+        "return known and sound and wanted and self._splitter.events > 0",
+        "return known and wanted and self._splitter.events > 0",
         "tests.requests.test_request_path",
     ),
     Break(
@@ -494,9 +494,9 @@
     Break(
         "a request that ends upstreams is held after three",
         "quarantine/suspect.py",
-        "return len(self.ends) >= ENDS_TO_HOLD\n\n    @property",
-        "return False\n\n    @property",
-        "tests.quarantine",
+        "return len(self.ends) >= ENDS_TO_HOLD\n\n    def is_clear",
+        "return False\n\n    def is_clear",
+        "tests.quarantine.test_quarantine",
     ),
     Break(
         "what one gateway saw is told to all",
@@ -648,7 +648,7 @@
     Break(
         "nothing is written to an upstream that rests, whoever chose it",
         "requests/attempt.py",
-        "if not self._parts.gate.pass_on(upstream.id):",
+        "if not self._parts.gate.pass_on(self._permit):",
         "if False:",
         "tests.requests.test_rest",
     ),
@@ -662,7 +662,7 @@
     Break(
         "schedulers are told who rests",
         "scheduling/placer.py",
-        "excluded |= resting",
+        "excluded |= barred",
         "excluded |= frozenset()",
         "tests.scheduling.test_placer",
     ),
