Who had no permit within its target comes back after a second or more

It was told the first end of a denial, some hundredths of a second, and mostly spent its caller's last try in vain.

--- a/src/lotushill/availability/patience.py
+++ b/src/lotushill/availability/patience.py
@@ -17,6 +17,14 @@
 _TIER_SECONDS = 0.01
 """By so much later each less urgent tier looks again: at a rest's end one request goes first, and
 it is to be one of the most urgent."""
+_LIMITED_RETRY_SECONDS = 1.0
+"""Without a permit for its whole target, a request that came back at once would mostly use up its
+caller's last try in vain."""
+
+
+def limited_retry(first_end: float) -> float:
+    """Return after how many seconds a request that had no permit is to come back."""
+    return max(_LIMITED_RETRY_SECONDS, first_end)
 
 
 def rest_pause(rest_ends_in: float, waited: float, need: Need) -> float | None:
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from lotushill.availability.patience import limited_retry
 from lotushill.availability.patience import rest_pause
 from lotushill.availability.rests import Rests
 from lotushill.availability.stated_limits import NO_LIMIT
@@ -226,7 +227,10 @@
 
     def _refuse(self, client: Client, refusal: NoChoice) -> None:
         left = client.arrived + client.kind.deadline - self.now
-        pause = min(refusal.retry_after, _RETURN_SHARE * left)
+        retry_after = refusal.retry_after
+        if refusal.refusal is Refusal.LIMITED:
+            retry_after = limited_retry(retry_after)
+        pause = min(retry_after, _RETURN_SHARE * left)
         if client.tries > 1:
             self._finish(client, "refused")
             return
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 
+from lotushill.availability.patience import limited_retry
 from lotushill.availability.patience import rest_pause
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
@@ -55,6 +57,8 @@
                 return found
             pause = self._pause(found)
             if pause is None:
+                if found.refusal is Refusal.LIMITED:
+                    found = replace(found, retry_after=limited_retry(found.retry_after))
                 self._note_refusal(found)
                 return found
             await anyio.sleep(pause)
--- a/tests/requests/test_limit.py
+++ b/tests/requests/test_limit.py
@@ -46,6 +46,8 @@
         async with Rig(upstreams, max_attempts=5) as rig:
             got = [await rig.call(f"r{number}") for number in range(20)]
         self.assertEqual({200, 503}, {item.status for item in got})
+        times = [float(item.headers["retry-after"]) for item in got if item.status == 503]
+        self.assertGreaterEqual(min(times), 1.0)
         self.assertLessEqual(max(len(item.seen) for item in upstreams), 2)
 
     async def test_any_answer_names_it(self) -> None:
