--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -93,6 +93,7 @@
         self._gateways = gateways
         self._engine = engine
         self._open = list(gateways)
+        self._stopped = ""
         self._rng = random.Random(7)
         self._serial = 0
         self.tally = Tally()
@@ -104,6 +105,15 @@
             calls += [asyncio.create_task(self._arrive(pool, kind)) for kind in KINDS]
             await asyncio.gather(*calls)
 
+    def summary(self) -> str:
+        """Return in a sentence what the demo showed."""
+        total = sum(self.tally.ends.values())
+        served = sum(count for end, count in self.tally.ends.items() if end.endswith(" served"))
+        return (
+            f"{served} of {total} requests were served whole, while {self._engine.name} was killed "
+            f"amid its streams and {self._stopped} stopped as planned (so it gives no answer above)"
+        )
+
     async def _disturb(self) -> None:
         await asyncio.sleep(EDIT_AT)
         edit = ("set", "team/bodas", "services.drafts.classes.suite-wording.policy.tier", "3")
@@ -113,6 +123,7 @@
         self._engine.signal(signal.SIGKILL)
         await asyncio.sleep(STOP_GATEWAY_AT - KILL_ENGINE_AT)
         leaving = self._open.pop()
+        self._stopped = leaving.name
         print(f"{leaving.name} is stopped as planned")
         leaving.signal(signal.SIGTERM)
 
@@ -189,6 +200,7 @@
         print(fleet.operator("status"))
         if demo.tally.refused:
             print(fleet.operator("explain", demo.tally.refused))
+        print(demo.summary())
 
 
 if __name__ == "__main__":
