What keepers tell, and what asks for permits cost, read once more

Cause: the turns of telling stood twice, in the keepers of leavings and of limits; a rate for a log line three times; a rank for each ask looked at all upstreams of the service; the ask copied all words that are known; each request made a permit's question before it was known whether its upstream has a limit.

Change: availability/telling.py has the turns for both keepers; one function for the rate; whether others have room is looked at every 0.05 s; one word is read and not all; without a limit nothing is made. The stand-in's entry takes the names of its fields from the adapter. The regression test of the limit quotes the log lines that settled it.

No decision changes but for room that is up to 0.05 s old.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -710,9 +710,9 @@
     ),
     Break(
         "all gateways hear which upstreams leave",
-        "peering/leaving_keeper.py",
-        "if self._timer.is_due(now):",
-        "if False:",
+        "availability/telling.py",
+        "return self._order.choose(names) if self._timer.is_due(now) else []",
+        "return []",
         "tests.peering.test_leaving_keeper",
     ),
     Break(
@@ -766,9 +766,9 @@
     ),
     Break(
         "all gateways hear of limits and their ends",
-        "limits/limit_keeper.py",
-        "if self._timer.is_due(now):",
-        "if False:",
+        "availability/telling.py",
+        "return self._order.choose(names) if self._timer.is_due(now) else []",
+        "return []",
         "tests.limits.test_limit_keeper",
     ),
     Break(
--- a/src/lotushill/availability/stated_limits.py
+++ b/src/lotushill/availability/stated_limits.py
@@ -54,6 +54,10 @@
         known = self._words.get(upstream_id)
         return known.rate if known is not None else NO_LIMIT
 
+    def word(self, upstream_id: str) -> Word | None:
+        """Return the newest word of an upstream that ever named a limit."""
+        return self._words.get(upstream_id)
+
     def words(self) -> dict[str, Word]:
         """Return all words that are kept, the ends of limits among them."""
         return dict(self._words)
@@ -75,6 +79,11 @@
                 del self._words[upstream_id]
 
 
+def finite(rate: float | None) -> float | None:
+    """Return a rate as a log line can hold it, None without a limit."""
+    return rate if rate is not None and rate < NO_LIMIT else None
+
+
 def _replaces(word: Word, known: Word) -> bool:
     """Return whether a word is to be believed in place of the one that is known."""
     if word.rate == known.rate:
--- a/src/lotushill/availability/statement.py
+++ b/src/lotushill/availability/statement.py
@@ -60,6 +60,9 @@
     unreadable: str = ""
 
 
+_NONE_NAMED = Limit()
+
+
 def read_rest(values: list[bytes]) -> Rest:
     """Return the longest of several wishes in seconds; dates are not among the forms in use."""
     longest, unreadable = 0.0, ""
@@ -82,12 +85,14 @@
 
 def read_limit(values: list[bytes]) -> Limit:
     """Return the lowest of several limits; one alone that cannot be read leaves it open."""
+    if not values:
+        return _NONE_NAMED
     read = [_decimal(value) for value in values]
     rates = [max(LEAST_LIMIT, min(MOST_LIMIT, rate)) for rate in read if rate is not None]
     odd = [_shown(value) for value, rate in zip(values, read) if rate is None]
     if rates:
         return Limit(min(rates), *odd[-1:])
-    return Limit(None, odd[-1] or _EMPTY) if odd else Limit()
+    return Limit(None, odd[-1] or _EMPTY)
 
 
 def _decimal(value: bytes) -> float | None:
--- a/src/lotushill/limits/fleet_limits.py
+++ b/src/lotushill/limits/fleet_limits.py
@@ -22,6 +22,7 @@
     from lotushill.limits.counting import CountingGateways
     from lotushill.limits.permit_rank import PermitRanks
     from lotushill.links.limit_messages import LimitNews
+    from lotushill.links.limit_messages import LimitState
     from lotushill.links.limit_messages import PermitAsk
     from lotushill.views.upstream_view import UpstreamView
 
@@ -104,9 +105,10 @@
         """Begin anew with an upstream that has named another limit, its first one or its end."""
         self.denials.clear(upstream_id)
         upstream = self._upstreams.find(upstream_id)
-        word, now = self.stated.words()[upstream_id], self._clock()
-        is_new = word.rate < NO_LIMIT and now - word.heard < _NEW_SECONDS
-        if is_new and upstream is not None and self._counting.is_own(upstream):
+        word, now = self.stated.word(upstream_id), self._clock()
+        if word is None or word.rate == NO_LIMIT or now - word.heard >= _NEW_SECONDS:
+            return
+        if upstream is not None and self._counting.is_own(upstream):
             self._desk.begin(upstream_id, word.rate, now)
 
     async def _ask(self, request: PermitRequest) -> PermitAnswer:
@@ -116,19 +118,24 @@
             return self._decide(request, counting.name)
         self.denials.note_asked(upstream_id, self._clock() + ANSWER_SECONDS)
         try:
-            state = self.keeper.state(upstream_id, self.stated.words()[upstream_id])
-            return await self.client.ask(state, request, counting.address)
+            return await self.client.ask(self._state(upstream_id), request, counting.address)
         finally:
             self.denials.note_answered(upstream_id)
 
+    def _state(self, upstream_id: str) -> LimitState:
+        word = self.stated.word(upstream_id)
+        assert word is not None, "only for an upstream with a limit is a permit asked for"
+        return self.keeper.state(upstream_id, word)
+
     def _decide(self, request: PermitRequest, asker: str, number: int = 0) -> PermitAnswer:
         upstream = request.upstream
         if not self.is_limited(upstream.id):
             return PermitAnswer(number, True, 0.0, 0)
+        now = self._clock()
         rate = self.stated.rate(upstream.id) * self._counting.part()
         rank = self._ranks.rank(
-            upstream.service, request.route, request.tier, request.prompt_tokens
+            upstream.service, request.route, request.tier, request.prompt_tokens, now
         )
-        verdict = self._desk.ask(upstream.id, rate, rank, asker, self._clock())
+        verdict = self._desk.ask(upstream.id, rate, rank, asker, now)
         self.denied += not verdict.granted
         return PermitAnswer(number, verdict.granted, verdict.again_in, rank)
--- a/src/lotushill/limits/limit_keeper.py
+++ b/src/lotushill/limits/limit_keeper.py
@@ -4,10 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.availability.newest_first import NewestFirst
-from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.stated_limits import Word
-from lotushill.availability.trickle import Trickle
+from lotushill.availability.stated_limits import finite
+from lotushill.availability.telling import Telling
 from lotushill.links.limit_messages import LimitNews
 from lotushill.links.limit_messages import LimitState
 
@@ -46,8 +45,7 @@
         self._on_change = on_change
         self._log = log
         self._clock = clock
-        self._timer = Trickle(rng)
-        self._order = NewestFirst(rng)
+        self._telling = Telling(rng)
 
     def hear(self, upstream_id: str, word: Word) -> None:
         """Take in what an answer to a request of this gateway said."""
@@ -66,10 +64,8 @@
             self.take(state, news.sender)
         agrees = all(self._limits.rate(item.upstream) == item.rate for item in news.limits)
         lacks = news.complete and len(news.limits) < len(self._limits.words())
-        if lacks or not agrees:
-            self._timer.reset(self._clock())
-        elif news.complete or self._order.is_told(item.upstream for item in news.limits):
-            self._timer.hear()
+        told = [item.upstream for item in news.limits]
+        self._telling.hear(told, news.complete, lacks or not agrees, self._clock())
 
     def state(self, upstream_id: str, word: Word) -> LimitState:
         """Return a word as it is told."""
@@ -78,23 +74,16 @@
 
     def tell_due(self) -> None:
         """Tell the others, if that is due."""
-        if self._limits.empty:
-            self._timer.stop()
-            return
-        now = self._clock()
-        if not self._timer.running:
-            self._timer.reset(now)
-        if self._timer.is_due(now):
-            words = self._limits.words()
-            told = self._order.choose(words)
+        words = self._limits.words()
+        told = self._telling.due(words, self._clock())
+        if told:
             states = tuple(self.state(name, words[name]) for name in told)
             self._tell(LimitNews(self._name, states, len(told) == len(words)))
 
     def _take(self, upstream_id: str, word: Word, source: str) -> None:
         if not self._limits.take(upstream_id, word):
             return
-        rate = word.rate if word.rate < NO_LIMIT else None
+        rate = finite(word.rate)
         self._log.note("upstream.limits", upstream=upstream_id, rate=rate, source=source)
         self._on_change(upstream_id)
-        self._order.note(upstream_id, self._clock())
-        self._timer.reset(self._clock())
+        self._telling.note(upstream_id, self._clock())
--- a/src/lotushill/limits/permit_rank.py
+++ b/src/lotushill/limits/permit_rank.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import NO_LIMIT
@@ -25,6 +26,19 @@
 put before what is urgent."""
 
 
+_LOOK_SECONDS = 0.05
+"""Between two looks at all upstreams of a service: of hundreds with limits each is asked for often,
+and what runs on all the others changes little meanwhile."""
+
+
+@dataclass(frozen=True)
+class _Room:
+    """Whether upstreams without a limit had slots to spare when they were looked at."""
+
+    found: bool
+    at: float
+
+
 def permit_rank(tier: int, is_long: bool, others_have_room: bool) -> int:
     """Return the rank of a request of a tier, 0 for the first.
 
@@ -48,11 +62,15 @@
         self._fleet = fleet
         self._limits = limits
         self._upstreams_of = upstreams_of
+        self._rooms: dict[str, _Room] = {}
 
-    def rank(self, service: str, route: str, tier: int, prompt_tokens: int) -> int:
+    def rank(self, service: str, route: str, tier: int, prompt_tokens: int, now: float) -> int:
         """Return the rank of a request of a service."""
         is_long = self._fleet.shedding.is_long_route(service, route, prompt_tokens)
-        return permit_rank(tier, is_long, self._have_room(service))
+        room = self._rooms.get(service)
+        if room is None or not 0.0 <= now - room.at < _LOOK_SECONDS:
+            room = self._rooms[service] = _Room(self._have_room(service), now)
+        return permit_rank(tier, is_long, room.found)
 
     def _have_room(self, service: str) -> bool:
         open_ones = [
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -204,7 +204,7 @@
             self._send(client, choice)
             return
         # Any scheduler's model would do; the one of the engine's own is as good as this one.
-        rank = self._ranks[asker].rank("llm", need.route, need.tier, need.prompt_tokens)
+        rank = self._ranks[asker].rank("llm", need.route, need.tier, need.prompt_tokens, self.now)
         verdict = self._desk.ask(name, rate, rank, str(asker), self.now)
         if verdict.granted:
             self._at(self.now + _PERMIT_SECONDS, lambda: self._send_if_there(client, choice))
--- a/src/lotushill/peering/leaving_keeper.py
+++ b/src/lotushill/peering/leaving_keeper.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.availability.newest_first import NewestFirst
-from lotushill.availability.trickle import Trickle
+from lotushill.availability.telling import Telling
 from lotushill.links.messages import LeavingNews
 
 if TYPE_CHECKING:
@@ -39,8 +38,7 @@
         self._tell = tell
         self._log = log
         self._clock = clock
-        self._timer = Trickle(rng)
-        self._order = NewestFirst(rng)
+        self._telling = Telling(rng)
 
     def note(self, upstream_id: str) -> None:
         """Note that an upstream has said in an answer that it leaves."""
@@ -51,26 +49,17 @@
         for upstream_id in news.upstreams:
             self._take(upstream_id, news.sender)
         missing = set(self._upstreams.leaving_by_word) - set(news.upstreams)
-        if news.complete and missing:
-            self._timer.reset(self._clock())
-        elif not missing or self._order.is_told(news.upstreams):
-            self._timer.hear()
+        lacks = news.complete and bool(missing)
+        self._telling.hear(news.upstreams, news.complete, lacks, self._clock())
 
     def _take(self, upstream_id: str, source: str) -> None:
         if self._upstreams.note_leaving(upstream_id):
             self._log.note("upstream.leaving", upstream=upstream_id, source=source)
-            self._order.note(upstream_id, self._clock())
-            self._timer.reset(self._clock())
+            self._telling.note(upstream_id, self._clock())
 
     def tell_due(self) -> None:
         """Tell the others, if that is due."""
         leaving = self._upstreams.leaving_by_word
-        if not leaving:
-            self._timer.stop()
-            return
-        now = self._clock()
-        if not self._timer.running:
-            self._timer.reset(now)
-        if self._timer.is_due(now):
-            told = self._order.choose(leaving)
+        told = self._telling.due(leaving, self._clock())
+        if told:
             self._tell(LeavingNews(self._name, tuple(told), len(told) == len(leaving)))
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -37,6 +37,8 @@
 CONFIGURATION_NAME = "main"
 BACKEND_KIND = "servers"
 DRAINING = "draining"
+COLD_MS = "coldRemainingMs"
+SEQUENCE = "seqNo"
 STATES = frozenset(("ready", DRAINING))
 
 # Calls that one gateway makes for the whole fleet.
--- a/src/lotushill/platform/upstreams.py
+++ b/src/lotushill/platform/upstreams.py
@@ -29,7 +29,7 @@
     if not is_header_text(name) or _BORN in name:
         raise MalformedEntryError("name", "cannot stand in a header")
     fields.text("version")
-    fields.whole("seqNo", 0, _MOST_WHOLE)
+    fields.whole(names.SEQUENCE, 0, _MOST_WHOLE)
     return Upstream(
         id=_life(name, fields),
         instance=name,
@@ -38,7 +38,7 @@
         hall=fields.text("zone"),
         slots=fields.whole("slots", 1, _MOST_SLOTS),
         draining=fields.choice("state", names.STATES) == names.DRAINING,
-        slow_seconds=fields.number("coldRemainingMs", 0.0, _MOST_MS) / _MS,
+        slow_seconds=fields.number(names.COLD_MS, 0.0, _MOST_MS) / _MS,
     )
 
 
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.availability.stated_limits import finite
 from lotushill.placement.choice import Choice
 from lotushill.requests.attempt import Attempt
 from lotushill.requests.attempt_end import EndKind
@@ -166,7 +166,7 @@
         upstream = placement.choice.upstream
         self._search.put_off(upstream.id)
         rate = self._parts.limits.stated.rate(upstream.id)
-        self._note("placement.put_off", upstream=upstream.id, why="no permit", limit=_finite(rate))
+        self._note("placement.put_off", upstream=upstream.id, why="no permit", limit=finite(rate))
         if placement.scheduler:
             self._parts.shared_load.give_up(placement.placed.request)
 
@@ -210,7 +210,7 @@
                 rest=end.said.rest,
                 leaving=end.said.leaving,
                 unreadable=end.said.unreadable,
-                limit=_finite(end.said.limit),
+                limit=finite(end.said.limit),
             )
         return end
 
@@ -295,8 +295,3 @@
 
     def _note(self, event: str, **fields: object) -> None:
         self._parts.log.note(event, request=self._request.demand.request_id, **fields)
-
-
-def _finite(rate: float | None) -> float | None:
-    """Return a limit as a log line can hold it, None where none was named."""
-    return rate if rate is not None and rate < NO_LIMIT else None
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -93,10 +93,12 @@
         Asked before a connection is opened, a run counted or a repeat spent: what is not admitted
         has cost nothing.
         """
-        if not await self._limits.admit(permit_request(upstream, need)):
-            self.unpermitted += 1
-            return None
-        return Permit(upstream.id)
+        if not self._limits.is_limited(upstream.id):
+            return Permit(upstream.id)
+        if await self._limits.admit(permit_request(upstream, need)):
+            return Permit(upstream.id)
+        self.unpermitted += 1
+        return None
 
     def pass_on(self, permit: Permit) -> bool:
         """Return whether a request may be written now, and count it if so."""
--- a/src/lotushill/standin/registration.py
+++ b/src/lotushill/standin/registration.py
@@ -68,7 +68,7 @@
         "version": "v1",
         "slots": slots,
         "state": state,
-        "coldRemainingMs": 0,
-        "seqNo": 0,
+        names.COLD_MS: 0,
+        names.SEQUENCE: 0,
         "born": born,
     }
--- a/tests/limits/test_permit_rank.py
+++ b/tests/limits/test_permit_rank.py
@@ -20,6 +20,7 @@
 
 class TestPermitRanks(unittest.TestCase):
     def setUp(self) -> None:
+        self.now = 100.0
         self.fleet, self.limits = Fleet("h0"), StatedLimits()
         self.ranks = PermitRanks(self.fleet, self.limits, lambda _: UPSTREAMS)
         for route, prompt in (("letters", 6000), ("queries", 600)):
@@ -27,7 +28,9 @@
         self.limits.take("e0", Word(1.0, 0.0, 0.1))
 
     def ranked(self) -> tuple[int, int]:
-        return self.ranks.rank("llm", "letters", 2, 6000), self.ranks.rank("llm", "queries", 0, 600)
+        self.now += 1.0
+        letters = self.ranks.rank("llm", "letters", 2, 6000, self.now)
+        return letters, self.ranks.rank("llm", "queries", 0, 600, self.now)
 
     def hold(self, count: int) -> None:
         for number in range(count):
@@ -45,3 +48,15 @@
     def test_and_where_all_have_limits(self) -> None:
         self.limits.take("e1", Word(1.0, 0.0, 0.1))
         self.assertEqual((2, 0), self.ranked())
+
+    def test_many_asks_at_one_moment_look_at_the_upstreams_once(self) -> None:
+        looks = []
+
+        def upstreams(service: str) -> list[Upstream]:
+            looks.append(service)
+            return UPSTREAMS
+
+        ranks = PermitRanks(self.fleet, self.limits, upstreams)
+        for number in range(100):
+            ranks.rank("llm", "queries", 0, 600, 100.0 + number * 0.001)
+        self.assertEqual(["llm", "llm"], looks)
--- a/tests/requests/test_limit.py
+++ b/tests/requests/test_limit.py
@@ -2,7 +2,13 @@
 
 Answers said it, and nothing read it: requests were placed as if the engine took any number. One
 gateway alone sent 20 of 20 requests to an engine that had said in its first answer that it takes
-one in ten seconds. On a working day, with the load spread over nine engines, two that took one a
+one in ten seconds, as its log told once the word was read:
+
+    4903.625 upstream.limits upstream=b0 rate=0.1 source=answer
+    4903.627 placement.chosen request=r1 upstream=b0 cost=0.0203 first_ms=82.4
+    4903.629 placement.chosen request=r2 upstream=b0 cost=0.0164 first_ms=68.3
+
+On a working day, with the load spread over nine engines, two that took one a
 second got 12 to 15 in 4 s where 11 may be, from nine gateways that had each passed the word on,
 for as long as it was named.
 """
@@ -17,6 +23,7 @@
 from tests.requests.rig import ScriptedUpstream
 from tests.requests.rig import Seen
 from tests.requests.test_leaving import entry
+from tests.requests.test_leaving import whole
 from tests.requests.test_rest import backup_of
 from tests.requests.test_rest import prefer
 
@@ -24,10 +31,6 @@
 """Within a test at most one more request."""
 
 
-async def whole(seen: Seen) -> None:
-    seen.whole()
-
-
 async def limits(seen: Seen) -> None:
     seen.whole(status=f"200 OK\r\n{LIMIT.strip()}")
 
