Requests tell their team, share, wait and caller to whoever places them

Cause: whoever places a request knows neither whose it is, nor how long it has waited, nor whether its caller was refused before, so none of these can decide who goes first. No decision changes. Result: tests of links, scheduling, placement and requests pass; a record of a placed request is four bytes longer.

--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -52,6 +52,10 @@
   partTokens @13 :List(UInt32);
   tier @14 :UInt8;
   excluded @15 :List(Text);
+  team @16 :Text;
+  share @17 :Float32;
+  waited @18 :Float32;
+  caller @19 :UInt64;
 }
 
 struct PlacementAnswer {
--- a/src/lotushill/links/load_records.py
+++ b/src/lotushill/links/load_records.py
@@ -28,9 +28,9 @@
 
 _HEAD = struct.Struct("<BBHHHHH")
 """Length of the sender's name, whole; counts of placed, began, paced, ended, running."""
-_PLACED = struct.Struct("<QQIIIIIffffBBB")
-"""Request, upstream, route, prompt, reading, ahead, memory, gap, seconds, age, first, tier, began,
-parts."""
+_PLACED = struct.Struct("<QQIIIIIIffffBBB")
+"""Request, upstream, route, team, prompt, reading, ahead, memory, gap, seconds, age, first, tier,
+began, parts."""
 _TIMED = struct.Struct("<Qf")
 """Request, seconds: of one that began or was paced."""
 _ENDED = struct.Struct("<QBf")
@@ -91,6 +91,7 @@
         placed.request,
         upstream_number(placed.upstream),
         placed.route,
+        placed.team,
         min(_MOST_TOKENS, placed.prompt),
         min(_MOST_TOKENS, placed.reading),
         min(_MOST_TOKENS, placed.ahead),
@@ -151,6 +152,7 @@
         request,
         upstream,
         route,
+        team,
         prompt,
         reading,
         ahead,
@@ -185,5 +187,6 @@
         prompt,
         first,
         ahead,
+        team,
     )
     return placed, position
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -85,6 +85,13 @@
     tier: int
     excluded: tuple[str, ...]
     """Upstreams that the asker has tried or cannot reach."""
+    team: str = ""
+    share: float = 1.0
+    """Weight of the team's part of the service."""
+    waited: float = 0.0
+    """Since the request came to its gateway."""
+    caller: int = 0
+    """Number of what stays the same when the request is sent again."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -9,6 +9,7 @@
 import xxhash
 
 _ROUTES_KEPT = 1024
+_TEAMS_KEPT = 1024
 
 
 @lru_cache(maxsize=_ROUTES_KEPT)
@@ -17,6 +18,12 @@
     return xxhash.xxh32_intdigest(name)
 
 
+@lru_cache(maxsize=_TEAMS_KEPT)
+def team_number(name: str) -> int:
+    """Return the number that stands for a team, the same at all gateways; 0 for none."""
+    return xxhash.xxh32_intdigest(name) if name else 0
+
+
 @dataclass(frozen=True)
 class Placed:
     """A request was sent to an upstream, or still runs there."""
@@ -49,6 +56,8 @@
     """Predicted time to its first event, 0 where that was not predicted."""
     ahead: int = 0
     """Prompt tokens that are read until then, those of others included."""
+    team: int = 0
+    """Number of its team, 0 for none."""
 
 
 class Outcome(IntEnum):
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -32,6 +32,14 @@
     """The last one is the request's own; the others may be shared."""
     tier: int = 0
     """0 is the most urgent."""
+    team: str = ""
+    """Whose request it is, empty where requests need no key."""
+    share: float = 1.0
+    """Weight of its team's part of the service, beside other teams of the tier."""
+    waited: float = 0.0
+    """Seconds since it came to its gateway."""
+    caller: int = 0
+    """Number of what stays the same when its caller sends it again; 0 where that is not known."""
 
     @property
     def size(self) -> float:
--- a/src/lotushill/placement/placed.py
+++ b/src/lotushill/placement/placed.py
@@ -6,6 +6,7 @@
 
 from lotushill.placement.messages import Placed
 from lotushill.placement.messages import route_number
+from lotushill.placement.messages import team_number
 
 if TYPE_CHECKING:
     from lotushill.placement.choice import Choice
@@ -30,4 +31,5 @@
         first=choice.first,
         # What is copied first says nothing of how fast prompts are read.
         ahead=0 if choice.fetch else choice.ahead,
+        team=team_number(need.team),
     )
--- a/src/lotushill/requests/front.py
+++ b/src/lotushill/requests/front.py
@@ -16,6 +16,7 @@
 from lotushill.links.asgi import read_body
 from lotushill.placement.need import Need
 from lotushill.platform import request_head
+from lotushill.requests.caller_number import caller_number
 from lotushill.requests.client_answer import ClientAnswer
 from lotushill.requests.client_protocol import CONNECTION
 from lotushill.requests.client_protocol import TARGET
@@ -176,6 +177,7 @@
         service = table.services[route.service_for(self._parts.rng.random())]
         route = self._parts.settings.route_for(route, team, service.name)
         limit = min(demand.time_left or route.timeout, route.timeout)
+        caller = caller_number(team.name if team else "", scope[TARGET], body)
         return Request(
             key=f"{self._parts.name}/{next(self._numbers)}",
             demand=demand,
@@ -185,7 +187,7 @@
             body=body,
             route=route,
             service=service,
-            need=_need(route, demand, service.name, limit),
+            need=_need(route, demand, service.name, limit, team, caller),
             team=team.name if team else "",
             arrived=arrived,
             ends=arrived + limit,
@@ -220,7 +222,9 @@
         raise _TurnedAwayError(400) from error
 
 
-def _need(route: Route, demand: Demand, service: str, limit: float) -> Need:
+def _need(
+    route: Route, demand: Demand, service: str, limit: float, team: Team | None, caller: int
+) -> Need:
     expected = demand.output_hint or int(demand.output_limit * _UNKNOWN_OUTPUT_SHARE)
     return Need(
         service=service,
@@ -233,4 +237,6 @@
         output_tokens=min(expected, demand.output_limit) if demand.output_limit else expected,
         parts=demand.parts,
         tier=route.urgency.tier,
+        team=team.name if team else "",
+        caller=caller,
     )
--- a/src/lotushill/scheduling/desk.py
+++ b/src/lotushill/scheduling/desk.py
@@ -115,4 +115,8 @@
         output_tokens=ask.output_tokens,
         parts=tuple(PromptPart(*part) for part in zip(ask.part_ids, ask.part_tokens)),
         tier=ask.tier,
+        team=ask.team,
+        share=ask.share,
+        waited=ask.waited,
+        caller=ask.caller,
     )
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -190,6 +190,10 @@
             part_tokens=tuple(part.tokens for part in need.parts),
             tier=need.tier,
             excluded=(*excluded, *self._out_of_reach(request, excluded)),
+            team=need.team,
+            share=need.share,
+            waited=self._clock() - request.arrived,
+            caller=need.caller,
         )
 
     def _out_of_reach(self, request: Request, excluded: frozenset[str]) -> list[str]:
--- a/tests/scheduling/test_placer.py
+++ b/tests/scheduling/test_placer.py
@@ -73,6 +73,7 @@
     need = Need("llm", "r", 0.4, 0.2, 5.0, True, 100, 20, ())
     service = SERVICE
     route = ROUTE
+    arrived = 100.0
     ends = 105.0
 
 
