Failing tests: a hall whose reclaimable engines are taken away while none are to be had

Cause: what is ordered for a hall is compared with what was ordered before, never with what serves, so that a loss orders nothing until the order is sent again after 13 s.

--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -18,6 +18,8 @@
 
 _MS = 1000.0
 _BYTES_A_MEGABIT = 125_000.0
+_BOOT_SECONDS = 5.0
+"""Taken where the platform does not tell how long an engine takes to start."""
 
 
 def parse_table(spec: Any) -> RoutingTable:
@@ -73,10 +75,13 @@
 
 def _scaling(item: dict[str, Any]) -> ScalingProfile:
     price = item.get("spotPrice")
+    prices = item.get("zonePrices") or {}
     return ScalingProfile(
         least=max(0, int(item.get("min") or 0)),
         most=int(item["max"]),
         reclaimable_price=None if price is None else float(price),
+        boot_seconds=float(item.get("bootS") or _BOOT_SECONDS),
+        hall_prices=tuple((str(hall), float(value)) for hall, value in prices.items()),
     )
 
 
--- a/src/lotushill/routing/service.py
+++ b/src/lotushill/routing/service.py
@@ -32,6 +32,14 @@
     most: int
     reclaimable_price: float | None
     """Price of an engine that may be taken away, as a share of an ordinary one; None for none."""
+    boot_seconds: float = 5.0
+    """From an order until its engines serve."""
+    hall_prices: tuple[tuple[str, float], ...] = ()
+    """Price of an ordinary engine by hall; 1 where it is not told."""
+
+    def price(self, hall: str) -> float:
+        """Return the price of an ordinary engine in a hall."""
+        return dict(self.hall_prices).get(hall, 1.0)
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/duties/test_reclaim.py
@@ -0,0 +1,110 @@
+"""All reclaimable engines of a hall are taken away, while none are to be had anywhere.
+
+Seen on a fleet whose halls had all the engines that they may have: the order for the hall stood, so
+that nothing was ordered in their place for eight seconds, in which a burst came.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from lotushill.duties.duty_record import StandingOrders
+from lotushill.duties.engine_sizing import EngineSizing
+from lotushill.duties.engine_sizing import HallEngines
+from lotushill.routing.service import ScalingProfile
+
+SLOTS = 16
+MOST = 23
+BOOT = 4.0
+STEP = 0.5
+SCALING = ScalingProfile(1, MOST, 0.18, BOOT, (("a", 0.85), ("b", 1.2), ("c", 1.0), ("d", 1.1)))
+
+
+class Platform:
+    """Starts and takes away engines as they are ordered; each kind after the time of a start."""
+
+    def __init__(self) -> None:
+        self.there = {hall: [2, 16] for hall in "abcd"}
+        self.booting: list[tuple[float, str, int, int]] = []
+        self.dry_until = 0.0
+        self.refused: list[str] = []
+
+    def order(self, hall: str, kind: int, wanted: int, now: float) -> bool:
+        """Order engines of a kind, 1 for reclaimable ones; return whether they are to be had."""
+        coming = sum(n for _, h, k, n in self.booting if (h, k) == (hall, kind))
+        more = wanted - self.there[hall][kind] - coming
+        if more > 0 and kind and now < self.dry_until:
+            return False
+        if more > 0:
+            self.booting.append((now + BOOT, hall, kind, more))
+        elif wanted < self.there[hall][kind]:
+            self.there[hall][kind] = wanted
+        return True
+
+    def advance(self, now: float) -> None:
+        """Let engines serve whose start is over."""
+        for item in [item for item in self.booting if item[0] <= now]:
+            self.booting.remove(item)
+            self.there[item[1]][item[2]] += item[3]
+
+    def total(self) -> int:
+        return sum(sum(kinds) for kinds in self.there.values())
+
+
+class TestReclaim(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = Platform()
+        self.sizing = EngineSizing(45, -60.0)
+        self.orders = {hall: StandingOrders(2, 16) for hall in "abcd"}
+        self.seconds: dict[float, int] = {}
+
+    def play(self, ends: float, reclaimed_at: float, demand: int) -> None:
+        """Order twice a second; hall a loses its reclaimable engines at some moment."""
+        now = 0.0
+        while now < ends:
+            self.platform.advance(now)
+            if now == reclaimed_at:
+                self.platform.there["a"][1] = 0
+            self.sizing.note_demand(demand, now)
+            halls = {
+                hall: HallEngines(sum(self.platform.there[hall]), self.orders[hall])
+                for hall in "abcd"
+            }
+            self.orders = self.sizing.orders(SCALING, SLOTS, halls, now)
+            for hall, wanted in self.orders.items():
+                self.platform.order(hall, 0, wanted.ordinary, now)
+                if not self.platform.order(hall, 1, wanted.reclaimable, now):
+                    self.sizing.note_dry(hall, now)
+            self.seconds[now] = self.platform.total()
+            now += STEP
+
+    def test_others_stand_in_their_place_after_one_start(self) -> None:
+        self.platform.dry_until = 28.0
+        self.play(40.0, 20.0, 340)
+        before = self.seconds[19.5]
+        self.assertLess(self.seconds[20.0], before - 15)
+        self.assertGreaterEqual(self.seconds[26.0], 0.97 * before)
+        self.assertGreaterEqual(min(self.seconds[t / 2] for t in range(52, 80)), 0.9 * before)
+
+    def test_where_others_are_to_be_had_no_ordinary_ones_are_ordered(self) -> None:
+        self.play(40.0, 20.0, 340)
+        self.assertGreaterEqual(self.seconds[26.0], 0.97 * self.seconds[19.5])
+        self.assertEqual(8, sum(item.ordinary for item in self.orders.values()))
+
+    def test_ordinary_ones_go_back_once_others_are_to_be_had_again(self) -> None:
+        self.platform.dry_until = 28.0
+        self.play(75.0, 20.0, 340)
+        self.assertLessEqual(sum(item.ordinary for item in self.orders.values()), 12)
+        self.assertGreaterEqual(self.seconds[74.5], 0.97 * self.seconds[19.5])
+
+    def test_a_hall_that_has_all_it_may_have_loses_hardly_any_room(self) -> None:
+        """No other hall may have more, so that all have to come in the hall itself."""
+        self.platform.there = {hall: [2, 21] for hall in "abcd"}
+        self.orders = {hall: StandingOrders(2, 21) for hall in "abcd"}
+        self.platform.dry_until = 28.0
+        self.play(40.0, 20.0, 600)
+        self.assertGreaterEqual(self.seconds[26.0], 0.95 * 92)
+
+
+if __name__ == "__main__":
+    unittest.main()
