Engines that were taken away are replaced at once, by ordinary ones where no others are to be had

Change: the most engines that served in a hall of late are held against those that serve now. A loss has reclaimable engines asked for again at once; where they are refused, and other halls cannot have more, ordinary ones are ordered in the cheapest halls, one for one, and are kept until others are to be had again. A quarter of what a hall may have goes back at a time.

--- a/src/lotushill/duties/engine_sizing.py
+++ b/src/lotushill/duties/engine_sizing.py
@@ -13,8 +13,10 @@
 from typing import TYPE_CHECKING
 
 from lotushill.duties.duty_record import StandingOrders
+from lotushill.duties.lost_engines import LostEngines
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -38,12 +40,16 @@
 loses all others, or is cut off meanwhile, goes on serving its most urgent requests."""
 _LEAST_ORDINARY = 2
 _LEAST_GIVEN_BACK = 2
-"""Ordinary engines of a hall that go back at once where all stand that it may have."""
+_GIVEN_BACK_SHARE = 0.25
+"""Of the engines that a hall may have, the ordinary ones that go back at once where all stand."""
 _SHORT_SHARE = 0.7
 """Of the engines that are needed; with fewer, and no reclaimable ones anywhere, ordinary ones are
 ordered."""
-_DRY_SECONDS = 3.0
-"""After a refused order of reclaimable engines others are ordered in their place for so long."""
+_DRY_SECONDS = 4.0
+"""After a refused order of reclaimable engines others are ordered in their place for so long:
+until after it was asked for them once more."""
+_PROBE_ENGINES = 1
+"""Reclaimable engines that are asked for where there were none, to hear when there are again."""
 
 
 def engines_lost(limits: Iterable[float], stream_seconds: float, slots: int) -> float:
@@ -64,6 +70,13 @@
     ordered: StandingOrders | None
     """What was ordered last, None where nothing was: all are ordinary then."""
 
+    @property
+    def standing(self) -> int:
+        """Return how many engines of both kinds are ordered."""
+        if self.ordered is None:
+            return self.serving
+        return self.ordered.ordinary + self.ordered.reclaimable
+
 
 class EngineSizing:
     """Follows the demand for one service and says what to order."""
@@ -78,6 +91,7 @@
         self._ordered = ordered
         self._started = started
         self._demand: deque[tuple[float, int]] = deque()
+        self._lost = LostEngines()
         self._dry: dict[str, float] = {}
         """Halls where no reclaimable engine was to be had, until when that is believed."""
 
@@ -93,6 +107,10 @@
         """Note that a hall has no reclaimable engines to give."""
         self._dry[hall] = now + _DRY_SECONDS
 
+    def lost(self, hall: str) -> int:
+        """Return how many engines of a hall served of late and were taken away."""
+        return self._lost.count(hall)
+
     @property
     def peak(self) -> int:
         """Return the most requests that were in progress of late."""
@@ -114,10 +132,10 @@
         slots: int,
         halls: Mapping[str, HallEngines],
         now: float,
-        lost: float = 0.0,
+        limited: float = 0.0,
     ) -> dict[str, StandingOrders]:
         """Return the engines to have in each hall, with so many more as limits take away."""
-        wanted = self.wanted(slots, now, scaling.reclaimable_price is not None) + math.ceil(lost)
+        wanted = self.wanted(slots, now, scaling.reclaimable_price is not None) + math.ceil(limited)
         dry = {hall for hall in halls if self._dry.get(hall, now) > now}
         usual = math.ceil(wanted / max(1, len(halls)))
         if scaling.reclaimable_price is None:
@@ -128,22 +146,51 @@
         if len(dry) == len(halls) and self._is_short(wanted, halls):
             share = usual
         each = math.ceil(wanted / max(1, len(halls) - len(dry)))
+        for hall, now_there in halls.items():
+            self._lost.note(hall, now_there.serving, now_there.standing, now)
+        cover = (len(halls) - len(dry)) * (min(scaling.most, each) - min(scaling.most, usual))
+        replaced = self._replaced(scaling, share, dry, cover)
         found = {}
         for hall, now_there in halls.items():
-            ordinary = min(scaling.most, share)
+            ordinary = min(scaling.most, share + replaced.get(hall, 0))
             total = min(scaling.most, max(ordinary, usual if hall in dry else each))
-            kept = self._kept(now_there, ordinary, total)
-            found[hall] = StandingOrders(kept, min(total - ordinary, scaling.most - kept))
+            if hall in dry and now_there.ordered is not None:
+                # What stands in the place of others goes back once others are to be had again.
+                ordinary = max(ordinary, now_there.ordered.ordinary)
+            kept = self._kept(now_there, ordinary, total, scaling.most)
+            reclaimable = min(total - ordinary, scaling.most - kept)
+            if hall in dry and kept < scaling.most:
+                reclaimable = max(_PROBE_ENGINES, reclaimable)
+            found[hall] = StandingOrders(kept, reclaimable)
+        return found
+
+    def _replaced(
+        self, scaling: ScalingProfile, share: int, dry: Collection[str], cover: int
+    ) -> dict[str, int]:
+        """Return the ordinary engines to order by hall, in place of those that were taken away.
+
+        Only for halls where no others are to be had, less the `cover` that other halls give. The
+        cheapest halls come first.
+        """
+        missing = sum(self._lost.count(hall) for hall in dry) - cover
+        room = max(0, scaling.most - share - _PROBE_ENGINES)
+        found = {}
+        for hall in sorted(dry, key=lambda item: (scaling.price(item), item)):
+            if missing <= 0:
+                break
+            found[hall] = min(room, missing, self._lost.count(hall))
+            missing -= found[hall]
         return found
 
     def _is_short(self, wanted: int, halls: Mapping[str, HallEngines]) -> bool:
         return sum(hall.serving for hall in halls.values()) < _SHORT_SHARE * wanted
 
-    def _kept(self, engines: HallEngines, ordinary: int, total: int) -> int:
+    def _kept(self, engines: HallEngines, ordinary: int, total: int, most: int) -> int:
         """Return the ordinary engines to keep: more go back only as others stand in their place."""
         held = engines.ordered.ordinary if engines.ordered else engines.serving
         if held <= ordinary or not self.peak:
             return ordinary
         if engines.serving < total:
             return held
-        return max(ordinary, held - max(_LEAST_GIVEN_BACK, engines.serving - total))
+        given_back = max(_LEAST_GIVEN_BACK, math.ceil(_GIVEN_BACK_SHARE * most))
+        return max(ordinary, held - max(given_back, engines.serving - total))
--- a/src/lotushill/duties/order_duty.py
+++ b/src/lotushill/duties/order_duty.py
@@ -78,6 +78,8 @@
         """The most engines that were seen of each service, and since when."""
         self._sizings: dict[str, EngineSizing] = {}
         self._sent: dict[tuple[str, bool], _Sent] = {}
+        self._asked_for: dict[tuple[str, str], int] = {}
+        """Engines that were taken away of a service in a hall, when they were last asked for."""
 
     def receive(self, page: WorkPage) -> None:
         """Take in what a gateway has to do."""
@@ -123,15 +125,26 @@
         sizing.note_demand(self._running(service), now)
         out = []
         slots = service.engine.slots
-        lost = self._lost(service, slots)
-        for hall, orders in sizing.orders(service.scaling, slots, halls, now, lost).items():
+        limited = self._limited(service, slots)
+        for hall, orders in sizing.orders(service.scaling, slots, halls, now, limited).items():
             self._orders[_place(service.name, hall)] = orders
+            self._ask_again_for_lost(service.name, hall, sizing)
             if service.scaling.reclaimable_price is not None:
                 out.append(EngineOrder(service.name, hall, orders.reclaimable, True))
             out.append(EngineOrder(service.name, hall, orders.ordinary, False))
         return out
 
-    def _lost(self, service: Service, slots: int) -> float:
+    def _ask_again_for_lost(self, service: str, hall: str, sizing: EngineSizing) -> None:
+        """Order reclaimable engines once more where some were taken away.
+
+        The order in force says nothing of whether others are to be had.
+        """
+        lost = sizing.lost(hall)
+        if lost > self._asked_for.get((service, hall), 0):
+            self._sent.pop((_place(service, hall), True), None)
+        self._asked_for[service, hall] = lost
+
+    def _limited(self, service: Service, slots: int) -> float:
         """Return how many engines' work is not done since they name limits."""
         rates = (self._sight.limit(item.id) for item in self._sight.upstreams.of(service.name))
         return engines_lost(rates, self._sight.stream_seconds(service.name), slots)
