Failing test: in a shortage all reclaimable engines that serve are given back

Cause: where every hall refuses reclaimable engines and under 0.7 of what is needed serves, each hall is ordered as many ordinary ones as it may have, and so no reclaimable ones: those that serve are given back at once, and the others come after a start. Seen on untouched code at full size: at 17.74 s all four halls were ordered 23 ordinary engines and none that may be taken away; from 18 to 23 s engines turned 489 requests away and 368 of the longer kind were refused.

--- a/tests/duties/test_reclaim.py
+++ b/tests/duties/test_reclaim.py
@@ -97,6 +97,15 @@
         self.assertLessEqual(sum(item.ordinary for item in self.orders.values()), 12)
         self.assertGreaterEqual(self.seconds[74.5], 0.97 * self.seconds[19.5])
 
+    def test_in_a_shortage_none_that_serves_is_given_back(self) -> None:
+        """Ordinary ones take the time of a start; what serves until then is not to go for them."""
+        self.platform.dry_until = 40.0
+        self.play(19.5, -1.0, 340)
+        before = self.seconds[19.0]
+        self.play(30.0, 20.0, 500, starts=19.5)
+        self.assertGreaterEqual(min(self.seconds.values()), before - 16)
+        self.assertGreaterEqual(self.seconds[29.5], before)
+
     def test_a_successor_replaces_what_was_lost_with_the_holder(self) -> None:
         self.platform.dry_until = 30.0
         self.platform.there["a"][1] = 0
