In a shortage the reclaimable engines that serve are kept until ordinary ones stand

Change: StandingEngines tells how many reclaimable engines of a hall serve, from what was ordered and how long a start takes; in a shortage their order never falls below that, ordinary ones take what the hall may have beside them, and losses are told from what served alone.

--- a/src/lotushill/duties/engine_sizing.py
+++ b/src/lotushill/duties/engine_sizing.py
@@ -14,6 +14,8 @@
 
 from lotushill.duties.duty_record import StandingOrders
 from lotushill.duties.lost_engines import LostEngines
+from lotushill.duties.standing_engines import Standing
+from lotushill.duties.standing_engines import StandingEngines
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -70,12 +72,15 @@
     ordered: StandingOrders | None
     """What was ordered last, None where nothing was: all are ordinary then."""
 
+    @property
+    def ordinary(self) -> int:
+        """Return how many ordinary engines stand ordered."""
+        return self.ordered.ordinary if self.ordered else self.serving
+
     @property
     def standing(self) -> int:
-        """Return how many engines of both kinds are ordered."""
-        if self.ordered is None:
-            return self.serving
-        return self.ordered.ordinary + self.ordered.reclaimable
+        """Return how many engines of both kinds stand ordered."""
+        return self.ordinary + (self.ordered.reclaimable if self.ordered else 0)
 
 
 class EngineSizing:
@@ -92,6 +97,7 @@
         self._started = started
         self._demand: deque[tuple[float, int]] = deque()
         self._lost = LostEngines()
+        self._standing = StandingEngines()
         self._dry: dict[str, float] = {}
         """Halls where no reclaimable engine was to be had, until when that is believed."""
 
@@ -155,23 +161,38 @@
             share = usual
         each = math.ceil(wanted / max(1, len(halls) - len(dry)))
         for hall, now_there in halls.items():
-            self._lost.note(hall, now_there.serving, now_there.standing, now)
+            expected = None if hall in dry else now_there.standing
+            self._lost.note(hall, now_there.serving, expected, now)
+            standing = Standing(now_there.ordinary, now_there.serving)
+            self._standing.note(hall, standing, scaling.boot_seconds, hall in dry, now)
         cover = (len(halls) - len(dry)) * (min(scaling.most, each) - min(scaling.most, usual))
         replaced = self._replaced(scaling, share, dry, cover)
         found = {}
         for hall, now_there in halls.items():
             ordinary = min(scaling.most, share + replaced.get(hall, 0))
-            total = min(scaling.most, max(ordinary, usual if hall in dry else each))
-            if hall in dry and now_there.ordered is not None:
-                # What stands in the place of others goes back once others are to be had again.
-                ordinary = max(ordinary, now_there.ordered.ordinary)
+            if hall in dry:
+                found[hall] = self._in_shortage(hall, now_there, ordinary, scaling.most)
+                continue
+            total = min(scaling.most, max(ordinary, each))
             kept = self._kept(now_there, ordinary, total, scaling.most)
             reclaimable = min(total - ordinary, scaling.most - kept)
-            if hall in dry and kept < scaling.most:
-                reclaimable = max(_PROBE_ENGINES, reclaimable)
             found[hall] = StandingOrders(kept, reclaimable)
         return found
 
+    def _in_shortage(
+        self, hall: str, engines: HallEngines, ordinary: int, most: int
+    ) -> StandingOrders:
+        """Return the orders for a hall where no reclaimable engines are to be had.
+
+        Those that serve are kept: an order of fewer would give them back at once, and ordinary ones
+        come only after a start. What stands in the place of others goes back once they are to be
+        had again.
+        """
+        reclaimable = min(most, max(_PROBE_ENGINES, self._standing.reclaimable(hall)))
+        if engines.ordered is not None:
+            ordinary = max(ordinary, engines.ordinary)
+        return StandingOrders(min(ordinary, most - reclaimable), reclaimable)
+
     def _replaced(
         self, scaling: ScalingProfile, share: int, dry: Collection[str], cover: int
     ) -> dict[str, int]:
@@ -195,7 +216,7 @@
 
     def _kept(self, engines: HallEngines, ordinary: int, total: int, most: int) -> int:
         """Return the ordinary engines to keep: more go back only as others stand in their place."""
-        held = engines.ordered.ordinary if engines.ordered else engines.serving
+        held = engines.ordinary
         if held <= ordinary or not self.peak:
             return ordinary
         if engines.serving < total:
--- a/src/lotushill/duties/lost_engines.py
+++ b/src/lotushill/duties/lost_engines.py
@@ -20,10 +20,11 @@
         """Falling numbers of engines, each with the last time at which so many served."""
         self._lost: dict[str, int] = {}
 
-    def note(self, hall: str, serving: int, ordered: int, now: float) -> None:
+    def note(self, hall: str, serving: int, ordered: int | None, now: float) -> None:
         """Note how many engines of a hall serve and do not leave, and how many stand ordered.
 
-        Engines that were given back are not lost: no more are than are missing of the order.
+        Engines that were given back are not lost: no more are than are missing of the order. None
+        where what was lost cannot be ordered again, so that the order says nothing of it.
         """
         served = self._served.setdefault(hall, deque())
         while served and served[-1][1] <= serving:
@@ -31,7 +32,8 @@
         served.append((now, serving))
         while served[0][0] <= now - _SPAN_SECONDS:
             served.popleft()
-        self._lost[hall] = max(0, min(served[0][1], ordered) - serving)
+        most = served[0][1] if ordered is None else min(served[0][1], ordered)
+        self._lost[hall] = max(0, most - serving)
 
     def count(self, hall: str) -> int:
         """Return how many engines of a hall are lost."""
