A team over its share leaves room to the teams that have had less

Change: each scheduler sums the work of every team from the news that it hears anyway (shares/); while long requests find all but a tenth of the slots taken, or any request would wait, a team that has had 1.5 times the mean of the others that ask, and is over its weighted max-min share, is refused ("over its share"). Tiers go first, and must_serve stands above it. The load tool learns teams and one that asks many times its usual. A team alone and requests without teams are served exactly as before.

--- a/src/lotushill/load/policy/arrivals.py
+++ b/src/lotushill/load/policy/arrivals.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from lotushill.load.policy.client import Client
+from lotushill.load.policy.teams import Teams
 from lotushill.placement.need import Need
 from lotushill.routing.demand import PromptPart
 
@@ -32,10 +33,12 @@
     def __init__(self, scenario: Scenario, seed: int) -> None:
         self._scenario = scenario
         self._rngs = {item.name: random.Random(f"{seed}/{item.name}") for item in scenario.classes}
+        self._teams = Teams(scenario, seed)
 
     def next_after(self, kind: RequestClass, now: float) -> float:
         """Return when the next request of a class comes."""
-        return now + self._rngs[kind.name].expovariate(self._scenario.rate(kind, now))
+        rate = self._scenario.rate(kind, now) * self._teams.times(kind, now)
+        return now + self._rngs[kind.name].expovariate(rate)
 
     def draw(self, kind: RequestClass, now: float) -> Client:
         """Return a request of a class that comes now."""
@@ -46,6 +49,7 @@
         base = xxhash.xxh32_intdigest(f"{kind.name}/{subject}")
         parts = [PromptPart(base, int(kind.shared))] if kind.shared else []
         parts.append(PromptPart(rng.getrandbits(60), max(1, own)))
+        team = self._teams.draw(kind, now)
         need = Need(
             service="llm",
             route=kind.name,
@@ -57,6 +61,8 @@
             output_tokens=max(1, int(output * rng.lognormvariate(0.0, _GUESS_SPREAD))),
             parts=tuple(parts),
             tier=kind.tier,
+            team=team.name if team else "",
+            share=team.share if team else 1.0,
         )
         worth = _worth(kind, need.prompt_tokens, output)
         scheduler = rng.randrange(self._scenario.schedulers)
--- a/src/lotushill/load/policy/comparison.py
+++ b/src/lotushill/load/policy/comparison.py
@@ -70,12 +70,12 @@
 
 
 def _play(scenario: Scenario, name: str, figures: Mapping[str, float], seed: int) -> Outcome:
-    with _figures(figures):
+    with figures_in_force(figures):
         return Outcome(name, seed, Replay(scenario, seed).play())
 
 
 @contextmanager
-def _figures(figures: Mapping[str, float]) -> Iterator[None]:
+def figures_in_force(figures: Mapping[str, float]) -> Iterator[None]:
     """Put other figures in force for a while: `module.CONSTANT` within the package."""
     former = {}
     for path, value in figures.items():
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -121,6 +121,7 @@
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
         self.windows: dict[int, Tally] = {}
+        self.teams: dict[str, Tally] = {}
         self.turned_away = 0
         """Requests that engines have refused with a wish for rest."""
 
@@ -140,7 +141,7 @@
             self.now = event.at
             event.act()
         behind = put_behind(self.scenario, self._all)
-        return Result(self.tallies, self.windows, behind, self.turned_away)
+        return Result(self.tallies, self.windows, behind, self.turned_away, self.teams)
 
     def _at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, _Event(when, next(self._order), act))
@@ -156,7 +157,7 @@
         self._next_arrival(kind)
         client = self._arrivals.draw(kind, self.now)
         self._all.append(client)
-        for tally in (self.tallies[kind.name], self._window(client)):
+        for tally in self._tallies_of(client):
             tally.asked += 1
             tally.owed += client.worth * kind.worth
         need = client.need
@@ -164,8 +165,13 @@
         self._at(self.now + kind.deadline, lambda: self._leave(client))
         self._place(client)
 
-    def _window(self, client: Client) -> Tally:
-        return self.windows.setdefault(int(client.arrived // 2) * 2, Tally())
+    def _tallies_of(self, client: Client) -> list[Tally]:
+        """Return all counts to which a request belongs."""
+        window = self.windows.setdefault(int(client.arrived // 2) * 2, Tally())
+        found = [self.tallies[client.kind.name], window]
+        if client.need.team:
+            found.append(self.teams.setdefault(client.need.team, Tally()))
+        return found
 
     # Placing
 
@@ -408,7 +414,7 @@
             self.tallies[client.kind.name].why[why] += 1
         kind = client.kind
         earned = {"in_time": kind.worth, "late": kind.late_worth}.get(end, 0.0) * client.worth
-        for tally in (self.tallies[kind.name], self._window(client)):
+        for tally in self._tallies_of(client):
             setattr(tally, end, getattr(tally, end) + 1)
             tally.earned += earned
 
--- a/src/lotushill/load/policy/result.py
+++ b/src/lotushill/load/policy/result.py
@@ -62,6 +62,8 @@
     put_behind: list[PutBehind]
     turned_away: int = 0
     """Requests that engines refused with a wish for rest."""
+    teams: dict[str, Tally] = field(default_factory=dict)
+    """By team, empty where requests name none."""
 
     @property
     def credit(self) -> float:
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -76,6 +76,30 @@
     """Requests a second that each of them takes from all schedulers together."""
 
 
+@dataclass(frozen=True)
+class Team:
+    """Some teams that ask alike."""
+
+    name: str
+    """Of one team; several have a number after it."""
+    count: int = 1
+    part: float = 1.0
+    """Of all requests, beside the other teams."""
+    share: float = 1.0
+
+
+@dataclass(frozen=True)
+class TeamBurst:
+    """One team asks many times its usual for a while."""
+
+    team: str
+    at: float
+    seconds: float
+    times: float
+    name: str = ""
+    """Of one class, empty for all."""
+
+
 @dataclass(frozen=True)
 class Scenario:
     """One load."""
@@ -90,6 +114,9 @@
     losses: tuple[Loss, ...] = ()
     sheds: tuple[Shed, ...] = ()
     limits: tuple[Limit, ...] = ()
+    teams: tuple[Team, ...] = ()
+    """None: requests name no team."""
+    team_bursts: tuple[TeamBurst, ...] = ()
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
@@ -115,5 +142,7 @@
         losses=tuple(Loss(**item) for item in value.get("losses", ())),
         sheds=tuple(Shed(**item) for item in value.get("sheds", ())),
         limits=tuple(Limit(**item) for item in value.get("limits", ())),
+        teams=tuple(Team(**item) for item in value.get("teams", ())),
+        team_bursts=tuple(TeamBurst(**item) for item in value.get("team_bursts", ())),
         variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
     )
--- /dev/null
+++ b/src/lotushill/load/policy/teams.py
@@ -0,0 +1,52 @@
+"""Whose requests come in a replay."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.load.policy.scenario import RequestClass
+    from lotushill.load.policy.scenario import Scenario
+    from lotushill.load.policy.scenario import Team
+
+
+class Teams:
+    """Draws teams from sources of their own: the requests drawn are the same without teams."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self._bursts = scenario.team_bursts
+        self._teams = [one for item in scenario.teams for one in _single(item)]
+        self._rngs = {
+            item.name: random.Random(f"{seed}/{item.name}/team") for item in scenario.classes
+        }
+
+    def times(self, kind: RequestClass, now: float) -> float:
+        """Return how many times as many requests of a class come as usual."""
+        if not self._teams:
+            return 1.0
+        return sum(self._parts(kind, now)) / sum(item.part for item in self._teams)
+
+    def draw(self, kind: RequestClass, now: float) -> Team | None:
+        """Return the team of a request of a class, None in a scenario without teams."""
+        if not self._teams:
+            return None
+        return self._rngs[kind.name].choices(self._teams, self._parts(kind, now))[0]
+
+    def _parts(self, kind: RequestClass, now: float) -> list[float]:
+        return [item.part * self._times(item, kind, now) for item in self._teams]
+
+    def _times(self, team: Team, kind: RequestClass, now: float) -> float:
+        times = 1.0
+        for burst in self._bursts:
+            meant = burst.team == team.name and burst.name in ("", kind.name)
+            if meant and burst.at <= now < burst.at + burst.seconds:
+                times *= burst.times
+        return times
+
+
+def _single(team: Team) -> list[Team]:
+    if team.count == 1:
+        return [team]
+    return [replace(team, name=f"{team.name}-{n}", count=1) for n in range(team.count)]
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -57,6 +57,8 @@
     """For some upstreams that could serve it there is no permit, and the others rest."""
     ISOLATED = "isolated"
     """Upstreams end under its group, which runs at one of them, one request at a time."""
+    SHARE = "over its share"
+    """Its team has had its share of the service, and others wait for room."""
     NO_ROOM = "no room in time"
     """No upstream would begin it before its client gives up."""
 
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -24,6 +24,8 @@
 from lotushill.placement.reserve import only_reserved_left
 from lotushill.placement.shedding import Shedding
 from lotushill.placement.shortlist import shortlist
+from lotushill.placement.team_room import has_to_wait
+from lotushill.placement.team_room import kept_slots
 from lotushill.placement.upstream_load import UpstreamLoad
 from lotushill.placement.weigher import EngineWeigher
 from lotushill.placement.weigher import Place
@@ -31,6 +33,7 @@
 from lotushill.placement.weigher import Usual
 from lotushill.rendezvous import ranked
 from lotushill.routing.demand import PromptPart
+from lotushill.shares.shares import Shares
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -89,6 +92,7 @@
         self._is_cut_off = is_cut_off
         self.recent = RecentParts(recent_seconds)
         self.shedding = Shedding()
+        self.shares = Shares()
         self._loads: dict[str, UpstreamLoad] = {}
         self._paces: dict[str, Pace] = {}
         self._where: dict[int, _Where] = {}
@@ -117,6 +121,7 @@
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
         self.shedding.note(placed, service.name, now)
+        self.shares.note_start(placed, service, now)
         self._where[placed.request] = _Where(placed.upstream, service)
 
     def begin(self, began: Began, now: float) -> None:
@@ -162,6 +167,7 @@
             return
         load = self._loads[where.upstream]
         load.end(ended.request, now)
+        self.shares.note_end(ended.request, now, ended.outcome is not Outcome.NOT_SENT)
         if ended.outcome is Outcome.UNKNOWN:
             return
         weight = 1.0 if near else _FAR_WEIGHT
@@ -185,6 +191,7 @@
     def forget(self, known: set[str], now: float) -> None:
         """Drop what is no longer of use: idle upstreams that no view knows, and old parts."""
         self.recent.forget(now)
+        self.shares.forget(now)
         for upstream_id, load in list(self._loads.items()):
             if upstream_id not in known and not load.running:
                 del self._loads[upstream_id]
@@ -200,14 +207,16 @@
         now: float,
     ) -> Choice | NoChoice:
         """Return the cheapest upstream that can serve a request, or why there is none."""
+        self.shares.note_ask(need, now)
         known = {item.id: item for item in upstreams}
         ranks = _ranks(need.service, tuple(known)) if service.engine else {}
         candidates = [item for item in known.values() if item.id not in excluded]
         reachable = [item for item in candidates if not self.load(item.id).away(now)]
         if not candidates:
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
-        if self._keeps_slots_from(need, service, reachable, now):
-            return self.shedding.refuse_for_others(need)
+        kept = self._keeps_slots_from(need, service, reachable, now)
+        if kept is not None:
+            return self.shedding.refuse_for_others(need, kept)
         weighed = shortlist(need, reachable or candidates)
         cut = frozenset(hall for hall in {item.hall for item in weighed} if self._is_cut_off(hall))
         weigher = self._weigher(need, service, reachable, known, cut, now)
@@ -217,6 +226,8 @@
         refused = self.shedding.refuse(need, choices, now)
         if refused is not None:
             return refused
+        if self._gives_way(need, service, choices, now):
+            return self.shedding.refuse_for_teams(need, choices)
         # What waits for a slot keeps it from more urgent ones that come later: engines let them in
         # first, but do not take a slot away.
         open_ones = [choice for choice in choices if not choice.full]
@@ -227,19 +238,34 @@
 
     def _keeps_slots_from(
         self, need: Need, service: Service, upstreams: Sequence[Upstream], now: float
-    ) -> bool:
-        """Return whether the slots that are left are kept for more urgent requests.
+    ) -> Refusal | None:
+        """Return why the slots that are left are kept from a long request, None if they are not.
 
-        Asked before any upstream is weighed: a long request that waits asks again some thirty
-        times a second, just when schedulers have the most to do.
+        They are for more urgent requests, or for teams that have had less. Asked before any
+        upstream is weighed: a long request that waits asks again some thirty times a second, just
+        when schedulers have the most to do.
         """
         if service.engine is None or not self.shedding.is_long(need):
-            return False
+            return None
         loads = [self.load(item.id) for item in upstreams]
+        slots = len(loads) * service.engine.slots
         held = sum(len(load.running) for load in loads)
         urgent = sum(load.more_urgent(need.tier) for load in loads)
-        left = only_reserved_left(held, urgent, len(loads) * service.engine.slots)
-        return left and not self.shedding.must_serve(need, now)
+        if not only_reserved_left(held + kept_slots(slots), urgent, slots):
+            return None
+        if self.shedding.must_serve(need, now):
+            return None
+        if only_reserved_left(held, urgent, slots):
+            return Refusal.OVERLOAD
+        return Refusal.SHARE if self.shares.over_share(need, now) else None
+
+    def _gives_way(
+        self, need: Need, service: Service, choices: Sequence[Choice], now: float
+    ) -> bool:
+        """Return whether a request leaves the room to teams that have had less of their share."""
+        if not has_to_wait(need, choices, service.engine is not None):
+            return False
+        return self.shares.over_share(need, now) and not self.shedding.must_serve(need, now)
 
     def backup(
         self,
--- a/src/lotushill/placement/messages.py
+++ b/src/lotushill/placement/messages.py
@@ -9,7 +9,6 @@
 import xxhash
 
 _ROUTES_KEPT = 1024
-_TEAMS_KEPT = 1024
 
 
 @lru_cache(maxsize=_ROUTES_KEPT)
@@ -18,12 +17,6 @@
     return xxhash.xxh32_intdigest(name)
 
 
-@lru_cache(maxsize=_TEAMS_KEPT)
-def team_number(name: str) -> int:
-    """Return the number that stands for a team, the same at all gateways; 0 for none."""
-    return xxhash.xxh32_intdigest(name) if name else 0
-
-
 @dataclass(frozen=True)
 class Placed:
     """A request was sent to an upstream, or still runs there."""
--- a/src/lotushill/placement/placed.py
+++ b/src/lotushill/placement/placed.py
@@ -6,7 +6,7 @@
 
 from lotushill.placement.messages import Placed
 from lotushill.placement.messages import route_number
-from lotushill.placement.messages import team_number
+from lotushill.routing.team import team_number
 
 if TYPE_CHECKING:
     from lotushill.placement.choice import Choice
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -87,9 +87,16 @@
         retry_after = min(_LONGEST_RETRY, max(_SHORTEST_RETRY, first - need.target))
         return self._refused(need, Refusal.NO_ROOM, retry_after, wait, first)
 
-    def refuse_for_others(self, need: Need) -> NoChoice:
-        """Return the refusal of a long request for which no slot is left beside urgent ones."""
-        return self._refused(need, Refusal.OVERLOAD, _LONG_RETRY, 0.0, 0.0)
+    def refuse_for_others(self, need: Need, refusal: Refusal) -> NoChoice:
+        """Return the refusal of a long request for which no slot is left beside others."""
+        return self._refused(need, refusal, _LONG_RETRY, 0.0, 0.0)
+
+    def refuse_for_teams(self, need: Need, choices: Sequence[Choice]) -> NoChoice:
+        """Return the refusal of a request whose team has had its share while others want room."""
+        wait = min(choice.wait for choice in choices)
+        first = min(choice.first for choice in choices)
+        retry_after = min(_LONGEST_RETRY, max(_LONG_RETRY, wait))
+        return self._refused(need, Refusal.SHARE, retry_after, wait, first)
 
     def _refused(
         self, need: Need, refusal: Refusal, retry_after: float, wait: float, first: float
--- a/src/lotushill/routing/team.py
+++ b/src/lotushill/routing/team.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+_TEAMS_KEPT = 1024
 
 
 @dataclass(frozen=True)
@@ -12,3 +17,9 @@
     name: str
     api_keys: tuple[str, ...]
     priority: int | None
+
+
+@lru_cache(maxsize=_TEAMS_KEPT)
+def team_number(name: str) -> int:
+    """Return the number that stands for a team, the same at all gateways; 0 for none."""
+    return xxhash.xxh32_intdigest(name) if name else 0
--- /dev/null
+++ b/src/lotushill/shares/shares.py
@@ -0,0 +1,118 @@
+"""Which teams have had more than their share of a service. Pure.
+
+The load that it answers: one team of many asks many times its usual while upstreams have too little
+room. Served in the order in which they ask, all teams get the same part of what they ask for, so
+that the one that asks most takes the room of all others.
+
+Shares are weighted and max-min: what a team does not ask for is divided among the others, again by
+their weights. Work in progress and of late stands for what a team asks for, since what was refused
+is known only where it was refused. Only tiers divide the room before that: teams are held against
+teams of the same tier.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from lotushill.routing.team import team_number
+from lotushill.shares.ledger import AccountKey
+from lotushill.shares.ledger import Ledger
+from lotushill.shares.work import predicted_work
+
+if TYPE_CHECKING:
+    from lotushill.routing.service import Service
+    from lotushill.shares.ledger import Account
+    from lotushill.shares.work import Placed
+
+_NEAR = 0.9
+"""Of its share, from which a team counts as over it: sums waver with each request."""
+_MORE = 1.5
+"""Times the mean standing of the others that ask, from which a team has clearly had more. Teams
+that are nearly even have nothing to be protected from, and are served in the order in which they
+ask: with some ten requests of each in a sum, even teams differ by a third."""
+_LEAST_SHARE = 1e-3
+
+
+class Asked(Protocol):
+    """What is known of a request in search of an upstream."""
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+
+    @property
+    def tier(self) -> int:
+        """0 is the most urgent."""
+
+    @property
+    def team(self) -> str:
+        """Name of its team, empty for none."""
+
+    @property
+    def share(self) -> float:
+        """Weight of its team."""
+
+
+class Shares:
+    """What teams have had, and who has had too much of it."""
+
+    def __init__(self) -> None:
+        self._ledger = Ledger()
+
+    def note_ask(self, need: Asked, now: float) -> None:
+        """Learn that a team asks, and its weight."""
+        account = self._ledger.account(_key(need))
+        account.asked_at = now
+        account.share = max(_LEAST_SHARE, need.share)
+
+    def note_start(self, placed: Placed, service: Service, now: float) -> None:
+        """Count in a request that any gateway has sent to an upstream."""
+        key = AccountKey(service.name, placed.tier, placed.team)
+        work = predicted_work(placed, service)
+        self._ledger.start(placed.request, key, work, now - placed.age, placed.seconds)
+
+    def note_end(self, request: int, now: float, ran: bool = True) -> None:
+        """Count a request out; `ran` is false for one that never reached its upstream."""
+        self._ledger.end(request, ran, now)
+
+    def standing(self, service: str, team: str, share: float, now: float) -> float:
+        """Return a team's work of a service beside its weight; who has the least goes first."""
+        work = sum(item.work(now) for item in self._ledger.of_team(service, team_number(team)))
+        return work / max(_LEAST_SHARE, share)
+
+    def over_share(self, need: Asked, now: float) -> bool:
+        """Return whether another team that asks has to go before this one's request.
+
+        True for a team near or over its share that has clearly had more than others that ask.
+        """
+        key = _key(need)
+        own, others = self._ledger.account(key), list(self._ledger.others(key))
+        standing = own.standing(now)
+        if standing < _MORE * _mean_standing(others, now) or not standing:
+            return False
+        level = standing / _NEAR
+        # With `level` for everybody, less could be taken from others than this team lacks to it.
+        return _above(others, level, now) <= level * own.share - own.work(now)
+
+    def forget(self, now: float) -> None:
+        """Drop what is known of teams that ask no more."""
+        self._ledger.forget(now)
+
+
+def _mean_standing(accounts: list[Account], now: float) -> float:
+    """Return the mean standing of teams that ask, weighted by share; endless without any."""
+    asking = [item for item in accounts if item.asks(now)]
+    if not asking:
+        return math.inf
+    return sum(item.work(now) for item in asking) / sum(item.share for item in asking)
+
+
+def _above(accounts: list[Account], level: float, now: float) -> float:
+    """Return the work that teams have had over a level, beside their weights."""
+    return sum(max(0.0, item.work(now) - level * item.share) for item in accounts)
+
+
+def _key(need: Asked) -> AccountKey:
+    return AccountKey(need.service, need.tier, team_number(need.team))
--- /dev/null
+++ b/tests/shares/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.shares."""
+
+from __future__ import annotations
--- a/tests/test_directions.py
+++ b/tests/test_directions.py
@@ -10,6 +10,7 @@
 PACKAGE = "lotushill"
 LAYERS = (
     ("clock", "journal", "event_log", "rendezvous", "routing"),
+    ("shares",),
     ("placement",),
     ("availability", "links", "views", "contracts"),
     ("membership", "quarantine", "platform", "standin"),
