Shares of teams are set in the settings tree

Cause: all teams had the same weight, as nothing told of another. The load tool's comparison tells what teams earn.

--- a/src/lotushill/contracts/effective.py
+++ b/src/lotushill/contracts/effective.py
@@ -86,6 +86,7 @@
         target=values["target.first"],
         target_gap=values["target.gap"],
         may_repeat=route.may_repeat and values["repeatable"],
+        share=values["share"],
         max_attempts=min(route.max_attempts, values["max_attempts"]),
     )
 
@@ -110,6 +111,7 @@
         ("max_attempts", route.max_attempts),
         ("target.first", route.target),
         ("target.gap", route.target_gap),
+        ("share", route.share),
     ]
 
 
--- a/src/lotushill/contracts/policy.py
+++ b/src/lotushill/contracts/policy.py
@@ -10,6 +10,7 @@
 
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
 Name = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[^\x00-\x1f/]+$")]
+Weight = Annotated[float, Field(ge=0.01, le=1000)]
 Tier = Annotated[int, Field(ge=0, le=9)]
 
 
@@ -34,3 +35,6 @@
     max_attempts: Annotated[int, Field(ge=1, le=16)] | None = None
     """Most upstreams that may run one request; never more than the platform allows."""
     target: Target = Target()
+    share: Weight | None = None
+    """Weight of the team's part of a service beside other teams of the tier, while room is short;
+    1 where nothing is set."""
--- a/src/lotushill/load/policy/comparison.py
+++ b/src/lotushill/load/policy/comparison.py
@@ -60,10 +60,21 @@
             f"{name:20} credit {statistics.mean(credits):.3f} "
             f"({min(credits):.3f} to {max(credits):.3f})  worst windows {worst:.2f}  {classes}  "
             f"put behind {sum(len(result.put_behind) for result in results)}"
+            f"{_teams(results)}"
         )
     return "\n".join(lines)
 
 
+def _teams(results: list[Result]) -> str:
+    """Return what teams earn that ask no more than usual, and the worst tenth of them."""
+    found = [result.other_teams() for result in results]
+    if not all(found):
+        return ""
+    means = [statistics.mean(shares) for shares in found]
+    tenths = [statistics.mean(shares[: max(1, len(shares) // 10)]) for shares in found]
+    return f"  other teams {statistics.mean(means):.3f}, worst {statistics.mean(tenths):.3f}"
+
+
 def _in_time(results: list[Result], kind: str) -> float:
     asked = sum(result.classes[kind].asked for result in results)
     return sum(result.classes[kind].in_time for result in results) / max(1, asked)
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -141,7 +141,8 @@
             self.now = event.at
             event.act()
         behind = put_behind(self.scenario, self._all)
-        return Result(self.tallies, self.windows, behind, self.turned_away, self.teams)
+        bursting = frozenset(item.team for item in self.scenario.team_bursts)
+        return Result(self.tallies, self.windows, behind, self.turned_away, self.teams, bursting)
 
     def _at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, _Event(when, next(self._order), act))
--- a/src/lotushill/load/policy/result.py
+++ b/src/lotushill/load/policy/result.py
@@ -64,6 +64,8 @@
     """Requests that engines refused with a wish for rest."""
     teams: dict[str, Tally] = field(default_factory=dict)
     """By team, empty where requests name none."""
+    bursting: frozenset[str] = frozenset()
+    """Teams that ask more than usual."""
 
     @property
     def credit(self) -> float:
@@ -71,6 +73,11 @@
         owed = sum(item.owed for item in self.classes.values())
         return sum(item.earned for item in self.classes.values()) / owed if owed else 1.0
 
+    def other_teams(self) -> list[float]:
+        """Return the share of the credit of each team that asks no more than usual, least first."""
+        found = [tally.share for name, tally in self.teams.items() if name not in self.bursting]
+        return sorted(found)
+
     def worst_windows(self) -> float:
         """Return the mean of the two worst windows."""
         shares = sorted(item.share for item in self.windows.values() if item.asked)
--- a/src/lotushill/requests/front.py
+++ b/src/lotushill/requests/front.py
@@ -238,5 +238,6 @@
         parts=demand.parts,
         tier=route.urgency.tier,
         team=team.name if team else "",
+        share=route.share,
         caller=caller,
     )
--- a/src/lotushill/routing/route.py
+++ b/src/lotushill/routing/route.py
@@ -50,6 +50,8 @@
     """Whether a stream may be continued on another upstream."""
     may_repeat: bool = True
     """False where the settings tree forbids what the kind of the route allows."""
+    share: float = 1.0
+    """Weight of the team's part of the service, beside other teams of the tier."""
 
     @property
     def repeatable(self) -> bool:
--- a/tests/contracts/test_effective.py
+++ b/tests/contracts/test_effective.py
@@ -26,6 +26,7 @@
     "tier": st.integers(0, 9),
     "max_attempts": st.integers(1, 16),
     "repeatable": st.booleans(),
+    "share": st.sampled_from([0.5, 1.0, 4.0]),
 }
 POLICIES = st.fixed_dictionaries({}, optional=VALUES)
 TREES = st.fixed_dictionaries(dict.fromkeys(LEVELS, POLICIES))
@@ -78,6 +79,17 @@
         self.assertLessEqual(found.max_attempts, attempts)
         self.assertLessEqual(found.repeatable, may_repeat)
 
+    def test_a_share_is_inherited_and_1_without_one(self) -> None:
+        root, team = make_tree({"root": {"share": 2.0}, "class": {"share": 3.0}})
+        self.assertEqual(2.0, resolve(root, None, route(), None, "svc").share)
+        self.assertEqual(3.0, resolve(root, team, route(), None, "svc").share)
+        self.assertEqual(1.0, resolve(None, None, route(), None, "svc").share)
+
+    def test_a_share_of_nothing_is_a_fault(self) -> None:
+        for share in (0.0, -1.0, 1e9):
+            with self.assertRaises(ValueError):
+                make_tree({"team": {"share": share}})
+
     def test_without_a_tree_the_values_of_the_platform_hold(self) -> None:
         self.assertEqual(route(), resolve(Root(), None, route(), None, "svc"))
 
--- a/tests/load/policy/test_teams.py
+++ b/tests/load/policy/test_teams.py
@@ -99,6 +99,7 @@
         teams = (Team("three", share=3.0), Team("one"))
         load = replace(scenario(2.5), teams=teams, team_bursts=(), seconds=20.0)
         done = Replay(load, 1).play().teams
+        self.assertEqual(2, len(done))
         ratio = (done["three"].in_time + done["three"].late) / (
             done["one"].in_time + done["one"].late
         )
