--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -128,6 +128,7 @@
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
         self.windows: dict[int, Tally] = {}
+        self.teams: dict[str, Tally] = {}
         self.turned_away = 0
         """Requests that engines have refused with a wish for rest."""
 
@@ -148,11 +149,14 @@
             self.now = event.at
             event.act()
         behind = put_behind(self.scenario, self._all)
+        bursting = frozenset(item.team for item in self.scenario.team_bursts)
         return Result(
             self.tallies,
             self.windows,
             behind,
             self.turned_away,
+            self.teams,
+            bursting,
             share_served(self._all, True),
             share_served(self._all, False),
         )
@@ -171,7 +175,7 @@
         self._next_arrival(kind)
         client = self._arrivals.draw(kind, self.now)
         self._all.append(client)
-        for tally in (self.tallies[kind.name], self._window(client)):
+        for tally in self._tallies_of(client):
             tally.asked += 1
             tally.owed += client.worth * kind.worth
         need = client.need
@@ -179,8 +183,13 @@
         self._at(self.now + kind.deadline, lambda: self._leave(client))
         self._place(client)
 
-    def _window(self, client: Client) -> Tally:
-        return self.windows.setdefault(int(client.arrived // 2) * 2, Tally())
+    def _tallies_of(self, client: Client) -> list[Tally]:
+        """Return all counts to which a request belongs."""
+        window = self.windows.setdefault(int(client.arrived // 2) * 2, Tally())
+        found = [self.tallies[client.kind.name], window]
+        if client.need.team:
+            found.append(self.teams.setdefault(client.need.team, Tally()))
+        return found
 
     # Placing
 
@@ -451,7 +460,7 @@
             self.tallies[client.kind.name].why[why] += 1
         kind = client.kind
         earned = {"in_time": kind.worth, "late": kind.late_worth}.get(end, 0.0) * client.worth
-        for tally in (self.tallies[kind.name], self._window(client)):
+        for tally in self._tallies_of(client):
             setattr(tally, end, getattr(tally, end) + 1)
             tally.earned += earned
 
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -63,6 +63,8 @@
     """It came back as it was told, and room for it is about to come."""
     EARLY = "before its time"
     """Its caller was told to come later, and others are refused meanwhile."""
+    SHARE = "over its share"
+    """Its team has had its share of the service, and others wait for room."""
     NO_ROOM = "no room in time"
     """No upstream would begin it before its client gives up."""
 
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -92,9 +92,15 @@
             return None
         return self._told(need, Refusal.OVERLOAD if overload else Refusal.NO_ROOM, wait, first, now)
 
-    def refuse_for_others(self, need: Need, now: float) -> NoChoice:
-        """Return the refusal of a long request for which no slot is left beside urgent ones."""
-        return self._told(need, Refusal.OVERLOAD, 0.0, 0.0, now)
+    def refuse_for_others(self, need: Need, refusal: Refusal, now: float) -> NoChoice:
+        """Return the refusal of a long request for which no slot is left beside others."""
+        return self._told(need, refusal, 0.0, 0.0, now)
+
+    def refuse_for_teams(self, need: Need, choices: Sequence[Choice], now: float) -> NoChoice:
+        """Return the refusal of a request whose team has had its share while others want room."""
+        wait = min(choice.wait for choice in choices)
+        first = min(choice.first for choice in choices)
+        return self._told(need, Refusal.SHARE, wait, first, now)
 
     def _told(
         self, need: Need, refusal: Refusal, wait: float, first: float, now: float
