--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,20 @@
 
 
 BREAKS = (
+    Break(
+        "a place is used once",
+        "returns/promises.py",
+        "        known.used = True\n",
+        "",
+        "tests.returns.test_promises",
+    ),
+    Break(
+        "who returns before its time gains nothing",
+        "returns/promises.py",
+        "return known.due - EARLY_SECONDS <= now <= known.ends",
+        "return now <= known.ends",
+        "tests.returns.test_promises",
+    ),
     Break(
         "a healed cut is noticed",
         "membership/membership.py",
