--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -408,7 +408,7 @@
     Break(
         "tiers: nothing is refused while less urgent, larger ones begin",
         "placement/shedding.py",
-        " or self.must_serve(need, now)",
+        "        if self.must_serve(need, now):\n            return None\n",
         "",
         "tests.placement.test_shedding",
     ),
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -21,6 +21,8 @@
 _LEASE = "tests.duties.test_lease.TestLease"
 _TIME = "tests.duties.test_true_time.TestTrueTime"
 _REPLAY = "tests.load.policy.test_replay.TestBursts"
+_RETURNS = "tests.load.policy.test_replay.TestReturns"
+_RETURN_NEWS = "tests.peering.test_return_keeper.TestReturnKeeper"
 _QUARANTINE = "tests.requests.test_quarantine"
 _HELD = "tests.quarantine.test_quarantine.TestQuarantine"
 _HOLD_STORE = "tests.quarantine.test_hold_store.TestHoldStore"
@@ -660,6 +662,46 @@
             ),
         ),
     ),
+    Promise(
+        "Who was refused and returns as told goes before newcomers of its tier, at any gateway.",
+        "worth",
+        (
+            Case(
+                "long requests at 1.3 times the room",
+                (
+                    f"{_RETURNS}.test_in_a_brief_wave_few_are_refused_again_and_more_are_served",
+                    f"{_RETURNS}.test_in_a_long_one_no_less_is_earned",
+                ),
+            ),
+            Case(
+                "callers that return at once and often",
+                (f"{_RETURNS}.test_who_comes_at_once_and_often_gains_nothing",),
+            ),
+            Case(
+                "whoever promised is killed",
+                (f"{_RETURN_NEWS}.test_what_a_killed_scheduler_promised_is_kept_by_the_others",),
+            ),
+            Case(
+                "a cut between schedulers",
+                (f"{_RETURN_NEWS}.test_a_scheduler_that_is_cut_off_costs_its_own_promises_alone",),
+            ),
+            Case(
+                "news that are lost",
+                (f"{_RETURN_NEWS}.test_nearly_all_find_their_place_at_another_scheduler",),
+            ),
+            Case(
+                "a storm of refusals",
+                ("tests.returns.test_promises.TestPromises.test_a_storm_of_refusals_is_bounded",),
+            ),
+            Case(
+                "room that is lost after it was promised",
+                (
+                    "tests.returns.test_promises.TestPromises"
+                    ".test_no_more_than_the_reserve_goes_first",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "A planned stop cuts off nothing; a start serves nothing that it does not know.",
         "LOST, DRAIN, RECOVER",
