Teams keep to limits of the settings tree over the whole fleet

Change: limit.rate in each level of the tree; one scheduler counts for each limit with the machinery that keeps engines' limits (CountingGateways, PermitDesk, PermitClient), asked once a request before an upstream is looked for. A request over the limit waits as for an engine's limit, then is refused as not run.

--- a/scripts/write_pages.py
+++ b/scripts/write_pages.py
@@ -19,6 +19,7 @@
 
 from tests import fault_matrix  # noqa: E402
 
+from lotushill.contracts.policy import Limit  # noqa: E402
 from lotushill.contracts.policy import Policy  # noqa: E402
 from lotushill.contracts.policy import Target  # noqa: E402
 from lotushill.contracts.tree import Root  # noqa: E402
@@ -29,7 +30,15 @@
 from lotushill.process.settings import RetrySettings  # noqa: E402
 from lotushill.standin.settings import StandinSettings  # noqa: E402
 
-_TREE: tuple[type[BaseModel], ...] = (Root, TeamSettings, Service, ServiceClass, Policy, Target)
+_TREE: tuple[type[BaseModel], ...] = (
+    Root,
+    TeamSettings,
+    Service,
+    ServiceClass,
+    Policy,
+    Target,
+    Limit,
+)
 _PROGRAMS: tuple[type[Any], ...] = (GatewaySettings, RetrySettings, StandinSettings)
 
 
--- a/src/lotushill/contracts/effective.py
+++ b/src/lotushill/contracts/effective.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill.routing.rate_limit import RateLimit
 from lotushill.routing.urgency import USUAL_TEAM
 from lotushill.routing.urgency import Urgency
 
@@ -76,9 +77,8 @@
     platform's configuration forbids. A team's priority orders requests within a tier and never
     across tiers: engines would preempt urgent streams and let another team's long prompts run on.
     """
-    values = {
-        path: origin.value for path, origin in trace(root, settings, route, team, service).items()
-    }
+    origins = trace(root, settings, route, team, service)
+    values = {path: origin.value for path, origin in origins.items()}
     return replace(
         route,
         urgency=Urgency(values["tier"], _team_rank(team)),
@@ -87,6 +87,7 @@
         target_gap=values["target.gap"],
         may_repeat=route.may_repeat and values["repeatable"],
         share=values["share"],
+        limit=_rate_limit(origins["limit.rate"], team),
         max_attempts=min(route.max_attempts, values["max_attempts"]),
     )
 
@@ -103,6 +104,14 @@
     return USUAL_TEAM if team is None or team.priority is None else team.priority
 
 
+def _rate_limit(origin: Origin, team: Team | None) -> RateLimit | None:
+    """Return a limit as each team has it: what the level that sets it holds counts together."""
+    if origin.value is None:
+        return None
+    name = team.name if team else ""
+    return RateLimit(f"{name}, {origin.level}", origin.value)
+
+
 def _given(route: Route) -> list[tuple[str, Any]]:
     return [
         ("tier", route.urgency.tier),
@@ -112,6 +121,7 @@
         ("target.first", route.target),
         ("target.gap", route.target_gap),
         ("share", route.share),
+        ("limit.rate", route.limit.rate if route.limit else None),
     ]
 
 
--- a/src/lotushill/contracts/policy.py
+++ b/src/lotushill/contracts/policy.py
@@ -23,6 +23,13 @@
     """The longest pause between two events of a stream that is in time."""
 
 
+class Limit(Document):
+    """What the whole fleet takes of a team; counted together for all that the level holds."""
+
+    rate: Annotated[float, Field(ge=0.01, le=100_000)] | None = None
+    """Requests a second; without one, any number."""
+
+
 class Policy(Document):
     """What one level of the tree overrides; a value not set is inherited."""
 
@@ -38,3 +45,4 @@
     share: Weight | None = None
     """Weight of the team's part of a service beside other teams of the tier, while room is short;
     1 where nothing is set."""
+    limit: Limit = Limit()
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -29,6 +29,7 @@
 from lotushill.limits.counting import CountingGateways
 from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.limits.permit_rank import PermitRanks
+from lotushill.limits.team_limits import TeamLimits
 from lotushill.links.http_server import HttpServer
 from lotushill.peering.leaving_keeper import LeavingKeeper
 from lotushill.peering.peers import PeerHooks
@@ -61,6 +62,8 @@
 
     from anyio.abc import TaskGroup
 
+    from lotushill.links.limit_messages import PermitAnswer
+    from lotushill.links.limit_messages import PermitAsk
     from lotushill.process.settings import GatewaySettings
     from lotushill.routing.service import Service
     from lotushill.routing.upstream import Upstream
@@ -113,11 +116,12 @@
         )
         self.rests = Rests()
         stated = StatedLimits()
+        counting = CountingGateways(
+            self.peers.membership, self.peers.schedulers, lambda: self.registration.listed
+        )
         self.limits = FleetLimits(
             self.views.upstreams,
-            CountingGateways(
-                self.peers.membership, self.peers.schedulers, lambda: self.registration.listed
-            ),
+            counting,
             stated,
             PermitRanks(self.fleet, stated, self.views.upstreams.of),
             self.peers.send_message,
@@ -126,6 +130,7 @@
             rng,
             clocks.now,
         )
+        self.team_limits = TeamLimits(counting, self.limits.client, rng, clocks.now)
         self.desk = PlacementDesk(
             settings.name,
             self.fleet,
@@ -179,6 +184,7 @@
                 pool=self.pool,
                 gate=self.gate,
                 limits=self.limits,
+                team_limits=self.team_limits,
                 ward=Ward(self.quarantine.isolation, self.views.upstreams, clocks.now),
                 budgets=self.budgets,
                 quarantine=self.quarantine.keeper,
@@ -257,6 +263,7 @@
             self.fleet.forget(known, clocks.now())
             self.rests.forget(known, clocks.now())
             self.limits.forget(known)
+            self.team_limits.forget()
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
@@ -326,11 +333,15 @@
             on_suspects=lambda news: self.quarantine.keeper.receive(news),
             on_leaving=lambda news: self.leaving.receive(news),
             on_limits=lambda news: self.limits.keeper.receive(news),
-            on_permit_ask=lambda ask: self.limits.answer(ask),
+            on_permit_ask=self._on_permit_ask,
             on_permit_answer=lambda answer: self.limits.client.receive(answer),
             on_tick=self._on_tick,
         )
 
+    def _on_permit_ask(self, ask: PermitAsk) -> PermitAnswer:
+        limits = self.team_limits if self.team_limits.counts(ask) else self.limits
+        return limits.answer(ask)
+
     def _on_tick(self) -> None:
         self.suspension.look()
         self.leaving.tell_due()
--- a/src/lotushill/load/limits/emulated_fleet.py
+++ b/src/lotushill/load/limits/emulated_fleet.py
@@ -13,13 +13,17 @@
 
 from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.stated_limits import Word
+from lotushill.limits.team_limits import counted_as
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
 from lotushill.load.limits.emulated_members import EmulatedMembers
 from lotushill.load.limits.virtual_loop import run_virtually
+from lotushill.load.limits.ways import TEAM
+from lotushill.load.limits.ways import TeamPermits
 from lotushill.load.limits.ways import counting_gateways
 from lotushill.load.limits.ways import limits_of
 from lotushill.load.limits.ways import make_way
+from lotushill.routing.rate_limit import RateLimit
 from lotushill.routing.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -167,7 +171,11 @@
             rng,
             self._loop.time,
         )
-        way = make_way(self._play.way, limits, members, ENGINE, self._loop.time)
+        way: Way
+        if self._play.way == TEAM:
+            way = TeamPermits(limits, members, self._team_limit(), rng, self._loop.time)
+        else:
+            way = make_way(self._play.way, limits, members, ENGINE, self._loop.time)
         if name not in self._gateways:
             self._loop.call_later(self._rng.uniform(0.0, _TICK), self._tick, name)
         self._gateways[name] = _Gateway(members, limits, way)
@@ -187,6 +195,9 @@
         await asyncio.sleep(_ANSWER_SECONDS / 2)
         gateway.limits.keeper.hear(ENGINE.id, Word(rate, sent, self._loop.time()))
 
+    def _team_limit(self) -> RateLimit:
+        return RateLimit("team", self._play.rate)
+
     def _rate(self) -> float:
         """Return the limit that the engine names now."""
         named = [rate for at, rate in self._play.changes if at <= self._loop.time()]
@@ -203,7 +214,7 @@
 
     def _ask(self, sender: str, ask: PermitAsk, address: str) -> None:
         def arrive() -> None:
-            answer = self._gateways[address].limits.answer(ask)
+            answer = self._gateways[address].way.answer(ask)
             back = self._gateways[sender].limits.client
             self._deliver(address, sender, lambda: back.receive(answer))
 
@@ -232,7 +243,8 @@
 
     async def _do(self, fault: Fault) -> None:
         await asyncio.sleep(_FAULT_AT)
-        counting = counting_gateways(self._gateways["gw-0"].members).of(ENGINE)
+        counted = counted_as(self._team_limit()) if self._play.way == TEAM else ENGINE
+        counting = counting_gateways(self._gateways["gw-0"].members).of(counted)
         match fault:
             case Fault.NONE:
                 return
--- a/src/lotushill/load/limits/ways.py
+++ b/src/lotushill/load/limits/ways.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -12,6 +13,7 @@
 from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.limits.permit_request import PermitRequest
+from lotushill.limits.team_limits import TeamLimits
 from lotushill.membership.schedulers import Schedulers
 from lotushill.placement.fleet import Fleet
 from lotushill.rendezvous import ranked
@@ -22,12 +24,18 @@
     from collections.abc import Callable
 
     from lotushill.links.limit_messages import LimitNews
+    from lotushill.links.limit_messages import PermitAnswer
     from lotushill.links.limit_messages import PermitAsk
     from lotushill.membership.members import Members
+    from lotushill.routing.rate_limit import RateLimit
     from lotushill.routing.upstream import Upstream
 
 WAYS = ("permits", "shares", "few")
+TEAM = "team"
+"""The way of a team's limit, which no engine names."""
 _SHARE_DEPTH = 1.0
+_TEAM_PATIENCE = 0.4
+"""Seconds that a request waits for the limit of its team."""
 
 
 class Way(Protocol):
@@ -39,6 +47,9 @@
     async def admit(self, tier: int) -> bool:
         """Return whether a request may be sent to the upstream now."""
 
+    def answer(self, ask: PermitAsk) -> PermitAnswer:
+        """Answer another gateway."""
+
 
 class Permits:
     """One gateway counts, and all ask it."""
@@ -51,6 +62,42 @@
         """Ask for a permit."""
         return await self.limits.admit(PermitRequest(self._upstream, f"tier-{tier}", tier))
 
+    def answer(self, ask: PermitAsk) -> PermitAnswer:
+        """Answer as the one that counts, if this gateway is."""
+        return self.limits.answer(ask)
+
+
+class TeamPermits:
+    """One gateway counts for the limit of a team, and all ask it."""
+
+    def __init__(
+        self,
+        limits: FleetLimits,
+        members: Members,
+        limit: RateLimit,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.limits = limits
+        self._limit = limit
+        self._clock = clock
+        self._own = TeamLimits(counting_gateways(members), limits.client, rng, clock)
+
+    async def admit(self, tier: int) -> bool:
+        """Ask whether the limit lets one through, for as long as a request waits."""
+        ends = self._clock() + _TEAM_PATIENCE
+        while True:
+            pause = await self._own.wait(self._limit, tier)
+            if pause <= 0.0:
+                return True
+            if self._clock() + pause > ends:
+                return False
+            await asyncio.sleep(pause)
+
+    def answer(self, ask: PermitAsk) -> PermitAnswer:
+        """Answer as the one that counts, if this gateway is."""
+        return self._own.answer(ask)
+
 
 class Shares:
     """Each gateway spends an equal part of the limit by itself."""
@@ -70,6 +117,10 @@
         rate = self.limits.stated.rate(self._upstream.id)
         return rate == NO_LIMIT or self._take(rate / len(self._members.all()))
 
+    def answer(self, ask: PermitAsk) -> PermitAnswer:
+        """Answer an ask, which nobody sends."""
+        return self.limits.answer(ask)
+
     def _take(self, rate: float) -> bool:
         now = self._clock()
         self._level = min(_SHARE_DEPTH, self._level + rate * (now - self._at))
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -55,6 +55,8 @@
     """All upstreams that could serve it have asked this gateway for rest."""
     LIMITED = "all limited"
     """For some upstreams that could serve it there is no permit, and the others rest."""
+    TEAM_LIMIT = "limit of its team"
+    """Its team has sent as many as the settings tree lets it."""
     ISOLATED = "isolated"
     """Upstreams end under its group, which runs at one of them, one request at a time."""
     SHARE = "over its share"
--- a/src/lotushill/requests/parts.py
+++ b/src/lotushill/requests/parts.py
@@ -13,6 +13,7 @@
     from lotushill.duties.work_counts import WorkCounts
     from lotushill.event_log import EventLog
     from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.limits.team_limits import TeamLimits
     from lotushill.peering.quarantine_keeper import QuarantineKeeper
     from lotushill.placement.fleet import Fleet
     from lotushill.process.metrics import Metrics
@@ -41,6 +42,7 @@
     pool: UpstreamPool
     gate: UpstreamGate
     limits: FleetLimits
+    team_limits: TeamLimits
     ward: Ward
     budgets: RetryBudgets
     quarantine: QuarantineKeeper
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -40,6 +40,8 @@
         self._put_off: set[str] = set()
         self._asked = False
         """Whether an upstream was looked for before."""
+        self._within_limit = False
+        """Whether the limit of its team has let it in; it counts once, however often it is sent."""
 
     def exclude(self, upstream_id: str) -> None:
         """Look at an upstream no more: it had the request, or did not take it."""
@@ -57,7 +59,7 @@
                 return found
             pause = self._pause(found)
             if pause is None:
-                if found.refusal is Refusal.LIMITED:
+                if found.refusal in (Refusal.LIMITED, Refusal.TEAM_LIMIT):
                     found = replace(found, retry_after=limited_retry(found.retry_after))
                 self._note_refusal(found)
                 return found
@@ -69,6 +71,9 @@
         wait = ward.wait(request)
         if wait > 0:
             return NoChoice(Refusal.ISOLATED, wait)
+        wait = await self._limit_wait()
+        if wait > 0:
+            return NoChoice(Refusal.TEAM_LIMIT, wait)
         barred = ward.barred(request) | self._excluded | self._without_permit()
         found = await self._parts.placer.place(request, barred, self._asked)
         self._asked = True
@@ -77,6 +82,15 @@
             return NoChoice(Refusal.ISOLATED, _ISOLATED_RETRY_SECONDS)
         return found
 
+    async def _limit_wait(self) -> float:
+        """Return for how long the limit of the team keeps the request back, 0 once it is let in."""
+        limit = self._request.route.limit
+        if limit is None or self._within_limit:
+            return 0.0
+        wait = await self._parts.team_limits.wait(limit, self._request.need.tier)
+        self._within_limit = wait <= 0.0
+        return wait
+
     def _without_permit(self) -> set[str]:
         """Return what was put off and still is, whether or not those who choose know of it."""
         route, denials = self._request.need.route, self._parts.limits.denials
@@ -86,7 +100,7 @@
     def _pause(self, found: NoChoice) -> float | None:
         """Return after how many seconds to look again, None to refuse now."""
         request, now = self._request, self._clock()
-        if found.refusal in (Refusal.RESTING, Refusal.LIMITED):
+        if found.refusal in (Refusal.RESTING, Refusal.LIMITED, Refusal.TEAM_LIMIT):
             pause = rest_pause(found.retry_after, now - request.arrived, request.need)
             return pause if pause is not None and now + pause < request.ends else None
         pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
--- a/src/lotushill/routing/route.py
+++ b/src/lotushill/routing/route.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from lotushill.routing.rate_limit import RateLimit
     from lotushill.routing.urgency import Urgency
 
 
@@ -52,6 +53,8 @@
     """False where the settings tree forbids what the kind of the route allows."""
     share: float = 1.0
     """Weight of the team's part of the service, beside other teams of the tier."""
+    limit: RateLimit | None = None
+    """What the whole fleet takes of the team, None for any number of requests."""
 
     @property
     def repeatable(self) -> bool:
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -23,6 +23,7 @@
 from lotushill.limits.counting import CountingGateways
 from lotushill.limits.fleet_limits import FleetLimits
 from lotushill.limits.permit_rank import PermitRanks
+from lotushill.limits.team_limits import TeamLimits
 from lotushill.links.http_server import HttpServer
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
@@ -285,9 +286,10 @@
         log = EventLog("gw", self.lines.append)
         rests = Rests()
         members, stated = alone("gw"), StatedLimits()
+        counting = CountingGateways(members, Schedulers(members), lambda: 1)
         self.limits = FleetLimits(
             self.view,
-            CountingGateways(members, Schedulers(members), lambda: 1),
+            counting,
             stated,
             PermitRanks(fleet, stated, self.view.of),
             lambda *_: None,
@@ -327,6 +329,7 @@
             ward=Ward(self.isolation, self.view, self.clock),
             gate=UpstreamGate(self.view, rests, self.limits, self.leaving.note, log, self.clock),
             limits=self.limits,
+            team_limits=TeamLimits(counting, self.limits.client, random.Random(8), self.clock),
             quarantine=self.keeper,
             budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
             work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
