--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -42,8 +42,10 @@
 from lotushill.process.side_tasks import SideTasks
 from lotushill.process.suspension import SuspensionWatch
 from lotushill.requests.client_protocol import ClientProtocol
+from lotushill.requests.engine_memory import EngineMemory
 from lotushill.requests.front import Front
 from lotushill.requests.idle_connections import idle_connections
+from lotushill.requests.mover import Mover
 from lotushill.requests.parts import GatewayParts
 from lotushill.requests.retry_budgets import RetryBudgets
 from lotushill.requests.upstream_gate import UpstreamGate
@@ -167,6 +169,20 @@
             clocks.now,
         )
         self.budgets = RetryBudgets(settings.retry, self._sharing, clocks.now())
+        ward = Ward(self.quarantine.isolation, self.views.upstreams, clocks.now)
+        self.mover = Mover(
+            EngineMemory(),
+            self.fleet,
+            placer,
+            self.shared_load,
+            self.views.upstreams,
+            ward,
+            self.quarantine.keeper,
+            self.budgets,
+            stated.rate,
+            self.log,
+            clocks.now,
+        )
         self.front = Front(
             GatewayParts(
                 name=settings.name,
@@ -179,7 +195,8 @@
                 pool=self.pool,
                 gate=self.gate,
                 limits=self.limits,
-                ward=Ward(self.quarantine.isolation, self.views.upstreams, clocks.now),
+                ward=ward,
+                mover=self.mover,
                 budgets=self.budgets,
                 quarantine=self.quarantine.keeper,
                 work=self.duties.work,
@@ -225,6 +242,7 @@
                 group.cancel_scope.cancel()
                 for task in self._following:
                     task.cancel()
+                self.mover.close()
         self.log.note("process.stopped")
 
     def _start(self, group: TaskGroup) -> None:
@@ -257,6 +275,7 @@
             self.fleet.forget(known, clocks.now())
             self.rests.forget(known, clocks.now())
             self.limits.forget(known)
+            self.mover.forget(known)
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
@@ -335,6 +354,7 @@
         self.suspension.look()
         self.leaving.tell_due()
         self.limits.keeper.tell_due()
+        self.mover.look()
 
     def _sharing(self) -> int:
         """Return how many gateways there may be, 0 while the store has not told.
--- /dev/null
+++ b/src/lotushill/moves/move_plan.py
@@ -0,0 +1,154 @@
+"""Whether a run is worth moving to another upstream with its memory, and which one goes first.
+
+Answers three loads: upstreams that leave with a notice shorter than what runs there (a reclaim of
+a hall's engines ends some ten runs on each), an upstream at whose pace a run does not end within
+its time, and one that lets a run stand still. A move is priced by the tokens that are copied, and
+makes one pause longer; it is made where what the run would lose, by how likely it would, is more.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from lotushill.placement.backup import COPY_LOSS_PER_TOKEN
+from lotushill.placement.pauses import missed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lotushill.routing.service import EngineProfile
+
+_CUT_LOSS = 0.9
+"""What a stream loses that is cut off and cannot go on."""
+_RESUMED_LOSS = 0.5
+"""What one loses that can: a pause that is too long, and its prompt read once more."""
+_GAP_LOSS = 0.6
+"""What a stream loses by one pause that is too long."""
+_LENGTH_SPREAD = 3.0
+"""Steepness of the spread of lengths around the likely one: at half of it one run in nine has
+ended, at twice of it eight in nine."""
+_LEAST_REST_SHARE = 0.3
+"""Of the events made: what is still to come of a run that is longer than was likely."""
+_FARTHER = 2.0
+"""How many times longer memory takes to another hall."""
+_CALL_SECONDS = 0.02
+"""Around the copy itself: a round trip to the source, one to the target, and a step there."""
+_SLOW_RATIO = 2.0
+"""Times the usual pause, below which an upstream is as slow as others may be at times."""
+_LEAST_LEFT_SECONDS = 0.3
+"""What an upstream that is past its time is taken to work on: some do for seconds."""
+
+
+class Cause(Enum):
+    """Why a run is moved."""
+
+    LEAVING = "leaving"
+    """Its upstream ends before it does."""
+    STALLED = "stalled"
+    """Its upstream makes none of its events."""
+    SLOW = "slow"
+    """At its upstream's pace it does not end within its time."""
+
+
+@dataclass(frozen=True)
+class RunState:
+    """What is known of a run that streams; times are seconds."""
+
+    tokens: int
+    """In memory: those of the prompt and those made."""
+    made: int
+    """Events so far."""
+    expected: float
+    """Events that it is likely to have in the end."""
+    pause: float
+    """Between its events so far, in the mean."""
+    usual_pause: float
+    """Between the events of its service's streams."""
+    time_left: float
+    """Until its client or its route no longer waits."""
+    gap: float
+    """Longest pause that is in time, 0 for none."""
+    repeatable: bool
+    """Whether it may go on elsewhere without its memory."""
+    leaves_in: float | None = None
+    """Until its upstream ends, None if it stays."""
+    stalled: bool = False
+
+
+@dataclass(frozen=True)
+class Move:
+    """A run that is worth moving."""
+
+    cause: Cause
+    worth: float
+    """What the move saves beyond its price, as a share of the request's credit."""
+    within: float
+    """Seconds in which the copy has to be done."""
+
+
+def plan_move(run: RunState, engine: EngineProfile) -> Move | None:
+    """Return why and by when a run is to be moved, None where it is better off as it is."""
+    cause, bound = _cause(run)
+    copying = copy_seconds(run.tokens, engine, near=False)
+    slower = run.pause >= _SLOW_RATIO * run.usual_pause
+    if copying > bound or (cause is Cause.SLOW and not slower):
+        return None
+    rest = _rest_events(run)
+    here = 1.0 if cause is Cause.STALLED else outlasts(rest * run.pause, bound)
+    there = outlasts(rest * run.usual_pause + copying, run.time_left)
+    loss = _RESUMED_LOSS if run.repeatable and cause is not Cause.SLOW else _CUT_LOSS
+    worth = (here - there) * loss - _price(run, copying)
+    return Move(cause, worth, bound) if worth > 0.0 else None
+
+
+def _cause(run: RunState) -> tuple[Cause, float]:
+    """Return what threatens a run most, and in how many seconds."""
+    if run.leaves_in is not None:
+        left = max(_LEAST_LEFT_SECONDS, run.leaves_in)
+        return Cause.LEAVING, min(left, run.time_left)
+    return (Cause.STALLED if run.stalled else Cause.SLOW), run.time_left
+
+
+def _rest_events(run: RunState) -> float:
+    return max(run.expected - run.made, _LEAST_REST_SHARE * run.made, 1.0)
+
+
+def _price(run: RunState, copying: float) -> float:
+    """Return what the move itself costs: the memory, and a pause that may be too long."""
+    price = COPY_LOSS_PER_TOKEN * run.tokens
+    if run.gap > 0.0 and not run.stalled:
+        price += _GAP_LOSS * missed(run.usual_pause + copying, run.gap)
+    return price
+
+
+def outlasts(rest: float, left: float) -> float:
+    """Return how likely a run with `rest` likely seconds to go is not over in `left` seconds."""
+    if left <= 0.0:
+        return 1.0
+    if rest <= 0.0:
+        return 0.0
+    return 1.0 / (1.0 + math.pow(left / rest, _LENGTH_SPREAD))
+
+
+def copy_seconds(tokens: int, engine: EngineProfile, near: bool) -> float:
+    """Return how long a move of so many tokens takes; `near` is within one hall."""
+    if engine.link_rate <= 0.0:
+        return math.inf
+    way = 1.0 if near else _FARTHER
+    return _CALL_SECONDS + way * tokens * engine.token_bytes / engine.link_rate
+
+
+def in_order(moves: Iterable[tuple[str, Move]]) -> list[tuple[str, Move]]:
+    """Return named moves with the most urgent first: what is worth most where the time is equal.
+
+    Runs of upstreams that leave compete for the time that is left, and go before others.
+    """
+    return sorted(moves, key=_rank)
+
+
+def _rank(named: tuple[str, Move]) -> tuple[bool, float, str]:
+    name, move = named
+    return move.cause is not Cause.LEAVING, -move.worth, name
--- /dev/null
+++ b/src/lotushill/moves/stalls.py
@@ -0,0 +1,54 @@
+"""After which pause a stream is taken to have stopped, by the pauses that its service shows.
+
+Answers the load of upstreams that go dark or hold a run back without a word: its client would wait
+to its deadline, though the run can go on elsewhere. A pause beside the reading of long prompts, or
+of an upstream that is slow for a moment, is among the observed ones and is waited out.
+"""
+
+from __future__ import annotations
+
+import math
+
+_QUANTILE = 0.99
+_STEP = 0.1
+"""Share by which a pause over the quantile raises it; it falls by a hundredth of that."""
+_FIRST_SECONDS = 0.3
+"""Taken for a long pause before any was seen."""
+_LEAST_LONG_SECONDS = 0.02
+_MULTIPLE = 4.0
+"""Of a long pause: one stream in some thousands pauses for so long and goes on by itself."""
+LEAST_SECONDS = 0.5
+"""Less is a disturbance that upstreams get over, and going on elsewhere takes as long."""
+_MOST_PAUSES_ALLOWED = 4.0
+"""Of the pause that is in time, after which waiting any longer serves nobody."""
+_MOST_SECONDS = 0.8
+"""The same where a route names no such pause."""
+
+
+class Stalls:
+    """A long pause of each service, from the pauses of this gateway's own streams."""
+
+    def __init__(self) -> None:
+        self._long: dict[str, float] = {}
+
+    def note(self, service: str, pause: float) -> None:
+        """Learn from a pause between two events of a stream, in seconds."""
+        if not 0.0 < pause < math.inf:
+            return
+        long = self._long.get(service, _FIRST_SECONDS)
+        step = _STEP * (_QUANTILE if pause > long else _QUANTILE - 1.0)
+        self._long[service] = max(_LEAST_LONG_SECONDS, long * math.exp(step))
+
+    def long_pause(self, service: str) -> float:
+        """Return the pause that one event in a hundred exceeds, in seconds."""
+        return self._long.get(service, _FIRST_SECONDS)
+
+    def after(self, service: str, gap: float) -> float:
+        """Return after how many seconds a stream has stopped; `gap` is the pause in time."""
+        most = latest(gap)
+        return min(most, max(LEAST_SECONDS, _MULTIPLE * self.long_pause(service)))
+
+
+def latest(gap: float) -> float:
+    """Return the longest pause, in seconds, that any stream is waited for that can go on."""
+    return max(_MOST_SECONDS, _MOST_PAUSES_ALLOWED * gap)
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -11,6 +11,15 @@
     from lotushill.routing.upstream import Upstream
 
 
+@dataclass(frozen=True)
+class MovedMemory:
+    """A run's memory that was moved, as its engines name it."""
+
+    source: str
+    """Address (IP:PORT) of the upstream that the run was stopped at."""
+    handle: str
+
+
 @dataclass(frozen=True)
 class Choice:
     """Where a request goes, with the figures that decided it; times are seconds."""
@@ -43,6 +52,8 @@
     """Where a copy of the run's memory is kept while it grows."""
     continues: bool = False
     """Whether the upstream holds a copy of the run's memory, and goes on from it."""
+    moved: MovedMemory | None = None
+    """Where the memory was moved there, or kept there when the run was stopped."""
 
 
 class Refusal(Enum):
--- /dev/null
+++ b/src/lotushill/platform/memory_calls.py
@@ -0,0 +1,39 @@
+"""Calls that move the memory of runs between engines, and what engines answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from lotushill.links.exceptions import NoAnswerError
+from lotushill.moves.memory_copy import Copied
+from lotushill.moves.memory_copy import NoCopyReason
+from lotushill.moves.memory_copy import NotCopied
+from lotushill.moves.memory_copy import is_handle
+
+if TYPE_CHECKING:
+    from lotushill.links.json_client import JsonAnswer
+
+MOVE_PATH = "/kv-move"
+FREE_PATH = "/kv-handle/"
+_OK = 200
+_NO_ROOM = 503
+_REASONS = {404: NoCopyReason.UNKNOWN_RUN, 409: NoCopyReason.BUSY, _NO_ROOM: NoCopyReason.NO_ROOM}
+
+
+def move_content(run: str, target: str, last: bool) -> dict[str, Any]:
+    """Return what asks for a copy of a run at `target` (IP:PORT), after its end where `last`."""
+    return {"id": run, "targetVersion": target, "last": last}
+
+
+def read_move(answer: JsonAnswer) -> Copied | NotCopied:
+    """Return what an engine says; raise NoAnswerError for what it cannot say."""
+    said = answer.read()
+    handle = said.get("handle") if isinstance(said, dict) else None
+    known = isinstance(handle, str) and is_handle(handle)
+    if answer.status == _OK and known:
+        made = said.get("made")
+        return Copied(str(handle), made if isinstance(made, int) else 0)
+    if answer.status in _REASONS:
+        return NotCopied(_REASONS[answer.status], str(handle) if known else "")
+    raise NoAnswerError(f"status {answer.status}")
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -38,6 +38,7 @@
 BACKEND_KIND = "servers"
 DRAINING = "draining"
 COLD_MS = "coldRemainingMs"
+LEAVES_MS = "leaves_ms"
 SEQUENCE = "seqNo"
 STATES = frozenset(("ready", DRAINING))
 
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.links.hop_headers import one_connection
+from lotushill.placement.memory_copies import NO_COPIES
+from lotushill.placement.memory_copies import MemoryCopies
 from lotushill.platform import names
 from lotushill.routing.demand import Demand
 from lotushill.routing.demand import PromptPart
@@ -20,21 +22,6 @@
 """Of them, so many for each tier: three tiers, which operators use, keep all their order."""
 Headers = list[tuple[bytes, bytes]]
 
-_ONE_CONNECTION = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-        b"proxy-authorization",
-    )
-)
-"""Headers that concern one connection only, and the length, which is told anew."""
 _OWN = frozenset(
     name.encode()
     for name in (
@@ -52,24 +39,6 @@
     )
 )
 """Headers that only this system may set."""
-_ANSWER_DROPPED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"upgrade"))
-
-
-@dataclass(frozen=True)
-class MemoryCopies:
-    """Copies of engine memory that one attempt asks for; engines are told by their addresses."""
-
-    fetch_from: str = ""
-    """Engine to take kept prompt parts from."""
-    backup_to: str = ""
-    """Engine that is to hold a copy of the run's memory as it grows."""
-    continues_at: str = ""
-    """Engine that holds such a copy, from which the run goes on."""
-    run: str = ""
-    """Id of the request whose run goes on."""
-
-
-NO_COPIES = MemoryCopies()
 
 
 def read_demand(headers: Headers) -> Demand:
@@ -92,7 +61,7 @@
 def forwarded(headers: Headers, body: bytes | None) -> Headers:
     """Return the client's headers that travel on, with the length of the body."""
     named = dict(headers)
-    dropped = _ONE_CONNECTION | _OWN | _tokens(named.get(b"connection", b""))
+    dropped = _OWN | one_connection(named.get(b"connection", b""))
     kept = [(name, value) for name, value in headers if name not in dropped]
     if body is not None:
         kept.append((b"content-length", str(len(body)).encode()))
@@ -120,9 +89,8 @@
         out.append((names.KV_FETCH.encode(), copies.fetch_from.encode()))
     if copies.backup_to:
         out.append((names.KV_BACKUP.encode(), copies.backup_to.encode()))
-    if copies.continues_at:
-        run = f"{copies.continues_at}/{copies.run}"
-        out.append((names.KV_FROM.encode(), run.encode("latin-1")))
+    if copies.memory:
+        out.append((names.KV_FROM.encode(), copies.memory.encode("latin-1")))
     if last_event_id:
         out.append((names.LAST_EVENT_ID.encode(), last_event_id.encode("latin-1")))
     return out
@@ -144,11 +112,6 @@
     return _value(headers, names.REQUEST_ID)
 
 
-def relayed(headers: Headers) -> Headers:
-    """Return the headers of an answer that travel on to the client."""
-    return [item for item in headers if item[0] not in _ANSWER_DROPPED]
-
-
 def retry_after(seconds: float) -> tuple[bytes, bytes]:
     """Return the header that tells a client when to come back."""
     return names.RETRY_AFTER.encode(), f"{seconds:.2f}".encode()
@@ -167,10 +130,6 @@
     return ""
 
 
-def _tokens(value: bytes) -> frozenset[bytes]:
-    return frozenset(item.strip().lower() for item in value.split(b",") if item.strip())
-
-
 def _api_key(value: str) -> str:
     if value[: len(_BEARER)].lower() != _BEARER:
         return ""
--- a/src/lotushill/platform/upstreams.py
+++ b/src/lotushill/platform/upstreams.py
@@ -39,6 +39,7 @@
         slots=fields.whole("slots", 1, _MOST_SLOTS),
         draining=fields.choice("state", names.STATES) == names.DRAINING,
         slow_seconds=fields.number(names.COLD_MS, 0.0, _MOST_MS) / _MS,
+        leaves_seconds=fields.number_if_any(names.LEAVES_MS, 0.0, _MOST_MS, _MS),
     )
 
 
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -5,14 +5,19 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lotushill.moves.stalls import latest
+from lotushill.placement.memory_copies import MemoryCopies
 from lotushill.platform import request_head
 from lotushill.platform.upstream_answer import read_statement
 from lotushill.requests.attempt_end import AttemptEnd
 from lotushill.requests.attempt_end import EndKind
+from lotushill.requests.attempt_pauses import AttemptPauses
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
+from lotushill.requests.handover import Phase
+from lotushill.requests.moving_run import MovingRun
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
@@ -52,15 +57,16 @@
         self._splitter = splitter
         self._news = news
         self._permit = permit
-        self._models_all = parts.placer.models_all()
-        """Whether all that runs at the upstream is known, so that its pauses can be explained."""
         self._clock = parts.clock
         self._wakes = parts.suspension.wakes
         self.sent_at = 0.0
         self.first_at = 0.0
         self.last_at = 0.0
-        self._waiting = 0.0
-        """Seconds of reading that were due at the upstream when the last event came."""
+        self._pauses = AttemptPauses(parts, request, choice.upstream, news)
+        engine = request.service.engine
+        self._moves = engine is not None and engine.moves and not _came_back(choice)
+        self._moving: MovingRun | None = None
+        """The run once its first event has come, where it can be moved."""
 
     async def run(self) -> AttemptEnd:
         """Send the request and pass the answer on."""
@@ -83,13 +89,37 @@
             self._parts.pool.give_back(upstream, connection)
         except UpstreamError as error:
             connection.close()
-            lost = isinstance(error, LostConnectionError)
-            end = AttemptEnd(EndKind.BROKEN, repr(error), lost=lost, begun=bool(self.first_at))
+            end = self._broken(error)
         except BaseException:
             connection.close()
             raise
+        finally:
+            self._leave()
         return end
 
+    def _broken(self, error: UpstreamError) -> AttemptEnd:
+        """Return the end of an answer that was cut off: by a move, or by a fault."""
+        handover = self._moving.handover if self._moving is not None else None
+        if handover is not None:
+            handover.part()
+            if handover.stops:
+                return AttemptEnd(EndKind.MOVED, repr(error), begun=True, handover=handover)
+            if handover.phase is Phase.GIVEN_UP:
+                handover = None
+        lost = isinstance(error, LostConnectionError)
+        begun = bool(self.first_at)
+        return AttemptEnd(EndKind.BROKEN, repr(error), lost=lost, begun=begun, handover=handover)
+
+    def _leave(self) -> None:
+        """Let nobody move the run any longer."""
+        run = self._moving
+        if run is None:
+            return
+        run.ended = True
+        self._parts.mover.leave(run)
+        if run.handover is not None and not run.handover.parted:
+            self._parts.mover.drop(run.handover)
+
     def _was_suspended(self) -> bool:
         """Return whether the host was, since the upstream was chosen: it may have left."""
         self._parts.suspension.look()
@@ -113,7 +143,7 @@
             return AttemptEnd(EndKind.BROKEN, "content-encoding")
         if self._request.route.kind is not RouteKind.STREAM:
             return await self._pass_whole(connection, head)
-        if self._request.route.resumable or self._choice.backup or self._choice.continues:
+        if self._goes_on_elsewhere() or self._moves:
             return await self._pass_events(connection, head)
         return await self._pass_stream(connection, head)
 
@@ -155,20 +185,48 @@
         await self._answer.finish()
         return AttemptEnd(EndKind.WHOLE)
 
+    def _goes_on_elsewhere(self) -> bool:
+        """Return whether the stream can go on after its connection to the upstream has ended."""
+        choice = self._choice
+        return self._request.route.resumable or choice.backup is not None or choice.continues
+
+    def _patience(self) -> float | None:
+        """Return after which pause the run is given up here, None where it cannot go on."""
+        if not self.first_at or not self._goes_on_elsewhere():
+            return None
+        gap = self._request.route.target_gap
+        if self._moves:
+            return self._parts.mover.stalls.after(self._request.service.name, gap)
+        return latest(gap)
+
     async def _pass_events(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Pass whole events on, so that another upstream can go on after any of them."""
-        patience = max(_SILENCE_SECONDS, 4 * self._request.route.target_gap)
-        while piece := await connection.read(patience if self.first_at else None):
+        while piece := await connection.read(self._patience()):
             whole = self._splitter.feed(piece)
             if not whole:
                 continue
             self._note_event()
+            self._follow_run(connection)
             await self._start_chunked(head)
             await self._answer.write(whole)
         await self._start_chunked(head)
         await self._answer.finish(self._splitter.partial)
         return AttemptEnd(EndKind.WHOLE)
 
+    def _follow_run(self, connection: UpstreamConnection) -> None:
+        if not self._moves:
+            return
+        if self._moving is None:
+            self._moving = MovingRun(
+                self._request,
+                self._choice.upstream,
+                self._splitter,
+                connection.close,
+                self.last_at,
+            )
+            self._parts.mover.enter(self._moving)
+        self._moving.note_event(self.last_at)
+
     async def _start_chunked(self, head: AnswerHead) -> None:
         """Start without a length: what another upstream adds is not known."""
         if not self._answer.started:
@@ -197,9 +255,11 @@
         lines += (b"\r\n", request.body)
         return b"".join(lines)
 
-    def _copies(self) -> request_head.MemoryCopies:
+    def _copies(self) -> MemoryCopies:
         choice = self._choice
-        return request_head.MemoryCopies(
+        if choice.moved is not None:
+            return MemoryCopies(continues_at=choice.moved.source, run=choice.moved.handle)
+        return MemoryCopies(
             fetch_from=choice.fetch.source.address if choice.fetch else "",
             backup_to=choice.backup.address if choice.backup else "",
             continues_at=choice.upstream.address if choice.continues else "",
@@ -214,35 +274,15 @@
             self.first_at = now
             self._note_first(now)
         if self._request.route.kind is RouteKind.STREAM:
-            self._learn_pause(now)
+            self._pauses.note(now)
         self.last_at = now
 
-    def _learn_pause(self, now: float) -> None:
-        if self.last_at:
-            self._news.paused(now - self.last_at)
-        if not self._models_all:
-            return
-        due = self._due_reading(now)
-        if self.last_at:
-            self._note_pause(now, due)
-        self._waiting = due
-
-    def _note_pause(self, now: float, due: float) -> None:
-        """Learn from the pause that ends now, while readings of `due` seconds are still due."""
-        load = self._parts.fleet.load(self._choice.upstream.id)
-        pauses = self._parts.fleet.pace(self._request.service.name).pauses
-        slowness = load.step_slowness(now)
-        ratio = pauses.note(now - self.last_at, self._waiting, len(load.running), slowness)
-        if ratio is not None and not due:
-            load.note_step(ratio, now)
-
-    def _due_reading(self, now: float) -> float:
-        """Return the seconds of reading that are due at the upstream."""
-        load = self._parts.fleet.load(self._choice.upstream.id)
-        rate = self._parts.fleet.pace(self._request.service.name).read_rate
-        return load.unread.all(rate, now) / rate
-
     def _note_first(self, now: float) -> None:
         taken = now - self.sent_at
         self._news.began(taken)
         self._parts.metrics.note_first(self._request.service.name, taken, self._choice.first)
+
+
+def _came_back(choice: Choice) -> bool:
+    """Return whether a run goes on at the upstream that it was to be moved from."""
+    return choice.moved is not None and choice.moved.source == choice.upstream.address
--- a/src/lotushill/requests/attempt_end.py
+++ b/src/lotushill/requests/attempt_end.py
@@ -10,6 +10,7 @@
 from lotushill.availability.statement import Statement
 
 if TYPE_CHECKING:
+    from lotushill.requests.handover import Handover
     from lotushill.requests.upstream_connection import AnswerHead
 
 
@@ -26,6 +27,8 @@
     """The upstream says that it did not run the request."""
     FAILED = "failed"
     """The upstream answered with a failure of its own."""
+    MOVED = "moved"
+    """The upstream stopped the run, which goes on where its memory is."""
     BROKEN = "broken"
     """No whole answer came; it may have run."""
 
@@ -44,3 +47,5 @@
     """Whether the connection ended under a request that had been sent."""
     begun: bool = False
     """Whether anything of the answer had come."""
+    handover: Handover | None = None
+    """The move that was under way, from which the run may go on."""
--- a/src/lotushill/requests/attempt_news.py
+++ b/src/lotushill/requests/attempt_news.py
@@ -22,6 +22,7 @@
     EndKind.REJECTED: Outcome.FAILED,
     EndKind.NOT_SENT: Outcome.NOT_SENT,
     EndKind.BARRED: Outcome.UNKNOWN,
+    EndKind.MOVED: Outcome.UNKNOWN,
 }
 
 
--- a/src/lotushill/requests/client_answer.py
+++ b/src/lotushill/requests/client_answer.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.links.hop_headers import relayed
 from lotushill.platform import request_head
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an upstream's answer."""
         self.started = True
-        out = request_head.relayed(list(headers))
+        out = relayed(list(headers))
         if self.closing:
             out.append((b"connection", b"close"))
         await self._send({"type": "http.response.start", "status": status, "headers": out})
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite
-from lotushill.placement.choice import Choice
 from lotushill.requests.attempt import Attempt
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.attempt_news import AttemptNews
+from lotushill.requests.continuation import Continuation
 from lotushill.requests.event_stream import EventSplitter
 from lotushill.requests.upstream_search import UpstreamSearch
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
+    from lotushill.placement.choice import Choice
     from lotushill.requests.attempt_end import AttemptEnd
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.parts import GatewayParts
@@ -34,10 +36,6 @@
 _CHECK_SECONDS = 0.05
 """A request that was cut waits so long, before it is sent on, to hear whether its upstream ended:
 an address that nothing listens at any more refuses within a round trip."""
-_CONTINUE_SECONDS = 0.1
-"""Predicted until a run goes on from its copy: a connection and a few steps."""
-_SOUND_RATE = 0.05
-"""A run goes on at no upstream with more failures: above it any of the last seconds shows."""
 
 
 class Exchange:
@@ -53,6 +51,7 @@
         self._unsent = 0
         self._rejected = 0
         self._search = UpstreamSearch(parts, request)
+        self._continuation = Continuation(parts, request, self._splitter, self._attempt)
         self._counted = False
         """Whether the request was counted as begun."""
         self.runs = 0
@@ -83,8 +82,7 @@
                 continue
             end = await self._attempt(placement, permit)
             check = self._check_upstream(choice.upstream, end)
-            if choice.backup is not None and await self._may_go_on(end, check):
-                end = await self._continue(choice.backup, end)
+            end = await self._go_on(choice, end, check)
             if end.kind is EndKind.WHOLE:
                 self.outcome = "whole"
                 self._parts.quarantine.note_whole(request)
@@ -130,36 +128,18 @@
             await asyncio.wait((check,), timeout=_CHECK_SECONDS)
         return self._parts.quarantine.may_be_sent_on(self._request)
 
-    async def _continue(self, backup: Upstream, cut: AttemptEnd) -> AttemptEnd:
-        """Go on with a run at the upstream that holds a copy of its memory.
-
-        It is the same run, so that it may go on also where a request must not run twice. Without a
-        copy the upstream runs nothing, and the run has ended as it was cut.
-        """
-        service = self._request.service.name
-        if not self._may_continue(backup):
-            return cut
-        permit = await self._parts.gate.admit(backup, self._request.need)
-        if permit is None or not self._parts.budgets.spend(service, self._clock()):
-            return cut
-        self._splitter.drop_partial()
-        seconds = self._parts.fleet.pace(service).stream_seconds
-        choice = Choice(backup, 0.0, _CONTINUE_SECONDS, 0, 0, seconds, continues=True)
-        end = await self._attempt(self._parts.placer.continued(self._request, choice), permit)
-        return end if end.kind is EndKind.WHOLE else cut
-
-    def _may_continue(self, backup: Upstream) -> bool:
-        """Return whether the copy can be trusted to be there, and its upstream to say if not.
-
-        Before the first event nothing was copied, and an upstream that loses answers may run what
-        it is sent without looking for the copy.
-        """
-        service = self._request.service.name
-        known = any(item.id == backup.id for item in self._parts.upstreams.of(service))
-        failures = self._parts.fleet.load(backup.id).failures
-        sound = failures.rate(self._clock()) < _SOUND_RATE
-        wanted = self._parts.gate.wants(backup.id)
-        return known and sound and wanted and self._splitter.events > 0
+    async def _go_on(
+        self, choice: Choice, end: AttemptEnd, check: asyncio.Task[None] | None
+    ) -> AttemptEnd:
+        """Go on with a run that was moved, or cut, from a copy of its memory."""
+        while end.handover is not None:
+            if end.kind is EndKind.BROKEN and not await self._may_go_on(end, check):
+                self._parts.mover.drop(end.handover)
+                return replace(end, handover=None)
+            end = await self._continuation.from_handover(end.handover, end)
+        if choice.backup is not None and await self._may_go_on(end, check):
+            end = await self._continuation.from_backup(choice.backup, end)
+        return end
 
     def _put_off(self, placement: Placement) -> None:
         """Look for another upstream, as there is no permit for this one now."""
--- /dev/null
+++ b/src/lotushill/requests/handover.py
@@ -0,0 +1,211 @@
+"""One run handed over to another upstream with its memory, while its stream goes on.
+
+The memory is copied while the run goes on, so that a target without room costs nothing; then the
+run is stopped, what is new is copied, and whoever holds the stream sends the request to the target.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from lotushill.links.exceptions import NoAnswerError
+from lotushill.moves.memory_copy import Copied
+from lotushill.moves.memory_copy import NoCopyReason
+from lotushill.moves.memory_copy import NotCopied
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.requests.engine_memory import EngineMemory
+    from lotushill.routing.upstream import Upstream
+
+_MOST_CALLS = 4
+_BUSY_SECONDS = 0.03
+"""Until a call is made again while another one for the run is under way."""
+_ANSWER_SECONDS = 0.25
+"""Beyond what the copy itself takes, before a call is taken to have no answer."""
+_CLOSING_SECONDS = 0.1
+"""A stream that was stopped is closed by its upstream within so long, or else from here."""
+_SETTLE_SECONDS = 1.0
+"""A stream that has ended waits so long for the answer of a call that is under way."""
+
+
+class Phase(Enum):
+    """How far a handover is."""
+
+    COPYING = "copying"
+    """The run goes on at its source."""
+    STOPPING = "stopping"
+    """The source was asked to stop the run, and may have."""
+    STOPPED = "stopped"
+    """The run goes on wherever its handle is shown."""
+    GIVEN_UP = "given up"
+    """The run goes on at its source."""
+
+
+@dataclass(frozen=True)
+class HeldMemory:
+    """What a run goes on from."""
+
+    upstream: Upstream
+    """Where it is held."""
+    source: Upstream
+    """Which one gave the handle."""
+    handle: str
+
+
+class Handover:
+    """Steps of one move; outlives the request that it is for, to free what it holds."""
+
+    def __init__(
+        self,
+        memory: EngineMemory,
+        run: str,
+        source: Upstream,
+        target: Upstream,
+        copying: float,
+        may_stop: Callable[[], bool],
+        close_stream: Callable[[], None],
+    ) -> None:
+        """Move the run with the id `run`; its copy takes `copying` seconds.
+
+        `may_stop` is asked once, right before the run is stopped; `close_stream` ends the
+        connection to the source.
+        """
+        self._memory = memory
+        self._run = run
+        self._source = source
+        self._target = target
+        self._patience = copying + _ANSWER_SECONDS
+        self._may_stop = may_stop
+        self._close_stream = close_stream
+        self._handle = ""
+        self._at_target = False
+        self._left = False
+        """Whether nobody is left for whom the run could go on."""
+        self.parted = False
+        """Whether the stream from the source has ended."""
+        self._settled = asyncio.Event()
+        self.paid = False
+        """Whether a repeat was spent for the run to go on."""
+        self.phase = Phase.COPYING
+        self.why = ""
+        """Why it was given up, or what went wrong."""
+
+    @property
+    def target(self) -> Upstream:
+        """Return where the run is to go."""
+        return self._target
+
+    @property
+    def stops(self) -> bool:
+        """Return whether the run was stopped by this, as far as is known."""
+        return self.phase in (Phase.STOPPING, Phase.STOPPED)
+
+    async def run(self) -> None:
+        """Make the calls, and free what nobody goes on from."""
+        try:
+            if await self._copy(last=False):
+                await self._stop()
+        except NoAnswerError as error:
+            self.why = f"no answer: {error}"
+            if self.phase is Phase.COPYING:
+                self.phase = Phase.GIVEN_UP
+        finally:
+            self._settled.set()
+        if self._left or self.phase is Phase.GIVEN_UP:
+            await self.free()
+        elif self.phase is Phase.STOPPED:
+            await asyncio.sleep(_CLOSING_SECONDS)
+            if not self._left and not self.parted:
+                self._close_stream()
+
+    async def _stop(self) -> None:
+        if self._left or self.parted:
+            return
+        if not self._may_stop():
+            self._give_up("no repeat left")
+            return
+        self.paid = True
+        self.phase = Phase.STOPPING
+        if await self._copy(last=True):
+            self.phase = Phase.STOPPED
+
+    async def _copy(self, last: bool) -> bool:
+        """Return whether the next step can be taken."""
+        for number in range(_MOST_CALLS):
+            try:
+                answer = await self._call(last)
+            except NoAnswerError:
+                # Asked again, the source tells the handle of what it may have copied.
+                if last or number:
+                    raise
+                continue
+            if isinstance(answer, Copied):
+                self._handle = answer.handle
+                self._at_target = True
+                return True
+            if answer.reason is not NoCopyReason.BUSY:
+                return self._note_refusal(answer, last)
+            await asyncio.sleep(_BUSY_SECONDS)
+        self._give_up(NoCopyReason.BUSY.value)
+        return False
+
+    async def _call(self, last: bool) -> Copied | NotCopied:
+        return await self._memory.copy(
+            self._source.address, self._run, self._target.address, last, self._patience
+        )
+
+    def _note_refusal(self, answer: NotCopied, last: bool) -> bool:
+        if last and answer.reason is NoCopyReason.NO_ROOM:
+            # It has stopped, and goes on at its source from what is kept there.
+            self._handle = answer.handle or self._handle
+            self._at_target = False
+            self.why = answer.reason.value
+            return True
+        self._give_up(answer.reason.value)
+        return False
+
+    def _give_up(self, why: str) -> None:
+        self.phase = Phase.GIVEN_UP
+        self.why = why
+
+    # For whoever holds the stream
+
+    def part(self) -> None:
+        """Note that the stream from the source has ended before its answer was whole."""
+        self.parted = True
+
+    async def settle(self) -> tuple[HeldMemory, ...]:
+        """Return from what the run can go on, the best first, once its stream has ended."""
+        try:
+            async with asyncio.timeout(_SETTLE_SECONDS):
+                await self._settled.wait()
+        except TimeoutError:
+            self.why = self.why or "not settled"
+        if not self._handle or self.phase is Phase.GIVEN_UP:
+            return ()
+        at_source = HeldMemory(self._source, self._source, self._handle)
+        at_target = HeldMemory(self._target, self._source, self._handle)
+        if not self._at_target:
+            return (at_source,)
+        return (at_target, at_source) if self.stops else (at_target,)
+
+    def note_used(self) -> None:
+        """Note that the run has gone on, so that nothing is held for it any longer."""
+        self._left = True
+        self._handle = ""
+
+    async def free(self) -> None:
+        """Free the memory that is held for the run."""
+        handle, self._handle = self._handle, ""
+        if handle:
+            await self._memory.free(self._source.address, handle)
+
+    def leave(self) -> bool:
+        """Note that the run has ended or its client has left; return whether to free at once."""
+        self._left = True
+        return self._settled.is_set()
--- /dev/null
+++ b/src/lotushill/requests/mover.py
@@ -0,0 +1,245 @@
+"""The runs of this gateway that may be moved, and the handovers that are under way.
+
+The gateway that holds a stream alone decides whether its run is moved, and once at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.moves.move_links import MoveLinks
+from lotushill.moves.move_plan import Move
+from lotushill.moves.move_plan import copy_seconds
+from lotushill.moves.move_plan import in_order
+from lotushill.moves.move_plan import plan_move
+from lotushill.moves.notices import Notices
+from lotushill.moves.stalls import Stalls
+from lotushill.requests.handover import Handover
+from lotushill.requests.handover import Phase
+from lotushill.scheduling.placement import Placement
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from lotushill.event_log import EventLog
+    from lotushill.peering.quarantine_keeper import QuarantineKeeper
+    from lotushill.placement.fleet import Fleet
+    from lotushill.requests.engine_memory import EngineMemory
+    from lotushill.requests.moving_run import MovingRun
+    from lotushill.requests.retry_budgets import RetryBudgets
+    from lotushill.requests.ward import Ward
+    from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.placer import Placer
+    from lotushill.scheduling.request import Request
+    from lotushill.scheduling.shared_load import SharedLoad
+    from lotushill.views.upstream_view import UpstreamView
+
+_LOOK_SECONDS = 0.25
+"""Between two looks at the runs of upstreams that stay."""
+_AGAIN_SECONDS = 0.3
+"""After a handover that came to nothing, before another one is tried for the run."""
+_MOST_TARGETS = 2
+"""Targets that are tried in one handover."""
+
+
+class Mover:
+    """Decides which runs are moved, and makes the calls beside their streams."""
+
+    def __init__(
+        self,
+        memory: EngineMemory,
+        fleet: Fleet,
+        placer: Placer,
+        shared_load: SharedLoad,
+        upstreams: UpstreamView,
+        ward: Ward,
+        quarantine: QuarantineKeeper,
+        budgets: RetryBudgets,
+        rate: Callable[[str], float],
+        log: EventLog,
+        clock: Callable[[], float],
+    ) -> None:
+        """Move with `memory`; `rate` tells what an upstream takes from all gateways."""
+        self._memory = memory
+        self._fleet = fleet
+        self._placer = placer
+        self._shared_load = shared_load
+        self._upstreams = upstreams
+        self._ward = ward
+        self._quarantine = quarantine
+        self._budgets = budgets
+        self._rate = rate
+        self._log = log
+        self._clock = clock
+        self._runs: dict[str, dict[str, MovingRun]] = {}
+        """By upstream and by the key of the request."""
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._links = MoveLinks()
+        self._looked = float("-inf")
+        self.notices = Notices()
+        self.stalls = Stalls()
+        self.ends: Counter[str] = Counter()
+        """Handovers by cause and by how they ended, and runs that went on or did not."""
+
+    # For those who hold streams
+
+    def enter(self, run: MovingRun) -> None:
+        """Take in a run whose first event has come."""
+        self._runs.setdefault(run.upstream.id, {})[run.request.key] = run
+
+    def leave(self, run: MovingRun) -> None:
+        """Forget a run whose stream has ended."""
+        runs = self._runs.get(run.upstream.id, {})
+        runs.pop(run.request.key, None)
+        if not runs:
+            self._runs.pop(run.upstream.id, None)
+
+    def drop(self, handover: Handover) -> None:
+        """Let go of a handover that nobody goes on from, and free what it holds."""
+        if handover.leave():
+            self._spawn(handover.free())
+
+    @property
+    def under_way(self) -> int:
+        """Return how many handovers are under way."""
+        return len(self._tasks)
+
+    def close(self) -> None:
+        """End all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    def forget(self, known: set[str]) -> None:
+        """Drop what is held of lives that no view knows any longer."""
+        self.notices.forget(known)
+        self._memory.forget({item.address for item in self._upstreams.all()})
+
+    # Decisions
+
+    def look(self) -> None:
+        """Start the handovers that are worth making now."""
+        if not self._runs:
+            return
+        now = self._clock()
+        everywhere = now - self._looked >= _LOOK_SECONDS
+        if everywhere:
+            self._looked = now
+        planned: dict[str, tuple[MovingRun, Move]] = {}
+        for upstream_id, runs in self._runs.items():
+            left = self._leaves_in(upstream_id, now)
+            if (left is None and not everywhere) or self._links.busy(upstream_id):
+                continue
+            for key, run in runs.items():
+                move = self._plan(run, left, now)
+                if move is not None:
+                    planned[key] = (run, move)
+        for key, move in in_order((key, move) for key, (_, move) in planned.items()):
+            self._start(planned[key][0], move, now)
+
+    def _leaves_in(self, upstream_id: str, now: float) -> float | None:
+        """Return in how many seconds an upstream ends, None if it stays."""
+        known = self._upstreams.find(upstream_id)
+        if known is None or known.draining:
+            self.notices.note(upstream_id, known.leaves_seconds if known else None, now)
+        return self.notices.left(upstream_id, now)
+
+    def _plan(self, run: MovingRun, leaves_in: float | None, now: float) -> Move | None:
+        engine = run.request.service.engine
+        if engine is None or not engine.moves or not run.may_move(now):
+            return None
+        if not self._quarantine.may_be_sent_on(run.request):
+            return None
+        pace = self._fleet.pace(run.request.service.name)
+        stalled = run.silent(now) >= self.stalls.after(
+            run.request.service.name, run.request.need.gap
+        )
+        usual = pace.pauses.quiet.at(engine.slots)
+        return plan_move(run.state(now, usual, leaves_in, stalled), engine)
+
+    def _start(self, run: MovingRun, move: Move, now: float) -> None:
+        engine = run.request.service.engine
+        assert engine is not None
+        seconds = copy_seconds(run.tokens, engine, near=False)
+        if not self._links.take(run.upstream.id, seconds, move.within):
+            return
+        run.tried(math.inf)
+        self._spawn(self._move(run, move, seconds))
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # One handover
+
+    async def _move(self, run: MovingRun, move: Move, seconds: float) -> None:
+        began = self._clock()
+        why = "no target"
+        try:
+            tried = {run.upstream.id}
+            for _ in range(_MOST_TARGETS):
+                if run.ended or self._clock() - began >= move.within:
+                    break
+                target = await self._target(run.request, frozenset(tried))
+                if target is None or run.ended:
+                    break
+                tried.add(target.id)
+                handover = self._handover(run, target, seconds)
+                await handover.run()
+                why = handover.why or handover.phase.value
+                if handover.phase is not Phase.GIVEN_UP:
+                    break
+        finally:
+            run.tried(self._clock() + _AGAIN_SECONDS)
+            self._links.give_back(run.upstream.id, seconds)
+            self._note(run, move, why, began)
+
+    def _handover(self, run: MovingRun, target: Upstream, seconds: float) -> Handover:
+        service = run.request.service.name
+        handover = Handover(
+            self._memory,
+            run.request.demand.request_id,
+            run.upstream,
+            target,
+            seconds,
+            lambda: not run.ended and self._budgets.spend(service, self._clock()),
+            run.close_stream,
+        )
+        run.handover = handover
+        return handover
+
+    async def _target(self, request: Request, tried: frozenset[str]) -> Upstream | None:
+        """Return an upstream with room that stays, None without one.
+
+        One that names a limit has no permit for what is not a request of a client.
+        """
+        known = self._upstreams.of(request.service.name)
+        limited = {item.id for item in known if self._rate(item.id) != NO_LIMIT}
+        excluded = tried | limited | self._ward.barred(request)
+        found = await self._placer.place(request, excluded, again=True)
+        if not isinstance(found, Placement):
+            return None
+        if found.scheduler:
+            # The run is counted in when it goes on, with what is then to be read.
+            self._shared_load.give_up(found.placed.request)
+        fits = not found.choice.full and self._ward.admits(request, found.choice)
+        return found.choice.upstream if fits else None
+
+    def _note(self, run: MovingRun, move: Move, why: str, began: float) -> None:
+        self.ends[f"{move.cause.value}: {why.partition(':')[0]}"] += 1
+        self._log.note(
+            "run.moved" if why == Phase.STOPPED.value else "run.not_moved",
+            request=run.request.demand.request_id,
+            cause=move.cause.value,
+            upstream=run.upstream.id,
+            target=run.handover.target.id if run.handover else "",
+            why=why,
+            worth=round(move.worth, 3),
+            tokens=run.tokens,
+            ms=round((self._clock() - began) * 1000, 1),
+        )
--- /dev/null
+++ b/src/lotushill/requests/moving_run.py
@@ -0,0 +1,92 @@
+"""A run whose stream this gateway holds, as far as moving it needs to know."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.moves.move_plan import RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lotushill.requests.event_stream import EventSplitter
+    from lotushill.requests.handover import Handover
+    from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.request import Request
+
+_LEAST_EVENTS = 8
+"""Below it the pauses of the run itself say nothing of its pace."""
+
+
+class MovingRun:
+    """One run at one upstream, from its first event to the end of its stream."""
+
+    def __init__(
+        self,
+        request: Request,
+        upstream: Upstream,
+        splitter: EventSplitter,
+        close_stream: Callable[[], None],
+        now: float,
+    ) -> None:
+        """Follow a run since its first event; `close_stream` ends its connection."""
+        self.request = request
+        self.upstream = upstream
+        self.close_stream = close_stream
+        self.handover: Handover | None = None
+        """The latest one."""
+        self.ended = False
+        """Whether its stream has ended, in whatever way."""
+        self._splitter = splitter
+        self._first_events = splitter.events
+        self._first_at = now
+        self._last_at = now
+        self._not_before = now
+
+    def note_event(self, now: float) -> None:
+        """Note that events have come."""
+        self._last_at = now
+
+    def silent(self, now: float) -> float:
+        """Return for how many seconds no event has come."""
+        return now - self._last_at
+
+    def may_move(self, now: float) -> bool:
+        """Return whether a handover can be tried now: one at a time, each a while apart."""
+        if now < self._not_before or self._splitter.events == 0:
+            return False
+        return self.handover is None or not self.handover.stops
+
+    def tried(self, not_before: float) -> None:
+        """Note that a handover is tried, and no other one before some moment."""
+        self._not_before = not_before
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens in its memory."""
+        return self.request.need.prompt_tokens + self._splitter.events * self._stride
+
+    @property
+    def _stride(self) -> int:
+        engine = self.request.service.engine
+        return max(1, engine.tokens_per_event) if engine else 1
+
+    def state(
+        self, now: float, usual_pause: float, leaves_in: float | None, stalled: bool
+    ) -> RunState:
+        """Return what decides whether it is moved."""
+        request = self.request
+        events = self._splitter.events - self._first_events
+        paused = (self._last_at - self._first_at) / events if events else 0.0
+        return RunState(
+            tokens=self.tokens,
+            made=self._splitter.events,
+            expected=request.need.output_tokens / self._stride,
+            pause=paused if events >= _LEAST_EVENTS else usual_pause,
+            usual_pause=usual_pause,
+            time_left=request.ends - now,
+            gap=request.need.gap,
+            repeatable=request.route.repeatable,
+            leaves_in=leaves_in,
+            stalled=stalled,
+        )
--- a/src/lotushill/requests/parts.py
+++ b/src/lotushill/requests/parts.py
@@ -17,6 +17,7 @@
     from lotushill.placement.fleet import Fleet
     from lotushill.process.metrics import Metrics
     from lotushill.process.suspension import SuspensionWatch
+    from lotushill.requests.mover import Mover
     from lotushill.requests.retry_budgets import RetryBudgets
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
@@ -42,6 +43,7 @@
     gate: UpstreamGate
     limits: FleetLimits
     ward: Ward
+    mover: Mover
     budgets: RetryBudgets
     quarantine: QuarantineKeeper
     work: WorkCounts
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -25,6 +25,8 @@
     """Lets one request be written to one upstream: without it none is."""
 
     upstream_id: str
+    returns: bool = False
+    """Whether a run goes back to the upstream that stopped it, which may be leaving."""
 
 
 class UpstreamGate:
@@ -102,7 +104,7 @@
 
     def pass_on(self, permit: Permit) -> bool:
         """Return whether a request may be written now, and count it if so."""
-        if not self.wants(permit.upstream_id):
+        if not permit.returns and not self.wants(permit.upstream_id):
             self.barred += 1
             return False
         self._rests.note_sent(permit.upstream_id, self._clock())
--- a/src/lotushill/routing/upstream.py
+++ b/src/lotushill/routing/upstream.py
@@ -23,6 +23,9 @@
     instance: str = ""
     """Its name at the platform, which later lives may share; empty where it is the `id`."""
 
+    leaves_seconds: float | None = None
+    """In how many seconds it ends, as it said when it wrote its entry; None if it did not."""
+
     @property
     def name(self) -> str:
         """Return what requests to it are addressed with."""
--- a/src/lotushill/views/fields.py
+++ b/src/lotushill/views/fields.py
@@ -76,6 +76,13 @@
             raise MalformedEntryError(name, f"is no number from {least} to {most}")
         return float(value)
 
+    def number_if_any(self, name: str, least: float, most: float, unit: float) -> float | None:
+        """Return a number in units of `unit`, None where it is missing or cannot be read."""
+        try:
+            return self.number(name, least, most) / unit
+        except MalformedEntryError:
+            return None
+
     def choice(self, name: str, known: frozenset[str]) -> str:
         """Return one of the texts that are known."""
         value = self.text(name)
--- /dev/null
+++ b/tests/moves/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.moves."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/moves/test_move_plan.py
@@ -0,0 +1,164 @@
+"""Which runs are moved: those that lose more where they are than the move costs."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import replace
+
+from lotushill.moves.move_links import MoveLinks
+from lotushill.moves.move_plan import Cause
+from lotushill.moves.move_plan import Move
+from lotushill.moves.move_plan import RunState
+from lotushill.moves.move_plan import copy_seconds
+from lotushill.moves.move_plan import in_order
+from lotushill.moves.move_plan import outlasts
+from lotushill.moves.move_plan import plan_move
+from lotushill.moves.notices import USUAL_SECONDS
+from lotushill.moves.notices import Notices
+from lotushill.routing.service import EngineProfile
+
+ENGINE = EngineProfile(16, 200_000, 6, token_bytes=160_000, link_rate=6e10)
+RUN = RunState(
+    tokens=1_000, made=10, expected=50, pause=0.08, usual_pause=0.08, time_left=12.0, gap=0.3,
+    repeatable=False, leaves_in=2.0,
+)  # fmt: skip
+RECLAIMED = 12
+"""Upstreams that leave at one moment, with so many runs each."""
+RUNS = 16
+NOTICE = 2.0
+
+
+class TestMovePlan(unittest.TestCase):
+    def test_a_run_that_outlasts_its_upstream_is_moved(self) -> None:
+        move = plan_move(RUN, ENGINE)
+        assert move is not None
+        self.assertEqual(Cause.LEAVING, move.cause)
+        self.assertEqual(NOTICE, move.within)
+
+    def test_one_that_ends_long_before_stays(self) -> None:
+        self.assertIsNone(plan_move(replace(RUN, expected=12, made=8), ENGINE))
+
+    def test_no_move_costs_more_than_it_saves(self) -> None:
+        for tokens in (1_000, 10_000, 40_000, 60_000, 150_000):
+            for made in (0, 25, 49):
+                move = plan_move(replace(RUN, tokens=tokens, made=made), ENGINE)
+                if move is not None:
+                    rest = max(RUN.expected - made, 0.3 * made, 1) * RUN.pause
+                    self.assertGreater(0.9 * outlasts(rest, NOTICE), 2e-5 * tokens)
+        self.assertIsNone(plan_move(replace(RUN, tokens=60_000), ENGINE))
+
+    def test_a_copy_that_is_not_done_in_time_is_not_begun(self) -> None:
+        slow = replace(ENGINE, link_rate=1e8)
+        self.assertGreater(copy_seconds(RUN.tokens, slow, near=False), NOTICE)
+        self.assertIsNone(plan_move(RUN, slow))
+
+    def test_where_memory_cannot_be_moved_nothing_is(self) -> None:
+        self.assertIsNone(plan_move(RUN, replace(ENGINE, link_rate=0.0)))
+
+    def test_a_run_that_may_be_repeated_loses_less(self) -> None:
+        once, often = plan_move(RUN, ENGINE), plan_move(replace(RUN, repeatable=True), ENGINE)
+        assert once is not None
+        assert often is not None
+        self.assertLess(often.worth, once.worth)
+
+    def test_a_run_that_stands_still_is_moved_from_an_upstream_that_stays(self) -> None:
+        stands = replace(RUN, leaves_in=None, stalled=True)
+        move = plan_move(stands, ENGINE)
+        assert move is not None
+        self.assertEqual(Cause.STALLED, move.cause)
+        self.assertIsNone(plan_move(replace(stands, stalled=False), ENGINE))
+
+    def test_one_too_slow_to_end_in_time_is_moved_and_a_slow_one_that_does_is_not(self) -> None:
+        slow = replace(RUN, leaves_in=None, pause=0.5, gap=0.0)
+        move = plan_move(slow, ENGINE)
+        assert move is not None
+        self.assertEqual(Cause.SLOW, move.cause)
+        self.assertIsNone(plan_move(replace(slow, expected=12, made=8), ENGINE))
+        little_slower = replace(slow, pause=0.14, time_left=5.0)
+        self.assertIsNone(plan_move(little_slower, ENGINE))
+
+    def test_runs_of_upstreams_that_leave_go_first_and_those_worth_most_before_others(self) -> None:
+        moves = {
+            "slow": Move(Cause.SLOW, 0.9, 5.0),
+            "little": Move(Cause.LEAVING, 0.1, 2.0),
+            "much": Move(Cause.LEAVING, 0.8, 2.0),
+        }
+        order = [name for name, _ in in_order(moves.items())]
+        self.assertEqual(["much", "little", "slow"], order)
+
+
+class TestReclaim(unittest.TestCase):
+    """A hall's upstreams are taken with two seconds of notice; copies go one after another."""
+
+    def cut(self, moves: bool, link_rate: float, seed: int) -> float:
+        """Return the share of runs that are cut of those that outlast the notice."""
+        rng = random.Random(seed)
+        engine = replace(ENGINE, link_rate=link_rate)
+        cut = outlast = 0
+        for _ in range(RECLAIMED):
+            link_free = 0.0
+            for _ in range(RUNS):
+                length = min(159.0, rng.lognormvariate(3.6, 0.7))
+                made = int(length * rng.random())
+                hint = length * rng.lognormvariate(0.0, 0.5)
+                ends = (length - made) * 0.08
+                if ends <= NOTICE:
+                    continue
+                outlast += 1
+                run = replace(RUN, made=made, expected=hint, tokens=900 + 6 * made)
+                copying = copy_seconds(run.tokens, engine, near=False)
+                now, moved = 0.0, False
+                while moves and not moved and now < NOTICE:
+                    left = replace(run, leaves_in=NOTICE - now)
+                    left = replace(left, made=made + int(now / 0.08))
+                    if plan_move(left, engine) is not None:
+                        link_free = max(now, link_free) + copying
+                        moved = link_free <= NOTICE
+                        break
+                    now += 0.05
+                cut += not moved
+        return cut / outlast
+
+    def test_under_one_in_twenty_is_cut_of_those_that_could_be_moved(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                self.assertEqual(1.0, self.cut(False, ENGINE.link_rate, seed))
+                self.assertLess(self.cut(True, ENGINE.link_rate, seed), 0.05)
+
+
+class TestNotices(unittest.TestCase):
+    def test_the_first_word_counts_and_a_named_time_only_shortens_it(self) -> None:
+        notices = Notices()
+        self.assertIsNone(notices.left("a", 0.0))
+        notices.note("a", None, 10.0)
+        notices.note("a", None, 11.0)
+        self.assertAlmostEqual(USUAL_SECONDS - 1.0, notices.left("a", 11.0) or 0.0)
+        notices.note("a", 0.4, 11.0)
+        self.assertAlmostEqual(0.4, notices.left("a", 11.0) or 0.0)
+        notices.note("a", 9.0, 11.1)
+        self.assertAlmostEqual(0.3, notices.left("a", 11.1) or 0.0)
+        self.assertEqual(0.0, notices.left("a", 20.0))
+
+    def test_lives_that_are_gone_are_forgotten(self) -> None:
+        notices = Notices()
+        notices.note("a", None, 0.0)
+        notices.forget({"b"})
+        self.assertIsNone(notices.left("a", 0.0))
+
+
+class TestMoveLinks(unittest.TestCase):
+    def test_what_would_not_be_done_behind_the_others_is_not_begun(self) -> None:
+        links = MoveLinks()
+        self.assertTrue(links.take("a", 0.8, 2.0))
+        self.assertTrue(links.take("a", 0.8, 2.0))
+        self.assertFalse(links.take("a", 0.8, 2.0))
+        self.assertTrue(links.take("b", 0.8, 2.0))
+        links.give_back("a", 0.8)
+        self.assertTrue(links.take("a", 0.8, 2.0))
+
+    def test_few_are_under_way_at_one_upstream(self) -> None:
+        links = MoveLinks()
+        taken = [links.take("a", 0.001, 2.0) for _ in range(20)]
+        self.assertEqual(4, sum(taken))
+        self.assertTrue(links.busy("a"))
--- /dev/null
+++ b/tests/moves/test_stalls.py
@@ -0,0 +1,51 @@
+"""After which pause a stream has stopped, by the pauses that were seen."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from lotushill.moves.stalls import LEAST_SECONDS
+from lotushill.moves.stalls import Stalls
+from lotushill.moves.stalls import latest
+
+GAP = 0.4
+
+
+class TestStalls(unittest.TestCase):
+    def test_short_pauses_make_a_stop_known_sooner_than_what_is_in_time_alone(self) -> None:
+        stalls, rng = Stalls(), random.Random(4)
+        for _ in range(3_000):
+            stalls.note("s", rng.uniform(0.03, 0.09))
+        self.assertEqual(LEAST_SECONDS, stalls.after("s", GAP))
+        self.assertLess(stalls.after("s", GAP), latest(GAP))
+
+    def test_a_service_with_long_pauses_is_waited_for(self) -> None:
+        stalls, rng = Stalls(), random.Random(4)
+        for number in range(6_000):
+            reading = 0.25 if number % 20 == 0 else 0.0
+            stalls.note("s", rng.uniform(0.03, 0.09) + reading)
+        self.assertGreater(stalls.after("s", GAP), 1.0)
+        self.assertLessEqual(stalls.after("s", GAP), latest(GAP))
+
+    def test_disturbed_pauses_are_waited_out(self) -> None:
+        """A seventh of the upstreams step two and a half times slower for some hundred ms."""
+        stalls, rng = Stalls(), random.Random(9)
+        taken_for_stopped = 0
+        for _ in range(20_000):
+            slower = 2.5 if rng.random() < 0.15 else 1.0
+            pause = rng.uniform(0.03, 0.09) * slower + (0.1 if rng.random() < 0.05 else 0.0)
+            taken_for_stopped += pause > stalls.after("s", GAP)
+            stalls.note("s", pause)
+        self.assertEqual(0, taken_for_stopped)
+
+    def test_it_is_bounded_and_nonsense_teaches_nothing(self) -> None:
+        stalls = Stalls()
+        before = stalls.long_pause("s")
+        for pause in (0.0, -1.0, float("inf"), float("nan")):
+            stalls.note("s", pause)
+        self.assertEqual(before, stalls.long_pause("s"))
+        for _ in range(2_000):
+            stalls.note("s", 30.0)
+        self.assertEqual(latest(GAP), stalls.after("s", GAP))
+        self.assertEqual(latest(0.0), stalls.after("s", 0.0))
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -40,7 +40,9 @@
 from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
 from lotushill.requests.client_protocol import ClientProtocol
+from lotushill.requests.engine_memory import EngineMemory
 from lotushill.requests.front import Front
+from lotushill.requests.mover import Mover
 from lotushill.requests.parts import GatewayParts
 from lotushill.requests.retry_budgets import RetryBudgets
 from lotushill.requests.upstream_gate import UpstreamGate
@@ -73,6 +75,8 @@
 HOST = "a.example"
 KEY = "secret-key"
 TEAM = "bakery"
+LINK_RATE = 1e6
+"""Bytes a second between upstreams that move memory of one byte a token."""
 SIGNED = "Response-Signature: s1\r\n"
 
 
@@ -224,6 +228,7 @@
         slack: float = 100.0,
         backups: bool = False,
         team_priority: int = 1,
+        moves: bool = False,
     ) -> None:
         self.upstreams = upstreams
         self.route = Route(
@@ -231,7 +236,8 @@
             Urgency(2),
             max_attempts, False, resumable,
         )  # fmt: skip
-        profile = EngineProfile(8, 100_000, 1, backups=backups) if engine else None
+        link = LINK_RATE if moves else 0.0
+        profile = EngineProfile(8, 100_000, 1, 1, link, backups) if engine else None
         self.service = Service("s", 50, profile)
         self.configuration = ConfigurationView()
         self.view = UpstreamView()
@@ -306,6 +312,22 @@
             "gw", self.quarantine, groups, self.view, pool.has_ended, self.told.append, log,
             random.Random(3), self.clock,
         )  # fmt: skip
+        placer = Placer(
+            "gw",
+            fleet,
+            shared_load,
+            self.view,
+            random.Random(2),
+            self.clock,
+            BarredUpstreams(rests, self.limits.denials),
+            stated,
+        )
+        budgets = RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1)
+        ward = Ward(self.isolation, self.view, self.clock)
+        self.mover = Mover(
+            EngineMemory(), fleet, placer, shared_load, self.view, ward, self.keeper, budgets,
+            stated.rate, log, self.clock,
+        )  # fmt: skip
         self.parts = GatewayParts(
             name="gw",
             configuration=self.configuration,
@@ -313,22 +335,14 @@
             settings=self.settings,
             fleet=fleet,
             shared_load=shared_load,
-            placer=Placer(
-                "gw",
-                fleet,
-                shared_load,
-                self.view,
-                random.Random(2),
-                self.clock,
-                BarredUpstreams(rests, self.limits.denials),
-                stated,
-            ),
+            placer=placer,
             pool=pool,
-            ward=Ward(self.isolation, self.view, self.clock),
+            ward=ward,
+            mover=self.mover,
             gate=UpstreamGate(self.view, rests, self.limits, self.leaving.note, log, self.clock),
             limits=self.limits,
             quarantine=self.keeper,
-            budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
+            budgets=budgets,
             work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
             log=log,
             metrics=Metrics(),
--- /dev/null
+++ b/tests/requests/test_moves.py
@@ -0,0 +1,300 @@
+"""An upstream says that it leaves and ends two seconds later, under all that runs there.
+
+Nobody moved a run: streams that must not run twice were cut with their upstream, unless a copy of
+their memory had been kept from the start. Each step of a move fails once here: the client gets the
+whole answer or a true failure, no run is worked on twice, and nothing stays held.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+from typing import TYPE_CHECKING
+
+from lotushill.routing.route import RouteKind
+from lotushill.routing.upstream import Upstream
+from tests.requests.moving import EVENTS
+from tests.requests.moving import STEP
+from tests.requests.moving import Memory
+from tests.requests.moving import MovingUpstream
+from tests.requests.rig import Got
+from tests.requests.rig import Rig
+from tests.requests.rig import event
+from tests.requests.rig import request_bytes
+from tests.requests.test_rest import prefer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+WHOLE = b"".join(event(number) for number in range(EVENTS))
+LONG = "Token-Usage: 50,400\r\n"
+"""Headers of a request whose run is likely to outlast its upstream."""
+
+
+class Site:
+    """A request path before three upstreams, the first of which runs what comes."""
+
+    def __init__(
+        self,
+        says: list[int | str] | None = None,
+        resumable: bool = False,
+        moves: bool = True,
+        slack: float = 100.0,
+        max_attempts: int = 2,
+    ) -> None:
+        self.memory = Memory()
+        self.source = MovingUpstream(self.memory, says)
+        self.others = [MovingUpstream(self.memory) for _ in range(2)]
+        self.rig = Rig(
+            [self.source, *self.others], RouteKind.STREAM, resumable,
+            engine=True, moves=moves, slack=slack, max_attempts=max_attempts,
+        )  # fmt: skip
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator[Site]:
+        """Serve, and look at what is to be moved as often as a gateway does."""
+        async with self.rig:
+            prefer(self.rig, "b0")
+            looking = asyncio.create_task(self._look())
+            try:
+                yield self
+            finally:
+                looking.cancel()
+                self.rig.mover.close()
+
+    async def _look(self) -> None:
+        while True:
+            await asyncio.sleep(0.01)
+            self.rig.mover.look()
+
+    def leave(self, leaves_in: float | None = None, revision: int = 2) -> None:
+        """Let the source's entry say that it leaves."""
+        listed = [
+            Upstream(
+                f"b{number}", "s", item.address, "z", 8, number == 0,
+                leaves_seconds=leaves_in if number == 0 else None,
+            )
+            for number, item in enumerate([self.source, *self.others])
+        ]  # fmt: skip
+        self.rig.view.replace(listed, revision)
+
+    async def call(self, leaves: bool = True, leaves_in: float | None = 0.4) -> Got:
+        """Make one request, whose upstream leaves after some of its events."""
+        calling = asyncio.create_task(self.rig.call(headers=LONG))
+        await self.begun()
+        if leaves:
+            self.leave(leaves_in)
+        return await calling
+
+    async def begun(self) -> None:
+        """Wait until some events were made."""
+        while not any(run.made >= 5 for run in self.source.runs.values()):
+            await asyncio.sleep(STEP)
+
+    async def settled(self) -> None:
+        """Wait until no call is under way."""
+        async with asyncio.timeout(3.0):
+            while self.rig.mover.under_way:
+                await asyncio.sleep(STEP)
+
+    def resumed(self) -> int:
+        """Return how often a run was to go on anywhere."""
+        return sum(len(item.resumed()) for item in [self.source, *self.others])
+
+
+class TestMoves(unittest.IsolatedAsyncioTestCase):
+    def assert_whole(self, got: Got, site: Site) -> None:
+        self.assertEqual((200, True), (got.status, got.whole))
+        self.assertEqual(WHOLE, got.body)
+        self.assert_clean(site)
+
+    def assert_clean(self, site: Site) -> None:
+        """Check that nothing ran twice, and that nothing is held."""
+        self.assertEqual([], site.memory.twice)
+        self.assertEqual([], site.memory.left())
+        self.assertEqual(0, site.rig.mover.under_way)
+
+    async def play(
+        self, says: list[int | str] | None = None, resumable: bool = False
+    ) -> tuple[Got, Site]:
+        async with Site(says, resumable).open() as site:
+            got = await site.call()
+            await site.settled()
+            return got, site
+
+    async def test_a_run_goes_on_at_another_upstream_as_the_same_run(self) -> None:
+        got, site = await self.play()
+        self.assert_whole(got, site)
+        self.assertEqual([False, True], [call["last"] for call in site.source.calls])
+        resumed = [item for other in site.others for item in other.resumed()]
+        self.assertEqual([f"{site.source.address}/h0-r1"], resumed)
+        self.assertEqual("s1", got.headers["response-signature"])
+
+    async def test_one_that_may_be_resumed_is_moved_as_well(self) -> None:
+        got, site = await self.play(resumable=True)
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_nothing_is_moved_where_memory_cannot_be(self) -> None:
+        async with Site(moves=False).open() as site:
+            got = await site.call()
+        self.assert_whole(got, site)
+        self.assertEqual([], site.source.calls)
+
+    async def test_nothing_is_moved_from_an_upstream_that_stays(self) -> None:
+        async with Site().open() as site:
+            got = await site.call(leaves=False)
+        self.assert_whole(got, site)
+        self.assertEqual([], site.source.calls)
+
+    async def test_a_run_that_ends_in_time_stays(self) -> None:
+        async with Site().open() as site:
+            got = await site.call(leaves_in=60.0)
+        self.assert_whole(got, site)
+        self.assertEqual([], site.source.calls)
+
+    async def test_a_target_without_room_is_followed_by_another(self) -> None:
+        got, site = await self.play([503])
+        self.assert_whole(got, site)
+        targets = [call["targetVersion"] for call in site.source.calls]
+        self.assertEqual(2, len(set(targets)))
+        self.assertEqual(1, site.resumed())
+
+    async def test_with_no_room_anywhere_the_run_goes_on_where_it_is(self) -> None:
+        got, site = await self.play([503] * 100)
+        self.assert_whole(got, site)
+        self.assertEqual(0, site.resumed())
+
+    async def test_a_source_that_does_not_know_the_run_is_left_alone(self) -> None:
+        got, site = await self.play([404] * 100)
+        self.assert_whole(got, site)
+        self.assertEqual(0, site.resumed())
+
+    async def test_a_call_under_way_is_waited_for(self) -> None:
+        got, site = await self.play([409, 200, 409])
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_a_lost_answer_to_the_copy_is_asked_for_again(self) -> None:
+        got, site = await self.play(["lost"])
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_a_lost_answer_to_the_stop_costs_nothing(self) -> None:
+        got, site = await self.play([200, "lost"])
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_a_target_that_fills_up_sends_the_run_back_to_its_source(self) -> None:
+        got, site = await self.play([200, 503])
+        self.assert_whole(got, site)
+        self.assertEqual([f"{site.source.address}/h0-r1"], site.source.resumed())
+
+    async def test_a_target_that_refuses_the_run_sends_it_back_to_its_source(self) -> None:
+        async with Site().open() as site:
+            for other in site.others:
+                other.refuses = True
+            got = await site.call()
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual(1, len(site.source.resumed()))
+
+    async def test_a_target_that_is_gone_when_the_run_comes_sends_it_back(self) -> None:
+        async with Site().open() as site:
+            calling = asyncio.create_task(site.call())
+            await site.begun()
+            while not site.source.calls:
+                await asyncio.sleep(0.001)
+            for other in site.others:
+                await other.end()
+            got = await calling
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual(1, len(site.source.resumed()))
+
+    async def test_a_source_that_ends_before_the_copy_cuts_a_run_that_runs_once(self) -> None:
+        got, site = await self.play(["dead"])
+        self.assertFalse(got.whole)
+        self.assertTrue(WHOLE.startswith(got.body))
+        self.assertEqual(0, site.resumed())
+        self.assert_clean(site)
+
+    async def test_a_source_that_ends_after_the_copy_leaves_it_to_go_on_from(self) -> None:
+        got, site = await self.play([200, "dead"])
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_a_target_that_ends_after_the_handover_cuts_the_answer(self) -> None:
+        async with Site().open() as site:
+            for other in site.others:
+                other.ends_at = 20
+            got = await site.call()
+            await site.settled()
+        self.assertFalse(got.whole)
+        self.assertTrue(WHOLE.startswith(got.body))
+        self.assert_clean(site)
+
+    async def test_one_that_may_run_again_goes_on_elsewhere_after_its_target_has_ended(
+        self,
+    ) -> None:
+        async with Site(resumable=True, max_attempts=3).open() as site:
+            for other in site.others:
+                other.ends_at = 20
+            got = await site.call()
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual([1, 1], [len(item.seen) for item in site.others])
+
+    async def test_a_run_that_stands_still_is_moved_with_its_memory(self) -> None:
+        async with Site().open() as site:
+            site.source.stands = 10
+            got = await site.call(leaves=False)
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_one_that_stands_still_and_may_be_repeated_goes_on_without_its_memory(
+        self,
+    ) -> None:
+        async with Site(resumable=True).open() as site:
+            site.source.stands = 10
+            site.source.says = [404] * 100
+            got = await site.call(leaves=False)
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual(0, site.resumed())
+
+    async def test_a_stream_whose_end_is_never_seen_is_ended_once_its_run_has_stopped(self) -> None:
+        async with Site().open() as site:
+            site.source.holds_streams = True
+            got = await site.call()
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
+    async def test_without_a_repeat_left_nothing_is_stopped(self) -> None:
+        async with Site(slack=0.0).open() as site:
+            got = await site.call()
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual([False], [call["last"] for call in site.source.calls][:1])
+        self.assertNotIn(True, [call["last"] for call in site.source.calls])
+
+    async def test_a_client_that_leaves_meanwhile_leaves_nothing_held(self) -> None:
+        for steps in range(6):
+            with self.subTest(steps=steps):
+                async with Site().open() as site:
+                    reader, writer = await site.rig.connect()
+                    writer.write(request_bytes("r1", LONG))
+                    await reader.readuntil(b"piece-5")
+                    site.leave(0.4)
+                    while not site.source.calls:
+                        await asyncio.sleep(0.001)
+                    await asyncio.sleep(steps * STEP / 2)
+                    writer.transport.abort()
+                    await asyncio.sleep(0.1)
+                    await site.settled()
+                    await asyncio.sleep(0.1)
+                self.assert_clean(site)
+                self.assertEqual({"r1": set()}, site.memory.working)
