--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -180,6 +180,7 @@
             self.quarantine.keeper,
             self.budgets,
             stated.rate,
+            self.metrics,
             self.log,
             clocks.now,
         )
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -22,6 +22,7 @@
     from lotushill.process.settings import GatewaySettings
     from lotushill.process.side_tasks import SideTasks
     from lotushill.requests.front import Front
+    from lotushill.requests.mover import Mover
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
 
@@ -40,6 +41,7 @@
     limits: FleetLimits
     gate: UpstreamGate
     pool: UpstreamPool
+    mover: Mover
     quarantine: FleetQuarantine
     side_tasks: SideTasks
     front: Front
@@ -136,6 +138,7 @@
         "Limits that could not be read so far",
         lambda: gateway.gate.unreadable_limits,
     )
+    gauge("moves_under_way", "Handovers of runs now", lambda: gateway.mover.under_way)
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -176,6 +179,7 @@
         "isolated_groups": [
             f"{group.label} ({group.service})" for group in gateway.quarantine.isolated()
         ],
+        "moves": gateway.mover.status(),
         "in_progress": gateway.front.in_progress,
         "store_calls": gateway.store.calls,
         "connections_opened": gateway.pool.opened,
--- a/src/lotushill/moves/move_plan.py
+++ b/src/lotushill/moves/move_plan.py
@@ -25,6 +25,8 @@
 """What a stream loses that is cut off and cannot go on."""
 _RESUMED_LOSS = 0.5
 """What one loses that can: a pause that is too long, and its prompt read once more."""
+_COPIED_LOSS = 0.2
+"""What one loses of which a copy is kept: what had not arrived is read again, if the copy holds."""
 _GAP_LOSS = 0.6
 """What a stream loses by one pause that is too long."""
 _LENGTH_SPREAD = 3.0
@@ -38,8 +40,6 @@
 """Around the copy itself: a round trip to the source, one to the target, and a step there."""
 _SLOW_RATIO = 2.0
 """Times the usual pause, below which an upstream is as slow as others may be at times."""
-_LEAST_LEFT_SECONDS = 0.3
-"""What an upstream that is past its time is taken to work on: some do for seconds."""
 
 
 class Cause(Enum):
@@ -73,8 +73,14 @@
     """Longest pause that is in time, 0 for none."""
     repeatable: bool
     """Whether it may go on elsewhere without its memory."""
+    copied: bool = False
+    """Whether a copy of its memory grows elsewhere."""
     leaves_in: float | None = None
-    """Until its upstream ends, None if it stays."""
+    """Until its upstream ends, None if it stays.
+
+    At 0 nothing is moved any more: a run that is not taken elsewhere could not go back, since an
+    upstream takes no requests so long after its notice.
+    """
     stalled: bool = False
 
 
@@ -99,19 +105,26 @@
     rest = _rest_events(run)
     here = 1.0 if cause is Cause.STALLED else outlasts(rest * run.pause, bound)
     there = outlasts(rest * run.usual_pause + copying, run.time_left)
-    loss = _RESUMED_LOSS if run.repeatable and cause is not Cause.SLOW else _CUT_LOSS
-    worth = (here - there) * loss - _price(run, copying)
+    worth = (here - there) * _loss(run, cause) - _price(run, copying)
     return Move(cause, worth, bound) if worth > 0.0 else None
 
 
 def _cause(run: RunState) -> tuple[Cause, float]:
     """Return what threatens a run most, and in how many seconds."""
-    if run.leaves_in is not None:
-        left = max(_LEAST_LEFT_SECONDS, run.leaves_in)
-        return Cause.LEAVING, min(left, run.time_left)
+    if run.leaves_in is not None and run.leaves_in < run.time_left:
+        return Cause.LEAVING, run.leaves_in
     return (Cause.STALLED if run.stalled else Cause.SLOW), run.time_left
 
 
+def _loss(run: RunState, cause: Cause) -> float:
+    """Return what a run loses that is not moved and does not end."""
+    if cause is not Cause.SLOW and run.copied:
+        return _COPIED_LOSS
+    if cause is not Cause.SLOW and run.repeatable:
+        return _RESUMED_LOSS
+    return _CUT_LOSS
+
+
 def _rest_events(run: RunState) -> float:
     return max(run.expected - run.made, _LEAST_REST_SHARE * run.made, 1.0)
 
--- a/src/lotushill/moves/stalls.py
+++ b/src/lotushill/moves/stalls.py
@@ -43,6 +43,10 @@
         """Return the pause that one event in a hundred exceeds, in seconds."""
         return self._long.get(service, _FIRST_SECONDS)
 
+    def shown(self) -> dict[str, float]:
+        """Return the long pause of each service, in milliseconds."""
+        return {service: round(1000 * long, 1) for service, long in self._long.items()}
+
     def after(self, service: str, gap: float) -> float:
         """Return after how many seconds a stream has stopped; `gap` is the pause in time."""
         most = latest(gap)
--- a/src/lotushill/process/metrics.py
+++ b/src/lotushill/process/metrics.py
@@ -87,6 +87,14 @@
             "Requests for which no upstream was chosen, by tier and reason",
             ("service", "tier", "reason"),
         )
+        self._moves = _Counts(
+            "lotushill_moves",
+            "Handovers of runs to other upstreams, by why and by how they ended",
+            ("cause", "end"),
+        )
+        self._moved_runs = _Counts(
+            "lotushill_moved_runs", "Runs that had to go on from moved memory", ("end",)
+        )
         self._turned_away = _Counts(
             "lotushill_turned_away", "Requests answered without a service", ("status",)
         )
@@ -124,6 +132,14 @@
         """Note the end of an attempt."""
         self._attempts.values[service, str(tier), end] += 1
 
+    def note_move(self, cause: str, end: str) -> None:
+        """Note the end of a handover."""
+        self._moves.values[cause, end] += 1
+
+    def note_moved_run(self, end: str) -> None:
+        """Note that a run went on from moved memory, or was cut."""
+        self._moved_runs.values[(end,)] += 1
+
     def note_refused(self, service: str, tier: int, reason: str) -> None:
         """Note a request for which no upstream was chosen."""
         self._refused.values[service, str(tier), reason] += 1
@@ -148,7 +164,14 @@
         from prometheus_client.core import GaugeMetricFamily
         from prometheus_client.core import HistogramMetricFamily
 
-        for counts in (self._requests, self._attempts, self._refused, self._turned_away):
+        for counts in (
+            self._requests,
+            self._attempts,
+            self._refused,
+            self._moves,
+            self._moved_runs,
+            self._turned_away,
+        ):
             counter = CounterMetricFamily(counts.name, counts.text, labels=counts.labels)
             for labels, count in counts.values.items():
                 counter.add_metric(labels, count)
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -221,6 +221,7 @@
                 self._request,
                 self._choice.upstream,
                 self._splitter,
+                self._choice.backup is not None,
                 connection.close,
                 self.last_at,
             )
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -22,11 +22,12 @@
     from lotushill.requests.engine_memory import EngineMemory
     from lotushill.routing.upstream import Upstream
 
+NO_ANSWER = "no answer"
 _MOST_CALLS = 4
 _BUSY_SECONDS = 0.03
 """Until a call is made again while another one for the run is under way."""
-_ANSWER_SECONDS = 0.25
-"""Beyond what the copy itself takes, before a call is taken to have no answer."""
+_ANSWER_SECONDS = 0.4
+"""Beyond twice what the copy takes, behind another one, before a call is taken for unanswered."""
 _CLOSING_SECONDS = 0.1
 """A stream that was stopped is closed by its upstream within so long, or else from here."""
 _SETTLE_SECONDS = 1.0
@@ -79,7 +80,7 @@
         self._run = run
         self._source = source
         self._target = target
-        self._patience = copying + _ANSWER_SECONDS
+        self._patience = 2 * copying + _ANSWER_SECONDS
         self._may_stop = may_stop
         self._close_stream = close_stream
         self._handle = ""
@@ -111,7 +112,7 @@
             if await self._copy(last=False):
                 await self._stop()
         except NoAnswerError as error:
-            self.why = f"no answer: {error}"
+            self.why = f"{NO_ANSWER}: {error}"
             if self.phase is Phase.COPYING:
                 self.phase = Phase.GIVEN_UP
         finally:
@@ -119,9 +120,11 @@
         if self._left or self.phase is Phase.GIVEN_UP:
             await self.free()
         elif self.phase is Phase.STOPPED:
-            await asyncio.sleep(_CLOSING_SECONDS)
-            if not self._left and not self.parted:
-                self._close_stream()
+            asyncio.get_running_loop().call_later(_CLOSING_SECONDS, self._close_open_stream)
+
+    def _close_open_stream(self) -> None:
+        if not self._left and not self.parted:
+            self._close_stream()
 
     async def _stop(self) -> None:
         if self._left or self.parted:
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -6,8 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from collections import Counter
+import functools
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import NO_LIMIT
@@ -18,6 +17,7 @@
 from lotushill.moves.move_plan import plan_move
 from lotushill.moves.notices import Notices
 from lotushill.moves.stalls import Stalls
+from lotushill.requests.handover import NO_ANSWER
 from lotushill.requests.handover import Handover
 from lotushill.requests.handover import Phase
 from lotushill.scheduling.placement import Placement
@@ -28,12 +28,14 @@
 
     from lotushill.event_log import EventLog
     from lotushill.peering.quarantine_keeper import QuarantineKeeper
+    from lotushill.placement.choice import Choice
     from lotushill.placement.fleet import Fleet
+    from lotushill.placement.messages import Placed
+    from lotushill.process.metrics import Metrics
     from lotushill.requests.engine_memory import EngineMemory
     from lotushill.requests.moving_run import MovingRun
     from lotushill.requests.retry_budgets import RetryBudgets
     from lotushill.requests.ward import Ward
-    from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.request import Request
     from lotushill.scheduling.shared_load import SharedLoad
@@ -41,8 +43,8 @@
 
 _LOOK_SECONDS = 0.25
 """Between two looks at the runs of upstreams that stay."""
-_AGAIN_SECONDS = 0.3
-"""After a handover that came to nothing, before another one is tried for the run."""
+_ARRIVED_SECONDS = 0.3
+"""After a handover: by then the run itself is counted in at its target."""
 _MOST_TARGETS = 2
 """Targets that are tried in one handover."""
 
@@ -61,6 +63,7 @@
         quarantine: QuarantineKeeper,
         budgets: RetryBudgets,
         rate: Callable[[str], float],
+        metrics: Metrics,
         log: EventLog,
         clock: Callable[[], float],
     ) -> None:
@@ -74,6 +77,7 @@
         self._quarantine = quarantine
         self._budgets = budgets
         self._rate = rate
+        self._metrics = metrics
         self._log = log
         self._clock = clock
         self._runs: dict[str, dict[str, MovingRun]] = {}
@@ -83,8 +87,6 @@
         self._looked = float("-inf")
         self.notices = Notices()
         self.stalls = Stalls()
-        self.ends: Counter[str] = Counter()
-        """Handovers by cause and by how they ended, and runs that went on or did not."""
 
     # For those who hold streams
 
@@ -104,6 +106,16 @@
         if handover.leave():
             self._spawn(handover.free())
 
+    def status(self) -> dict[str, object]:
+        """Return what is moved now, as plain data."""
+        now = self._clock()
+        left = {name: self.notices.left(name, now) for name in self._runs}
+        return {
+            "under_way": self.under_way,
+            "leaving": {name: round(s, 2) for name, s in left.items() if s is not None},
+            "long_pause_ms": self.stalls.shown(),
+        }
+
     @property
     def under_way(self) -> int:
         """Return how many handovers are under way."""
@@ -150,16 +162,15 @@
 
     def _plan(self, run: MovingRun, leaves_in: float | None, now: float) -> Move | None:
         engine = run.request.service.engine
-        if engine is None or not engine.moves or not run.may_move(now):
+        if engine is None or not run.may_move(now):
             return None
-        if not self._quarantine.may_be_sent_on(run.request):
+        service = run.request.service.name
+        stalled = run.silent(now) >= self.stalls.after(service, run.request.need.gap)
+        usual = self._fleet.pace(service).pauses.quiet.at(engine.slots)
+        move = plan_move(run.state(now, usual, leaves_in, stalled), engine)
+        if move is None or not self._quarantine.may_be_sent_on(run.request):
             return None
-        pace = self._fleet.pace(run.request.service.name)
-        stalled = run.silent(now) >= self.stalls.after(
-            run.request.service.name, run.request.need.gap
-        )
-        usual = pace.pauses.quiet.at(engine.slots)
-        return plan_move(run.state(now, usual, leaves_in, stalled), engine)
+        return move
 
     def _start(self, run: MovingRun, move: Move, now: float) -> None:
         engine = run.request.service.engine
@@ -167,7 +178,7 @@
         seconds = copy_seconds(run.tokens, engine, near=False)
         if not self._links.take(run.upstream.id, seconds, move.within):
             return
-        run.tried(math.inf)
+        run.begin_handover()
         self._spawn(self._move(run, move, seconds))
 
     def _spawn(self, work: Coroutine[object, object, None]) -> None:
@@ -185,23 +196,30 @@
             for _ in range(_MOST_TARGETS):
                 if run.ended or self._clock() - began >= move.within:
                     break
-                target = await self._target(run.request, frozenset(tried))
-                if target is None or run.ended:
+                placed = await self._target(run.request, frozenset(tried))
+                if placed is None:
+                    break
+                tried.add(placed.upstream)
+                handover = await self._hand_over(run, placed, seconds)
+                if handover is None:
                     break
-                tried.add(target.id)
-                handover = self._handover(run, target, seconds)
-                await handover.run()
                 why = handover.why or handover.phase.value
-                if handover.phase is not Phase.GIVEN_UP:
+                if handover.phase is not Phase.GIVEN_UP or why.startswith(NO_ANSWER):
                     break
         finally:
-            run.tried(self._clock() + _AGAIN_SECONDS)
+            run.end_handover(self._clock())
             self._links.give_back(run.upstream.id, seconds)
             self._note(run, move, why, began)
 
-    def _handover(self, run: MovingRun, target: Upstream, seconds: float) -> Handover:
+    async def _hand_over(self, run: MovingRun, placed: Placed, seconds: float) -> Handover | None:
+        """Make the calls, with room at the target counted in until the run is counted there."""
+        target = self._upstreams.find(placed.upstream)
+        release = functools.partial(self._shared_load.end, placed.request)
+        if target is None or run.ended:
+            release()
+            return None
         service = run.request.service.name
-        handover = Handover(
+        handover = run.handover = Handover(
             self._memory,
             run.request.demand.request_id,
             run.upstream,
@@ -210,11 +228,14 @@
             lambda: not run.ended and self._budgets.spend(service, self._clock()),
             run.close_stream,
         )
-        run.handover = handover
+        try:
+            await handover.run()
+        finally:
+            asyncio.get_running_loop().call_later(_ARRIVED_SECONDS, release)
         return handover
 
-    async def _target(self, request: Request, tried: frozenset[str]) -> Upstream | None:
-        """Return an upstream with room that stays, None without one.
+    async def _target(self, request: Request, tried: frozenset[str]) -> Placed | None:
+        """Count in a run at an upstream with room that stays; None without one.
 
         One that names a limit has no permit for what is not a request of a client.
         """
@@ -224,14 +245,21 @@
         found = await self._placer.place(request, excluded, again=True)
         if not isinstance(found, Placement):
             return None
-        if found.scheduler:
-            # The run is counted in when it goes on, with what is then to be read.
-            self._shared_load.give_up(found.placed.request)
-        fits = not found.choice.full and self._ward.admits(request, found.choice)
-        return found.choice.upstream if fits else None
+        told = bool(found.scheduler)
+        placed = found.placed if told else self._placer.continued(request, found.choice).placed
+        self._shared_load.start(placed, request.service, told)
+        if self._fits(request, found.choice):
+            return placed
+        self._shared_load.end(placed.request)
+        return None
+
+    def _fits(self, request: Request, choice: Choice) -> bool:
+        engine = request.service.engine
+        room = engine is not None and choice.running < engine.slots and not choice.full
+        return room and self._ward.admits(request, choice)
 
     def _note(self, run: MovingRun, move: Move, why: str, began: float) -> None:
-        self.ends[f"{move.cause.value}: {why.partition(':')[0]}"] += 1
+        self._metrics.note_move(move.cause.value, why.partition(":")[0])
         self._log.note(
             "run.moved" if why == Phase.STOPPED.value else "run.not_moved",
             request=run.request.demand.request_id,
--- a/src/lotushill/requests/moving_run.py
+++ b/src/lotushill/requests/moving_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from lotushill.moves.move_plan import RunState
@@ -14,6 +15,9 @@
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.request import Request
 
+_FIRST_AGAIN_SECONDS = 0.2
+"""After a handover that came to nothing, within the shortest notice of an upstream."""
+_LONGEST_AGAIN_SECONDS = 1.6
 _LEAST_EVENTS = 8
 """Below it the pauses of the run itself say nothing of its pace."""
 
@@ -26,13 +30,19 @@
         request: Request,
         upstream: Upstream,
         splitter: EventSplitter,
+        copied: bool,
         close_stream: Callable[[], None],
         now: float,
     ) -> None:
-        """Follow a run since its first event; `close_stream` ends its connection."""
+        """Follow a run since its first event; `close_stream` ends its connection.
+
+        `copied` says that a copy of its memory grows elsewhere.
+        """
         self.request = request
         self.upstream = upstream
         self.close_stream = close_stream
+        self._copied = copied
+        self._pause = _FIRST_AGAIN_SECONDS
         self.handover: Handover | None = None
         """The latest one."""
         self.ended = False
@@ -57,9 +67,14 @@
             return False
         return self.handover is None or not self.handover.stops
 
-    def tried(self, not_before: float) -> None:
-        """Note that a handover is tried, and no other one before some moment."""
-        self._not_before = not_before
+    def begin_handover(self) -> None:
+        """Note that a handover is tried."""
+        self._not_before = math.inf
+
+    def end_handover(self, now: float) -> None:
+        """Note that it is over; another one is tried after a pause that grows."""
+        self._not_before = now + self._pause
+        self._pause = min(_LONGEST_AGAIN_SECONDS, 2 * self._pause)
 
     @property
     def tokens(self) -> int:
@@ -87,6 +102,7 @@
             time_left=request.ends - now,
             gap=request.need.gap,
             repeatable=request.route.repeatable,
+            copied=self._copied,
             leaves_in=leaves_in,
             stalled=stalled,
         )
--- a/tests/requests/moving.py
+++ b/tests/requests/moving.py
@@ -71,6 +71,7 @@
         """Crashes after so many events."""
         self.refuses = False
         """Whether it says that it did not run what comes with a handle."""
+        self.step = STEP
         self.holds_streams = False
         """Whether the end of a stream that was stopped does not reach the gateway."""
         self.stands: int | None = None
@@ -131,7 +132,7 @@
                 run.seen.event(run.made)
                 run.made += 1
             await run.seen.writer.drain()
-            await asyncio.sleep(STEP)
+            await asyncio.sleep(self.step)
             if run.seen.reader.at_eof():
                 raise ConnectionResetError
             if run.stopped:
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -323,10 +323,11 @@
             stated,
         )
         budgets = RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1)
+        metrics = Metrics()
         ward = Ward(self.isolation, self.view, self.clock)
         self.mover = Mover(
             EngineMemory(), fleet, placer, shared_load, self.view, ward, self.keeper, budgets,
-            stated.rate, log, self.clock,
+            stated.rate, metrics, log, self.clock,
         )  # fmt: skip
         self.parts = GatewayParts(
             name="gw",
@@ -345,7 +346,7 @@
             budgets=budgets,
             work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
             log=log,
-            metrics=Metrics(),
+            metrics=metrics,
             rng=random.Random(1),
             clock=self.clock,
             suspension=self.suspension,
--- a/tests/requests/test_moves.py
+++ b/tests/requests/test_moves.py
@@ -28,6 +28,9 @@
     from collections.abc import AsyncIterator
 
 WHOLE = b"".join(event(number) for number in range(EVENTS))
+RUNS = 8
+NOTICE = 0.8
+"""Seconds, after which half of the events of a run are still to come."""
 LONG = "Token-Usage: 50,400\r\n"
 """Headers of a request whose run is likely to outlast its upstream."""
 
@@ -298,3 +301,40 @@
                     await asyncio.sleep(0.1)
                 self.assert_clean(site)
                 self.assertEqual({"r1": set()}, site.memory.working)
+
+
+class TestReclaim(unittest.IsolatedAsyncioTestCase):
+    """All that runs on an upstream that ends so shortly after its word that no run is over."""
+
+    async def reclaim(self, moves: bool) -> tuple[list[Got], Site]:
+        async with Site(moves=moves).open() as site:
+            site.source.step = 3 * STEP
+            calls = [
+                asyncio.create_task(site.rig.call(f"r{number}", LONG)) for number in range(RUNS)
+            ]
+            while len(site.source.runs) < RUNS:
+                await asyncio.sleep(STEP)
+            await site.begun()
+            site.leave(NOTICE)
+            await asyncio.sleep(NOTICE)
+            for run in site.source.runs.values():
+                site.memory.working[run.seen.id].discard(site.source.address)
+            await site.source.end()
+            got = await asyncio.gather(*calls)
+            await site.settled()
+            return got, site
+
+    async def test_runs_are_moved_before_it_ends(self) -> None:
+        got, site = await self.reclaim(moves=True)
+        self.assertEqual([WHOLE] * RUNS, [item.body for item in got])
+        self.assertEqual([True] * RUNS, [item.whole for item in got])
+        self.assertEqual([], site.memory.twice)
+        self.assertEqual([], site.memory.left())
+
+    async def test_they_go_to_more_than_one(self) -> None:
+        _, site = await self.reclaim(moves=True)
+        self.assertEqual([True, True], [bool(item.resumed()) for item in site.others])
+
+    async def test_where_they_cannot_be_moved_they_are_cut(self) -> None:
+        got, _ = await self.reclaim(moves=False)
+        self.assertEqual([False] * RUNS, [item.whole for item in got])
