--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -23,6 +23,7 @@
     from lotushill.process.settings import GatewaySettings
     from lotushill.process.side_tasks import SideTasks
     from lotushill.requests.front import Front
+    from lotushill.requests.mover import Mover
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
 
@@ -42,6 +43,7 @@
     fleet: Fleet
     gate: UpstreamGate
     pool: UpstreamPool
+    mover: Mover
     quarantine: FleetQuarantine
     side_tasks: SideTasks
     front: Front
@@ -143,6 +145,7 @@
     gauge("places_promised", "Places promised here so far", lambda: returns.made)
     gauge("returns_placed", "Returns placed here as promised so far", lambda: returns.kept)
     gauge("returns_early", "Asks of returns before their time so far", lambda: returns.early)
+    gauge("moves_under_way", "Handovers of runs now", lambda: gateway.mover.under_way)
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -184,6 +187,7 @@
             f"{group.label} ({group.service})" for group in gateway.quarantine.isolated()
         ],
         "places_kept": len(gateway.fleet.shedding.returns),
+        "moves": gateway.mover.status(),
         "in_progress": gateway.front.in_progress,
         "store_calls": gateway.store.calls,
         "connections_opened": gateway.pool.opened,
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -11,6 +11,15 @@
     from lotushill.routing.upstream import Upstream
 
 
+@dataclass(frozen=True)
+class MovedMemory:
+    """A run's memory that was moved, as its engines name it."""
+
+    source: str
+    """Address (IP:PORT) of the upstream that the run was stopped at."""
+    handle: str
+
+
 @dataclass(frozen=True)
 class Choice:
     """Where a request goes, with the figures that decided it; times are seconds."""
@@ -45,6 +54,8 @@
     """Whether its caller was refused and came back as it was told."""
     continues: bool = False
     """Whether the upstream holds a copy of the run's memory, and goes on from it."""
+    moved: MovedMemory | None = None
+    """Where the memory was moved there, or kept there when the run was stopped."""
 
 
 class Refusal(Enum):
--- a/src/lotushill/platform/configuration.py
+++ b/src/lotushill/platform/configuration.py
@@ -18,8 +18,6 @@
 
 _MS = 1000.0
 _BYTES_A_MEGABIT = 125_000.0
-_BOOT_SECONDS = 5.0
-"""Taken where the platform does not tell how long an engine takes to start."""
 
 
 def parse_table(spec: Any) -> RoutingTable:
@@ -75,13 +73,12 @@
 
 def _scaling(item: dict[str, Any]) -> ScalingProfile:
     price = item.get("spotPrice")
-    prices = item.get("zonePrices") or {}
     return ScalingProfile(
         least=max(0, int(item.get("min") or 0)),
         most=int(item["max"]),
         reclaimable_price=None if price is None else float(price),
-        boot_seconds=float(item.get("bootS") or _BOOT_SECONDS),
-        hall_prices=tuple((str(hall), float(value)) for hall, value in prices.items()),
+        boot_seconds=float(item.get("bootS", ScalingProfile.boot_seconds)),
+        hall_prices=tuple((str(hall), float(v)) for hall, v in item.get("zonePrices", {}).items()),
     )
 
 
--- a/src/lotushill/requests/parts.py
+++ b/src/lotushill/requests/parts.py
@@ -18,6 +18,7 @@
     from lotushill.placement.fleet import Fleet
     from lotushill.process.metrics import Metrics
     from lotushill.process.suspension import SuspensionWatch
+    from lotushill.requests.mover import Mover
     from lotushill.requests.retry_budgets import RetryBudgets
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
@@ -44,6 +45,7 @@
     limits: FleetLimits
     team_limits: TeamLimits
     ward: Ward
+    mover: Mover
     budgets: RetryBudgets
     quarantine: QuarantineKeeper
     work: WorkCounts
--- a/src/lotushill/routing/service.py
+++ b/src/lotushill/routing/service.py
@@ -22,6 +22,11 @@
     backups: bool = False
     """Whether an engine can copy a run's memory to another one while it grows."""
 
+    @property
+    def moves(self) -> bool:
+        """Return whether the memory of a run can be moved to another engine."""
+        return self.link_rate > 0.0
+
 
 @dataclass(frozen=True)
 class ScalingProfile:
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -41,7 +41,9 @@
 from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
 from lotushill.requests.client_protocol import ClientProtocol
+from lotushill.requests.engine_memory import EngineMemory
 from lotushill.requests.front import Front
+from lotushill.requests.mover import Mover
 from lotushill.requests.parts import GatewayParts
 from lotushill.requests.retry_budgets import RetryBudgets
 from lotushill.requests.upstream_gate import UpstreamGate
@@ -74,6 +76,8 @@
 HOST = "a.example"
 KEY = "secret-key"
 TEAM = "bakery"
+LINK_RATE = 1e6
+"""Bytes a second between upstreams that move memory of one byte a token."""
 SIGNED = "Response-Signature: s1\r\n"
 
 
@@ -225,6 +229,7 @@
         slack: float = 100.0,
         backups: bool = False,
         team_priority: int = 1,
+        moves: bool = False,
     ) -> None:
         self.upstreams = upstreams
         self.route = Route(
@@ -232,7 +237,8 @@
             Urgency(2),
             max_attempts, False, resumable,
         )  # fmt: skip
-        profile = EngineProfile(8, 100_000, 1, backups=backups) if engine else None
+        link = LINK_RATE if moves else 0.0
+        profile = EngineProfile(8, 100_000, 1, 1, link, backups) if engine else None
         self.service = Service("s", 50, profile)
         self.configuration = ConfigurationView()
         self.view = UpstreamView()
@@ -308,6 +314,23 @@
             "gw", self.quarantine, groups, self.view, pool.has_ended, self.told.append, log,
             random.Random(3), self.clock,
         )  # fmt: skip
+        placer = Placer(
+            "gw",
+            fleet,
+            shared_load,
+            self.view,
+            random.Random(2),
+            self.clock,
+            BarredUpstreams(rests, self.limits.denials),
+            stated,
+        )
+        budgets = RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1)
+        metrics = Metrics()
+        ward = Ward(self.isolation, self.view, self.clock)
+        self.mover = Mover(
+            EngineMemory(), fleet, placer, shared_load, self.view, ward, self.keeper, budgets,
+            stated.rate, metrics, log, self.clock,
+        )  # fmt: skip
         self.parts = GatewayParts(
             name="gw",
             configuration=self.configuration,
@@ -315,26 +338,18 @@
             settings=self.settings,
             fleet=fleet,
             shared_load=shared_load,
-            placer=Placer(
-                "gw",
-                fleet,
-                shared_load,
-                self.view,
-                random.Random(2),
-                self.clock,
-                BarredUpstreams(rests, self.limits.denials),
-                stated,
-            ),
+            placer=placer,
             pool=pool,
-            ward=Ward(self.isolation, self.view, self.clock),
+            ward=ward,
+            mover=self.mover,
             gate=UpstreamGate(self.view, rests, self.limits, self.leaving.note, log, self.clock),
             limits=self.limits,
             team_limits=TeamLimits(counting, self.limits.client, random.Random(8), self.clock),
             quarantine=self.keeper,
-            budgets=RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1),
+            budgets=budgets,
             work=WorkCounts("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
             log=log,
-            metrics=Metrics(),
+            metrics=metrics,
             rng=random.Random(1),
             clock=self.clock,
             suspension=self.suspension,
--- a/tests/test_directions.py
+++ b/tests/test_directions.py
@@ -12,7 +12,7 @@
     ("clock", "journal", "event_log", "rendezvous", "returns", "routing"),
     ("shares",),
     ("placement",),
-    ("availability", "links", "views", "contracts"),
+    ("availability", "links", "views", "contracts", "moves"),
     ("membership", "quarantine", "platform", "standin"),
     ("process",),
     ("limits", "duties", "following"),
