Views go to peers compressed, once for all who pull

Change: ViewPage carries the text packed (zlib), worked out once for a revision; pages of older processes are taken as before. The test over the untouched exchange needs 4.4 s where 1.5 may be.

--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -25,6 +25,7 @@
   kind @0 :Text;
   revision @1 :Int64;
   text @2 :Text;
+  packed @3 :Data;
 }
 
 struct ModelPull {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -29,7 +29,10 @@
 
     kind: ViewKind
     revision: int
-    text: str
+    text: str = ""
+    """Empty where it is packed."""
+    packed: bytes = b""
+    """The text as `links/packed_text.py` packs it."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/peering/view_exchange.py
+++ b/src/lotushill/peering/view_exchange.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.packed_text import pack
+from lotushill.links.packed_text import unpack
 from lotushill.views.exceptions import MalformedViewError
 
 if TYPE_CHECKING:
@@ -42,6 +45,8 @@
         self._view_text = view_text
         self._on_view = on_view
         self._behind: dict[ViewKind, float] = {}
+        self._packed: dict[ViewKind, tuple[str, bytes]] = {}
+        """The latest text of each view that was sent, and what was sent."""
         self._looked_at = -1
         """Version of the membership when the views of others were last held against the own."""
 
@@ -83,16 +88,26 @@
         """Send the own view to a peer, if it is newer than the peer's."""
         revision, text = self._view_text(pull.kind)
         if revision > pull.revision:
-            self._links.post(peer, ViewPage(pull.kind, revision, text))
+            packed = self._pack(pull.kind, text)
+            self._links.post(peer, ViewPage(pull.kind, revision, packed=packed))
 
     def take(self, page: ViewPage) -> bool:
         """Take a peer's view; return whether it could be read."""
         try:
-            self._on_view(page.kind, page.revision, page.text)
-        except MalformedViewError:
+            text = unpack(page.packed) if page.packed else page.text
+            self._on_view(page.kind, page.revision, text)
+        except (MalformedFrameError, MalformedViewError):
             return False
         return True
 
+    def _pack(self, kind: ViewKind, text: str) -> bytes:
+        """Return a view packed, once for all peers that pull it."""
+        former, packed = self._packed.get(kind, ("", b""))
+        if text != former:
+            packed = pack(text)
+            self._packed[kind] = (text, packed)
+        return packed
+
 
 def _revision(member: MemberState, kind: ViewKind) -> int:
     match kind:
--- /dev/null
+++ b/tests/peering/test_view_exchange.py
@@ -0,0 +1,118 @@
+"""Views handed to peers: a large configuration is in force in a whole hall within its time.
+
+Seen on a fleet of 76 gateways after a change had brought a thousand routes: a hall's reader on a
+host with 10 Mbit/s handed 300 KB to each of 18 others, and eight requests were handled by the
+configuration before, over three seconds after the new one was acknowledged.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.messages import MemberPhase
+from lotushill.links.messages import MemberState
+from lotushill.links.messages import ViewKind
+from lotushill.links.messages import ViewPage
+from lotushill.links.messages import ViewPull
+from lotushill.links.packed_text import pack
+from lotushill.links.packed_text import unpack
+from lotushill.membership.membership import Membership
+from lotushill.membership.membership_options import MembershipOptions
+from lotushill.peering.view_exchange import ViewExchange
+
+MEMBERS = 18
+NARROW_BYTES = 1_250_000.0
+"""Of a link of 10 Mbit/s in a second."""
+IN_FORCE_SECONDS = 3.0
+RNG = random.Random(7)
+
+
+def route(number: int) -> dict[str, object]:
+    name = f"{RNG.getrandbits(32):x}"
+    return {
+        "name": f"r-{name}",
+        "host": f"h{number % 40}.example",
+        "pathPrefix": f"/{RNG.getrandbits(36):x}/",
+        "kind": "stream",
+        "timeoutMs": 5000,
+        "targetLatencyMs": 835,
+        "priority": 1,
+        "service": "lede88a",
+        "maxAttempts": 2,
+        "public": False,
+        "sessionAffinity": True,
+        "streamResume": True,
+        "targetGapMs": 500,
+    }
+
+
+TEXT = json.dumps({"version": 15, "routes": [route(n) for n in range(1100)]})
+
+
+class Links:
+    """Keeps what is posted."""
+
+    def __init__(self) -> None:
+        self.posted: list[ViewPage] = []
+
+    def post(self, peer: str, *messages: ViewPage) -> None:
+        self.posted += messages
+
+
+class TestViewExchange(unittest.TestCase):
+    def setUp(self) -> None:
+        own = MemberState("a", "10.0.0.1:1", "h0", "r", 1, MemberPhase.ALIVE)
+        self.links = Links()
+        self.taken: list[str] = []
+        self.exchange = ViewExchange(
+            Membership(own, (), MembershipOptions(), random.Random(1)),
+            self.links,  # type: ignore[arg-type]
+            random.Random(1),
+            lambda _: (15, TEXT),
+            lambda _kind, _revision, text: self.taken.append(text),
+        )
+
+    def test_a_thousand_routes_reach_a_hall_over_a_narrow_link_in_time(self) -> None:
+        for number in range(MEMBERS):
+            self.exchange.answer(f"m{number}", ViewPull(ViewKind.CONFIGURATION, 11))
+        sent = sum(len(page.packed) + len(page.text) for page in self.links.posted)
+        self.assertEqual(MEMBERS, len(self.links.posted))
+        self.assertLess(sent / NARROW_BYTES, IN_FORCE_SECONDS / 2)
+
+    def test_what_is_sent_is_what_is_taken(self) -> None:
+        self.exchange.answer("m", ViewPull(ViewKind.CONFIGURATION, 11))
+        self.assertTrue(self.exchange.take(self.links.posted[0]))
+        self.assertEqual([TEXT], self.taken)
+
+    def test_a_page_of_an_older_process_is_taken(self) -> None:
+        self.assertTrue(self.exchange.take(ViewPage(ViewKind.CONFIGURATION, 15, "{}")))
+        self.assertEqual(["{}"], self.taken)
+
+    def test_bytes_that_are_no_text_are_not(self) -> None:
+        for packed in (b"x", pack(TEXT)[:-9], pack("a" * 17_000_000)):
+            page = ViewPage(ViewKind.CONFIGURATION, 15, packed=packed)
+            self.assertFalse(self.exchange.take(page))
+        self.assertEqual([], self.taken)
+
+
+class TestPackedText(unittest.TestCase):
+    @given(st.text())
+    def test_every_text_comes_back(self, text: str) -> None:
+        self.assertEqual(text, unpack(pack(text)))
+
+    @given(st.binary(max_size=64))
+    def test_other_bytes_raise_the_one_error(self, data: bytes) -> None:
+        try:
+            unpack(data)
+        except MalformedFrameError:
+            return
+
+
+if __name__ == "__main__":
+    unittest.main()
