Moves: a stream stands still only by its upstream's doing

A client that takes nothing, or a gateway that was held up, made a run look stalled. Streams of runs that cannot go on are no longer given up for a pause; the usual pause comes from this gateway's own streams, since one that places by asking a scheduler does not learn those of the model.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -172,7 +172,6 @@
         ward = Ward(self.quarantine.isolation, self.views.upstreams, clocks.now)
         self.mover = Mover(
             EngineMemory(),
-            self.fleet,
             placer,
             self.shared_load,
             self.views.upstreams,
--- a/src/lotushill/moves/stalls.py
+++ b/src/lotushill/moves/stalls.py
@@ -12,6 +12,7 @@
 _QUANTILE = 0.99
 _STEP = 0.1
 """Share by which a pause over the quantile raises it; it falls by a hundredth of that."""
+_USUAL_WEIGHT = 0.01
 _FIRST_SECONDS = 0.3
 """Taken for a long pause before any was seen."""
 _LEAST_LONG_SECONDS = 0.02
@@ -30,15 +31,22 @@
 
     def __init__(self) -> None:
         self._long: dict[str, float] = {}
+        self._usual: dict[str, float] = {}
 
     def note(self, service: str, pause: float) -> None:
         """Learn from a pause between two events of a stream, in seconds."""
         if not 0.0 < pause < math.inf:
             return
         long = self._long.get(service, _FIRST_SECONDS)
+        usual = self._usual.get(service, pause)
+        self._usual[service] = usual + _USUAL_WEIGHT * (min(long, pause) - usual)
         step = _STEP * (_QUANTILE if pause > long else _QUANTILE - 1.0)
         self._long[service] = max(_LEAST_LONG_SECONDS, long * math.exp(step))
 
+    def usual_pause(self, service: str) -> float | None:
+        """Return the mean pause in seconds, long ones cut, None while none was seen."""
+        return self._usual.get(service)
+
     def long_pause(self, service: str) -> float:
         """Return the pause that one event in a hundred exceeds, in seconds."""
         return self._long.get(service, _FIRST_SECONDS)
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -64,7 +64,8 @@
         self.last_at = 0.0
         self._pauses = AttemptPauses(parts, request, choice.upstream, news)
         engine = request.service.engine
-        self._moves = engine is not None and engine.moves and not _came_back(choice)
+        self._movable = engine is not None and engine.moves
+        """Whether runs of its service can be moved."""
         self._moving: MovingRun | None = None
         """The run once its first event has come, where it can be moved."""
 
@@ -143,7 +144,7 @@
             return AttemptEnd(EndKind.BROKEN, "content-encoding")
         if self._request.route.kind is not RouteKind.STREAM:
             return await self._pass_whole(connection, head)
-        if self._goes_on_elsewhere() or self._moves:
+        if self._has_a_way_on() or self._choice.continues or self._movable:
             return await self._pass_events(connection, head)
         return await self._pass_stream(connection, head)
 
@@ -185,19 +186,21 @@
         await self._answer.finish()
         return AttemptEnd(EndKind.WHOLE)
 
-    def _goes_on_elsewhere(self) -> bool:
+    def _has_a_way_on(self) -> bool:
         """Return whether the stream can go on after its connection to the upstream has ended."""
-        choice = self._choice
-        return self._request.route.resumable or choice.backup is not None or choice.continues
+        return self._request.route.resumable or self._choice.backup is not None
 
     def _patience(self) -> float | None:
-        """Return after which pause the run is given up here, None where it cannot go on."""
-        if not self.first_at or not self._goes_on_elsewhere():
+        """Return after which pause the run is given up here, None where that helps nobody."""
+        if not self.first_at:
             return None
         gap = self._request.route.target_gap
-        if self._moves:
-            return self._parts.mover.stalls.after(self._request.service.name, gap)
-        return latest(gap)
+        if not self._movable:
+            given_up = self._has_a_way_on() or self._choice.continues
+            return latest(gap) if given_up else None
+        if not self._has_a_way_on():
+            return None
+        return self._parts.mover.stalls.after(self._request.service.name, gap)
 
     async def _pass_events(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Pass whole events on, so that another upstream can go on after any of them."""
@@ -209,12 +212,14 @@
             self._follow_run(connection)
             await self._start_chunked(head)
             await self._answer.write(whole)
+            if self._moving is not None:
+                self._moving.note_passed_on(self._clock())
         await self._start_chunked(head)
         await self._answer.finish(self._splitter.partial)
         return AttemptEnd(EndKind.WHOLE)
 
     def _follow_run(self, connection: UpstreamConnection) -> None:
-        if not self._moves:
+        if not self._movable or _came_back(self._choice):
             return
         if self._moving is None:
             self._moving = MovingRun(
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -30,8 +30,10 @@
 """Beyond twice what the copy takes, behind another one, before a call is taken for unanswered."""
 _CLOSING_SECONDS = 0.1
 """A stream that was stopped is closed by its upstream within so long, or else from here."""
-_SETTLE_SECONDS = 1.0
-"""A stream that has ended waits so long for the answer of a call that is under way."""
+_STOP_SECONDS = 1.0
+"""A stream that was stopped waits so long for the answer of the call that stopped it."""
+_COPY_SECONDS = 0.2
+"""One that was cut waits so long for the copy: its source has ended, and calls to it as well."""
 
 
 class Phase(Enum):
@@ -185,7 +187,7 @@
     async def settle(self) -> tuple[HeldMemory, ...]:
         """Return from what the run can go on, the best first, once its stream has ended."""
         try:
-            async with asyncio.timeout(_SETTLE_SECONDS):
+            async with asyncio.timeout(_STOP_SECONDS if self.stops else _COPY_SECONDS):
                 await self._settled.wait()
         except TimeoutError:
             self.why = self.why or "not settled"
@@ -211,4 +213,4 @@
     def leave(self) -> bool:
         """Note that the run has ended or its client has left; return whether to free at once."""
         self._left = True
-        return self._settled.is_set()
+        return self._settled.is_set() and bool(self._handle)
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -29,7 +29,6 @@
     from lotushill.event_log import EventLog
     from lotushill.peering.quarantine_keeper import QuarantineKeeper
     from lotushill.placement.choice import Choice
-    from lotushill.placement.fleet import Fleet
     from lotushill.placement.messages import Placed
     from lotushill.process.metrics import Metrics
     from lotushill.requests.engine_memory import EngineMemory
@@ -43,6 +42,8 @@
 
 _LOOK_SECONDS = 0.25
 """Between two looks at the runs of upstreams that stay."""
+_LAG_SECONDS = 0.3
+"""Between two looks, beyond which this process was held up."""
 _ARRIVED_SECONDS = 0.3
 """After a handover: by then the run itself is counted in at its target."""
 _MOST_TARGETS = 2
@@ -55,7 +56,6 @@
     def __init__(
         self,
         memory: EngineMemory,
-        fleet: Fleet,
         placer: Placer,
         shared_load: SharedLoad,
         upstreams: UpstreamView,
@@ -69,7 +69,6 @@
     ) -> None:
         """Move with `memory`; `rate` tells what an upstream takes from all gateways."""
         self._memory = memory
-        self._fleet = fleet
         self._placer = placer
         self._shared_load = shared_load
         self._upstreams = upstreams
@@ -85,6 +84,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._links = MoveLinks()
         self._looked = float("-inf")
+        self._ticked = float("-inf")
+        self._sound_at = float("-inf")
+        """Until then no stream is taken to stand still, since this process did."""
         self.notices = Notices()
         self.stalls = Stalls()
 
@@ -135,9 +137,13 @@
 
     def look(self) -> None:
         """Start the handovers that are worth making now."""
+        now = self._clock()
+        if now - self._ticked > _LAG_SECONDS:
+            # What has come meanwhile has yet to be read.
+            self._sound_at = now + _LAG_SECONDS
+        self._ticked = now
         if not self._runs:
             return
-        now = self._clock()
         everywhere = now - self._looked >= _LOOK_SECONDS
         if everywhere:
             self._looked = now
@@ -165,8 +171,9 @@
         if engine is None or not run.may_move(now):
             return None
         service = run.request.service.name
-        stalled = run.silent(now) >= self.stalls.after(service, run.request.need.gap)
-        usual = self._fleet.pace(service).pauses.quiet.at(engine.slots)
+        patience = self.stalls.after(service, run.request.need.gap)
+        stalled = now >= self._sound_at and run.stands_still(now, patience)
+        usual = self.stalls.usual_pause(service)
         move = plan_move(run.state(now, usual, leaves_in, stalled), engine)
         if move is None or not self._quarantine.may_be_sent_on(run.request):
             return None
--- a/src/lotushill/requests/moving_run.py
+++ b/src/lotushill/requests/moving_run.py
@@ -51,15 +51,23 @@
         self._first_events = splitter.events
         self._first_at = now
         self._last_at = now
+        self._waits_since = math.inf
         self._not_before = now
 
     def note_event(self, now: float) -> None:
-        """Note that events have come."""
+        """Note that events have come, which its client has yet to take."""
         self._last_at = now
+        self._waits_since = math.inf
 
-    def silent(self, now: float) -> float:
-        """Return for how many seconds no event has come."""
-        return now - self._last_at
+    def note_passed_on(self, now: float) -> None:
+        """Note that its client has taken all events, so that a pause is its upstream's."""
+        self._waits_since = now
+
+    def stands_still(self, now: float, patience: float) -> bool:
+        """Return whether nothing has come for so long, and moving it is the only way on."""
+        if self._copied or self.request.route.resumable:
+            return False
+        return now - self._waits_since >= patience
 
     def may_move(self, now: float) -> bool:
         """Return whether a handover can be tried now: one at a time, each a while apart."""
@@ -87,18 +95,20 @@
         return max(1, engine.tokens_per_event) if engine else 1
 
     def state(
-        self, now: float, usual_pause: float, leaves_in: float | None, stalled: bool
+        self, now: float, usual_pause: float | None, leaves_in: float | None, stalled: bool
     ) -> RunState:
         """Return what decides whether it is moved."""
         request = self.request
         events = self._splitter.events - self._first_events
-        paused = (self._last_at - self._first_at) / events if events else 0.0
+        pause = usual_pause
+        if events >= _LEAST_EVENTS or pause is None:
+            pause = (self._last_at - self._first_at) / max(1, events)
         return RunState(
             tokens=self.tokens,
             made=self._splitter.events,
             expected=request.need.output_tokens / self._stride,
-            pause=paused if events >= _LEAST_EVENTS else usual_pause,
-            usual_pause=usual_pause,
+            pause=pause,
+            usual_pause=pause if usual_pause is None else usual_pause,
             time_left=request.ends - now,
             gap=request.need.gap,
             repeatable=request.route.repeatable,
--- a/tests/moves/test_stalls.py
+++ b/tests/moves/test_stalls.py
@@ -39,6 +39,14 @@
             stalls.note("s", pause)
         self.assertEqual(0, taken_for_stopped)
 
+    def test_a_usual_pause_is_known_from_the_first_on_and_little_moved_by_long_ones(self) -> None:
+        stalls = Stalls()
+        self.assertIsNone(stalls.usual_pause("s"))
+        for _ in range(100):
+            stalls.note("s", 0.05)
+        stalls.note("s", 30.0)
+        self.assertAlmostEqual(0.05, stalls.usual_pause("s") or 0.0, delta=0.01)
+
     def test_it_is_bounded_and_nonsense_teaches_nothing(self) -> None:
         stalls = Stalls()
         before = stalls.long_pause("s")
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -326,7 +326,7 @@
         metrics = Metrics()
         ward = Ward(self.isolation, self.view, self.clock)
         self.mover = Mover(
-            EngineMemory(), fleet, placer, shared_load, self.view, ward, self.keeper, budgets,
+            EngineMemory(), placer, shared_load, self.view, ward, self.keeper, budgets,
             stated.rate, metrics, log, self.clock,
         )  # fmt: skip
         self.parts = GatewayParts(
--- a/tests/requests/test_moves.py
+++ b/tests/requests/test_moves.py
@@ -20,6 +20,7 @@
 from tests.requests.moving import MovingUpstream
 from tests.requests.rig import Got
 from tests.requests.rig import Rig
+from tests.requests.rig import Seen
 from tests.requests.rig import event
 from tests.requests.rig import request_bytes
 from tests.requests.test_rest import prefer
@@ -268,6 +269,37 @@
         self.assert_whole(got, site)
         self.assertEqual(0, site.resumed())
 
+    async def test_a_client_that_takes_nothing_makes_no_run_stand_still(self) -> None:
+        async with Site().open() as site:
+            big = b"data: " + b"x" * 4_000_000 + b"\n\n"
+
+            async def serve(seen: Seen) -> None:
+                seen.start_events()
+                seen.event(0)
+                for _ in range(4):
+                    seen.chunk(big)
+                await seen.writer.drain()
+                await asyncio.sleep(1.5)
+                seen.end_events()
+
+            site.source.scripts = [serve]
+            reader, writer = await site.rig.connect()
+            writer.write(request_bytes("r1", LONG))
+            await reader.readuntil(b"piece-0")
+            await asyncio.sleep(1.2)
+            writer.transport.abort()
+        self.assertEqual([], site.source.calls)
+        self.assertEqual([], [seen.line for seen in site.source.seen if "/kv-" in seen.line])
+
+    async def test_a_process_that_stood_still_itself_moves_nothing_for_that(self) -> None:
+        async with Site().open() as site:
+            calling = asyncio.create_task(site.call(leaves=False))
+            await site.begun()
+            site.rig.suspended += 1.0
+            got = await calling
+        self.assert_whole(got, site)
+        self.assertEqual([], site.source.calls)
+
     async def test_a_stream_whose_end_is_never_seen_is_ended_once_its_run_has_stopped(self) -> None:
         async with Site().open() as site:
             site.source.holds_streams = True
