Operators see which teams are over their share, and why a request was refused

Cause: a refusal for a share told no figures, and status nothing of teams. Change: a refusal tells its team's standing beside the others (placement.none, explain, over the wire as PlacementAnswer.standing); status lists teams that others go before; gauges teams_over_share and team_limit_held_back.

--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -77,7 +77,7 @@
             f"{len(rows) - len(silent)} of {len(rows)} gateways answer"
             + (", all with the same in force" if agree else "")
         ]
-        lines += duty_lines(rows) + limit_lines(rows)
+        lines += duty_lines(rows) + limit_lines(rows) + share_lines(rows)
         lines += [_status_line(item, rows[item.name]) for item in gateways]
         return Result("\n".join(lines), rows, EXIT_OK if agree else EXIT_FAILED)
 
@@ -156,6 +156,20 @@
     ]
 
 
+def share_lines(rows: Mapping[str, dict[str, Any] | None]) -> list[str]:
+    """Return the teams that have had more than their share, and what most gateways see of it."""
+    seen: dict[tuple[str, int, str], list[float]] = {}
+    for row in rows.values():
+        for item in row.get("over_share", ()) if row else ():
+            key = (item["service"], item["tier"], item["team"])
+            seen.setdefault(key, []).append(item["times"])
+    return [
+        f"share: {team or 'no team'} has had up to {max(times):.1f} times the mean of the other "
+        f"teams of {service}, tier {tier}, as {len(times)} gateways see"
+        for (service, tier, team), times in sorted(seen.items())
+    ]
+
+
 def _status_line(gateway: Gateway, status: dict[str, Any] | None) -> str:
     if status is None:
         return f"{gateway.name} ({gateway.hall}): no answer"
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from lotushill import clock as clocks
+from lotushill.routing.team import team_number
 
 if TYPE_CHECKING:
     from lotushill.availability.rests import Rests
@@ -16,7 +17,9 @@
     from lotushill.gateway.fleet_quarantine import FleetQuarantine
     from lotushill.gateway.store_views import StoreViews
     from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.limits.team_limits import TeamLimits
     from lotushill.peering.peers import Peers
+    from lotushill.placement.fleet import Fleet
     from lotushill.platform.object_store import ObjectStore
     from lotushill.process.metrics import Metrics
     from lotushill.process.settings import GatewaySettings
@@ -38,6 +41,8 @@
     peers: Peers
     rests: Rests
     limits: FleetLimits
+    team_limits: TeamLimits
+    fleet: Fleet
     gate: UpstreamGate
     pool: UpstreamPool
     quarantine: FleetQuarantine
@@ -136,6 +141,16 @@
         "Limits that could not be read so far",
         lambda: gateway.gate.unreadable_limits,
     )
+    gauge(
+        "teams_over_share",
+        "Teams that others go before where a service has too little room, by service and tier",
+        lambda: len(gateway.fleet.shares.ahead(clocks.now())),
+    )
+    gauge(
+        "team_limit_held_back",
+        "Times that a request was kept back by the limit of its team, so far",
+        lambda: gateway.team_limits.held_back,
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -163,6 +178,7 @@
             "resting": sorted(gateway.rests.barred(clocks.now())),
             "limited": gateway.limits.stated.limited(),
         },
+        "over_share": _over_share(gateway),
         "settings": {
             "revision": gateway.views.settings.revision,
             "in_force": gateway.views.settings.fingerprint,
@@ -184,5 +200,15 @@
     }
 
 
+def _over_share(gateway: Reported) -> list[dict[str, object]]:
+    """Return the teams that others go before while a service has too little room."""
+    table = gateway.views.configuration.table
+    names = {team_number(item.name): item.name for item in table.teams} if table else {}
+    return [
+        {**asdict(item), "team": names.get(item.team, str(item.team))}
+        for item in gateway.fleet.shares.ahead(clocks.now())
+    ]
+
+
 def _member(member: Any) -> dict[str, object]:
     return {"name": member.name, "hall": member.hall, "phase": member.phase.value}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -80,6 +80,7 @@
   backup @18 :Text;
   usualPrompt @19 :Float32;
   longestPrompt @20 :Float32;
+  standing @21 :Float32;
 }
 
 struct Ping {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -120,6 +120,7 @@
     backup: str = ""
     usual_prompt: float = 0.0
     longest_prompt: float = 0.0
+    standing: float = 0.0
 
 
 UNREADY = "unready"
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -80,3 +80,5 @@
     """Prompt tokens that are usual on its route."""
     longest_prompt: float = 0.0
     """The same of the route of its service with the longest prompts."""
+    standing: float = 0.0
+    """What its team has had, times the mean of the others; told where that is the reason."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -8,6 +8,7 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import replace
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
@@ -216,7 +217,7 @@
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
         kept = self._keeps_slots_from(need, service, reachable, now)
         if kept is not None:
-            return self.shedding.refuse_for_others(need, kept)
+            return self._explained(self.shedding.refuse_for_others(need, kept), need, now)
         weighed = shortlist(need, reachable or candidates)
         cut = frozenset(hall for hall in {item.hall for item in weighed} if self._is_cut_off(hall))
         weigher = self._weigher(need, service, reachable, known, cut, now)
@@ -227,7 +228,7 @@
         if refused is not None:
             return refused
         if self._gives_way(need, service, choices, now):
-            return self.shedding.refuse_for_teams(need, choices)
+            return self._explained(self.shedding.refuse_for_teams(need, choices), need, now)
         # What waits for a slot keeps it from more urgent ones that come later: engines let them in
         # first, but do not take a slot away.
         open_ones = [choice for choice in choices if not choice.full]
@@ -267,6 +268,12 @@
             return False
         return self.shares.over_share(need, now) and not self.shedding.must_serve(need, now)
 
+    def _explained(self, refused: NoChoice, need: Need, now: float) -> NoChoice:
+        """Return a refusal with the standing of the team, where that is its reason."""
+        if refused.refusal is not Refusal.SHARE:
+            return refused
+        return replace(refused, standing=self.shares.beside_others(need, now))
+
     def backup(
         self,
         need: Need,
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -126,5 +126,8 @@
             first_ms=round(found.first * 1000, 1),
             usual_prompt=round(found.usual_prompt),
             longest_prompt=round(found.longest_prompt),
+            team=request.team,
+            share=request.need.share,
+            standing=round(found.standing, 2),
             waited_ms=round((self._clock() - request.arrived) * 1000, 1),
         )
--- a/src/lotushill/scheduling/desk.py
+++ b/src/lotushill/scheduling/desk.py
@@ -78,6 +78,7 @@
             first=found.first,
             usual_prompt=found.usual_prompt,
             longest_prompt=found.longest_prompt,
+            standing=found.standing,
         )
 
     def _chosen(self, ask: PlacementAsk, choice: Choice, memory: int) -> PlacementAnswer:
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -255,4 +255,5 @@
         answer.first,
         answer.usual_prompt,
         answer.longest_prompt,
+        answer.standing,
     )
--- a/src/lotushill/shares/ledger.py
+++ b/src/lotushill/shares/ledger.py
@@ -110,6 +110,14 @@
             if team != key.team:
                 yield account
 
+    def account_keys(self) -> list[AccountKey]:
+        """Return the keys of all accounts."""
+        return [
+            AccountKey(service, tier, team)
+            for (service, tier), teams in self._accounts.items()
+            for team in teams
+        ]
+
     def of_team(self, service: str, team: int) -> Iterator[Account]:
         """Yield the accounts of one team in all tiers of a service."""
         for (name, _), teams in self._accounts.items():
--- a/src/lotushill/shares/shares.py
+++ b/src/lotushill/shares/shares.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -22,6 +23,8 @@
 from lotushill.shares.work import predicted_work
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lotushill.routing.service import Service
     from lotushill.shares.ledger import Account
     from lotushill.shares.work import Placed
@@ -33,6 +36,8 @@
 that are nearly even have nothing to be protected from, and are served in the order in which they
 ask: with some ten requests of each in a sum, even teams differ by a third."""
 _LEAST_SHARE = 1e-3
+_MOST_TIMES = 1000.0
+"""Told of a team beside others that have had nothing."""
 
 
 class Asked(Protocol):
@@ -55,6 +60,18 @@
         """Weight of its team."""
 
 
+@dataclass(frozen=True)
+class Ahead:
+    """A team that others of its tier go before while a service has too little room."""
+
+    service: str
+    tier: int
+    team: int
+    """Its number."""
+    times: float
+    """Its standing, times the mean of the others."""
+
+
 class Shares:
     """What teams have had, and who has had too much of it."""
 
@@ -87,7 +104,25 @@
 
         True for a team near or over its share that has clearly had more than others that ask.
         """
-        key = _key(need)
+        return self._is_ahead(_key(need), now)
+
+    def beside_others(self, need: Asked, now: float) -> float:
+        """Return a team's standing times the mean of the others that ask, 0 where none does."""
+        return self._times(_key(need), now)
+
+    def ahead(self, now: float) -> list[Ahead]:
+        """Return all teams that others go before while room is short."""
+        return [
+            Ahead(key.service, key.tier, key.team, self._times(key, now))
+            for key in self._ledger.account_keys()
+            if self._is_ahead(key, now)
+        ]
+
+    def forget(self, now: float) -> None:
+        """Drop what is known of teams that ask no more."""
+        self._ledger.forget(now)
+
+    def _is_ahead(self, key: AccountKey, now: float) -> bool:
         own, others = self._ledger.account(key), list(self._ledger.others(key))
         standing = own.standing(now)
         if standing < _MORE * _mean_standing(others, now) or not standing:
@@ -96,12 +131,12 @@
         # With `level` for everybody, less could be taken from others than this team lacks to it.
         return _above(others, level, now) <= level * own.share - own.work(now)
 
-    def forget(self, now: float) -> None:
-        """Drop what is known of teams that ask no more."""
-        self._ledger.forget(now)
+    def _times(self, key: AccountKey, now: float) -> float:
+        mean = _mean_standing(self._ledger.others(key), now)
+        return self._ledger.account(key).standing(now) / mean if mean > 0.0 else _MOST_TIMES
 
 
-def _mean_standing(accounts: list[Account], now: float) -> float:
+def _mean_standing(accounts: Iterable[Account], now: float) -> float:
     """Return the mean standing of teams that ask, weighted by share; endless without any."""
     asking = [item for item in accounts if item.asks(now)]
     if not asking:
@@ -109,7 +144,7 @@
     return sum(item.work(now) for item in asking) / sum(item.share for item in asking)
 
 
-def _above(accounts: list[Account], level: float, now: float) -> float:
+def _above(accounts: Iterable[Account], level: float, now: float) -> float:
     """Return the work that teams have had over a level, beside their weights."""
     return sum(max(0.0, item.work(now) - level * item.share) for item in accounts)
 
--- a/tests/console/test_fleet_commands.py
+++ b/tests/console/test_fleet_commands.py
@@ -5,6 +5,7 @@
 
 from lotushill.console.fleet_commands import duty_lines
 from lotushill.console.fleet_commands import limit_lines
+from lotushill.console.fleet_commands import share_lines
 
 HELD: dict[str, Any] = {
     "holder": "gw-1",
@@ -52,3 +53,23 @@
 
     def test_without_limits_nothing_is_told(self) -> None:
         self.assertEqual([], limit_lines({"a": {"upstreams": {}}, "silent": None}))
+
+
+class TestShareLines(unittest.TestCase):
+    def test_a_team_over_its_share_is_told_once(self) -> None:
+        def row(times: float) -> dict[str, Any]:
+            return {"over_share": [{"service": "llm", "tier": 1, "team": "bakery", "times": times}]}
+
+        rows: dict[str, dict[str, Any] | None] = {
+            "a": row(2.0),
+            "b": row(3.5),
+            "c": {"over_share": []},
+            "silent": None,
+        }
+        self.assertEqual(
+            [
+                "share: bakery has had up to 3.5 times the mean of the other teams of llm, tier 1, "
+                "as 2 gateways see"
+            ],
+            share_lines(rows),
+        )
--- a/tests/shares/test_shares.py
+++ b/tests/shares/test_shares.py
@@ -74,6 +74,14 @@
         self.shares.note_ask(Ask("some"), 0.0)
         self.assertTrue(self.over("much"))
 
+    def test_operators_are_told_who_is_ahead_and_by_how_much(self) -> None:
+        self.run_for("much", 10)
+        self.run_for("some", 2)
+        (found,) = self.shares.ahead(0.0)
+        self.assertEqual(("llm", 0, team_number("much")), (found.service, found.tier, found.team))
+        self.assertAlmostEqual(5.0, found.times)
+        self.assertAlmostEqual(5.0, self.shares.beside_others(Ask("much"), 0.0))
+
     def test_but_not_to_teams_that_ask_no_more(self) -> None:
         self.run_for("much", 10)
         self.run_for("some", 2)
