--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -32,6 +32,8 @@
 _LEAVING_NEWS = "tests.peering.test_leaving_keeper.TestLeavingKeeper"
 _LIMIT = "tests.requests.test_limit.TestOneGateway"
 _LIMITS = "tests.load.limits.test_emulated_fleet"
+_TEAMS = "tests.load.policy.test_teams"
+_TEAM_LIMITS = "tests.limits.test_team_limits.TestTeamLimits"
 _WARD = "tests.requests.test_ward.TestWard"
 
 
@@ -282,6 +284,27 @@
             ),
         ),
     ),
+    Promise(
+        "A team that asks for more than its share of too little room takes none of the others' part.",
+        "Starved",
+        (
+            Case(
+                "one team at eight times its usual, at and beyond what engines bear",
+                (
+                    f"{_TEAMS}.TestTeamAtEightTimes.test_beside_what_the_engines_bear",
+                    f"{_TEAMS}.TestTeamAtEightTimes.test_beside_twice_as_much",
+                    f"{_TEAMS}.TestTiers.test_no_urgent_request_is_put_behind_for_a_share",
+                ),
+            ),
+            Case(
+                "its limit: gateways are killed, frozen, cut off, join, restart, or disagree",
+                (
+                    f"{_TEAM_LIMITS}.test_kills_cuts_freezes_and_joins_do_not_break_it",
+                    f"{_TEAM_LIMITS}.test_while_two_are_held_for_the_counting_one_it_is_at_most_doubled",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "An upstream that names a limit gets no more from all gateways together.",
         "LIMIT",
