--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -82,6 +82,7 @@
   usualPrompt @19 :Float32;
   longestPrompt @20 :Float32;
   returned @21 :Bool;
+  standing @22 :Float32;
 }
 
 struct Ping {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -124,6 +124,7 @@
     usual_prompt: float = 0.0
     longest_prompt: float = 0.0
     returned: bool = False
+    standing: float = 0.0
 
 
 UNREADY = "unready"
