--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -159,6 +159,11 @@
         "Times that a request was kept back by the limit of its team, so far",
         lambda: gateway.team_limits.held_back,
     )
+    gauge(
+        "waiting_for_start",
+        "Requests that wait until this gateway is ready",
+        lambda: gateway.front.waiting,
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -119,6 +119,12 @@
     teams: tuple[Team, ...] = ()
     """None: requests name no team."""
     team_bursts: tuple[TeamBurst, ...] = ()
+    unheard: float = 0.0
+    """Seconds from the start in which schedulers hear nothing of one another."""
+    drawn: bool = True
+    """Whether they draw upstreams meanwhile, in place of choosing by what they run themselves."""
+    old_work: float = 0.0
+    """Share of the slots that hold requests at the start which no scheduler knows."""
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
@@ -146,5 +152,8 @@
         limits=tuple(Limit(**item) for item in value.get("limits", ())),
         teams=tuple(Team(**item) for item in value.get("teams", ())),
         team_bursts=tuple(TeamBurst(**item) for item in value.get("team_bursts", ())),
+        unheard=float(value.get("unheard", 0.0)),
+        drawn=bool(value.get("drawn", True)),
+        old_work=float(value.get("old_work", 0.0)),
         variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
     )
--- a/tests/test_directions.py
+++ b/tests/test_directions.py
@@ -11,7 +11,7 @@
 LAYERS = (
     ("clock", "journal", "event_log", "rendezvous", "returns", "routing"),
     ("shares",),
-    ("placement",),
+    ("placement", "starting"),
     ("availability", "links", "views", "contracts", "moves"),
     ("membership", "quarantine", "platform", "standin"),
     ("process",),
