Holds requests that find no room where they can be reordered

What came while all engines were full was sent to the queue of an engine, where nobody could reorder it; eight schedulers filled these queues until engines turned away whatever came, the most urgent included, while longer ones stood in them and began later. A scheduler now sends an engine what it has a slot for and holds the rest: by tier, those that can be in time first, then shares, returns and wait. Freed slots go round among the schedulers that hold requests; a long one is given up as soon as it cannot be in time, a short one when its client would leave. Large prompts that begin late are remembered from when they begin, and not only from when they were sent.

Gateways ask for what waits each 0.2 s; a silent holder is passed over with the time waited kept. A small fleet waits by the own model. The replay uses the same code.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -330,14 +330,14 @@
     Break(
         "an answer that comes too late is given up",
         "scheduling/placement_client.py",
-        "        elif answer.upstream:",
+        "        elif answer.upstream and answer.request not in self._taken:",
         "        elif False:",
         "tests.scheduling.test_placement_client",
     ),
     Break(
         "a silent scheduler is passed over",
         "scheduling/placement_client.py",
-        "self._schedulers.note_silent(scheduler, self._clock())",
+        "self._schedulers.note_silent(scheduler.name, self._clock())",
         "pass",
         "tests.scheduling.test_placement_client",
     ),
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -51,8 +51,11 @@
 from lotushill.requests.ward import Ward
 from lotushill.routing.limits import ClientLimits
 from lotushill.scheduling.desk import PlacementDesk
+from lotushill.scheduling.line_keeper import LineKeeper
 from lotushill.scheduling.placer import Placer
 from lotushill.scheduling.shared_load import SharedLoad
+from lotushill.waiting.line import WaitingLine
+from lotushill.waiting.turns import Rivals
 
 if TYPE_CHECKING:
     import asyncio
@@ -126,6 +129,15 @@
             rng,
             clocks.now,
         )
+        self.waiting = LineKeeper(
+            settings.name,
+            WaitingLine(self.fleet, Rivals(settings.name)),
+            self._service_named,
+            self.views.upstreams.of,
+            self.peers.tell_schedulers,
+            clocks.now,
+            self.log,
+        )
         self.desk = PlacementDesk(
             settings.name,
             self.fleet,
@@ -134,6 +146,8 @@
             self.views.upstreams.of,
             self.peers.model_sync.ready,
             stated,
+            self.waiting,
+            self.peers.send_to,
         )
         placer = Placer(
             settings.name,
@@ -146,6 +160,7 @@
             stated,
             self.peers.schedulers,
             self.peers.client,
+            self.waiting,
         )
         self.pool = UpstreamPool(request_head.answered_id, self._most_idle)
         self.quarantine = FleetQuarantine(
@@ -233,6 +248,7 @@
         group.start_soon(self.peers.run, group)
         self._following = self.views.tasks()
         group.start_soon(self.side_tasks.run, "registration", self.registration.run)
+        group.start_soon(self.side_tasks.run, "waiting line", self.waiting.run)
         group.start_soon(self.side_tasks.run, "sweep", self._sweep)
         group.start_soon(self.side_tasks.run, "quarantine", self.quarantine.keeper.run)
         group.start_soon(self.side_tasks.run, "holds", self.quarantine.store_for_ever)
@@ -257,6 +273,7 @@
             self.fleet.forget(known, clocks.now())
             self.rests.forget(known, clocks.now())
             self.limits.forget(known)
+            self.waiting.line.turns.forget(known)
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
@@ -318,7 +335,7 @@
             upstream_id=self.views.upstreams.id_of,
             on_load=lambda load: self.shared_load.receive(load),
             everything=lambda: self.shared_load.everything(),
-            on_gone=lambda name: self.shared_load.drop_sender(name),
+            on_gone=self._on_gone,
             answer=lambda ask, now: self.desk.answer(ask, now),
             on_late=lambda request: self.shared_load.give_up(request),
             on_work_pull=self.duties.pages,
@@ -329,8 +346,13 @@
             on_permit_ask=lambda ask: self.limits.answer(ask),
             on_permit_answer=lambda answer: self.limits.client.receive(answer),
             on_tick=self._on_tick,
+            on_waiting=lambda news: self.waiting.receive(news),
         )
 
+    def _on_gone(self, name: str) -> None:
+        self.shared_load.drop_sender(name)
+        self.waiting.drop_asker(name)
+
     def _on_tick(self) -> None:
         self.suspension.look()
         self.leaving.tell_due()
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -30,6 +30,7 @@
 from lotushill.links.messages import RosterPull
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
 from lotushill.links.quarantine_messages import ClearedNews
@@ -56,6 +57,7 @@
     | LimitNews
     | PermitAsk
     | PermitAnswer
+    | WaitingNews
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -204,6 +206,7 @@
     LimitNews,
     PermitAsk,
     PermitAnswer,
+    WaitingNews,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _KINDS}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -56,6 +56,8 @@
   share @17 :Float32;
   waited @18 :Float32;
   caller @19 :UInt64;
+  waits @20 :Bool;
+  leaves @21 :Bool;
 }
 
 struct PlacementAnswer {
@@ -80,6 +82,14 @@
   backup @18 :Text;
   usualPrompt @19 :Float32;
   longestPrompt @20 :Float32;
+  final @21 :Bool;
+}
+
+struct WaitingNews {
+  sender @0 :Text;
+  service @1 :Text;
+  tiers @2 :List(UInt8);
+  counts @3 :List(UInt32);
 }
 
 struct Ping {
@@ -229,5 +239,6 @@
     limitnews @16 :LimitNews;
     permitask @17 :PermitAsk;
     permitanswer @18 :PermitAnswer;
+    waitingnews @19 :WaitingNews;
   }
 }
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -92,6 +92,11 @@
     """Since the request came to its gateway."""
     caller: int = 0
     """Number of what stays the same when the request is sent again."""
+    waits: bool = False
+    """Whether the asker waits for room where the answer says `HELD`; asked again, with the same
+    number, the request keeps its place."""
+    leaves: bool = False
+    """Whether the request waits no longer, so that nothing is to be placed."""
 
 
 @dataclass(frozen=True)
@@ -120,9 +125,24 @@
     backup: str = ""
     usual_prompt: float = 0.0
     longest_prompt: float = 0.0
+    final: bool = False
+    """Whether a refused request would also wait in vain."""
 
 
 UNREADY = "unready"
+HELD = "held"
+"""In place of a refusal: the request waits there, and is to be asked for again after `retry_after`
+seconds; another answer comes as soon as there is room."""
+
+
+@dataclass(frozen=True)
+class WaitingNews:
+    """How many requests of each tier wait for a service at a scheduler."""
+
+    sender: str
+    service: str
+    tiers: tuple[int, ...]
+    counts: tuple[int, ...]
 
 
 class MemberPhase(Enum):
--- a/src/lotushill/load/policy/client.py
+++ b/src/lotushill/load/policy/client.py
@@ -34,5 +34,7 @@
     sent_at: float = 0.0
     over: bool = False
     excluded: frozenset[str] = frozenset()
+    key: int = 0
+    """Of the request in line, the same for all its tries."""
     rejected: int = 0
     """Engines that have turned this try away."""
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -8,11 +8,13 @@
 import random
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.availability.patience import limited_retry
 from lotushill.availability.patience import rest_pause
 from lotushill.availability.rests import Rests
+from lotushill.availability.retry_budget import RetryBudget
 from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.stated_limits import StatedLimits
 from lotushill.availability.stated_limits import Word
@@ -38,10 +40,14 @@
 from lotushill.placement.messages import Outcome
 from lotushill.placement.messages import Paced
 from lotushill.placement.placed import placed
-from lotushill.availability.retry_budget import RetryBudget
 from lotushill.routing.service import EngineProfile
 from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
+from lotushill.waiting.entry import Held
+from lotushill.waiting.entry import Waiting
+from lotushill.waiting.line import WaitingLine
+from lotushill.waiting.turns import NEWS_SECONDS as WAITING_NEWS_SECONDS
+from lotushill.waiting.turns import Rivals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,6 +67,8 @@
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits at a gateway before it is refused."""
 _POLL_SECONDS = 0.03
+_LOOK_SECONDS = 0.01
+"""Between two looks at the line of a scheduler."""
 _MOST_UNSENT = 4
 _MOST_REJECTED = 3
 _RETRY_RATIO = 0.2
@@ -117,6 +125,8 @@
         self._busy = [False] * scenario.engines
         self._up = [True] * scenario.engines
         self._listed = [True] * scenario.engines
+        self._losses = [0] * scenario.engines
+        """For how many reasons an engine is away now."""
         self._rest_asked = [0.0] * scenario.engines
         """Seconds of rest that an engine asks for while it turns all away, 0 while it does not."""
         self._rests = [Rests() for _ in range(scenario.schedulers)]
@@ -130,6 +140,9 @@
             RetryBudget(_RETRY_RATIO, _RETRY_SLACK, _RETRY_WINDOW_SECONDS) for _ in self.fleets
         ]
         self._alive = list(range(scenario.schedulers))
+        self.lines = [WaitingLine(fleet, Rivals(str(n))) for n, fleet in enumerate(self.fleets)]
+        self._in_line: dict[int, Client] = {}
+        self._watched = [False] * scenario.schedulers
         self._clients: dict[int, Client] = {}
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
@@ -175,6 +188,7 @@
         client = self._arrivals.draw(kind, self.now)
         client.scheduler = self._alive[client.scheduler % len(self._alive)]
         self._all.append(client)
+        client.key = len(self._all)
         for tally in (self.tallies[kind.name], self._window(client)):
             tally.asked += 1
             tally.owed += client.worth * kind.worth
@@ -196,13 +210,61 @@
         if isinstance(found, Choice):
             self._admit(client, found)
             return
+        if isinstance(found, Held):
+            self._wait_in_line(client, found)
+            return
         pause = self._pause(client, found)
         if pause is not None:
             self._at(self.now + pause, lambda: self._place(client))
             return
         self._refuse(client, found)
 
-    def _choose(self, client: Client) -> Choice | NoChoice:
+    def _wait_in_line(self, client: Client, held: Held) -> None:
+        """Have a request asked for again while it waits, as its gateway does."""
+        self._in_line[client.key] = client
+        scheduler, waiting_since = client.scheduler, client.waited_since
+
+        def renew() -> None:
+            same = (client.scheduler, client.waited_since) == (scheduler, waiting_since)
+            if same and self._in_line.get(client.key) is client:
+                del self._in_line[client.key]
+                self._place(client)
+
+        self._at(self.now + held.renew, renew)
+        if not self._watched[scheduler]:
+            self._watched[scheduler] = True
+            self._at(self.now + _LOOK_SECONDS, lambda: self._look(scheduler))
+            self._tell_line(scheduler)
+
+    def _look(self, scheduler: int) -> None:
+        """Place or refuse what is due in the line of a scheduler."""
+        known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
+        line = self.lines[scheduler]
+        for entry, found in line.due(self.service, known, self.now):
+            client = self._in_line.pop(entry.key)
+            if isinstance(found, Choice):
+                self._admit(client, found)
+            else:
+                self._refuse(client, found)
+        if len(line.room):
+            self._at(self.now + _LOOK_SECONDS, lambda: self._look(scheduler))
+        else:
+            self._watched[scheduler] = False
+
+    def _tell_line(self, scheduler: int) -> None:
+        """Tell the other schedulers how many wait, until none does."""
+        tiers = self.lines[scheduler].room.tiers("llm")
+
+        def hear() -> None:
+            for number, line in enumerate(self.lines):
+                if number != scheduler:
+                    line.rivals.note(str(scheduler), "llm", tiers, self.now)
+
+        self._at(self.now + _NEWS_SECONDS, hear)
+        if self._watched[scheduler]:
+            self._at(self.now + WAITING_NEWS_SECONDS, lambda: self._tell_line(scheduler))
+
+    def _choose(self, client: Client) -> Choice | NoChoice | Held:
         rests, denials = self._rests[client.scheduler], self._denials[client.scheduler]
         barred = BarredUpstreams(rests, denials)
         known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
@@ -210,11 +272,16 @@
         closed = barred.names(route, self.now)
         open_ones = [item for item in known if item.id not in closed | client.excluded]
         if closed and not open_ones:
+            self.lines[client.scheduler].room.drop(client.key)
             limited = barred.any_limited(closed, route, self.now)
             refusal = Refusal.LIMITED if limited else Refusal.RESTING
             return NoChoice(refusal, barred.first_end(closed, route, self.now))
-        fleet, excluded = self.fleets[client.scheduler], client.excluded | closed
-        return fleet.choose(client.need, self.service, known, excluded, self.now)
+        waited = self.now - client.waited_since
+        left = max(0.0, client.arrived + client.kind.deadline - self.now)
+        need = replace(client.need, waited=waited, time_left=left)
+        excluded = client.excluded | closed
+        entry = Waiting(client.key, need, "", client.waited_since, self.now, excluded)
+        return self.lines[client.scheduler].place(entry, self.service, known, self.now)
 
     def _admit(self, client: Client, choice: Choice) -> None:
         """Ask for a permit where the engine has a limit, and send with one."""
@@ -242,6 +309,8 @@
         waited, target = self.now - client.waited_since, client.kind.target
         if found.refusal in (Refusal.RESTING, Refusal.LIMITED):
             return rest_pause(found.retry_after, waited, client.need)
+        if found.refusal is not Refusal.NO_UPSTREAM:
+            return None
         pause = _POLL_SECONDS * self._rng.uniform(0.7, 1.3)
         return pause if waited + pause <= _WAIT_SHARE * target else None
 
@@ -321,7 +390,8 @@
         )
         client.run = run
         if client.need.patience < client.kind.deadline:
-            self._at(client.sent_at + client.need.patience, lambda: self._impatient(client, run))
+            patient_until = client.waited_since + client.need.patience
+            self._at(patient_until, lambda: self._impatient(client, run))
         self._wake(client.engine)
 
     def _not_run(self, client: Client) -> None:
@@ -439,6 +509,8 @@
 
     def _finish(self, client: Client, end: str, why: str = "") -> None:
         client.over = True
+        self._in_line.pop(client.key, None)
+        self.lines[client.scheduler].room.drop(client.key)
         client.served = end in ("in_time", "late")
         if why:
             self.tallies[client.kind.name].why[why] += 1
@@ -470,6 +542,8 @@
                 end = self._with_clock(functools.partial(fleet.end, ended))
                 self._at(self.now + _LOST_SECONDS, end)
         client.number = 0
+        self._in_line.pop(client.key, None)
+        self.lines[client.scheduler].room.drop(client.key)
         client.scheduler = self._rng.choice(self._alive)
         if client.tries > 1 or begun:
             self._finish(client, "failed", "gateway lost")
@@ -518,11 +592,15 @@
 
     def _crash(self, index: int) -> None:
         self._up[index] = False
+        self._losses[index] += 1
         for client in list(self._clients.values()):
             if client.engine == index and client.run is not None:
                 self._lost(client, Outcome.CUT if client.run.events else Outcome.FAILED)
 
     def _return(self, index: int) -> None:
+        self._losses[index] -= 1
+        if self._losses[index]:
+            return
         self._up[index] = self._listed[index] = True
         self.engines[index] = Engine(
             self.figures, self.engines[index].slowness, self._on_event, self._on_end
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -101,7 +101,7 @@
     sheds: tuple[Shed, ...] = ()
     limits: tuple[Limit, ...] = ()
     power_losses: tuple[PowerLoss, ...] = ()
-    engine: EngineFigures = EngineFigures()
+    engine: EngineFigures = field(default_factory=EngineFigures)
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -39,6 +39,7 @@
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
 from lotushill.links.peer_links import PeerLinks
@@ -112,6 +113,8 @@
     on_permit_answer: Callable[[PermitAnswer], None]
     on_tick: Callable[[], None]
     """Called some twenty times a second."""
+    on_waiting: Callable[[WaitingNews], None] = lambda _: None
+    """Hears how many requests wait at another scheduler."""
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -213,6 +216,17 @@
             if member.name != self.membership.own.name:
                 self._send(data, member.address)
 
+    def tell_schedulers(self, message: Message) -> None:
+        """Send a message to every scheduler but this gateway."""
+        for scheduler in self.schedulers.others():
+            self.send_message(message, scheduler.address)
+
+    def send_to(self, message: Message, name: str) -> None:
+        """Send a message to one gateway, if it is known."""
+        member = self.membership.find(name)
+        if member is not None:
+            self.send_message(message, member.address)
+
     def _take_records(self, records: bytes) -> None:
         try:
             loads = unpack(records, self._hooks.upstream_id)
@@ -244,6 +258,8 @@
             self.send_message(answer, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, PlacementAnswer):
             self.client.receive(message)
+        elif isinstance(message, WaitingNews):
+            self._hooks.on_waiting(message)
         elif isinstance(message, WorkPull):
             for page in self._hooks.on_work_pull(message):
                 self.send_message(page, f"{addr[0]}:{addr[1]}")
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -76,3 +76,5 @@
     """Prompt tokens that are usual on its route."""
     longest_prompt: float = 0.0
     """The same of the route of its service with the longest prompts."""
+    final: bool = False
+    """Whether waiting for room would be in vain."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -127,6 +127,9 @@
         load = self._loads[where.upstream]
         load.begin(began.request, now)
         placed = load.running.get(began.request)
+        if placed is not None:
+            # It may have stood in the engine's queue for longer than starts are remembered.
+            self.shedding.starts.note(where.service.name, placed.tier, placed.prompt, now)
         if placed is None or not _is_time(began.seconds):
             return
         pace = self.pace(where.service.name)
@@ -198,8 +201,12 @@
         upstreams: Iterable[Upstream],
         excluded: frozenset[str],
         now: float,
+        closed: frozenset[str] = frozenset(),
     ) -> Choice | NoChoice:
-        """Return the cheapest upstream that can serve a request, or why there is none."""
+        """Return the cheapest upstream that can serve a request, or why there is none.
+
+        What is `closed` has no room now: it gets nothing, but counts for the room of all.
+        """
         known = {item.id: item for item in upstreams}
         ranks = _ranks(need.service, tuple(known)) if service.engine else {}
         candidates = [item for item in known.values() if item.id not in excluded]
@@ -208,7 +215,10 @@
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
         if self._keeps_slots_from(need, service, reachable, now):
             return self.shedding.refuse_for_others(need)
-        weighed = shortlist(need, reachable or candidates)
+        open_now = [item for item in reachable or candidates if item.id not in closed]
+        if not open_now:
+            return self.shedding.refuse_without_room(need)
+        weighed = shortlist(need, open_now)
         cut = frozenset(hall for hall in {item.hall for item in weighed} if self._is_cut_off(hall))
         weigher = self._weigher(need, service, reachable, known, cut, now)
         choices = [
@@ -235,11 +245,21 @@
         """
         if service.engine is None or not self.shedding.is_long(need):
             return False
+        left = self.only_reserved_left(need, service.engine, upstreams)
+        return left and not self.shedding.must_serve(need, now)
+
+    def only_reserved_left(
+        self,
+        need: Need,
+        engine: EngineProfile,
+        upstreams: Sequence[Upstream],
+        most: float | None = None,
+    ) -> bool:
+        """Return whether the free slots are no more than are kept for more urgent requests."""
         loads = [self.load(item.id) for item in upstreams]
         held = sum(len(load.running) for load in loads)
         urgent = sum(load.more_urgent(need.tier) for load in loads)
-        left = only_reserved_left(held, urgent, len(loads) * service.engine.slots)
-        return left and not self.shedding.must_serve(need, now)
+        return only_reserved_left(held, urgent, len(loads) * engine.slots, most)
 
     def backup(
         self,
--- a/src/lotushill/placement/reserve.py
+++ b/src/lotushill/placement/reserve.py
@@ -14,12 +14,13 @@
 """Times the slots that more urgent requests hold now: they come in bursts as well."""
 
 
-def only_reserved_left(held: int, urgent: int, slots: int) -> bool:
+def only_reserved_left(held: int, urgent: int, slots: int, most: float | None = None) -> bool:
     """Return whether the slots that are left are for more urgent requests than a long one.
 
     `held` counts all requests that run on `slots` slots of all upstreams, `urgent` the more urgent
-    of them. All upstreams count together: a reserve on each would spread long requests over the
-    upstreams that others are packed on, and send those of all schedulers to the few that are left.
+    of them, and at most the share `most` is kept where that is given. All upstreams count together:
+    a reserve on each would spread long requests over the upstreams that others are packed on, and
+    send those of all schedulers to the few that are left.
     """
-    share = min(_MOST_RESERVED, _RESERVE_TIMES * urgent / max(1, slots))
+    share = min(_MOST_RESERVED if most is None else most, _RESERVE_TIMES * urgent / max(1, slots))
     return held >= (1.0 - share) * slots
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -91,6 +91,10 @@
         """Return the refusal of a long request for which no slot is left beside urgent ones."""
         return self._refused(need, Refusal.OVERLOAD, _LONG_RETRY, 0.0, 0.0)
 
+    def refuse_without_room(self, need: Need) -> NoChoice:
+        """Return the refusal of a request for which no upstream has a slot now."""
+        return self._refused(need, Refusal.NO_ROOM, _SHORTEST_RETRY, 0.0, 0.0)
+
     def _refused(
         self, need: Need, refusal: Refusal, retry_after: float, wait: float, first: float
     ) -> NoChoice:
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -90,6 +90,8 @@
             pause = rest_pause(found.retry_after, now - request.arrived, request.need)
             return pause if pause is not None and now + pause < request.ends else None
         pause = _POLL_SECONDS * self._parts.rng.uniform(0.7, 1.3)
+        if found.final:
+            return None
         if found.refusal is Refusal.ISOLATED:
             pause = found.retry_after
         return pause if now + pause <= self._gives_up else None
--- a/src/lotushill/scheduling/desk.py
+++ b/src/lotushill/scheduling/desk.py
@@ -6,24 +6,31 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import NO_LIMIT
+from lotushill.links.messages import HELD
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import PlacementAnswer
+from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.need import Need
 from lotushill.placement.placed import placed
 from lotushill.routing.demand import PromptPart
+from lotushill.waiting.entry import Held
+from lotushill.waiting.entry import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lotushill.availability.stated_limits import StatedLimits
     from lotushill.links.messages import PlacementAsk
-    from lotushill.placement.choice import Choice
     from lotushill.placement.fleet import Fleet
     from lotushill.routing.service import Service
     from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.line_keeper import LineKeeper
     from lotushill.scheduling.shared_load import SharedLoad
 
+_KEPT_SECONDS = 1.0
+"""How long an answer is kept that came after waiting: it may be lost, and is asked for again."""
+
 
 class PlacementDesk:
     """Answers asks from the model of all upstreams; pure, with the clock passed in."""
@@ -37,8 +44,13 @@
         upstreams_of: Callable[[str], list[Upstream]],
         is_ready: Callable[[], bool],
         limits: StatedLimits,
+        keeper: LineKeeper | None = None,
+        send: Callable[[PlacementAnswer, str], None] = lambda *_: None,
     ) -> None:
-        """Answer for the gateway `name`; `is_ready` tells whether the model is filled."""
+        """Answer for the gateway `name`; `is_ready` tells whether the model is filled.
+
+        What finds no room waits with `keeper`; `send` sends its later answer to a gateway.
+        """
         self._name = name
         self._fleet = fleet
         self._shared_load = shared_load
@@ -46,19 +58,63 @@
         self._upstreams_of = upstreams_of
         self._is_ready = is_ready
         self._limits = limits
+        self._keeper = keeper
+        self._send = send
+        self._kept: dict[int, tuple[PlacementAnswer, float]] = {}
+        """Answers that came after waiting, by the number of the ask, and when."""
 
     def answer(self, ask: PlacementAsk, now: float) -> PlacementAnswer:
         """Choose an upstream, count the request in, and tell the other schedulers."""
         service = self._service_named(ask.service)
         if service is None or not self._is_ready():
             return PlacementAnswer(self._name, ask.request, refusal=UNREADY)
+        if ask.leaves:
+            if self._keeper is not None:
+                self._keeper.drop(ask.request)
+            return PlacementAnswer(self._name, ask.request, refusal=HELD)
+        kept = self._kept.get(ask.request)
+        if kept is not None:
+            return kept[0]
         need = _need(ask)
         if not ask.again:
             self._fleet.shedding.usual.note_size(need.route, need.size)
-        upstreams = self._upstreams_of(service.name)
-        found = self._fleet.choose(need, service, upstreams, frozenset(ask.excluded), now)
+        found = self._find(ask, need, service, now)
+        if isinstance(found, Held):
+            return PlacementAnswer(self._name, ask.request, refusal=HELD, retry_after=found.renew)
+        return self._answer(ask, need, service, found, now)
+
+    def _find(
+        self, ask: PlacementAsk, need: Need, service: Service, now: float
+    ) -> Choice | NoChoice | Held:
+        upstreams, excluded = self._upstreams_of(service.name), frozenset(ask.excluded)
+        if self._keeper is None or not ask.waits:
+            return self._fleet.choose(need, service, upstreams, excluded, now)
+        entry = Waiting(ask.request, need, ask.sender, now - need.waited, now, excluded)
+
+        def answer_later(entry: Waiting, found: Choice | NoChoice, now: float) -> None:
+            answer = self._answer(ask, entry.need_at(now), service, found, now)
+            self._keep(answer, now)
+            self._send(answer, ask.sender)
+
+        return self._keeper.place(entry, service, upstreams, answer_later)
+
+    def _keep(self, answer: PlacementAnswer, now: float) -> None:
+        for number in [item for item, (_, at) in self._kept.items() if now - at > _KEPT_SECONDS]:
+            del self._kept[number]
+        self._kept[answer.request] = (answer, now)
+
+    def _answer(
+        self,
+        ask: PlacementAsk,
+        need: Need,
+        service: Service,
+        found: Choice | NoChoice,
+        now: float,
+    ) -> PlacementAnswer:
+        """Return the answer, with a request that goes somewhere counted in."""
         if isinstance(found, NoChoice):
             return self._refused(ask, found)
+        upstreams = self._upstreams_of(service.name)
         if ask.copied:
             targets = [item for item in upstreams if self._limits.rate(item.id) == NO_LIMIT]
             backup = self._fleet.backup(need, service, found, targets, now)
@@ -78,6 +134,7 @@
             first=found.first,
             usual_prompt=found.usual_prompt,
             longest_prompt=found.longest_prompt,
+            final=found.final,
         )
 
     def _chosen(self, ask: PlacementAsk, choice: Choice, memory: int) -> PlacementAnswer:
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import itertools
 from dataclasses import replace
@@ -19,6 +20,8 @@
 from lotushill.placement.placed import placed
 from lotushill.routing.route import RouteKind
 from lotushill.scheduling.placement import Placement
+from lotushill.waiting.entry import Held
+from lotushill.waiting.entry import Waiting
 
 if TYPE_CHECKING:
     import random
@@ -32,6 +35,7 @@
     from lotushill.placement.messages import Placed
     from lotushill.placement.need import Need
     from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.line_keeper import LineKeeper
     from lotushill.scheduling.placement_client import PlacementClient
     from lotushill.scheduling.request import Request
     from lotushill.scheduling.shared_load import SharedLoad
@@ -62,9 +66,12 @@
         limits: StatedLimits,
         schedulers: Schedulers | None = None,
         client: PlacementClient | None = None,
+        keeper: LineKeeper | None = None,
     ) -> None:
         """Place for the gateway `name`; without schedulers, always by the own model.
 
+        What finds no room by the own model waits with `keeper`.
+
         `barred` tells which upstreams are to be sent nothing by this gateway now, which no other
         one knows, and `limits` which ones are sent few.
         """
@@ -78,6 +85,7 @@
         self._limits = limits
         self._schedulers = schedulers
         self._client = client
+        self._keeper = keeper
         self._salt = rng.getrandbits(64)
         self._numbers = itertools.count()
 
@@ -102,6 +110,8 @@
             if not again:
                 self._note_size(request.need)
             candidates = self._upstreams.of(request.service.name)
+            if self._keeper is not None:
+                return await self._in_line(self._keeper, request, excluded, candidates)
             return self._by_own_model(request, excluded, candidates)
         unknown: set[str] = set()
         for _ in range(_MOST_UNKNOWN + 1):
@@ -146,6 +156,62 @@
         found = self._fleet.choose(request.need, service, candidates, excluded, now)
         if isinstance(found, NoChoice):
             return found
+        return self._own_placement(request, found, candidates)
+
+    async def _in_line(
+        self,
+        keeper: LineKeeper,
+        request: Request,
+        excluded: frozenset[str],
+        candidates: list[Upstream],
+    ) -> Placement | NoChoice:
+        """Return where a request goes by the own model, if need be after it has waited."""
+        key = self.number()
+        try:
+            while True:
+                found = await self._ask_line(keeper, request, excluded, candidates, key)
+                if isinstance(found, NoChoice):
+                    return found
+                if isinstance(found, Choice):
+                    return self._own_placement(request, found, candidates)
+                candidates = self._upstreams.of(request.service.name)
+                excluded |= self._barred.names(request.need.route, self._clock())
+        finally:
+            keeper.drop(key)
+
+    async def _ask_line(
+        self,
+        keeper: LineKeeper,
+        request: Request,
+        excluded: frozenset[str],
+        candidates: list[Upstream],
+        key: int,
+    ) -> Choice | NoChoice | Held:
+        """Return the answer that comes before a request is to be asked for again."""
+        later: asyncio.Future[Choice | NoChoice] = asyncio.get_running_loop().create_future()
+
+        def answer(entry: Waiting, found: Choice | NoChoice, now: float) -> None:
+            del entry, now
+            if not later.done():
+                later.set_result(found)
+
+        now = self._clock()
+        need = replace(
+            request.need,
+            time_left=max(0.0, request.ends - now),
+            waited=now - request.arrived,
+        )
+        entry = Waiting(key, need, "", request.arrived, now, excluded)
+        found = keeper.place(entry, request.service, candidates, answer)
+        if not isinstance(found, Held):
+            return found
+        done, _ = await asyncio.wait((later,), timeout=found.renew)
+        return later.result() if done else found
+
+    def _own_placement(
+        self, request: Request, found: Choice, candidates: list[Upstream]
+    ) -> Placement:
+        now, service = self._clock(), request.service
         if _may_be_copied(request):
             targets = [item for item in candidates if self._limits.rate(item.id) == NO_LIMIT]
             backup = self._fleet.backup(request.need, service, found, targets, now)
@@ -194,6 +260,7 @@
             share=need.share,
             waited=self._clock() - request.arrived,
             caller=need.caller,
+            waits=True,
         )
 
     def _out_of_reach(self, request: Request, excluded: frozenset[str]) -> list[str]:
@@ -255,4 +322,5 @@
         answer.first,
         answer.usual_prompt,
         answer.longest_prompt,
+        answer.final,
     )
--- /dev/null
+++ b/src/lotushill/waiting/__init__.py
@@ -0,0 +1,3 @@
+"""Requests that wait for an engine to have room, where they can still be reordered."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lotushill/waiting/entry.py
@@ -0,0 +1,54 @@
+"""One request that waits for room."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.placement.need import Need
+
+RENEW_SECONDS = 0.2
+"""Between two asks of a gateway for a request that waits: a fifth of the shortest time in which its
+client gives up, so that a scheduler that was lost costs little of it."""
+EXPIRY_SECONDS = 0.7
+"""One that was not renewed for so long has been given up: two renewals may be lost."""
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A request in line; times are on the clock of whoever holds it."""
+
+    key: int
+    """Number of the ask, the same when it is renewed."""
+    need: Need
+    asker: str
+    """Gateway that asked, empty for the holder's own requests."""
+    since: float
+    """When the request came to its gateway."""
+    renewed: float
+    excluded: frozenset[str] = frozenset()
+    """Upstreams that are not to have it."""
+    copied: bool = False
+    """Whether a copy of its run may be kept."""
+
+    @property
+    def patience_ends(self) -> float:
+        """Return when its client gives up without a sign of an answer."""
+        patience = replace(self.need, time_left=math.inf).patience
+        return self.since + min(patience, self.need.waited + self.need.time_left)
+
+    def need_at(self, now: float) -> Need:
+        """Return what it needs now."""
+        waited = now - self.since
+        left = self.need.time_left - (waited - self.need.waited)
+        return replace(self.need, waited=waited, time_left=max(0.0, left))
+
+
+@dataclass(frozen=True)
+class Held:
+    """The answer to an ask that waits: it is to be renewed after so many seconds."""
+
+    renew: float = RENEW_SECONDS
--- /dev/null
+++ b/src/lotushill/waiting/room.py
@@ -0,0 +1,100 @@
+"""The requests that wait at one gateway, bounded in number, bytes and time. Pure."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.waiting.entry import EXPIRY_SECONDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lotushill.waiting.entry import Waiting
+
+MOST_WAITING = 2000
+"""Of one gateway: eight schedulers hold what a fleet is asked for in some ten seconds."""
+MOST_BYTES = 4_000_000
+_ENTRY_BYTES = 600
+_PART_BYTES = 80
+_EXCLUDED_BYTES = 100
+"""What a request in line, each part of its prompt and each upstream excluded take of memory."""
+
+
+class WaitingRoom:
+    """Holds requests by their key, those of each service apart."""
+
+    def __init__(self, most: int = MOST_WAITING, most_bytes: int = MOST_BYTES) -> None:
+        self._most = most
+        self._most_bytes = most_bytes
+        self._entries: dict[int, Waiting] = {}
+        self._services: dict[str, dict[int, Waiting]] = {}
+        self.bytes = 0
+        """Memory that the requests in line take, as reckoned."""
+        self.overflows = 0
+        """Requests that found the room full."""
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, key: int) -> Waiting | None:
+        """Return a request that waits, None where none does."""
+        return self._entries.get(key)
+
+    def services(self) -> list[str]:
+        """Return the services for which requests wait."""
+        return [name for name, held in self._services.items() if held]
+
+    def of(self, service: str) -> list[Waiting]:
+        """Return all that waits for a service, in no order."""
+        return list(self._services.get(service, {}).values())
+
+    def count(self, service: str) -> int:
+        """Return how many wait for a service."""
+        return len(self._services.get(service, {}))
+
+    def tiers(self, service: str) -> dict[int, int]:
+        """Return how many of each tier wait for a service."""
+        found: dict[int, int] = {}
+        for entry in self._services.get(service, {}).values():
+            found[entry.need.tier] = found.get(entry.need.tier, 0) + 1
+        return found
+
+    def add(self, entry: Waiting) -> bool:
+        """Take in a request, or its renewal; return False where there is no more room."""
+        former = self._entries.get(entry.key)
+        taken = _bytes(entry) - (_bytes(former) if former else 0)
+        if former is None and len(self._entries) >= self._most:
+            self.overflows += 1
+            return False
+        if self.bytes + taken > self._most_bytes:
+            self.overflows += 1
+            return False
+        self.bytes += taken
+        self._entries[entry.key] = entry
+        self._services.setdefault(entry.need.service, {})[entry.key] = entry
+        return True
+
+    def drop(self, key: int) -> Waiting | None:
+        """Take a request out of line, since it was placed, refused or given up."""
+        entry = self._entries.pop(key, None)
+        if entry is not None:
+            del self._services[entry.need.service][key]
+            self.bytes -= _bytes(entry)
+        return entry
+
+    def expire(self, now: float) -> list[int]:
+        """Take out what its gateway no longer asks for, and return the keys of these."""
+        gone = [
+            entry.key for entry in self._entries.values() if now - entry.renewed > EXPIRY_SECONDS
+        ]
+        for key in gone:
+            self.drop(key)
+        return gone
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter(self._entries.values())
+
+
+def _bytes(entry: Waiting) -> int:
+    parts = _PART_BYTES * len(entry.need.parts)
+    return _ENTRY_BYTES + parts + _EXCLUDED_BYTES * len(entry.excluded)
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -24,6 +24,7 @@
 from lotushill.links.messages import RosterPull
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
 from lotushill.links.quarantine_messages import ClearedNews
@@ -53,6 +54,7 @@
     ClearedNews,
     LeavingNews,
     GroupNews,
+    WaitingNews,
 ]
 
 
--- a/tests/test_directions.py
+++ b/tests/test_directions.py
@@ -11,7 +11,7 @@
 LAYERS = (
     ("clock", "journal", "event_log", "rendezvous", "routing"),
     ("placement",),
-    ("availability", "links", "views", "contracts"),
+    ("availability", "links", "views", "contracts", "waiting"),
     ("membership", "quarantine", "platform", "standin"),
     ("process",),
     ("limits", "duties", "following"),
