--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -273,7 +273,7 @@
             self.fleet.forget(known, clocks.now())
             self.rests.forget(known, clocks.now())
             self.limits.forget(known)
-            self.waiting.line.turns.forget(known)
+            self.waiting.line.engines.forget(known)
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
--- a/src/lotushill/scheduling/desk.py
+++ b/src/lotushill/scheduling/desk.py
@@ -76,7 +76,8 @@
         if kept is not None:
             return kept[0]
         need = _need(ask)
-        if not ask.again:
+        waits = self._keeper is not None and self._keeper.line.room.find(ask.request) is not None
+        if not (ask.again or waits):
             self._fleet.shedding.usual.note_size(need.route, need.size)
         found = self._find(ask, need, service, now)
         if isinstance(found, Held):
--- a/src/lotushill/waiting/room.py
+++ b/src/lotushill/waiting/room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lotushill.waiting.entry import EXPIRY_SECONDS
@@ -28,6 +29,7 @@
         self._most_bytes = most_bytes
         self._entries: dict[int, Waiting] = {}
         self._services: dict[str, dict[int, Waiting]] = {}
+        self._tiers: dict[str, Counter[int]] = {}
         self.bytes = 0
         """Memory that the requests in line take, as reckoned."""
         self.overflows = 0
@@ -54,10 +56,8 @@
 
     def tiers(self, service: str) -> dict[int, int]:
         """Return how many of each tier wait for a service."""
-        found: dict[int, int] = {}
-        for entry in self._services.get(service, {}).values():
-            found[entry.need.tier] = found.get(entry.need.tier, 0) + 1
-        return found
+        counts = self._tiers.get(service, Counter())
+        return {tier: count for tier, count in counts.items() if count}
 
     def add(self, entry: Waiting) -> bool:
         """Take in a request, or its renewal; return False where there is no more room."""
@@ -72,6 +72,8 @@
         self.bytes += taken
         self._entries[entry.key] = entry
         self._services.setdefault(entry.need.service, {})[entry.key] = entry
+        if former is None:
+            self._tiers.setdefault(entry.need.service, Counter())[entry.need.tier] += 1
         return True
 
     def drop(self, key: int) -> Waiting | None:
@@ -79,6 +81,7 @@
         entry = self._entries.pop(key, None)
         if entry is not None:
             del self._services[entry.need.service][key]
+            self._tiers[entry.need.service][entry.need.tier] -= 1
             self.bytes -= _bytes(entry)
         return entry
 
--- /dev/null
+++ b/src/lotushill/waiting/time_left.py
@@ -0,0 +1,55 @@
+"""Until when a request is held, and whether a slot still helps it. Pure.
+
+Holding a request that is not served in the end costs its caller the time. So a long one is held
+only while it can be in time: late, it would also keep its slot from one that came after it. A short
+one takes little, and is served late in place of not at all, for as long as its client waits.
+Neither is refused while larger, less urgent ones begin.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lotushill.placement.choice import Choice
+    from lotushill.placement.fleet import Fleet
+    from lotushill.waiting.entry import Waiting
+
+
+class TimeLeft:
+    """Reckons with the pace of the engines as the model knows it."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def in_time_until(self, entry: Waiting) -> float:
+        """Return until when a request can be placed so that its first event is in time."""
+        need, pace = entry.need, self._fleet.pace(entry.need.service)
+        reading = self._fleet.shedding.usual.reading(need.service, need.route)
+        tokens = min(float(need.prompt_tokens), reading or need.prompt_tokens)
+        return entry.since + need.target - tokens / pace.read_rate
+
+    def waits_until(self, entry: Waiting, now: float) -> float:
+        """Return until when a request is held."""
+        if self._goes_when_late(entry, now):
+            return self.in_time_until(entry)
+        return entry.patience_ends
+
+    def is_worth_waiting(self, entry: Waiting, likely: float, now: float) -> bool:
+        """Return whether a wait that is likely so long ends while the request is held."""
+        left = self.waits_until(entry, now) - now
+        if left <= 0.0:
+            return False
+        return likely <= left or self._fleet.shedding.must_serve(entry.need, now)
+
+    def comes_too_late(self, entry: Waiting, choice: Choice, now: float) -> bool:
+        """Return whether a slot that is free now is worth more to one that came later."""
+        first = now + choice.first
+        if first > entry.patience_ends:
+            return True
+        late = first > entry.since + entry.need.target
+        return late and self._goes_when_late(entry, now)
+
+    def _goes_when_late(self, entry: Waiting, now: float) -> bool:
+        shedding = self._fleet.shedding
+        return shedding.is_long(entry.need) and not shedding.must_serve(entry.need, now)
