--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -848,6 +848,48 @@
         "raise SystemExit(0)",
         "tests.console.test_process_signals",
     ),
+    Break(
+        "what waits goes by tier",
+        "waiting/line.py",
+        "return (place.tier, late,",
+        "return (0, late,",
+        "tests.waiting.test_line",
+    ),
+    Break(
+        "a freed slot goes to one scheduler",
+        "waiting/turns.py",
+        "(place - slot) % count",
+        "0 * (place - slot)",
+        "tests.waiting.test_turns",
+    ),
+    Break(
+        "a newcomer stands behind those that wait",
+        "waiting/line.py",
+        "if new and self._stands_behind(entry, now):",
+        "if False:",
+        "tests.waiting.test_line",
+    ),
+    Break(
+        "what waits for nobody is not placed",
+        "waiting/room.py",
+        "now - entry.renewed > EXPIRY_SECONDS",
+        "False",
+        "tests.scheduling.test_waiting_desk",
+    ),
+    Break(
+        "an answer that comes twice does not end its request",
+        "scheduling/placement_client.py",
+        "            self._taken[request] = now",
+        "            pass",
+        "tests.scheduling.test_waiting_client",
+    ),
+    Break(
+        "larger ones that begin late are held against refusals",
+        "placement/fleet.py",
+        "self.shedding.starts.note(where.service.name, placed.tier, placed.prompt, now)",
+        "pass",
+        "tests.waiting.test_line",
+    ),
 )
 
 
--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -77,7 +77,7 @@
             f"{len(rows) - len(silent)} of {len(rows)} gateways answer"
             + (", all with the same in force" if agree else "")
         ]
-        lines += duty_lines(rows) + limit_lines(rows)
+        lines += duty_lines(rows) + limit_lines(rows) + waiting_lines(rows)
         lines += [_status_line(item, rows[item.name]) for item in gateways]
         return Result("\n".join(lines), rows, EXIT_OK if agree else EXIT_FAILED)
 
@@ -156,6 +156,20 @@
     ]
 
 
+def waiting_lines(rows: Mapping[str, dict[str, Any] | None]) -> list[str]:
+    """Return how many requests wait for room at all gateways together, a line for each service."""
+    waiting: dict[str, Counter[str]] = {}
+    for row in rows.values():
+        for service, tiers in (row or {}).get("waiting", {}).get("tiers", {}).items():
+            waiting.setdefault(service, Counter()).update(tiers)
+    return [
+        f"waiting for room: {service} {sum(tiers.values())} ("
+        + ", ".join(f"tier {tier}: {count}" for tier, count in sorted(tiers.items()))
+        + ")"
+        for service, tiers in sorted(waiting.items())
+    ]
+
+
 def _status_line(gateway: Gateway, status: dict[str, Any] | None) -> str:
     if status is None:
         return f"{gateway.name} ({gateway.hall}): no answer"
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -24,6 +24,7 @@
     from lotushill.requests.front import Front
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
+    from lotushill.scheduling.line_keeper import LineKeeper
 
 
 class Reported(Protocol):
@@ -43,6 +44,7 @@
     quarantine: FleetQuarantine
     side_tasks: SideTasks
     front: Front
+    waiting: LineKeeper
 
     def ready(self) -> bool:
         """Return whether clients may be sent here."""
@@ -61,6 +63,18 @@
         lambda: float(gateway.peers.schedulers.schedules()),
     )
     gauge("unanswered_asks", "Asks without an answer", lambda: gateway.peers.client.unanswered)
+    line = gateway.waiting.line
+    gauge("waiting", "Requests that wait here for room", lambda: len(line.room))
+    gauge("waiting_bytes", "Bytes of these, as reckoned", lambda: line.room.bytes)
+    gauge("waiting_held", "Requests that had to wait here so far", lambda: line.held)
+    gauge("waiting_placed", "Of these, placed so far", lambda: line.placed)
+    gauge("waiting_given_up", "Of these, refused so far", lambda: line.given_up)
+    gauge("waiting_full", "Requests that found the waiting room full", lambda: line.room.overflows)
+    gauge(
+        "waiting_elsewhere",
+        "Requests of this gateway that wait at schedulers",
+        lambda: gateway.peers.client.waiting,
+    )
     gauge("upstreams", "Upstreams that are known", lambda: len(gateway.views.upstreams.all()))
     gauge(
         "entries_ignored",
@@ -180,9 +194,21 @@
         "store_calls": gateway.store.calls,
         "connections_opened": gateway.pool.opened,
         "peer_bytes": gateway.peers.bytes_sent,
+        "waiting": _waiting(gateway.waiting),
         "duties": gateway.duties.status(),
     }
 
 
+def _waiting(keeper: LineKeeper) -> dict[str, object]:
+    room = keeper.line.room
+    return {
+        "tiers": {name: room.tiers(name) for name in room.services()},
+        "held": keeper.line.held,
+        "placed": keeper.line.placed,
+        "given_up": keeper.line.given_up,
+        "found_full": room.overflows,
+    }
+
+
 def _member(member: Any) -> dict[str, object]:
     return {"name": member.name, "hall": member.hall, "phase": member.phase.value}
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -232,6 +232,7 @@
             cost=round(choice.cost, 4),
             first_ms=round(choice.first * 1000, 1),
             wait_ms=round(choice.wait * 1000, 1),
+            waited_ms=round((self._clock() - self._request.arrived) * 1000, 1),
             harm=round(choice.harm, 3),
             prompt=self._request.need.prompt_tokens,
             reading=choice.reading,
--- a/tests/console/test_fleet_commands.py
+++ b/tests/console/test_fleet_commands.py
@@ -5,6 +5,7 @@
 
 from lotushill.console.fleet_commands import duty_lines
 from lotushill.console.fleet_commands import limit_lines
+from lotushill.console.fleet_commands import waiting_lines
 
 HELD: dict[str, Any] = {
     "holder": "gw-1",
@@ -52,3 +53,15 @@
 
     def test_without_limits_nothing_is_told(self) -> None:
         self.assertEqual([], limit_lines({"a": {"upstreams": {}}, "silent": None}))
+
+
+class TestWaiting(unittest.TestCase):
+    def test_what_waits_is_added_up_over_all_gateways(self) -> None:
+        rows = {
+            "a": {"waiting": {"tiers": {"llm": {"0": 2, "2": 5}}}},
+            "b": {"waiting": {"tiers": {"llm": {"2": 1}}}},
+            "old": {},
+            "silent": None,
+        }
+        self.assertEqual(["waiting for room: llm 8 (tier 0: 2, tier 2: 6)"], waiting_lines(rows))
+        self.assertEqual([], waiting_lines({"a": {"waiting": {"tiers": {}}}}))
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -12,6 +12,7 @@
 _MEMBER = "tests.membership.test_membership.TestMembership"
 _FLEET = "tests.placement.test_fleet.TestEngines"
 _TIERS = "tests.requests.test_tiers"
+_WAITING = "tests.scheduling.test_waiting_client.TestWaiting"
 _CLIENT = "tests.scheduling.test_placement_client.TestPlacementClient"
 _LOAD = "tests.scheduling.test_shared_load.TestSharedLoad"
 _EDITOR = "tests.contracts.test_editor.TestEditor"
@@ -200,6 +201,49 @@
             ),
         ),
     ),
+    Promise(
+        "A request that waits for room is placed once, or refused while that still helps.",
+        "TIER",
+        (
+            Case(
+                "its holder is killed, frozen or cut off",
+                (
+                    f"{_WAITING}.test_a_holder_that_is_lost_is_passed_over_and_the_place_kept",
+                    f"{_WAITING}.test_what_a_frozen_holder_places_later_is_given_up",
+                ),
+            ),
+            Case(
+                "an ask or an answer is lost, comes twice or late",
+                (
+                    f"{_WAITING}.test_one_lost_datagram_costs_no_place",
+                    f"{_WAITING}.test_an_answer_that_was_lost_comes_with_the_next_ask",
+                    f"{_WAITING}.test_an_answer_that_crosses_an_ask_is_used_once",
+                ),
+            ),
+            Case(
+                "its client or its gateway leaves",
+                (
+                    f"{_WAITING}.test_where_its_client_leaves_the_place_is_given_up",
+                    "tests.scheduling.test_waiting_desk.TestDesk."
+                    "test_one_whose_gateway_is_gone_is_placed_no_more",
+                ),
+            ),
+            Case(
+                "more wait than there is room for",
+                (
+                    "tests.scheduling.test_waiting_desk.TestDesk."
+                    "test_where_the_room_is_full_it_is_refused_at_once",
+                ),
+            ),
+            Case(
+                "a hall of engines is withdrawn before a burst",
+                (
+                    "tests.load.policy.test_replay.TestWithdrawn."
+                    "test_urgent_ones_do_not_get_nothing_while_longer_ones_begin",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "A client that leaves frees its upstream; one that stays has an answer in its time.",
         "GONE, CONFIG",
