--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -147,14 +147,14 @@
     ),
     Break(
         "gateway: repeats come out of the budget",
-        "requests/retry_budget.py",
+        "availability/retry_budget.py",
         "        if len(self._repeats) + 1 > allowed:\n            return False\n",
         "",
         "tests.requests.test_retry_budget",
     ),
     Break(
         "gateway: the budget is divided",
-        "requests/retry_budget.py",
+        "availability/retry_budget.py",
         "return self._slack / gateways",
         "self._slack",
         "tests.requests.test_retry_budget",
@@ -407,14 +407,14 @@
     Break(
         "an answer that comes too late is given up",
         "scheduling/placement_client.py",
-        "        elif answer.upstream:",
+        "        elif answer.upstream and answer.request not in self._taken:",
         "        elif False:",
         "tests.scheduling.test_placement_client",
     ),
     Break(
         "a silent scheduler is passed over",
         "scheduling/placement_client.py",
-        "self._schedulers.note_silent(scheduler, self._clock())",
+        "self._schedulers.note_silent(scheduler.name, self._clock())",
         "pass",
         "tests.scheduling.test_placement_client",
     ),
@@ -442,7 +442,7 @@
     ),
     Break(
         "a gateway that starts again does not spend its part twice",
-        "requests/retry_budget.py",
+        "availability/retry_budget.py",
         "if not gateways or now - self._started < self._window:",
         "if not gateways:",
         "tests.requests.test_retry_budget",
@@ -967,6 +967,48 @@
         "raise SystemExit(0)",
         "tests.console.test_process_signals",
     ),
+    Break(
+        "what waits goes by tier",
+        "waiting/line.py",
+        "return (place.tier, late,",
+        "return (0, late,",
+        "tests.waiting.test_line",
+    ),
+    Break(
+        "a freed slot goes to one scheduler",
+        "waiting/turns.py",
+        "(place - slot) % count",
+        "0 * (place - slot)",
+        "tests.waiting.test_turns",
+    ),
+    Break(
+        "a newcomer stands behind those that wait",
+        "waiting/line.py",
+        "if new and self._stands_behind(entry, now):",
+        "if False:",
+        "tests.waiting.test_line",
+    ),
+    Break(
+        "what waits for nobody is not placed",
+        "waiting/room.py",
+        "now - entry.renewed > EXPIRY_SECONDS",
+        "False",
+        "tests.scheduling.test_waiting_desk",
+    ),
+    Break(
+        "an answer that comes twice does not end its request",
+        "scheduling/placement_client.py",
+        "            self._taken[request] = now",
+        "            pass",
+        "tests.scheduling.test_waiting_client",
+    ),
+    Break(
+        "larger ones that begin late are held against refusals",
+        "placement/fleet.py",
+        "self.shedding.starts.note(where.service.name, placed.tier, placed.prompt, now)",
+        "pass",
+        "tests.waiting.test_line",
+    ),
 )
 
 
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -56,9 +56,12 @@
 from lotushill.requests.ward import Ward
 from lotushill.routing.limits import ClientLimits
 from lotushill.scheduling.desk import PlacementDesk
+from lotushill.scheduling.line_keeper import LineKeeper
 from lotushill.scheduling.placer import Placer
 from lotushill.scheduling.shared_load import SharedLoad
 from lotushill.starting.knowledge import Start
+from lotushill.waiting.line import WaitingLine
+from lotushill.waiting.turns import Rivals
 
 if TYPE_CHECKING:
     import asyncio
@@ -144,6 +147,20 @@
             clocks.now,
         )
         self.team_limits = TeamLimits(counting, self.limits.client, rng, clocks.now)
+        self.waiting = LineKeeper(
+            settings.name,
+            WaitingLine(
+                self.fleet,
+                Rivals(settings.name),
+                self.fleet.shares,
+                self.fleet.shedding.returns,
+            ),
+            self._service_named,
+            self.views.upstreams.of,
+            self.peers.tell_schedulers,
+            clocks.now,
+            self.log,
+        )
         self.desk = PlacementDesk(
             settings.name,
             self.fleet,
@@ -152,6 +169,8 @@
             self.views.upstreams.of,
             self.peers.model_sync.ready,
             stated,
+            self.waiting,
+            self.peers.send_to,
         )
         placer = Placer(
             settings.name,
@@ -165,6 +184,7 @@
             self.peers.schedulers,
             self.peers.client,
             self._knows_fleet,
+            self.waiting,
         )
         self.pool = UpstreamPool(request_head.answered_id, self._most_idle)
         self.quarantine = FleetQuarantine(
@@ -269,6 +289,7 @@
         group.start_soon(self.peers.run, group)
         self._following = self.views.tasks()
         group.start_soon(self.side_tasks.run, "registration", self.registration.run)
+        group.start_soon(self.side_tasks.run, "waiting line", self.waiting.run)
         group.start_soon(self.side_tasks.run, "sweep", self._sweep)
         group.start_soon(self.side_tasks.run, "quarantine", self.quarantine.keeper.run)
         group.start_soon(self.side_tasks.run, "holds", self.quarantine.store_for_ever)
@@ -295,6 +316,7 @@
             self.limits.forget(known)
             self.team_limits.forget()
             self.mover.forget(known)
+            self.waiting.line.engines.forget(known)
             self.shared_load.expire()
             self.views.expire()
             self.quarantine.keeper.look()
@@ -356,7 +378,7 @@
             upstream_id=self.views.upstreams.id_of,
             on_load=lambda load: self.shared_load.receive(load),
             everything=lambda: self.shared_load.everything(),
-            on_gone=lambda name: self.shared_load.drop_sender(name),
+            on_gone=self._on_gone,
             answer=lambda ask, now: self.desk.answer(ask, now),
             on_late=lambda request: self.shared_load.give_up(request),
             on_work_pull=self.duties.pages,
@@ -368,12 +390,17 @@
             on_permit_answer=lambda answer: self.limits.client.receive(answer),
             on_returns=lambda news: self.returns.receive(news),
             on_tick=self._on_tick,
+            on_waiting=lambda news: self.waiting.receive(news),
         )
 
     def _on_permit_ask(self, ask: PermitAsk) -> PermitAnswer:
         limits = self.team_limits if self.team_limits.counts(ask) else self.limits
         return limits.answer(ask)
 
+    def _on_gone(self, name: str) -> None:
+        self.shared_load.drop_sender(name)
+        self.waiting.drop_asker(name)
+
     def _on_tick(self) -> None:
         self.suspension.look()
         self.leaving.tell_due()
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -57,6 +57,8 @@
   share @17 :Float32;
   waited @18 :Float32;
   caller @19 :UInt64;
+  waits @20 :Bool;
+  leaves @21 :Bool;
 }
 
 struct PlacementAnswer {
@@ -83,6 +85,14 @@
   longestPrompt @20 :Float32;
   returned @21 :Bool;
   standing @22 :Float32;
+  final @23 :Bool;
+}
+
+struct WaitingNews {
+  sender @0 :Text;
+  service @1 :Text;
+  tiers @2 :List(UInt8);
+  counts @3 :List(UInt32);
 }
 
 struct Ping {
@@ -247,5 +257,6 @@
     permitask @17 :PermitAsk;
     permitanswer @18 :PermitAnswer;
     returnnews @19 :ReturnNews;
+    waitingnews @20 :WaitingNews;
   }
 }
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -15,6 +15,7 @@
 from lotushill.availability.patience import rest_pause
 from lotushill.availability.patience import return_pause
 from lotushill.availability.rests import Rests
+from lotushill.availability.retry_budget import RetryBudget
 from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.availability.stated_limits import StatedLimits
 from lotushill.availability.stated_limits import Word
@@ -46,6 +47,11 @@
 from lotushill.routing.upstream import Upstream
 from lotushill.starting.draw import Seen
 from lotushill.starting.draw import draw
+from lotushill.waiting.entry import Held
+from lotushill.waiting.entry import Waiting
+from lotushill.waiting.line import WaitingLine
+from lotushill.waiting.turns import NEWS_SECONDS as WAITING_NEWS_SECONDS
+from lotushill.waiting.turns import Rivals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,10 +73,20 @@
 _WAIT_SHARE = 0.2
 """Of its target, how long a request waits at a gateway before it is refused."""
 _POLL_SECONDS = 0.03
+_LOOK_SECONDS = 0.01
+"""Between two looks at the line of a scheduler."""
 _MOST_UNSENT = 4
 _MOST_REJECTED = 3
 _AT_ONCE_SECONDS = 0.05
 _IMPATIENT_TRIES = 4
+_RETRY_RATIO = 0.2
+_RETRY_SLACK = 100.0
+_RETRY_WINDOW_SECONDS = 10.0
+"""The budget of the service for sending a request once more."""
+_SHED_RETRY_SECONDS = 0.5
+"""What a client is told whose request engines turned away too often."""
+_LOST_SECONDS = 1.0
+"""Until the others take a gateway for lost, and what it ran for ended."""
 _RETURN_SHARE = 1.0 / 3.0
 """Of the time left: a client comes back no later than this."""
 
@@ -87,7 +103,7 @@
 
     def __init__(self, scenario: Scenario, seed: int, figures: EngineFigures | None = None) -> None:
         self.scenario = scenario
-        self.figures = figures or EngineFigures()
+        self.figures = figures or scenario.engine
         self.now = 0.0
         self._rng = random.Random(seed)
         self._arrivals = Arrivals(scenario, seed)
@@ -117,6 +133,8 @@
         self._busy = [False] * scenario.engines
         self._up = [True] * scenario.engines
         self._listed = [True] * scenario.engines
+        self._losses = [0] * scenario.engines
+        """For how many reasons an engine is away now."""
         self._rest_asked = [0.0] * scenario.engines
         """Seconds of rest that an engine asks for while it turns all away, 0 while it does not."""
         self._rests = [Rests() for _ in range(scenario.schedulers)]
@@ -126,6 +144,16 @@
         ]
         self._desk = PermitDesk()
         self._denials = [Denials() for _ in range(scenario.schedulers)]
+        self._budgets = [
+            RetryBudget(_RETRY_RATIO, _RETRY_SLACK, _RETRY_WINDOW_SECONDS) for _ in self.fleets
+        ]
+        self._alive = list(range(scenario.schedulers))
+        self.lines = [
+            WaitingLine(fleet, Rivals(str(n)), fleet.shares, fleet.shedding.returns)
+            for n, fleet in enumerate(self.fleets)
+        ]
+        self._in_line: dict[int, Client] = {}
+        self._watched = [False] * scenario.schedulers
         self._clients: dict[int, Client] = {}
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
@@ -133,6 +161,9 @@
         self.teams: dict[str, Tally] = {}
         self.turned_away = 0
         """Requests that engines have refused with a wish for rest."""
+        self.shed = 0
+        """Requests that engines have refused since too many waited there."""
+        self.sent = 0
 
     def play(self) -> Result:
         """Play to the end."""
@@ -146,6 +177,8 @@
             self._plan_limit(limit)
         self._tell_returns()
         self._plan_old_work()
+        for power_loss in self.scenario.power_losses:
+            self._at(power_loss.at, functools.partial(self._lose_power, power_loss.scheduler))
         ends = self.scenario.seconds + max(item.deadline for item in self.scenario.classes)
         while self._events and self._events[0].at <= ends:
             event = heapq.heappop(self._events)
@@ -162,6 +195,8 @@
             bursting,
             share_served(self._all, True),
             share_served(self._all, False),
+            self.shed,
+            self.sent,
         )
 
     def _at(self, when: float, act: Callable[[], None]) -> None:
@@ -177,11 +212,14 @@
     def _arrive(self, kind: RequestClass) -> None:
         self._next_arrival(kind)
         client = self._arrivals.draw(kind, self.now)
+        client.scheduler = self._alive[client.scheduler % len(self._alive)]
         self._all.append(client)
+        client.key = len(self._all)
         for tally in self._tallies_of(client):
             tally.asked += 1
             tally.owed += client.worth * kind.worth
         need = client.need
+        self._budgets[client.scheduler].note_request(self.now)
         self.fleets[client.scheduler].shedding.usual.note_size(need.route, need.size)
         self._at(self.now + kind.deadline, lambda: self._leave(client))
         self._place(client)
@@ -203,13 +241,61 @@
         if isinstance(found, Choice):
             self._admit(client, found)
             return
+        if isinstance(found, Held):
+            self._wait_in_line(client, found)
+            return
         pause = self._pause(client, found)
         if pause is not None:
             self._at(self.now + pause, lambda: self._place(client))
             return
         self._refuse(client, found)
 
-    def _choose(self, client: Client) -> Choice | NoChoice:
+    def _wait_in_line(self, client: Client, held: Held) -> None:
+        """Have a request asked for again while it waits, as its gateway does."""
+        self._in_line[client.key] = client
+        scheduler, waiting_since = client.scheduler, client.waited_since
+
+        def renew() -> None:
+            same = (client.scheduler, client.waited_since) == (scheduler, waiting_since)
+            if same and self._in_line.get(client.key) is client:
+                del self._in_line[client.key]
+                self._place(client)
+
+        self._at(self.now + held.renew, renew)
+        if not self._watched[scheduler]:
+            self._watched[scheduler] = True
+            self._at(self.now + _LOOK_SECONDS, lambda: self._look(scheduler))
+            self._tell_line(scheduler)
+
+    def _look(self, scheduler: int) -> None:
+        """Place or refuse what is due in the line of a scheduler."""
+        known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
+        line = self.lines[scheduler]
+        for entry, found in line.due(self.service, known, self.now):
+            client = self._in_line.pop(entry.key)
+            if isinstance(found, Choice):
+                self._admit(client, found)
+            else:
+                self._refuse(client, found)
+        if len(line.room):
+            self._at(self.now + _LOOK_SECONDS, lambda: self._look(scheduler))
+        else:
+            self._watched[scheduler] = False
+
+    def _tell_line(self, scheduler: int) -> None:
+        """Tell the other schedulers how many wait, until none does."""
+        tiers = self.lines[scheduler].room.tiers("llm")
+
+        def hear() -> None:
+            for number, line in enumerate(self.lines):
+                if number != scheduler:
+                    line.rivals.note(str(scheduler), "llm", tiers, self.now)
+
+        self._at(self.now + _NEWS_SECONDS, hear)
+        if self._watched[scheduler]:
+            self._at(self.now + WAITING_NEWS_SECONDS, lambda: self._tell_line(scheduler))
+
+    def _choose(self, client: Client) -> Choice | NoChoice | Held:
         rests, denials = self._rests[client.scheduler], self._denials[client.scheduler]
         barred = BarredUpstreams(rests, denials)
         known = [item for n, item in enumerate(self.upstreams) if self._listed[n]]
@@ -217,18 +303,20 @@
         closed = barred.names(route, self.now)
         open_ones = [item for item in known if item.id not in closed | client.excluded]
         if closed and not open_ones:
+            self.lines[client.scheduler].room.drop(client.key)
             limited = barred.any_limited(closed, route, self.now)
             refusal = Refusal.LIMITED if limited else Refusal.RESTING
             return NoChoice(refusal, barred.first_end(closed, route, self.now))
-        fleet, excluded = self.fleets[client.scheduler], client.excluded | closed
+        waited = self.now - client.waited_since
+        left = max(0.0, client.arrived + client.kind.deadline - self.now)
+        need = replace(client.need, waited=waited, time_left=left)
+        excluded = client.excluded | closed
         if not self._hears() and self.scenario.drawn:
-            known = self._drawn(fleet, known, excluded)
-        need = replace(
-            client.need,
-            waited=self.now - client.waited_since,
-            time_left=client.arrived + client.kind.deadline - self.now,
-        )
-        return fleet.choose(need, self.service, known, excluded, self.now)
+            fleet = self.fleets[client.scheduler]
+            drawn = self._drawn(fleet, known, excluded)
+            return fleet.choose(need, self.service, drawn, excluded, self.now)
+        entry = Waiting(client.key, need, "", client.waited_since, self.now, excluded)
+        return self.lines[client.scheduler].place(entry, self.service, known, self.now)
 
     def _hears(self) -> bool:
         return self.now >= self.scenario.unheard
@@ -266,10 +354,12 @@
         waited, target = self.now - client.waited_since, client.kind.target
         if found.refusal in (Refusal.RESTING, Refusal.LIMITED):
             return rest_pause(found.retry_after, waited, client.need)
-        if found.refusal is Refusal.EARLY:
+        if found.final or found.refusal is Refusal.EARLY:
             return None
         if found.refusal is Refusal.RETURNED:
             return return_pause(waited, client.need)
+        if found.refusal is not Refusal.NO_UPSTREAM:
+            return None
         pause = _POLL_SECONDS * self._rng.uniform(0.7, 1.3)
         return pause if waited + pause <= _WAIT_SHARE * target else None
 
@@ -288,17 +378,19 @@
             self._finish(client, "refused")
             return
         client.tries += 1
-        client.scheduler = self._rng.randrange(len(self.fleets))
+        client.scheduler = self._rng.choice(self._alive)
 
         def come_back() -> None:
             client.waited_since = self.now
             client.excluded = frozenset()
             client.rejected = 0
+            self._budgets[client.scheduler].note_request(self.now)
             self._place(client)
 
         self._at(self.now + pause, come_back)
 
     def _send(self, client: Client, choice: Choice) -> None:
+        self.sent += 1
         number = next(self._numbers)
         client.number, client.choice = number, choice
         client.engine = int(choice.upstream.id[1:])
@@ -306,6 +398,7 @@
         self._rests[client.scheduler].note_sent(choice.upstream.id, self.now)
         self._clients[number] = client
         told = placed(number, client.need, choice, True)
+        self.fleets[client.scheduler].note_taken(client.need, self.now)
         mine = self.fleets[client.scheduler]
         mine.start(told, self.service, self.now)
         mine.pace("llm").note_reading(told.reading)
@@ -339,9 +432,12 @@
         if self._rest_asked[client.engine]:
             self._turn_away(client)
             return
-        if not self._up[client.engine] or not engine.accept(run, self.now):
+        if not self._up[client.engine]:
             self._not_run(client)
             return
+        if not engine.accept(run, self.now):
+            self._shed(client)
+            return
         name = self.upstreams[client.engine].id
         self._at(
             self.now + _WAY_SECONDS,
@@ -349,14 +445,14 @@
         )
         client.run = run
         if client.need.patience < client.kind.deadline:
-            self._at(client.sent_at + client.need.patience, lambda: self._impatient(client, run))
+            patient_until = client.waited_since + client.need.patience
+            self._at(patient_until, lambda: self._impatient(client, run))
         self._wake(client.engine)
 
     def _not_run(self, client: Client) -> None:
-        """Try another engine: this one is down, or full."""
+        """Try another engine: this one is down."""
         name = self.upstreams[client.engine].id
-        if not self._up[client.engine]:
-            self.fleets[client.scheduler].load(name).note_unreachable(self.now)
+        self.fleets[client.scheduler].load(name).note_unreachable(self.now)
         self._end_run(client, Outcome.NOT_SENT)
         client.excluded |= {name}
         if len(client.excluded) >= _MOST_UNSENT:
@@ -364,6 +460,18 @@
             return
         self._place(client)
 
+    def _shed(self, client: Client) -> None:
+        """Let an engine refuse a request since too many wait there."""
+        self.shed += 1
+        self._end_run(client, Outcome.FAILED)
+        client.excluded |= {self.upstreams[client.engine].id}
+        client.rejected += 1
+        budget = self._budgets[client.scheduler]
+        if client.rejected >= _MOST_REJECTED or not budget.spend(len(self._alive), self.now):
+            self._refuse(client, NoChoice(Refusal.RESTING, _SHED_RETRY_SECONDS))
+            return
+        self._at(self.now + _WAY_SECONDS, lambda: self._place(client))
+
     def _turn_away(self, client: Client) -> None:
         """Let an engine refuse a request and ask for rest."""
         self.turned_away += 1
@@ -472,6 +580,8 @@
 
     def _finish(self, client: Client, end: str, why: str = "") -> None:
         client.over = True
+        self._in_line.pop(client.key, None)
+        self.lines[client.scheduler].room.drop(client.key)
         client.served = end in ("in_time", "late")
         if why:
             self.tallies[client.kind.name].why[why] += 1
@@ -481,7 +591,37 @@
             setattr(tally, end, getattr(tally, end) + 1)
             tally.earned += earned
 
-    # Engines that shed, limit or are lost
+    # Schedulers and engines that are lost, and engines that shed or limit
+
+    def _lose_power(self, scheduler: int) -> None:
+        """Take a scheduler away: its clients come to others, which hear of no end for a while."""
+        self._alive.remove(scheduler)
+        for client in [item for item in self._all if item.scheduler == scheduler]:
+            if not client.over:
+                self._lose_gateway(client)
+
+    def _lose_gateway(self, client: Client) -> None:
+        """Let a client whose gateway is gone come to another one, if it comes again."""
+        begun = client.run is not None and bool(client.run.events)
+        if client.number in self._clients:
+            if client.run is not None:
+                self.engines[client.engine].drop(client.run)
+                client.run = None
+            del self._clients[client.number]
+            ended = Ended(client.number)
+            for fleet in self.fleets:
+                end = self._with_clock(functools.partial(fleet.end, ended))
+                self._at(self.now + _LOST_SECONDS, end)
+        client.number = 0
+        self._in_line.pop(client.key, None)
+        self.lines[client.scheduler].room.drop(client.key)
+        client.scheduler = self._rng.choice(self._alive)
+        if client.tries > 1 or begun:
+            self._finish(client, "failed", "gateway lost")
+            return
+        client.tries += 1
+        client.waited_since = self.now
+        self._place(client)
 
     def _plan_limit(self, limit: Limit) -> None:
         count = round(limit.share * len(self.engines))
@@ -537,11 +677,15 @@
 
     def _crash(self, index: int) -> None:
         self._up[index] = False
+        self._losses[index] += 1
         for client in list(self._clients.values()):
             if client.engine == index and client.run is not None:
                 self._lost(client, Outcome.CUT if client.run.events else Outcome.FAILED)
 
     def _return(self, index: int) -> None:
+        self._losses[index] -= 1
+        if self._losses[index]:
+            return
         self._up[index] = self._listed[index] = True
         self.engines[index] = Engine(
             self.figures, self.engines[index].slowness, self._on_event, self._on_end
--- a/src/lotushill/load/policy/result.py
+++ b/src/lotushill/load/policy/result.py
@@ -73,6 +73,10 @@
     """Share of those that came back at once and often, whatever they were told."""
     served_patient: float = 0.0
     """Share of all others."""
+    shed: int = 0
+    """Requests that engines refused since too many waited there."""
+    sent: int = 0
+    """Requests that were sent to engines, each as often as it was sent."""
 
     @property
     def refused_again(self) -> float:
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -6,6 +6,8 @@
 from dataclasses import field
 from typing import Any
 
+from lotushill.load.policy.engine import EngineFigures
+
 
 @dataclass(frozen=True)
 class RequestClass:
@@ -56,6 +58,14 @@
     """How long before it nothing new is sent there; 0 for a crash."""
 
 
+@dataclass(frozen=True)
+class PowerLoss:
+    """One scheduler is gone for good, with all that its own clients had under way."""
+
+    at: float
+    scheduler: int
+
+
 @dataclass(frozen=True)
 class Shed:
     """A share of the engines turns all requests away for a while, and asks for rest."""
@@ -125,6 +135,8 @@
     """Whether they draw upstreams meanwhile, in place of choosing by what they run themselves."""
     old_work: float = 0.0
     """Share of the slots that hold requests at the start which no scheduler knows."""
+    power_losses: tuple[PowerLoss, ...] = ()
+    engine: EngineFigures = field(default_factory=EngineFigures)
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
@@ -155,5 +167,7 @@
         unheard=float(value.get("unheard", 0.0)),
         drawn=bool(value.get("drawn", True)),
         old_work=float(value.get("old_work", 0.0)),
+        power_losses=tuple(PowerLoss(**item) for item in value.get("power_losses", ())),
+        engine=EngineFigures(**value.get("engine", {})),
         variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
     )
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -99,3 +99,5 @@
     """The same of the route of its service with the longest prompts."""
     standing: float = 0.0
     """What its team has had, times the mean of the others; told where that is the reason."""
+    final: bool = False
+    """Whether waiting for room would be in vain."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -133,6 +133,9 @@
         load = self._loads[where.upstream]
         load.begin(began.request, now)
         placed = load.running.get(began.request)
+        if placed is not None:
+            # It may have stood in the engine's queue for longer than starts are remembered.
+            self.shedding.starts.note(where.service.name, placed.tier, placed.prompt, now)
         if placed is None or not _is_time(began.seconds):
             return
         pace = self.pace(where.service.name)
@@ -206,8 +209,12 @@
         upstreams: Iterable[Upstream],
         excluded: frozenset[str],
         now: float,
+        closed: frozenset[str] = frozenset(),
     ) -> Choice | NoChoice:
-        """Return the cheapest upstream that can serve a request, or why there is none."""
+        """Return the cheapest upstream that can serve a request, or why there is none.
+
+        What is `closed` has no room now: it gets nothing, but counts for the room of all.
+        """
         self.shares.note_ask(need, now)
         known = {item.id: item for item in upstreams}
         ranks = _ranks(need.service, tuple(known)) if service.engine else {}
@@ -218,7 +225,10 @@
         kept = self._keeps_slots_from(need, service, reachable, now)
         if kept is not None:
             return self._explained(self.shedding.refuse_for_others(need, kept, now), need, now)
-        weighed = shortlist(need, reachable or candidates)
+        open_now = [item for item in reachable or candidates if item.id not in closed]
+        if not open_now:
+            return self.shedding.refuse_without_room(need)
+        weighed = shortlist(need, open_now)
         cut = frozenset(hall for hall in {item.hall for item in weighed} if self._is_cut_off(hall))
         weigher = self._weigher(need, service, reachable, known, cut, now)
         choices = [
@@ -235,9 +245,13 @@
         best = min(open_ones or choices, key=lambda choice: choice.cost)
         if best.first > need.patience:
             best = min(choices, key=lambda choice: choice.first)
-        returned = self.shedding.returns.note_placed(need.caller, now)
+        returned = self.shedding.returns.has_place(need.caller, now)
         return replace(best, returned=True) if returned else best
 
+    def note_taken(self, need: Need, now: float) -> None:
+        """Note that a choice for a request is used, so that its caller's place is."""
+        self.shedding.returns.note_placed(need.caller, now)
+
     def _keeps_slots_from(
         self, need: Need, service: Service, upstreams: Sequence[Upstream], now: float
     ) -> Refusal | None:
@@ -261,6 +275,19 @@
             return Refusal.OVERLOAD
         return Refusal.SHARE if self.shares.over_share(need, now) else None
 
+    def only_reserved_left(
+        self,
+        need: Need,
+        engine: EngineProfile,
+        upstreams: Sequence[Upstream],
+        most: float | None = None,
+    ) -> bool:
+        """Return whether the free slots are no more than are kept for more urgent requests."""
+        loads = [self.load(item.id) for item in upstreams]
+        held = sum(len(load.running) for load in loads)
+        urgent = sum(load.more_urgent(need.tier) for load in loads)
+        return only_reserved_left(held, urgent, len(loads) * engine.slots, most)
+
     def _gives_way(
         self, need: Need, service: Service, choices: Sequence[Choice], now: float
     ) -> bool:
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.placement.choice import NoChoice
@@ -117,6 +118,14 @@
         spread = need.caller % _SPREAD_STEPS / _SPREAD_STEPS
         return self.returns.retry_after(_asker(need, now), spread, now)
 
+    def give_up(self, need: Need, refusal: Refusal, wait: float, now: float) -> NoChoice:
+        """Return the final refusal of a request that waits no longer, or would in vain."""
+        return replace(self._told(need, refusal, wait, wait, now), final=True)
+
+    def refuse_without_room(self, need: Need) -> NoChoice:
+        """Return the refusal of a request for which no upstream has a slot now."""
+        return self._refused(need, Refusal.NO_ROOM, 0.0, 0.0, 0.0)
+
     def _refused(
         self, need: Need, refusal: Refusal, retry_after: float, wait: float, first: float
     ) -> NoChoice:
--- a/src/lotushill/shares/shares.py
+++ b/src/lotushill/shares/shares.py
@@ -110,6 +110,10 @@
         """Return a team's standing times the mean of the others that ask, 0 where none does."""
         return self._times(_key(need), now)
 
+    def ahead_by(self, need: Asked, now: float) -> float:
+        """Return how many times the others' standing a team over its share has, else 0."""
+        return self.beside_others(need, now) if self.over_share(need, now) else 0.0
+
     def ahead(self, now: float) -> list[Ahead]:
         """Return all teams that others go before while room is short."""
         return [
--- a/tests/test_directions.py
+++ b/tests/test_directions.py
@@ -12,7 +12,7 @@
     ("clock", "journal", "event_log", "rendezvous", "returns", "routing"),
     ("shares",),
     ("placement", "starting"),
-    ("availability", "links", "views", "contracts", "moves"),
+    ("availability", "links", "views", "contracts", "moves", "waiting"),
     ("membership", "quarantine", "platform", "standin"),
     ("process",),
     ("limits", "duties", "following"),
