--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -220,7 +220,7 @@
             tally.owed += client.worth * kind.worth
         need = client.need
         self._budgets[client.scheduler].note_request(self.now)
-        self.fleets[client.scheduler].shedding.usual.note_size(need.route, need.size)
+        self.fleets[client.scheduler].note_arrival(need, self.now)
         self._at(self.now + kind.deadline, lambda: self._leave(client))
         self._place(client)
 
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -114,6 +114,11 @@
             found = self._paces[service] = Pace()
         return found
 
+    def note_arrival(self, need: Need, now: float) -> None:
+        """Learn of a request that has come; not again when it is looked for again."""
+        self.shedding.usual.note_size(need.route, need.size)
+        self.shares.note_arrival(need, now)
+
     def start(self, placed: Placed, service: Service, now: float) -> None:
         """Count a request in, of this gateway or of another."""
         engine = service.engine
@@ -250,6 +255,7 @@
 
     def note_taken(self, need: Need, now: float) -> None:
         """Note that a choice for a request is used, so that its caller's place is."""
+        self.shares.note_placed(need, now)
         self.shedding.returns.note_placed(need.caller, now)
 
     def _keeps_slots_from(
--- a/src/lotushill/scheduling/desk.py
+++ b/src/lotushill/scheduling/desk.py
@@ -78,7 +78,7 @@
         need = _need(ask)
         waits = self._keeper is not None and self._keeper.line.room.find(ask.request) is not None
         if not (ask.again or waits):
-            self._fleet.shedding.usual.note_size(need.route, need.size)
+            self._fleet.note_arrival(need, now)
         found = self._find(ask, need, service, now)
         if isinstance(found, Held):
             return PlacementAnswer(self._name, ask.request, refusal=HELD, retry_after=found.renew)
