Learn the lasting pace of each engine, and replay engines of unequal pace

Cause: an engine that is slow for its life was taken for a usual one again 20 s after it was last used, and a plain instance after 6 s; newcomers and new engines began from nothing.

Change: a median over seconds of each upstream's typical pauses (plain services: of its answers), held against the median upstream. What passes stays a moving average beside it. Upstreams of which nothing is known get a quarter of their slots at usual cost while others are known to differ. The load tool emulates paces, disturbances, waves, learned pauses and demand by hall; scenarios without them play as before.

--- a/src/lotushill/load/policy/arrivals.py
+++ b/src/lotushill/load/policy/arrivals.py
@@ -59,9 +59,19 @@
             tier=kind.tier,
         )
         worth = _worth(kind, need.prompt_tokens, output)
-        scheduler = rng.randrange(self._scenario.schedulers)
+        scheduler = self._draw_scheduler(rng)
         return Client(kind, need, output, now, worth, scheduler, waited_since=now)
 
+    def _draw_scheduler(self, rng: random.Random) -> int:
+        """Return where a request comes in; scheduler n stands in hall n, modulo the halls."""
+        scenario = self._scenario
+        if not scenario.hall_demand:
+            return rng.randrange(scenario.schedulers)
+        weights = [
+            scenario.hall_demand[number % scenario.halls] for number in range(scenario.schedulers)
+        ]
+        return rng.choices(range(scenario.schedulers), weights)[0]
+
 
 def _worth(kind: RequestClass, prompt: int, output: int) -> float:
     mean = kind.prompt + kind.shared + _OUTPUT_WORTH * kind.output
--- a/src/lotushill/load/policy/client.py
+++ b/src/lotushill/load/policy/client.py
@@ -32,6 +32,8 @@
     run: Run | None = None
     choice: Choice | None = None
     sent_at: float = 0.0
+    due: float = 0.0
+    """Seconds of reading that were due beside it at its latest event."""
     over: bool = False
     excluded: frozenset[str] = frozenset()
     rejected: int = 0
--- a/src/lotushill/load/policy/engine.py
+++ b/src/lotushill/load/policy/engine.py
@@ -36,6 +36,15 @@
     """Requests that may wait for a slot."""
 
 
+@dataclass(frozen=True)
+class Disturbance:
+    """An engine works some times slower than it usually does, for a while."""
+
+    begins: float
+    ends: float
+    times: float
+
+
 @dataclass
 class Run:
     """One request at one engine."""
@@ -77,6 +86,11 @@
         self._kept_tokens = 0
         self.read_tokens = 0
         """Prompt tokens read so far."""
+        self.work_seconds = 0.0
+        """What it has done so far, as part of what it can do: reading takes it all, and a request
+        that is answered takes a slot's part."""
+        self.disturbance: Disturbance | None = None
+        """The latest, which may be over."""
 
     def accept(self, run: Run, now: float) -> bool:
         """Take a request, or refuse it since too many wait."""
@@ -103,19 +117,30 @@
             key=lambda run: (run.tier, run.arrived),
             default=None,
         )
+        slowness = self.slowness_at(now)
         steps = 1 if reading or self.waiting else self._quiet_steps()
         seconds = steps * self._step_seconds()
+        writing = sum(run.unread <= 0 for run in self.running)
+        self.work_seconds += seconds * slowness * writing / self.figures.slots
         if reading is not None:
             piece = min(self.figures.piece, reading.unread)
             reading.unread -= piece
             self.read_tokens += piece
             seconds += piece / self.figures.read_rate
-        ends = now + seconds * self.slowness
+            self.work_seconds += slowness * piece / self.figures.read_rate
+        ends = now + seconds * slowness
         for run in list(self.running):
             if run.unread <= 0:
                 self._write(run, steps, ends)
         return ends
 
+    def slowness_at(self, now: float) -> float:
+        """Return how many times slower than usual it works at some moment."""
+        seen = self.disturbance
+        if seen is None or not seen.begins <= now < seen.ends:
+            return self.slowness
+        return self.slowness * seen.times
+
     def _quiet_steps(self) -> int:
         stride = self.figures.tokens_per_event
         due = min(
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -20,7 +20,9 @@
 from lotushill.limits.denials import Denials
 from lotushill.limits.permit_desk import PermitDesk
 from lotushill.limits.permit_rank import PermitRanks
+from lotushill.load.policy import known_paces
 from lotushill.load.policy.arrivals import Arrivals
+from lotushill.load.policy.engine import Disturbance
 from lotushill.load.policy.engine import Engine
 from lotushill.load.policy.engine import EngineFigures
 from lotushill.load.policy.engine import Run
@@ -46,6 +48,7 @@
     from collections.abc import Callable
 
     from lotushill.load.policy.client import Client
+    from lotushill.load.policy.scenario import Disturbances
     from lotushill.load.policy.scenario import Limit
     from lotushill.load.policy.scenario import Loss
     from lotushill.load.policy.scenario import RequestClass
@@ -78,7 +81,7 @@
 
     def __init__(self, scenario: Scenario, seed: int, figures: EngineFigures | None = None) -> None:
         self.scenario = scenario
-        self.figures = figures or EngineFigures()
+        self.figures = figures or scenario.figures
         self.now = 0.0
         self._rng = random.Random(seed)
         self._arrivals = Arrivals(scenario, seed)
@@ -89,7 +92,10 @@
             self.figures.slots, self.figures.memory_tokens, self.figures.tokens_per_event
         )
         self.service = Service("llm", 600, profile)
-        self.fleets = [Fleet("h0") for _ in range(scenario.schedulers)]
+        skewed = bool(scenario.hall_demand)
+        self.fleets = [
+            Fleet(f"h{n % scenario.halls}" if skewed else "h0") for n in range(scenario.schedulers)
+        ]
         self.upstreams = [
             Upstream(
                 f"e{n}", "llm", f"10.0.0.{n}:1", f"h{n % scenario.halls}", profile.slots, False
@@ -99,7 +105,7 @@
         self.engines = [
             Engine(
                 self.figures,
-                1.3 if n % 3 == 2 else 1.0,
+                1.0 / scenario.paces[n % len(scenario.paces)],
                 self._on_event,
                 self._on_end,
             )
@@ -115,6 +121,7 @@
         self._ranks = [
             PermitRanks(fleet, self._limits, lambda _: self.upstreams) for fleet in self.fleets
         ]
+        self._disturbing = random.Random(f"{seed}/disturbances")
         self._desk = PermitDesk()
         self._denials = [Denials() for _ in range(scenario.schedulers)]
         self._clients: dict[int, Client] = {}
@@ -134,13 +141,18 @@
             self._plan_shed(shed)
         for limit in self.scenario.limits:
             self._plan_limit(limit)
+        if self.scenario.disturbances:
+            self._at(0.0, functools.partial(self._disturb, self.scenario.disturbances))
+        if known_paces.KNOWN:
+            known_paces.tell(self.fleets, self.upstreams, self.engines)
         ends = self.scenario.seconds + max(item.deadline for item in self.scenario.classes)
         while self._events and self._events[0].at <= ends:
             event = heapq.heappop(self._events)
             self.now = event.at
             event.act()
         behind = put_behind(self.scenario, self._all)
-        return Result(self.tallies, self.windows, behind, self.turned_away)
+        work = [engine.work_seconds for engine in self.engines]
+        return Result(self.tallies, self.windows, behind, self.turned_away, work)
 
     def _at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, _Event(when, next(self._order), act))
@@ -344,6 +356,9 @@
 
     def _on_event(self, run: Run, at: float) -> None:
         client = self._clients[run.number]
+        if self.scenario.pauses_learned:
+            pause = at - run.events[-2] if len(run.events) > 1 else 0.0
+            self._at(at, lambda: self._learn_pause(client, run, pause))
         if len(run.events) == 1:
             client.began_at = at
             began = Began(run.number, at - client.sent_at)
@@ -355,6 +370,20 @@
                 at, lambda: self._tell_all(client, lambda fleet, now: fleet.note_paced(paced, now))
             )
 
+    def _learn_pause(self, client: Client, run: Run, pause: float) -> None:
+        """Let a scheduler learn from a pause of its own stream."""
+        if client.over or client.run is not run:
+            return
+        fleet = self.fleets[client.scheduler]
+        load, pace = fleet.load(self.upstreams[client.engine].id), fleet.pace("llm")
+        due = load.unread.all(pace.read_rate, self.now) / pace.read_rate
+        if pause > 0.0:
+            slowness = load.pace.step_slowness(self.now)
+            ratio = pace.pauses.note(pause, client.due, len(load.running), slowness)
+            if ratio is not None and not due:
+                load.pace.note_step(ratio, self.now)
+        client.due = due
+
     def _on_end(self, run: Run, at: float) -> None:
         self._at(at, lambda: self._whole(run))
 
@@ -437,6 +466,14 @@
     def _ask_rest(self, index: int, seconds: float) -> None:
         self._rest_asked[index] = seconds
 
+    def _disturb(self, wanted: Disturbances) -> None:
+        """Slow a share of the engines down for a while, and others later."""
+        count = round(wanted.share * len(self.engines))
+        for engine in self._disturbing.sample(self.engines, count):
+            engine.disturbance = Disturbance(self.now, self.now + wanted.seconds, wanted.times)
+        if self.now < self.scenario.seconds:
+            self._at(self.now + wanted.every, lambda: self._disturb(wanted))
+
     def _plan(self, loss: Loss) -> None:
         count = round(loss.share * len(self.engines))
         struck = self._rng.sample(range(len(self.engines)), count)
--- a/src/lotushill/load/policy/result.py
+++ b/src/lotushill/load/policy/result.py
@@ -62,6 +62,14 @@
     put_behind: list[PutBehind]
     turned_away: int = 0
     """Requests that engines refused with a wish for rest."""
+    work: list[float] = field(default_factory=list)
+    """What each engine has done, in seconds of all that it can do."""
+
+    @property
+    def busiest(self) -> float:
+        """Return the work of the busiest engine by the mean of all."""
+        mean = sum(self.work) / max(1, len(self.work))
+        return max(self.work) / mean if mean else 1.0
 
     @property
     def credit(self) -> float:
--- a/src/lotushill/load/policy/scenario.py
+++ b/src/lotushill/load/policy/scenario.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
+
+from lotushill.load.policy.engine import EngineFigures
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_Kind = TypeVar("_Kind")
 
 
 @dataclass(frozen=True)
@@ -76,6 +86,26 @@
     """Requests a second that each of them takes from all schedulers together."""
 
 
+@dataclass(frozen=True)
+class Disturbances:
+    """Every so often a share of the engines, drawn anew, is slower for a while, in seconds."""
+
+    every: float
+    seconds: float
+    share: float
+    times: float
+
+
+@dataclass(frozen=True)
+class Wave:
+    """All demand swings around its rate."""
+
+    swing: float
+    """Of the rate, to either side."""
+    period: float
+    """Seconds."""
+
+
 @dataclass(frozen=True)
 class Scenario:
     """One load."""
@@ -90,12 +120,23 @@
     losses: tuple[Loss, ...] = ()
     sheds: tuple[Shed, ...] = ()
     limits: tuple[Limit, ...] = ()
+    figures: EngineFigures = field(default_factory=EngineFigures)
+    paces: tuple[float, ...] = (1.0, 1.0, 1.0 / 1.3)
+    """Times as fast as usual, repeated over the engines."""
+    disturbances: Disturbances | None = None
+    wave: Wave | None = None
+    pauses_learned: bool = False
+    """Whether schedulers learn from the pauses of their own streams, as gateways do."""
+    hall_demand: tuple[float, ...] = ()
+    """Weights of the halls where requests come in; empty where schedulers stand in one hall."""
     variants: dict[str, dict[str, float]] = field(default_factory=dict)
     """Figures of decisions to compare: `module.CONSTANT` and its value, by variant."""
 
     def rate(self, item: RequestClass, now: float) -> float:
         """Return the requests a second of a class at some moment."""
         times = 1.0
+        if self.wave is not None:
+            times += self.wave.swing * math.sin(2.0 * math.pi * now / self.wave.period)
         for burst in self.bursts:
             if burst.name in ("", item.name) and burst.at <= now < burst.at + burst.seconds:
                 times *= burst.times
@@ -115,5 +156,15 @@
         losses=tuple(Loss(**item) for item in value.get("losses", ())),
         sheds=tuple(Shed(**item) for item in value.get("sheds", ())),
         limits=tuple(Limit(**item) for item in value.get("limits", ())),
+        figures=EngineFigures(**value.get("figures", {})),
+        paces=tuple(value.get("paces", Scenario.paces)),
+        disturbances=_one(Disturbances, value.get("disturbances")),
+        wave=_one(Wave, value.get("wave")),
+        pauses_learned=bool(value.get("pauses_learned", False)),
+        hall_demand=tuple(value.get("hall_demand", ())),
         variants={name: dict(figures) for name, figures in value.get("variants", {}).items()},
     )
+
+
+def _one(kind: Callable[..., _Kind], value: Any) -> _Kind | None:
+    return None if value is None else kind(**value)
--- /dev/null
+++ b/src/lotushill/placement/engine_pace.py
@@ -0,0 +1,242 @@
+"""How fast each engine of a service works beside its like: for its life, and for the moment. Pure.
+
+Answers loads where some engines are twice as slow as others all their life, and any of them is
+slower still for some hundred milliseconds at times. What lasts is a median over seconds, so that a
+disturbance, which is over before it fills half of them, leaves it as it is. It is learned from
+seconds and not from what was usual when they passed, and held against the median engine and not the
+median request: the usual pace stays where it is while slow engines are sent less. What is short is
+a moving average beside what lasts, and fades to it.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+_SLOT_SECONDS = 0.25
+"""One time counts in each: a disturbance of some hundred ms fills three at most."""
+_MOST_SLOTS = 15
+_LEAST_STEPS = 3
+"""Slots. A stream tells one of its shorter pauses of many: one in a disturbance is rare."""
+_LEAST_READINGS = 15
+"""Slots. Much that a gateway does not see lengthens the time to a first event."""
+_LEAST_ENGINES = 3
+"""With fewer there is no telling which of them is usual."""
+_LEAST_DIFFERENCE = 1.4
+"""Pauses of engines that are alike spread by less."""
+_LEAST_ANSWER_DIFFERENCE = 1.6
+"""Plain answers wait for one another, and spread more."""
+_LEAST_READING_DIFFERENCE = 3.0
+"""Beside what the steps say: readings overlap, so that their times spread most."""
+_CHANGE = 1.15
+"""A lasting pace stays as it is until it seems to have changed by so many times."""
+_SETTLE_SECONDS = 0.25
+_MOST_RATIO = 20.0
+_STEP_WEIGHT = 0.03
+"""Of one pause: some 30 of them count, which a stream or two bring in a second."""
+_STREAM_STEP_WEIGHT = 0.2
+"""Of a typical pause of one stream: as much as some seven single pauses."""
+_LEAST_SHORT = 0.5
+_FORGET_SECONDS = 20.0
+"""An upstream that slowed down for a while is tried again; one that is slow by itself shows it."""
+
+
+class UsualTime:
+    """The median of times over some seconds."""
+
+    def __init__(self) -> None:
+        self._slots: deque[float] = deque(maxlen=_MOST_SLOTS)
+        self._slot_ends = float("-inf")
+        self.median = 0.0
+
+    def known(self, slots: int) -> bool:
+        """Return whether something was noted in so many slots of time."""
+        return len(self._slots) >= slots
+
+    def note(self, seconds: float, now: float) -> None:
+        """Note one time above 0; the first in each slot of time counts."""
+        if now < self._slot_ends:
+            return
+        self._slot_ends = now + _SLOT_SECONDS
+        self._slots.append(seconds)
+        self.median = statistics.median(self._slots)
+
+
+@dataclass(frozen=True)
+class LastingPace:
+    """How many times slower than its like an engine works for its life."""
+
+    upstream: str
+    steps: float
+    reading: float
+
+
+class EnginePace:
+    """The pace of one engine."""
+
+    def __init__(self) -> None:
+        self.steps = UsualTime()
+        self.readings = UsualTime()
+        self.lasting_steps = 1.0
+        """Times slower than its like; 1 until it is known to differ."""
+        self.lasting_reading = 1.0
+        """The same of reading, beside what its steps say."""
+        self.tried = False
+        """Whether anything is known of it."""
+        self.plain = False
+        """Whether it gives plain answers, of which each counts as a reading."""
+        self._short = 1.0
+        self._short_at = 0.0
+
+    def step_slowness(self, now: float) -> float:
+        """Return how many times slower than its like it steps."""
+        if self._short == 1.0:
+            return self.lasting_steps
+        return self.lasting_steps * self._short_part(now)
+
+    def read_slowness(self, now: float) -> float:
+        """Return how many times slower than its like it reads prompts."""
+        return self.step_slowness(now) * self.lasting_reading
+
+    def note_step(self, ratio: float, now: float) -> None:
+        """Learn of the moment from a pause between events against what is usual."""
+        self._note(ratio, _STEP_WEIGHT, now)
+
+    def note_steps(self, ratio: float, now: float) -> None:
+        """Learn of the moment from a typical pause of one stream against what is usual."""
+        self._note(ratio, _STREAM_STEP_WEIGHT, now)
+
+    def note_pause(self, seconds: float, now: float) -> None:
+        """Learn what lasts from a typical pause of one stream beside which little was read."""
+        self.tried = True
+        self.steps.note(seconds, now)
+
+    def note_reading(self, seconds: float, now: float) -> None:
+        """Learn what lasts from the seconds that reading a token took."""
+        self.tried = True
+        self.readings.note(seconds, now)
+
+    def note_answer(self, seconds: float, now: float) -> None:
+        """Learn what lasts from the seconds that a plain answer took."""
+        self.plain = True
+        self.note_reading(seconds, now)
+
+    def settle(self, steps: float, reading: float) -> None:
+        """Take what lasts; what is known of the moment stays as it is."""
+        self._short = max(_LEAST_SHORT, self._short * self.lasting_steps / steps)
+        self.lasting_steps = steps
+        self.lasting_reading = reading
+
+    def presume(self, steps: float, reading: float) -> None:
+        """Take what another gateway has found, until own evidence says something else."""
+        if not self.tried:
+            self.tried = True
+            self.settle(steps, reading)
+
+    def _note(self, ratio: float, weight: float, now: float) -> None:
+        current = self._short_part(now)
+        bounded = min(_MOST_RATIO, max(_LEAST_SHORT, ratio / self.lasting_steps))
+        self._short = current + weight * (bounded - current)
+        self._short_at = now
+
+    def _short_part(self, now: float) -> float:
+        fresh = max(0.0, 1.0 - max(0.0, now - self._short_at) / _FORGET_SECONDS)
+        return 1.0 + (self._short - 1.0) * fresh
+
+
+class ServicePaces:
+    """The paces of a service's engines, held against their median."""
+
+    def __init__(self) -> None:
+        self._paces: dict[str, EnginePace] = {}
+        self._settled_at = float("-inf")
+        self.differing = False
+        """Whether some engine is known to differ for good."""
+        self.changes = 0
+        """Lasting paces that were settled or changed so far."""
+        self._changed: list[LastingPace] = []
+
+    def add(self, upstream: str, pace: EnginePace) -> None:
+        """Count an engine in."""
+        self._paces[upstream] = pace
+
+    def drop(self, upstreams: Collection[str]) -> None:
+        """Count out all engines but some."""
+        for upstream in self._paces.keys() - set(upstreams):
+            del self._paces[upstream]
+
+    def lasting(self) -> list[LastingPace]:
+        """Return the engines that are known to differ."""
+        return [
+            LastingPace(upstream, pace.lasting_steps, pace.lasting_reading)
+            for upstream, pace in self._paces.items()
+            if _differs(pace)
+        ]
+
+    def presume(self, told: LastingPace, pace: EnginePace) -> None:
+        """Take what another gateway has found of an engine of which nothing is known here."""
+        self.add(told.upstream, pace)
+        pace.presume(told.steps, told.reading)
+        self.differing = self.differing or _differs(pace)
+
+    def take_changes(self) -> list[LastingPace]:
+        """Return the lasting paces that changed since this was asked before."""
+        changed, self._changed = self._changed, []
+        return changed
+
+    def settle(self, now: float) -> None:
+        """Hold each engine against the median of all, now and then."""
+        if now < self._settled_at + _SETTLE_SECONDS:
+            return
+        self._settled_at = now
+        usual_step = _usual([pace.steps for pace in self._paces.values()], _LEAST_STEPS)
+        usual_reading = _usual([pace.readings for pace in self._paces.values()], _LEAST_READINGS)
+        wanted = {
+            upstream: self._lasting(pace, usual_step, usual_reading)
+            for upstream, pace in self._paces.items()
+        }
+        self.differing = any(pair != (1.0, 1.0) for pair in wanted.values())
+        for upstream, (steps, reading) in wanted.items():
+            pace = self._paces[upstream]
+            changed = (steps, reading) != (pace.lasting_steps, pace.lasting_reading)
+            if changed:
+                pace.settle(steps, reading)
+                self.changes += 1
+                self._changed.append(LastingPace(upstream, steps, reading))
+
+    def _lasting(
+        self, pace: EnginePace, usual_step: float, usual_reading: float
+    ) -> tuple[float, float]:
+        """Return what lasts of the steps and, beside them, of the readings of one engine."""
+        steps, reading = pace.lasting_steps, pace.lasting_reading
+        if usual_step and pace.steps.known(_LEAST_STEPS):
+            steps = _follow(steps, pace.steps.median / usual_step, _LEAST_DIFFERENCE)
+        if usual_reading and pace.readings.known(_LEAST_READINGS):
+            ratio = pace.readings.median / usual_reading / steps
+            least = _LEAST_ANSWER_DIFFERENCE if pace.plain else _LEAST_READING_DIFFERENCE
+            reading = _follow(reading, ratio, least)
+        return steps, reading
+
+
+def _differs(pace: EnginePace) -> bool:
+    return (pace.lasting_steps, pace.lasting_reading) != (1.0, 1.0)
+
+
+def _usual(times: list[UsualTime], slots: int) -> float:
+    """Return the median over the engines, 0 where too few are known to tell which are usual."""
+    known = [item.median for item in times if item.known(slots)]
+    enough = max(_LEAST_ENGINES, len(times) / 2)
+    return statistics.median(known) if len(known) >= enough else 0.0
+
+
+def _follow(standing: float, seen: float, least: float) -> float:
+    """Return what lasts, after it stood at one value and another one was seen."""
+    if abs(math.log(seen / standing)) < math.log(_CHANGE):
+        return standing
+    return seen if abs(math.log(seen)) >= math.log(least) else 1.0
--- a/src/lotushill/placement/pace.py
+++ b/src/lotushill/placement/pace.py
@@ -15,6 +15,8 @@
 _FIRST_STREAM_SECONDS = 2.0
 _LEAST_READING = 400
 """Tokens below which the time to the first event says little of the reading rate."""
+_CLEAR_READING = 1500
+"""Tokens below which it says little of the pace of one engine."""
 _OVERHEAD_SECONDS = 0.012
 _LONG_RISE = 0.5
 _LONG_FALL = 0.01
@@ -22,6 +24,13 @@
 _HIGHEST_RATE = 2_000_000.0
 
 
+def reading_seconds(reading: float, seconds: float) -> float | None:
+    """Return the seconds that each token took until a first event; None if that says little."""
+    if reading < _CLEAR_READING:
+        return None
+    return max(0.001, seconds - _OVERHEAD_SECONDS) / reading
+
+
 class Pace:
     """Moving averages for one service."""
 
--- a/src/lotushill/placement/quiet_pause.py
+++ b/src/lotushill/placement/quiet_pause.py
@@ -44,3 +44,7 @@
             return self._seconds
         slope = max(0.0, self._covariance / self._variance)
         return max(0.5 * self._seconds, self._seconds + slope * (running - self._running))
+
+    def share(self, running: int) -> float:
+        """Return how many times longer the pause is than on average, where so many run."""
+        return self.at(running) / self._seconds
--- a/src/lotushill/placement/unread_prompts.py
+++ b/src/lotushill/placement/unread_prompts.py
@@ -58,6 +58,11 @@
             total += self._waiting[self._in_turn].tokens
         return total - self._done(read_rate, now)
 
+    @property
+    def any_left(self) -> bool:
+        """Return whether a prompt waits or is read."""
+        return bool(self._waiting)
+
     def idle_for(self, now: float) -> float:
         """Return for how many seconds nothing has been read, 0 while something is."""
         return 0.0 if self._waiting else max(0.0, now - self._idle_since)
--- a/src/lotushill/placement/upstream_load.py
+++ b/src/lotushill/placement/upstream_load.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from lotushill.placement.engine_pace import EnginePace
 from lotushill.placement.failure_rate import FailureRate
 from lotushill.placement.kept_parts import KeptParts
 from lotushill.placement.unread_prompts import UnreadPrompts
@@ -15,14 +16,6 @@
 
 _SLOWNESS_WEIGHT = 0.15
 _FORGET_SECONDS = 6.0
-_STEP_WEIGHT = 0.03
-"""Of one pause: some 30 of them count, which a stream or two bring in a second."""
-_STREAM_STEP_WEIGHT = 0.2
-"""Of a typical pause of one stream: as much as some seven single pauses."""
-_STEP_FORGET_SECONDS = 20.0
-"""An upstream that slowed down for a while is tried again; one that is slow by itself shows it."""
-_LEAST_STEP_SLOWNESS = 0.5
-_MOST_STEP_SLOWNESS = 20.0
 _FIRST_BACK_OFF = 0.5
 _LONGEST_BACK_OFF = 4.0
 
@@ -49,8 +42,7 @@
         self._begun_tiers: Counter[int] = Counter()
         self._slowness = 1.0
         self._slowness_at = 0.0
-        self._step_slowness = 1.0
-        self._step_slowness_at = 0.0
+        self.pace = EnginePace()
         self._away_until = float("-inf")
         self._back_off = _FIRST_BACK_OFF
 
@@ -136,25 +128,6 @@
         self._slowness = current + _SLOWNESS_WEIGHT * (min(20.0, max(0.3, ratio)) - current)
         self._slowness_at = now
 
-    def step_slowness(self, now: float) -> float:
-        """Return how many times slower than its like it steps; what is old fades to 1."""
-        fresh = max(0.0, 1.0 - max(0.0, now - self._step_slowness_at) / _STEP_FORGET_SECONDS)
-        return 1.0 + (self._step_slowness - 1.0) * fresh
-
-    def note_step(self, ratio: float, now: float) -> None:
-        """Learn from a pause between events against what is usual."""
-        self._learn_step(ratio, _STEP_WEIGHT, now)
-
-    def note_steps(self, ratio: float, now: float) -> None:
-        """Learn from a typical pause of one stream against what is usual."""
-        self._learn_step(ratio, _STREAM_STEP_WEIGHT, now)
-
-    def _learn_step(self, ratio: float, weight: float, now: float) -> None:
-        current = self.step_slowness(now)
-        bounded = min(_MOST_STEP_SLOWNESS, max(_LEAST_STEP_SLOWNESS, ratio))
-        self._step_slowness = current + weight * (bounded - current)
-        self._step_slowness_at = now
-
     def away(self, now: float) -> bool:
         """Return whether the upstream cannot be reached, as far as is known."""
         return now < self._away_until
--- a/src/lotushill/placement/weigher.py
+++ b/src/lotushill/placement/weigher.py
@@ -43,6 +43,11 @@
 _FEW_RUNNING = 8
 """Requests beside which a pause is held against what is allowed, to tell delicate streams."""
 _DELICATE_MARGIN = 1.05
+_UNTRIED_SHARE = 0.25
+"""Of the slots, filled as on any other upstream before its pace is known: if it is slow, as few
+are late, and a first event tells."""
+_UNTRIED_LOSS = 0.3
+"""Half of a late answer: less than being late for certain, so that it is not starved either."""
 _LATE_STEEPNESS = 6.0
 _MEMORY_SHARE = 0.95
 _FULL_MEMORY_LOSS = 1.0
@@ -67,20 +72,24 @@
 class PlainWeigher:
     """Weighs instances of a plain service for one request."""
 
-    def __init__(self, need: Need, pace: Pace, place: Place, now: float) -> None:
+    def __init__(self, need: Need, pace: Pace, place: Place, differing: bool, now: float) -> None:
+        """Take in what is the same for all; `differing` says that instances differ in pace."""
         self._need = need
         self._pace = pace
         self._place = place
+        self._differing = differing
         self._now = now
 
     def weigh(self, upstream: Upstream, load: UpstreamLoad, rank: float) -> Choice:
         """Return the choice of one upstream; its rank has no part in it."""
         del rank
-        usual = self._pace.answer_seconds * load.slowness(self._now)
+        usual = self._pace.answer_seconds * load.pace.lasting_reading * load.slowness(self._now)
         crowd = (len(load.running) + 1) / upstream.slots
         first = usual * max(1.0, crowd)
         cost = _late(first, self._need.target) + _CROWDING_LOSS * crowd
         cost += _FAILURE_LOSS * load.failures.rate(self._now) + self._place.loss(upstream)
+        if self._differing:
+            cost += _untried_loss(load, upstream.slots)
         return Choice(upstream, cost, first, 0, 0, first, running=len(load.running))
 
 
@@ -141,9 +150,13 @@
         chain: Chain,
         recent: RecentParts,
         planner: FetchPlanner | None,
+        differing: bool,
         now: float,
     ) -> None:
-        """Take in what is the same for all upstreams; `chain` is the request's prompt."""
+        """Take in what is the same for all upstreams; `chain` is the request's prompt.
+
+        `differing` says that engines of the service are known to differ in pace.
+        """
         self._need = need
         self._engine = engine
         self._pace = pace
@@ -153,6 +166,7 @@
         self._shared = chain[:-1]
         self._recent = recent
         self._planner = planner
+        self._differing = differing
         self._now = now
         self._events = need.output_tokens / engine.tokens_per_event
         beside = pace.pauses.beside(pace.long_reading, _FEW_RUNNING, 1.0)
@@ -173,6 +187,8 @@
         cost += _REREAD_LOSS_PER_TOKEN * again + _READING_LOSS_PER_TOKEN * seen.reading
         cost += COPY_LOSS_PER_TOKEN * fetched + self._memory_loss(load)
         cost += _FAILURE_LOSS * load.failures.rate(self._now) + self._place.loss(upstream)
+        if self._differing:
+            cost += _untried_loss(load, self._engine.slots)
         return Choice(
             upstream,
             cost,
@@ -191,8 +207,8 @@
 
     def _forecast(self, upstream: Upstream, load: UpstreamLoad) -> _Forecast:
         need, pace, slots = self._need, self._pace, self._engine.slots
-        slowness = load.step_slowness(self._now)
-        rate = pace.read_rate / slowness
+        slowness = load.pace.step_slowness(self._now)
+        rate = pace.read_rate / (slowness * load.pace.lasting_reading)
         ahead = load.unread.ahead(need.tier, rate, self._now)
         matched = load.kept.matched_chain(self._chain)
         fetch = self._planner.plan(upstream, matched, rate) if self._planner else None
@@ -270,6 +286,13 @@
         return _FULL_MEMORY_LOSS if held > _MEMORY_SHARE * self._engine.memory_tokens else 0.0
 
 
+def _untried_loss(load: UpstreamLoad, slots: int) -> float:
+    """Return what it costs to send more to an upstream of whose pace nothing is known yet."""
+    if load.pace.tried or len(load.running) < _UNTRIED_SHARE * slots:
+        return 0.0
+    return _UNTRIED_LOSS
+
+
 def _late(first: float, target: float) -> float:
     """Return what a first event after so many seconds is likely to lose."""
     return _LATE_LOSS * logistic(_LATE_STEEPNESS * (first / target - 1.0))
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -231,10 +231,10 @@
         """Learn from the pause that ends now, while readings of `due` seconds are still due."""
         load = self._parts.fleet.load(self._choice.upstream.id)
         pauses = self._parts.fleet.pace(self._request.service.name).pauses
-        slowness = load.step_slowness(now)
+        slowness = load.pace.step_slowness(now)
         ratio = pauses.note(now - self.last_at, self._waiting, len(load.running), slowness)
         if ratio is not None and not due:
-            load.note_step(ratio, now)
+            load.pace.note_step(ratio, now)
 
     def _due_reading(self, now: float) -> float:
         """Return the seconds of reading that are due at the upstream."""
--- /dev/null
+++ b/tests/load/policy/test_uneven_engines.py
@@ -0,0 +1,75 @@
+"""Engines of unequal pace that are disturbed for moments, replayed before the real decisions.
+
+Seen where a quarter of the engines were less than half as fast as the others: each of them was
+taken for a usual one again some seconds after it was last used, and pauses beside the reading of
+long prompts, twice as long there, made short streams late.
+"""
+
+from __future__ import annotations
+
+import statistics
+import unittest
+from dataclasses import replace
+from pathlib import Path
+from unittest import mock
+
+from lotushill.contracts.yaml_text import parse_file
+from lotushill.load.policy import known_paces
+from lotushill.load.policy.replay import Replay
+from lotushill.load.policy.scenario import Scenario
+from lotushill.load.policy.scenario import parse_scenario
+from lotushill.placement import engine_pace
+
+SCENARIOS = Path(__file__).parents[3] / "bench" / "scenarios"
+SEEDS = (1, 2, 3)
+SLOW = {"e0", "e4", "e8"}
+
+
+def uneven() -> Scenario:
+    return parse_scenario(parse_file(SCENARIOS / "uneven-engines.yaml"))
+
+
+def mean_credit(scenario: Scenario) -> float:
+    return statistics.mean(Replay(scenario, seed).play().credit for seed in SEEDS)
+
+
+class TestUnevenEngines(unittest.TestCase):
+    def test_learned_paces_serve_about_as_well_as_known_ones(self) -> None:
+        learned = mean_credit(uneven())
+        with mock.patch.object(known_paces, "KNOWN", 1.0):
+            known = mean_credit(uneven())
+        self.assertGreater(learned, known - 0.03)
+        self.assertGreater(learned, 0.85)
+
+    def test_all_schedulers_know_the_slow_ones_and_no_others_after_some_seconds(self) -> None:
+        for seed in SEEDS:
+            replay = Replay(replace(uneven(), seconds=9.0), seed)
+            replay.play()
+            for fleet in replay.fleets:
+                with self.subTest(seed=seed):
+                    paces = fleet.engine_paces("llm").lasting()
+                    slow = {item.upstream for item in paces if item.steps > 1.5}
+                    self.assertEqual(SLOW, slow)
+
+    def test_where_engines_are_even_the_choices_are_those_without_lasting_paces(self) -> None:
+        even = replace(uneven(), paces=(1.0,), disturbances=None, seconds=12.0)
+        result = Replay(even, 1).play()
+        with mock.patch.object(engine_pace, "_LEAST_ENGINES", 1_000):
+            without = Replay(even, 1).play()
+        self.assertEqual(without.classes, result.classes)
+        self.assertEqual(without.work, result.work)
+
+
+class TestDisturbances(unittest.TestCase):
+    def test_they_strike_the_same_engines_whatever_is_decided(self) -> None:
+        struck = []
+        for rate in (1.0, 4.0):
+            kinds = tuple(replace(kind, rate=rate) for kind in uneven().classes)
+            replay = Replay(replace(uneven(), classes=kinds, seconds=3.0), 7)
+            replay.play()
+            struck.append([engine.disturbance for engine in replay.engines])
+        self.assertEqual(*struck)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/placement/test_engine_pace.py
@@ -0,0 +1,115 @@
+"""What is learned of an engine's pace: what lasts, what passes, and against what it is held."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from lotushill.placement.engine_pace import EnginePace
+from lotushill.placement.engine_pace import LastingPace
+from lotushill.placement.engine_pace import ServicePaces
+
+
+class Engines:
+    """Engines of given slowness, from each of which a stream tells now and then."""
+
+    def __init__(self, slowness: list[float], seed: int = 1) -> None:
+        self.slowness = slowness
+        self.service = ServicePaces()
+        self.paces = [EnginePace() for _ in slowness]
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        for number, pace in enumerate(self.paces):
+            self.service.add(f"e{number}", pace)
+
+    def run(self, seconds: float, disturbed: int | None = None, every: float = 0.1) -> None:
+        """Let time pass, with one engine 2.5 times slower than it is."""
+        ends = self.now + seconds
+        while self.now < ends:
+            self.now += every
+            for number, pace in enumerate(self.paces):
+                ratio = self.slowness[number] * self.rng.lognormvariate(0.0, 0.08)
+                ratio *= 2.5 if number == disturbed else 1.0
+                pace.note_steps(ratio, self.now)
+                pace.note_pause(0.03 * ratio, self.now)
+                pace.note_reading(2e-5 * ratio * self.rng.lognormvariate(0.0, 0.3), self.now)
+            self.service.settle(self.now)
+
+    def lasting(self) -> dict[str, float]:
+        return {item.upstream: item.steps for item in self.service.lasting()}
+
+
+class TestLasting(unittest.TestCase):
+    def test_slow_engines_are_known_within_seconds_and_stay_known(self) -> None:
+        engines = Engines([1.82] * 3 + [0.83] * 9)
+        engines.run(2.0)
+        self.assert_slow(engines)
+        # Nothing is sent to them for a minute.
+        self.assertGreater(engines.paces[0].step_slowness(engines.now + 60.0), 1.7)
+
+    def test_engines_that_are_alike_have_no_lasting_pace(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                engines = Engines([1.0] * 12, seed)
+                engines.run(20.0)
+                self.assertEqual(0, engines.service.changes)
+
+    def assert_slow(self, engines: Engines) -> None:
+        """The first three, and no others, are about as slow as they are."""
+        self.assertEqual({"e0", "e1", "e2"}, set(engines.lasting()))
+        for steps in engines.lasting().values():
+            self.assertAlmostEqual(1.82 / 0.83, steps, delta=0.4)
+
+    def test_a_disturbance_shows_at_once_and_leaves_what_lasts(self) -> None:
+        engines = Engines([1.82] * 3 + [0.83] * 9)
+        engines.run(6.0)
+        engines.run(0.6, disturbed=5)
+        self.assertGreater(engines.paces[5].step_slowness(engines.now), 1.4)
+        self.assert_slow(engines)
+        engines.run(6.0)
+        self.assert_slow(engines)
+        self.assertLess(engines.paces[5].step_slowness(engines.now), 1.15)
+
+    def test_one_that_changes_for_good_is_learned_anew(self) -> None:
+        engines = Engines([1.0] * 8)
+        engines.run(6.0)
+        engines.slowness[2] = 2.0
+        engines.run(6.0)
+        self.assertEqual({"e2"}, set(engines.lasting()))
+        engines.slowness[2] = 1.0
+        engines.run(6.0)
+        self.assertEqual({}, engines.lasting())
+
+    def test_the_usual_pace_is_that_of_the_median_engine_and_not_of_the_median_request(
+        self,
+    ) -> None:
+        """Slow engines are sent one request in a hundred, and then all are."""
+        engines = Engines([1.82] * 3 + [0.83] * 9)
+        engines.run(4.0)
+        for _ in range(400):
+            engines.now += 0.05
+            for pace in engines.paces[3:]:
+                pace.note_pause(0.03 * 0.83, engines.now)
+            engines.service.settle(engines.now)
+        self.assert_slow(engines)
+
+    def test_two_engines_have_no_like_to_be_held_against(self) -> None:
+        engines = Engines([2.0, 1.0])
+        engines.run(10.0)
+        self.assertEqual(0, engines.service.changes)
+
+
+class TestTold(unittest.TestCase):
+    def test_what_another_gateway_found_holds_until_own_evidence_comes(self) -> None:
+        engines = Engines([1.0] * 6)
+        engines.service.presume(LastingPace("e1", 2.2, 1.0), engines.paces[1])
+        self.assertTrue(engines.service.differing)
+        self.assertEqual(2.2, engines.paces[1].step_slowness(50.0))
+        engines.run(4.0)
+        self.assertEqual({}, engines.lasting())
+
+    def test_it_does_not_replace_what_was_seen(self) -> None:
+        engines = Engines([1.0] * 6)
+        engines.run(4.0)
+        engines.service.presume(LastingPace("e1", 2.2, 1.0), engines.paces[1])
+        self.assertEqual({}, engines.lasting())
