Tell newcomers the paces, learn those of plain services, forget old ones

Cause: a gateway that became a scheduler held all engines for alike until its own streams had told otherwise; plain instances that are slow for good were taken for usual ones within 6 s.

Plain answers are held against the median instance. What was not seen for two minutes is forgotten, so that a mended upstream is tried again.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -318,6 +318,8 @@
             upstream_id=self.views.upstreams.id_of,
             on_load=lambda load: self.shared_load.receive(load),
             everything=lambda: self.shared_load.everything(),
+            paces=lambda: self.shared_load.paces(),
+            on_paces=lambda paces: self.shared_load.take_paces(paces),
             on_gone=lambda name: self.shared_load.drop_sender(name),
             answer=lambda ask, now: self.desk.answer(ask, now),
             on_late=lambda request: self.shared_load.give_up(request),
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -33,6 +33,7 @@
 
 struct ModelPage {
   records @0 :Data;
+  paces @1 :Data;
 }
 
 struct PlacementAsk {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -56,9 +56,10 @@
 
 @dataclass(frozen=True)
 class ModelPage:
-    """All that a scheduler holds to run, as records."""
+    """All that a scheduler holds to run, and the paces it has found, as records."""
 
     records: bytes
+    paces: bytes
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -41,6 +41,8 @@
 from lotushill.links.messages import ViewPull
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.pace_records import pack_paces
+from lotushill.links.pace_records import unpack_paces
 from lotushill.links.peer_links import PeerLinks
 from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.links.quarantine_messages import GroupNews
@@ -68,6 +70,7 @@
     from lotushill.links.codec import Message
     from lotushill.links.datagram import Datagram
     from lotushill.membership.membership import Outgoing
+    from lotushill.placement.engine_pace import LastingPace
     from lotushill.placement.messages import Load
     from lotushill.process.settings import GatewaySettings
 
@@ -91,6 +94,10 @@
     on_load: Callable[[Load], None]
     everything: Callable[[], list[Load]]
     """All that is held to run."""
+    paces: Callable[[], list[LastingPace]]
+    """What is known of the pace of upstreams."""
+    on_paces: Callable[[list[LastingPace]], None]
+    """Hears what another scheduler knows of it."""
     on_gone: Callable[[str], None]
     """Hears of a gateway that left or was lost."""
     answer: Callable[[PlacementAsk, float], PlacementAnswer]
@@ -223,6 +230,12 @@
             if load.sender != self.membership.own.name:
                 self._hooks.on_load(load)
 
+    def _take_paces(self, records: bytes) -> None:
+        try:
+            self._hooks.on_paces(unpack_paces(records, self._hooks.upstream_id))
+        except MalformedFrameError:
+            self.malformed += 1
+
     # The edge
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
@@ -291,8 +304,9 @@
             self.malformed += not self._views.take(message)
         elif isinstance(message, ModelPull):
             records = b"".join(pack(load) for load in self._hooks.everything())
-            self.links.post(peer, ModelPage(records))
+            self.links.post(peer, ModelPage(records, pack_paces(self._hooks.paces())))
         elif isinstance(message, ModelPage):
+            self._take_paces(message.paces)
             self._take_records(message.records)
             self.model_sync.note_page()
 
--- a/src/lotushill/placement/engine_pace.py
+++ b/src/lotushill/placement/engine_pace.py
@@ -26,6 +26,8 @@
 """Slots. A stream tells one of its shorter pauses of many: one in a disturbance is rare."""
 _LEAST_READINGS = 15
 """Slots. Much that a gateway does not see lengthens the time to a first event."""
+_LEAST_ANSWERS = 7
+"""Slots of a plain service; three of them that were disturbed leave the median as it is."""
 _LEAST_ENGINES = 3
 """With fewer there is no telling which of them is usual."""
 _LEAST_DIFFERENCE = 1.4
@@ -37,6 +39,9 @@
 _CHANGE = 1.15
 """A lasting pace stays as it is until it seems to have changed by so many times."""
 _SETTLE_SECONDS = 0.25
+_KEPT_SECONDS = 120.0
+"""A lasting pace of which nothing is seen for so long is forgotten: who is avoided for it is tried
+again, since it may have been mended."""
 _MOST_RATIO = 20.0
 _STEP_WEIGHT = 0.03
 """Of one pause: some 30 of them count, which a stream or two bring in a second."""
@@ -91,6 +96,8 @@
         """Whether anything is known of it."""
         self.plain = False
         """Whether it gives plain answers, of which each counts as a reading."""
+        self._seen_at: float | None = None
+        """When something that lasts was noted; None where only another gateway told of it."""
         self._short = 1.0
         self._short_at = 0.0
 
@@ -115,11 +122,13 @@
     def note_pause(self, seconds: float, now: float) -> None:
         """Learn what lasts from a typical pause of one stream beside which little was read."""
         self.tried = True
+        self._seen_at = now
         self.steps.note(seconds, now)
 
     def note_reading(self, seconds: float, now: float) -> None:
         """Learn what lasts from the seconds that reading a token took."""
         self.tried = True
+        self._seen_at = now
         self.readings.note(seconds, now)
 
     def note_answer(self, seconds: float, now: float) -> None:
@@ -133,6 +142,16 @@
         self.lasting_steps = steps
         self.lasting_reading = reading
 
+    def forget_old(self, now: float) -> None:
+        """Forget what lasts where nothing was seen of it for long."""
+        if self._seen_at is None:
+            self._seen_at = now
+        if now - self._seen_at > _KEPT_SECONDS:
+            self._seen_at = now
+            self.steps = UsualTime()
+            self.readings = UsualTime()
+            self.settle(1.0, 1.0)
+
     def presume(self, steps: float, reading: float) -> None:
         """Take what another gateway has found, until own evidence says something else."""
         if not self.tried:
@@ -171,14 +190,18 @@
         for upstream in self._paces.keys() - set(upstreams):
             del self._paces[upstream]
 
-    def lasting(self) -> list[LastingPace]:
-        """Return the engines that are known to differ."""
+    def known(self) -> list[LastingPace]:
+        """Return the upstreams of which something is known."""
         return [
             LastingPace(upstream, pace.lasting_steps, pace.lasting_reading)
             for upstream, pace in self._paces.items()
-            if _differs(pace)
+            if pace.tried
         ]
 
+    def lasting(self) -> list[LastingPace]:
+        """Return the upstreams that are known to differ."""
+        return [item for item in self.known() if (item.steps, item.reading) != (1.0, 1.0)]
+
     def presume(self, told: LastingPace, pace: EnginePace) -> None:
         """Take what another gateway has found of an engine of which nothing is known here."""
         self.add(told.upstream, pace)
@@ -195,8 +218,10 @@
         if now < self._settled_at + _SETTLE_SECONDS:
             return
         self._settled_at = now
+        for pace in self._paces.values():
+            pace.forget_old(now)
         usual_step = _usual([pace.steps for pace in self._paces.values()], _LEAST_STEPS)
-        usual_reading = _usual([pace.readings for pace in self._paces.values()], _LEAST_READINGS)
+        usual_reading = _usual([pace.readings for pace in self._paces.values()], _LEAST_ANSWERS)
         wanted = {
             upstream: self._lasting(pace, usual_step, usual_reading)
             for upstream, pace in self._paces.items()
@@ -217,7 +242,8 @@
         steps, reading = pace.lasting_steps, pace.lasting_reading
         if usual_step and pace.steps.known(_LEAST_STEPS):
             steps = _follow(steps, pace.steps.median / usual_step, _LEAST_DIFFERENCE)
-        if usual_reading and pace.readings.known(_LEAST_READINGS):
+        slots = _LEAST_ANSWERS if pace.plain else _LEAST_READINGS
+        if usual_reading and pace.readings.known(slots):
             ratio = pace.readings.median / usual_reading / steps
             least = _LEAST_ANSWER_DIFFERENCE if pace.plain else _LEAST_READING_DIFFERENCE
             reading = _follow(reading, ratio, least)
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -40,6 +40,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from lotushill.placement.engine_pace import LastingPace
     from lotushill.placement.kept_parts import Chain
     from lotushill.placement.messages import Began
     from lotushill.placement.messages import Ended
@@ -122,6 +123,14 @@
             found = self._engine_paces[service] = ServicePaces()
         return found
 
+    def known_paces(self) -> list[LastingPace]:
+        """Return the lasting paces of all upstreams of which something is known."""
+        return [item for paces in self._engine_paces.values() for item in paces.known()]
+
+    def presume_pace(self, told: LastingPace, service: str) -> None:
+        """Take a pace that another scheduler has found, where nothing is known here."""
+        self.engine_paces(service).presume(told, self.load(told.upstream).pace)
+
     def start(self, placed: Placed, service: Service, now: float) -> None:
         """Count a request in, of this gateway or of another."""
         engine = service.engine
--- a/src/lotushill/scheduling/shared_load.py
+++ b/src/lotushill/scheduling/shared_load.py
@@ -13,7 +13,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
+    from lotushill.placement.engine_pace import LastingPace
     from lotushill.placement.fleet import Fleet
     from lotushill.placement.messages import Placed
     from lotushill.routing.service import Service
@@ -132,6 +134,17 @@
             loads.append(_started(sender, running, now))
         return [load for load in loads if load.placed]
 
+    def paces(self) -> list[LastingPace]:
+        """Return what is known of the pace of upstreams, for the same."""
+        return self._fleet.known_paces()
+
+    def take_paces(self, paces: Sequence[LastingPace]) -> None:
+        """Take in what another scheduler has found of upstreams of which nothing is known here."""
+        for told in paces:
+            service = self._service_of(told.upstream)
+            if service is not None:
+                self._fleet.presume_pace(told, service.name)
+
     def whole(self) -> list[Load]:
         """Return what repairs whatever others have missed: all that this gateway runs.
 
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -8,6 +8,7 @@
 
 from lotushill.event_log import EventLog
 from lotushill.links.limit_messages import PermitAnswer
+from lotushill.links.load_records import upstream_number
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
@@ -17,6 +18,7 @@
 from lotushill.membership.schedulers import SCHEDULERS
 from lotushill.peering.peers import PeerHooks
 from lotushill.peering.peers import Peers
+from lotushill.placement.engine_pace import LastingPace
 from lotushill.placement.messages import Ended
 from lotushill.placement.messages import Load
 from lotushill.process.settings import GatewaySettings
@@ -45,6 +47,7 @@
 
     def __init__(self, count: int) -> None:
         self.loads: dict[str, list[Load]] = {}
+        self.paces: dict[str, list[LastingPace]] = {}
         self.peers: dict[str, Peers] = {}
         self.datagrams = 0
         self.posted: list[tuple[Any, ...]] = []
@@ -76,9 +79,11 @@
             view_text=lambda kind: (1, ""),
             on_view=lambda kind, revision, text: None,
             contact=lambda: StoreContact.PASSIVE,
-            upstream_id=lambda number: None,
+            upstream_id={upstream_number("e1"): "e1"}.get,
             on_load=received.append,
             everything=lambda: [Load(name, False, ended=(Ended(7),))],
+            paces=lambda: [LastingPace("e1", 2.0, 1.0)],
+            on_paces=self.paces.setdefault(name, []).extend,
             on_work_pull=lambda pull: [],
             on_work_page=lambda page: None,
             on_suspects=lambda news: None,
@@ -191,6 +196,7 @@
         newcomer._on_message(asked, page)
         self.assertTrue(newcomer.model_sync.ready())
         self.assertEqual([7], [load.ended[0].request for load in self.network.loads["gw-12"]])
+        self.assertEqual([LastingPace("e1", 2.0, 1.0)], self.network.paces["gw-12"])
         self.network.posted.clear()
         self.network.run(2.0)
         self.assertEqual([], self.network.posted)
--- a/tests/placement/test_engine_pace.py
+++ b/tests/placement/test_engine_pace.py
@@ -93,6 +93,15 @@
             engines.service.settle(engines.now)
         self.assert_slow(engines)
 
+    def test_one_of_which_nothing_is_seen_for_minutes_is_tried_again(self) -> None:
+        engines = Engines([1.82] * 3 + [0.83] * 9)
+        engines.run(4.0)
+        for seconds, names in ((60.0, {"e0", "e1", "e2"}), (61.0, set())):
+            engines.now += seconds
+            engines.paces[5].note_pause(0.03 * 0.83, engines.now)
+            engines.service.settle(engines.now)
+            self.assertEqual(names, set(engines.lasting()))
+
     def test_two_engines_have_no_like_to_be_held_against(self) -> None:
         engines = Engines([2.0, 1.0])
         engines.run(10.0)
--- /dev/null
+++ b/tests/placement/test_uneven_fleet.py
@@ -0,0 +1,93 @@
+"""Placing before upstreams of unequal pace: plain ones, and ones of which nothing is known yet."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from lotushill.placement.choice import Choice
+from lotushill.placement.engine_pace import LastingPace
+from lotushill.placement.fleet import Fleet
+from lotushill.placement.messages import Began
+from lotushill.placement.messages import Ended
+from lotushill.placement.messages import Outcome
+from lotushill.placement.need import Need
+from lotushill.placement.placed import placed
+from lotushill.routing.service import EngineProfile
+from lotushill.routing.service import Service
+from lotushill.routing.upstream import Upstream
+
+ENGINE = Service("llm", 100, EngineProfile(16, 400_000, 6))
+PLAIN = Service("app", 100, None)
+NOTHING: frozenset[str] = frozenset()
+
+
+def upstreams(service: str, count: int, slots: int) -> list[Upstream]:
+    return [Upstream(f"u{n}", service, f"10.0.0.{n}:80", "z", slots, False) for n in range(count)]
+
+
+class TestUntried(unittest.TestCase):
+    """A new engine was empty, so that all requests of a burst went there, however slow it was."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet("z")
+        self.known = upstreams("llm", 12, 16)
+        for number, item in enumerate(self.known[:-1]):
+            told = LastingPace(item.id, 2.2 if number < 3 else 1.0, 1.0)
+            self.fleet.presume_pace(told, "llm")
+
+    def fill(self, count: int) -> Counter[str]:
+        sent: Counter[str] = Counter()
+        for number in range(count):
+            need = Need("llm", "chat", 0.8, 0.5, 15.0, True, 800, 290, ())
+            choice = self.fleet.choose(need, ENGINE, self.known, NOTHING, 0.01)
+            assert isinstance(choice, Choice), choice
+            self.fleet.start(placed(number, need, choice, True), ENGINE, 0.01)
+            sent[choice.upstream.id] += 1
+        return sent
+
+    def test_it_is_tried_with_little_until_something_is_known(self) -> None:
+        sent = self.fill(96)
+        self.assertLessEqual(1, sent["u11"])
+        self.assertLessEqual(sent["u11"], 4)
+
+    def test_it_is_not_starved_where_all_are_wanted(self) -> None:
+        self.assertGreater(self.fill(190)["u11"], 8)
+
+    def test_once_it_has_answered_it_is_filled_as_others_are(self) -> None:
+        self.fleet.presume_pace(LastingPace("u11", 1.0, 1.0), "llm")
+        self.assertGreater(self.fill(96)["u11"], 4)
+
+
+class TestPlain(unittest.TestCase):
+    """Instances of a plain service of which one is less than half as fast as its like."""
+
+    def serve(self, seconds: dict[str, float], count: int) -> tuple[Fleet, Counter[str]]:
+        """Have requests served, a hundred a second; return the model and where the last half went."""
+        fleet, sent = Fleet("z"), Counter[str]()
+        known = upstreams("app", len(seconds), 6)
+        due: list[tuple[float, int, str]] = []
+        for number in range(count):
+            now = number * 0.01
+            for ends, other, name in [item for item in due if item[0] <= now]:
+                due.remove((ends, other, name))
+                fleet.begin(Began(other, seconds[name]), ends)
+                fleet.end(Ended(other, Outcome.WHOLE, seconds[name]), ends)
+            need = Need("app", "order", 0.415, 0.0, 2.7, False, 0, 0, ())
+            choice = fleet.choose(need, PLAIN, known, NOTHING, now)
+            assert isinstance(choice, Choice), choice
+            fleet.start(placed(number, need, choice, False), PLAIN, now)
+            due.append((now + seconds[choice.upstream.id], number, choice.upstream.id))
+            sent[choice.upstream.id] += number >= count / 2
+        return fleet, sent
+
+    def test_a_slow_one_is_known_and_stays_known(self) -> None:
+        fleet, sent = self.serve({"u0": 0.18, "u1": 0.08, "u2": 0.08, "u3": 0.08}, 2000)
+        (slow,) = fleet.engine_paces("app").lasting()
+        self.assertEqual("u0", slow.upstream)
+        self.assertAlmostEqual(2.25, slow.reading, delta=0.3)
+        self.assertLess(sent["u0"], min(sent["u1"], sent["u2"], sent["u3"]))
+
+    def test_even_ones_have_no_lasting_pace(self) -> None:
+        fleet, _ = self.serve(dict.fromkeys(("u0", "u1", "u2", "u3"), 0.08), 600)
+        self.assertEqual([], fleet.engine_paces("app").lasting())
