--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -379,6 +379,8 @@
             on_load=lambda load: self.shared_load.receive(load),
             everything=lambda: self.shared_load.everything(),
             on_gone=self._on_gone,
+            paces=lambda: self.shared_load.paces(),
+            on_paces=lambda paces: self.shared_load.take_paces(paces),
             answer=lambda ask, now: self.desk.answer(ask, now),
             on_late=lambda request: self.shared_load.give_up(request),
             on_work_pull=self.duties.pages,
--- a/src/lotushill/load/policy/result.py
+++ b/src/lotushill/load/policy/result.py
@@ -77,6 +77,8 @@
     """Requests that engines refused since too many waited there."""
     sent: int = 0
     """Requests that were sent to engines, each as often as it was sent."""
+    work: list[float] = field(default_factory=list)
+    """What each engine has done, in seconds of all that it can do."""
 
     @property
     def refused_again(self) -> float:
@@ -89,6 +91,12 @@
         """Return how many got a whole answer, in time or late."""
         return sum(item.in_time + item.late for item in self.classes.values())
 
+    @property
+    def busiest(self) -> float:
+        """Return the work of the busiest engine by the mean of all."""
+        mean = sum(self.work) / max(1, len(self.work))
+        return max(self.work) / mean if mean else 1.0
+
     @property
     def credit(self) -> float:
         """Return the share of all credit that was earned."""
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -17,10 +17,12 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
+from lotushill.placement.engine_pace import ServicePaces
 from lotushill.placement.fetch import FetchPlanner
 from lotushill.placement.kept_parts import chained
 from lotushill.placement.messages import Outcome
 from lotushill.placement.pace import Pace
+from lotushill.placement.pace import reading_seconds
 from lotushill.placement.recent_parts import RecentParts
 from lotushill.placement.reserve import only_reserved_left
 from lotushill.placement.shedding import Shedding
@@ -42,6 +44,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from lotushill.placement.engine_pace import LastingPace
     from lotushill.placement.kept_parts import Chain
     from lotushill.placement.messages import Began
     from lotushill.placement.messages import Ended
@@ -54,6 +57,9 @@
 
 PACED_EVENTS = 8
 """Pauses of which the pace of a stream is told: a quarter of a second of a usual one."""
+_QUIET_EVENTS = 4
+"""Of these pauses, so many without readings beside them tell what lasts: it is the third shortest
+that is told."""
 _SOUND_RATE = 0.2
 """Nothing is copied from an upstream that fails more often than this."""
 _FAR_WEIGHT = 0.3
@@ -96,6 +102,7 @@
         self.shares = Shares()
         self._loads: dict[str, UpstreamLoad] = {}
         self._paces: dict[str, Pace] = {}
+        self._engine_paces: dict[str, ServicePaces] = {}
         self._where: dict[int, _Where] = {}
 
     # Feeding the model
@@ -119,11 +126,27 @@
         self.shedding.usual.note_size(need.route, need.size)
         self.shares.note_arrival(need, now)
 
+    def engine_paces(self, service: str) -> ServicePaces:
+        """Return the paces of a service's engines."""
+        found = self._engine_paces.get(service)
+        if found is None:
+            found = self._engine_paces[service] = ServicePaces()
+        return found
+
+    def known_paces(self) -> list[LastingPace]:
+        """Return the lasting paces of all upstreams of which something is known."""
+        return [item for paces in self._engine_paces.values() for item in paces.known()]
+
+    def presume_pace(self, told: LastingPace, service: str) -> None:
+        """Take a pace that another scheduler has found, where nothing is known here."""
+        self.engine_paces(service).presume(told, self.load(told.upstream).pace)
+
     def start(self, placed: Placed, service: Service, now: float) -> None:
         """Count a request in, of this gateway or of another."""
         engine = service.engine
         load = self.load(placed.upstream)
         load.start(placed, engine.memory_tokens if engine else 0, now)
+        self.engine_paces(service.name).add(placed.upstream, load.pace)
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
         self.shedding.note(placed, service.name, now)
@@ -147,9 +170,21 @@
         if placed.first > 0.0:
             load.note_pace(began.seconds / placed.first, now)
         if where.service.engine is None:
-            pace.note_answer(began.seconds)
+            load.pace.note_answer(began.seconds, now)
+            pace.note_answer(began.seconds / load.pace.lasting_reading)
         else:
-            pace.note_first_event(placed.ahead, began.seconds / load.step_slowness(now))
+            self._learn_reading(placed, began.seconds, load, pace, now)
+        self.engine_paces(where.service.name).settle(now)
+
+    def _learn_reading(
+        self, placed: Placed, seconds: float, load: UpstreamLoad, pace: Pace, now: float
+    ) -> None:
+        """Learn how fast prompts are read; what lasts only from one that had none beside it."""
+        a_token = reading_seconds(placed.ahead, seconds)
+        alone = placed.ahead <= placed.reading and not load.unread.any_left
+        if a_token is not None and alone:
+            load.pace.note_reading(a_token, now)
+        pace.note_first_event(placed.ahead, seconds / load.pace.read_slowness(now))
 
     def note_paced(self, paced: Paced, now: float) -> None:
         """Learn how fast an upstream steps from one of its streams.
@@ -161,10 +196,15 @@
         if where is None or not _is_time(paced.pause):
             return
         load = self._loads[where.upstream]
-        if load.unread.idle_for(now) < PACED_EVENTS * paced.pause:
+        idle = load.unread.idle_for(now)
+        if idle < _QUIET_EVENTS * paced.pause:
             return
-        usual = self.pace(where.service.name).pauses.quiet.at(len(load.running))
-        load.note_steps(paced.pause / usual, now)
+        quiet = self.pace(where.service.name).pauses.quiet
+        running = len(load.running)
+        load.pace.note_pause(paced.pause / quiet.share(running), now)
+        if idle >= PACED_EVENTS * paced.pause:
+            load.pace.note_steps(paced.pause / quiet.at(running), now)
+        self.engine_paces(where.service.name).settle(now)
 
     def end(self, ended: Ended, now: float, near: bool = True) -> None:
         """Count a request out, and learn from its end; `near` says that the own hall told it.
@@ -204,6 +244,8 @@
         for upstream_id, load in list(self._loads.items()):
             if upstream_id not in known and not load.running:
                 del self._loads[upstream_id]
+        for paces in self._engine_paces.values():
+            paces.drop(self._loads)
 
     # Choosing
 
@@ -335,8 +377,9 @@
     ) -> PlainWeigher | EngineWeigher:
         place = Place(self._hall, cut)
         pace = self.pace(need.service)
+        differing = self.engine_paces(need.service).differing
         if service.engine is None:
-            return PlainWeigher(need, pace, place, now)
+            return PlainWeigher(need, pace, place, differing, now)
         chain = tuple(chained(need.parts))
         usual = Usual(
             self.shedding.usual.reading(need.service, need.route) or need.prompt_tokens,
@@ -345,7 +388,16 @@
         )
         planner = self._planner(chain, service.engine, sources, known, cut, now)
         return EngineWeigher(
-            need, service.engine, pace, usual, place, chain, self.recent, planner, now
+            need,
+            service.engine,
+            pace,
+            usual,
+            place,
+            chain,
+            self.recent,
+            planner,
+            differing,
+            now,
         )
 
     def _planner(
