--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import statistics
 from collections import Counter
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
@@ -77,7 +79,7 @@
             f"{len(rows) - len(silent)} of {len(rows)} gateways answer"
             + (", all with the same in force" if agree else "")
         ]
-        lines += duty_lines(rows) + limit_lines(rows)
+        lines += duty_lines(rows) + limit_lines(rows) + pace_lines(rows)
         lines += [_status_line(item, rows[item.name]) for item in gateways]
         return Result("\n".join(lines), rows, EXIT_OK if agree else EXIT_FAILED)
 
@@ -156,6 +158,22 @@
     ]
 
 
+def pace_lines(rows: Mapping[str, dict[str, Any] | None]) -> list[str]:
+    """Return the upstreams that differ from their like for good, and how many gateways say so."""
+    told = [row["upstreams"].get("paces", {}) for row in rows.values() if row]
+    said: defaultdict[str, list[list[float]]] = defaultdict(list)
+    for paces in told:
+        for name, pace in paces.items():
+            said[name].append(pace)
+    return [
+        f"pace: {name} takes {statistics.median(steps for steps, _ in paces):.2f} times as long as "
+        f"its like for a step, and its readings "
+        f"{statistics.median(reading for _, reading in paces):.2f} times as long beside that, as "
+        f"{len(paces)} of {len(told)} know"
+        for name, paces in sorted(said.items())
+    ]
+
+
 def _status_line(gateway: Gateway, status: dict[str, Any] | None) -> str:
     if status is None:
         return f"{gateway.name} ({gateway.hall}): no answer"
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -255,6 +255,7 @@
             known = {upstream.id for upstream in self.views.upstreams.all()}
             self.pool.sweep(known)
             self.fleet.forget(known, clocks.now())
+            self._tell_paces()
             self.rests.forget(known, clocks.now())
             self.limits.forget(known)
             self.shared_load.expire()
@@ -333,6 +334,11 @@
             on_tick=self._on_tick,
         )
 
+    def _tell_paces(self) -> None:
+        for item in self.fleet.engine_paces.take_changes():
+            steps, reading = round(item.steps, 2), round(item.reading, 2)
+            self.log.note("upstream.pace", upstream=item.upstream, steps=steps, reading=reading)
+
     def _on_tick(self) -> None:
         self.suspension.look()
         self.leaving.tell_due()
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -17,6 +17,7 @@
     from lotushill.gateway.store_views import StoreViews
     from lotushill.limits.fleet_limits import FleetLimits
     from lotushill.peering.peers import Peers
+    from lotushill.placement.fleet import Fleet
     from lotushill.platform.object_store import ObjectStore
     from lotushill.process.metrics import Metrics
     from lotushill.process.settings import GatewaySettings
@@ -38,6 +39,7 @@
     peers: Peers
     rests: Rests
     limits: FleetLimits
+    fleet: Fleet
     gate: UpstreamGate
     pool: UpstreamPool
     quarantine: FleetQuarantine
@@ -136,6 +138,11 @@
         "Limits that could not be read so far",
         lambda: gateway.gate.unreadable_limits,
     )
+    gauge(
+        "upstreams_uneven",
+        "Upstreams that are slower or faster than their like for good, as far as is known here",
+        lambda: len(gateway.fleet.engine_paces.lasting()),
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -162,6 +169,10 @@
             "ignored": dict(gateway.views.upstream_faults.held),
             "resting": sorted(gateway.rests.barred(clocks.now())),
             "limited": gateway.limits.stated.limited(),
+            "paces": {
+                item.upstream: [round(item.steps, 2), round(item.reading, 2)]
+                for item in gateway.fleet.engine_paces.lasting()
+            },
         },
         "settings": {
             "revision": gateway.views.settings.revision,
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -32,9 +32,9 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
-from lotushill.placement.fleet import PACED_EVENTS
 from lotushill.placement.fleet import Fleet
 from lotushill.placement.kept_parts import chained
+from lotushill.placement.learning import PACED_EVENTS
 from lotushill.placement.messages import Began
 from lotushill.placement.messages import Ended
 from lotushill.placement.messages import Outcome
--- a/src/lotushill/placement/engine_pace.py
+++ b/src/lotushill/placement/engine_pace.py
@@ -185,7 +185,7 @@
         """Count an engine in."""
         self._paces[upstream] = pace
 
-    def drop(self, upstreams: Collection[str]) -> None:
+    def keep(self, upstreams: Collection[str]) -> None:
         """Count out all engines but some."""
         for upstream in self._paces.keys() - set(upstreams):
             del self._paces[upstream]
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -16,12 +16,13 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
-from lotushill.placement.engine_pace import ServicePaces
 from lotushill.placement.fetch import FetchPlanner
+from lotushill.placement.fleet_paces import FleetPaces
 from lotushill.placement.kept_parts import chained
+from lotushill.placement.learning import learn_first_event
+from lotushill.placement.learning import learn_pause
 from lotushill.placement.messages import Outcome
 from lotushill.placement.pace import Pace
-from lotushill.placement.pace import reading_seconds
 from lotushill.placement.recent_parts import RecentParts
 from lotushill.placement.reserve import only_reserved_left
 from lotushill.placement.shedding import Shedding
@@ -51,11 +52,6 @@
     from lotushill.routing.service import Service
     from lotushill.routing.upstream import Upstream
 
-PACED_EVENTS = 8
-"""Pauses of which the pace of a stream is told: a quarter of a second of a usual one."""
-_QUIET_EVENTS = 4
-"""Of these pauses, so many without readings beside them tell what lasts: it is the third shortest
-that is told."""
 _SOUND_RATE = 0.2
 """Nothing is copied from an upstream that fails more often than this."""
 _FAR_WEIGHT = 0.3
@@ -95,9 +91,9 @@
         self._is_cut_off = is_cut_off
         self.recent = RecentParts(recent_seconds)
         self.shedding = Shedding()
+        self.engine_paces = FleetPaces()
         self._loads: dict[str, UpstreamLoad] = {}
         self._paces: dict[str, Pace] = {}
-        self._engine_paces: dict[str, ServicePaces] = {}
         self._where: dict[int, _Where] = {}
 
     # Feeding the model
@@ -116,27 +112,16 @@
             found = self._paces[service] = Pace()
         return found
 
-    def engine_paces(self, service: str) -> ServicePaces:
-        """Return the paces of a service's engines."""
-        found = self._engine_paces.get(service)
-        if found is None:
-            found = self._engine_paces[service] = ServicePaces()
-        return found
-
-    def known_paces(self) -> list[LastingPace]:
-        """Return the lasting paces of all upstreams of which something is known."""
-        return [item for paces in self._engine_paces.values() for item in paces.known()]
-
     def presume_pace(self, told: LastingPace, service: str) -> None:
         """Take a pace that another scheduler has found, where nothing is known here."""
-        self.engine_paces(service).presume(told, self.load(told.upstream).pace)
+        self.engine_paces.presume(told, service, self.load(told.upstream).pace)
 
     def start(self, placed: Placed, service: Service, now: float) -> None:
         """Count a request in, of this gateway or of another."""
         engine = service.engine
         load = self.load(placed.upstream)
         load.start(placed, engine.memory_tokens if engine else 0, now)
-        self.engine_paces(service.name).add(placed.upstream, load.pace)
+        self.engine_paces.of(service.name).add(placed.upstream, load.pace)
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
         self.shedding.note(placed, service.name, now)
@@ -153,44 +138,17 @@
         if placed is None or not _is_time(began.seconds):
             return
         pace = self.pace(where.service.name)
-        if placed.first > 0.0:
-            load.note_pace(began.seconds / placed.first, now)
-        if where.service.engine is None:
-            load.pace.note_answer(began.seconds, now)
-            pace.note_answer(began.seconds / load.pace.lasting_reading)
-        else:
-            self._learn_reading(placed, began.seconds, load, pace, now)
-        self.engine_paces(where.service.name).settle(now)
-
-    def _learn_reading(
-        self, placed: Placed, seconds: float, load: UpstreamLoad, pace: Pace, now: float
-    ) -> None:
-        """Learn how fast prompts are read; what lasts only from one that had none beside it."""
-        a_token = reading_seconds(placed.ahead, seconds)
-        alone = placed.ahead <= placed.reading and not load.unread.any_left
-        if a_token is not None and alone:
-            load.pace.note_reading(a_token, now)
-        pace.note_first_event(placed.ahead, seconds / load.pace.read_slowness(now))
+        learn_first_event(placed, began.seconds, load, pace, where.service, now)
+        self.engine_paces.of(where.service.name).settle(now)
 
     def note_paced(self, paced: Paced, now: float) -> None:
-        """Learn how fast an upstream steps from one of its streams.
-
-        Pauses beside the reading of prompts are longer and say nothing of it: with them, every busy
-        upstream would look slow.
-        """
+        """Learn how fast an upstream steps from one of its streams."""
         where = self._where.get(paced.request)
         if where is None or not _is_time(paced.pause):
             return
-        load = self._loads[where.upstream]
-        idle = load.unread.idle_for(now)
-        if idle < _QUIET_EVENTS * paced.pause:
-            return
         quiet = self.pace(where.service.name).pauses.quiet
-        running = len(load.running)
-        load.pace.note_pause(paced.pause / quiet.share(running), now)
-        if idle >= PACED_EVENTS * paced.pause:
-            load.pace.note_steps(paced.pause / quiet.at(running), now)
-        self.engine_paces(where.service.name).settle(now)
+        learn_pause(paced.pause, self._loads[where.upstream], quiet, now)
+        self.engine_paces.of(where.service.name).settle(now)
 
     def end(self, ended: Ended, now: float, near: bool = True) -> None:
         """Count a request out, and learn from its end; `near` says that the own hall told it.
@@ -228,8 +186,7 @@
         for upstream_id, load in list(self._loads.items()):
             if upstream_id not in known and not load.running:
                 del self._loads[upstream_id]
-        for paces in self._engine_paces.values():
-            paces.drop(self._loads)
+        self.engine_paces.keep(self._loads)
 
     # Choosing
 
@@ -310,7 +267,7 @@
     ) -> PlainWeigher | EngineWeigher:
         place = Place(self._hall, cut)
         pace = self.pace(need.service)
-        differing = self.engine_paces(need.service).differing
+        differing = self.engine_paces.of(need.service).differing
         if service.engine is None:
             return PlainWeigher(need, pace, place, differing, now)
         chain = tuple(chained(need.parts))
--- a/src/lotushill/requests/attempt_news.py
+++ b/src/lotushill/requests/attempt_news.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lotushill.placement.fleet import PACED_EVENTS
+from lotushill.placement.learning import PACED_EVENTS
 from lotushill.placement.messages import Outcome
 from lotushill.requests.attempt_end import EndKind
 
--- a/src/lotushill/scheduling/shared_load.py
+++ b/src/lotushill/scheduling/shared_load.py
@@ -136,7 +136,7 @@
 
     def paces(self) -> list[LastingPace]:
         """Return what is known of the pace of upstreams, for the same."""
-        return self._fleet.known_paces()
+        return self._fleet.engine_paces.known()
 
     def take_paces(self, paces: Sequence[LastingPace]) -> None:
         """Take in what another scheduler has found of upstreams of which nothing is known here."""
--- a/tests/console/test_fleet_commands.py
+++ b/tests/console/test_fleet_commands.py
@@ -5,6 +5,7 @@
 
 from lotushill.console.fleet_commands import duty_lines
 from lotushill.console.fleet_commands import limit_lines
+from lotushill.console.fleet_commands import pace_lines
 
 HELD: dict[str, Any] = {
     "holder": "gw-1",
@@ -50,5 +51,22 @@
             limit_lines(rows),
         )
 
+    def test_each_pace_that_differs_is_told_with_how_many_gateways_know_it(self) -> None:
+        rows: dict[str, dict[str, Any] | None] = {
+            "a": {"upstreams": {"paces": {"e1": [2.1, 1.0]}}},
+            "b": {"upstreams": {"paces": {"e1": [2.3, 1.0], "app": [1.0, 1.8]}}},
+            "old": {"upstreams": {}},
+            "silent": None,
+        }
+        self.assertEqual(
+            [
+                "pace: app takes 1.00 times as long as its like for a step, and its readings 1.80 "
+                "times as long beside that, as 1 of 3 know",
+                "pace: e1 takes 2.20 times as long as its like for a step, and its readings 1.00 "
+                "times as long beside that, as 2 of 3 know",
+            ],
+            pace_lines(rows),
+        )
+
     def test_without_limits_nothing_is_told(self) -> None:
         self.assertEqual([], limit_lines({"a": {"upstreams": {}}, "silent": None}))
--- a/tests/load/policy/test_uneven_engines.py
+++ b/tests/load/policy/test_uneven_engines.py
@@ -47,7 +47,7 @@
             replay.play()
             for fleet in replay.fleets:
                 with self.subTest(seed=seed):
-                    paces = fleet.engine_paces("llm").lasting()
+                    paces = fleet.engine_paces.of("llm").lasting()
                     slow = {item.upstream for item in paces if item.steps > 1.5}
                     self.assertEqual(SLOW, slow)
 
--- a/tests/placement/test_uneven_fleet.py
+++ b/tests/placement/test_uneven_fleet.py
@@ -63,7 +63,7 @@
     """Instances of a plain service of which one is less than half as fast as its like."""
 
     def serve(self, seconds: dict[str, float], count: int) -> tuple[Fleet, Counter[str]]:
-        """Have requests served, a hundred a second; return the model and where the last half went."""
+        """Have requests served, a hundred a second; return where the last half went."""
         fleet, sent = Fleet("z"), Counter[str]()
         known = upstreams("app", len(seconds), 6)
         due: list[tuple[float, int, str]] = []
@@ -83,11 +83,11 @@
 
     def test_a_slow_one_is_known_and_stays_known(self) -> None:
         fleet, sent = self.serve({"u0": 0.18, "u1": 0.08, "u2": 0.08, "u3": 0.08}, 2000)
-        (slow,) = fleet.engine_paces("app").lasting()
+        (slow,) = fleet.engine_paces.of("app").lasting()
         self.assertEqual("u0", slow.upstream)
         self.assertAlmostEqual(2.25, slow.reading, delta=0.3)
         self.assertLess(sent["u0"], min(sent["u1"], sent["u2"], sent["u3"]))
 
     def test_even_ones_have_no_lasting_pace(self) -> None:
         fleet, _ = self.serve(dict.fromkeys(("u0", "u1", "u2", "u3"), 0.08), 600)
-        self.assertEqual([], fleet.engine_paces("app").lasting())
+        self.assertEqual([], fleet.engine_paces.of("app").lasting())
--- a/tests/scheduling/test_told_paces.py
+++ b/tests/scheduling/test_told_paces.py
@@ -57,7 +57,7 @@
     def test_all_schedulers_of_a_fleet_find_the_same(self) -> None:
         fleet = uneven(81)
         for scheduler in fleet.schedulers:
-            paces = scheduler.fleet.engine_paces(SERVICE.name).lasting()
+            paces = scheduler.fleet.engine_paces.of(SERVICE.name).lasting()
             self.assertEqual(set(SLOW), {item.upstream for item in paces})
 
 
