--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -312,6 +312,7 @@
             known = {upstream.id for upstream in self.views.upstreams.all()}
             self.pool.sweep(known)
             self.fleet.forget(known, clocks.now())
+            self._tell_paces()
             self.rests.forget(known, clocks.now())
             self.limits.forget(known)
             self.team_limits.forget()
@@ -403,6 +404,11 @@
         self.shared_load.drop_sender(name)
         self.waiting.drop_asker(name)
 
+    def _tell_paces(self) -> None:
+        for item in self.fleet.engine_paces.take_changes():
+            steps, reading = round(item.steps, 2), round(item.reading, 2)
+            self.log.note("upstream.pace", upstream=item.upstream, steps=steps, reading=reading)
+
     def _on_tick(self) -> None:
         self.suspension.look()
         self.leaving.tell_due()
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -178,6 +178,11 @@
         "Requests that wait until this gateway is ready",
         lambda: gateway.front.waiting,
     )
+    gauge(
+        "upstreams_uneven",
+        "Upstreams that are slower or faster than their like for good, as far as is known here",
+        lambda: len(gateway.fleet.engine_paces.lasting()),
+    )
     gauge("connections_opened", "Connections to upstreams", lambda: gateway.pool.opened)
     gauge("task_faults", "Faults beside the request path", lambda: gateway.side_tasks.faults)
     gauge("log_lines_left_out", "Lines over the rate", lambda: gateway.log.left_out_in_all)
@@ -204,6 +209,10 @@
             "ignored": dict(gateway.views.upstream_faults.held),
             "resting": sorted(gateway.rests.barred(clocks.now())),
             "limited": gateway.limits.stated.limited(),
+            "paces": {
+                item.upstream: [round(item.steps, 2), round(item.reading, 2)]
+                for item in gateway.fleet.engine_paces.lasting()
+            },
         },
         "over_share": _over_share(gateway),
         "settings": {
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -118,6 +118,13 @@
         spread = need.caller % _SPREAD_STEPS / _SPREAD_STEPS
         return self.returns.retry_after(_asker(need, now), spread, now)
 
+    def early(self, need: Need, now: float) -> NoChoice | None:
+        """Return the refusal of one that comes sooner than it was told, None for all others."""
+        seconds = self.returns.until_due(_asker(need, now), now)
+        if not seconds or self.must_serve(need, now):
+            return None
+        return replace(self._refused(need, Refusal.EARLY, seconds, 0.0, 0.0), final=True)
+
     def give_up(self, need: Need, refusal: Refusal, wait: float, now: float) -> NoChoice:
         """Return the final refusal of a request that waits no longer, or would in vain."""
         return replace(self._told(need, refusal, wait, wait, now), final=True)
--- a/src/lotushill/waiting/line.py
+++ b/src/lotushill/waiting/line.py
@@ -97,6 +97,9 @@
             return self._fleet.choose(need, service, upstreams, entry.excluded, now)
         if self.room.find(entry.key) is not None:
             return self._renew(entry, now)
+        early = self._fleet.shedding.early(entry.need_at(now), now)
+        if early is not None:
+            return early
         found = self._look(entry, service, upstreams, now, new=True)
         if isinstance(found, Choice):
             self._note_placed(entry, found, now)
