--- a/src/lotushill/returns/promises.py
+++ b/src/lotushill/returns/promises.py
@@ -58,6 +58,8 @@
         """Places that are kept and not used, by service and tier."""
         self._refused: dict[tuple[str, int], float] = {}
         """When a tier of a service was last refused room."""
+        self._scarce: dict[tuple[str, int], float] = {}
+        """When one last had to wait for it."""
         self._served: dict[tuple[str, int], deque[float]] = {}
         """When returns of a tier were placed."""
         self._to_tell: dict[int, None] = {}
@@ -104,6 +106,10 @@
             if service == asker.service and tier <= asker.tier
         )
 
+    def note_scarce(self, service: str, tier: int, now: float) -> None:
+        """Note that a request of a tier has to wait for room."""
+        self._scarce[service, tier] = now
+
     # Returning
 
     def has_place(self, caller: int, now: float) -> bool:
@@ -141,8 +147,9 @@
             return 0.0
         if asker.arrived >= known.due - EARLY_SECONDS:
             return 0.0
-        refused_at = self._refused.get((asker.service, asker.tier), float("-inf"))
-        if now - refused_at > _SCARCE_SECONDS:
+        key = asker.service, asker.tier
+        never = float("-inf")
+        if now - max(self._refused.get(key, never), self._scarce.get(key, never)) > _SCARCE_SECONDS:
             return 0.0
         self.early += 1
         return max(0.0, known.due - now)
--- a/src/lotushill/waiting/line.py
+++ b/src/lotushill/waiting/line.py
@@ -111,6 +111,7 @@
         if not self.room.add(entry):
             return self._give_up(entry, found, now)
         self.held += 1
+        self._fleet.shedding.returns.note_scarce(entry.need.service, entry.need.tier, now)
         return Held()
 
     def _renew(self, entry: Waiting, now: float) -> Held | NoChoice:
@@ -228,10 +229,12 @@
     def _order(self, entry: Waiting, now: float) -> Order:
         """Return the place in line: of one tier, those that can still be in time go first."""
         need = entry.need
+        standing = self._standing(entry, now)
         place = Precedence(
             need.tier,
-            newcomer=not self._returns.is_due(need.caller, now),
-            standing=self._standing(entry, now),
+            # Of a team over its share nobody goes before newcomers of others.
+            newcomer=standing > 0.0 or not self._returns.is_due(need.caller, now),
+            standing=standing,
             since=entry.since,
         )
         late = now >= self._time.in_time_until(entry) and not self._is_pressed(entry, now)
--- a/tests/waiting/test_line.py
+++ b/tests/waiting/test_line.py
@@ -38,7 +38,7 @@
 
     def ahead_by(self, need: Need, now: float) -> float:
         del now
-        return {"had much": 3.0, "had little": 0.5}.get(need.team, 1.0)
+        return {"had much": 3.0, "had some": 1.5}.get(need.team, 0.0)
 
 
 class Told:
@@ -119,12 +119,17 @@
     def test_who_had_less_of_its_share_goes_first_and_who_returns_before_that(self) -> None:
         line = self.line = WaitingLine(self.fleet, Rivals("s0"), LeastFirst(), Told())
         for key, need in enumerate(
-            (chat(team="had much"), chat(team="had little"), chat(caller=7))
+            (
+                chat(team="had much", caller=7),
+                chat(team="had some"),
+                chat(team="had little"),
+                chat(team="had little", caller=7),
+            )
         ):
             line.place(waiting(key, need), SERVICE, UPSTREAMS, START)
-        for number in (1_002, 1_003, 1_004):
+        for number in (1_001, 1_002, 1_003, 1_004):
             self.end(number, START + 0.01)
-        self.assertEqual([2, 1, 0], [key for key, _ in self.due(START + 0.01)])
+        self.assertEqual([3, 2, 1, 0], [key for key, _ in self.due(START + 0.01)])
 
     def test_a_long_one_is_given_up_as_soon_as_it_cannot_be_in_time(self) -> None:
         entry = waiting(1, letter())
