Replay: only requests of before are passed over, and comparisons tell who was refused again

An event of a run that nobody knows fails again, as it should; the table of lotushill-load policy has a column for those refused a second time of those refused once.

--- a/src/lotushill/load/policy/comparison.py
+++ b/src/lotushill/load/policy/comparison.py
@@ -53,12 +53,14 @@
         results = [item.result for item in outcomes if item.variant == name]
         credits = [result.credit for result in results]
         worst = statistics.mean(result.worst_windows() for result in results)
+        again = statistics.mean(result.refused_again for result in results)
         classes = "  ".join(
             f"{kind} {_in_time(results, kind):.2f} in time" for kind in results[0].classes
         )
         lines.append(
             f"{name:20} credit {statistics.mean(credits):.3f} "
             f"({min(credits):.3f} to {max(credits):.3f})  worst windows {worst:.2f}  {classes}  "
+            f"refused again {again:.2f}  "
             f"put behind {sum(len(result.put_behind) for result in results)}"
         )
     return "\n".join(lines)
--- a/src/lotushill/load/policy/replay.py
+++ b/src/lotushill/load/policy/replay.py
@@ -130,6 +130,8 @@
         self._all: list[Client] = []
         self.tallies = {item.name: Tally() for item in scenario.classes}
         self.windows: dict[int, Tally] = {}
+        self._old_work: set[int] = set()
+        """Requests that no scheduler sent."""
         self.turned_away = 0
         """Requests that engines have refused with a wish for rest."""
 
@@ -379,13 +381,10 @@
             others = [other for other in self.fleets if other is not fleet]
             for other in others if news else ():
                 heard = functools.partial(other.shedding.returns.hear, news)
-                self._at(self.now + _NEWS_SECONDS, functools.partial(self._with_now, heard))
+                self._at(self.now + _NEWS_SECONDS, self._with_clock(heard))
         if self.now < self.scenario.seconds:
             self._at(self.now + _RETURN_NEWS_SECONDS, self._tell_returns)
 
-    def _with_now(self, call: Callable[[float], None]) -> None:
-        call(self.now)
-
     # Engines
 
     def _wake(self, index: int) -> None:
@@ -401,9 +400,9 @@
         self._at(ends, lambda: self._step(index))
 
     def _on_event(self, run: Run, at: float) -> None:
-        client = self._clients.get(run.number)
-        if client is None:
+        if run.number in self._old_work:
             return
+        client = self._clients[run.number]
         if len(run.events) == 1:
             client.began_at = at
             began = Began(run.number, at - client.sent_at)
@@ -497,7 +496,9 @@
                 kind = self._rng.choice(self.scenario.classes)
                 output = max(1, int(kind.output * self._rng.random()))
                 unread = self._rng.choice((0, int(kind.prompt)))
-                run = Run(next(numbers), kind.tier, unread, output, int(kind.prompt))
+                number = next(numbers)
+                self._old_work.add(number)
+                run = Run(number, kind.tier, unread, output, int(kind.prompt))
                 engine.accept(run, 0.0)
             if each:
                 self._wake(index)
