--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -104,7 +104,13 @@
         return self._told(need, Refusal.SHARE, wait, first, now)
 
     def _told(
-        self, need: Need, refusal: Refusal, wait: float, first: float, now: float
+        self,
+        need: Need,
+        refusal: Refusal,
+        wait: float,
+        first: float,
+        now: float,
+        final: bool = False,
     ) -> NoChoice:
         """Return the refusal of a request, with when it is to come back."""
         early = self.returns.until_due(_asker(need, now), now)
@@ -112,11 +118,11 @@
             return self._refused(need, Refusal.EARLY, early, wait, first)
         if self.returns.has_place(need.caller, now):
             refusal = Refusal.RETURNED
-        return self._refused(need, refusal, self._retry_after(need, now), wait, first)
+        return self._refused(need, refusal, self._retry_after(need, now, final), wait, first)
 
-    def _retry_after(self, need: Need, now: float) -> float:
+    def _retry_after(self, need: Need, now: float, final: bool) -> float:
         spread = need.caller % _SPREAD_STEPS / _SPREAD_STEPS
-        return self.returns.retry_after(_asker(need, now), spread, now)
+        return self.returns.retry_after(_asker(need, now), spread, now, final)
 
     def early(self, need: Need, now: float) -> NoChoice | None:
         """Return the refusal of one that comes sooner than it was told, None for all others."""
@@ -127,7 +133,7 @@
 
     def give_up(self, need: Need, refusal: Refusal, wait: float, now: float) -> NoChoice:
         """Return the final refusal of a request that waits no longer, or would in vain."""
-        return replace(self._told(need, refusal, wait, wait, now), final=True)
+        return replace(self._told(need, refusal, wait, wait, now, final=True), final=True)
 
     def refuse_without_room(self, need: Need) -> NoChoice:
         """Return the refusal of a request for which no upstream has a slot now."""
--- a/src/lotushill/returns/promises.py
+++ b/src/lotushill/returns/promises.py
@@ -77,17 +77,20 @@
 
     # Refusing
 
-    def retry_after(self, asker: Asker, spread: float, now: float) -> float:
+    def retry_after(self, asker: Asker, spread: float, now: float, final: bool = False) -> float:
         """Return after how many seconds a request that is refused is to come back.
 
         A place that was promised stays, however often its caller is refused. `spread`, from 0 to 1,
-        is drawn for each request.
+        is drawn for each request. What is `final` is told to other gateways at once: its caller may
+        come to any of them before its time.
         """
         self._forget(now)
         self._refused[asker.service, asker.tier] = now
         known = self._promises.get(asker.caller)
         if known is not None and known.first and not known.used and now <= known.ends:
             known.refused_at = now
+            if final:
+                known.tell_at = min(known.tell_at, now)
             return max(LEAST_SECONDS, known.due - now)
         rate = self.room.rate(asker.service, asker.tier, now)
         found = moment(self._backlog(asker), rate, asker.time_left, spread)
@@ -95,7 +98,7 @@
             self.made += found.promised
             due = now + found.seconds
             promise = Promise(asker.service, asker.tier, due, now, found.promised, own=True)
-            promise.tell_at = now + _SETTLED_SECONDS
+            promise.tell_at = now if final else now + _SETTLED_SECONDS
             self._keep(asker.caller, promise)
         return found.seconds
 
--- a/src/lotushill/shares/shares.py
+++ b/src/lotushill/shares/shares.py
@@ -33,6 +33,8 @@
 """Times the mean standing of the others that ask, from which a team has clearly had more. Teams
 that are nearly even have nothing to be protected from, and are served in the order in which they
 ask: with some ten requests of each in a sum, even teams differ by a third."""
+_AHEAD = 1.15
+"""Times the mean standing of the others, up to which those who wait go in the order they came."""
 _LEAST_SERVED = 0.35
 """Of the part of all requests that is placed, what a team keeps of its own however much it asks:
 users take a team for starved that is served under a quarter as often as all."""
@@ -127,8 +129,14 @@
         return self._times(_key(need), now)
 
     def ahead_by(self, need: Asked, now: float) -> float:
-        """Return how many times the others' standing a team over its share has, else 0."""
-        return self.beside_others(need, now) if self.over_share(need, now) else 0.0
+        """Return how many times the others' standing a team has that is ahead of them, else 0.
+
+        For those who wait for the same room: whoever goes first keeps nobody from going at all.
+        """
+        times = self.beside_others(need, now)
+        if times < _AHEAD or self._is_starved(_key(need), now):
+            return 0.0
+        return times
 
     def ahead(self, now: float) -> list[Ahead]:
         """Return the team of each service and tier that others go before while room is short."""
