--- a/src/lotushill/waiting/entry.py
+++ b/src/lotushill/waiting/entry.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass
 from dataclasses import replace
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -15,6 +16,9 @@
 client gives up, so that a scheduler that was lost costs little of it."""
 EXPIRY_SECONDS = 0.7
 """One that was not renewed for so long has been given up: two renewals may be lost."""
+_PATIENCE_SHARE = 0.9
+"""Of its client's patience, how long a request is held: in what is left it can still begin beside
+others that are let in with it, or be refused so that its client comes back."""
 
 
 @dataclass(frozen=True)
@@ -34,12 +38,17 @@
     copied: bool = False
     """Whether a copy of its run may be kept."""
 
-    @property
+    @cached_property
     def patience_ends(self) -> float:
         """Return when its client gives up without a sign of an answer."""
         patience = replace(self.need, time_left=math.inf).patience
         return self.since + min(patience, self.need.waited + self.need.time_left)
 
+    @property
+    def held_until(self) -> float:
+        """Return until when it is held: its client is still there to hear what became of it."""
+        return self.since + _PATIENCE_SHARE * (self.patience_ends - self.since)
+
     def need_at(self, now: float) -> Need:
         """Return what it needs now."""
         waited = now - self.since
--- a/src/lotushill/waiting/line.py
+++ b/src/lotushill/waiting/line.py
@@ -111,7 +111,7 @@
 
     def _renew(self, entry: Waiting, now: float) -> Held | NoChoice:
         """Note that a request is still asked for, and what of it has changed."""
-        if now < self._time.waits_until(entry, now) and self.room.add(entry):
+        if not self._time.is_overdue(entry, now) and self.room.add(entry):
             return Held()
         self.given_up += 1
         return self._give_up(entry, NoChoice(Refusal.NO_ROOM, _SHORTEST_RETRY), now)
@@ -212,7 +212,7 @@
             return
         self._next_sweep[service.name] = now + _SWEEP_SECONDS
         for entry in self.room.of(service.name):
-            if now >= self._time.waits_until(entry, now):
+            if self._time.is_overdue(entry, now):
                 self.given_up += 1
                 self._pressure.note(entry, now)
                 refused = NoChoice(Refusal.NO_ROOM, _SHORTEST_RETRY)
--- a/src/lotushill/waiting/release_rate.py
+++ b/src/lotushill/waiting/release_rate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 _SPAN_SECONDS = 1.0
@@ -14,12 +15,27 @@
 
     def __init__(self) -> None:
         self._placed: dict[int, deque[float]] = {}
+        self._asked_since = -math.inf
+        self._asked_at = -math.inf
 
     def note(self, tier: int, now: float) -> None:
         """Note that a request of a tier was placed."""
         self._placed.setdefault(tier, deque()).append(now)
 
-    def rate(self, tier: int, now: float) -> float:
+    def wait(self, tier: int, more_urgent: int, before: int, now: float) -> float:
+        """Return how long one of a tier waits behind so many, in seconds; 0 while not known.
+
+        `more_urgent` ones take what all tiers get, the `before` of its own tier what is left.
+        Nothing is known of a line that has not been there for a second.
+        """
+        if now - self._asked_at > _SPAN_SECONDS:
+            self._asked_since = now
+        self._asked_at = now
+        if now - self._asked_since < _SPAN_SECONDS:
+            return 0.0
+        return more_urgent / self._rate(0, now) + before / self._rate(tier, now)
+
+    def _rate(self, tier: int, now: float) -> float:
         """Return how many of a tier and of less urgent ones are placed in a second."""
         count = 0
         for other, times in self._placed.items():
@@ -28,10 +44,3 @@
             if other >= tier:
                 count += len(times)
         return max(_LEAST_RATE, count / _SPAN_SECONDS)
-
-    def wait(self, tier: int, more_urgent: int, before: int, now: float) -> float:
-        """Return how long one of a tier waits behind so many, in seconds.
-
-        `more_urgent` ones take what all tiers get, the `before` of its own tier what is left.
-        """
-        return more_urgent / self.rate(0, now) + before / self.rate(tier, now)
--- a/src/lotushill/waiting/time_left.py
+++ b/src/lotushill/waiting/time_left.py
@@ -33,19 +33,20 @@
         tokens = min(float(need.prompt_tokens), reading or need.prompt_tokens)
         return entry.since + need.target - tokens / pace.read_rate
 
-    def waits_until(self, entry: Waiting, now: float) -> float:
-        """Return until when a request is held."""
-        if self._goes_when_late(entry, now):
-            longest = entry.since + _LONG_SHARE * entry.need.target
-            return min(longest, self.in_time_until(entry))
-        return entry.patience_ends
+    def is_overdue(self, entry: Waiting, now: float) -> bool:
+        """Return whether a request is held no longer."""
+        if now >= entry.held_until:
+            return True
+        return now >= self._long_until(entry) and self._goes_when_late(entry, now)
 
     def is_worth_waiting(self, entry: Waiting, likely: float, now: float) -> bool:
         """Return whether a wait that is likely so long ends while the request is held."""
-        left = self.waits_until(entry, now) - now
-        if left <= 0.0:
+        if self.is_overdue(entry, now):
             return False
-        return likely <= left or self._fleet.shedding.must_serve(entry.need, now)
+        until = entry.held_until
+        if self._fleet.shedding.is_long(entry.need):
+            until = min(until, self._long_until(entry))
+        return now + likely <= until or self._fleet.shedding.must_serve(entry.need, now)
 
     def comes_too_late(self, entry: Waiting, choice: Choice, now: float) -> bool:
         """Return whether a slot that is free now is worth more to one that came later."""
@@ -55,6 +56,11 @@
         late = first > entry.since + entry.need.target
         return late and self._goes_when_late(entry, now)
 
+    def _long_until(self, entry: Waiting) -> float:
+        """Return until when a long request is held."""
+        longest = entry.since + _LONG_SHARE * entry.need.target
+        return min(longest, self.in_time_until(entry))
+
     def _goes_when_late(self, entry: Waiting, now: float) -> bool:
         shedding = self._fleet.shedding
         return shedding.is_long(entry.need) and not shedding.must_serve(entry.need, now)
--- a/tests/waiting/entries.py
+++ b/tests/waiting/entries.py
@@ -26,6 +26,12 @@
     return Need("llm", "chat", 0.5, 0.2, 12.0, True, tokens, 50, parts, 0, team, caller=caller)
 
 
+def triage(tokens: int = CHAT_TOKENS) -> Need:
+    """Return what a short request of the middle tier needs."""
+    parts = (PromptPart(9, tokens),)
+    return Need("llm", "triage", 0.5, 0.2, 12.0, True, tokens, 50, parts, 1)
+
+
 def letter(tokens: int = LETTER_TOKENS) -> Need:
     """Return what a long, less urgent request needs."""
     parts = (PromptPart(8, tokens),)
