--- a/src/lotushill/scheduling/line_keeper.py
+++ b/src/lotushill/scheduling/line_keeper.py
@@ -31,6 +31,8 @@
 """After one of this gateway's own was placed, which counts itself in as it is sent."""
 _LOG_SECONDS = 1.0
 """Between two lines of the log on one service."""
+_LAST_TIER = 255
+"""What is less urgent is told as this tier."""
 
 
 class LineKeeper:
@@ -125,7 +127,8 @@
             if now - self._told.get(name, float("-inf")) < NEWS_SECONDS and name in waiting:
                 continue
             tiers = self.line.room.tiers(name)
-            self._tell(WaitingNews(self._name, name, tuple(tiers), tuple(tiers.values())))
+            told = tuple(min(_LAST_TIER, tier) for tier in tiers)
+            self._tell(WaitingNews(self._name, name, told, tuple(tiers.values())))
             self._note(name, now)
             if tiers:
                 self._told[name] = now
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -110,13 +110,20 @@
             if not again:
                 self._note_size(request.need)
             candidates = self._upstreams.of(request.service.name)
-            if self._keeper is not None:
-                return await self._in_line(self._keeper, request, excluded, candidates)
-            return self._by_own_model(request, excluded, candidates)
+            if self._keeper is None:
+                return self._by_own_model(request, excluded, candidates)
+            found = await self._in_line(self._keeper, request, excluded, candidates)
+            if found is not None or self._client is None:
+                return found or NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
+        return await self._by_scheduler(self._client, request, excluded, again)
+
+    async def _by_scheduler(
+        self, client: PlacementClient, request: Request, excluded: frozenset[str], again: bool
+    ) -> Placement | NoChoice:
         unknown: set[str] = set()
         for _ in range(_MOST_UNKNOWN + 1):
             make = functools.partial(self._ask, request, excluded | unknown, again)
-            answer = await self._client.ask(make)
+            answer = await client.ask(make)
             if answer is None:
                 return self._alone(request, excluded)
             if not answer.upstream:
@@ -164,8 +171,11 @@
         request: Request,
         excluded: frozenset[str],
         candidates: list[Upstream],
-    ) -> Placement | NoChoice:
-        """Return where a request goes by the own model, if need be after it has waited."""
+    ) -> Placement | NoChoice | None:
+        """Return where a request goes by the own model, if need be after it has waited.
+
+        None where this gateway has come to ask schedulers meanwhile.
+        """
         key = self.number()
         try:
             while True:
@@ -174,6 +184,8 @@
                     return found
                 if isinstance(found, Choice):
                     return self._own_placement(request, found, candidates)
+                if self._client is not None and not self.models_all():
+                    return None
                 candidates = self._upstreams.of(request.service.name)
                 excluded |= self._barred.names(request.need.route, self._clock())
         finally:
