A first event that does not follow its head is waited for as long as is likely, where it may be repeated

Cause: after the head of a stream nothing bounded the wait for its first event, so that one whose engine went dark ran to its client's deadline.

Change: the wait from head to first event is learned for each service; four times what one in a hundred exceeds ends the attempt where the request may be repeated, on services whose runs can be moved. A stream that may have been stopped, the answer and its end both lost, is ended when nothing comes for 0.5 s. Writing a request is a module of its own (requests/wire.py).

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -306,6 +306,13 @@
         "returns=False",
         "tests.requests.test_moves",
     ),
+    Break(
+        "moves: a client that takes nothing makes no run stand still",
+        "requests/moving_run.py",
+        "self._last_at = now\n        self._waits_since = math.inf\n\n    def note_passed_on",
+        "self._last_at = now\n        self._waits_since = now\n\n    def note_passed_on",
+        "tests.requests.test_moves",
+    ),
     Break(
         "moves: none costs more than it saves",
         "moves/move_plan.py",
--- a/src/lotushill/moves/stalls.py
+++ b/src/lotushill/moves/stalls.py
@@ -1,13 +1,15 @@
 """After which pause a stream is taken to have stopped, by the pauses that its service shows.
 
-Answers the load of upstreams that go dark or hold a run back without a word: its client would wait
-to its deadline, though the run can go on elsewhere. A pause beside the reading of long prompts, or
+Answers the load of upstreams that go dark or hold a run back without a word, between two events or
+between the head of the answer and its first one: its client would wait to its deadline, though the
+run can go on elsewhere. A pause beside the reading of long prompts, or
 of an upstream that is slow for a moment, is among the observed ones and is waited out.
 """
 
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 _QUANTILE = 0.99
 _STEP = 0.1
@@ -15,6 +17,8 @@
 _USUAL_WEIGHT = 0.01
 _FIRST_SECONDS = 0.3
 """Taken for a long pause before any was seen."""
+_KNOWN_FROM = 100
+"""Pauses, of which one is expected to be a long one."""
 _LEAST_LONG_SECONDS = 0.02
 _MULTIPLE = 4.0
 """Of a long pause: one stream in some thousands pauses for so long and goes on by itself."""
@@ -32,6 +36,7 @@
     def __init__(self) -> None:
         self._long: dict[str, float] = {}
         self._usual: dict[str, float] = {}
+        self._seen: Counter[str] = Counter()
 
     def note(self, service: str, pause: float) -> None:
         """Learn from a pause between two events of a stream, in seconds."""
@@ -40,6 +45,7 @@
         long = self._long.get(service, _FIRST_SECONDS)
         usual = self._usual.get(service, pause)
         self._usual[service] = usual + _USUAL_WEIGHT * (min(long, pause) - usual)
+        self._seen[service] += 1
         step = _STEP * (_QUANTILE if pause > long else _QUANTILE - 1.0)
         self._long[service] = max(_LEAST_LONG_SECONDS, long * math.exp(step))
 
@@ -57,8 +63,14 @@
 
     def after(self, service: str, gap: float) -> float:
         """Return after how many seconds a stream has stopped; `gap` is the pause in time."""
-        most = latest(gap)
-        return min(most, max(LEAST_SECONDS, _MULTIPLE * self.long_pause(service)))
+        return min(latest(gap), self._bound(service))
+
+    def after_if_known(self, service: str) -> float | None:
+        """Return the same where no pause is in time, None until enough were seen."""
+        return self._bound(service) if self._seen[service] >= _KNOWN_FROM else None
+
+    def _bound(self, service: str) -> float:
+        return max(LEAST_SECONDS, _MULTIPLE * self.long_pause(service))
 
 
 def latest(gap: float) -> float:
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 from lotushill.moves.stalls import latest
-from lotushill.placement.memory_copies import MemoryCopies
-from lotushill.platform import request_head
 from lotushill.platform.upstream_answer import read_statement
 from lotushill.requests.attempt_end import AttemptEnd
 from lotushill.requests.attempt_end import EndKind
@@ -18,6 +16,7 @@
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
 from lotushill.requests.moving_run import MovingRun
+from lotushill.requests.wire import on_the_wire
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
@@ -60,6 +59,7 @@
         self._clock = parts.clock
         self._wakes = parts.suspension.wakes
         self.sent_at = 0.0
+        self._head_at = 0.0
         self.first_at = 0.0
         self.last_at = 0.0
         self._pauses = AttemptPauses(parts, request, choice.upstream, news)
@@ -128,8 +128,11 @@
 
     async def _exchange(self, connection: UpstreamConnection) -> AttemptEnd:
         self.sent_at = self._clock()
-        connection.send(self._request.demand.request_id, self._request.method, self._wire())
+        last_event_id = self._splitter.last_id if self._splitter.events else ""
+        data = on_the_wire(self._request, self._choice, last_event_id, self.sent_at)
+        connection.send(self._request.demand.request_id, self._request.method, data)
         head = await self._read_head(connection)
+        self._head_at = self._clock()
         self._parts.fleet.load(self._choice.upstream.id).note_reached()
         said = read_statement(head.status, head.headers)
         self._parts.gate.hear(self._choice.upstream.id, said, self.sent_at)
@@ -193,7 +196,7 @@
     def _patience(self) -> float | None:
         """Return after which pause the run is given up here, None where that helps nobody."""
         if not self.first_at:
-            return None
+            return self._first_patience()
         gap = self._request.route.target_gap
         if not self._movable:
             given_up = self._has_a_way_on() or self._choice.continues
@@ -218,6 +221,12 @@
         await self._answer.finish(self._splitter.partial)
         return AttemptEnd(EndKind.WHOLE)
 
+    def _first_patience(self) -> float | None:
+        """Return how long the first event is waited for after the head."""
+        if not self._movable or not self._request.route.repeatable:
+            return None
+        return self._parts.mover.first_waits.after_if_known(self._request.service.name)
+
     def _follow_run(self, connection: UpstreamConnection) -> None:
         if not self._movable or _came_back(self._choice):
             return
@@ -239,39 +248,6 @@
             headers = [item for item in head.headers if item[0] != b"content-length"]
             await self._answer.start(head.status, headers)
 
-    # The request on the wire
-
-    def _wire(self) -> bytes:
-        request = self._request
-        headers = request.headers
-        last_event_id = self._splitter.last_id if self._splitter.events else ""
-        if last_event_id:
-            headers = request_head.without_last_event_id(headers)
-        own = request_head.attempt_headers(
-            self._choice.upstream.name,
-            request.ends - self._clock(),
-            request.route.urgency,
-            request.team,
-            last_event_id,
-            self._copies(),
-        )
-        lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
-        for name, value in [*headers, *own]:
-            lines += (name, b": ", value, b"\r\n")
-        lines += (b"\r\n", request.body)
-        return b"".join(lines)
-
-    def _copies(self) -> MemoryCopies:
-        choice = self._choice
-        if choice.moved is not None:
-            return MemoryCopies(continues_at=choice.moved.source, run=choice.moved.handle)
-        return MemoryCopies(
-            fetch_from=choice.fetch.source.address if choice.fetch else "",
-            backup_to=choice.backup.address if choice.backup else "",
-            continues_at=choice.upstream.address if choice.continues else "",
-            run=self._request.demand.request_id,
-        )
-
     # What is learned
 
     def _note_event(self) -> None:
@@ -279,6 +255,8 @@
         if not self.first_at:
             self.first_at = now
             self._note_first(now)
+            if self._movable:
+                self._parts.mover.first_waits.note(self._request.service.name, now - self._head_at)
         if self._request.route.kind is RouteKind.STREAM:
             self._pauses.note(now)
         self.last_at = now
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -30,6 +30,8 @@
 """Beyond twice what the copy takes, behind another one, before a call is taken for unanswered."""
 _CLOSING_SECONDS = 0.1
 """A stream that was stopped is closed by its upstream within so long, or else from here."""
+_UNSURE_SECONDS = 0.5
+"""One that may have been stopped, where nothing comes for so long."""
 _STOP_SECONDS = 1.0
 """A stream that was stopped waits so long for the answer of the call that stopped it."""
 _COPY_SECONDS = 0.2
@@ -72,11 +74,12 @@
         copying: float,
         may_stop: Callable[[], bool],
         close_stream: Callable[[], None],
+        events: Callable[[], int],
     ) -> None:
         """Move the run with the id `run`; its copy takes `copying` seconds.
 
         `may_stop` is asked once, right before the run is stopped; `close_stream` ends the
-        connection to the source.
+        connection to the source, from which `events` have come.
         """
         self._memory = memory
         self._run = run
@@ -85,6 +88,7 @@
         self._patience = 2 * copying + _ANSWER_SECONDS
         self._may_stop = may_stop
         self._close_stream = close_stream
+        self._events = events
         self._handle = ""
         self._at_target = False
         self._left = False
@@ -121,11 +125,15 @@
             self._settled.set()
         if self._left or self.phase is Phase.GIVEN_UP:
             await self.free()
-        elif self.phase is Phase.STOPPED:
-            asyncio.get_running_loop().call_later(_CLOSING_SECONDS, self._close_open_stream)
-
-    def _close_open_stream(self) -> None:
-        if not self._left and not self.parted:
+        elif self.stops:
+            wait = _CLOSING_SECONDS if self.phase is Phase.STOPPED else _UNSURE_SECONDS
+            loop = asyncio.get_running_loop()
+            loop.call_later(wait, self._close_open_stream, self._events())
+
+    def _close_open_stream(self, events: int) -> None:
+        """End a stream that was stopped, as far as is known, and whose end has not come."""
+        silent = self.phase is Phase.STOPPED or self._events() == events
+        if silent and not self._left and not self.parted:
             self._close_stream()
 
     async def _stop(self) -> None:
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -89,6 +89,9 @@
         """Until then no stream is taken to stand still, since this process did."""
         self.notices = Notices()
         self.stalls = Stalls()
+        """Pauses between the events of streams."""
+        self.first_waits = Stalls()
+        """From the head of an answer to its first event."""
 
     # For those who hold streams
 
@@ -234,6 +237,7 @@
             seconds,
             lambda: not run.ended and self._budgets.spend(service, self._clock()),
             run.close_stream,
+            run.events,
         )
         try:
             await handover.run()
--- a/src/lotushill/requests/moving_run.py
+++ b/src/lotushill/requests/moving_run.py
@@ -84,6 +84,10 @@
         self._not_before = now + self._pause
         self._pause = min(_LONGEST_AGAIN_SECONDS, 2 * self._pause)
 
+    def events(self) -> int:
+        """Return how many events of its answer have come."""
+        return self._splitter.events
+
     @property
     def tokens(self) -> int:
         """Return the tokens in its memory."""
--- /dev/null
+++ b/src/lotushill/requests/wire.py
@@ -0,0 +1,43 @@
+"""A request as it is written to an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lotushill.placement.memory_copies import MemoryCopies
+from lotushill.platform import request_head
+
+if TYPE_CHECKING:
+    from lotushill.placement.choice import Choice
+    from lotushill.scheduling.request import Request
+
+
+def on_the_wire(request: Request, choice: Choice, last_event_id: str, now: float) -> bytes:
+    """Return head and body of one attempt; the stream goes on after `last_event_id`, if any."""
+    headers = request.headers
+    if last_event_id:
+        headers = request_head.without_last_event_id(headers)
+    own = request_head.attempt_headers(
+        choice.upstream.name,
+        request.ends - now,
+        request.route.urgency,
+        request.team,
+        last_event_id,
+        _copies(request, choice),
+    )
+    lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
+    for name, value in [*headers, *own]:
+        lines += (name, b": ", value, b"\r\n")
+    lines += (b"\r\n", request.body)
+    return b"".join(lines)
+
+
+def _copies(request: Request, choice: Choice) -> MemoryCopies:
+    if choice.moved is not None:
+        return MemoryCopies(continues_at=choice.moved.source, run=choice.moved.handle)
+    return MemoryCopies(
+        fetch_from=choice.fetch.source.address if choice.fetch else "",
+        backup_to=choice.backup.address if choice.backup else "",
+        continues_at=choice.upstream.address if choice.continues else "",
+        run=request.demand.request_id,
+    )
--- a/tests/moves/test_stalls.py
+++ b/tests/moves/test_stalls.py
@@ -47,6 +47,13 @@
         stalls.note("s", 30.0)
         self.assertAlmostEqual(0.05, stalls.usual_pause("s") or 0.0, delta=0.01)
 
+    def test_waits_for_a_first_event_are_known_once_enough_were_seen(self) -> None:
+        waits, rng = Stalls(), random.Random(3)
+        self.assertIsNone(waits.after_if_known("s"))
+        for _ in range(2_000):
+            waits.note("s", rng.uniform(0.1, 1.5))
+        self.assertGreater(waits.after_if_known("s") or 0.0, 4.0)
+
     def test_it_is_bounded_and_nonsense_teaches_nothing(self) -> None:
         stalls = Stalls()
         before = stalls.long_pause("s")
--- a/tests/requests/test_moves.py
+++ b/tests/requests/test_moves.py
@@ -269,6 +269,14 @@
         self.assert_whole(got, site)
         self.assertEqual(0, site.resumed())
 
+    async def test_one_that_may_have_stopped_is_ended_where_nothing_comes(self) -> None:
+        async with Site([200, "lost"]).open() as site:
+            site.source.holds_streams = True
+            got = await site.call()
+            await site.settled()
+        self.assert_whole(got, site)
+        self.assertEqual(1, site.resumed())
+
     async def test_a_client_that_takes_nothing_makes_no_run_stand_still(self) -> None:
         async with Site().open() as site:
             big = b"data: " + b"x" * 4_000_000 + b"\n\n"
@@ -300,6 +308,29 @@
         self.assert_whole(got, site)
         self.assertEqual([], site.source.calls)
 
+    async def test_one_that_makes_no_first_event_and_may_be_repeated_goes_on_elsewhere(
+        self,
+    ) -> None:
+        async with Site(resumable=True).open() as site:
+            for _ in range(200):
+                site.rig.mover.first_waits.note("s", 0.02)
+            site.source.stands = 0
+            got = await site.rig.call(headers=LONG)
+        self.assert_whole(got, site)
+        self.assertEqual(1, sum(len(other.seen) for other in site.others))
+
+    async def test_one_that_may_run_once_is_waited_for(self) -> None:
+        async with Site().open() as site:
+            for _ in range(200):
+                site.rig.mover.first_waits.note("s", 0.02)
+            site.source.stands = 0
+            calling = asyncio.create_task(site.rig.call(headers=LONG))
+            await asyncio.sleep(1.0)
+            site.source.stands = None
+            got = await calling
+        self.assert_whole(got, site)
+        self.assertEqual([], [other.seen for other in site.others if other.seen])
+
     async def test_a_stream_whose_end_is_never_seen_is_ended_once_its_run_has_stopped(self) -> None:
         async with Site().open() as site:
             site.source.holds_streams = True
