--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -253,7 +253,7 @@
         known = self._upstreams.of(request.service.name)
         limited = {item.id for item in known if self._rate(item.id) != NO_LIMIT}
         excluded = tried | limited | self._ward.barred(request)
-        found = await self._placer.place(request, excluded, again=True)
+        found = await self._placer.place(request, excluded, again=True, waits=False)
         if not isinstance(found, Placement):
             return None
         told = bool(found.scheduler)
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -103,9 +103,12 @@
         return self._schedulers is None or self._schedulers.schedules()
 
     async def place(
-        self, request: Request, excluded: frozenset[str], again: bool
+        self, request: Request, excluded: frozenset[str], again: bool, waits: bool = True
     ) -> Placement | NoChoice:
-        """Return where a request is to go; `again` says that it was asked for before."""
+        """Return where a request is to go; `again` says that it was asked for before.
+
+        One that `waits` does so for room, where there is none now.
+        """
         barred = self._barred.names(request.need.route, self._clock())
         if barred:
             if self._none_is_open(request, excluded | barred):
@@ -117,19 +120,24 @@
             candidates = self._upstreams.of(request.service.name)
             if self._schedulers is not None and not self._knows_fleet():
                 return self._drawn(request, excluded)
-            if self._keeper is None:
+            if self._keeper is None or not waits:
                 return self._by_own_model(request, excluded, candidates)
             found = await self._in_line(self._keeper, request, excluded, candidates)
             if found is not None or self._client is None:
                 return found or NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY)
-        return await self._by_scheduler(self._client, request, excluded, again)
+        return await self._by_scheduler(self._client, request, excluded, again, waits)
 
     async def _by_scheduler(
-        self, client: PlacementClient, request: Request, excluded: frozenset[str], again: bool
+        self,
+        client: PlacementClient,
+        request: Request,
+        excluded: frozenset[str],
+        again: bool,
+        waits: bool,
     ) -> Placement | NoChoice:
         unknown: set[str] = set()
         for _ in range(_MOST_UNKNOWN + 1):
-            make = functools.partial(self._ask, request, excluded | unknown, again)
+            make = functools.partial(self._ask, request, excluded | unknown, again, waits)
             answer = await client.ask(make)
             if answer is None:
                 return self._alone(request, excluded)
@@ -275,7 +283,9 @@
 
     # By a scheduler
 
-    def _ask(self, request: Request, excluded: frozenset[str], again: bool) -> PlacementAsk:
+    def _ask(
+        self, request: Request, excluded: frozenset[str], again: bool, waits: bool
+    ) -> PlacementAsk:
         need = request.need
         return PlacementAsk(
             sender=self._name,
@@ -298,7 +308,7 @@
             share=need.share,
             waited=self._clock() - request.arrived,
             caller=need.caller,
-            waits=True,
+            waits=waits,
         )
 
     def _out_of_reach(self, request: Request, excluded: frozenset[str]) -> list[str]:
--- a/tests/requests/test_rest.py
+++ b/tests/requests/test_rest.py
@@ -165,10 +165,10 @@
     choice = Choice(wanted, 0.0, 0.0, 0, 0, 0.0)
 
     async def chosen(
-        request: Request, excluded: frozenset[str], again: bool
+        request: Request, excluded: frozenset[str], again: bool, waits: bool = True
     ) -> Placement | NoChoice:
         if upstream_id in excluded:
-            return await place(request, excluded, again)
+            return await place(request, excluded, again, waits)
         return rig.parts.placer.continued(request, choice)
 
     rig.parts.placer.place = chosen  # type: ignore[method-assign]
