--- a/src/lotushill/waiting/line.py
+++ b/src/lotushill/waiting/line.py
@@ -245,8 +245,15 @@
         return any(self._order(other, now) < own for other in others)
 
     def _likely_wait(self, entry: Waiting, now: float) -> float:
-        """Return how long the line before a request takes."""
-        rate = self._rates.setdefault(entry.need.service, ReleaseRate())
-        tiers = self.room.tiers(entry.need.service)
-        more_urgent = sum(count for tier, count in tiers.items() if tier < entry.need.tier)
-        return rate.wait(entry.need.tier, more_urgent, tiers.get(entry.need.tier, 0), now)
+        """Return how long the line before a request takes.
+
+        Of a line that has just begun the worst is expected for long requests, since they may come
+        back in time if they are told at once, and nothing for short ones.
+        """
+        need = entry.need
+        rate = self._rates.setdefault(need.service, ReleaseRate())
+        if not rate.is_known(now) and not self._fleet.shedding.is_long(need):
+            return 0.0
+        tiers = self.room.tiers(need.service)
+        more_urgent = sum(count for tier, count in tiers.items() if tier < need.tier)
+        return rate.wait(need.tier, more_urgent, tiers.get(need.tier, 0), now)
--- a/src/lotushill/waiting/release_rate.py
+++ b/src/lotushill/waiting/release_rate.py
@@ -22,17 +22,18 @@
         """Note that a request of a tier was placed."""
         self._placed.setdefault(tier, deque()).append(now)
 
+    def is_known(self, now: float) -> bool:
+        """Return whether the line has been there for a second, so that its pace is known."""
+        if now - self._asked_at > _SPAN_SECONDS:
+            self._asked_since = now
+        self._asked_at = now
+        return now - self._asked_since >= _SPAN_SECONDS
+
     def wait(self, tier: int, more_urgent: int, before: int, now: float) -> float:
-        """Return how long one of a tier waits behind so many, in seconds; 0 while not known.
+        """Return how long one of a tier waits behind so many, in seconds.
 
         `more_urgent` ones take what all tiers get, the `before` of its own tier what is left.
-        Nothing is known of a line that has not been there for a second.
         """
-        if now - self._asked_at > _SPAN_SECONDS:
-            self._asked_since = now
-        self._asked_at = now
-        if now - self._asked_since < _SPAN_SECONDS:
-            return 0.0
         return more_urgent / self._rate(0, now) + before / self._rate(tier, now)
 
     def _rate(self, tier: int, now: float) -> float:
