--- a/src/lotushill/placement/engine_pace.py
+++ b/src/lotushill/placement/engine_pace.py
@@ -179,7 +179,7 @@
         """Whether some engine is known to differ for good."""
         self.changes = 0
         """Lasting paces that were settled or changed so far."""
-        self._changed: list[LastingPace] = []
+        self._changed: dict[str, LastingPace] = {}
 
     def add(self, upstream: str, pace: EnginePace) -> None:
         """Count an engine in."""
@@ -206,18 +206,19 @@
         """Take what another gateway has found of an engine of which nothing is known here."""
         self.add(told.upstream, pace)
         pace.presume(told.steps, told.reading)
-        self.differing = self.differing or _differs(pace)
+        self.differing = self.differing or _pair(pace) != (1.0, 1.0)
 
     def take_changes(self) -> list[LastingPace]:
         """Return the lasting paces that changed since this was asked before."""
-        changed, self._changed = self._changed, []
-        return changed
+        changed, self._changed = self._changed, {}
+        return list(changed.values())
 
     def settle(self, now: float) -> None:
         """Hold each engine against the median of all, now and then."""
         if now < self._settled_at + _SETTLE_SECONDS:
             return
         self._settled_at = now
+        before = {upstream: _pair(pace) for upstream, pace in self._paces.items()}
         for pace in self._paces.values():
             pace.forget_old(now)
         usual_step = _usual([pace.steps for pace in self._paces.values()], _LEAST_STEPS)
@@ -228,12 +229,11 @@
         }
         self.differing = any(pair != (1.0, 1.0) for pair in wanted.values())
         for upstream, (steps, reading) in wanted.items():
-            pace = self._paces[upstream]
-            changed = (steps, reading) != (pace.lasting_steps, pace.lasting_reading)
-            if changed:
-                pace.settle(steps, reading)
+            if (steps, reading) != _pair(self._paces[upstream]):
+                self._paces[upstream].settle(steps, reading)
+            if (steps, reading) != before[upstream]:
                 self.changes += 1
-                self._changed.append(LastingPace(upstream, steps, reading))
+                self._changed[upstream] = LastingPace(upstream, steps, reading)
 
     def _lasting(
         self, pace: EnginePace, usual_step: float, usual_reading: float
@@ -250,8 +250,8 @@
         return steps, reading
 
 
-def _differs(pace: EnginePace) -> bool:
-    return (pace.lasting_steps, pace.lasting_reading) != (1.0, 1.0)
+def _pair(pace: EnginePace) -> tuple[float, float]:
+    return pace.lasting_steps, pace.lasting_reading
 
 
 def _usual(times: list[UsualTime], slots: int) -> float:
