--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -442,6 +442,7 @@
                 "the end of the stopped stream is lost",
                 (
                     f"{_MOVES}.test_a_stream_whose_end_is_never_seen_is_ended_once_its_run_has_stopped",
+                    f"{_MOVES}.test_one_that_may_have_stopped_is_ended_where_nothing_comes",
                 ),
             ),
             Case(
@@ -452,11 +453,19 @@
                 "no repeat is left",
                 (f"{_MOVES}.test_without_a_repeat_left_nothing_is_stopped",),
             ),
+            Case(
+                "only its client or its gateway stands still",
+                (
+                    f"{_MOVES}.test_a_client_that_takes_nothing_makes_no_run_stand_still",
+                    f"{_MOVES}.test_a_process_that_stood_still_itself_moves_nothing_for_that",
+                ),
+            ),
             Case(
                 "it stands still",
                 (
                     f"{_MOVES}.test_a_run_that_stands_still_is_moved_with_its_memory",
                     f"{_MOVES}.test_one_that_stands_still_and_may_be_repeated_goes_on_without_its_memory",
+                    f"{_MOVES}.test_one_that_makes_no_first_event_and_may_be_repeated_goes_on_elsewhere",
                 ),
             ),
         ),
--- a/tests/requests/test_moves.py
+++ b/tests/requests/test_moves.py
@@ -287,14 +287,14 @@
                 for _ in range(4):
                     seen.chunk(big)
                 await seen.writer.drain()
-                await asyncio.sleep(1.5)
+                await asyncio.sleep(2.5)
                 seen.end_events()
 
             site.source.scripts = [serve]
             reader, writer = await site.rig.connect()
             writer.write(request_bytes("r1", LONG))
             await reader.readuntil(b"piece-0")
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(2.0)
             writer.transport.abort()
         self.assertEqual([], site.source.calls)
         self.assertEqual([], [seen.line for seen in site.source.seen if "/kv-" in seen.line])
