Short requests go to an engine's queue while they are in time there

Cause: with the waiting room all requests were held while no engine had a slot. Engines let the most urgent in first by themselves; a slot that comes free is heard of at a scheduler tens of milliseconds later. Change: a request that is not long goes where it is predicted in time, also into a queue, unless one that waits goes before it. A test of the line gave its entries arrival times in the future; they now come when they are asked for.

--- a/src/lotushill/waiting/line.py
+++ b/src/lotushill/waiting/line.py
@@ -101,6 +101,8 @@
         if early is not None:
             return early
         found = self._look(entry, service, upstreams, now, new=True)
+        if isinstance(found, NoChoice):
+            found = self._queued(entry, service, upstreams, now) or found
         if isinstance(found, Choice):
             self._note_placed(entry, found, now)
             return found
@@ -114,6 +116,22 @@
         self._fleet.shedding.returns.note_scarce(entry.need.service, entry.need.tier, now)
         return Held()
 
+    def _queued(
+        self, entry: Waiting, service: Service, upstreams: Sequence[Upstream], now: float
+    ) -> Choice | None:
+        """Return an engine in whose queue a short request is still in time, None without one.
+
+        Engines let the most urgent in first, some milliseconds sooner than a slot that comes free
+        is heard of here.
+        """
+        need = entry.need_at(now)
+        if self._fleet.shedding.is_long(need) or self._stands_behind(entry, now):
+            return None
+        found = self._fleet.choose(need, service, upstreams, entry.excluded, now)
+        if isinstance(found, Choice) and found.first <= need.target - need.waited:
+            return found
+        return None
+
     def _renew(self, entry: Waiting, now: float) -> Held | NoChoice:
         """Note that a request is still asked for, and what of it has changed."""
         if not self._time.is_overdue(entry, now) and self.room.add(entry):
--- a/tests/waiting/test_line.py
+++ b/tests/waiting/test_line.py
@@ -104,6 +104,15 @@
             self.end(number, START + 0.03)
         self.assertEqual([3, 2, 1], [key for key, _ in self.due(START + 0.03)])
 
+    def test_a_short_one_goes_to_a_queue_in_which_it_is_in_time(self) -> None:
+        """Held here it would hear of a free slot later than the engine that frees it."""
+        slow = replace(chat(), target=60.0)
+        self.assertIsInstance(self.place(waiting(1, slow)), Choice)
+        self.assertIsInstance(self.place(waiting(2, chat())), Held)
+        later = START + 0.01
+        found = self.place(waiting(3, slow, later), later)
+        self.assertIsInstance(found, Held, "it stands behind the other")
+
     def test_a_newcomer_does_not_overtake_those_that_wait(self) -> None:
         self.place(waiting(1, chat()))
         self.end(1_003, START + 0.02)
@@ -164,7 +173,8 @@
     def test_an_urgent_one_is_not_refused_while_larger_ones_begin(self) -> None:
         now = START + 1.0
         for key in range(60):
-            self.place(waiting(key, chat(), now), START + key / 60)
+            came = START + key / 60
+            self.place(waiting(key, chat(), came), came)
         self.assertIsInstance(self.place(waiting(90, chat(), now), now), NoChoice)
         self.end(1_002, now)
         self.fleet.start(placed(2_000, "e0", letter()), SERVICE, now)
