Log how a run that was to be moved was stopped and continued

Change: events run.stopped, run.continued, run.not_continued and run.cut; fields closed_here and after_stop of attempt.ended. Logic is unchanged.

--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -94,6 +94,7 @@
                 retry_spent = False
                 end = await self._continue_from(run_memory)
                 used = end.kind not in _MEMORY_UNUSED
+                self._log_continuation(run_memory, end)
                 if used:
                     return self._final_end(end, interrupted)
         finally:
@@ -111,6 +112,17 @@
         moved = MovedMemory(run_memory.source.address, run_memory.handle)
         return await self._continue_run(replace(choice, moved=moved), permit)
 
+    def _log_continuation(self, run_memory: RunMemory, end: AttemptEnd) -> None:
+        returned = run_memory.upstream.id == run_memory.source.id
+        self._components.log.note(
+            "run.continued" if end.kind is EndKind.WHOLE else "run.not_continued",
+            request=self._request.demand.request_id,
+            upstream=run_memory.upstream.id,
+            place="source" if returned else "target",
+            kind=end.kind.value,
+            why=end.detail,
+        )
+
     def _final_end(self, end: AttemptEnd | None, interrupted: AttemptEnd) -> AttemptEnd:
         """Return how the run has ended; as broken if it was not continued."""
         is_continued = end is not None and (end.kind is EndKind.WHOLE or end.handover is not None)
@@ -118,6 +130,12 @@
             self._components.metrics.record_moved_run("went on")
             return end
         self._components.metrics.record_moved_run("cut")
+        self._components.log.note(
+            "run.cut",
+            request=self._request.demand.request_id,
+            why=end.detail if end is not None else "no memory accepted",
+            events=self._splitter.event_count,
+        )
         return replace(interrupted, kind=EndKind.BROKEN, handover=None)
 
     async def _continue_run(self, choice: Choice, permit: Permit) -> AttemptEnd:
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -200,6 +200,8 @@
                 leaving=end.statement.leaving,
                 unreadable=end.statement.unreadable_cooldown,
                 limit=finite_or_none(end.statement.limit),
+                closed_here=end.handover is not None and end.handover.closed_by_gateway,
+                after_stop=end.handover.events_after_stop() if end.handover is not None else 0,
             )
         return end
 
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -100,6 +100,14 @@
         self._calls_done = asyncio.Event()
         self.retry_spent = False
         """Whether a retry was spent for continuing the run."""
+        self.stop_answer = ""
+        """Answer to the call that was to stop the run; empty if it was not made or not answered."""
+        self.stop_named_handle = False
+        """Whether that answer named a handle, without which its engine kept no memory."""
+        self.events_at_stop = 0
+        """Number of events received when that call was answered or given up."""
+        self.closed_by_gateway = False
+        """Whether this gateway closed the stream, rather than the source."""
         self.phase = Phase.COPYING
         self.reason = ""
         """Why the handover was given up, or what failed; empty if neither."""
@@ -131,13 +139,15 @@
             delay = (
                 _CLOSE_TIMEOUT_SECONDS if self.phase is Phase.STOPPED else _SILENCE_TIMEOUT_SECONDS
             )
+            self.events_at_stop = self._event_count()
             loop = asyncio.get_running_loop()
-            loop.call_later(delay, self._close_open_stream, self._event_count())
+            loop.call_later(delay, self._close_open_stream, self.events_at_stop)
 
     def _close_open_stream(self, event_count: int) -> None:
         """Close the stream of a run that seems to be stopped, if its end has not arrived."""
         is_silent = self.phase is Phase.STOPPED or self._event_count() == event_count
         if is_silent and not self._is_finished and not self.stream_ended:
+            self.closed_by_gateway = True
             self._close_stream()
 
     async def _stop(self) -> None:
@@ -161,6 +171,8 @@
                 if last or attempt:
                     raise
                 continue
+            if last:
+                self._note_stop_answer(answer)
             if isinstance(answer, Copied):
                 self._handle = answer.handle
                 self._is_at_target = True
@@ -176,6 +188,10 @@
             self._source.address, self._run, self._target.address, last, self._call_timeout_seconds
         )
 
+    def _note_stop_answer(self, answer: Copied | NotCopied) -> None:
+        self.stop_answer = "copied" if isinstance(answer, Copied) else answer.reason.value
+        self.stop_named_handle = bool(answer.handle)
+
     def _note_refusal(self, answer: NotCopied, last: bool) -> bool:
         if last and answer.reason is NoCopyReason.NO_ROOM:
             # The run has stopped and continues at its source from the memory kept there.
@@ -194,6 +210,10 @@
         """Record that the stream from the source ended before its answer was complete."""
         self.stream_ended = True
 
+    def events_after_stop(self) -> int:
+        """Return the number of events that arrived after the call that was to stop the run."""
+        return self._event_count() - self.events_at_stop
+
     async def wait_for_memory(self) -> tuple[RunMemory, ...]:
         """Return the memory to continue from, best first, once the stream has ended.
 
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -272,15 +272,29 @@
         return has_room and self._isolation_policy.admits(request, choice)
 
     def _log_move(self, run: MovableRun, move: Move, reason: str, started_at: float) -> None:
+        handover = run.handover
         self._metrics.record_handover(move.cause.value, reason.partition(":")[0])
         self._log.note(
-            "run.moved" if reason == Phase.STOPPED.value else "run.not_moved",
+            _move_event(handover),
             request=run.request.demand.request_id,
             cause=move.cause.value,
             upstream=run.upstream.id,
-            target=run.handover.target.id if run.handover else "",
+            target=handover.target.id if handover else "",
             why=reason,
+            stop=handover.stop_answer if handover else "",
+            handle=handover.stop_named_handle if handover else False,
             worth=round(move.worth, 3),
             tokens=run.tokens,
             ms=round((self._clock() - started_at) * 1000, 1),
         )
+
+
+def _move_event(handover: Handover | None) -> str:
+    """Return the log event for the outcome of a move.
+
+    A run that was stopped, or may have been, does not continue undisturbed even if its memory has
+    not reached the target.
+    """
+    if handover is None or not handover.run_stopped:
+        return "run.not_moved"
+    return "run.stopped" if handover.reason else "run.moved"
--- a/tests/requests/test_logs.py
+++ b/tests/requests/test_logs.py
@@ -11,6 +11,7 @@
 from tests.requests.rig import ReceivedRequest
 from tests.requests.rig import Rig
 from tests.requests.rig import ScriptedUpstream
+from tests.requests.test_moves import Site
 
 if TYPE_CHECKING:
     from lotushill.requests.upstream_connection import UpstreamConnection
@@ -120,3 +121,28 @@
         logged_limits = [(line["rate"], line["source"]) for line in logged(rig, "upstream.limits")]
         self.assertEqual([(1500.5, "answer"), (None, "answer")], logged_limits)
         self.assertEqual(["few"], [x["value"] for x in logged(rig, "upstream.limit_unreadable")])
+
+
+class TestMovedRunLogs(unittest.IsolatedAsyncioTestCase):
+    """Logs that tell how a run that was to be moved was stopped, closed and continued."""
+
+    async def test_a_stopped_run_logs_where_it_continues(self) -> None:
+        async with Site([200, 503]).open() as site:
+            await site.call()
+            await site.wait_idle()
+        (stopped,) = logged(site.rig, "run.stopped")
+        self.assertEqual(("no room or no way", True), (stopped["stop"], stopped["handle"]))
+        (continued,) = logged(site.rig, "run.continued")
+        self.assertEqual(("source", "b0"), (continued["place"], continued["upstream"]))
+        (ended,) = logged(site.rig, "attempt.ended")
+        self.assertEqual(("moved", False), (ended["kind"], ended["closed_here"]))
+
+    async def test_a_moved_run_whose_memory_is_refused_logs_each_refusal(self) -> None:
+        async with Site().open() as site:
+            for other in [site.source, *site.others]:
+                other.rejects_handles = True
+            await site.call()
+            await site.wait_idle()
+        refusals = [(line["place"], line["kind"]) for line in logged(site.rig, "run.not_continued")]
+        self.assertEqual({("target", "rejected"), ("source", "rejected")}, set(refusals))
+        self.assertEqual(1, len(logged(site.rig, "run.cut")))
