--- a/tests/requests/moving_upstream.py
+++ b/tests/requests/moving_upstream.py
@@ -13,6 +13,8 @@
 
 EVENTS = 30
 STEP = 0.02
+_SILENT_SECONDS = 3.0
+"""Time for which a call is not answered; longer than any timeout of a call."""
 DROP_SECONDS = 0.3
 """Seconds within which an upstream drops a run whose connection has ended."""
 
@@ -58,8 +60,9 @@
     """Upstream that generates one event per step and answers calls to move memory.
 
     `scripted_answers` overrides its answers to calls in turn: a number is returned as the status,
-    "lost" executes the call and then resets the connection, and "dead" resets all connections and
-    stops listening.
+    "lost" executes the call and then resets the connection, "refused" answers 503 without stopping
+    the run or naming a handle, "silent" neither executes the call nor answers it, and "dead" resets
+    all connections and stops listening.
     """
 
     def __init__(self, memory: Memory, scripted_answers: list[int | str] | None = None) -> None:
@@ -72,6 +75,12 @@
         """Number of events after which it crashes, None if it does not."""
         self.rejects_handles = False
         """Whether it rejects requests with a handle as not run."""
+        self.rejections_per_handle = 0
+        """Number of requests with a handle that it rejects as not run before it accepts one."""
+        self.failures_per_handle = 0
+        """Number of requests with a handle that it answers with 500 without using the handle."""
+        self.resets_per_handle = 0
+        """Number of requests with a handle that it resets without using the handle."""
         self.step = STEP
         self.hides_stream_end = False
         """Whether the end of a stopped stream does not reach the gateway."""
@@ -102,6 +111,8 @@
             if not is_usable or self.rejects_handles:
                 seen.answer("503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n")
                 return
+            if self._disturb(seen):
+                return
             assert handle is not None
             handle.used = True
         run = self.runs[seen.id] = Run(seen, made)
@@ -119,6 +130,25 @@
             working.discard(self.address)
             self.runs.pop(seen.id, None)
 
+    def _disturb(self, seen: ReceivedRequest) -> bool:
+        """Answer a request with a usable handle as scripted; return whether that was done.
+
+        The handle stays usable.
+        """
+        if self.rejections_per_handle:
+            self.rejections_per_handle -= 1
+            seen.answer("503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n")
+            return True
+        if self.failures_per_handle:
+            self.failures_per_handle -= 1
+            seen.answer("500 Failed\r\nContent-Length: 0\r\n")
+            return True
+        if self.resets_per_handle:
+            self.resets_per_handle -= 1
+            seen.reset()
+            raise ConnectionResetError
+        return False
+
     def _check_restart(self, run: str, others: set[str]) -> None:
         """Record a run on which earlier upstreams still work after another one restarted it."""
         if others & self.memory.working[run]:
@@ -161,6 +191,10 @@
             _answer(seen, 404, {})
         elif scripted == 409:
             _answer(seen, 409, {})
+        elif scripted == "refused":
+            _answer(seen, 503, {})
+        elif scripted == "silent":
+            await asyncio.sleep(_SILENT_SECONDS)
         elif scripted == 503 and not call["last"]:
             _answer(seen, 503, {})
         else:
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -292,7 +292,7 @@
             self.clock, time.monotonic, self._on_suspension, lambda _: self.confirmed
         )
         log = EventLog("gw", self.lines.append)
-        cooldowns = Cooldowns()
+        self.cooldowns = cooldowns = Cooldowns()
         members, stated = alone("gw"), StatedLimits()
         limit_owners = LimitOwners(members, Schedulers(members), lambda: 1)
         self.limits = FleetLimits(
