A run is stopped, or its stream closed, only when its continuation is certain

Cause: a gateway that moves a run took every 503 to its stop call for "stopped", closed the stream of a run that went on, and asked for memory that was never kept; it also closed a run whose stop was not answered after 0.5 s without an event, asked each engine once for a stopped run, took a 500 or a reset for a used handle, and stopped runs without a retry for the way back. Change: a stop call is repeated until the source says what became of the run; a 503 without a handle leaves the run alone; the gateway closes a stream only if the run is known to be stopped or its source is unreachable both ways. Afterwards both engines are asked again while the client waits, within the retry budget, limits, cooldowns and notices.

--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 _USED_RATIO_FRACTION = 0.8
 _USED_SLACK_FRACTION = 0.8
@@ -20,6 +24,8 @@
         self._started = started
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._reserved = 0
+        """Retries that may be made at any time, and so count as made now."""
         self.set_bounds(ratio, slack, window)
 
     def set_bounds(self, ratio: float, slack: float, window: float) -> None:
@@ -37,14 +43,38 @@
 
         `gateways` is the number of gateways that share the budget, 0 while it is unknown.
         """
-        self._drop_old(self._requests, now)
-        self._drop_old(self._retries, now)
-        allowed = self._ratio * len(self._requests) + self._slack_part(gateways, now)
-        if len(self._retries) + 1 > allowed:
+        if self._left(gateways, now) < 1:
             return False
         self._retries.append(now)
         return True
 
+    def try_reserve(self, count: int, gateways: int, now: float) -> bool:
+        """Reserve `count` retries and return True if that many are left, else reserve none."""
+        if self._left(gateways, now) < count:
+            return False
+        self._reserved += count
+        return True
+
+    def spend_reserved(self, now: float) -> None:
+        """Make one of the reserved retries."""
+        self._reserved -= 1
+        self._retries.append(now)
+
+    def take_back(self) -> None:
+        """Reserve the latest retry again, as it was not made."""
+        self._retries.pop()
+        self._reserved += 1
+
+    def release(self, count: int) -> None:
+        """Return reserved retries that are not made."""
+        self._reserved -= count
+
+    def _left(self, gateways: int, now: float) -> float:
+        self._drop_old(self._requests, now)
+        self._drop_old(self._retries, now)
+        allowed = self._ratio * len(self._requests) + self._slack_part(gateways, now)
+        return allowed - len(self._retries) - self._reserved
+
     def _slack_part(self, gateways: int, now: float) -> float:
         """Return the retries allowed beyond the ratio of this gateway's own requests.
 
@@ -60,3 +90,31 @@
     def _drop_old(self, times: deque[float], now: float) -> None:
         while times and times[0] < now - self._window:
             times.popleft()
+
+
+class ReservedRetries:
+    """Retries of one request that no other request can spend; released when no longer needed."""
+
+    def __init__(self, budget: RetryBudget, count: int, gateways: Callable[[], int]) -> None:
+        """Hold `count` retries that were reserved from `budget`."""
+        self._budget = budget
+        self._gateways = gateways
+        self._left = count
+
+    def try_spend(self, now: float) -> bool:
+        """Spend a reserved retry, or one of the budget once none is left; return whether it was."""
+        if not self._left:
+            return self._budget.try_spend(self._gateways(), now)
+        self._left -= 1
+        self._budget.spend_reserved(now)
+        return True
+
+    def take_back(self) -> None:
+        """Reserve the retry spent last again, as it was not made."""
+        self._budget.take_back()
+        self._left += 1
+
+    def release(self) -> None:
+        """Return the reserved retries that were not spent."""
+        self._budget.release(self._left)
+        self._left = 0
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -50,6 +50,9 @@
     @property
     def first_event_timeout(self) -> float:
         """Return how long a client waits for the first sign of an answer."""
-        if not self.stream:
-            return self.time_left
-        return min(self.time_left, max(2.0, 4 * self.target, 8 * self.target_gap))
+        return min(self.time_left, self.event_timeout) if self.stream else self.time_left
+
+    @property
+    def event_timeout(self) -> float:
+        """Return how long a client of a stream waits for its next event."""
+        return max(2.0, 4 * self.target, 8 * self.target_gap)
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -107,7 +107,11 @@
             handover.note_stream_ended()
             if handover.run_stopped:
                 return AttemptEnd(
-                    EndKind.MOVED, repr(error), answer_started=True, handover=handover
+                    EndKind.MOVED,
+                    repr(error),
+                    answer_started=True,
+                    last_event_at=self.last_event_at,
+                    handover=handover,
                 )
             if handover.phase is Phase.GIVEN_UP:
                 handover = None
@@ -118,6 +122,7 @@
             repr(error),
             connection_lost=connection_lost,
             answer_started=answer_started,
+            last_event_at=self.last_event_at,
             handover=handover,
         )
 
--- a/src/lotushill/requests/attempt_end.py
+++ b/src/lotushill/requests/attempt_end.py
@@ -47,5 +47,7 @@
     """Whether the connection ended after the request had been sent."""
     answer_started: bool = False
     """Whether any part of the answer had arrived."""
+    last_event_at: float = 0.0
+    """When the last event arrived, 0 if none did."""
     handover: Handover | None = None
     """Move that was in progress, through which the run may continue; None if there was none."""
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import MovedMemory
 from lotushill.requests.attempt_end import EndKind
+from lotushill.requests.continuation_tries import ContinuationTries
 from lotushill.requests.upstream_gate import Permit
 
 if TYPE_CHECKING:
@@ -33,8 +35,12 @@
 """Predicted time until a run continues from its copy: a new connection and a few engine steps."""
 _MAX_FAILURE_RATE = 0.05
 """Failure rate from which a backup is not used; any failure in the last seconds exceeds it."""
-_MEMORY_UNUSED = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
-"""Ends of attempts that did not use the memory, which can still be where it was before."""
+_NOT_SENT = (EndKind.NOT_SENT, EndKind.BARRED)
+_OTHER_INCARNATION = "421"
+"""Status by which an upstream states that it is not the incarnation that held the memory."""
+_NOTICE_MARGIN_SECONDS = 0.15
+"""Time before the end of an upstream's notice from which it is not sent a run any more."""
+_MAX_WAIT_IF_REPEATABLE_SECONDS = 0.3
 
 
 class Continuation:
@@ -82,32 +88,93 @@
     ) -> AttemptEnd:
         """Continue at the target of a move, or at the source, wherever the run's memory is held.
 
-        Return the end of the run there, which may have been moved once more, or else the end as
-        broken.
+        Upstreams that refuse the run for a moment are asked again while the client waits. Return
+        the end of the run there, which may have been moved once more, or else the end as broken.
         """
-        used = False
+        tries = ContinuationTries(self._patience_ends(interrupted))
+        end = None
         try:
-            retry_spent = handover.retry_spent
-            for run_memory in await handover.wait_for_memory():
-                if not retry_spent and not self._spend_retry():
+            await handover.wait_for_memory()
+            while end is None:
+                end = await self._try_memories(handover, tries)
+                pause = tries.next_pause(self._clock())
+                is_lost = handover.calls_done and not tries.any_left(handover.memories())
+                if end is not None or pause is None or is_lost:
                     break
-                retry_spent = False
-                end = await self._continue_from(run_memory)
-                used = end.kind not in _MEMORY_UNUSED
-                self._log_continuation(run_memory, end)
-                if used:
-                    return self._final_end(end, interrupted)
+                await asyncio.sleep(pause)
         finally:
-            if used:
+            if end is not None:
                 handover.note_used()
             else:
                 self._components.mover.release_handover(handover)
-        return self._final_end(None, interrupted)
+        return self._final_end(end, interrupted)
 
-    async def _continue_from(self, run_memory: RunMemory) -> AttemptEnd:
-        permit = Permit(
-            run_memory.upstream.id, returns_to_source=run_memory.upstream.id == run_memory.source.id
-        )
+    def _patience_ends(self, interrupted: AttemptEnd) -> float:
+        """Return when to stop asking for the memory of a run.
+
+        A stream that may be repeated continues elsewhere without its memory instead of waiting.
+        """
+        request = self._request
+        if request.route.repeatable:
+            return self._clock() + _MAX_WAIT_IF_REPEATABLE_SECONDS
+        silent_since = interrupted.last_event_at or self._clock()
+        return min(request.ends, silent_since + request.need.event_timeout)
+
+    async def _try_memories(
+        self, handover: Handover, tries: ContinuationTries
+    ) -> AttemptEnd | None:
+        """Ask each upstream that may accept the run now; return the end if one has continued it."""
+        for run_memory in handover.memories():
+            place = run_memory.upstream
+            if not tries.may_ask(place.id, self._clock()) or not self._takes_run(run_memory, tries):
+                continue
+            permit = await self._permit(run_memory)
+            if permit is None or not self._spend(handover):
+                continue
+            events = self._splitter.event_count
+            end = await self._continue_from(run_memory, permit)
+            self._log_continuation(run_memory, end)
+            if end.kind in _NOT_SENT and handover.retries is not None:
+                handover.retries.take_back()
+            if self._splitter.event_count > events or not _may_be_unused(end):
+                return end
+            is_gone = await self._is_gone(place, end)
+            tries.note_refusal(place.id, end.connection_lost, is_gone, self._clock())
+        return None
+
+    def _takes_run(self, run_memory: RunMemory, tries: ContinuationTries) -> bool:
+        """Return whether an upstream that holds the memory of a run may be sent the run now.
+
+        One that leaves may, until its notice is over. A cooldown is respected, except that the
+        source is asked once whether it takes back a run that it has just stopped.
+        """
+        place = run_memory.upstream
+        seconds_left = self._components.mover.seconds_until_shutdown(place.id, self._clock())
+        if seconds_left is not None:
+            return seconds_left > _NOTICE_MARGIN_SECONDS
+        returns = place.id == run_memory.source.id and not tries.was_asked(place.id)
+        return returns or self._components.gate.accepts_requests(place.id)
+
+    async def _permit(self, run_memory: RunMemory) -> Permit | None:
+        """Return the permit for a run that continues, None if the upstream's limit allows none."""
+        upstream = run_memory.upstream
+        admitted = await self._components.gate.admit(upstream, self._request.need)
+        return Permit(upstream.id, holds_memory=True) if admitted is not None else None
+
+    def _spend(self, handover: Handover) -> bool:
+        if handover.retries is not None:
+            return handover.retries.try_spend(self._clock())
+        return self._spend_retry()
+
+    async def _is_gone(self, upstream: Upstream, end: AttemptEnd) -> bool:
+        """Return whether an upstream that refused a run has ended, with the memory it held."""
+        if end.kind is EndKind.REJECTED:
+            return end.detail == _OTHER_INCARNATION
+        if end.kind is not EndKind.NOT_SENT and not end.connection_lost:
+            return False
+        return await self._components.pool.has_ended(upstream) is True
+
+    async def _continue_from(self, run_memory: RunMemory, permit: Permit) -> AttemptEnd:
         choice = self._choice(run_memory.upstream)
         moved = MovedMemory(run_memory.source.address, run_memory.handle)
         return await self._continue_run(replace(choice, moved=moved), permit)
@@ -152,3 +219,13 @@
 
     def _spend_retry(self) -> bool:
         return self._components.budgets.try_spend(self._request.service.name, self._clock())
+
+
+def _may_be_unused(end: AttemptEnd) -> bool:
+    """Return whether the memory may still be held after an attempt that brought no event.
+
+    A handle serves once: an upstream that has used it states that it did not run the request again.
+    """
+    if end.kind in (*_NOT_SENT, EndKind.REJECTED, EndKind.FAILED):
+        return True
+    return end.kind is EndKind.BROKEN and end.connection_lost
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -3,6 +3,9 @@
 The memory is copied while the run goes on, so that a target without room costs nothing. Then the
 run is stopped, the rest of its memory is copied, and the request is sent to the target by the code
 that relays the stream.
+
+This gateway closes the stream of a run only if the run is known to be stopped, or if its source can
+be reached neither by the stream nor by a new connection.
 """
 
 from __future__ import annotations
@@ -18,8 +21,10 @@
 from lotushill.moves.memory_copy import NotCopied
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from lotushill.availability.retry_budget import ReservedRetries
     from lotushill.requests.engine_memory_client import EngineMemoryClient
     from lotushill.routing.upstream import Upstream
 
@@ -33,11 +38,14 @@
 _CLOSE_TIMEOUT_SECONDS = 0.1
 """Time for the source to close the stream of a stopped run before this gateway closes it."""
 _SILENCE_TIMEOUT_SECONDS = 0.5
-"""Time without events after which the stream of a run that may have been stopped is closed."""
+"""Time without events after which the stream of a run that its source does not know is closed."""
+_UNREACHABLE_CHECKS = 2
+"""Number of failed connections in a row by which a silent source counts as unreachable."""
 _STOP_TIMEOUT_SECONDS = 1.0
 """Longest wait, after the end of a stopped stream, for the answer of the call that stopped it."""
 _COPY_TIMEOUT_SECONDS = 0.2
 """Longest wait for the copy after an interruption: the source and its calls have ended as well."""
+NO_RETRY_LEFT = "no repeat left"
 
 
 class Phase(Enum):
@@ -74,38 +82,41 @@
         source: Upstream,
         target: Upstream,
         copy_seconds: float,
-        may_stop: Callable[[], bool],
+        reserve_retries: Callable[[], ReservedRetries | str],
         close_stream: Callable[[], None],
         event_count: Callable[[], int],
+        is_reachable: Callable[[Upstream], Awaitable[bool]],
     ) -> None:
         """Move the run with the id `run`, whose copy is expected to take `copy_seconds`.
 
-        `may_stop` is called once, right before the run is stopped; `close_stream` closes the
-        connection to the source; `event_count` returns the number of events received from it.
+        `reserve_retries` is called once, right before the run is stopped; it returns the retries
+        for continuing the run, or the reason why it must not be stopped. `close_stream` closes the
+        connection to the source; `event_count` returns the number of events received from it;
+        `is_reachable` returns whether an upstream accepts a new connection.
         """
         self._memory = memory
         self._run = run
         self._source = source
         self._target = target
         self._call_timeout_seconds = 2 * copy_seconds + _CALL_TIMEOUT_MARGIN_SECONDS
-        self._may_stop = may_stop
+        self._reserve_retries = reserve_retries
         self._close_stream = close_stream
         self._event_count = event_count
+        self._is_reachable = is_reachable
         self._handle = ""
         self._is_at_target = False
         self._is_finished = False
         """Whether the memory is no longer needed: the run continued, ended or lost its client."""
-        self.stream_ended = False
-        """Whether the stream from the source has ended before its answer was complete."""
+        self._stream_end = asyncio.Event()
         self._calls_done = asyncio.Event()
-        self.retry_spent = False
-        """Whether a retry was spent for continuing the run."""
+        self.retries: ReservedRetries | None = None
+        """Retries for continuing the run, None unless the source was asked to stop it."""
         self.stop_answer = ""
         """Answer to the call that was to stop the run; empty if it was not made or not answered."""
         self.stop_named_handle = False
         """Whether that answer named a handle, without which its engine kept no memory."""
         self.events_at_stop = 0
-        """Number of events received when that call was answered or given up."""
+        """Number of events received when the source was asked to stop the run."""
         self.closed_by_gateway = False
         """Whether this gateway closed the stream, rather than the source."""
         self.phase = Phase.COPYING
@@ -117,108 +128,177 @@
         """Return the upstream to which the run is moved."""
         return self._target
 
+    @property
+    def stream_ended(self) -> bool:
+        """Return whether the stream of the source has ended before its answer was complete."""
+        return self._stream_end.is_set()
+
     @property
     def run_stopped(self) -> bool:
         """Return whether this handover has, or may have, stopped the run."""
         return self.phase in (Phase.STOPPING, Phase.STOPPED)
 
+    @property
+    def calls_done(self) -> bool:
+        """Return whether no call is in progress, so that the place of the memory is settled."""
+        return self._calls_done.is_set()
+
     async def run(self) -> None:
         """Make the calls, and free the memory if the run is not continued from it."""
         try:
-            if await self._copy(last=False):
+            if await self._copy():
                 await self._stop()
         except NoAnswerError as error:
-            self.reason = f"{NO_ANSWER}: {error}"
-            if self.phase is Phase.COPYING:
-                self.phase = Phase.GIVEN_UP
+            self._give_up(f"{NO_ANSWER}: {error}")
         finally:
             self._calls_done.set()
         if self._is_finished or self.phase is Phase.GIVEN_UP:
             await self.free()
-        elif self.run_stopped:
-            delay = (
-                _CLOSE_TIMEOUT_SECONDS if self.phase is Phase.STOPPED else _SILENCE_TIMEOUT_SECONDS
-            )
-            self.events_at_stop = self._event_count()
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay, self._close_open_stream, self.events_at_stop)
-
-    def _close_open_stream(self, event_count: int) -> None:
-        """Close the stream of a run that seems to be stopped, if its end has not arrived."""
-        is_silent = self.phase is Phase.STOPPED or self._event_count() == event_count
-        if is_silent and not self._is_finished and not self.stream_ended:
-            self.closed_by_gateway = True
-            self._close_stream()
-
-    async def _stop(self) -> None:
-        if self._is_finished or self.stream_ended:
-            return
-        if not self._may_stop():
-            self._give_up("no repeat left")
-            return
-        self.retry_spent = True
-        self.phase = Phase.STOPPING
-        if await self._copy(last=True):
-            self.phase = Phase.STOPPED
 
-    async def _copy(self, last: bool) -> bool:
-        """Copy the memory; return whether the next step can be taken."""
+    async def _copy(self) -> bool:
+        """Copy the memory of the running run; return whether the run can be stopped now."""
         for attempt in range(_MAX_CALLS):
             try:
-                answer = await self._call(last)
+                answer = await self._call(last=False)
             except NoAnswerError:
                 # On a repeated call the source returns the handle of what it may have copied.
-                if last or attempt:
+                if attempt:
                     raise
                 continue
-            if last:
-                self._note_stop_answer(answer)
             if isinstance(answer, Copied):
                 self._handle = answer.handle
                 self._is_at_target = True
                 return True
             if answer.reason is not NoCopyReason.BUSY:
-                return self._note_refusal(answer, last)
+                self._give_up(answer.reason.value)
+                return False
             await asyncio.sleep(_BUSY_RETRY_INTERVAL_SECONDS)
         self._give_up(NoCopyReason.BUSY.value)
         return False
 
-    async def _call(self, last: bool) -> Copied | NotCopied:
-        return await self._memory.copy(
-            self._source.address, self._run, self._target.address, last, self._call_timeout_seconds
-        )
+    async def _stop(self) -> None:
+        """Stop the run, if retries to continue it can be reserved."""
+        if self._is_finished or self.stream_ended:
+            return
+        retries = self._reserve_retries()
+        if isinstance(retries, str):
+            self._give_up(retries)
+            return
+        self.retries = retries
+        self.phase = Phase.STOPPING
+        self.events_at_stop = self._event_count()
+        if await self._ask_to_stop():
+            self.phase = Phase.STOPPED
+            self._close_stopped_stream()
+        elif self.phase is Phase.STOPPING and not self._is_finished:
+            self._give_up(self.reason)
 
-    def _note_stop_answer(self, answer: Copied | NotCopied) -> None:
-        self.stop_answer = "copied" if isinstance(answer, Copied) else answer.reason.value
-        self.stop_named_handle = bool(answer.handle)
+    async def _ask_to_stop(self) -> bool:
+        """Ask the source to stop the run until it is known whether it has; return whether it has.
 
-    def _note_refusal(self, answer: NotCopied, last: bool) -> bool:
-        if last and answer.reason is NoCopyReason.NO_ROOM:
+        A call without an answer may take effect at any time, so it is repeated until the source
+        states what became of the run.
+        """
+        unanswered = 0
+        failed_connections = 0
+        busy = 0
+        while not self._is_finished:
+            try:
+                answer = await self._call(last=True)
+            except NoAnswerError as error:
+                self.reason = f"{NO_ANSWER}: {error}"
+                unanswered += 1
+                failed_connections = await self._count_failed_connections(failed_connections)
+                if failed_connections >= _UNREACHABLE_CHECKS:
+                    self._close_if_open()
+                    return True
+                continue
+            self.stop_answer = "copied" if isinstance(answer, Copied) else answer.reason.value
+            self.stop_named_handle = bool(answer.handle)
+            if isinstance(answer, NotCopied) and answer.reason is NoCopyReason.BUSY:
+                busy += 1
+                if not unanswered and busy >= _MAX_CALLS:
+                    self.reason = answer.reason.value
+                    return False
+                await asyncio.sleep(_BUSY_RETRY_INTERVAL_SECONDS)
+                continue
+            return await self._note_stop_answer(answer, bool(unanswered))
+        return False
+
+    async def _count_failed_connections(self, failed: int) -> int:
+        """Return how many checks in a row found the source silent and unreachable."""
+        events = self._event_count()
+        if await self._is_reachable(self._source) or self._event_count() != events:
+            return 0
+        return failed + 1
+
+    async def _note_stop_answer(self, answer: Copied | NotCopied, asked_before: bool) -> bool:
+        """Return whether an answer means that the run has stopped."""
+        if isinstance(answer, Copied):
+            self._handle = answer.handle
+            self._is_at_target = True
+            self.reason = ""
+            return True
+        self.reason = answer.reason.value
+        if answer.handle:
             # The run has stopped and continues at its source from the memory kept there.
-            self._handle = answer.handle or self._handle
+            self._handle = answer.handle
             self._is_at_target = False
-            self.reason = answer.reason.value
             return True
-        self._give_up(answer.reason.value)
-        return False
+        if answer.reason is NoCopyReason.UNKNOWN_RUN and asked_before:
+            # An earlier call has stopped the run, or it has ended by itself.
+            return await self._is_silent(_SILENCE_TIMEOUT_SECONDS)
+        # A source that has stopped the run closes its stream, even if it names no memory.
+        return await self._has_ended(_CLOSE_TIMEOUT_SECONDS)
+
+    async def _has_ended(self, seconds: float) -> bool:
+        """Return whether the stream ends before its answer is complete within some seconds."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._stream_end.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _is_silent(self, seconds: float) -> bool:
+        """Return whether the stream ends, or brings no event, within some seconds."""
+        events = self._event_count()
+        return await self._has_ended(seconds) or self._event_count() == events
+
+    def _close_stopped_stream(self) -> None:
+        """Close the stream of a stopped run if its end does not arrive soon."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(_CLOSE_TIMEOUT_SECONDS, self._close_if_open)
+
+    def _close_if_open(self) -> None:
+        if not self._is_finished and not self.stream_ended:
+            self.closed_by_gateway = True
+            self._close_stream()
+
+    async def _call(self, last: bool) -> Copied | NotCopied:
+        return await self._memory.copy(
+            self._source.address, self._run, self._target.address, last, self._call_timeout_seconds
+        )
 
     def _give_up(self, reason: str) -> None:
         self.phase = Phase.GIVEN_UP
         self.reason = reason
+        self._release_retries()
+
+    def _release_retries(self) -> None:
+        if self.retries is not None:
+            self.retries.release()
 
     def note_stream_ended(self) -> None:
         """Record that the stream from the source ended before its answer was complete."""
-        self.stream_ended = True
+        self._stream_end.set()
 
     def events_after_stop(self) -> int:
-        """Return the number of events that arrived after the call that was to stop the run."""
-        return self._event_count() - self.events_at_stop
+        """Return the number of events that arrived after the source was asked to stop the run."""
+        return self._event_count() - self.events_at_stop if self.run_stopped else 0
 
-    async def wait_for_memory(self) -> tuple[RunMemory, ...]:
-        """Return the memory to continue from, best first, once the stream has ended.
-
-        Wait for the calls in progress for a limited time.
-        """
+    async def wait_for_memory(self) -> None:
+        """Wait, for a limited time, until it is settled where the memory of the run is."""
         try:
             async with asyncio.timeout(
                 _STOP_TIMEOUT_SECONDS if self.run_stopped else _COPY_TIMEOUT_SECONDS
@@ -226,6 +306,9 @@
                 await self._calls_done.wait()
         except TimeoutError:
             self.reason = self.reason or "not settled"
+
+    def memories(self) -> tuple[RunMemory, ...]:
+        """Return the memory to continue from, best first, as far as known now."""
         if not self._handle or self.phase is Phase.GIVEN_UP:
             return ()
         at_source = RunMemory(self._source, self._source, self._handle)
@@ -238,6 +321,7 @@
         """Record that the run was continued, so that no memory is held for it any more."""
         self._is_finished = True
         self._handle = ""
+        self._release_retries()
 
     async def free(self) -> None:
         """Free the memory that is held for the run."""
@@ -248,4 +332,5 @@
     def abandon(self) -> bool:
         """Record that the run ended or its client left; return whether to free memory now."""
         self._is_finished = True
+        self._release_retries()
         return self._calls_done.is_set() and bool(self._handle)
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -18,7 +18,11 @@
 from lotushill.moves.move_plan import sort_by_urgency
 from lotushill.moves.notices import Notices
 from lotushill.moves.stalls import StallThresholds
+from lotushill.moves.stop_conditions import RETRIES_PER_STOP
+from lotushill.moves.stop_conditions import StopConditions
+from lotushill.moves.stop_conditions import stop_obstacle
 from lotushill.requests.handover import NO_ANSWER
+from lotushill.requests.handover import NO_RETRY_LEFT
 from lotushill.requests.handover import Handover
 from lotushill.requests.handover import Phase
 from lotushill.scheduling.placement import Placement
@@ -27,15 +31,21 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+    from lotushill.availability.retry_budget import ReservedRetries
     from lotushill.event_log import EventLog
+    from lotushill.moves.move_plan import Cause
     from lotushill.peering.quarantine_gossip import QuarantineGossip
     from lotushill.placement.choice import Choice
+    from lotushill.placement.fleet import Fleet
     from lotushill.placement.messages import Placed
     from lotushill.process.metrics import Metrics
     from lotushill.requests.engine_memory_client import EngineMemoryClient
     from lotushill.requests.isolation_policy import IsolationPolicy
     from lotushill.requests.movable_run import MovableRun
     from lotushill.requests.retry_budgets import RetryBudgets
+    from lotushill.requests.upstream_gate import UpstreamGate
+    from lotushill.requests.upstream_pool import UpstreamPool
+    from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.request import Request
     from lotushill.scheduling.shared_load import SharedLoad
@@ -63,6 +73,9 @@
         isolation_policy: IsolationPolicy,
         quarantine: QuarantineGossip,
         budgets: RetryBudgets,
+        gate: UpstreamGate,
+        pool: UpstreamPool,
+        fleet: Fleet,
         rate_limit: Callable[[str], float],
         metrics: Metrics,
         log: EventLog,
@@ -76,6 +89,9 @@
         self._isolation_policy = isolation_policy
         self._quarantine = quarantine
         self._budgets = budgets
+        self._gate = gate
+        self._pool = pool
+        self._fleet = fleet
         self._rate_limit = rate_limit
         self._metrics = metrics
         self._log = log
@@ -149,7 +165,7 @@
             self._all_checked_at = now
         planned: dict[str, tuple[MovableRun, Move]] = {}
         for upstream_id, runs in self._runs.items():
-            seconds_left = self._seconds_until_shutdown(upstream_id, now)
+            seconds_left = self.seconds_until_shutdown(upstream_id, now)
             if (seconds_left is None and not check_all) or self._links.is_full(upstream_id):
                 continue
             for key, run in runs.items():
@@ -159,7 +175,7 @@
         for key, move in sort_by_urgency((key, move) for key, (_, move) in planned.items()):
             self._start(planned[key][0], move, now)
 
-    def _seconds_until_shutdown(self, upstream_id: str, now: float) -> float | None:
+    def seconds_until_shutdown(self, upstream_id: str, now: float) -> float | None:
         """Return the seconds until an upstream shuts down, None if it does not."""
         known = self._upstreams.find(upstream_id)
         if known is None or known.draining:
@@ -205,7 +221,7 @@
                 if placed is None:
                     break
                 tried.add(placed.upstream)
-                handover = await self._hand_over(run, placed, seconds)
+                handover = await self._hand_over(run, move.cause, placed, seconds)
                 if handover is None:
                     break
                 reason = handover.reason or handover.phase.value
@@ -216,7 +232,9 @@
             self._links.release(run.upstream.id, seconds)
             self._log_move(run, move, reason, started_at)
 
-    async def _hand_over(self, run: MovableRun, placed: Placed, seconds: float) -> Handover | None:
+    async def _hand_over(
+        self, run: MovableRun, cause: Cause, placed: Placed, seconds: float
+    ) -> Handover | None:
         """Perform a handover; the room reserved at the target is released shortly afterwards.
 
         By then the run itself is counted there.
@@ -226,16 +244,16 @@
         if target is None or run.ended:
             release()
             return None
-        service = run.request.service.name
         handover = run.handover = Handover(
             self._memory,
             run.request.demand.request_id,
             run.upstream,
             target,
             seconds,
-            lambda: not run.ended and self._budgets.try_spend(service, self._clock()),
+            functools.partial(self._reserve_retries, run, cause, target),
             run.close_stream,
             run.event_count,
+            self._is_reachable,
         )
         try:
             await handover.run()
@@ -243,6 +261,34 @@
             asyncio.get_running_loop().call_later(_RELEASE_DELAY_SECONDS, release)
         return handover
 
+    def _reserve_retries(
+        self, run: MovableRun, cause: Cause, target: Upstream
+    ) -> ReservedRetries | str:
+        """Reserve the retries for continuing a run, or return why it must not be stopped."""
+        now = self._clock()
+        obstacle = stop_obstacle(
+            StopConditions(
+                cause=cause,
+                run_ended=run.ended,
+                target_accepts=self._gate.accepts_requests(target.id),
+                target_failure_rate=self._failure_rate(target.id, now),
+                source_accepts=self._gate.accepts_requests(run.upstream.id),
+                source_failure_rate=self._failure_rate(run.upstream.id, now),
+                source_limited=self._rate_limit(run.upstream.id) != NO_LIMIT,
+            )
+        )
+        if obstacle:
+            return obstacle
+        service = run.request.service.name
+        return self._budgets.try_reserve(service, RETRIES_PER_STOP, now) or NO_RETRY_LEFT
+
+    def _failure_rate(self, upstream_id: str, now: float) -> float:
+        return self._fleet.load(upstream_id).failures.rate(now)
+
+    async def _is_reachable(self, upstream: Upstream) -> bool:
+        """Return whether an upstream accepts a new connection."""
+        return await self._pool.has_ended(upstream) is False
+
     async def _reserve_target(self, request: Request, tried: frozenset[str]) -> Placed | None:
         """Reserve room for a run at an upstream that is not leaving; return None if there is none.
 
--- a/src/lotushill/requests/retry_budgets.py
+++ b/src/lotushill/requests/retry_budgets.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.availability.retry_budget import ReservedRetries
 from lotushill.availability.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
@@ -44,6 +45,13 @@
         """Spend one retry if one is left; return whether it was spent."""
         return self._budget(service).try_spend(self._gateways(), now)
 
+    def try_reserve(self, service: str, count: int, now: float) -> ReservedRetries | None:
+        """Reserve `count` retries for one request; return None if fewer are left."""
+        budget = self._budget(service)
+        if not budget.try_reserve(count, self._gateways(), now):
+            return None
+        return ReservedRetries(budget, count, self._gateways)
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -25,8 +25,8 @@
     """Permission to write one request to one upstream; none is written without it."""
 
     upstream_id: str
-    returns_to_source: bool = False
-    """Whether a run returns to the upstream that stopped it, which may be leaving."""
+    holds_memory: bool = False
+    """Whether the upstream holds the memory of a stopped run, which it takes even if it leaves."""
 
 
 class UpstreamGate:
@@ -105,7 +105,7 @@
 
     def authorize_send(self, permit: Permit) -> bool:
         """Return whether a request may be written now, and record it as sent if so."""
-        if not permit.returns_to_source and not self.accepts_requests(permit.upstream_id):
+        if not permit.holds_memory and not self.accepts_requests(permit.upstream_id):
             self.blocked_sends += 1
             return False
         self._cooldowns.note_sent(permit.upstream_id, self._clock())
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -329,9 +329,13 @@
         budgets = RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1)
         metrics = Metrics()
         isolation_policy = IsolationPolicy(self.isolation, self.view, self.clock)
+        gate = UpstreamGate(
+            self.view, cooldowns, self.limits, self.leaving.note_answer, log, self.clock
+        )
         self.mover = Mover(
             EngineMemoryClient(), placer, shared_load, self.view, isolation_policy,
-            self.quarantine_gossip, budgets, stated.rate, metrics, log, self.clock,
+            self.quarantine_gossip, budgets, gate, pool, fleet, stated.rate, metrics, log,
+            self.clock,
         )  # fmt: skip
         self.components = GatewayComponents(
             name="gw",
@@ -344,9 +348,7 @@
             pool=pool,
             isolation_policy=isolation_policy,
             mover=self.mover,
-            gate=UpstreamGate(
-                self.view, cooldowns, self.limits, self.leaving.note_answer, log, self.clock
-            ),
+            gate=gate,
             limits=self.limits,
             team_limits=TeamLimits(limit_owners, self.limits.client, random.Random(8), self.clock),
             quarantine=self.quarantine_gossip,
