--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -91,10 +91,10 @@
         Upstreams that refuse the run for a moment are asked again while the client waits. Return
         the end of the run there, which may have been moved once more, or else the end as broken.
         """
-        tries = ContinuationTries(self._patience_ends(interrupted))
         end = None
         try:
             await handover.wait_for_memory()
+            tries = ContinuationTries(self._patience_ends(interrupted))
             while end is None:
                 end = await self._try_memories(handover, tries)
                 pause = tries.next_pause(self._clock())
@@ -133,11 +133,12 @@
                 continue
             events = self._splitter.event_count
             end = await self._continue_from(run_memory, permit)
-            self._log_continuation(run_memory, end)
+            has_continued = self._splitter.event_count > events or not _may_be_unused(end)
+            self._log_continuation(run_memory, end, has_continued)
+            if has_continued:
+                return end
             if end.kind in _NOT_SENT and handover.retries is not None:
                 handover.retries.take_back()
-            if self._splitter.event_count > events or not _may_be_unused(end):
-                return end
             is_gone = await self._is_gone(place, end)
             tries.note_refusal(place.id, end.connection_lost, is_gone, self._clock())
         return None
@@ -179,10 +180,12 @@
         moved = MovedMemory(run_memory.source.address, run_memory.handle)
         return await self._continue_run(replace(choice, moved=moved), permit)
 
-    def _log_continuation(self, run_memory: RunMemory, end: AttemptEnd) -> None:
+    def _log_continuation(
+        self, run_memory: RunMemory, end: AttemptEnd, has_continued: bool
+    ) -> None:
         returned = run_memory.upstream.id == run_memory.source.id
         self._components.log.note(
-            "run.continued" if end.kind is EndKind.WHOLE else "run.not_continued",
+            "run.continued" if has_continued else "run.not_continued",
             request=self._request.demand.request_id,
             upstream=run_memory.upstream.id,
             place="source" if returned else "target",
