--- a/tests/requests/test_retry_budget.py
+++ b/tests/requests/test_retry_budget.py
@@ -1,3 +1,5 @@
+"""Tests that all gateways together stay within the retry budget in every window."""
+
 from __future__ import annotations
 
 import unittest
@@ -5,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lotushill.availability.retry_budget import ReservedRetries
 from lotushill.availability.retry_budget import RetryBudget
 
 RATIO, SLACK, WINDOW, GATEWAYS = 0.2, 58.0, 10.0, 9
@@ -122,3 +125,159 @@
             budget.note_request(0.0)
         granted = sum(budget.try_spend(0, 0.0) for _ in range(100))
         self.assertTrue(0 < granted <= RATIO * 100)
+
+
+RESERVED_COUNT = 2
+"""Retries that are reserved for one request."""
+_USES = st.lists(
+    st.tuples(
+        st.integers(0, GATEWAYS - 1),
+        st.sampled_from(["request", "reserve", "reserve", "spend", "spend", "unsent", "release"]),
+        st.integers(0, 50),
+        st.floats(0, 0.2),
+    ),
+    max_size=400,
+)
+
+
+class ReservingGateway:
+    """One gateway's share of a budget, and the requests for which it holds reserved retries."""
+
+    def __init__(self) -> None:
+        self.budget = RetryBudget(RATIO, SLACK, WINDOW)
+        self.reserved: list[ReservedRetries] = []
+
+    def reserve(self, now: float) -> None:
+        """Reserve retries for one more request, if they are left."""
+        if self.budget.try_reserve(RESERVED_COUNT, GATEWAYS, now):
+            held = ReservedRetries(self.budget, RESERVED_COUNT, lambda: GATEWAYS)
+            self.reserved.append(held)
+
+    def spend(self, number: int, now: float) -> bool:
+        """Spend a retry of one of the requests; return whether it was spent."""
+        if not self.reserved:
+            return self.budget.try_spend(GATEWAYS, now)
+        return self.reserved[number % len(self.reserved)].try_spend(now)
+
+    def spend_unsent(self, number: int, now: float) -> None:
+        """Spend a retry of one of the requests and take it back, as nothing was sent."""
+        if not self.reserved:
+            return
+        held = self.reserved[number % len(self.reserved)]
+        if held.try_spend(now):
+            held.take_back()
+
+    def release(self, number: int) -> None:
+        """End one of the requests."""
+        if self.reserved:
+            self.reserved.pop(number % len(self.reserved)).release()
+
+
+def spend_all(budget: RetryBudget, gateways: int, now: float) -> int:
+    """Spend all retries that are left; return their number."""
+    count = 0
+    while budget.try_spend(gateways, now):
+        count += 1
+    return count
+
+
+class TestReservedRetries(unittest.TestCase):
+    @given(_USES)
+    def test_gateways_that_reserve_stay_within_the_budget_in_every_window(
+        self, uses: list[tuple[int, str, int, float]]
+    ) -> None:
+        gateways = [ReservingGateway() for _ in range(GATEWAYS)]
+        now = 0.0
+        requests: list[float] = []
+        repeats: list[float] = []
+        for index, use, number, pause in uses:
+            now += pause
+            gateway = gateways[index]
+            if use == "request":
+                gateway.budget.note_request(now)
+                requests.append(now)
+            elif use == "reserve":
+                gateway.reserve(now)
+            elif use == "spend" and gateway.spend(number, now):
+                repeats.append(now)
+            elif use == "unsent":
+                gateway.spend_unsent(number, now)
+            elif use == "release":
+                gateway.release(number)
+            window_repeats = sum(1 for at in repeats if at > now - WINDOW)
+            window_requests = sum(1 for at in requests if at > now - WINDOW)
+            self.assertLessEqual(window_repeats, RATIO * window_requests + SLACK)
+
+    @given(_USES)
+    def test_no_reservation_outlasts_its_request(
+        self, uses: list[tuple[int, str, int, float]]
+    ) -> None:
+        gateway, now = ReservingGateway(), 0.0
+        for _, use, number, pause in uses:
+            now += pause
+            if use == "reserve":
+                gateway.reserve(now)
+            elif use == "spend":
+                gateway.spend(number, now)
+            elif use == "unsent":
+                gateway.spend_unsent(number, now)
+            elif use == "release":
+                gateway.release(number)
+        while gateway.reserved:
+            gateway.release(0)
+        later = now + 2 * WINDOW
+        fresh = RetryBudget(RATIO, SLACK, WINDOW)
+        self.assertEqual(spend_all(fresh, 1, later), spend_all(gateway.budget, 1, later))
+
+    def test_reserved_retries_are_left_to_no_other_request(self) -> None:
+        budget = RetryBudget(0.0, 10.0, WINDOW)
+        self.assertTrue(budget.try_reserve(6, 1, 0.0))
+        self.assertFalse(budget.try_reserve(3, 1, 0.0))
+        self.assertEqual(2, spend_all(budget, 1, 0.0))
+        self.assertEqual(2, spend_all(budget, 1, 2 * WINDOW))
+
+    def test_a_reservation_beyond_the_budget_reserves_nothing(self) -> None:
+        budget = RetryBudget(0.0, 10.0, WINDOW)
+        self.assertFalse(budget.try_reserve(9, 1, 0.0))
+        self.assertEqual(8, spend_all(budget, 1, 0.0))
+
+    def test_a_retry_beyond_the_reserved_ones_comes_from_the_budget(self) -> None:
+        budget = RetryBudget(0.0, 10.0, WINDOW)
+        self.assertTrue(budget.try_reserve(2, 1, 0.0))
+        held = ReservedRetries(budget, 2, lambda: 1)
+        self.assertEqual([True] * 8, [held.try_spend(0.0) for _ in range(8)])
+        self.assertFalse(held.try_spend(0.0))
+
+    def test_a_retry_that_was_taken_back_is_spent_again_without_the_budget(self) -> None:
+        budget = RetryBudget(0.0, 2.5, WINDOW)
+        self.assertTrue(budget.try_reserve(2, 1, 0.0))
+        held = ReservedRetries(budget, 2, lambda: 1)
+        for _ in range(5):
+            self.assertTrue(held.try_spend(0.0))
+            held.take_back()
+        self.assertEqual([True, True, False], [held.try_spend(0.0) for _ in range(3)])
+
+    def test_a_retry_taken_back_leaves_those_of_others_counted(self) -> None:
+        """Another request makes a retry while this one waits for a connection.
+
+        The latest retry counted is the one of the other request, which counts for a window.
+        """
+        budget = RetryBudget(0.0, 10.0, WINDOW)
+        self.assertTrue(budget.try_reserve(1, 1, 0.0))
+        held = ReservedRetries(budget, 1, lambda: 1)
+        held.try_spend(0.0)
+        self.assertTrue(budget.try_spend(1, 0.35))
+        held.take_back()
+        held.release()
+        self.assertEqual(7, spend_all(budget, 1, WINDOW + 0.1))
+
+    def test_a_retry_can_be_taken_back_after_its_window(self) -> None:
+        """The host is suspended between the choice of an upstream and the connection to it."""
+        budget = RetryBudget(0.0, 10.0, WINDOW)
+        self.assertTrue(budget.try_reserve(1, 1, 0.0))
+        held = ReservedRetries(budget, 1, lambda: 1)
+        held.try_spend(0.0)
+        self.assertFalse(budget.try_reserve(100, 1, 2 * WINDOW))
+        held.take_back()
+        held.release()
+        self.assertEqual(8, spend_all(budget, 1, 2 * WINDOW))
