Mend seven faults of the handover that its tests in virtual time found

A source that accepts no connections but completes its streams was closed; a source that resets each call was asked without a pause; memory was given up after four answers 409 although the stream had ended, and after one late event beside an unknown run; the retry that was taken back could be another request's, or outside the window; pauses left up to 0.4 s of a client's patience unused; a stream that may be resumed stopped waiting before its source could be asked after a lost connection. A client that leaves during the check of an interruption, or a silent target, left memory held.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -337,14 +337,14 @@
     Break(
         "moves: a run that may have been stopped is not closed while its source is reachable",
         "requests/handover.py",
-        "if failed_connections >= _UNREACHABLE_CHECKS:",
-        "if unanswered:",
+        "if silence.is_lost(_now()):",
+        "if silence.unanswered:",
         "tests.requests.test_truncated_by_gateway",
     ),
     Break(
         "moves: memory that is refused for a moment is asked for again",
         "requests/continuation_tries.py",
-        "if now + self._pause >= self._ends_at:",
+        "if now >= self._ends_at:",
         "if True:",
         "tests.requests.test_truncated_by_gateway",
     ),
--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -60,11 +60,16 @@
         self._reserved -= 1
         self._retries.append(now)
 
-    def take_back(self) -> None:
-        """Reserve the latest retry again, as it was not made."""
-        self._retries.pop()
+    def take_back(self, spent_at: float) -> None:
+        """Reserve a retry again that was spent at a time and not made."""
+        if spent_at in self._retries:
+            self._retries.remove(spent_at)
         self._reserved += 1
 
+    def has_left(self, gateways: int, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._left(gateways, now) >= 1
+
     def release(self, count: int) -> None:
         """Return reserved retries that are not made."""
         self._reserved -= count
@@ -100,9 +105,11 @@
         self._budget = budget
         self._gateways = gateways
         self._left = count
+        self._spent_at = 0.0
 
     def try_spend(self, now: float) -> bool:
         """Spend a reserved retry, or one of the budget once none is left; return whether it was."""
+        self._spent_at = now
         if not self._left:
             return self._budget.try_spend(self._gateways(), now)
         self._left -= 1
@@ -111,7 +118,7 @@
 
     def take_back(self) -> None:
         """Reserve the retry spent last again, as it was not made."""
-        self._budget.take_back()
+        self._budget.take_back(self._spent_at)
         self._left += 1
 
     def release(self) -> None:
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -40,7 +40,9 @@
 """Status by which an upstream states that it is not the incarnation that held the memory."""
 _NOTICE_MARGIN_SECONDS = 0.15
 """Time before the end of an upstream's notice from which it is not sent a run any more."""
-_MAX_WAIT_IF_REPEATABLE_SECONDS = 0.3
+_MAX_WAIT_IF_REPEATABLE_SECONDS = 0.6
+"""Longest wait for the memory of a run that can be repeated without it; long enough to ask the
+source after the connection to the target was lost."""
 
 
 class Continuation:
@@ -52,12 +54,17 @@
         request: Request,
         splitter: EventSplitter,
         attempt: SendAttempt,
+        may_repeat: Callable[[], bool],
     ) -> None:
-        """Continue after the events of `splitter`; `attempt` sends the request to an upstream."""
+        """Continue after the events of `splitter`; `attempt` sends the request to an upstream.
+
+        `may_repeat` returns whether the request may be repeated without its memory.
+        """
         self._components = components
         self._request = request
         self._splitter = splitter
         self._attempt = attempt
+        self._may_repeat = may_repeat
         self._clock = components.clock
 
     async def continue_from_backup(self, backup: Upstream, interrupted: AttemptEnd) -> AttemptEnd:
@@ -84,41 +91,57 @@
         return is_known and is_healthy and is_accepting and self._splitter.event_count > 0
 
     async def continue_from_handover(
-        self, handover: Handover, interrupted: AttemptEnd
+        self,
+        handover: Handover,
+        interrupted: AttemptEnd,
+        may_continue: Callable[[], Awaitable[bool]],
     ) -> AttemptEnd:
         """Continue at the target of a move, or at the source, wherever the run's memory is held.
 
-        Upstreams that refuse the run for a moment are asked again while the client waits. Return
-        the end of the run there, which may have been moved once more, or else the end as broken.
+        `may_continue` returns whether the request may be sent on at all. Return the end of the run
+        there, which may have been moved once more, or else the end as broken.
         """
         end = None
+        is_used = False
         try:
-            await handover.wait_for_memory()
-            tries = ContinuationTries(self._patience_ends(interrupted))
-            while end is None:
-                end = await self._try_memories(handover, tries)
-                pause = tries.next_pause(self._clock())
-                is_lost = handover.calls_done and not tries.any_left(handover.memories())
-                if end is not None or pause is None or is_lost:
-                    break
-                await asyncio.sleep(pause)
+            if interrupted.kind is not EndKind.BROKEN or await may_continue():
+                end = await self._ask_for_memory(handover, interrupted)
+            is_used = end is not None and (end.kind is not EndKind.BROKEN or end.answer_started)
         finally:
-            if end is not None:
+            if is_used:
                 handover.note_used()
             else:
                 self._components.mover.release_handover(handover)
         return self._final_end(end, interrupted)
 
-    def _patience_ends(self, interrupted: AttemptEnd) -> float:
-        """Return when to stop asking for the memory of a run.
+    async def _ask_for_memory(
+        self, handover: Handover, interrupted: AttemptEnd
+    ) -> AttemptEnd | None:
+        """Ask the upstreams that hold the memory, and again those that refuse it for a moment.
 
-        A stream that may be repeated continues elsewhere without its memory instead of waiting.
+        Return the end of the run at one of them, None if none has continued it while its client
+        waits. A stream that can be repeated is repeated without its memory instead of waiting long.
         """
-        request = self._request
-        if request.route.repeatable:
-            return self._clock() + _MAX_WAIT_IF_REPEATABLE_SECONDS
-        silent_since = interrupted.last_event_at or self._clock()
-        return min(request.ends, silent_since + request.need.event_timeout)
+        await handover.wait_for_memory()
+        started_at = self._clock()
+        silent_since = interrupted.last_event_at or started_at
+        tries = ContinuationTries(
+            min(self._request.ends, silent_since + self._request.need.event_timeout)
+        )
+        while True:
+            end = await self._try_memories(handover, tries)
+            if end is not None:
+                return end
+            now = self._clock()
+            waited = now - started_at >= _MAX_WAIT_IF_REPEATABLE_SECONDS
+            if (waited and self._may_repeat()) or (
+                handover.calls_done and not tries.any_left(handover.memories())
+            ):
+                return None
+            pause = tries.next_pause(now)
+            if pause is None:
+                return None
+            await asyncio.sleep(pause)
 
     async def _try_memories(
         self, handover: Handover, tries: ContinuationTries
--- a/src/lotushill/requests/continuation_tries.py
+++ b/src/lotushill/requests/continuation_tries.py
@@ -63,7 +63,7 @@
 
     def next_pause(self, now: float) -> float | None:
         """Return the seconds until the next round of asking, None if there is none."""
-        if now + self._pause >= self._ends_at:
+        if now >= self._ends_at:
             return None
         pause, self._pause = self._pause, min(_MAX_PAUSE_SECONDS, 2 * self._pause)
-        return pause
+        return min(pause, self._ends_at - now)
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
+import functools
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
@@ -58,7 +58,9 @@
         self._unsent_count = 0
         self._rejection_count = 0
         self._search = UpstreamSearch(components, request)
-        self._continuation = Continuation(components, request, self._splitter, self._attempt)
+        self._continuation = Continuation(
+            components, request, self._splitter, self._attempt, self._has_repeat_left
+        )
         self._start_counted = False
         """Whether the request was counted as started."""
         self.runs = 0
@@ -140,14 +142,18 @@
     ) -> AttemptEnd:
         """Continue a moved or interrupted run from a copy of its memory."""
         while end.handover is not None:
-            if end.kind is EndKind.BROKEN and not await self._may_continue(end, check):
-                self._components.mover.release_handover(end.handover)
-                return replace(end, handover=None)
-            end = await self._continuation.continue_from_handover(end.handover, end)
+            may_continue = functools.partial(self._may_continue, end, check)
+            end = await self._continuation.continue_from_handover(end.handover, end, may_continue)
         if choice.backup is not None and await self._may_continue(end, check):
             end = await self._continuation.continue_from_backup(choice.backup, end)
         return end
 
+    def _has_repeat_left(self) -> bool:
+        """Return whether the request may be repeated, and a retry is left for it."""
+        route, service = self._request.route, self._request.service.name
+        has_attempt = route.repeatable and self.runs < route.max_attempts
+        return has_attempt and self._components.budgets.has_left(service, self._clock())
+
     def _defer(self, placement: Placement) -> None:
         """Exclude an upstream for which there is no permit at present from the search."""
         upstream = placement.choice.upstream
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -19,6 +19,7 @@
 from lotushill.moves.memory_copy import Copied
 from lotushill.moves.memory_copy import NoCopyReason
 from lotushill.moves.memory_copy import NotCopied
+from lotushill.moves.source_silence import SourceSilence
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -39,8 +40,6 @@
 """Time for the source to close the stream of a stopped run before this gateway closes it."""
 _SILENCE_TIMEOUT_SECONDS = 0.5
 """Time without events after which the stream of a run that its source does not know is closed."""
-_UNREACHABLE_CHECKS = 2
-"""Number of failed connections in a row by which a silent source counts as unreachable."""
 _STOP_TIMEOUT_SECONDS = 1.0
 """Longest wait, after the end of a stopped stream, for the answer of the call that stopped it."""
 _COPY_TIMEOUT_SECONDS = 0.2
@@ -199,39 +198,31 @@
         A call without an answer may take effect at any time, so it is repeated until the source
         states what became of the run.
         """
-        unanswered = 0
-        failed_connections = 0
         busy = 0
+        silence = SourceSilence()
         while not self._is_finished:
             try:
                 answer = await self._call(last=True)
             except NoAnswerError as error:
                 self.reason = f"{NO_ANSWER}: {error}"
-                unanswered += 1
-                failed_connections = await self._count_failed_connections(failed_connections)
-                if failed_connections >= _UNREACHABLE_CHECKS:
+                is_reachable = await self._is_reachable(self._source)
+                silence.note_no_answer(self._event_count(), is_reachable, _now())
+                if silence.is_lost(_now()):
                     self._close_if_open()
                     return True
+                await asyncio.sleep(silence.next_pause())
                 continue
             self.stop_answer = "copied" if isinstance(answer, Copied) else answer.reason.value
             self.stop_named_handle = bool(answer.handle)
-            if isinstance(answer, NotCopied) and answer.reason is NoCopyReason.BUSY:
-                busy += 1
-                if not unanswered and busy >= _MAX_CALLS:
-                    self.reason = answer.reason.value
-                    return False
-                await asyncio.sleep(_BUSY_RETRY_INTERVAL_SECONDS)
-                continue
-            return await self._note_stop_answer(answer, bool(unanswered))
+            if isinstance(answer, Copied) or answer.reason is not NoCopyReason.BUSY:
+                return await self._note_stop_answer(answer, silence.unanswered)
+            busy += 1
+            if busy >= _MAX_CALLS and not silence.unanswered and not self.stream_ended:
+                self.reason = answer.reason.value
+                return False
+            await asyncio.sleep(_BUSY_RETRY_INTERVAL_SECONDS)
         return False
 
-    async def _count_failed_connections(self, failed: int) -> int:
-        """Return how many checks in a row found the source silent and unreachable."""
-        events = self._event_count()
-        if await self._is_reachable(self._source) or self._event_count() != events:
-            return 0
-        return failed + 1
-
     async def _note_stop_answer(self, answer: Copied | NotCopied, asked_before: bool) -> bool:
         """Return whether an answer means that the run has stopped."""
         if isinstance(answer, Copied):
@@ -246,8 +237,9 @@
             self._is_at_target = False
             return True
         if answer.reason is NoCopyReason.UNKNOWN_RUN and asked_before:
-            # An earlier call has stopped the run, or it has ended by itself.
-            return await self._is_silent(_SILENCE_TIMEOUT_SECONDS)
+            # An earlier call has stopped the run, or it has ended by itself. Events that the source
+            # sent before may still arrive.
+            return await self._is_silent() or await self._is_silent()
         # A source that has stopped the run closes its stream, even if it names no memory.
         return await self._has_ended(_CLOSE_TIMEOUT_SECONDS)
 
@@ -260,10 +252,10 @@
             return False
         return True
 
-    async def _is_silent(self, seconds: float) -> bool:
-        """Return whether the stream ends, or brings no event, within some seconds."""
+    async def _is_silent(self) -> bool:
+        """Return whether the stream ends, or brings no event for a while."""
         events = self._event_count()
-        return await self._has_ended(seconds) or self._event_count() == events
+        return await self._has_ended(_SILENCE_TIMEOUT_SECONDS) or self._event_count() == events
 
     def _close_stopped_stream(self) -> None:
         """Close the stream of a stopped run if its end does not arrive soon."""
@@ -334,3 +326,7 @@
         self._is_finished = True
         self._release_retries()
         return self._calls_done.is_set() and bool(self._handle)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
