Ask the source once its target has reset two connections in a row

Each lost connection renewed the wait before another upstream may be asked, and the one that reset was asked again at most 0.4 s later: the source, which would have taken the run back, was never asked, and the answer was truncated. Now the same upstream is asked once more, and then the other one has its turn. The new test failed before.

--- a/src/lotushill/requests/continuation_tries.py
+++ b/src/lotushill/requests/continuation_tries.py
@@ -11,6 +11,8 @@
 
 _FIRST_PAUSE_SECONDS = 0.03
 _MAX_PAUSE_SECONDS = 0.4
+_MAX_LOSSES_IN_A_ROW = 1
+"""Connections lost in a row from which the same upstream is asked only after the others."""
 _DROP_SECONDS = 0.5
 """Time after a lost connection within which its upstream may still work on the run."""
 
@@ -26,18 +28,23 @@
         self._gone: set[str] = set()
         self._lost_connection: tuple[str, float] | None = None
         """Upstream whose connection was lost last after it had been sent the run, and when."""
+        self._losses = 0
+        """Connections to that upstream that were lost in a row."""
 
     def may_ask(self, upstream_id: str, now: float) -> bool:
         """Return whether an upstream may be asked now.
 
-        After a lost connection the same upstream may be asked at once, as it accepts each handle
-        once; another one only after the first would have dropped the run.
+        After a lost connection the same upstream may be asked once more at once, as it accepts each
+        handle once; another one only after the first would have dropped the run.
         """
         if upstream_id in self._gone:
             return False
-        if self._lost_connection is None or self._lost_connection[0] == upstream_id:
+        if self._lost_connection is None:
             return True
-        return now >= self._lost_connection[1] + _DROP_SECONDS
+        lost_id, lost_at = self._lost_connection
+        if lost_id == upstream_id:
+            return self._losses <= _MAX_LOSSES_IN_A_ROW or now >= lost_at + 2 * _DROP_SECONDS
+        return now >= lost_at + _DROP_SECONDS
 
     def was_asked(self, upstream_id: str) -> bool:
         """Return whether an upstream was asked before."""
@@ -55,11 +62,15 @@
         `is_gone` states that it has ended with its memory, so that it does not work on the run.
         """
         self._asked.add(upstream_id)
+        lost_id = self._lost_connection[0] if self._lost_connection is not None else ""
         if is_gone:
             self._gone.add(upstream_id)
-            self._lost_connection = None
-        elif connection_lost:
+        if connection_lost and not is_gone:
+            self._losses = self._losses + 1 if lost_id == upstream_id else 1
             self._lost_connection = (upstream_id, now)
+        elif is_gone or lost_id != upstream_id:
+            # The upstream has ended, or has dropped the run by now, as another one was asked.
+            self._lost_connection = None
 
     def next_pause(self, now: float) -> float | None:
         """Return the seconds until the next round of asking, None if there is none."""
--- a/tests/requests/test_continuation_tries.py
+++ b/tests/requests/test_continuation_tries.py
@@ -76,6 +76,17 @@
         self.assertFalse(tries.may_ask("source", NOW + DROP_SECONDS))
         self.assertTrue(tries.may_ask("source", NOW + 0.3 + DROP_SECONDS))
 
+    def test_one_that_loses_each_connection_leaves_the_next_turn_to_the_other_one(self) -> None:
+        """Each loss renews the wait, so the other one would never be asked."""
+        tries = new_tries()
+        for at in (NOW, NOW + 0.03):
+            self.assertTrue(tries.may_ask("target", at))
+            tries.note_refusal("target", connection_lost=True, is_gone=False, now=at)
+        self.assertFalse(tries.may_ask("target", NOW + 0.03 + DROP_SECONDS))
+        self.assertTrue(tries.may_ask("source", NOW + 0.03 + DROP_SECONDS))
+        tries.note_refusal("source", connection_lost=False, is_gone=False, now=NOW + 0.6)
+        self.assertTrue(tries.may_ask("target", NOW + 0.6))
+
     def test_one_that_is_gone_is_not_asked_again_and_the_other_one_at_once(self) -> None:
         tries = new_tries()
         tries.note_refusal("target", connection_lost=True, is_gone=True, now=NOW)
