A run that is continued does not count as another run of its request

A stream with two attempts that had been moved once had none left: when its target fell silent the answer was truncated although the route allows a second run. Its first engine had stopped the run, so that a restart still runs at one engine at a time.

--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -64,7 +64,7 @@
         self._start_counted = False
         """Whether the request was counted as started."""
         self.runs = 0
-        """Number of attempts that may have run the request."""
+        """Number of attempts that may have run the request; a continued run counts once."""
         self.outcome = "open"
         self.upstream = ""
         self.first_ms = 0.0
@@ -172,7 +172,8 @@
         self._components.shared_load.start(
             placement.placed, self._request.service, announced=bool(placement.scheduler)
         )
-        self.runs += 1
+        if not choice.resumes_from_copy:
+            self.runs += 1
         reporter = AttemptReporter(self._components.shared_load, attempt_number, self._note_started)
         attempt = Attempt(
             self._components, self._request, choice, self._answer, self._splitter, reporter, permit
@@ -193,7 +194,7 @@
         self._components.metrics.record_attempt(
             self._request.service.name, self._request.need.tier, end.kind.value
         )
-        if end.kind in _NOT_RUN:
+        if end.kind in _NOT_RUN and not choice.resumes_from_copy:
             self.runs -= 1
         if end.kind is not EndKind.WHOLE:
             self._note(
