A run is moved once at most because its engine is slow

The same run was moved up to seven times between the same two engines: the pace of a run just moved is known only after some events, and slow engines change. Each move stops a sound run, costs retries and a pause. Leaving and stalled engines move a run again.

--- a/src/lotushill/moves/move_plan.py
+++ b/src/lotushill/moves/move_plan.py
@@ -89,6 +89,8 @@
     upstream accepts no requests that long after its notice.
     """
     stalled: bool = False
+    was_moved: bool = False
+    """Whether the run was moved to its upstream before, instead of started there."""
 
 
 @dataclass(frozen=True)
@@ -107,7 +109,7 @@
     cause, time_limit = _most_urgent_cause(run)
     move_seconds = copy_seconds(run.tokens, engine, same_hall=False)
     is_slow = run.mean_pause >= _SLOW_RATIO * run.typical_pause
-    if move_seconds > time_limit or (cause is Cause.SLOW and not is_slow):
+    if move_seconds > time_limit or (cause is Cause.SLOW and (run.was_moved or not is_slow)):
         return None
     events_left = _remaining_events(run)
     risk_here = (
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -265,6 +265,7 @@
                 self._choice.upstream,
                 self._splitter,
                 self._choice.backup is not None,
+                self._choice.moved is not None,
                 connection.close,
                 self.last_event_at,
             )
--- a/src/lotushill/requests/movable_run.py
+++ b/src/lotushill/requests/movable_run.py
@@ -32,6 +32,7 @@
         upstream: Upstream,
         splitter: EventSplitter,
         has_backup: bool,
+        was_moved: bool,
         close_stream: Callable[[], None],
         now: float,
     ) -> None:
@@ -43,6 +44,7 @@
         self.upstream = upstream
         self.close_stream = close_stream
         self._has_backup = has_backup
+        self._was_moved = was_moved
         self._retry_pause = _FIRST_RETRY_PAUSE_SECONDS
         self.handover: Handover | None = None
         """Latest handover of the run, None if there was none."""
@@ -123,4 +125,5 @@
             has_backup=self._has_backup,
             leaves_in=leaves_in,
             stalled=stalled,
+            was_moved=self._was_moved,
         )
--- a/tests/moves/test_move_plan.py
+++ b/tests/moves/test_move_plan.py
@@ -46,6 +46,17 @@
                     )
         self.assertIsNone(plan_move(replace(BASE_RUN, tokens=60_000), ENGINE))
 
+    def test_a_run_that_was_moved_before_is_not_moved_again_for_slowness(self) -> None:
+        """Two upstreams that slow down in turn would otherwise exchange the same run repeatedly."""
+        slow = replace(BASE_RUN, leaves_in=None, mean_pause=0.5, typical_pause=0.05, time_left=8.0)
+        move = plan_move(slow, ENGINE)
+        assert move is not None
+        self.assertEqual(Cause.SLOW, move.cause)
+        self.assertIsNone(plan_move(replace(slow, was_moved=True), ENGINE))
+        leaving = plan_move(replace(BASE_RUN, was_moved=True), ENGINE)
+        assert leaving is not None
+        self.assertEqual(Cause.LEAVING, leaving.cause)
+
     def test_a_copy_that_would_not_be_done_in_time_is_not_started(self) -> None:
         slow = replace(ENGINE, link_rate=1e8)
         self.assertGreater(copy_seconds(BASE_RUN.tokens, slow, same_hall=False), NOTICE_SECONDS)
