The time for which a gateway was blocked is no pause of its runs

The new test checks at each moment and failed on the code as landed; the gateway's own blocked time is taken out of the mean now.

--- a/src/lotushill/requests/movable_run.py
+++ b/src/lotushill/requests/movable_run.py
@@ -50,6 +50,8 @@
         """Latest handover of the run, None if there was none."""
         self.ended = False
         """Whether the stream of the run has ended, in any way."""
+        self.blocked_seconds_at_start = 0.0
+        """Time for which the gateway had been blocked before the run's first event."""
         self._splitter = splitter
         self._first_events = splitter.event_count
         self._first_at = now
@@ -105,14 +107,24 @@
         return max(1, engine.tokens_per_event) if engine else 1
 
     def state(
-        self, now: float, typical_pause: float | None, leaves_in: float | None, stalled: bool
+        self,
+        now: float,
+        typical_pause: float | None,
+        leaves_in: float | None,
+        stalled: bool,
+        blocked_seconds: float,
     ) -> RunState:
-        """Return the state by which it is decided whether the run is moved."""
+        """Return the state by which it is decided whether the run is moved.
+
+        `blocked_seconds` is the time for which the gateway was blocked so far; the pauses that this
+        makes are not those of the run.
+        """
         request = self.request
         events = self._splitter.event_count - self._first_events
         pause = typical_pause
         if events >= _MIN_EVENTS_FOR_PACE or pause is None:
-            pause = (self._last_at - self._first_at) / max(1, events)
+            blocked = blocked_seconds - self.blocked_seconds_at_start
+            pause = max(0.0, self._last_at - self._first_at - blocked) / max(1, events)
         return RunState(
             tokens=self.tokens,
             events_produced=self._splitter.event_count,
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import functools
+import math
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import NO_LIMIT
@@ -104,6 +105,8 @@
         self._checked_at = float("-inf")
         self._unblocked_at = float("-inf")
         """Time before which no stream counts as stalled, since this process itself was blocked."""
+        self.blocked_seconds = 0.0
+        """Time for which this process was blocked so far, in which it read no events."""
         self.notices = Notices()
         self.stalls = StallThresholds()
         """Statistics of the pauses between the events of streams."""
@@ -112,6 +115,7 @@
 
     def add_run(self, run: MovableRun) -> None:
         """Register a run whose first event has arrived."""
+        run.blocked_seconds_at_start = self.blocked_seconds
         self._runs.setdefault(run.upstream.id, {})[run.request.key] = run
 
     def remove_run(self, run: MovableRun) -> None:
@@ -157,6 +161,8 @@
         if now - self._checked_at > _MAX_LAG_SECONDS:
             # Events that arrived in the meantime have not been read yet.
             self._unblocked_at = now + _MAX_LAG_SECONDS
+            if math.isfinite(self._checked_at):
+                self.blocked_seconds += now - self._checked_at
         self._checked_at = now
         if not self._runs:
             return
@@ -190,7 +196,8 @@
         stall_threshold = self.stalls.threshold(service, run.request.need.target_gap)
         stalled = now >= self._unblocked_at and run.is_stalled(now, stall_threshold)
         typical_pause = self.stalls.typical_pause(service)
-        move = plan_move(run.state(now, typical_pause, leaves_in, stalled), engine)
+        state = run.state(now, typical_pause, leaves_in, stalled, self.blocked_seconds)
+        move = plan_move(state, engine)
         if move is None or not self._quarantine.may_retry(run.request):
             return None
         return move
--- a/tests/requests/test_moves.py
+++ b/tests/requests/test_moves.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import unittest
+import unittest.mock
 from typing import TYPE_CHECKING
 
 from lotushill.routing.route import RouteKind
@@ -309,6 +310,16 @@
         self.assert_whole(got, site)
         self.assertEqual([], site.source.calls)
 
+    async def test_the_time_in_which_the_gateway_was_frozen_is_no_pause_of_the_run(self) -> None:
+        with unittest.mock.patch("lotushill.requests.mover._CHECK_INTERVAL_SECONDS", 0.0):
+            async with Site().open() as site:
+                calling = asyncio.create_task(site.call(leaves=False))
+                await site.wait_started()
+                site.rig.suspended += 1.0
+                got = await calling
+        self.assert_whole(got, site)
+        self.assertEqual([], site.source.calls)
+
     async def test_a_repeatable_run_without_a_first_event_continues_elsewhere(
         self,
     ) -> None:
