--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -248,6 +248,7 @@
         self.fresh = True
         self.holds_are_known = True
         self.slack = slack
+        self.retry_window_seconds = 10.0
         self.team_priority = team_priority
         self.lines: list[bytes] = []
         self.suspended = 0.0
@@ -264,6 +265,10 @@
         """Return seconds of a clock that continues during a suspension."""
         return clocks.now() + self.suspended
 
+    def steady_clock(self) -> float:
+        """Return seconds of a clock that stops during a suspension."""
+        return time.monotonic()
+
     def suspend(self, seconds: float) -> None:
         """Let time pass during which the steady clock is stopped."""
         self.suspended += seconds
@@ -287,9 +292,9 @@
             1,
         )
         shared_load = SharedLoad("gw", fleet, self.clock, lambda _: self.service, lambda _: None)
-        pool = UpstreamPool(request_head.answer_request_id, clock=self.clock)
+        pool = self.make_pool()
         self.suspension = SuspensionWatch(
-            self.clock, time.monotonic, self._on_suspension, lambda _: self.confirmed
+            self.clock, self.steady_clock, self._on_suspension, lambda _: self.confirmed
         )
         log = EventLog("gw", self.lines.append)
         self.cooldowns = cooldowns = Cooldowns()
@@ -326,14 +331,15 @@
             BarredUpstreams(cooldowns, self.limits.denials),
             stated,
         )
-        budgets = RetryBudgets(RetrySettings(ratio=0.2, slack=self.slack), lambda: 1)
+        retries = RetrySettings(0.2, self.slack, self.retry_window_seconds)
+        budgets = RetryBudgets(retries, lambda: 1)
         metrics = Metrics()
         isolation_policy = IsolationPolicy(self.isolation, self.view, self.clock)
         gate = UpstreamGate(
             self.view, cooldowns, self.limits, self.leaving.note_answer, log, self.clock
         )
         self.mover = Mover(
-            EngineMemoryClient(), placer, shared_load, self.view, isolation_policy,
+            self.make_memory_client(), placer, shared_load, self.view, isolation_policy,
             self.quarantine_gossip, budgets, gate, pool, fleet, stated.rate, metrics, log,
             self.clock,
         )  # fmt: skip
@@ -363,10 +369,27 @@
             holds_are_known=lambda: self.holds_are_known,
         )
         self.front = ClientApplication(self.components)
+        await self.start_server()
+        return self
+
+    def make_pool(self) -> UpstreamPool:
+        """Create the pool of connections to the upstreams."""
+        return UpstreamPool(request_head.answer_request_id, clock=self.clock)
+
+    def make_memory_client(self) -> EngineMemoryClient:
+        """Create the client for moving the memory of runs."""
+        return EngineMemoryClient()
+
+    async def start_server(self) -> None:
+        """Listen for clients on a free port."""
         self.server = HttpServer(self.front, "127.0.0.1:0", protocol=ClientProtocol)
         self._task = asyncio.create_task(self.server.serve())
         await self.server.wait_started()
-        return self
+
+    async def stop_server(self) -> None:
+        """Stop listening, and end all connections of clients."""
+        self.server.abort()
+        await self._task
 
     def set_table(self, version: int, routes: bool = True) -> None:
         """Apply a configuration with the given version."""
@@ -378,8 +401,7 @@
 
     async def __aexit__(self, *_: object) -> None:
         """Stop the request path and the upstreams."""
-        self.server.abort()
-        await self._task
+        await self.stop_server()
         for upstream in self.upstreams:
             await upstream.close()
 
