Moves of stalled runs, second moves and a client that leaves during a check, with faults

Cause: only runs of leaving upstreams were played with faults at all steps. Change: upstreams that stall for a time, targets that begin to leave after the run has reached them, silent sources, and a client that leaves while the source of a lost stream is checked.

--- a/tests/requests/faulty_upstream.py
+++ b/tests/requests/faulty_upstream.py
@@ -22,6 +22,7 @@
 
 STEP_SECONDS = 0.1
 """Interval of the events of a run."""
+_STALL_STEPS = 30
 _COPY_SECONDS = 0.01
 _LATE_SECONDS = 0.8
 """Delay of a call that takes effect after the gateway has given up waiting for its answer."""
@@ -78,10 +79,12 @@
         """Answers that are still to be given."""
         self.accepts_connections = True
         self.hides_stream_end = False
+        self.stalls_after: int | None = None
+        """Number of events after which it stalls for some steps, None if it does not."""
         self.runs: dict[str, FaultyRun] = {}
         self.calls: list[bool] = []
         """Whether each call was to stop its run."""
-        self.on_step: Callable[[str], None] = lambda _: None
+        self.on_step: list[Callable[[str], None]] = []
         """Called with the step of each call or request."""
 
     async def start(self) -> None:
@@ -101,6 +104,11 @@
                 execution.until = asyncio.get_running_loop().time()
         super().crash(seen)
 
+    def reset_streams(self) -> None:
+        """Reset the connections of all runs, which the upstream notices later."""
+        for run in self.runs.values():
+            run.seen.reset()
+
     def holds(self, run: str) -> bool:
         """Return whether a run can be continued from memory here, at some time."""
         accepts = self.accepts_connections and len(self.continuations) < ALWAYS // 2
@@ -112,6 +120,10 @@
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._tasks.add(asyncio.create_task(self._serve(reader, writer)))
 
+    def _note_step(self, step: str) -> None:
+        for call in self.on_step:
+            call(step)
+
     async def serve(self, seen: ReceivedRequest) -> None:
         """Answer one request or call."""
         if "/kv-move" in seen.line:
@@ -127,7 +139,7 @@
             await self._execute(seen, from_start="last-event-id" not in seen.headers)
 
     async def _continue(self, seen: ReceivedRequest) -> None:
-        self.on_step("continue")
+        self._note_step("continue")
         handle = self.world.handles.get(seen.headers["kv-from"].rpartition("/")[2])
         if handle is None or handle.used or self.address not in handle.at:
             seen.answer(NOT_RUN)
@@ -191,14 +203,19 @@
         while run.made < EVENTS:
             run.seen.event(run.made)
             run.made += 1
-            await asyncio.sleep(STEP_SECONDS)
-            if run.stopped:
-                await self._end_stopped(run)
-            if run.seen.reader.at_eof():
-                self.world.closed_while_sound.append(run.seen.id)
-                raise ConnectionResetError
+            stalls = run.made == self.stalls_after
+            for _ in range(_STALL_STEPS if stalls else 1):
+                await self._wait_step(run)
         run.seen.end_events()
 
+    async def _wait_step(self, run: FaultyRun) -> None:
+        await asyncio.sleep(STEP_SECONDS)
+        if run.stopped:
+            await self._end_stopped(run)
+        if run.seen.reader.at_eof():
+            self.world.closed_while_sound.append(run.seen.id)
+            raise ConnectionResetError
+
     async def _end_stopped(self, run: FaultyRun) -> None:
         run.seen.chunk(event(run.made)[:5])
         if self.hides_stream_end:
@@ -216,7 +233,7 @@
     async def _move(self, seen: ReceivedRequest) -> None:
         call = json.loads(seen.body)
         self.calls.append(call["last"])
-        self.on_step("stop" if call["last"] else "copy")
+        self._note_step("stop" if call["last"] else "copy")
         answers = self.stops if call["last"] else self.copies
         answer = answers.pop(0) if answers else "copied"
         if answer == "crash":
--- a/tests/requests/move_invariants.py
+++ b/tests/requests/move_invariants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from tests.requests.moving_upstream import EVENTS
@@ -16,8 +17,11 @@
 """Time for which two upstreams may work on a run, as one learns late that its connection ended."""
 
 
-def violations(site: VirtualSite) -> list[str]:
-    """Return which promises a move has broken; empty if none."""
+def violations(site: VirtualSite, patience_seconds: float = math.inf) -> list[str]:
+    """Return which promises a move has broken; empty if none.
+
+    A client has no patience left if the last event came `patience_seconds` before the end.
+    """
     client = site.client
     broken = {
         "an answer is truncated although an upstream held the run": (
@@ -25,6 +29,7 @@
             and not client.has_left
             and bool(site.usable_at_end)
             and bool(site.retries_left)
+            and site.ended_at - client.last_event_at < patience_seconds
         ),
         "events are out of order or repeated": (
             not WHOLE.startswith(client.body) if client.status == 200 else False
--- a/tests/requests/test_handover.py
+++ b/tests/requests/test_handover.py
@@ -82,6 +82,8 @@
     def __init__(self, answers: list[Answer], reachable: bool = True) -> None:
         self.memory = ScriptedMemory(answers)
         self.reachable = reachable
+        self.alternates = False
+        """Whether only each second connection is accepted."""
         self.budget = RetryBudget(0.0, 100.0, 10.0)
         self.events = 5
         self.closed = False
@@ -103,6 +105,8 @@
     async def _is_reachable(self, upstream: Upstream) -> bool:
         del upstream
         await asyncio.sleep(CALL_SECONDS)
+        if self.alternates:
+            self.reachable = not self.reachable
         return self.reachable
 
     async def run(self, *events: Coroutine[None, None, None]) -> None:
@@ -226,6 +230,19 @@
         site = self.play([COPIED, None], reachable=False)
         self.assertEqual((True, ["target", "source"]), (site.closed, site.memories_at_stop))
 
+    def test_a_silent_source_that_accepts_connections_is_never_closed(self) -> None:
+        stops: list[list[Answer]] = [[None], [BUSY, None], [None, BUSY]]
+        for answers in stops:
+            with self.subTest(answers=answers):
+                site = self.play([COPIED, *answers])
+                self.assertFalse(site.closed)
+
+    def test_a_silent_source_that_accepts_every_second_connection_is_never_closed(self) -> None:
+        site = HandoverSite([COPIED, None])
+        site.alternates = True
+        run_virtually(site.run())
+        self.assertFalse(site.closed)
+
     def test_a_copy_without_answers_is_given_up_without_a_stop(self) -> None:
         site = self.play([None], HandoverSite.generate_events)
         self.assertEqual((Phase.GIVEN_UP, [False, False]), (site.handover.phase, site.memory.calls))
--- a/tests/requests/test_move_faults.py
+++ b/tests/requests/test_move_faults.py
@@ -19,6 +19,7 @@
 from tests.requests.move_faults import CALL_FAULTS
 from tests.requests.move_faults import RUN_FAULTS
 from tests.requests.move_invariants import violations
+from tests.requests.virtual_network import LATENCY_SECONDS
 from tests.requests.virtual_site import VirtualSite
 from tests.virtual_time import run_virtually
 
@@ -34,6 +35,10 @@
 _COOLDOWN_SECONDS = 0.2
 """Cooldown that ends before a stream that may be resumed goes on without its memory."""
 
+_PATIENCE_SECONDS = 1.6
+"""Time without an event after which a stopped run may not be asked for any more: the 2 s for which
+the client waits without the longest pause between two tries."""
+
 
 @dataclass(frozen=True)
 class Faults:
@@ -102,6 +107,16 @@
         self.assertTrue(site.client.whole)
         self.assertEqual(([False, True], 2), (site.source.calls, site.arrivals()))
 
+    def test_the_client_leaves_while_a_lost_source_is_checked(self) -> None:
+        """The stream is lost during the copy, which succeeds after the client has left."""
+        for half_latencies in range(12):
+            with self.subTest(half_latencies=half_latencies):
+                site = Faults().site()
+                site.source.stalls_after = 10
+                site.at_step("copy", 0.0, site.source.reset_streams)
+                site.at_step("copy", half_latencies * LATENCY_SECONDS / 2, site.leave)
+                self.play(site)
+
     def test_each_fault_alone(self) -> None:
         cases = [
             *(Faults(copy=name) for name in CALL_FAULTS),
@@ -132,6 +147,13 @@
     def test_faults_at_all_steps_at_once(self, faults: Faults) -> None:
         self.play(faults.site())
 
+    @given(_FAULTS)
+    def test_a_stalled_run_is_moved_with_faults_at_all_steps(self, faults: Faults) -> None:
+        site = Faults(faults.copy, faults.stop, faults.target, faults.source).site()
+        site.source.stalls_after = 10
+        run_virtually(site.play())
+        self.assertEqual([], violations(site, _PATIENCE_SECONDS))
+
     @given(_FAULTS, _STEPS, _SECONDS)
     def test_the_client_leaves_meanwhile(self, faults: Faults, step: str, seconds: float) -> None:
         site = faults.site()
@@ -161,6 +183,16 @@
         site.at_step(step, seconds, lambda: site.start_cooldowns(_COOLDOWN_SECONDS))
         self.play(site)
 
+    @given(_FAULTS, st.sampled_from([(0, 1), (0, 2)]), _SECONDS)
+    def test_the_target_begins_to_leave_after_the_run_has_reached_it(
+        self, faults: Faults, leaving: tuple[int, ...], seconds: float
+    ) -> None:
+        site = Faults(faults.copy, faults.stop, faults.target, faults.source).site()
+        for other in site.others:
+            other.copies, other.stops = list(site.source.copies), list(site.source.stops)
+        site.at_step("continue", seconds, lambda: site.mark_leaving(leaving, 3))
+        self.play(site)
+
 
 class TestUpstreamsThatAcceptNoMemory(MoveTestCase):
     def test_a_run_whose_target_is_silent_returns_to_its_source(self) -> None:
--- a/tests/requests/virtual_network.py
+++ b/tests/requests/virtual_network.py
@@ -25,7 +25,7 @@
     from lotushill.moves.memory_copy import NotCopied
     from lotushill.routing.upstream import Upstream
 
-_LATENCY_SECONDS = 0.001
+LATENCY_SECONDS = 0.001
 _FREE_TIMEOUT_SECONDS = 0.5
 
 
@@ -50,7 +50,7 @@
     def later(self, call: Callable[[], None]) -> None:
         """Call something when it has crossed the network; calls keep their order."""
         self._in_flight.append(call)
-        self._loop.call_later(_LATENCY_SECONDS, lambda: self._in_flight.popleft()())
+        self._loop.call_later(LATENCY_SECONDS, lambda: self._in_flight.popleft()())
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Send data to the upstream."""
@@ -59,8 +59,10 @@
 
     def abort(self) -> None:
         """Close both directions."""
-        self.later(self._reader.feed_eof)
-        self.end(None)
+        if not self._is_closed:
+            self._is_closed = True
+            self.later(self._reader.feed_eof)
+            self._loop.call_soon(self.protocol.connection_lost, None)
 
     def close(self) -> None:
         """Close both directions."""
@@ -70,6 +72,7 @@
         """Report the end of the connection to the gateway, once."""
         if not self._is_closed:
             self._is_closed = True
+            self._reader.feed_eof()
             self._loop.call_soon(self.protocol.connection_lost, error)
 
     def deliver(self, data: bytes) -> None:
@@ -149,7 +152,7 @@
 
     async def connect(self, address: str, protocol: asyncio.Protocol) -> ClientTransport:
         """Open a connection; raise ConnectionRefusedError if nothing listens there."""
-        await asyncio.sleep(_LATENCY_SECONDS)
+        await asyncio.sleep(LATENCY_SECONDS)
         reader = asyncio.StreamReader()
         transport = ClientTransport(protocol, reader)
         writer = cast("asyncio.StreamWriter", UpstreamWriter(transport))
--- a/tests/requests/virtual_site.py
+++ b/tests/requests/virtual_site.py
@@ -48,6 +48,7 @@
     status: int = 0
     whole: bool = False
     has_left: bool = False
+    last_event_at: float = 0.0
 
     async def receive(self) -> dict[str, Any]:
         """Return the empty body of the request."""
@@ -59,6 +60,7 @@
             self.status = message["status"]
             return
         self.body += message.get("body", b"")
+        self.last_event_at = asyncio.get_running_loop().time()
         self.whole = not message.get("more_body", False)
 
 
@@ -97,7 +99,10 @@
 
 
 class VirtualSite:
-    """Three upstreams, of which the first receives the request and leaves after some events."""
+    """Three upstreams, of which the first receives the request and leaves after some events.
+
+    It does not leave if it stalls.
+    """
 
     def __init__(self, resumable: bool = False, slack: float = 100.0) -> None:
         network = Network()
@@ -131,7 +136,8 @@
             prefer(self.rig, "b0")
             mover = asyncio.create_task(self._run_mover())
             calling = asyncio.create_task(self._call())
-            await self._mark_leaving()
+            if self.source.stalls_after is None:
+                await self._mark_leaving()
             await calling
             await asyncio.sleep(_SETTLE_SECONDS)
             mover.cancel()
@@ -172,7 +178,7 @@
                 asyncio.get_running_loop().call_later(seconds, act)
 
         for item in self.upstreams:
-            item.on_step = on_step
+            item.on_step.append(on_step)
 
     def _count_retries(self) -> None:
         """Count the retries that were spent, and those that stayed reserved.
