--- a/tests/requests/test_retry_budget.py
+++ b/tests/requests/test_retry_budget.py
@@ -281,3 +281,20 @@
         held.take_back()
         held.release()
         self.assertEqual(8, spend_all(budget, 1, 2 * WINDOW))
+
+    def test_reservations_stay_within_the_budget_while_gateways_join(self) -> None:
+        """A lone gateway reserves its whole share, and spends it when the share is a ninth.
+
+        Each request may hold its reservation as long as its source does not answer.
+        """
+        alone = RetryBudget(RATIO, SLACK, WINDOW)
+        gateways = 1
+        held: list[ReservedRetries] = []
+        while alone.try_reserve(RESERVED_COUNT, gateways, 0.0):
+            held.append(ReservedRetries(alone, RESERVED_COUNT, lambda: gateways))
+        joined = [RetryBudget(RATIO, SLACK, WINDOW, 0.0) for _ in range(GATEWAYS - 1)]
+        gateways = GATEWAYS
+        now = WINDOW + JOIN_NOTICE_SECONDS
+        spent = sum(spend_all(budget, gateways, now) for budget in joined)
+        spent += sum(item.try_spend(now) for item in held for _ in range(RESERVED_COUNT))
+        self.assertLessEqual(spent, SLACK)
