Log what a client received of its answer, and why a truncated one ends

Cause: `request.ended` did not say whether a client received a whole answer, the beginning of one, or an answer of the gateway; requests in progress at the end of the process had no `request.ended` at all, and no line told how long an interrupted run paused. Change: fields `answer` and `cut_by` of `request.ended`, from what was really sent and from what interrupted the run; the line is also written for requests that end with the process; a counter lotushill_truncated_answers by service and cause; an event run.resumed with the pause. Which requests are sent where is unchanged.

--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -59,6 +59,11 @@
     """The memory that was moved to the upstream, or that was kept on it when the run was stopped.
     """
 
+    @property
+    def returned_to_source(self) -> bool:
+        """Return whether the run continues at the upstream that it was to be moved from."""
+        return self.moved is not None and self.moved.source == self.upstream.address
+
 
 class Refusal(Enum):
     """Reason why a request is not placed."""
--- a/src/lotushill/process/metrics.py
+++ b/src/lotushill/process/metrics.py
@@ -101,6 +101,11 @@
         self._moved_runs = _Counter(
             "lotushill_moved_runs", "Runs that had to be resumed from moved KV memory", ("end",)
         )
+        self._truncated = _Counter(
+            "lotushill_truncated_answers",
+            "Answers that clients received only in part, by cause",
+            ("service", "cause"),
+        )
         self._rejections = _Counter(
             "lotushill_turned_away",
             "Requests rejected before a service was determined",
@@ -135,6 +140,10 @@
         self._requests.values[service, outcome.partition(":")[0]] += 1
         self._request_seconds.observe((service,), seconds)
 
+    def record_truncated(self, service: str, cause: str) -> None:
+        """Record an answer that a client received only in part."""
+        self._truncated.values[service, cause] += 1
+
     def record_rejection(self, status: int) -> None:
         """Record a request that was rejected before its service was determined."""
         self._rejections.values[(str(status),)] += 1
@@ -183,6 +192,7 @@
             self._refusals,
             self._handovers,
             self._moved_runs,
+            self._truncated,
             self._rejections,
         ):
             counter = CounterMetricFamily(counts.name, counts.text, labels=counts.labels)
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -7,6 +7,7 @@
 
 from lotushill.moves.stalls import max_threshold
 from lotushill.platform.upstream_answer import read_statement
+from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt_end import AttemptEnd
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.attempt_pauses import AttemptPauses
@@ -112,10 +113,12 @@
                     answer_started=True,
                     last_event_at=self.last_event_at,
                     handover=handover,
+                    cut_by=CutBy.GATEWAY_STOP,
                 )
             if handover.phase is Phase.GIVEN_UP:
                 handover = None
         connection_lost = isinstance(error, LostConnectionError)
+        silent = isinstance(error, SilentUpstreamError)
         answer_started = bool(self.first_event_at)
         return AttemptEnd(
             EndKind.BROKEN,
@@ -124,6 +127,7 @@
             answer_started=answer_started,
             last_event_at=self.last_event_at,
             handover=handover,
+            cut_by=CutBy.GATEWAY_SILENCE if silent else CutBy.UPSTREAM,
         )
 
     def _unregister_run(self) -> None:
@@ -257,7 +261,7 @@
         )
 
     def _track_run(self, connection: UpstreamConnection) -> None:
-        if not self._is_movable or _returned_to_source(self._choice):
+        if not self._is_movable or self._choice.returned_to_source:
             return
         if self._movable_run is None:
             self._movable_run = MovableRun(
@@ -296,8 +300,3 @@
         self._components.metrics.record_first_event(
             self._request.service.name, elapsed, self._choice.first_event_seconds
         )
-
-
-def _returned_to_source(choice: Choice) -> bool:
-    """Return whether the run continues at the upstream that it was to be moved from."""
-    return choice.moved is not None and choice.moved.source == choice.upstream.address
--- a/src/lotushill/requests/attempt_end.py
+++ b/src/lotushill/requests/attempt_end.py
@@ -8,6 +8,7 @@
 
 from lotushill.availability.statement import EMPTY_STATEMENT
 from lotushill.availability.statement import Statement
+from lotushill.requests.answer_state import CutBy
 
 if TYPE_CHECKING:
     from lotushill.requests.handover import Handover
@@ -51,3 +52,5 @@
     """When the last event arrived, 0 if none did."""
     handover: Handover | None = None
     """Move that was in progress, through which the run may continue; None if there was none."""
+    cut_by: CutBy = CutBy.UPSTREAM
+    """Why the answer is truncated, if it is started and the run does not continue."""
--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -16,6 +16,8 @@
 from lotushill.links.asgi import read_body
 from lotushill.placement.need import Need
 from lotushill.platform import request_head
+from lotushill.requests.answer_state import AnswerState
+from lotushill.requests.answer_state import CutBy
 from lotushill.requests.caller_hash import caller_hash
 from lotushill.requests.client_answer import ClientAnswer
 from lotushill.requests.client_protocol import CONNECTION
@@ -121,11 +123,23 @@
         await self._answer_request(scope, request, answer)
 
     async def _answer_request(self, scope: Scope, request: Request, answer: ClientAnswer) -> None:
-        clock = self._components.clock
-        connection = cast("ClientProtocol", scope[CONNECTION])
         exchange = Exchange(self._components, request, answer)
         self._components.work.increment_running(request.service.name)
-        time_left = request.ends - clock()
+        try:
+            disconnected = await self._run_exchange(scope, request, answer, exchange)
+        except asyncio.CancelledError:
+            exchange.outcome = "shutdown"
+            self._note_end(request, answer, exchange, CutBy.SHUTDOWN)
+            raise
+        cut_by = CutBy.CLIENT if disconnected else exchange.cut_by()
+        self._note_end(request, answer, exchange, cut_by)
+
+    async def _run_exchange(
+        self, scope: Scope, request: Request, answer: ClientAnswer, exchange: Exchange
+    ) -> bool:
+        """Answer a request within its deadline; return whether its client left before that."""
+        connection = cast("ClientProtocol", scope[CONNECTION])
+        time_left = request.ends - self._components.clock()
         with anyio.CancelScope(
             deadline=asyncio.get_running_loop().time() + time_left
         ) as cancel_scope:
@@ -152,15 +166,27 @@
                 exchange.outcome = "client-gone"
             else:
                 await exchange.time_out()
-        elapsed = clock() - request.arrived
-        self._components.work.decrement_running(request.service.name)
-        self._components.metrics.record_request(request.service.name, exchange.outcome, elapsed)
+        return disconnect_handler.disconnected
+
+    def _note_end(
+        self, request: Request, answer: ClientAnswer, exchange: Exchange, cut_by: CutBy
+    ) -> None:
+        """Count and log the end of a request; `cut_by` applies if its answer is truncated."""
+        elapsed = self._components.clock() - request.arrived
+        service = request.service.name
+        truncated = answer.state is AnswerState.TRUNCATED
+        self._components.work.decrement_running(service)
+        self._components.metrics.record_request(service, exchange.outcome, elapsed)
+        if truncated:
+            self._components.metrics.record_truncated(service, cut_by.value)
         self._components.log.note(
             "request.ended",
             request=request.demand.request_id,
             route=request.route.name,
             team=request.team,
             outcome=exchange.outcome,
+            answer=answer.state.value,
+            cut_by=cut_by.value if truncated else "",
             upstream=exchange.upstream,
             runs=exchange.runs,
             first_ms=exchange.first_ms,
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
+from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt import Attempt
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.attempt_reporter import AttemptReporter
@@ -61,6 +62,12 @@
         self._continuation = Continuation(components, request, self._splitter, self._attempt)
         self._start_counted = False
         """Whether the request was counted as started."""
+        self._interruption = CutBy.UPSTREAM
+        """Why the latest run that had brought an event was interrupted."""
+        self._interrupted_at_event = -1
+        """Number of events at which it was interrupted, -1 if none was."""
+        self._last_event_at = 0.0
+        """When the last event before that interruption arrived, 0 if there was none."""
         self.runs = 0
         """Number of attempts that may have run the request."""
         self.outcome = "open"
@@ -99,6 +106,15 @@
             self._search.exclude(choice.upstream.id)
             self._splitter.drop_partial()
 
+    def cut_by(self) -> CutBy:
+        """Return why a truncated answer ends, if the client and the process have not ended it."""
+        if self.outcome.startswith("fault:"):
+            return CutBy.GATEWAY_FAULT
+        is_running = self._splitter.event_count > self._interrupted_at_event
+        if self.outcome == "timed-out" and is_running:
+            return CutBy.DEADLINE
+        return self._interruption
+
     async def time_out(self) -> None:
         """Answer a request whose deadline has passed."""
         self.outcome = "timed-out"
@@ -189,6 +205,12 @@
         )
         if end.kind in _NOT_RUN:
             self.runs -= 1
+        if self._last_event_at and attempt.first_event_at:
+            self._note_resumed(choice, attempt.first_event_at - self._last_event_at)
+        if end.answer_started:
+            self._interruption = end.cut_by
+            self._interrupted_at_event = self._splitter.event_count
+            self._last_event_at = end.last_event_at
         if end.kind is not EndKind.WHOLE:
             self._note(
                 "attempt.ended",
@@ -205,6 +227,19 @@
             )
         return end
 
+    def _note_resumed(self, choice: Choice, pause_seconds: float) -> None:
+        """Log how long the stream of an interrupted run paused until the next event."""
+        place = "backup" if choice.resumes_from_copy else "new run"
+        if choice.moved is not None:
+            place = "source" if choice.returned_to_source else "target"
+        self._note(
+            "run.resumed",
+            upstream=choice.upstream.id,
+            place=place,
+            pause_ms=round(pause_seconds * 1000, 1),
+            target_gap_ms=round(self._request.need.target_gap * 1000, 1),
+        )
+
     def _identity(self, end: AttemptEnd) -> str:
         """Return the identity by which a broken request is recognized when it arrives again.
 
--- a/tests/requests/test_logs.py
+++ b/tests/requests/test_logs.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
+from lotushill.requests.client_answer import ClientAnswer
+from lotushill.routing.route import RouteKind
 from tests.requests.rig import ReceivedRequest
 from tests.requests.rig import Rig
 from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import request_bytes
+from tests.requests.test_cooldowns import prefer
 from tests.requests.test_moves import Site
 
 if TYPE_CHECKING:
@@ -26,6 +32,27 @@
     seen.reset()
 
 
+async def reset_after_an_event(seen: ReceivedRequest) -> None:
+    seen.start_events()
+    seen.event(0)
+    await seen.writer.drain()
+    await asyncio.sleep(0.05)
+    seen.reset()
+
+
+async def whole_stream(seen: ReceivedRequest) -> None:
+    seen.start_events()
+    seen.event(1)
+    seen.end_events()
+
+
+async def hang_after_an_event(seen: ReceivedRequest) -> None:
+    seen.start_events()
+    seen.event(0)
+    await seen.writer.drain()
+    await asyncio.sleep(3.0)
+
+
 def logged(rig: Rig, event: str) -> list[dict[str, object]]:
     lines = [json.loads(line) for line in rig.lines]
     return [line for line in lines if line["event"] == event]
@@ -96,6 +123,125 @@
         self.assertIn("in fail", str(line["trace"]))
 
 
+class TestAnswerStates(unittest.IsolatedAsyncioTestCase):
+    """What a client received of its answer, and why a truncated one ends."""
+
+    def assert_ended(self, rig: Rig, answer: str, cut_by: str = "") -> None:
+        (line,) = logged(rig, "request.ended")
+        self.assertEqual((answer, cut_by), (line["answer"], line["cut_by"]))
+        text = rig.components.metrics.text().decode()
+        counted = f'lotushill_truncated_answers_total{{cause="{cut_by}",service="s"}} 1.0'
+        self.assertEqual(bool(cut_by), counted in text)
+
+    async def test_a_whole_answer(self) -> None:
+        async with Rig([ScriptedUpstream([whole])]) as rig:
+            await rig.call()
+        self.assert_ended(rig, "whole")
+
+    async def test_the_error_of_an_upstream_is_a_whole_answer(self) -> None:
+        async def fail(seen: ReceivedRequest) -> None:
+            seen.answer_whole(status="500 Failed")
+
+        async with Rig([ScriptedUpstream([fail])], max_attempts=1) as rig:
+            got = await rig.call()
+        self.assertEqual(500, got.status)
+        self.assert_ended(rig, "whole")
+
+    async def test_an_answer_of_the_gateway(self) -> None:
+        async with Rig([ScriptedUpstream([reset])], max_attempts=1) as rig:
+            got = await rig.call()
+        self.assertEqual(502, got.status)
+        self.assert_ended(rig, "own")
+
+    async def test_no_answer(self) -> None:
+        async def hang(_: ReceivedRequest) -> None:
+            await asyncio.sleep(3.0)
+
+        async with Rig([ScriptedUpstream([hang])]) as rig:
+            await self._leave_after_an_event(rig, event=False)
+        self.assert_ended(rig, "none")
+
+    async def test_a_stream_that_its_upstream_interrupts(self) -> None:
+        async with Rig([ScriptedUpstream([reset_after_an_event])], RouteKind.STREAM) as rig:
+            got = await rig.call()
+        self.assertEqual((200, False), (got.status, got.whole))
+        self.assert_ended(rig, "truncated", "upstream")
+
+    async def test_the_cause_is_the_interruption_and_not_what_failed_after_it(self) -> None:
+        upstreams = [ScriptedUpstream([reset_after_an_event, reset])]
+        async with Rig(upstreams, RouteKind.STREAM, resumable=True, max_attempts=3) as rig:
+            await rig.call()
+        self.assert_ended(rig, "truncated", "upstream")
+
+    async def test_a_silent_stream_that_the_gateway_closes(self) -> None:
+        upstreams = [ScriptedUpstream([hang_after_an_event, reset])]
+        async with Rig(upstreams, RouteKind.STREAM, resumable=True) as rig:
+            await rig.call()
+        self.assert_ended(rig, "truncated", "gateway-silence")
+
+    async def test_a_run_that_the_gateway_stopped(self) -> None:
+        async with Site().open() as site:
+            for other in [site.source, *site.others]:
+                other.rejects_handles = True
+            await site.call()
+            await site.wait_idle()
+        self.assert_ended(site.rig, "truncated", "gateway-stop")
+
+    async def test_a_run_that_fails_at_the_target_of_its_move(self) -> None:
+        async with Site().open() as site:
+            for other in site.others:
+                other.crashes_after = 20
+            await site.call()
+            await site.wait_idle()
+        self.assertEqual(1, site.resumed_count())
+        self.assert_ended(site.rig, "truncated", "upstream")
+
+    async def test_a_stream_whose_deadline_passes(self) -> None:
+        upstreams = [ScriptedUpstream([hang_after_an_event])]
+        async with Rig(upstreams, RouteKind.STREAM, timeout=0.2) as rig:
+            await rig.call()
+        self.assert_ended(rig, "truncated", "deadline")
+
+    async def test_a_stream_whose_client_leaves(self) -> None:
+        async with Rig([ScriptedUpstream([hang_after_an_event])], RouteKind.STREAM) as rig:
+            await self._leave_after_an_event(rig)
+        self.assert_ended(rig, "truncated", "client")
+
+    async def test_a_stream_whose_gateway_fails(self) -> None:
+        async with Rig([ScriptedUpstream([hang_after_an_event])], RouteKind.STREAM) as rig:
+
+            async def fail(_: bytes) -> None:
+                raise ZeroDivisionError
+
+            with patch.object(ClientAnswer, "write", side_effect=fail):
+                await rig.call()
+        self.assert_ended(rig, "truncated", "gateway-fault")
+
+    async def test_a_stream_in_progress_when_the_process_ends(self) -> None:
+        async with Rig([ScriptedUpstream([hang_after_an_event])], RouteKind.STREAM) as rig:
+            reader, writer = await rig.connect()
+            writer.write(request_bytes())
+            await reader.readuntil(b"piece-0")
+            for task in asyncio.all_tasks():
+                if "run_asgi" in repr(task.get_coro()):
+                    task.cancel()
+            await reader.read()
+            writer.close()
+        self.assert_ended(rig, "truncated", "shutdown")
+
+    async def _leave_after_an_event(self, rig: Rig, event: bool = True) -> None:
+        """Send a request and close its connection, after the first event of the answer or soon."""
+        reader, writer = await rig.connect()
+        writer.write(request_bytes())
+        if event:
+            await reader.readuntil(b"piece-0")
+        else:
+            await asyncio.sleep(0.1)
+        writer.close()
+        while not logged(rig, "request.ended"):
+            await asyncio.sleep(0.01)
+
+
 class TestLimits(unittest.IsolatedAsyncioTestCase):
     async def test_a_request_without_a_permit_logs_its_upstream(self) -> None:
         async def limits(seen: ReceivedRequest) -> None:
@@ -136,6 +282,26 @@
         self.assertEqual(("source", "b0"), (continued["place"], continued["upstream"]))
         (ended,) = logged(site.rig, "attempt.ended")
         self.assertEqual(("moved", False), (ended["kind"], ended["closed_here"]))
+        (resumed,) = logged(site.rig, "run.resumed")
+        self.assertEqual(("source", "b0"), (resumed["place"], resumed["upstream"]))
+
+    async def test_a_run_that_continues_at_its_target_logs_its_pause(self) -> None:
+        async with Site().open() as site:
+            await site.call()
+            await site.wait_idle()
+        (resumed,) = logged(site.rig, "run.resumed")
+        self.assertEqual("target", resumed["place"])
+        pause = float(str(resumed["pause_ms"]))
+        self.assertGreater(pause, 0.0)
+        self.assertLess(pause, 1000.0)
+
+    async def test_a_stream_that_is_repeated_elsewhere_logs_its_pause(self) -> None:
+        upstreams = [ScriptedUpstream([script]) for script in (reset_after_an_event, whole_stream)]
+        async with Rig(upstreams, RouteKind.STREAM, resumable=True) as rig:
+            prefer(rig, "b0")
+            got = await rig.call()
+        self.assertTrue(got.whole)
+        self.assertEqual(["new run"], [line["place"] for line in logged(rig, "run.resumed")])
 
     async def test_a_moved_run_whose_memory_is_refused_logs_each_refusal(self) -> None:
         async with Site().open() as site:
