A reserved retry is spent only within the gateway's present share of the budget

A reservation was granted by the share at that time and spent by any later one: a lone gateway could make 86 retries in a window where 58 are allowed once eight others had joined.

--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -55,10 +55,16 @@
         self._reserved += count
         return True
 
-    def spend_reserved(self, now: float) -> None:
-        """Make one of the reserved retries."""
+    def try_spend_reserved(self, gateways: int, now: float) -> bool:
+        """Take one of the reserved retries and return True.
+
+        Return False if this gateway's part has become too small for it in the meantime.
+        """
+        if self._left(gateways, now) + self._reserved < 1:
+            return False
         self._reserved -= 1
         self._retries.append(now)
+        return True
 
     def take_back(self, spent_at: float) -> None:
         """Reserve a retry again that was spent at a time and not made."""
@@ -112,8 +118,9 @@
         self._spent_at = now
         if not self._left:
             return self._budget.try_spend(self._gateways(), now)
+        if not self._budget.try_spend_reserved(self._gateways(), now):
+            return False
         self._left -= 1
-        self._budget.spend_reserved(now)
         return True
 
     def take_back(self) -> None:
