Failing tests: a gateway gives up silent attempts before a replacement is certain

A gateway closes a stream or request that has been silent for some time, and only then finds out whether an attempt, a retry, room and an upstream that accepts it are left. If not, the answer is truncated or a 502, although the first upstream would have answered. A backup that refuses for a moment is asked once.

RetryBudgets.reserved returns the retries reserved now, for tests.

--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -34,6 +34,11 @@
         self._slack = slack * _USED_SLACK_FRACTION
         self._window = window
 
+    @property
+    def reserved(self) -> int:
+        """Return the number of retries that are reserved now."""
+        return self._reserved
+
     def note_request(self, now: float) -> None:
         """Record a client's request."""
         self._requests.append(now)
--- a/src/lotushill/requests/retry_budgets.py
+++ b/src/lotushill/requests/retry_budgets.py
@@ -52,6 +52,10 @@
             return None
         return ReservedRetries(budget, count, self._gateways)
 
+    def reserved(self, service: str) -> int:
+        """Return the number of retries of a service that are reserved now."""
+        return self._budget(service).reserved
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/tests/requests/test_request_path.py
+++ b/tests/requests/test_request_path.py
@@ -373,6 +373,23 @@
         self.assertFalse(got.whole)
         self.assertEqual(1, len(later))
 
+    async def test_a_backup_that_refuses_for_a_moment_is_asked_again(self) -> None:
+        refusals = 2
+
+        async def refuses_first(seen: ReceivedRequest) -> None:
+            nonlocal refusals
+            if refusals:
+                refusals -= 1
+                return await rejects(seen)
+            seen.start_events()
+            seen.event(1)
+            seen.end_events()
+
+        got, _, later = await self.interrupt_with_backup(refuses_first)
+        self.assertTrue(got.whole)
+        self.assertEqual(b"".join(event(n) for n in range(2)), got.body)
+        self.assertEqual(3, len(later))
+
     async def test_a_stream_that_may_not_be_resumed_is_visibly_truncated(self) -> None:
         async def breaks(seen: ReceivedRequest) -> None:
             seen.start_events()
