A silent upstream is given up only when another one has the request

Cause: an attempt ended itself when its upstream was silent (before the head, before the first event or between two events), and only then was it known whether the request could go on elsewhere.

Change: the silent upstream is read on while a replacement is made sure: an attempt, the quarantine, a reserved retry, a placement with room, a permit and a connection. The request is sent, and the first connection closed once the second upstream accepts it or has not refused it within 0.08 s. Whatever the first one sends until then wins; what was reserved is released. A stream with a backup is replaced in the same way. What is missing is asked for again. The attempts of a request are counted and logged by a module of their own (tracked_attempt.py), as two may be open at a time.

A continuation from a copy on a route that cannot be repeated is no longer given up when it stalls, as it had nowhere to go.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1081,6 +1081,62 @@
         "list(unpack_paces(",
         "tests.peering.test_peers",
     ),
+    Break(
+        "a silent upstream is not given up without an attempt left",
+        "availability/replacement_conditions.py",
+        "conditions.repeatable and conditions.runs >= conditions.max_attempts",
+        "False",
+        "tests.requests.test_replacement_conditions",
+    ),
+    Break(
+        "a silent upstream is not given up without a retry",
+        "requests/replacement_search.py",
+        "        if retries is None:\n            return NO_RETRY_LEFT\n",
+        "        if retries is None:\n            raise SilentUpstreamError\n",
+        "tests.requests.test_silent_upstream",
+    ),
+    Break(
+        "a silent upstream is not given up without room at another one",
+        "requests/upstream_search.py",
+        "or not result.choice.is_full:",
+        "or True:",
+        "tests.requests.test_silent_upstream",
+    ),
+    Break(
+        "a silent upstream is not given up before its replacement can refuse the request",
+        "requests/replacement_search.py",
+        "if not await attempt.is_refused(_REFUSAL_SECONDS):",
+        "if True:",
+        "tests.requests.test_silent_upstream",
+    ),
+    Break(
+        "a silent upstream is given up while its replacement has not answered yet",
+        "requests/replacement_search.py",
+        "_REFUSAL_SECONDS = 0.08",
+        "_REFUSAL_SECONDS = 8.0",
+        "tests.requests.test_silent_upstream",
+    ),
+    Break(
+        "what was reserved to replace an upstream is released if it answers",
+        "requests/replacement_search.py",
+        "            retries.release()\n",
+        "            pass\n",
+        "tests.requests.test_silent_upstream",
+    ),
+    Break(
+        "a placement that is not used is given up",
+        "requests/replacement_search.py",
+        "                if placement.scheduler:\n",
+        "                if False:\n",
+        "tests.requests.test_silent_upstream",
+    ),
+    Break(
+        "a replacement in progress is looked after if the silent stream ends",
+        "requests/replacement_search.py",
+        "                await self._decision.wait()\n",
+        "                pass\n",
+        "tests.requests.test_silent_upstream",
+    ),
 )
 
 
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from lotushill.moves.stalls import max_threshold
 from lotushill.platform.upstream_answer import read_statement
@@ -12,6 +14,7 @@
 from lotushill.requests.attempt_pauses import AttemptPauses
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
+from lotushill.requests.exceptions import ReplacedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
@@ -20,16 +23,22 @@
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from lotushill.placement.choice import Choice
     from lotushill.requests.attempt_reporter import AttemptReporter
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
+    from lotushill.requests.replacement_search import ReplacementSearch
+    from lotushill.requests.tracked_attempt import TrackedAttempt
     from lotushill.requests.upstream_connection import AnswerHead
     from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.requests.upstream_gate import Permit
     from lotushill.scheduling.request import Request
 
+T = TypeVar("T")
+
 _SUCCESS = range(200, 300)
 _MIN_HEAD_TIMEOUT_SECONDS = 0.8
 """Minimum wait for the head of an answer before the upstream counts as silent."""
@@ -63,6 +72,9 @@
         self._head_received_at = 0.0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
+        self._connection: UpstreamConnection | None = None
+        """Connection on which the request was written, None before that."""
+        self._replacements: ReplacementSearch | None = None
         self._pauses = AttemptPauses(components, request, choice.upstream, reporter)
         engine = request.service.engine
         self._is_movable = engine is not None and engine.can_move_memory
@@ -70,8 +82,8 @@
         self._movable_run: MovableRun | None = None
         """Run of this attempt; None before its first event, or if it cannot be moved."""
 
-    async def run(self) -> AttemptEnd:
-        """Send the request and relay the answer to the client."""
+    async def send(self) -> AttemptEnd | None:
+        """Write the request; return the end of the attempt if it is not written."""
         upstream = self._choice.upstream
         load = self._components.fleet.load(upstream.id)
         try:
@@ -87,9 +99,40 @@
         if not self._components.gate.authorize_send(self._permit):
             connection.close()
             return AttemptEnd(EndKind.BARRED)
+        self._connection = connection
+        self.sent_at = self._clock()
+        last_event_id = self._splitter.last_id if self._splitter.event_count else ""
+        data = encode_request(self._request, self._choice, last_event_id, self.sent_at)
+        connection.send(self._request.demand.request_id, self._request.method, data)
+        return None
+
+    async def is_refused(self, seconds: float) -> bool:
+        """Return whether the upstream refuses the request, or fails, within some seconds.
+
+        Return False as soon as it has accepted the request.
+        """
+        assert self._connection is not None
         try:
-            end = await self._send_and_relay(connection)
-            self._components.pool.release(upstream, connection)
+            async with asyncio.timeout(seconds):
+                head: AnswerHead | None = await self._connection.read_head()
+        except TimeoutError:
+            # A process that was busy may have received the head without having read it.
+            head = self._connection.head
+        except UpstreamError:
+            return True
+        return head is not None and not _carries_answer(head)
+
+    async def relay(self, replacements: ReplacementSearch | None) -> AttemptEnd:
+        """Relay the answer to the client, unless another upstream replaces this one.
+
+        Without `replacements`, the attempt ends when the upstream is silent.
+        """
+        connection = self._connection
+        assert connection is not None
+        self._replacements = replacements
+        try:
+            end = await self._relay(connection)
+            self._components.pool.release(self._choice.upstream, connection)
         except UpstreamError as error:
             connection.close()
             end = self._broken_end(error)
@@ -100,8 +143,16 @@
             self._unregister_run()
         return end
 
+    def close(self) -> None:
+        """Close the connection, so that the upstream drops the run."""
+        if self._connection is not None:
+            self._connection.close()
+
     def _broken_end(self, error: UpstreamError) -> AttemptEnd:
         """Return the end of an attempt whose answer was truncated by a move or by a fault."""
+        if isinstance(error, ReplacedError):
+            # The memory of a move in progress is not used, as the run continues without it.
+            return self._end_as_broken(error.cause, error.successor)
         handover = self._movable_run.handover if self._movable_run is not None else None
         if handover is not None:
             handover.note_stream_ended()
@@ -115,15 +166,18 @@
                 )
             if handover.phase is Phase.GIVEN_UP:
                 handover = None
-        connection_lost = isinstance(error, LostConnectionError)
-        answer_started = bool(self.first_event_at)
+        return replace(self._end_as_broken(error), handover=handover)
+
+    def _end_as_broken(
+        self, error: UpstreamError, successor: TrackedAttempt | None = None
+    ) -> AttemptEnd:
         return AttemptEnd(
             EndKind.BROKEN,
             repr(error),
-            connection_lost=connection_lost,
-            answer_started=answer_started,
+            connection_lost=isinstance(error, LostConnectionError),
+            answer_started=bool(self.first_event_at),
             last_event_at=self.last_event_at,
-            handover=handover,
+            successor=successor,
         )
 
     def _unregister_run(self) -> None:
@@ -144,11 +198,7 @@
         self._components.suspension.check()
         return self._components.suspension.suspension_count != self._initial_suspension_count
 
-    async def _send_and_relay(self, connection: UpstreamConnection) -> AttemptEnd:
-        self.sent_at = self._clock()
-        last_event_id = self._splitter.last_id if self._splitter.event_count else ""
-        data = encode_request(self._request, self._choice, last_event_id, self.sent_at)
-        connection.send(self._request.demand.request_id, self._request.method, data)
+    async def _relay(self, connection: UpstreamConnection) -> AttemptEnd:
         head = await self._read_head(connection)
         self._head_received_at = self._clock()
         self._components.fleet.load(self._choice.upstream.id).note_reached()
@@ -160,7 +210,7 @@
         if head.status not in _SUCCESS:
             body = await self._read_body(connection)
             return AttemptEnd(EndKind.FAILED, str(head.status), head, body, statement)
-        if any(name == b"content-encoding" for name, _ in head.headers):
+        if not _carries_answer(head):
             connection.close()
             return AttemptEnd(EndKind.BROKEN, "content-encoding")
         if self._request.route.kind is not RouteKind.STREAM:
@@ -170,9 +220,9 @@
         return await self._relay_stream(connection, head)
 
     async def _read_head(self, connection: UpstreamConnection) -> AnswerHead:
-        """Return the head of the answer; raise SilentUpstreamError after a timeout.
+        """Return the head of the answer; raise ReplacedError if another upstream sends it.
 
-        Only a request of a repeatable route is given up; others wait on, since a second attempt
+        Only a request of a repeatable route is replaced; others wait on, since a second attempt
         might run them twice.
         """
         timeout_seconds = max(
@@ -184,9 +234,30 @@
         except TimeoutError as error:
             self._reporter.report_silence()
             if self._request.route.repeatable:
-                raise SilentUpstreamError("no answer head within the timeout") from error
+                return await self._read_unless_replaced(
+                    connection.read_head(), SilentUpstreamError(f"no answer head: {error!r}")
+                )
         return await connection.read_head()
 
+    async def _read_unless_replaced(
+        self, read: Coroutine[object, object, T], silence: SilentUpstreamError
+    ) -> T:
+        """Return what `read` returns once the silent upstream continues."""
+        if self._replacements is None:
+            read.close()
+            raise silence
+        return await self._replacements.read_unless_replaced(
+            read, self._choice, self._may_be_replaced
+        )
+
+    def _may_be_replaced(self) -> bool:
+        """Return whether another upstream may get the request now.
+
+        A run that was stopped with its memory continues from that.
+        """
+        handover = self._movable_run.handover if self._movable_run is not None else None
+        return handover is None or handover.phase is not Phase.STOPPED
+
     async def _read_body(self, connection: UpstreamConnection) -> bytes:
         pieces = []
         while piece := await connection.read():
@@ -218,23 +289,22 @@
         return self._request.route.resumable or self._choice.backup is not None
 
     def _event_timeout(self) -> float | None:
-        """Return the longest pause, in seconds, after which the attempt is given up.
+        """Return the pause, in seconds, after which another upstream may replace this one.
 
-        None if giving it up would not help, since the run cannot continue elsewhere.
+        None if the run cannot continue elsewhere.
         """
         if not self.first_event_at:
             return self._first_event_timeout()
         gap = self._request.route.target_gap
         if not self._is_movable:
-            gives_up = self._can_continue() or self._choice.resumes_from_copy
-            return max_threshold(gap) if gives_up else None
+            return max_threshold(gap) if self._can_continue() else None
         if not self._can_continue():
             return None
         return self._components.mover.stalls.threshold(self._request.service.name, gap)
 
     async def _relay_events(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Relay only complete events, so that another upstream can continue after any of them."""
-        while piece := await connection.read(self._event_timeout()):
+        while piece := await self._read_piece(connection):
             complete_events = self._splitter.feed(piece)
             if not complete_events:
                 continue
@@ -248,6 +318,13 @@
         await self._answer.finish(self._splitter.partial)
         return AttemptEnd(EndKind.WHOLE)
 
+    async def _read_piece(self, connection: UpstreamConnection) -> bytes:
+        """Return the next piece of the stream; raise ReplacedError if another upstream sends it."""
+        try:
+            return await connection.read(self._event_timeout())
+        except SilentUpstreamError as silence:
+            return await self._read_unless_replaced(connection.read(), silence)
+
     def _first_event_timeout(self) -> float | None:
         """Return the timeout for the first event after the head, None if there is none."""
         if not self._is_movable or not self._request.route.repeatable:
@@ -298,6 +375,12 @@
         )
 
 
+def _carries_answer(head: AnswerHead) -> bool:
+    """Return whether the body that follows a head is an answer that clients can receive."""
+    is_encoded = any(name == b"content-encoding" for name, _ in head.headers)
+    return head.status in _SUCCESS and not is_encoded
+
+
 def _returned_to_source(choice: Choice) -> bool:
     """Return whether the run continues at the upstream that it was to be moved from."""
     return choice.moved is not None and choice.moved.source == choice.upstream.address
--- a/src/lotushill/requests/attempt_end.py
+++ b/src/lotushill/requests/attempt_end.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from lotushill.requests.handover import Handover
+    from lotushill.requests.tracked_attempt import TrackedAttempt
     from lotushill.requests.upstream_connection import AnswerHead
 
 
@@ -51,3 +52,11 @@
     """When the last event arrived, 0 if none did."""
     handover: Handover | None = None
     """Move that was in progress, through which the run may continue; None if there was none."""
+    successor: TrackedAttempt | None = None
+    """Attempt at another upstream that has the request and continues the answer, None if none."""
+
+    @property
+    def is_continued(self) -> bool:
+        """Return whether the client has the complete answer, or may still get the rest of it."""
+        is_whole = self.kind is EndKind.WHOLE
+        return is_whole or self.handover is not None or self.successor is not None
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -68,7 +68,13 @@
         if permit is None or not self._spend_retry():
             return interrupted
         end = await self._continue_run(self._choice(backup), permit)
-        return end if end.kind is EndKind.WHOLE else interrupted
+        return end if end.is_continued else interrupted
+
+    def backup_placement(self, backup: Upstream) -> Placement | None:
+        """Return the placement of the run at its backup, None if it must not be sent there."""
+        if not self._can_continue_at(backup):
+            return None
+        return self._components.placer.continuation_placement(self._request, self._choice(backup))
 
     def _can_continue_at(self, backup: Upstream) -> bool:
         """Return whether the upstream should have the copy, or will report that it has not.
@@ -136,7 +142,8 @@
             self._log_continuation(run_memory, end)
             if end.kind in _NOT_SENT and handover.retries is not None:
                 handover.retries.take_back()
-            if self._splitter.event_count > events or not _may_be_unused(end):
+            has_events = self._splitter.event_count > events
+            if has_events or end.successor is not None or not _may_be_unused(end):
                 return end
             is_gone = await self._is_gone(place, end)
             tries.note_refusal(place.id, end.connection_lost, is_gone, self._clock())
@@ -192,8 +199,7 @@
 
     def _final_end(self, end: AttemptEnd | None, interrupted: AttemptEnd) -> AttemptEnd:
         """Return how the run has ended; as broken if it was not continued."""
-        is_continued = end is not None and (end.kind is EndKind.WHOLE or end.handover is not None)
-        if end is not None and is_continued:
+        if end is not None and end.is_continued:
             self._components.metrics.record_moved_run("went on")
             return end
         self._components.metrics.record_moved_run("cut")
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
-from lotushill.requests.attempt import Attempt
 from lotushill.requests.attempt_end import EndKind
-from lotushill.requests.attempt_reporter import AttemptReporter
 from lotushill.requests.continuation import Continuation
 from lotushill.requests.event_stream import EventSplitter
+from lotushill.requests.replacement_search import ReplacementSearch
+from lotushill.requests.tracked_attempt import AttemptTracker
 from lotushill.requests.upstream_search import UpstreamSearch
 from lotushill.scheduling.placement import Placement
 
@@ -20,11 +20,11 @@
     from lotushill.requests.attempt_end import AttemptEnd
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.gateway_components import GatewayComponents
+    from lotushill.requests.tracked_attempt import TrackedAttempt
     from lotushill.requests.upstream_gate import Permit
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.request import Request
 
-_NOT_RUN = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
@@ -59,42 +59,67 @@
         self._rejection_count = 0
         self._search = UpstreamSearch(components, request)
         self._continuation = Continuation(components, request, self._splitter, self._attempt)
-        self._start_counted = False
-        """Whether the request was counted as started."""
-        self.runs = 0
-        """Number of attempts that may have run the request."""
+        self._tracker = AttemptTracker(components, request, answer, self._splitter)
+        self._replacements = ReplacementSearch(
+            components,
+            request,
+            answer,
+            self._splitter,
+            self._search,
+            self._continuation,
+            self._tracker,
+        )
         self.outcome = "open"
-        self.upstream = ""
-        self.first_ms = 0.0
-        """Milliseconds from sending to first event in the last attempt; negative if none came."""
+
+    @property
+    def runs(self) -> int:
+        """Return the number of attempts that may have run the request."""
+        return self._tracker.runs
+
+    @property
+    def upstream(self) -> str:
+        """Return the id of the upstream of the latest attempt."""
+        return self._tracker.upstream
+
+    @property
+    def first_ms(self) -> float:
+        """Return the milliseconds to the first event in the last attempt, negative without one."""
+        return self._tracker.first_ms
 
     async def run(self) -> None:
         """Try upstreams until the request is answered or given up."""
         request = self._request
         self._components.budgets.note_request(request.service.name, self._clock())
+        successor: TrackedAttempt | None = None
         while True:
-            if self._components.quarantine.is_held(request):
-                return await self._refuse_held()
-            await self._components.suspension.wait_until_settled()
-            placement = await self._search.find()
-            if not isinstance(placement, Placement):
-                self._retry_after_seconds = placement.retry_after
-                return await self._give_up("no upstream", None)
-            if self._clock() >= request.ends:
-                return await self.time_out()
-            choice = placement.choice
-            permit = await self._components.gate.admit(choice.upstream, request.need)
-            if permit is None:
-                self._defer(placement)
-                continue
-            end = await self._attempt(placement, permit)
+            if successor is not None:
+                choice = successor.choice
+                end = await successor.relay(self._replacements)
+            else:
+                if self._components.quarantine.is_held(request):
+                    return await self._refuse_held()
+                await self._components.suspension.wait_until_settled()
+                placement = await self._search.find()
+                if not isinstance(placement, Placement):
+                    self._retry_after_seconds = placement.retry_after
+                    return await self._give_up("no upstream", None)
+                if self._clock() >= request.ends:
+                    return await self.time_out()
+                choice = placement.choice
+                permit = await self._components.gate.admit(choice.upstream, request.need)
+                if permit is None:
+                    self._defer(placement)
+                    continue
+                end = await self._attempt(placement, permit)
             check = self._check_upstream(choice.upstream, end)
-            end = await self._continue_run(choice, end, check)
+            if end.successor is None:
+                end = await self._continue_run(choice, end, check)
             if end.kind is EndKind.WHOLE:
                 self.outcome = "whole"
                 self._components.quarantine.record_completion(request)
                 return None
-            if not await self._may_retry(end, check):
+            successor = end.successor
+            if successor is None and not await self._may_retry(end, check):
                 return await self._give_up(end.detail, end)
             self._search.exclude(choice.upstream.id)
             self._splitter.drop_partial()
@@ -144,7 +169,8 @@
                 self._components.mover.release_handover(end.handover)
                 return replace(end, handover=None)
             end = await self._continuation.continue_from_handover(end.handover, end)
-        if choice.backup is not None and await self._may_continue(end, check):
+        is_continued = end.successor is not None
+        if choice.backup is not None and not is_continued and await self._may_continue(end, check):
             end = await self._continuation.continue_from_backup(choice.backup, end)
         return end
 
@@ -160,99 +186,7 @@
             self._components.shared_load.give_up(placement.placed.request)
 
     async def _attempt(self, placement: Placement, permit: Permit) -> AttemptEnd:
-        choice, attempt_number = placement.choice, placement.placed.request
-        self.upstream = choice.upstream.id
-        self._note_choice(placement)
-        self._components.shared_load.start(
-            placement.placed, self._request.service, announced=bool(placement.scheduler)
-        )
-        self.runs += 1
-        reporter = AttemptReporter(self._components.shared_load, attempt_number, self._note_started)
-        attempt = Attempt(
-            self._components, self._request, choice, self._answer, self._splitter, reporter, permit
-        )
-        kind = None
-        try:
-            end = await attempt.run()
-            kind = end.kind
-        except Exception:
-            # A fault of the gateway counts against the upstream at which it occurs. Otherwise that
-            # upstream, failing at once and always idle, would attract all requests.
-            kind = EndKind.BROKEN
-            raise
-        finally:
-            run_seconds = self._clock() - attempt.sent_at if attempt.sent_at else 0.0
-            reporter.report_end(kind, run_seconds)
-            self.first_ms = round((attempt.first_event_at - attempt.sent_at) * 1000, 1)
-        self._components.metrics.record_attempt(
-            self._request.service.name, self._request.need.tier, end.kind.value
-        )
-        if end.kind in _NOT_RUN:
-            self.runs -= 1
-        if end.kind is not EndKind.WHOLE:
-            self._note(
-                "attempt.ended",
-                upstream=self.upstream,
-                kind=end.kind.value,
-                why=end.detail,
-                identity=self._identity(end),
-                rest=end.statement.cooldown,
-                leaving=end.statement.leaving,
-                unreadable=end.statement.unreadable_cooldown,
-                limit=finite_or_none(end.statement.limit),
-                closed_here=end.handover is not None and end.handover.closed_by_gateway,
-                after_stop=end.handover.events_after_stop() if end.handover is not None else 0,
-            )
-        return end
-
-    def _identity(self, end: AttemptEnd) -> str:
-        """Return the identity by which a broken request is recognized when it arrives again.
-
-        Return an empty text for attempts that ended otherwise.
-        """
-        return self._request.identity.hex() if end.kind is EndKind.BROKEN else ""
-
-    def _note_started(self) -> None:
-        if not self._start_counted:
-            self._start_counted = True
-            self._components.work.record_start(self._request.team)
-
-    def _note_choice(self, placement: Placement) -> None:
-        choice = placement.choice
-        self._note(
-            "placement.chosen",
-            upstream=choice.upstream.id,
-            service=self._request.service.name,
-            cost=round(choice.cost, 4),
-            first_ms=round(choice.first_event_seconds * 1000, 1),
-            wait_ms=round(choice.wait_seconds * 1000, 1),
-            waited_ms=round((self._clock() - self._request.arrived) * 1000, 1),
-            harm=round(choice.interference_cost, 3),
-            prompt=self._request.need.prompt_tokens,
-            reading=choice.prefill_tokens,
-            again=choice.reread_tokens,
-            fetch=choice.fetch.source.id if choice.fetch else "",
-            fetched=choice.fetch.tokens if choice.fetch else 0,
-            backup=choice.backup.id if choice.backup else "",
-            continues=choice.resumes_from_copy,
-            returned=choice.returned,
-            tier=self._request.need.tier,
-            team_rank=self._request.route.urgency.team_rank,
-            ahead=choice.total_prefill_tokens,
-            running=choice.running,
-            memory=placement.memory,
-            scheduler=placement.scheduler,
-            alone=placement.alone,
-            drawn=placement.drawn,
-            pause_bound_ms=self._pause_bound_ms(),
-            run=self.runs,
-            view=self._components.upstreams.revision,
-        )
-
-    def _pause_bound_ms(self) -> float | None:
-        """Return the most by which a prefill extends a pause, in ms; None if unknown."""
-        pauses = self._components.fleet.pace(self._request.service.name).pauses
-        return round(pauses.bound * 1000, 1) if pauses.bound_known else None
+        return await self._tracker.begin(placement, permit).run(self._replacements)
 
     async def _may_retry(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
         now = self._clock()
--- /dev/null
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -0,0 +1,233 @@
+"""Attempts of one request, counted in the load, the metrics and the log until they end."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+from lotushill.availability.stated_limits import finite_or_none
+from lotushill.requests.attempt import Attempt
+from lotushill.requests.attempt_end import EndKind
+from lotushill.requests.attempt_reporter import AttemptReporter
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lotushill.placement.choice import Choice
+    from lotushill.requests.attempt_end import AttemptEnd
+    from lotushill.requests.client_answer import ClientAnswer
+    from lotushill.requests.event_stream import EventSplitter
+    from lotushill.requests.gateway_components import GatewayComponents
+    from lotushill.requests.replacement_search import ReplacementSearch
+    from lotushill.requests.upstream_gate import Permit
+    from lotushill.scheduling.placement import Placement
+    from lotushill.scheduling.request import Request
+
+_NOT_RUN = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
+
+
+class AttemptTracker:
+    """Begins the attempts of one request, and records how they end."""
+
+    def __init__(
+        self,
+        components: GatewayComponents,
+        request: Request,
+        answer: ClientAnswer,
+        splitter: EventSplitter,
+    ) -> None:
+        """Relay the events of `splitter` to the client with `answer`."""
+        self._components = components
+        self._request = request
+        self._answer = answer
+        self._splitter = splitter
+        self._clock = components.clock
+        self._start_counted = False
+        """Whether the request was counted as started."""
+        self.runs = 0
+        """Number of attempts that may have run the request."""
+        self.upstream = ""
+        """Id of the upstream of the latest attempt."""
+        self.first_ms = 0.0
+        """Milliseconds from sending to first event in the last attempt; negative if none came."""
+
+    def begin(self, placement: Placement, permit: Permit) -> TrackedAttempt:
+        """Begin an attempt, which counts as running until it ends or is abandoned."""
+        self.upstream = placement.choice.upstream.id
+        self._note_choice(placement)
+        self._components.shared_load.start(
+            placement.placed, self._request.service, announced=bool(placement.scheduler)
+        )
+        self.runs += 1
+        reporter = AttemptReporter(
+            self._components.shared_load, placement.placed.request, self._note_started
+        )
+        attempt = Attempt(
+            self._components,
+            self._request,
+            placement.choice,
+            self._answer,
+            self._splitter,
+            reporter,
+            permit,
+        )
+        return TrackedAttempt(self, placement.choice, attempt, reporter)
+
+    def record_times(self, attempt: Attempt) -> float:
+        """Record the time to the first event of an ended attempt; return how long it ran."""
+        self.first_ms = round((attempt.first_event_at - attempt.sent_at) * 1000, 1)
+        return self._clock() - attempt.sent_at if attempt.sent_at else 0.0
+
+    def record_end(self, choice: Choice, end: AttemptEnd) -> None:
+        """Count and log the end of an attempt."""
+        self.upstream = choice.upstream.id
+        self._components.metrics.record_attempt(
+            self._request.service.name, self._request.need.tier, end.kind.value
+        )
+        if end.kind in _NOT_RUN:
+            self.runs -= 1
+        if end.kind is not EndKind.WHOLE:
+            self._note(
+                "attempt.ended",
+                upstream=self.upstream,
+                kind=end.kind.value,
+                why=end.detail,
+                identity=self._identity(end),
+                rest=end.statement.cooldown,
+                leaving=end.statement.leaving,
+                unreadable=end.statement.unreadable_cooldown,
+                limit=finite_or_none(end.statement.limit),
+                closed_here=end.handover is not None and end.handover.closed_by_gateway,
+                after_stop=end.handover.events_after_stop() if end.handover is not None else 0,
+                replaced_by=end.successor.choice.upstream.id if end.successor is not None else "",
+            )
+
+    def record_abandoned(self, choice: Choice, was_sent: bool) -> None:
+        """Log that the answer of an attempt is not needed; it may have run if it `was_sent`."""
+        if not was_sent:
+            self.runs -= 1
+        self._note("attempt.abandoned", upstream=choice.upstream.id, sent=was_sent)
+
+    def _identity(self, end: AttemptEnd) -> str:
+        """Return the identity by which a broken request is recognized when it arrives again.
+
+        Return an empty text for attempts that ended otherwise.
+        """
+        return self._request.identity.hex() if end.kind is EndKind.BROKEN else ""
+
+    def _note_started(self) -> None:
+        if not self._start_counted:
+            self._start_counted = True
+            self._components.work.record_start(self._request.team)
+
+    def _note_choice(self, placement: Placement) -> None:
+        choice = placement.choice
+        self._note(
+            "placement.chosen",
+            upstream=choice.upstream.id,
+            service=self._request.service.name,
+            cost=round(choice.cost, 4),
+            first_ms=round(choice.first_event_seconds * 1000, 1),
+            wait_ms=round(choice.wait_seconds * 1000, 1),
+            waited_ms=round((self._clock() - self._request.arrived) * 1000, 1),
+            harm=round(choice.interference_cost, 3),
+            prompt=self._request.need.prompt_tokens,
+            reading=choice.prefill_tokens,
+            again=choice.reread_tokens,
+            fetch=choice.fetch.source.id if choice.fetch else "",
+            fetched=choice.fetch.tokens if choice.fetch else 0,
+            backup=choice.backup.id if choice.backup else "",
+            continues=choice.resumes_from_copy,
+            returned=choice.returned,
+            tier=self._request.need.tier,
+            team_rank=self._request.route.urgency.team_rank,
+            ahead=choice.total_prefill_tokens,
+            running=choice.running,
+            memory=placement.memory,
+            scheduler=placement.scheduler,
+            alone=placement.alone,
+            drawn=placement.drawn,
+            pause_bound_ms=self._pause_bound_ms(),
+            run=self.runs,
+            view=self._components.upstreams.revision,
+        )
+
+    def _pause_bound_ms(self) -> float | None:
+        """Return the most by which a prefill extends a pause, in ms; None if unknown."""
+        pauses = self._components.fleet.pace(self._request.service.name).pauses
+        return round(pauses.bound * 1000, 1) if pauses.bound_known else None
+
+    def _note(self, event: str, **fields: object) -> None:
+        self._components.log.note(event, request=self._request.demand.request_id, **fields)
+
+
+class TrackedAttempt:
+    """One attempt at the upstream of `choice`."""
+
+    def __init__(
+        self, tracker: AttemptTracker, choice: Choice, attempt: Attempt, reporter: AttemptReporter
+    ) -> None:
+        """Record the progress and end of `attempt` with `tracker` and `reporter`."""
+        self.choice = choice
+        self._tracker = tracker
+        self._attempt = attempt
+        self._reporter = reporter
+        self._is_recorded = False
+        """Whether the end of the attempt is recorded."""
+
+    async def run(self, replacements: ReplacementSearch) -> AttemptEnd:
+        """Send the request and relay its answer, unless another upstream replaces this one."""
+        end = await self.send()
+        return end if end is not None else await self.relay(replacements)
+
+    async def send(self) -> AttemptEnd | None:
+        """Write the request; return the end of the attempt if it is not written."""
+        with self._recorded_if_raised():
+            end = await self._attempt.send()
+        return self._record_end(end) if end is not None else None
+
+    async def is_refused(self, seconds: float) -> bool:
+        """Return whether the upstream refuses the written request, or fails, within some seconds.
+
+        Return False as soon as it has accepted the request.
+        """
+        return await self._attempt.is_refused(seconds)
+
+    async def relay(self, replacements: ReplacementSearch | None) -> AttemptEnd:
+        """Relay the answer; without `replacements`, the attempt ends when its upstream is silent.
+
+        The request has been written.
+        """
+        with self._recorded_if_raised():
+            end = await self._attempt.relay(replacements)
+        return self._record_end(end)
+
+    def abandon(self) -> None:
+        """Close the connection of an attempt whose answer is not needed."""
+        self._attempt.close()
+        self._report_end(None)
+        self._tracker.record_abandoned(self.choice, was_sent=bool(self._attempt.sent_at))
+
+    @contextlib.contextmanager
+    def _recorded_if_raised(self) -> Iterator[None]:
+        try:
+            yield
+        except Exception:
+            # A fault of the gateway counts against the upstream at which it occurs. Otherwise that
+            # upstream, failing at once and always idle, would attract all requests.
+            self._report_end(EndKind.BROKEN)
+            raise
+        except BaseException:
+            self._report_end(None)
+            raise
+
+    def _record_end(self, end: AttemptEnd) -> AttemptEnd:
+        self._report_end(end.kind)
+        self._tracker.record_end(self.choice, end)
+        return end
+
+    def _report_end(self, kind: EndKind | None) -> None:
+        if self._is_recorded:
+            return
+        self._is_recorded = True
+        self._reporter.report_end(kind, self._tracker.record_times(self._attempt))
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -87,6 +87,11 @@
         is_written = self._transport is not None and not self._transport.get_write_buffer_size()
         return self.is_open and self._complete and self._keep_alive and is_written
 
+    @property
+    def head(self) -> AnswerHead | None:
+        """Return the head of the answer, None if it has not arrived."""
+        return self._head
+
     def send(self, request_id: str, method: bytes, data: bytes) -> None:
         """Write the head and body of one request."""
         assert self._transport is not None
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -70,7 +70,16 @@
                 return result
             await anyio.sleep(pause)
 
-    async def _try_find(self) -> Placement | NoChoice:
+    async def find_replacement(self, silent_id: str) -> Placement | NoChoice:
+        """Try once to find another upstream than a silent one, with room for the request."""
+        result = await self._try_find(frozenset((silent_id,)))
+        if not isinstance(result, Placement) or not result.choice.is_full:
+            return result
+        if result.scheduler:
+            self._components.shared_load.give_up(result.placed.request)
+        return NoChoice(Refusal.NO_ROOM, 0.0)
+
+    async def _try_find(self, also_excluded: frozenset[str] = frozenset()) -> Placement | NoChoice:
         """Try once to find an upstream."""
         request, policy = self._request, self._components.isolation_policy
         wait = policy.retry_delay(request)
@@ -80,6 +89,7 @@
         if wait > 0:
             return NoChoice(Refusal.TEAM_LIMIT, wait)
         excluded = policy.excluded_upstreams(request) | self._excluded | self._without_permit()
+        excluded |= also_excluded
         result = await self._components.placer.place(request, excluded, self._placement_requested)
         self._placement_requested = True
         if isinstance(result, Placement) and not policy.admits(request, result.choice):
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -37,6 +37,7 @@
 _LIMIT = "tests.requests.test_limit.TestOneGateway"
 _FLEET_LIMITS = "tests.load.limits.test_emulated_fleet"
 _MOVES = "tests.requests.test_moves.TestMoves"
+_SILENT = "tests.requests.test_silent_upstream"
 _TEAMS = "tests.load.policy.test_teams"
 _TEAM_LIMITS = "tests.limits.test_team_limits.TestTeamLimits"
 _ISOLATION = "tests.requests.test_isolation_policy.TestIsolationPolicy"
@@ -553,6 +554,52 @@
             ),
         ),
     ),
+    Promise(
+        "A silent upstream is given up only when another one has the request.",
+        "LOST, BUDGET, TWICE",
+        (
+            Case(
+                "no attempt, retry, other upstream, room or permit is left",
+                (
+                    f"{_SILENT}.TestStreams.test_without_an_attempt_left_a_paused_stream_is_read_on",
+                    f"{_SILENT}.TestStreams.test_without_a_retry_left_a_paused_stream_is_read_on",
+                    f"{_SILENT}.TestStreams.test_without_another_upstream_a_paused_stream_is_read_on",
+                    f"{_SILENT}.TestStreams.test_without_room_elsewhere_a_paused_stream_is_read_on",
+                    f"{_SILENT}.TestStreams."
+                    "test_while_no_other_upstream_accepts_requests_a_paused_stream_is_read_on",
+                ),
+            ),
+            Case(
+                "the other upstream refuses the request, fails, or cannot be reached",
+                (
+                    f"{_SILENT}.TestStreams.test_a_paused_stream_is_read_on_if_others_do_not_accept_it",
+                    f"{_SILENT}.TestStreams."
+                    "test_a_paused_stream_is_read_on_if_no_other_upstream_can_be_reached",
+                    f"{_SILENT}.TestPlainRequests."
+                    "test_a_slow_answer_is_awaited_if_others_do_not_accept_the_request",
+                    f"{_SILENT}.TestBackups.test_a_paused_stream_whose_backup_is_missing_is_read_on",
+                ),
+            ),
+            Case(
+                "it continues, or ends, while it is being replaced",
+                (
+                    f"{_SILENT}.TestStreams.test_a_stream_that_goes_on_while_it_is_replaced_is_read_on",
+                    f"{_SILENT}.TestStreams.test_what_was_reserved_is_released_if_the_stream_goes_on",
+                    f"{_SILENT}.TestStreams."
+                    "test_a_stream_that_ends_while_it_is_replaced_continues_elsewhere",
+                ),
+            ),
+            Case(
+                "it does not continue",
+                (
+                    f"{_SILENT}.TestStreams.test_a_stalled_stream_is_replaced_at_once_and_then_closed",
+                    f"{_SILENT}.TestStreams."
+                    "test_a_replacement_is_looked_for_again_while_the_stream_stalls",
+                    f"{_SILENT}.TestPlainRequests.test_a_silent_upstream_is_replaced",
+                ),
+            ),
+        ),
+    ),
     Promise(
         "A configuration takes effect everywhere within seconds, and never reverts.",
         "CONFIG, DENIED",
--- a/tests/requests/test_silent_upstream.py
+++ b/tests/requests/test_silent_upstream.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.placement.messages import Placed
 from lotushill.process.settings import RetrySettings
 from lotushill.routing.route import RouteKind
+from lotushill.scheduling.placement import Placement
 from tests.requests.moving_upstream import STEP
 from tests.requests.rig import ReceivedAnswer
 from tests.requests.rig import ReceivedRequest
@@ -27,6 +30,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.placement.choice import NoChoice
+    from lotushill.placement.need import Need
+    from lotushill.requests.upstream_gate import Permit
+    from lotushill.routing.upstream import Upstream
+    from lotushill.scheduling.request import Request
     from tests.requests.rig import Script
 
 PAUSE_SECONDS = 1.3
@@ -134,10 +142,10 @@
         return [len(item.requests) for item in rig.upstreams]
 
 
-def fill(rig: Rig) -> None:
-    """Let other requests take all slots of the second upstream."""
+def fill(rig: Rig, seconds: float) -> None:
+    """Let other requests of some seconds take all slots of the second upstream."""
     for number in range(_SLOTS):
-        placed = Placed(number, "b1", 10, 100, target_gap=0.0, seconds=30.0, age=0.0)
+        placed = Placed(number, "b1", 10, 100, target_gap=0.0, seconds=seconds, age=0.0)
         rig.components.shared_load.start(placed, rig.service)
 
 
@@ -164,9 +172,11 @@
         await self.assert_first_answers(self.rig(pauses, []))
 
     async def test_without_room_elsewhere_a_paused_stream_is_read_on(self) -> None:
-        rig = self.rig(pauses, [resumes])
-        await self.assert_first_answers(rig, fill)
-        self.assertEqual([1, 0], self.counts(rig))
+        for seconds in (0.2, 30.0):
+            with self.subTest(seconds=seconds):
+                rig = self.rig(pauses, [resumes])
+                await self.assert_first_answers(rig, functools.partial(fill, seconds=seconds))
+                self.assertEqual([1, 0], self.counts(rig))
 
     async def test_while_no_other_upstream_accepts_requests_a_paused_stream_is_read_on(
         self,
@@ -213,6 +223,44 @@
         self.assertEqual(1, len(dropped))
         self.assertLess(dropped[0], MAX_OVERLAP_SECONDS)
 
+    async def test_what_was_reserved_is_released_if_the_stream_goes_on(self) -> None:
+        asked_for_permit = asyncio.Event()
+        given_up: list[int] = []
+
+        async def goes_on(seen: ReceivedRequest) -> None:
+            seen.start_events()
+            seen.event(0)
+            await seen.writer.drain()
+            await asked_for_permit.wait()
+            await continues(seen)
+
+        def interrupt(rig: Rig) -> None:
+            place, admit = rig.components.placer.place, rig.components.gate.admit
+
+            async def placed_by_scheduler(
+                request: Request, excluded: frozenset[str], again: bool, waits: bool = True
+            ) -> Placement | NoChoice:
+                result = await place(request, excluded, again, waits)
+                assert isinstance(result, Placement)
+                return replace(result, scheduler="g1") if "b0" in excluded else result
+
+            async def never_admitted(upstream: Upstream, need: Need) -> Permit | None:
+                if upstream.id == "b0":
+                    return await admit(upstream, need)
+                asked_for_permit.set()
+                await asyncio.sleep(30.0)
+                return None
+
+            rig.components.placer.place = placed_by_scheduler  # type: ignore[method-assign]
+            rig.components.gate.admit = never_admitted  # type: ignore[method-assign]
+            load = rig.components.shared_load
+            load.give_up = lambda request: given_up.append(request)  # type: ignore[method-assign]
+
+        rig = self.rig(goes_on, [resumes])
+        await self.assert_first_answers(rig, interrupt)
+        self.assertEqual([1, 0], self.counts(rig))
+        self.assertEqual(1, len(given_up))
+
     async def test_a_stream_that_ends_while_it_is_replaced_continues_elsewhere(self) -> None:
         replaced = asyncio.Event()
 
