A backup that refuses an interrupted run for a moment is asked again

Cause: continue_from_backup made one try. A 503 for a moment, a cooldown, a permit or a retry that was missing right then ended the answer, although the copy of the run was there.

Change: the backup is asked as the upstreams of a move are, with the same pauses and as long as the client waits for an event, four times at most, since an upstream without the copy also answers 503. One that may have run the request, or has ended, is not asked again. A run that is moved while it continues from its backup is continued from that move; its handover was dropped before.

test_a_stream_whose_backup_is_missing_is_truncated_and_not_run_again asserted one try. It asserts exactly four now, all of them for the same copy, so that none of them can run the request anew.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1137,6 +1137,20 @@
         "                pass\n",
         "tests.requests.test_silent_upstream",
     ),
+    Break(
+        "a backup that refuses for a moment is asked again",
+        "requests/continuation.py",
+        "_MAX_BACKUP_REFUSALS = 4",
+        "_MAX_BACKUP_REFUSALS = 1",
+        "tests.requests.test_request_path",
+    ),
+    Break(
+        "a backup that may have run the request is not asked again",
+        "requests/continuation.py",
+        "return is_refused and not",
+        "return not",
+        "tests.requests.test_request_path",
+    ),
 )
 
 
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -41,6 +41,8 @@
 _NOTICE_MARGIN_SECONDS = 0.15
 """Time before the end of an upstream's notice from which it is not sent a run any more."""
 _MAX_WAIT_IF_REPEATABLE_SECONDS = 0.3
+_MAX_BACKUP_REFUSALS = 4
+"""Number of refusals from which a backup counts as having no copy."""
 
 
 class Continuation:
@@ -61,14 +63,43 @@
         self._clock = components.clock
 
     async def continue_from_backup(self, backup: Upstream, interrupted: AttemptEnd) -> AttemptEnd:
-        """Continue at the upstream to which the run's memory was copied while it ran."""
+        """Continue at the upstream to which the run's memory was copied while it ran.
+
+        If it refuses the run for a moment, it is asked a few more times while the client waits. An
+        upstream without the copy refuses in the same way.
+        """
         if not self._can_continue_at(backup):
             return interrupted
+        tries = ContinuationTries(self._patience_ends(interrupted))
+        refusals = 0
+        while refusals < _MAX_BACKUP_REFUSALS:
+            end = await self._try_backup(backup)
+            if end is not None:
+                self._log_continuation(backup, "backup", end)
+                if end.is_continued:
+                    return end
+                if not await self._may_ask_again(backup, end):
+                    break
+                refusals += 1
+            pause = tries.next_pause(self._clock())
+            if pause is None:
+                break
+            await asyncio.sleep(pause)
+        return interrupted
+
+    async def _try_backup(self, backup: Upstream) -> AttemptEnd | None:
+        """Ask the backup to continue the run; return None if it must not be asked now."""
+        if not self._components.gate.accepts_requests(backup.id):
+            return None
         permit = await self._components.gate.admit(backup, self._request.need)
         if permit is None or not self._spend_retry():
-            return interrupted
-        end = await self._continue_run(self._choice(backup), permit)
-        return end if end.is_continued else interrupted
+            return None
+        return await self._continue_run(self._choice(backup), permit)
+
+    async def _may_ask_again(self, backup: Upstream, end: AttemptEnd) -> bool:
+        """Return whether a backup certainly did not run the request and may still have the copy."""
+        is_refused = end.kind in (*_NOT_SENT, EndKind.REJECTED)
+        return is_refused and not await self._is_gone(backup, end)
 
     def backup_placement(self, backup: Upstream) -> Placement | None:
         """Return the placement of the run at its backup, None if it must not be sent there."""
@@ -139,7 +170,8 @@
                 continue
             events = self._splitter.event_count
             end = await self._continue_from(run_memory, permit)
-            self._log_continuation(run_memory, end)
+            is_source = place.id == run_memory.source.id
+            self._log_continuation(place, "source" if is_source else "target", end)
             if end.kind in _NOT_SENT and handover.retries is not None:
                 handover.retries.take_back()
             has_events = self._splitter.event_count > events
@@ -186,13 +218,12 @@
         moved = MovedMemory(run_memory.source.address, run_memory.handle)
         return await self._continue_run(replace(choice, moved=moved), permit)
 
-    def _log_continuation(self, run_memory: RunMemory, end: AttemptEnd) -> None:
-        returned = run_memory.upstream.id == run_memory.source.id
+    def _log_continuation(self, upstream: Upstream, place: str, end: AttemptEnd) -> None:
         self._components.log.note(
             "run.continued" if end.kind is EndKind.WHOLE else "run.not_continued",
             request=self._request.demand.request_id,
-            upstream=run_memory.upstream.id,
-            place="source" if returned else "target",
+            upstream=upstream.id,
+            place=place,
             kind=end.kind.value,
             why=end.detail,
         )
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -164,14 +164,23 @@
         self, choice: Choice, end: AttemptEnd, check: asyncio.Task[None] | None
     ) -> AttemptEnd:
         """Continue a moved or interrupted run from a copy of its memory."""
+        end = await self._continue_moved(end, check)
+        if choice.backup is None or end.successor is not None:
+            return end
+        if not await self._may_continue(end, check):
+            return end
+        end = await self._continuation.continue_from_backup(choice.backup, end)
+        return await self._continue_moved(end, None)
+
+    async def _continue_moved(
+        self, end: AttemptEnd, check: asyncio.Task[None] | None
+    ) -> AttemptEnd:
+        """Continue a run for as long as moves leave memory to continue from."""
         while end.handover is not None:
             if end.kind is EndKind.BROKEN and not await self._may_continue(end, check):
                 self._components.mover.release_handover(end.handover)
                 return replace(end, handover=None)
             end = await self._continuation.continue_from_handover(end.handover, end)
-        is_continued = end.successor is not None
-        if choice.backup is not None and not is_continued and await self._may_continue(end, check):
-            end = await self._continuation.continue_from_backup(choice.backup, end)
         return end
 
     def _defer(self, placement: Placement) -> None:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -116,6 +116,9 @@
                 "an interrupted stream with a backup of its memory at another upstream",
                 (
                     f"{_REQUEST_PATH}.TestStreams.test_a_stream_with_a_backup_continues_there_as_the_same_run",
+                    f"{_REQUEST_PATH}.TestStreams.test_a_backup_that_refuses_for_a_moment_is_asked_again",
+                    f"{_REQUEST_PATH}.TestStreams."
+                    "test_a_backup_that_may_have_run_the_request_is_not_asked_again",
                 ),
             ),
         ),
--- a/tests/requests/test_request_path.py
+++ b/tests/requests/test_request_path.py
@@ -369,7 +369,14 @@
         async def rejects(seen: ReceivedRequest) -> None:
             seen.answer_whole(b"no copy", "503 Service Unavailable\r\nNot-Executed: 1")
 
-        got, _, later = await self.interrupt_with_backup(rejects)
+        got, first, later = await self.interrupt_with_backup(rejects)
+        self.assertFalse(got.whole)
+        self.assertEqual(4, len(later))
+        copy = f"{first.headers['kv-backup']}/{first.id}"
+        self.assertEqual({copy}, {seen.headers["kv-from"] for seen in later})
+
+    async def test_a_backup_that_may_have_run_the_request_is_not_asked_again(self) -> None:
+        got, _, later = await self.interrupt_with_backup(reset)
         self.assertFalse(got.whole)
         self.assertEqual(1, len(later))
 
