Failing tests: answers and duties that a gateway gives up too early

The only gateway of a fleet hands the duties over to nobody if the platform does not answer. A holder that stops while it renews its lease loses the handover to the renewal.

--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -188,6 +188,30 @@
             _, errors = await process.communicate()
         self.assertEqual((200, 0, b""), (status, process.returncode, errors))
 
+    async def test_a_planned_stop_awaits_clients_that_read_slowly(self) -> None:
+        """An answer that is written, but not sent, was lost with the process."""
+        body = b"x" * 8_000_000
+
+        async def answer(seen: ReceivedRequest) -> None:
+            seen.answer_whole(body)
+
+        self.upstream.scripts = [answer]
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            host, _, port = self.clients.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+            writer.write(request_bytes("r1"))
+            await reader.readuntil(b"xxx")
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(2.0)
+            left = len(body) - 3
+            while left and (piece := await reader.read(left)):
+                left -= len(piece)
+            writer.close()
+            _, errors = await process.communicate()
+        self.assertEqual((0, 0, b""), (left, process.returncode, errors))
+
     async def start_blocked_on_settings(self) -> tuple[asyncio.subprocess.Process, int]:
         """Return a process that blocks on reading its settings, and the descriptor to write them.
 
--- a/tests/duties/test_duty_runner.py
+++ b/tests/duties/test_duty_runner.py
@@ -106,6 +106,21 @@
         self.assertIsNot(follower, holder)
         self.check_invariants(world)
 
+    @in_virtual_time
+    async def test_a_holder_that_stops_while_it_renews_its_lease_hands_over(self) -> None:
+        world = await start_fleet()
+        holder = world.holder()
+        assert holder is not None
+        while not holder.writes_in_progress:
+            await asyncio.sleep(0.001)
+        await holder.stop()
+        await world.serve(2.5)
+        follower = world.holder()
+        world.end()
+        self.assertIsNotNone(follower)
+        self.assertIsNot(follower, holder)
+        self.check_invariants(world)
+
     @in_virtual_time
     async def test_stopping_gateway_does_not_acquire_the_duties_again(self) -> None:
         """A planned shutdown takes longer than the time for which a former holder stays out."""
@@ -207,6 +222,19 @@
         self.assertEqual(late, [])
         self.check_invariants(world)
 
+    @in_virtual_time
+    async def test_the_only_gateway_keeps_the_duties_if_the_platform_does_not_answer(self) -> None:
+        world = await start_fleet(count=1)
+        world.platform.down = True
+        for _ in range(40):
+            await world.serve(0.5)
+            self.assertIsNotNone(world.holder())
+        world.platform.down = False
+        await world.serve(15.0)
+        world.end()
+        self.assertEqual(world.wrong_windows(), [])
+        self.check_invariants(world)
+
     @in_virtual_time
     async def test_a_holder_that_the_platform_does_not_answer_is_replaced(self) -> None:
         world = await start_fleet()
--- a/tests/duties/virtual_duties.py
+++ b/tests/duties/virtual_duties.py
@@ -112,6 +112,8 @@
         self.peers_cut = False
         self.clock_step = 0.0
         self.incarnation = 0
+        self.writes_in_progress = 0
+        """Number of writes to the store that are not answered yet."""
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -235,12 +237,15 @@
         return await self._write(lambda store: store.replace(kind, name, spec, revision))
 
     async def _write(self, act: Any) -> StoredObject:
+        self._host.writes_in_progress += 1
         try:
             return _stored(await self._call(act))
         except StoreStatusError as error:
             if error.status == 409:
                 raise RevisionConflictError from error
             raise StoreUnavailableError(str(error.status)) from error
+        finally:
+            self._host.writes_in_progress -= 1
 
     async def _call(self, act: Any) -> Any:
         host, world = self._host, self._host.world
