A gateway that stops sends its answers to the end; duties are handed over with effect

Cause: the process ended when the last request had ended, though the end of its answer may be written and not sent, which a client that reads slowly then lost. A holder of the duties gave them up when the platform did not answer even if no other gateway could take them, and a handover whose write met a renewal in progress was not repeated, so that nobody held them for a lease.

Change: a stopping gateway waits for its client connections within the grace time; uvicorn closes each once its data is sent. The holder hands over only if another gateway reads the store, and writes the handover again after a conflict if the record still names it.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1151,6 +1151,27 @@
         "return not",
         "tests.requests.test_request_path",
     ),
+    Break(
+        "a gateway that stops awaits answers that are written and not sent",
+        "gateway/gateway.py",
+        "return self.client_application.in_progress > 0 or is_connected",
+        "return self.client_application.in_progress > 0",
+        "tests.console.test_gateway_program",
+    ),
+    Break(
+        "the duties are handed over only if another gateway could take them",
+        "duties/ownership.py",
+        " and self._fleet.candidates() > 1:",
+        ":",
+        "tests.duties.test_duty_runner",
+    ),
+    Break(
+        "a renewal in progress does not prevent a handover of the duties",
+        "duties/ownership.py",
+        "_MAX_HAND_OVER_WRITES = 2",
+        "_MAX_HAND_OVER_WRITES = 1",
+        "tests.duties.test_duty_runner",
+    ),
 )
 
 
--- a/src/lotushill/duties/ownership.py
+++ b/src/lotushill/duties/ownership.py
@@ -31,6 +31,8 @@
 _CHECKS_PER_LEASE = 3.0
 _COLLECTOR_COUNT = 2
 """Number of gateways that collect the counts of all; usually one of them is the holder."""
+_MAX_HAND_OVER_WRITES = 2
+"""Writes by which a holder hands over: a renewal that was in progress may precede the first one."""
 
 
 class Ownership:
@@ -108,7 +110,11 @@
             return
         self.lease.lose(self._clock())
         self._log.note("duty.handed_over", why=reason)
-        await self._try_write(replace(record, holder="", beat=record.beat + 1))
+        for _ in range(_MAX_HAND_OVER_WRITES):
+            await self._try_write(replace(record, holder="", beat=record.beat + 1))
+            record = self.record
+            if record is None or not record.is_held_by(self.lease.name, self.lease.incarnation):
+                return
 
     def _is_first_candidate(self) -> bool:
         return self._fleet.rank() < _COLLECTOR_COUNT
@@ -152,7 +158,7 @@
         if record is None:
             self.lose("no record")
             return False
-        if self._health.is_unresponsive(self._clock()):
+        if self._health.is_unresponsive(self._clock()) and self._fleet.candidates() > 1:
             await self.hand_over("platform does not answer")
             return False
         sent_at = self._clock()
--- a/src/lotushill/duties/ports.py
+++ b/src/lotushill/duties/ports.py
@@ -65,6 +65,8 @@
     """Returns whether the store serves this gateway, so that it may hold the duties."""
     rank: Callable[[], int]
     """Returns the rank of this gateway among all that the store serves, 0 for the first."""
+    candidates: Callable[[], int]
+    """Returns the number of gateways that the store serves, including this one."""
     services: Callable[[], Iterable[Service]]
     upstreams: UpstreamView
     send_pull: Callable[[WorkPull, str], None]
--- a/src/lotushill/gateway/duties.py
+++ b/src/lotushill/gateway/duties.py
@@ -103,6 +103,7 @@
             members=membership.live,
             reads_store=lambda: dependencies.views.contact() is StoreContact.READING,
             rank=lambda: _rank(membership),
+            candidates=lambda: len(_candidates(membership)),
             services=lambda: _services(dependencies.views),
             upstreams=dependencies.views.upstreams,
             send_pull=dependencies.peers.send_message,
@@ -126,10 +127,15 @@
 def _rank(membership: Membership) -> int:
     """Return the rank of this gateway among those that currently read the store."""
     own = membership.own.name
+    return ranked(_RANK_KEY, _candidates(membership), _MAX_RANKED_GATEWAYS).index(own)
+
+
+def _candidates(membership: Membership) -> set[str]:
+    """Return the names of this gateway and of all others that currently read the store."""
     reader_names = {
         member.name for member in membership.live() if member.contact is StoreContact.READING
     }
-    return ranked(_RANK_KEY, {*reader_names, own}, _MAX_RANKED_GATEWAYS).index(own)
+    return {*reader_names, membership.own.name}
 
 
 def _services(views: StoreViews) -> list[Service]:
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -373,11 +373,24 @@
         await anyio.sleep(self.settings.leave_seconds)
         self.client_application.accepts_requests = False
         self.client_listener.stop()
-        while self.client_application.in_progress and clocks.now() < deadline:
+        while self._has_unfinished_work() and clocks.now() < deadline:
             await anyio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
         self.peers.leave()
-        if self.client_application.in_progress:
-            self.log.note("process.cut", in_progress=self.client_application.in_progress)
+        if self._has_unfinished_work():
+            self.log.note(
+                "process.cut",
+                in_progress=self.client_application.in_progress,
+                connections=self.client_listener.connections(),
+            )
+
+    def _has_unfinished_work(self) -> bool:
+        """Return whether the end of this process would lose a part of an answer.
+
+        The end of an answer may be written and not sent, so the connections of clients count, which
+        close when all their data is sent.
+        """
+        is_connected = self.client_listener.connections() > 0
+        return self.client_application.in_progress > 0 or is_connected
 
     def _hooks(self) -> PeerHooks:
         """Return the callbacks from peering into components that are created after it."""
--- a/tests/duties/virtual_duties.py
+++ b/tests/duties/virtual_duties.py
@@ -134,6 +134,7 @@
                 members=self._members,
                 reads_store=lambda: not self.store_cut and self in world.readers(),
                 rank=lambda: world.readers().index(self),
+                candidates=lambda: len(world.readers()),
                 services=lambda: [SERVICE],
                 upstreams=world.view,
                 send_pull=self._send,
