Replaced attempts: no circular imports

tracked_attempt.py, attempt.py and replacement_search.py named each other in annotations, which tests.test_directions refuses. attempt_end.py defines what they need of each other (Successor, Replacements, ReplacedError). No change of behaviour.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -11,10 +11,10 @@
 from lotushill.platform.upstream_answer import read_statement
 from lotushill.requests.attempt_end import AttemptEnd
 from lotushill.requests.attempt_end import EndKind
+from lotushill.requests.attempt_end import ReplacedError
 from lotushill.requests.attempt_pauses import AttemptPauses
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
-from lotushill.requests.exceptions import ReplacedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
@@ -26,12 +26,12 @@
     from collections.abc import Coroutine
 
     from lotushill.placement.choice import Choice
+    from lotushill.requests.attempt_end import Replacements
+    from lotushill.requests.attempt_end import Successor
     from lotushill.requests.attempt_reporter import AttemptReporter
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
-    from lotushill.requests.replacement_search import ReplacementSearch
-    from lotushill.requests.tracked_attempt import TrackedAttempt
     from lotushill.requests.upstream_connection import AnswerHead
     from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.requests.upstream_gate import Permit
@@ -74,7 +74,7 @@
         self.last_event_at = 0.0
         self._connection: UpstreamConnection | None = None
         """Connection on which the request was written, None before that."""
-        self._replacements: ReplacementSearch | None = None
+        self._replacements: Replacements | None = None
         self._pauses = AttemptPauses(components, request, choice.upstream, reporter)
         engine = request.service.engine
         self._is_movable = engine is not None and engine.can_move_memory
@@ -122,7 +122,7 @@
             return True
         return head is not None and not _carries_answer(head)
 
-    async def relay(self, replacements: ReplacementSearch | None) -> AttemptEnd:
+    async def relay(self, replacements: Replacements | None) -> AttemptEnd:
         """Relay the answer to the client, unless another upstream replaces this one.
 
         Without `replacements`, the attempt ends when the upstream is silent.
@@ -169,7 +169,7 @@
         return replace(self._end_as_broken(error), handover=handover)
 
     def _end_as_broken(
-        self, error: UpstreamError, successor: TrackedAttempt | None = None
+        self, error: UpstreamError, successor: Successor | None = None
     ) -> AttemptEnd:
         return AttemptEnd(
             EndKind.BROKEN,
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from lotushill.placement.choice import Choice
     from lotushill.requests.attempt_end import AttemptEnd
+    from lotushill.requests.attempt_end import Successor
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.gateway_components import GatewayComponents
-    from lotushill.requests.tracked_attempt import TrackedAttempt
     from lotushill.requests.upstream_gate import Permit
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.request import Request
@@ -90,7 +90,7 @@
         """Try upstreams until the request is answered or given up."""
         request = self._request
         self._components.budgets.note_request(request.service.name, self._clock())
-        successor: TrackedAttempt | None = None
+        successor: Successor | None = None
         while True:
             if successor is not None:
                 choice = successor.choice
--- a/src/lotushill/requests/replacement_search.py
+++ b/src/lotushill/requests/replacement_search.py
@@ -14,7 +14,7 @@
 from lotushill.availability.replacement_conditions import NO_RETRY_LEFT
 from lotushill.availability.replacement_conditions import ReplacementConditions
 from lotushill.availability.replacement_conditions import replacement_obstacle
-from lotushill.requests.exceptions import ReplacedError
+from lotushill.requests.attempt_end import ReplacedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.tracked_attempt import TrackedAttempt
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -15,10 +15,10 @@
 
     from lotushill.placement.choice import Choice
     from lotushill.requests.attempt_end import AttemptEnd
+    from lotushill.requests.attempt_end import Replacements
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
-    from lotushill.requests.replacement_search import ReplacementSearch
     from lotushill.requests.upstream_gate import Permit
     from lotushill.scheduling.placement import Placement
     from lotushill.scheduling.request import Request
@@ -175,7 +175,7 @@
         self._is_recorded = False
         """Whether the end of the attempt is recorded."""
 
-    async def run(self, replacements: ReplacementSearch) -> AttemptEnd:
+    async def run(self, replacements: Replacements) -> AttemptEnd:
         """Send the request and relay its answer, unless another upstream replaces this one."""
         end = await self.send()
         return end if end is not None else await self.relay(replacements)
@@ -193,7 +193,7 @@
         """
         return await self._attempt.is_refused(seconds)
 
-    async def relay(self, replacements: ReplacementSearch | None) -> AttemptEnd:
+    async def relay(self, replacements: Replacements | None) -> AttemptEnd:
         """Relay the answer; without `replacements`, the attempt ends when its upstream is silent.
 
         The request has been written.
