--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -17,10 +17,14 @@
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
 from tests.entries import entry
+from tests.requests.moving_upstream import Memory
+from tests.requests.moving_upstream import MovingUpstream
+from tests.requests.moving_upstream import Run
 from tests.requests.rig import ReceivedRequest
 from tests.requests.rig import ScriptedUpstream
 from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
+from tests.requests.test_moves import LONG
 
 _MODULE = "lotushill.console.gateway"
 _TIMEOUT_SECONDS = 30.0
@@ -46,6 +50,36 @@
 }
 
 
+ENGINE_SPEC = {
+    **SPEC,
+    "version": 4,
+    "routes": [{**SPEC["routes"][0], "kind": "stream", "service": "llm"}],  # type: ignore[index]
+    "services": [
+        {
+            "name": "llm",
+            "healthPath": "/health",
+            "maxConns": 50,
+            "engine": {
+                "slots": 8,
+                "kvCapacity": 100_000,
+                "kvTokenBytes": 1,
+                "linkMbps": 8,
+                "moves": True,
+            },
+        }
+    ],
+}
+"""Configuration with engines that move the memory of runs."""
+
+
+class SlowlyCopyingUpstream(MovingUpstream):
+    """Engine whose copies take longer than a gateway without requests takes to stop."""
+
+    async def _copy(self, run: Run, call: dict[str, str], at_target: bool) -> dict[str, object]:
+        await asyncio.sleep(0.6)
+        return await super()._copy(run, call, at_target)
+
+
 def free_address() -> str:
     """Return an address outside the ephemeral port range that no other test process uses.
 
@@ -212,6 +246,35 @@
             _, errors = await process.communicate()
         self.assertEqual((0, 0, b""), (left, process.returncode, errors))
 
+    async def test_a_planned_stop_frees_the_memory_of_runs_that_were_being_moved(self) -> None:
+        memory = Memory()
+        engines = [SlowlyCopyingUpstream(memory) for _ in range(2)]
+        for number, engine in enumerate(engines):
+            await engine.start()
+            engine.step = 0.1
+            self.store.put("servers", f"i-{number + 1}", entry("llm", engine.address))
+        self.store.put("config", "main", ENGINE_SPEC)
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            host, _, port = self.clients.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request_bytes("r1", LONG))
+            await reader.readuntil(b"piece-3")
+            source = next(number for number, engine in enumerate(engines) if engine.runs)
+            leaving = entry("llm", engines[source].address, state="draining")
+            self.store.put("servers", f"i-{source + 1}", leaving)
+            while not engines[source].calls:
+                await asyncio.sleep(0.01)
+            writer.transport.abort()
+            process.send_signal(signal.SIGTERM)
+            output, errors = await process.communicate()
+        for engine in engines:
+            await engine.close()
+        self.assertEqual((0, b""), (process.returncode, errors))
+        self.assertEqual([], memory.unreleased())
+        self.assertEqual(1, len(memory.freed), output)
+
     async def start_blocked_on_settings(self) -> tuple[asyncio.subprocess.Process, int]:
         """Return a process that blocks on reading its settings, and the descriptor to write them.
 
