--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -43,6 +43,8 @@
 _MAX_WAIT_IF_REPEATABLE_SECONDS = 0.6
 """Longest wait for the memory of a run that can be repeated without it; long enough to ask the
 source after the connection to the target was lost."""
+_MAX_BACKUP_REFUSALS = 4
+"""Number of refusals from which a backup counts as having no copy."""
 
 
 class Continuation:
@@ -68,14 +70,49 @@
         self._clock = components.clock
 
     async def continue_from_backup(self, backup: Upstream, interrupted: AttemptEnd) -> AttemptEnd:
-        """Continue at the upstream to which the run's memory was copied while it ran."""
+        """Continue at the upstream to which the run's memory was copied while it ran.
+
+        If it refuses the run for a moment, it is asked a few more times while the client waits. An
+        upstream without the copy refuses in the same way.
+        """
         if not self._can_continue_at(backup):
             return interrupted
+        tries = self._new_tries(interrupted)
+        refusals = 0
+        while refusals < _MAX_BACKUP_REFUSALS:
+            end = await self._try_backup(backup)
+            if end is not None:
+                self._log_continuation(backup, "backup", end, end.is_continued)
+                if end.is_continued:
+                    return end
+                if not await self._may_ask_again(backup, end):
+                    break
+                refusals += 1
+            pause = tries.next_pause(self._clock())
+            if pause is None:
+                break
+            await asyncio.sleep(pause)
+        return interrupted
+
+    async def _try_backup(self, backup: Upstream) -> AttemptEnd | None:
+        """Ask the backup to continue the run; return None if it must not be asked now."""
+        if not self._components.gate.accepts_requests(backup.id):
+            return None
         permit = await self._components.gate.admit(backup, self._request.need)
         if permit is None or not self._spend_retry():
-            return interrupted
-        end = await self._continue_run(self._choice(backup), permit)
-        return end if end.kind is EndKind.WHOLE else interrupted
+            return None
+        return await self._continue_run(self._choice(backup), permit)
+
+    async def _may_ask_again(self, backup: Upstream, end: AttemptEnd) -> bool:
+        """Return whether a backup certainly did not run the request and may still have the copy."""
+        is_refused = end.kind in (*_NOT_SENT, EndKind.REJECTED)
+        return is_refused and not await self._is_gone(backup, end)
+
+    def backup_placement(self, backup: Upstream) -> Placement | None:
+        """Return the placement of the run at its backup, None if it must not be sent there."""
+        if not self._can_continue_at(backup):
+            return None
+        return self._components.placer.continuation_placement(self._request, self._choice(backup))
 
     def _can_continue_at(self, backup: Upstream) -> bool:
         """Return whether the upstream should have the copy, or will report that it has not.
@@ -106,7 +143,7 @@
         try:
             if interrupted.kind is not EndKind.BROKEN or await may_continue():
                 end = await self._ask_for_memory(handover, interrupted)
-            is_used = end is not None and (end.kind is not EndKind.BROKEN or end.answer_started)
+            is_used = end is not None and (end.is_continued or end.answer_started)
         finally:
             if is_used:
                 handover.note_used()
@@ -124,10 +161,7 @@
         """
         await handover.wait_for_memory()
         started_at = self._clock()
-        silent_since = interrupted.last_event_at or started_at
-        tries = ContinuationTries(
-            min(self._request.ends, silent_since + self._request.need.event_timeout)
-        )
+        tries = self._new_tries(interrupted)
         while True:
             end = await self._try_memories(handover, tries)
             if end is not None:
@@ -143,6 +177,13 @@
                 return None
             await asyncio.sleep(pause)
 
+    def _new_tries(self, interrupted: AttemptEnd) -> ContinuationTries:
+        """Return the tries to continue a run for as long as its client waits for an event."""
+        silent_since = interrupted.last_event_at or self._clock()
+        return ContinuationTries(
+            min(self._request.ends, silent_since + self._request.need.event_timeout)
+        )
+
     async def _try_memories(
         self, handover: Handover, tries: ContinuationTries
     ) -> AttemptEnd | None:
@@ -156,8 +197,10 @@
                 continue
             events = self._splitter.event_count
             end = await self._continue_from(run_memory, permit)
-            has_continued = self._splitter.event_count > events or not _may_be_unused(end)
-            self._log_continuation(run_memory, end, has_continued)
+            is_source = place.id == run_memory.source.id
+            has_events = self._splitter.event_count > events
+            has_continued = has_events or end.successor is not None or not _may_be_unused(end)
+            self._log_continuation(place, "source" if is_source else "target", end, has_continued)
             if has_continued:
                 return end
             if end.kind in _NOT_SENT and handover.retries is not None:
@@ -204,22 +247,20 @@
         return await self._continue_run(replace(choice, moved=moved), permit)
 
     def _log_continuation(
-        self, run_memory: RunMemory, end: AttemptEnd, has_continued: bool
+        self, upstream: Upstream, place: str, end: AttemptEnd, has_continued: bool
     ) -> None:
-        returned = run_memory.upstream.id == run_memory.source.id
         self._components.log.note(
             "run.continued" if has_continued else "run.not_continued",
             request=self._request.demand.request_id,
-            upstream=run_memory.upstream.id,
-            place="source" if returned else "target",
+            upstream=upstream.id,
+            place=place,
             kind=end.kind.value,
             why=end.detail,
         )
 
     def _final_end(self, end: AttemptEnd | None, interrupted: AttemptEnd) -> AttemptEnd:
         """Return how the run has ended; as broken if it was not continued."""
-        is_continued = end is not None and (end.kind is EndKind.WHOLE or end.handover is not None)
-        if end is not None and is_continued:
+        if end is not None and end.is_continued:
             self._components.metrics.record_moved_run("went on")
             return end
         self._components.metrics.record_moved_run("cut")
