Failing test: a gateway that becomes a scheduler does not know all promises of return

Promises are sent twice, to those that are schedulers then. A caller that returns at a later one counts as new. In the test 16 of 26 open promises are known to it 0.3 s later.

--- a/tests/peering/test_return_gossip.py
+++ b/tests/peering/test_return_gossip.py
@@ -51,6 +51,8 @@
     datagrams: int = 0
     partitioned: set[int] = field(default_factory=set)
     """Schedulers on the far side of a partition from the others."""
+    not_schedulers: set[int] = field(default_factory=set)
+    """Gateways that are no schedulers yet."""
 
     def __post_init__(self) -> None:
         self.returns = [ReturnPromises() for _ in range(self.count)]
@@ -68,7 +70,8 @@
     def _others(self, own: int) -> object:
         class Schedulers:
             def others(_) -> list[OtherScheduler]:  # noqa: N805
-                return [OtherScheduler(str(n)) for n in range(self.count) if n != own]
+                others = {*range(self.count)} - {own} - self.not_schedulers
+                return [OtherScheduler(str(n)) for n in sorted(others)]
 
         return Schedulers()
 
@@ -102,7 +105,7 @@
         """Refuse requests at random schedulers; return the retry time and promiser of each."""
         due: dict[int, tuple[float, int]] = {}
         for number in range(1, int(REFUSAL_RATE * BURST_SECONDS) + 1):
-            scheduler = self.rng.randrange(self.count)
+            scheduler = self.rng.choice(sorted({*range(self.count)} - self.not_schedulers))
             ask = Requester(number, "llm", 1, self.now, TIME_LEFT_SECONDS)
             pause = self.returns[scheduler].retry_after(ask, self.rng.random(), self.now)
             due[number] = (self.now + pause, scheduler)
@@ -152,6 +155,20 @@
         placed = network.return_callers(promised_by_killed, frozenset({0}))
         self.assertGreaterEqual(placed, 0.9 * len(promised_by_killed))
 
+    def test_a_gateway_that_becomes_a_scheduler_learns_of_open_promises(self) -> None:
+        for stopped in (frozenset[int](), frozenset({0})):
+            with self.subTest(stopped=stopped):
+                network = Network(4, 0.0)
+                network.not_schedulers = {3}
+                due = network.refuse_burst()
+                network.run(0.3)
+                network.not_schedulers = set(stopped)
+                network.run(0.3)
+                left = {caller: at for caller, (at, _) in due.items() if at > network.now}
+                known = [c for c, at in left.items() if network.returns[3].has_due_promise(c, at)]
+                self.assertGreater(len(left), 20)
+                self.assertGreaterEqual(len(known), 0.95 * len(left))
+
     def test_partitioned_scheduler_loses_only_its_own_promises(self) -> None:
         network = Network(8, 0.02)
         network.partitioned = {0}
