--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -295,7 +295,7 @@
     Break(
         "gateway: a run whose backup is missing is not run again",
         "requests/continuation.py",
-        "return end if end.kind is EndKind.WHOLE else interrupted",
+        "if end.is_continued:\n                    return end",
         "return end",
         "tests.requests.test_request_path",
     ),
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -12,6 +12,7 @@
 
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import MovedMemory
+from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.continuation_tries import ContinuationTries
 from lotushill.requests.upstream_gate import Permit
@@ -143,7 +144,7 @@
         try:
             if interrupted.kind is not EndKind.BROKEN or await may_continue():
                 end = await self._ask_for_memory(handover, interrupted)
-            is_used = end is not None and (end.is_continued or end.answer_started)
+            is_used = end is not None and (end.successor is None or end.answer_started)
         finally:
             if is_used:
                 handover.note_used()
@@ -206,7 +207,8 @@
             if end.kind in _NOT_SENT and handover.retries is not None:
                 handover.retries.take_back()
             is_gone = await self._is_gone(place, end)
-            tries.note_refusal(place.id, end.connection_lost, is_gone, self._clock())
+            may_run = end.kind is EndKind.BROKEN
+            tries.note_refusal(place.id, may_run, is_gone, self._clock())
         return None
 
     def _takes_run(self, run_memory: RunMemory, tries: ContinuationTries) -> bool:
@@ -295,4 +297,5 @@
     """
     if end.kind in (*_NOT_SENT, EndKind.REJECTED, EndKind.FAILED):
         return True
-    return end.kind is EndKind.BROKEN and end.connection_lost
+    is_interrupted = end.connection_lost or end.cut_by is CutBy.GATEWAY_SILENCE
+    return end.kind is EndKind.BROKEN and is_interrupted
--- a/tests/requests/test_logs.py
+++ b/tests/requests/test_logs.py
@@ -174,11 +174,24 @@
         self.assert_ended(rig, "truncated", "upstream")
 
     async def test_a_silent_stream_that_the_gateway_closes(self) -> None:
-        upstreams = [ScriptedUpstream([hang_after_an_event, reset])]
+        async def accept_and_reset(seen: ReceivedRequest) -> None:
+            seen.start_events()
+            await seen.writer.drain()
+            await asyncio.sleep(0.3)
+            seen.reset()
+
+        upstreams = [ScriptedUpstream([item]) for item in (hang_after_an_event, accept_and_reset)]
         async with Rig(upstreams, RouteKind.STREAM, resumable=True) as rig:
+            prefer(rig, "b0")
             await rig.call()
         self.assert_ended(rig, "truncated", "gateway-silence")
 
+    async def test_a_silent_stream_without_a_replacement_is_read_to_its_deadline(self) -> None:
+        upstreams = [ScriptedUpstream([hang_after_an_event, reset])]
+        async with Rig(upstreams, RouteKind.STREAM, resumable=True, timeout=2.0) as rig:
+            await rig.call()
+        self.assert_ended(rig, "truncated", "deadline")
+
     async def test_a_run_that_the_gateway_stopped(self) -> None:
         async with Site().open() as site:
             for other in [site.source, *site.others]:
