--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -853,8 +853,8 @@
     Break(
         "no request is sent without a permit",
         "requests/exchange.py",
-        "if permit is None:\n                self._defer(placement)\n                continue",
-        "if permit is None:\n                permit = Permit(choice.upstream.id)",
+        "if permit is None:\n                    self._defer(placement)\n                    continue",
+        "if permit is None:\n                    permit = Permit(choice.upstream.id)",
         "tests.requests.test_limit",
     ),
     Break(
