A gateway that becomes a scheduler learns of open promises of return

Cause: promises are sent to those that are schedulers when they are made; the model that a new one receives has none.

Change: a scheduler sends the open promises that are due first, in three datagrams at most, to each scheduler that is new to it.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -295,8 +295,8 @@
     Break(
         "gateway: a run whose backup is missing is not run again",
         "requests/continuation.py",
-        "return end if end.kind is EndKind.WHOLE else interrupted",
-        "return end",
+        "                if end.is_continued:\n                    return end\n",
+        "                return end\n",
         "tests.requests.test_request_path",
     ),
     Break(
@@ -853,8 +853,8 @@
     Break(
         "no request is sent without a permit",
         "requests/exchange.py",
-        "if permit is None:\n                self._defer(placement)\n                continue",
-        "if permit is None:\n                permit = Permit(choice.upstream.id)",
+        "                    self._defer(placement)\n                    continue\n",
+        "                    permit = Permit(choice.upstream.id)\n",
         "tests.requests.test_limit",
     ),
     Break(
@@ -1179,6 +1179,13 @@
         "_MAX_HAND_OVER_WRITES = 1",
         "tests.duties.test_duty_runner",
     ),
+    Break(
+        "a gateway that becomes a scheduler learns of open promises",
+        "peering/return_gossip.py",
+        "        if new:\n",
+        "        if False:\n",
+        "tests.peering.test_return_gossip",
+    ),
 )
 
 
--- a/src/lotushill/peering/return_gossip.py
+++ b/src/lotushill/peering/return_gossip.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from lotushill.membership.schedulers import Schedulers
+    from lotushill.returns.promise import PromiseState
     from lotushill.returns.promises import ReturnPromises
 
 
@@ -34,6 +35,8 @@
         self._schedulers = schedulers
         self._send = send
         self._clock = clock
+        self._known_addresses: frozenset[str] = frozenset()
+        """Addresses of the other schedulers at the last round."""
 
     def receive(self, update: ReturnNews) -> None:
         """Merge an update from another gateway."""
@@ -41,11 +44,22 @@
             self._returns.merge(update.promises, self._clock())
 
     def send_due(self) -> None:
-        """Send the promises that are due to the other schedulers."""
-        states = self._returns.due_states(self._clock())
+        """Send the promises that are due to the other schedulers, and the open ones to new ones.
+
+        A gateway that has become a scheduler receives only those that are made from then on.
+        """
+        now = self._clock()
+        addresses = [scheduler.address for scheduler in self._schedulers.others()]
+        new = [address for address in addresses if address not in self._known_addresses]
+        self._known_addresses = frozenset(addresses)
+        if new:
+            self._send_states(self._returns.open_states(now), new)
+        self._send_states(self._returns.due_states(now), addresses)
+
+    def _send_states(self, states: list[PromiseState], addresses: list[str]) -> None:
         for start in range(0, len(states), MAX_PROMISES_PER_DATAGRAM):
             update = ReturnNews(
                 self._name, tuple(states[start : start + MAX_PROMISES_PER_DATAGRAM])
             )
-            for scheduler in self._schedulers.others():
-                self._send(update, scheduler.address)
+            for address in addresses:
+                self._send(update, address)
--- a/src/lotushill/returns/promises.py
+++ b/src/lotushill/returns/promises.py
@@ -197,6 +197,18 @@
                     break
         return to_send
 
+    def open_states(self, now: float) -> list[PromiseState]:
+        """Return the unused promises that are due first, for a gateway without them."""
+        open_promises = [
+            (item.due_at, caller)
+            for caller, item in self._promises.items()
+            if not item.used and now <= item.expires_at
+        ]
+        return [
+            _promise_state(caller, self._promises[caller], now)
+            for _, caller in sorted(open_promises)[:MAX_STATES_PER_ROUND]
+        ]
+
     def merge(self, states: Iterable[PromiseState], now: float) -> None:
         """Merge the promises that another gateway has sent."""
         for state in states:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -913,6 +913,12 @@
                 "the scheduler that made the promise is killed",
                 (f"{_RETURN_GOSSIP}.test_promises_of_a_killed_scheduler_are_kept_by_the_others",),
             ),
+            Case(
+                "another gateway becomes a scheduler",
+                (
+                    f"{_RETURN_GOSSIP}.test_a_gateway_that_becomes_a_scheduler_learns_of_open_promises",
+                ),
+            ),
             Case(
                 "a partition between schedulers",
                 (f"{_RETURN_GOSSIP}.test_partitioned_scheduler_loses_only_its_own_promises",),
