--- a/tests/requests/test_silent_upstream.py
+++ b/tests/requests/test_silent_upstream.py
@@ -17,6 +17,7 @@
 from lotushill.process.settings import RetrySettings
 from lotushill.routing.route import RouteKind
 from lotushill.scheduling.placement import Placement
+from tests.requests.moving_upstream import EVENTS
 from tests.requests.moving_upstream import STEP
 from tests.requests.rig import ReceivedAnswer
 from tests.requests.rig import ReceivedRequest
@@ -379,7 +380,7 @@
         self.assertEqual(1, tries)
 
 
-class TestFirstEvents(unittest.IsolatedAsyncioTestCase):
+class TestMovableStreams(unittest.IsolatedAsyncioTestCase):
     async def test_without_a_retry_left_a_late_first_event_is_awaited(self) -> None:
         async with Site(resumable=True, slack=0.0).open() as site:
             for _ in range(200):
@@ -401,3 +402,25 @@
             got = await calling
         self.assertEqual((200, True), (got.status, got.whole))
         self.assertEqual([], [other.requests for other in site.others if other.requests])
+
+    async def test_a_run_that_its_silent_engine_may_have_stopped_continues_elsewhere_once(
+        self,
+    ) -> None:
+        async with Site([200, *["silent"] * 20], resumable=True).open() as site:
+            calling = asyncio.create_task(site.call())
+            while len(site.source.calls) < 2:
+                await asyncio.sleep(STEP)
+            site.source.stalls_after = next(iter(site.source.runs.values())).made
+            begun = time.monotonic()
+            got = await calling
+            seconds = time.monotonic() - begun
+            async with asyncio.timeout(5.0):
+                while site.rig.mover.handovers_in_progress:
+                    await asyncio.sleep(STEP)
+            await asyncio.sleep(MAX_OVERLAP_SECONDS)
+        self.assertEqual((200, True), (got.status, got.whole))
+        self.assertEqual(EVENTS, got.body.count(b"id: "))
+        self.assertLess(seconds, 3.0)
+        self.assertEqual([], site.memory.executed_twice)
+        self.assertEqual([], site.memory.unreleased())
+        self.assertEqual(0, site.resumed_count())
