The fault soak moves runs: engines, faults of the calls, and checks of truncated answers

Cause: the engines of the soak never moved memory, so that no run was stopped and a gateway that truncates an answer of a sound run could not be seen. Change: engines move memory of long streams that run once; calls and requests with a handle are disturbed; engines leave, slow down and stall in overlapping series. An answer may be truncated only if no engine ran its run or held its memory; a run works at one engine at a time and begins once; no memory stays held after its run.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,6 +1,7 @@
 """Runs the soak test with many seeds, several at a time, and prints a line for each.
 
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
+        [--moves] [--trace]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
 Exits with 1 if an invariant was violated, or if less than 0.97 of the ordinary requests at the end
@@ -15,32 +16,37 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from tests.soak.soak import Result
 from tests.soak.soak import Soak
 
+if TYPE_CHECKING:
+    from collections import Counter
+
+    from tests.soak.result import Result
+
 _MIN_SERVED_FRACTION = 0.97
 _SPARE_SECONDS = 40.0
 """Extra time in seconds that a run may take for its start and its shutdown."""
 
 
-def run_seed(seed: int, seconds: float, engine_signals: bool, limits: bool) -> Result:
+def run_seed(seed: int, seconds: float, engine_signals: bool, limits: bool, moves: bool) -> Result:
     """Run one seed; a run that does not end in time prints its stack traces."""
     faulthandler.dump_traceback_later(seconds + _SPARE_SECONDS, exit=True)
     try:
-        return asyncio.run(_run_with_timeout(seed, seconds, engine_signals, limits))
+        return asyncio.run(_run_with_timeout(seed, seconds, engine_signals, limits, moves))
     finally:
         faulthandler.cancel_dump_traceback_later()
 
 
 async def _run_with_timeout(
-    seed: int, seconds: float, engine_signals: bool, limits: bool
+    seed: int, seconds: float, engine_signals: bool, limits: bool, moves: bool
 ) -> Result:
     try:
         async with asyncio.timeout(seconds + _SPARE_SECONDS / 2):
-            return await Soak(seed, seconds, engine_signals, limits).run()
+            return await Soak(seed, seconds, engine_signals, limits, moves=moves).run()
     except TimeoutError:
         for task in asyncio.all_tasks():
             task.print_stack()
@@ -60,6 +66,14 @@
         help="without engines that shed load or announce that they leave",
     )
     parser.add_argument("--limits", action="store_true", help="with engines that state limits")
+    parser.add_argument(
+        "--moves",
+        action="store_true",
+        help="with long streams that are moved between engines, and faults of their moves only",
+    )
+    parser.add_argument(
+        "--trace", action="store_true", help="print what happened to the requests of violations"
+    )
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     failed_count = 0
@@ -71,9 +85,14 @@
             lengths,
             [not options.plain] * options.seeds,
             [options.limits] * options.seeds,
+            [options.moves] * options.seeds,
         )
         for seed, result in zip(seeds, results):
             failed_count += _print_result(seed, result)
+            if options.moves:
+                _print_moves(seed, result)
+            if options.trace:
+                _print_traces(seed, result)
     print(f"{len(seeds) - failed_count} of {len(seeds)} seeds without a fault")
     return 1 if failed_count else 0
 
@@ -97,5 +116,24 @@
     return bool(problems)
 
 
+def _print_moves(seed: int, result: Result) -> None:
+    moves = result.moves
+    print(
+        f"seed {seed}: long streams: {moves.whole} complete, {_text(moves.truncated)} truncated; "
+        f"{moves.stopped} runs stopped, {moves.continued} continued elsewhere, {moves.returned} "
+        f"returned; faults: {_text(moves.faults)}; longest lag {result.max_lag:.2f} s",
+        flush=True,
+    )
+
+
+def _text(counts: Counter[str]) -> str:
+    return f"{counts.total()} (" + ", ".join(f"{k} {v}" for k, v in sorted(counts.items())) + ")"
+
+
+def _print_traces(seed: int, result: Result) -> None:
+    for violation, lines in result.traces.items():
+        print(f"seed {seed}: {violation}", *lines, sep="\n    ", flush=True)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -13,8 +13,11 @@
 from tests.soak.engine import DEADLY_BODY
 from tests.soak.engine import VARYING_PREFIX
 from tests.soak.engine import events
-from tests.soak.ledger import DEADLINE_SECONDS
-from tests.soak.ledger import Answer
+from tests.soak.records import DEADLINE_SECONDS
+from tests.soak.records import LONG_DEADLINE_SECONDS
+from tests.soak.records import Answer
+from tests.soak.run_memory import LONG_EVENT_COUNT
+from tests.soak.run_memory import LONG_PATH
 
 if TYPE_CHECKING:
     import random
@@ -30,9 +33,13 @@
     "stream": "/stream/x",
     "deadly": "/p/deadly",
     "varying": "/p/varying",
+    "long": f"{LONG_PATH}x",
 }
 _KINDS = ("any", "any", "common", "once", "stream")
-_TIMEOUT_SECONDS = 5.0
+_TIMEOUT_MARGIN_SECONDS = 2.0
+"""Time beyond its deadline for which a client waits for an answer."""
+_LONG_USAGE = f"Token-Usage: 50,{2 * LONG_EVENT_COUNT}\r\n"
+"""Header of a request whose expected output, half of its largest, is as long as its answer."""
 _NO_ANSWER = ReceivedAnswer(0, {}, b"", False)
 
 
@@ -65,10 +72,11 @@
             "common": COMMON_BODY,
         }.get(kind, f"body of {attempt}".encode())
         sent_at = time.monotonic()
-        answer = await self._exchange(attempt, body, _PATHS[kind])
+        answer = await self._exchange(attempt, body, kind)
         signed = "response-signature" in answer.headers
-        expected = b"".join(events(attempt)) if kind == "stream" else f"{attempt} done".encode()
-        in_order = kind != "stream" or not signed or expected.startswith(answer.body)
+        expected = _expected_body(attempt, kind)
+        is_stream = kind in ("stream", "long")
+        in_order = not is_stream or not signed or expected.startswith(answer.body)
         self._ledger.answers.append(
             Answer(
                 attempt,
@@ -80,15 +88,19 @@
                 self._gateway,
                 time.monotonic(),
                 in_order,
+                _deadline_seconds(kind),
             )
         )
 
-    async def _exchange(self, attempt: str, body: bytes, path: str) -> ReceivedAnswer:
-        headers = f"Deadline-Ms: {int(DEADLINE_SECONDS * 1000)}\r\n"
+    async def _exchange(self, attempt: str, body: bytes, kind: str) -> ReceivedAnswer:
+        seconds = _deadline_seconds(kind)
+        headers = f"Deadline-Ms: {int(seconds * 1000)}\r\n"
+        if kind == "long":
+            headers += _LONG_USAGE
         try:
-            async with asyncio.timeout(_TIMEOUT_SECONDS):
+            async with asyncio.timeout(seconds + _TIMEOUT_MARGIN_SECONDS):
                 reader, writer = self._stream or await self._connect()
-                writer.write(request_bytes(attempt, headers, body, path))
+                writer.write(request_bytes(attempt, headers, body, _PATHS[kind]))
                 answer = await read_answer(reader)
         except (OSError, TimeoutError):
             answer = _NO_ANSWER
@@ -107,3 +119,14 @@
         if self._stream is not None:
             self._stream[1].close()
             self._stream = None
+
+
+def _deadline_seconds(kind: str) -> float:
+    return LONG_DEADLINE_SECONDS if kind == "long" else DEADLINE_SECONDS
+
+
+def _expected_body(attempt: str, kind: str) -> bytes:
+    """Return the complete answer to a request."""
+    if kind == "long":
+        return b"".join(events(attempt, LONG_EVENT_COUNT))
+    return b"".join(events(attempt)) if kind == "stream" else f"{attempt} done".encode()
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -10,9 +10,9 @@
 from tests.entries import entry
 from tests.requests.rig import SIGNED
 from tests.requests.rig import ScriptedUpstream
-from tests.soak.ledger import Arrival
-from tests.soak.ledger import Cooldown
-from tests.soak.ledger import StatedLimit
+from tests.soak.records import Arrival
+from tests.soak.records import Cooldown
+from tests.soak.records import StatedLimit
 
 if TYPE_CHECKING:
     import random
@@ -26,6 +26,7 @@
 KIND = "servers"
 _STREAM_PATH = "/stream/"
 _EVENT_COUNT = 8
+_SLOTS = 4
 _RESTART_DELAY_SECONDS = 1.5
 _DRAIN_DELAY_SECONDS = 1.0
 _COOLDOWN_DECIMALS = 2
@@ -36,9 +37,9 @@
 sent to an engine that leaves."""
 
 
-def events(attempt: str) -> list[bytes]:
+def events(attempt: str, count: int = _EVENT_COUNT) -> list[bytes]:
     """Return all events of the stream of one attempt."""
-    return [f"id: {n}\ndata: {attempt} {n}\n\n".encode() for n in range(1, _EVENT_COUNT + 1)]
+    return [f"id: {n}\ndata: {attempt} {n}\n\n".encode() for n in range(1, count + 1)]
 
 
 class Engine:
@@ -46,6 +47,8 @@
 
     def __init__(self, name: str, store: MetadataStore, ledger: Ledger, rng: random.Random) -> None:
         self.name = name
+        self.slots = _SLOTS
+        """Number of runs at once that its entry states."""
         self._store = store
         self._ledger = ledger
         self._rng = rng
@@ -76,7 +79,9 @@
     def write_entry(self, **changes: object) -> None:
         """Write the entry to the store, with some fields changed."""
         assert self._server is not None
-        spec = entry("app", self._server.address, born=self._born, **changes)
+        spec = entry(
+            "app", self._server.address, born=self._born, **{"slots": self.slots, **changes}
+        )
         self._store.put(KIND, self.name, spec)
 
     def corrupt_entry(self) -> None:
@@ -161,6 +166,11 @@
                 f"Content-Length: 0\r\nRetry-After: {self._cooldown_seconds}\r\n"
             )
             return
+        await self._execute(seen, server)
+
+    async def _execute(self, seen: ReceivedRequest, server: ScriptedUpstream) -> None:
+        """Run a request that is accepted, or crash under it."""
+        now = time.monotonic()
         varying = seen.body.startswith(VARYING_PREFIX)
         if varying or seen.body == DEADLY_BODY:
             sends = self._ledger.varying_sends if varying else self._ledger.deadly_sends
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -41,8 +41,11 @@
 class Gateways:
     """Starts gateways and restarts each one that has ended."""
 
-    def __init__(self, folder: Path, store: str, count: int) -> None:
+    def __init__(
+        self, folder: Path, store: str, count: int, changed_settings: dict[str, object]
+    ) -> None:
         self._folder = folder
+        self._changed_settings = changed_settings
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
         self.all = [self._create(f"gw-{number}", store) for number in range(count)]
@@ -68,6 +71,7 @@
             "leave_seconds": 0.3,
             "grace_seconds": 4.0,
             "retry": {"ratio": 0.2, "slack": 100, "window_seconds": 10},
+            **self._changed_settings,
         }
         path = self._folder / f"{name}.yaml"
         path.write_text(json.dumps(settings), encoding="utf-8")
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -7,9 +7,19 @@
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+
+from tests.soak.move_checks import move_violations
+from tests.soak.move_checks import truncation_causes
+from tests.soak.run_memory import RunMemories
+
+if TYPE_CHECKING:
+    from tests.soak.records import Absence
+    from tests.soak.records import Answer
+    from tests.soak.records import Arrival
+    from tests.soak.records import Cooldown
+    from tests.soak.records import StatedLimit
 
-DEADLINE_SECONDS = 3.0
-"""Deadline in seconds that each request states."""
 _DEADLINE_TOLERANCE_SECONDS = 1.0
 """Time that an answer may take beyond the deadline, since other runs share the machine."""
 PROPAGATION_SECONDS = 3.0
@@ -28,63 +38,6 @@
 _REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 
 
-@dataclass(frozen=True)
-class Answer:
-    """Answer to one request of a client; status 0 if the connection ended without an answer."""
-
-    attempt: str
-    kind: str
-    sent_at: float
-    status: int
-    whole: bool
-    is_own: bool
-    """Whether signature and body belong to this request."""
-    gateway: str = ""
-    """Address of the gateway that received the request."""
-    ended_at: float = 0.0
-    in_order: bool = True
-    """Whether the received events of a stream are its first ones, each once; else true."""
-
-
-@dataclass(frozen=True)
-class Arrival:
-    """Arrival of one request at an engine incarnation."""
-
-    attempt: str
-    engine: str
-    at: float
-
-
-@dataclass(frozen=True)
-class Cooldown:
-    """Cooldown that an engine requested when it rejected a request."""
-
-    attempt: str
-    engine: str
-    at: float
-    seconds: float
-
-
-@dataclass(frozen=True)
-class StatedLimit:
-    """Limit that an engine stated in one answer, with the time at which the answer was sent."""
-
-    attempt: str
-    engine: str
-    at: float
-    rate: float
-    """Limit in requests per second; infinite if the answer states none."""
-
-
-@dataclass(frozen=True)
-class Absence:
-    """Period in which a gateway was killed or frozen."""
-
-    gateway: str
-    since: float
-    until: float
-
-
 @dataclass
 class Ledger:
     """All observations of a run; times are seconds of one monotonic clock."""
@@ -104,6 +57,8 @@
     absences: list[Absence] = field(default_factory=list)
     restarts: list[Absence] = field(default_factory=list)
     """Starts of gateways, which begin with empty state."""
+    memories: RunMemories = field(default_factory=RunMemories)
+    """Runs of long streams, and the memory that engines held for them."""
     decoy_requests: int = 0
     """Number of requests sent to the decoy, whose address only malformed entries contain."""
 
@@ -134,6 +89,7 @@
         ]
         violations += [f"{answer.attempt}: answered after the deadline" for answer in self._late()]
         violations += self._violated_cooldowns() + self._sent_to_leaving() + self.over_limits()
+        violations += move_violations(self.memories, self.answers, self._was_absent_between)
         if self.decoy_requests:
             violations.append(
                 f"{self.decoy_requests} requests sent to an address from a malformed entry"
@@ -145,6 +101,10 @@
             )
         return violations
 
+    def truncation_causes(self) -> Counter[str]:
+        """Return how many answers of long streams were truncated, by cause."""
+        return truncation_causes(self.memories, self.answers, self._was_absent_between)
+
     def _violated_cooldowns(self) -> list[str]:
         """Return cooldowns in which the notified gateway sent more than was in transit."""
         gateways = {answer.attempt: answer.gateway for answer in self.answers}
@@ -258,7 +218,8 @@
         return [
             answer
             for answer in self.answers
-            if answer.ended_at - answer.sent_at > DEADLINE_SECONDS + _DEADLINE_TOLERANCE_SECONDS
+            if answer.ended_at - answer.sent_at
+            > answer.deadline_seconds + _DEADLINE_TOLERANCE_SECONDS
             and not self._was_absent_during(answer)
         ]
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -32,6 +32,11 @@
     LIMIT_ALL_ENGINES = "make all engines state such a limit"
     LIFT_LIMITS = "end the limits of all engines"
     ANNOUNCE_LEAVING = "make an engine announce only in answers that it leaves, then end it"
+    LEAVE_WITH_NOTICE = "drain an engine that moves memory, and end it after its notice"
+    SLOW_ENGINE = "make an engine generate events slowly for a while"
+    STALL_ENGINE = "make an engine generate no events for a moment"
+    DISTURB_CALLS = "disturb the calls for moving memory at half of the engines for a while"
+    DISTURB_HANDLES = "disturb first requests with a handle at half of the engines for a while"
 
 
 _WEIGHTS = {
@@ -61,6 +66,32 @@
     Action.REJECT_AT_ALL_ENGINES,
     Action.ANNOUNCE_LEAVING,
 )
+_MOVE_WEIGHTS = {
+    Action.LEAVE_WITH_NOTICE: 8,
+    Action.SLOW_ENGINE: 8,
+    Action.STALL_ENGINE: 6,
+    Action.DISTURB_CALLS: 8,
+    Action.DISTURB_HANDLES: 6,
+    Action.RELOAD_GATEWAY: 4,
+    Action.CORRUPT_ENTRY: 2,
+    Action.CHANGE_CONFIGURATION: 2,
+    Action.REJECT_AT_ENGINE: 2,
+    Action.ANNOUNCE_LEAVING: 1,
+    Action.TERMINATE_ENGINE: 1,
+    Action.STOP_GATEWAY: 1,
+    Action.KILL_GATEWAY: 1,
+    Action.FREEZE_GATEWAY: 1,
+}
+_MOVE_FAULT_SECONDS = {
+    Action.SLOW_ENGINE: (2.0, 6.0),
+    Action.STALL_ENGINE: (0.6, 1.5),
+    Action.LEAVE_WITH_NOTICE: (2.2, 4.0),
+    Action.REJECT_AT_ENGINE: (0.2, 1.0),
+    Action.DISTURB_CALLS: (1.0, 4.0),
+    Action.DISTURB_HANDLES: (1.0, 4.0),
+}
+"""Least and greatest length of faults of engines that move memory. A notice is at least as long as
+gateways assume if none is stated, and cooldowns are shorter than clients wait for an event."""
 
 
 @dataclass(frozen=True)
@@ -105,6 +136,21 @@
     return steps
 
 
+def draw_moves(seed: int, seconds: float) -> list[Step]:
+    """Return steps in overlapping series by which runs are moved and their moves are disturbed."""
+    rng = random.Random(f"{seed} moves")
+    steps = []
+    at = 1.5
+    while at < seconds - QUIET_SECONDS - _MAX_FAULT_SECONDS:
+        for _ in range(rng.randint(3, 5)):
+            action = rng.choices(list(_MOVE_WEIGHTS), list(_MOVE_WEIGHTS.values()))[0]
+            length = rng.uniform(*_MOVE_FAULT_SECONDS.get(action, (0.5, _MAX_FAULT_SECONDS)))
+            steps.append(Step(at, action, rng.randrange(1_000), length))
+            at += rng.uniform(0.0, 0.3)
+        at += rng.uniform(0.2, 0.7)
+    return steps
+
+
 def draw_limits(seed: int, seconds: float) -> list[Step]:
     """Return steps in which engines state limits; all limits end before the quiet time.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,7 +8,6 @@
 import signal
 import tempfile
 import time
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -17,31 +16,42 @@
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_app import StoreFault
 from lotushill.standin.metadata_store import MetadataStore
-from tests.console.test_gateway_program import SPEC
 from tests.entries import entry
 from tests.requests.rig import ScriptedUpstream
 from tests.soak.client import Client
+from tests.soak.configuration import MOVES_GATEWAY_SETTINGS
+from tests.soak.configuration import MOVES_SLOTS
+from tests.soak.configuration import soak_configuration
 from tests.soak.engine import KIND
-from tests.soak.engine import Engine
 from tests.soak.gateways import Gateways
-from tests.soak.ledger import Absence
 from tests.soak.ledger import Ledger
+from tests.soak.moving_engine import MovingEngine
 from tests.soak.plan import QUIET_SECONDS
 from tests.soak.plan import Action
 from tests.soak.plan import draw_engine_signals
 from tests.soak.plan import draw_faults
 from tests.soak.plan import draw_limits
+from tests.soak.plan import draw_moves
+from tests.soak.records import Absence
+from tests.soak.result import Result
+from tests.soak.result import count_moves
+from tests.soak.trace import trace
 
 if TYPE_CHECKING:
     from tests.requests.rig import ReceivedRequest
+    from tests.soak.engine import Engine
     from tests.soak.plan import Step
 
 _GATEWAY_COUNT = 4
 _ENGINE_COUNT = 8
 _CLIENT_COUNT = 16
+_LONG_CLIENT_COUNT = 36
+"""Number of clients of long streams in a run with moves."""
+_LONG_INTERVAL_SECONDS = 0.1
 _REQUEST_INTERVAL_SECONDS = 0.25
 _DEADLY_INTERVAL_SECONDS = 0.35
 _SETTLE_SECONDS = 2.0
+_LAG_CHECK_SECONDS = 0.05
 _MALFORMED_FIELDS = (
     {"address": "here"},
     {"address": None},
@@ -58,35 +68,6 @@
 _STORE_FAULTS = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.MANY)
 
 
-@dataclass(frozen=True)
-class Result:
-    """Outcome of a soak run."""
-
-    faults: list[str]
-    errors: list[str]
-    late_sends: int
-    engines_crashed: int
-    """Number of engines crashed by the deadly request."""
-    crashed_by_varying: int
-    """Number of engines crashed by deadly requests with varying bodies."""
-    cooldowns: int
-    leaving_answers: int
-    limited_runs: dict[str, int]
-    """Requests run at each engine incarnation that ever stated a limit."""
-    served: tuple[int, int]
-    """Ordinary requests in the quiet time at the end: number served, number sent."""
-    common_served: tuple[int, int]
-    idle_engines: set[str]
-    """Names of engines that received no requests in the quiet time."""
-    sent_requests: int
-
-    @property
-    def served_fraction(self) -> float:
-        """Return the fraction of ordinary and common requests that were served at the end."""
-        served = self.served[0] + self.common_served[0]
-        return served / max(1, self.served[1] + self.common_served[1])
-
-
 class Soak:
     """Store, engines, gateways and clients of one run."""
 
@@ -97,14 +78,19 @@
         engine_signals: bool = True,
         limits: bool = False,
         plan: list[Step] | None = None,
+        moves: bool = False,
     ) -> None:
         """Prepare a run with the plan drawn from `seed`.
 
         With `words`, engines reject requests and announce that they leave, and a second client
         sends deadly requests with varying bodies. With `limits`, engines state limits as well.
         Neither changes the other steps of a seed. With an explicit `plan`, only ordinary clients
-        send requests.
+        send requests. With `moves`, engines move the memory of long streams, which clients of their
+        own request, and the plan without an explicit one consists of faults of moves.
         """
+        self._has_moves = moves
+        if moves and plan is None:
+            plan = draw_moves(seed, seconds)
         self._has_engine_signals = engine_signals and plan is None
         self._has_deadly_client = plan is None
         self._rng = random.Random(seed)
@@ -118,15 +104,19 @@
         self._app = MetadataApp(self._store)
         self._server = HttpServer(self._app, "127.0.0.1:0")
         self._ledger = Ledger()
+        by_address: dict[str, MovingEngine] = {}
         self._engines = [
-            Engine(f"i-{number}", self._store, self._ledger, self._rng)
+            MovingEngine(f"i-{number}", self._store, self._ledger, self._rng, by_address)
             for number in range(_ENGINE_COUNT)
         ]
+        for engine in self._engines if moves else ():
+            engine.slots = MOVES_SLOTS
         self._decoy = ScriptedUpstream([self._count_decoy_request])
         self._gateways: Gateways | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._version = 3
         self._task_errors: list[str] = []
+        self._max_lag = 0.0
 
     async def run(self) -> Result:
         """Run the plan to its end and return the outcome."""
@@ -137,7 +127,12 @@
         for engine in self._engines:
             await engine.start()
         with tempfile.TemporaryDirectory(prefix="lotushill-soak-") as folder:
-            self._gateways = Gateways(Path(folder), self._server.address, _GATEWAY_COUNT)
+            self._gateways = Gateways(
+                Path(folder),
+                self._server.address,
+                _GATEWAY_COUNT,
+                MOVES_GATEWAY_SETTINGS if self._has_moves else {},
+            )
             self._gateways.on_absence = self._note_absence
             self._gateways.on_restart = self._note_restart
             await self._gateways.start()
@@ -162,6 +157,10 @@
         for number in range(_CLIENT_COUNT):
             client = Client(addresses, self._ledger, random.Random(number))
             self._start_task(client.run(_REQUEST_INTERVAL_SECONDS))
+        for number in range(_LONG_CLIENT_COUNT if self._has_moves else 0):
+            client = Client(addresses, self._ledger, random.Random(100 + number))
+            self._start_task(client.run(_LONG_INTERVAL_SECONDS, "long"))
+        self._start_task(self._measure_lag())
         began = time.monotonic()
         if self._has_deadly_client:
             deadly = Client(addresses, self._ledger, random.Random(99))
@@ -176,8 +175,15 @@
         await asyncio.sleep(max(0.0, quiet_at - time.monotonic()))
         since = time.monotonic()
         await asyncio.sleep(QUIET_SECONDS - _SETTLE_SECONDS)
+        self._ledger.memories.observed_until = time.monotonic()
         return since
 
+    async def _measure_lag(self) -> None:
+        while True:
+            due_at = time.monotonic() + _LAG_CHECK_SECONDS
+            await asyncio.sleep(_LAG_CHECK_SECONDS)
+            self._max_lag = max(self._max_lag, time.monotonic() - due_at)
+
     def _result(self, since: float) -> Result:
         assert self._gateways is not None
         once, sent_once = self._ledger.served("once", since)
@@ -189,8 +195,9 @@
             for line in self._gateways.log_lines
             if line.get("event") in ("request.fault", "task.failed", "watch.fault")
         ]
+        faults = self._ledger.faults()
         return Result(
-            faults=self._ledger.faults(),
+            faults=faults,
             errors=self._gateways.errors + error_lines + self._task_errors,
             late_sends=self._ledger.late_sends(),
             engines_crashed=len(self._ledger.deadly_crashes),
@@ -202,6 +209,9 @@
             common_served=self._ledger.served("common", since),
             idle_engines={engine.name for engine in self._engines} - used,
             sent_requests=len(self._ledger.answers),
+            moves=count_moves(self._ledger),
+            max_lag=self._max_lag,
+            traces=trace(self._ledger, self._gateways.log_lines, faults),
         )
 
     def _note_absence(self, gateway: str, since: float, until: float) -> None:
@@ -252,6 +262,18 @@
                     each_engine.state_limit(math.inf)
             case Action.ANNOUNCE_LEAVING:
                 await engine.announce_leaving()
+            case Action.LEAVE_WITH_NOTICE:
+                await engine.leave(step.seconds, states_time=step.pick % 2 == 0)
+            case Action.SLOW_ENGINE:
+                engine.slow_down(step.seconds)
+            case Action.STALL_ENGINE:
+                engine.stall(step.seconds)
+            case Action.DISTURB_CALLS:
+                for each_engine in self._engines[step.pick % 2 :: 2]:
+                    each_engine.faults.disturb_calls(step.seconds)
+            case Action.DISTURB_HANDLES:
+                for each_engine in self._engines[step.pick % 2 :: 2]:
+                    each_engine.faults.disturb_handles(step.seconds)
             case Action.INJECT_STORE_FAULT:
                 self._app.fault = _STORE_FAULTS[step.pick % len(_STORE_FAULTS)]
                 await asyncio.sleep(step.seconds)
@@ -268,17 +290,7 @@
         engine.restore_entry()
 
     def _put_configuration(self) -> None:
-        route: dict[str, Any] = SPEC["routes"][0]  # type: ignore[index]
-        idempotent = {**route, "kind": "idempotent", "maxAttempts": 3}
-        once = {**route, "name": "once", "pathPrefix": "/once/"}
-        stream = {
-            **idempotent,
-            "name": "stream",
-            "pathPrefix": "/stream/",
-            "kind": "stream",
-            "streamResume": True,
-        }
-        spec = {**SPEC, "version": self._version, "routes": [idempotent, once, stream]}
+        spec = soak_configuration(self._version, self._has_moves)
         self._store.put("config", "main", spec)
 
     async def _count_decoy_request(self, seen: ReceivedRequest) -> None:
