--- a/tests/soak/call_faults.py
+++ b/tests/soak/call_faults.py
@@ -23,7 +23,8 @@
     UNANSWERED = "executed and not answered"
     LOST = "executed, and the connection reset"
     LATE = "executed and answered after a moment"
-    TOO_LATE = "executed long after the timeout of the call"
+    SLOW = "executed long after the timeout of the call, and known to be in progress until then"
+    TOO_LATE = "arrived at the run long after the timeout of the call"
     END_HIDDEN = "executed, but the end of the stream arrived late"
 
 
--- a/tests/soak/move_checks.py
+++ b/tests/soak/move_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections import defaultdict
 from typing import TYPE_CHECKING
@@ -41,7 +42,7 @@
         held[span.attempt].append(span)
     violations = []
     for attempt, spans in runs.items():
-        violations += _run_twice(attempt, spans)
+        violations += _run_twice(attempt, spans, memories.observed_until)
     for answer in answers:
         if answer.kind != "long" or not runs[answer.attempt]:
             continue
@@ -52,7 +53,7 @@
     return violations
 
 
-def _run_twice(attempt: str, spans: list[RunSpan]) -> list[str]:
+def _run_twice(attempt: str, spans: list[RunSpan], observed_until: float) -> list[str]:
     """Return whether a run began twice, or two engines worked on it at once."""
     violations = []
     begun = sum(not run.handle for run in spans)
@@ -60,7 +61,7 @@
         violations.append(f"{attempt}: began {begun} times although it may run once")
     for number, run in enumerate(spans):
         for other in spans[number + 1 :]:
-            overlap = min(run.until, other.until) - max(run.since, other.since)
+            overlap = min(run.until, other.until, observed_until) - max(run.since, other.since)
             if overlap > _MAX_OVERLAP_SECONDS:
                 violations.append(
                     f"{attempt}: ran at {run.engine} and {other.engine} at once for {overlap:.2f} s"
@@ -99,7 +100,9 @@
 ) -> list[str]:
     """Return whether an answer was truncated while an engine ran or held its run soundly.
 
-    Only memory under a handle that was named to the gateway counts: it can ask for no other.
+    If the run ended with its engine, only memory under a handle that was named to the gateway
+    counts, since it can ask for no other. If a call stopped the run, all memory counts: the gateway
+    must not ask for a stop without knowing how the run continues.
     """
     is_truncated = answer.status == 200 and not answer.whole
     if not is_truncated or answer.ended_at >= _may_end_at(answer):
@@ -111,7 +114,12 @@
     if last.end in (RunEnd.RUNNING, RunEnd.CLOSED, RunEnd.WHOLE):
         return [f"{where} although {last.engine} ran it soundly ({last.end.value})"]
     last_end = max(run.until for run in runs)
-    sound = [span for span in held if _is_sound(span, last_end, answer.ended_at)]
+    named_by = math.inf if last.end is RunEnd.STOPPED else answer.ended_at
+    sound = [
+        span
+        for span in held
+        if span.named_at <= named_by and _is_sound(span, last_end, answer.ended_at)
+    ]
     return [
         f"{where} although {span.engine} held its memory under {span.handle} ({span.end.value})"
         for span in sound[:1]
@@ -123,8 +131,6 @@
 
     The gateway frees what it has given up, so memory that was freed after the run counts as well.
     """
-    if span.named_at > given_up_at:
-        return False
     if span.end is MemoryEnd.FREED:
         return span.until >= last_end
     if span.end is MemoryEnd.ENGINE_ENDED:
@@ -143,7 +149,7 @@
 
     The gateway asks the engine that issued a handle to free it at all engines.
     """
-    last_end = max(answer.ended_at, *(run.until for run in runs if run.end is not RunEnd.RUNNING))
+    last_end = max([answer.ended_at, *(r.until for r in runs if r.end is not RunEnd.RUNNING)])
     free_by = last_end + _MAX_HELD_SECONDS
     if free_by > memories.observed_until or was_absent(answer.gateway, answer.sent_at, free_by):
         return []
--- a/tests/soak/moving_engine.py
+++ b/tests/soak/moving_engine.py
@@ -120,7 +120,7 @@
         if path == MOVE_PATH:
             await self._answer_move(seen)
         elif path.startswith(FREE_PATH):
-            self._memories.release(path.removeprefix(FREE_PATH), MemoryEnd.FREED)
+            self._memories.free(path.removeprefix(FREE_PATH))
             seen.answer("200 OK\r\nContent-Length: 0\r\n")
         else:
             await super()._handle(seen)
@@ -235,12 +235,21 @@
             return 409, ""
         if fault is CallFault.KEPT and not call["last"]:
             return 503, ""
+        if fault is CallFault.SLOW:
+            run.is_copying = True
+            await asyncio.sleep(_TOO_LATE_SECONDS)
+            run.is_copying = False
+            if self._active.get(run.seen.id) is not run:
+                return 404, ""
         run.handle = run.handle or self._memories.new_handle(run.seen.id)
         if call["last"]:
             self._stop(run, fault is CallFault.END_HIDDEN)
+        freed_before = self._memories.freed_counts[run.handle]
         run.is_copying = True
         await asyncio.sleep(_COPY_SECONDS)
         run.is_copying = False
+        if self._memories.freed_counts[run.handle] > freed_before:
+            return 503, ""
         target = self._by_address.get(call["targetVersion"])
         if target is not None and fault is not CallFault.KEPT:
             self._hold(run, target)
--- a/tests/soak/run_memory.py
+++ b/tests/soak/run_memory.py
@@ -8,6 +8,7 @@
 import itertools
 import math
 import time
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -78,6 +79,7 @@
     """End of the observations; afterwards gateways and engines are shut down."""
     call_faults: list[str] = field(default_factory=list)
     """Faults of calls and of requests with a handle, by name, as they occurred."""
+    freed_counts: Counter[str] = field(default_factory=Counter)
     _numbers: itertools.count[int] = field(default_factory=itertools.count)
 
     def new_handle(self, attempt: str) -> str:
@@ -104,12 +106,14 @@
     def hold(self, handle: str, attempt: str, issuer: str, engine: str) -> None:
         """Record that an engine holds the memory of a run."""
         if not self.is_held(handle, engine):
-            self.held.append(HeldSpan(attempt, handle, issuer, engine, time.monotonic()))
+            named_at = min((s.named_at for s in self.held if s.handle == handle), default=math.inf)
+            self.held.append(HeldSpan(attempt, handle, issuer, engine, time.monotonic(), named_at))
 
     def note_named(self, handle: str) -> None:
-        """Record that an answer named a handle to a gateway."""
-        for span in self.active(handle):
-            span.named_at = min(span.named_at, time.monotonic())
+        """Record that an answer named a handle to a gateway, which then knows it at all engines."""
+        for span in self.held:
+            if span.handle == handle:
+                span.named_at = min(span.named_at, time.monotonic())
 
     def release(self, handle: str, end: MemoryEnd, engine: str = "") -> None:
         """Record that memory is held no longer, by `engine` or, if it is empty, by any engine."""
@@ -117,6 +121,11 @@
             if engine in ("", span.engine):
                 span.until, span.end = time.monotonic(), end
 
+    def free(self, handle: str) -> None:
+        """Record that a gateway freed a handle; a copy that is being made for it is dropped."""
+        self.freed_counts[handle] += 1
+        self.release(handle, MemoryEnd.FREED)
+
     def end_engine(self, engine: str) -> None:
         """Record the end of an engine incarnation, with all memory that it holds."""
         now = self.engine_ends[engine] = time.monotonic()
--- /dev/null
+++ b/tests/soak/test_moves.py
@@ -0,0 +1,27 @@
+"""Runs are moved under faults of their moves, and no gateway gives up a sound run.
+
+Guards against gateways that stop a run, or close its stream, before its continuation is certain:
+an engine that refused to stop a run lost it, and so did one refusal, failure or reset of the first
+request with its handle.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.soak.soak import Soak
+
+_SEED = 5
+_SECONDS = 22.0
+_MIN_STOPPED_RUNS = 10
+
+
+class TestMoves(unittest.IsolatedAsyncioTestCase):
+    async def test_no_sound_run_is_given_up_while_engines_leave_and_calls_fail(self) -> None:
+        result = await Soak(_SEED, _SECONDS, moves=True).run()
+        self.assertEqual(([], []), (result.faults, result.errors), result.traces)
+        moves = result.moves
+        self.assertGreater(moves.stopped, _MIN_STOPPED_RUNS)
+        self.assertGreater(moves.continued + moves.returned, _MIN_STOPPED_RUNS)
+        self.assertGreater(moves.whole, moves.stopped)
+        self.assertGreater(moves.faults.total(), 0)
