Soak: a copy that no answer named is not known to its gateway from an earlier answer

Change: an answer names the copies that exist when it is sent. Result: tests.soak.test_move_checks passes.

--- a/tests/soak/run_memory.py
+++ b/tests/soak/run_memory.py
@@ -106,14 +106,15 @@
     def hold(self, handle: str, attempt: str, issuer: str, engine: str) -> None:
         """Record that an engine holds the memory of a run."""
         if not self.is_held(handle, engine):
-            named_at = min((s.named_at for s in self.held if s.handle == handle), default=math.inf)
-            self.held.append(HeldSpan(attempt, handle, issuer, engine, time.monotonic(), named_at))
+            self.held.append(HeldSpan(attempt, handle, issuer, engine, time.monotonic()))
 
     def note_named(self, handle: str) -> None:
-        """Record that an answer named a handle to a gateway, which then knows it at all engines."""
-        for span in self.held:
-            if span.handle == handle:
-                span.named_at = min(span.named_at, time.monotonic())
+        """Record that an answer named a handle to a gateway.
+
+        A copy that is made later under the same handle is not known from that answer.
+        """
+        for span in self.active(handle):
+            span.named_at = min(span.named_at, time.monotonic())
 
     def release(self, handle: str, end: MemoryEnd, engine: str = "") -> None:
         """Record that memory is held no longer, by `engine` or, if it is empty, by any engine."""
