Failing tests: an unanswered stop truncates the answer of its run later

A stop without an answer takes effect after its repetition was refused, when the gateway has freed the copy and no longer listens for the run; or it is repeated after the run has returned to its source, and stops it there.

--- a/tests/requests/moving_upstream.py
+++ b/tests/requests/moving_upstream.py
@@ -15,6 +15,8 @@
 STEP = 0.02
 _SILENT_SECONDS = 3.0
 """Time for which a call is not answered; longer than any timeout of a call."""
+_LATE_SECONDS = 0.7
+"""Time after which a late call is executed; longer than the timeout of a call without memory."""
 DROP_SECONDS = 0.3
 """Seconds within which an upstream drops a run whose connection has ended."""
 
@@ -61,8 +63,9 @@
 
     `scripted_answers` overrides its answers to calls in turn: a number is returned as the status,
     "lost" executes the call and then resets the connection, "refused" answers 503 without stopping
-    the run or naming a handle, "silent" neither executes the call nor answers it, and "dead" resets
-    all connections and stops listening.
+    the run or naming a handle, "silent" neither executes the call nor answers it, "unanswered"
+    executes the call and does not answer it, "late" does so after the timeout of the call, and
+    "dead" resets all connections and stops listening.
     """
 
     def __init__(self, memory: Memory, scripted_answers: list[int | str] | None = None) -> None:
@@ -186,6 +189,11 @@
             for run in list(self.runs.values()):
                 self.memory.working[run.seen.id].discard(self.address)
             self.crash(seen)
+        if scripted == "silent":
+            await asyncio.sleep(_SILENT_SECONDS)
+            return
+        if scripted == "late":
+            await asyncio.sleep(_LATE_SECONDS)
         active = self.runs.get(call["id"])
         if active is None or scripted == 404:
             _answer(seen, 404, {})
@@ -193,13 +201,13 @@
             _answer(seen, 409, {})
         elif scripted == "refused":
             _answer(seen, 503, {})
-        elif scripted == "silent":
-            await asyncio.sleep(_SILENT_SECONDS)
         elif scripted == 503 and not call["last"]:
             _answer(seen, 503, {})
         else:
             content = await self._copy(active, call, at_target=scripted != 503)
-            if scripted == "lost":
+            if scripted in ("unanswered", "late"):
+                await asyncio.sleep(_SILENT_SECONDS)
+            if scripted in ("lost", "unanswered", "late"):
                 seen.reset()
                 raise ConnectionResetError
             _answer(seen, 503 if scripted == 503 else 200, content)
