--- a/tests/requests/moving_upstream.py
+++ b/tests/requests/moving_upstream.py
@@ -199,9 +199,7 @@
             _answer(seen, 404, {})
         elif scripted == 409:
             _answer(seen, 409, {})
-        elif scripted == "refused":
-            _answer(seen, 503, {})
-        elif scripted == 503 and not call["last"]:
+        elif scripted == "refused" or (scripted == 503 and not call["last"]):
             _answer(seen, 503, {})
         else:
             content = await self._copy(active, call, at_target=scripted != 503)
