--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,7 @@
 """Runs the soak test with many seeds, several at a time, and prints a line for each.
 
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
-        [--moves] [--trace]
+        [--moves] [--mild] [--trace]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
 Exits with 1 if an invariant was violated, or if less than 0.97 of the ordinary requests at the end
@@ -20,6 +20,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from tests.soak.configuration import MovesOptions
 from tests.soak.soak import Soak
 
 if TYPE_CHECKING:
@@ -32,7 +33,9 @@
 """Extra time in seconds that a run may take for its start and its shutdown."""
 
 
-def run_seed(seed: int, seconds: float, engine_signals: bool, limits: bool, moves: bool) -> Result:
+def run_seed(
+    seed: int, seconds: float, engine_signals: bool, limits: bool, moves: MovesOptions | None
+) -> Result:
     """Run one seed; a run that does not end in time prints its stack traces."""
     faulthandler.dump_traceback_later(seconds + _SPARE_SECONDS, exit=True)
     try:
@@ -42,7 +45,7 @@
 
 
 async def _run_with_timeout(
-    seed: int, seconds: float, engine_signals: bool, limits: bool, moves: bool
+    seed: int, seconds: float, engine_signals: bool, limits: bool, moves: MovesOptions | None
 ) -> Result:
     try:
         async with asyncio.timeout(seconds + _SPARE_SECONDS / 2):
@@ -74,7 +77,14 @@
     parser.add_argument(
         "--trace", action="store_true", help="print what happened to the requests of violations"
     )
+    parser.add_argument(
+        "--mild",
+        action="store_true",
+        help="with --moves: no call arrives long after its timeout, and clients are known to wait",
+    )
     options = parser.parse_args()
+    mild = MovesOptions(late_stops=False, patient=True)
+    moves = (mild if options.mild else MovesOptions()) if options.moves else None
     seeds = range(options.first, options.first + options.seeds)
     failed_count = 0
     with ProcessPoolExecutor(options.jobs) as pool:
@@ -85,7 +95,7 @@
             lengths,
             [not options.plain] * options.seeds,
             [options.limits] * options.seeds,
-            [options.moves] * options.seeds,
+            [moves] * options.seeds,
         )
         for seed, result in zip(seeds, results):
             failed_count += _print_result(seed, result)
--- /dev/null
+++ b/tests/soak/engine_steps.py
@@ -0,0 +1,52 @@
+"""Steps of a fault plan that concern engines."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from tests.soak.plan import Action
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from tests.soak.moving_engine import MovingEngine
+    from tests.soak.plan import Step
+
+
+async def perform_engine_step(
+    step: Step, engine: MovingEngine, engines: Sequence[MovingEngine]
+) -> None:
+    """Perform a step, at `engine` or at several of all `engines`."""
+    match step.action:
+        case Action.TERMINATE_ENGINE:
+            await engine.terminate()
+        case Action.DRAIN_ENGINE:
+            await engine.drain()
+        case Action.REJECT_AT_ENGINE:
+            engine.reject_for(step.seconds)
+        case Action.REJECT_AT_ALL_ENGINES:
+            for each_engine in engines:
+                each_engine.reject_for(step.seconds / 2)
+        case Action.LIMIT_ENGINE:
+            engine.state_limit(step.rate)
+        case Action.LIMIT_ALL_ENGINES:
+            for each_engine in engines:
+                each_engine.state_limit(step.rate)
+        case Action.LIFT_LIMITS:
+            for each_engine in engines:
+                each_engine.state_limit(math.inf)
+        case Action.ANNOUNCE_LEAVING:
+            await engine.announce_leaving()
+        case Action.LEAVE_WITH_NOTICE:
+            await engine.leave(step.seconds, states_time=step.pick % 2 == 0)
+        case Action.SLOW_ENGINE:
+            engine.slow_down(step.seconds)
+        case Action.STALL_ENGINE:
+            engine.stall(step.seconds)
+        case Action.DISTURB_CALLS:
+            for each_engine in engines[step.pick % 2 :: 2]:
+                each_engine.faults.disturb_calls(step.seconds)
+        case Action.DISTURB_HANDLES:
+            for each_engine in engines[step.pick % 2 :: 2]:
+                each_engine.faults.disturb_handles(step.seconds)
