--- a/tests/requests/test_unanswered_stops.py
+++ b/tests/requests/test_unanswered_stops.py
@@ -18,6 +18,9 @@
 _SLOW_STEP = 6 * STEP
 """Pause between events with which a run lasts longer than an unanswered call."""
 
+_REFUSALS = 3
+"""Number of requests that each engine refuses; their repetitions take a quarter of a second."""
+
 
 class TestUnansweredStops(unittest.IsolatedAsyncioTestCase):
     async def assert_whole(self, site: Site) -> None:
@@ -44,3 +47,17 @@
             for other in site.others:
                 other.rejects_handles = True
             await self.assert_whole(site)
+
+    async def test_a_stalled_run_refused_for_a_moment_after_an_unanswered_stop_continues(
+        self,
+    ) -> None:
+        # Soak seed 12, a1690: the stall and the wait for the answer left hardly any of the time for
+        # which a client is assumed to wait, so that the memory was given up after one refusal.
+        async with Site([200, "unanswered", "silent", "silent", "silent"]).open() as site:
+            site.source.stalls_after = 10
+            for item in [site.source, *site.others]:
+                item.rejections_per_handle = _REFUSALS
+            got = await site.call(leaves=False)
+            await site.wait_idle()
+        self.assertEqual((200, True), (got.status, got.whole))
+        self.assertEqual(WHOLE, got.body)
