A stop that is not answered costs the run nothing later

Change: after a call without an answer the copy is kept until the run ends; no call is repeated once the run was sent on; the wait after the end of the stream is 0.1 s, since the target reads what the copy lacks.

--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -197,6 +197,7 @@
             if permit is None or not self._spend(handover):
                 continue
             events = self._splitter.event_count
+            handover.note_continuing()
             end = await self._continue_from(run_memory, permit)
             is_source = place.id == run_memory.source.id
             has_events = self._splitter.event_count > events
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -40,8 +40,9 @@
 """Time for the source to close the stream of a stopped run before this gateway closes it."""
 _SILENCE_TIMEOUT_SECONDS = 0.5
 """Time without events after which the stream of a run that its source does not know is closed."""
-_STOP_TIMEOUT_SECONDS = 1.0
-"""Longest wait, after the end of a stopped stream, for the answer of the call that stopped it."""
+_STOP_TIMEOUT_SECONDS = 0.1
+"""Longest wait, after the end of a stopped stream, for the answer of the call that stopped it. The
+rest of the memory may wait behind other copies; without it the target reads what it lacks."""
 _COPY_TIMEOUT_SECONDS = 0.2
 """Longest wait for the copy after an interruption: the source and its calls have ended as well."""
 NO_RETRY_LEFT = "no repeat left"
@@ -106,6 +107,8 @@
         self._is_at_target = False
         self._is_finished = False
         """Whether the memory is no longer needed: the run continued, ended or lost its client."""
+        self._is_continuing = False
+        """Whether the run was sent to an upstream that holds its memory, and must not be stopped."""
         self._stream_end = asyncio.Event()
         self._calls_done = asyncio.Event()
         self.retries: ReservedRetries | None = None
@@ -186,21 +189,22 @@
         self.retries = retries
         self.phase = Phase.STOPPING
         self.events_at_stop = self._event_count()
-        if await self._ask_to_stop():
+        silence = SourceSilence()
+        if await self._ask_to_stop(silence):
             self.phase = Phase.STOPPED
             self._close_stopped_stream()
-        elif self.phase is Phase.STOPPING and not self._is_finished:
+        elif not silence.unanswered and not self._is_finished:
             self._give_up(self.reason)
 
-    async def _ask_to_stop(self) -> bool:
+    async def _ask_to_stop(self, silence: SourceSilence) -> bool:
         """Ask the source to stop the run until it is known whether it has; return whether it has.
 
         A call without an answer may take effect at any time, so it is repeated until the source
-        states what became of the run.
+        states what became of the run. Even a refusal does not rule out that an earlier call stops
+        the run later, so the copy is kept in that case until the run has ended.
         """
         busy = 0
-        silence = SourceSilence()
-        while not self._is_finished:
+        while not self._is_finished and not self._is_continuing:
             try:
                 answer = await self._call(last=True)
             except NoAnswerError as error:
@@ -309,6 +313,10 @@
             return (at_source,)
         return (at_target, at_source) if self.run_stopped else (at_target,)
 
+    def note_continuing(self) -> None:
+        """Record that the run is sent to an upstream that holds its memory."""
+        self._is_continuing = True
+
     def note_used(self) -> None:
         """Record that the run was continued, so that no memory is held for it any more."""
         self._is_finished = True
