--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -108,7 +108,7 @@
         self._is_finished = False
         """Whether the memory is no longer needed: the run continued, ended or lost its client."""
         self._is_continuing = False
-        """Whether the run was sent to an upstream that holds its memory, and must not be stopped."""
+        """Whether the run was sent to an upstream that holds its memory, and must not stop."""
         self._stream_end = asyncio.Event()
         self._calls_done = asyncio.Event()
         self.retries: ReservedRetries | None = None
