--- a/tests/requests/test_unanswered_stops.py
+++ b/tests/requests/test_unanswered_stops.py
@@ -48,6 +48,14 @@
                 other.rejects_handles = True
             await self.assert_whole(site)
 
+    async def test_a_stop_that_arrives_late_does_not_truncate_a_run_that_has_returned(self) -> None:
+        # Soak seed 17, a4357: a call names a run by its id only, so that the first of two calls to
+        # stop it stopped it again after it had returned to its source.
+        async with Site([200, "late"]).open() as site:
+            for other in site.others:
+                other.rejects_handles = True
+            await self.assert_whole(site)
+
     async def test_a_stalled_run_refused_for_a_moment_after_an_unanswered_stop_continues(
         self,
     ) -> None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -59,6 +59,8 @@
     """Starts of gateways, which begin with empty state."""
     memories: RunMemories = field(default_factory=RunMemories)
     """Runs of long streams, and the memory that engines held for them."""
+    decoy_targets: Counter[str] = field(default_factory=Counter)
+    """Names of the upstreams for which requests to the decoy were meant."""
     decoy_requests: int = 0
     """Number of requests sent to the decoy, whose address only malformed entries contain."""
 
@@ -92,7 +94,8 @@
         violations += move_violations(self.memories, self.answers, self._was_absent_between)
         if self.decoy_requests:
             violations.append(
-                f"{self.decoy_requests} requests sent to an address from a malformed entry"
+                f"{self.decoy_requests} requests sent to an address from a malformed entry, for "
+                f"{', '.join(sorted(self.decoy_targets))}"
             )
         late = self.late_sends()
         if late > _MAX_LATE_SENDS:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -274,6 +274,7 @@
 
     async def _count_decoy_request(self, seen: ReceivedRequest) -> None:
         self._ledger.decoy_requests += 1
+        self._ledger.decoy_targets[seen.headers.get("target-instance", seen.line)] += 1
         seen.reset()
 
     def _start_task(self, work: Any) -> None:
