A replacement waits for room without holding a retry

Cause: the retry was reserved before an upstream was looked for. A request that waits for room holds it for seconds, and requests that could be retried at once go without.

Change: the conditions, with a retry that is left, are checked before and after the search; the retry is reserved once there is a placement, which is given up if none is left by then.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1089,10 +1089,10 @@
         "tests.requests.test_replacement_conditions",
     ),
     Break(
-        "a silent upstream is not given up without a retry",
+        "a silent upstream is not given up while nothing replaces it",
         "requests/replacement_search.py",
-        "        if retries is None:\n            return NO_RETRY_LEFT\n",
-        "        if retries is None:\n            raise SilentUpstreamError\n",
+        "            self._log_obstacle(silent, found)\n",
+        "            raise SilentUpstreamError\n",
         "tests.requests.test_silent_upstream",
     ),
     Break(
@@ -1126,8 +1126,8 @@
     Break(
         "a placement that is not used is given up",
         "requests/replacement_search.py",
-        "                if placement.scheduler:\n",
-        "                if False:\n",
+        "        if placement.scheduler:\n",
+        "        if False:\n",
         "tests.requests.test_silent_upstream",
     ),
     Break(
--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -53,6 +53,10 @@
         self._retries.append(now)
         return True
 
+    def any_left(self, gateways: int, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._left(gateways, now) >= 1
+
     def try_reserve(self, count: int, gateways: int, now: float) -> bool:
         """Reserve `count` retries and return True if that many are left, else reserve none."""
         if self._left(gateways, now) < count:
--- a/src/lotushill/requests/replacement_search.py
+++ b/src/lotushill/requests/replacement_search.py
@@ -32,7 +32,6 @@
     from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
     from lotushill.requests.tracked_attempt import AttemptTracker
-    from lotushill.requests.upstream_gate import Permit
     from lotushill.requests.upstream_search import UpstreamSearch
     from lotushill.scheduling.request import Request
 
@@ -104,34 +103,40 @@
         """Return an attempt that replaces the silent one; try again until there is one."""
         pause = _FIRST_PAUSE_SECONDS
         while True:
-            if may_replace():
-                found = await self._try_replace(silent)
-                if isinstance(found, TrackedAttempt):
-                    return found
-                self._log_obstacle(silent, found)
+            found = await self._try_replace(silent, may_replace)
+            if isinstance(found, TrackedAttempt):
+                return found
+            self._log_obstacle(silent, found)
             await asyncio.sleep(pause)
             pause = min(_MAX_PAUSE_SECONDS, 2 * pause)
 
-    async def _try_replace(self, silent: Choice) -> TrackedAttempt | str:
+    async def _try_replace(
+        self, silent: Choice, may_replace: Callable[[], bool]
+    ) -> TrackedAttempt | str:
         """Return an attempt that replaces the silent one, or why there is none now."""
         await self._components.suspension.wait_until_settled()
-        obstacle = replacement_obstacle(self._conditions(silent))
+        obstacle = self._obstacle(silent, may_replace)
+        if obstacle:
+            return obstacle
+        placement = await self._place(silent)
+        if not isinstance(placement, Placement):
+            return placement
+        # The request may have waited for room for seconds, without holding a retry meanwhile.
+        obstacle = self._obstacle(silent, may_replace)
         if obstacle:
+            self._give_up(placement)
             return obstacle
+        return await self._send_to(placement)
+
+    def _obstacle(self, silent: Choice, may_replace: Callable[[], bool]) -> str:
+        """Return why the silent upstream must not be replaced now, empty if it may be."""
+        if not may_replace():
+            return "run was stopped"
         service, now = self._request.service.name, self._components.clock()
-        retries = self._components.budgets.try_reserve(service, 1, now)
-        if retries is None:
-            return NO_RETRY_LEFT
-        try:
-            placement = await self._place(silent)
-            if not isinstance(placement, Placement):
-                return placement
-            permit = await self._permit(placement)
-            if permit is None:
-                return "no permit"
-            return await self._send(self._tracker.begin(placement, permit), retries)
-        finally:
-            retries.release()
+        obstacle = replacement_obstacle(self._conditions(silent))
+        return obstacle or (
+            "" if self._components.budgets.any_left(service, now) else NO_RETRY_LEFT
+        )
 
     def _conditions(self, silent: Choice) -> ReplacementConditions:
         route = self._request.route
@@ -153,19 +158,29 @@
         assert silent.backup is not None
         return self._continuation.backup_placement(silent.backup) or "backup not usable"
 
-    async def _permit(self, placement: Placement) -> Permit | None:
-        """Return the permit for a placement, None if it is given up."""
+    async def _send_to(self, placement: Placement) -> TrackedAttempt | str:
+        """Send the request to an upstream with room, if there are a retry and a permit for it."""
+        service, upstream = self._request.service.name, placement.choice.upstream
+        retries = self._components.budgets.try_reserve(service, 1, self._components.clock())
+        if retries is None:
+            self._give_up(placement)
+            return NO_RETRY_LEFT
         permit = None
         try:
-            permit = await self._components.gate.admit(
-                placement.choice.upstream, self._request.need
-            )
+            permit = await self._components.gate.admit(upstream, self._request.need)
+            if permit is None:
+                self._search.defer(upstream.id)
+                return "no permit"
+            return await self._send(self._tracker.begin(placement, permit), retries)
         finally:
+            retries.release()
             if permit is None:
-                self._search.defer(placement.choice.upstream.id)
-                if placement.scheduler:
-                    self._components.shared_load.give_up(placement.placed.request)
-        return permit
+                self._give_up(placement)
+
+    def _give_up(self, placement: Placement) -> None:
+        """Give up a placement that is not used."""
+        if placement.scheduler:
+            self._components.shared_load.give_up(placement.placed.request)
 
     async def _send(
         self, attempt: TrackedAttempt, retries: ReservedRetries
--- a/src/lotushill/requests/retry_budgets.py
+++ b/src/lotushill/requests/retry_budgets.py
@@ -45,6 +45,10 @@
         """Spend one retry if one is left; return whether it was spent."""
         return self._budget(service).try_spend(self._gateways(), now)
 
+    def any_left(self, service: str, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._budget(service).any_left(self._gateways(), now)
+
     def try_reserve(self, service: str, count: int, now: float) -> ReservedRetries | None:
         """Reserve `count` retries for one request; return None if fewer are left."""
         budget = self._budget(service)
