--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -36,6 +36,8 @@
 """Interval between calls while another call for the run is in progress."""
 _CALL_TIMEOUT_MARGIN_SECONDS = 0.4
 """Part of the timeout of a call beyond twice the copy time, as a copy may wait for another one."""
+_STOP_CALL_SECONDS = 5.0
+"""Longest wait for the answer to one call that stops a run; longer than copies queue for a link."""
 _CLOSE_TIMEOUT_SECONDS = 0.1
 """Time for the source to close the stream of a stopped run before this gateway closes it."""
 _SILENCE_TIMEOUT_SECONDS = 0.5
@@ -161,7 +163,7 @@
         """Copy the memory of the running run; return whether the run can be stopped now."""
         for attempt in range(_MAX_CALLS):
             try:
-                answer = await self._call(last=False)
+                answer = await self._call(last=False, timeout_seconds=self._call_timeout_seconds)
             except NoAnswerError:
                 # On a repeated call the source returns the handle of what it may have copied.
                 if attempt:
@@ -206,11 +208,12 @@
         busy = 0
         while not self._is_finished and not self._is_continuing:
             try:
-                answer = await self._call(last=True)
+                answer = await self._call_to_stop(silence)
             except NoAnswerError as error:
                 self.reason = f"{NO_ANSWER}: {error}"
-                is_reachable = await self._is_reachable(self._source)
-                silence.note_no_answer(self._event_count(), is_reachable, _now())
+                await self._note_no_answer(silence)
+                answer = None
+            if answer is None:
                 if silence.is_lost(_now()):
                     self._close_if_open()
                     return True
@@ -227,6 +230,26 @@
             await asyncio.sleep(_BUSY_RETRY_INTERVAL_SECONDS)
         return False
 
+    async def _call_to_stop(self, silence: SourceSilence) -> Copied | NotCopied | None:
+        """Make one call to stop the run; return None if it is not needed or the source is lost.
+
+        A late answer is awaited rather than the call repeated, since each call that was sent may
+        stop the run at any time, even after it has returned to its source.
+        """
+        call = asyncio.create_task(self._call(last=True, timeout_seconds=_STOP_CALL_SECONDS))
+        try:
+            while not (await asyncio.wait((call,), timeout=self._call_timeout_seconds))[0]:
+                await self._note_no_answer(silence)
+                if self._is_finished or silence.is_lost(_now()):
+                    return None
+            return call.result()
+        finally:
+            call.cancel()
+
+    async def _note_no_answer(self, silence: SourceSilence) -> None:
+        is_reachable = await self._is_reachable(self._source)
+        silence.note_no_answer(self._event_count(), is_reachable, _now())
+
     async def _note_stop_answer(self, answer: Copied | NotCopied, asked_before: bool) -> bool:
         """Return whether an answer means that the run has stopped."""
         if isinstance(answer, Copied):
@@ -271,9 +294,9 @@
             self.closed_by_gateway = True
             self._close_stream()
 
-    async def _call(self, last: bool) -> Copied | NotCopied:
+    async def _call(self, last: bool, timeout_seconds: float) -> Copied | NotCopied:
         return await self._memory.copy(
-            self._source.address, self._run, self._target.address, last, self._call_timeout_seconds
+            self._source.address, self._run, self._target.address, last, timeout_seconds
         )
 
     def _give_up(self, reason: str) -> None:
