--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -12,7 +12,6 @@
 
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import MovedMemory
-from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.continuation_tries import ContinuationTries
 from lotushill.requests.upstream_gate import Permit
@@ -201,7 +200,7 @@
             end = await self._continue_from(run_memory, permit)
             is_source = place.id == run_memory.source.id
             has_events = self._splitter.event_count > events
-            has_continued = has_events or end.successor is not None or not _may_be_unused(end)
+            has_continued = has_events or _has_used_memory(end)
             self._log_continuation(place, "source" if is_source else "target", end, has_continued)
             if has_continued:
                 return end
@@ -291,12 +290,10 @@
         return self._components.budgets.try_spend(self._request.service.name, self._clock())
 
 
-def _may_be_unused(end: AttemptEnd) -> bool:
-    """Return whether the memory may still be held after an attempt that brought no event.
+def _has_used_memory(end: AttemptEnd) -> bool:
+    """Return whether an attempt that brought no event has used the memory it was sent to.
 
-    A handle serves once: an upstream that has used it states that it did not run the request again.
+    Otherwise the memory may still be held: a handle serves once, and an upstream that has used it
+    states that it did not run the request again.
     """
-    if end.kind in (*_NOT_SENT, EndKind.REJECTED, EndKind.FAILED):
-        return True
-    is_interrupted = end.connection_lost or end.cut_by is CutBy.GATEWAY_SILENCE
-    return end.kind is EndKind.BROKEN and is_interrupted
+    return end.kind in (EndKind.WHOLE, EndKind.MOVED) or end.successor is not None
