--- a/src/lotushill/availability/replacement_conditions.py
+++ b/src/lotushill/availability/replacement_conditions.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass
 
-NO_RETRY_LEFT = "no retry left"
 _MAX_REFUSALS = 3
 """Number of replacements that did not accept a request at which no further one is tried."""
 
--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+NO_RETRY_LEFT = "no retry left"
+"""Reason in the log for what is not done without a retry."""
 _USED_RATIO_FRACTION = 0.8
 _USED_SLACK_FRACTION = 0.8
 """Fractions of ratio and slack that are used; the remainder covers counts that differ between
@@ -77,9 +79,9 @@
             self._retries.remove(spent_at)
         self._reserved += 1
 
-    def has_left(self, gateways: int, now: float) -> bool:
-        """Return whether a retry is left."""
-        return self._left(gateways, now) >= 1
+    def has_left(self, count: int, gateways: int, now: float) -> bool:
+        """Return whether `count` retries are left."""
+        return self._left(gateways, now) >= count
 
     def release(self, count: int) -> None:
         """Return reserved retries that are not made."""
--- a/src/lotushill/moves/memory_copy.py
+++ b/src/lotushill/moves/memory_copy.py
@@ -14,10 +14,10 @@
     """Reason why no memory was copied."""
 
     UNKNOWN_RUN = "no such run"
-    """The run has ended, or never ran at that engine; nothing was stopped."""
+    """The run does not run at that engine: it has ended, or an earlier call has stopped it."""
     BUSY = "a call is under way"
     NO_ROOM = "no room or no way"
-    """The target has no room or is unreachable; if the run was to be stopped, it was."""
+    """The target has no room or is unreachable. A run that was stopped is named by its handle."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/moves/source_silence.py
+++ b/src/lotushill/moves/source_silence.py
@@ -19,18 +19,17 @@
 
     def __init__(self) -> None:
         self.unanswered = False
-        """Whether a call had no answer, so that it may still take effect."""
+        """Whether a call ended without an answer, so that it may still take effect."""
         self._silent_since = math.inf
         self._event_count = -1
         self._pause = _FIRST_PAUSE_SECONDS
 
-    def note_no_answer(self, event_count: int, is_reachable: bool, now: float) -> None:
-        """Record a call without an answer.
+    def note_check(self, event_count: int, is_reachable: bool, now: float) -> None:
+        """Record the signs of life while a call has no answer.
 
         `event_count` is the number of events received so far, `is_reachable` whether the source
-        accepted a new connection after the call.
+        accepts new connections.
         """
-        self.unanswered = True
         if is_reachable:
             self._silent_since = math.inf
         elif event_count != self._event_count or self._silent_since == math.inf:
--- a/src/lotushill/moves/stop_conditions.py
+++ b/src/lotushill/moves/stop_conditions.py
@@ -1,7 +1,7 @@
 """Decides whether a run whose memory was copied may be stopped, to continue at the copy's upstream.
 
-A stop cannot be undone, so both the way to the target and the way back to the source must be open.
-The way back does not matter for a run that would be interrupted at its source anyway.
+A stop cannot be undone, so retries for the way to the target and for the way back are needed. Of a
+run that would be interrupted at its source anyway, only the target must accept requests.
 """
 
 from __future__ import annotations
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -110,10 +110,10 @@
         connection.send(self._request.demand.request_id, self._request.method, data)
         return None
 
-    async def is_refused(self, seconds: float) -> bool:
+    async def is_refused(self, seconds: float | None) -> bool:
         """Return whether the upstream refuses the request, or fails, within some seconds.
 
-        Return False as soon as it has accepted the request.
+        Return False as soon as it has accepted the request; wait for its head if `seconds` is None.
         """
         assert self._connection is not None
         try:
@@ -384,6 +384,7 @@
         if not self.first_event_at:
             self.first_event_at = now
             self._note_first_event(now)
+            self._components.mover.note_continued(self._request.key)
             if self._is_movable:
                 self._components.mover.first_event_waits.note(
                     self._request.service.name, now - self._head_received_at
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -1,12 +1,13 @@
 """Continues an interrupted run at another upstream that holds a copy of its memory.
 
 This is the same run, so it may continue even if the request must not run twice. An upstream that
-does not have the memory runs nothing, and the run ends as it was interrupted.
+does not have the memory runs nothing, and the answer stays truncated.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -121,17 +122,30 @@
         """
         if silent.moved is None or silent.returned_to_source:
             return None
-        upstreams = self._components.upstreams.all()
-        sources = [item for item in upstreams if item.address == silent.moved.source]
-        if not sources or not self._has_notice_left(sources[0]):
+        sources = [
+            item
+            for item in self._components.upstreams.all()
+            if item.address == silent.moved.source and item.service == silent.upstream.service
+        ]
+        if not sources or not self._may_return_to(sources[0]):
             return None
         choice = replace(self._choice(sources[0]), moved=silent.moved)
         return self._components.placer.continuation_placement(self._request, choice)
 
-    def _has_notice_left(self, upstream: Upstream) -> bool:
-        """Return whether an upstream that leaves, if it does, may still be sent its own run."""
-        seconds_left = self._components.mover.seconds_until_shutdown(upstream.id, self._clock())
-        return seconds_left is None or seconds_left > _NOTICE_MARGIN_SECONDS
+    def _may_return_to(self, upstream: Upstream) -> bool:
+        """Return whether an upstream takes a run now whose memory it holds."""
+        in_cooldown = self._components.gate.is_in_cooldown(upstream.id)
+        return not in_cooldown and self._clock() < self._takes_memory_until(upstream)
+
+    def _takes_memory_until(self, upstream: Upstream) -> float:
+        """Return when the notice of an upstream that leaves ends, infinity if it does not leave."""
+        now = self._clock()
+        seconds_left = self._components.mover.seconds_until_shutdown(upstream.id, now)
+        return math.inf if seconds_left is None else now + seconds_left - _NOTICE_MARGIN_SECONDS
+
+    def memory_permit(self, upstream: Upstream) -> Permit:
+        """Return the permit for a run at an upstream without a limit that holds its memory."""
+        return Permit(upstream.id, takes_memory_until=self._takes_memory_until(upstream))
 
     def _can_continue_at(self, backup: Upstream) -> bool:
         """Return whether the upstream should have the copy, or will report that it has not.
@@ -159,11 +173,13 @@
         """
         end = None
         is_used = False
+        self._components.mover.continuing[self._request.key] = handover
         try:
             if interrupted.kind is not EndKind.BROKEN or await may_continue():
                 end = await self._ask_for_memory(handover, interrupted)
             is_used = end is not None and (end.answer_started or not _is_restarted(end))
         finally:
+            self._components.mover.continuing.pop(self._request.key, None)
             if is_used:
                 handover.note_used()
             else:
@@ -208,8 +224,9 @@
     ) -> AttemptEnd | None:
         """Ask each upstream that may accept the run now; return the end if one has continued it."""
         for run_memory in handover.memories():
-            place = run_memory.upstream
-            if not tries.may_ask(place.id, self._clock()) or not self._takes_run(run_memory, tries):
+            holder = run_memory.upstream
+            may_ask = tries.may_ask(holder.id, self._clock())
+            if not may_ask or not self._takes_run(run_memory, tries):
                 continue
             permit = await self._permit(run_memory)
             if permit is None or not self._spend(handover):
@@ -217,17 +234,17 @@
             events = self._splitter.event_count
             handover.note_continuing()
             end = await self._continue_from(run_memory, permit)
-            is_source = place.id == run_memory.source.id
+            is_source = holder.id == run_memory.source.id
             has_events = self._splitter.event_count > events
             has_continued = has_events or _has_used_memory(end)
-            self._log_continuation(place, "source" if is_source else "target", end, has_continued)
+            self._log_continuation(holder, "source" if is_source else "target", end, has_continued)
             if has_continued:
                 return end
             if end.kind in _NOT_SENT and handover.retries is not None:
                 handover.retries.take_back()
-            is_gone = await self._is_gone(place, end)
-            may_run = end.kind is EndKind.BROKEN
-            tries.note_refusal(place.id, may_run, is_gone, self._clock())
+            is_gone = await self._is_gone(holder, end)
+            may_have_run = end.kind is EndKind.BROKEN
+            tries.note_refusal(holder.id, may_have_run, is_gone, self._clock())
         return None
 
     def _takes_run(self, run_memory: RunMemory, tries: ContinuationTries) -> bool:
@@ -236,17 +253,17 @@
         One that leaves may, until its notice is over. A cooldown is respected, except that the
         source is asked once whether it takes back a run that it has just stopped.
         """
-        place = run_memory.upstream
-        if self._components.mover.seconds_until_shutdown(place.id, self._clock()) is not None:
-            return self._has_notice_left(place)
-        returns = place.id == run_memory.source.id and not tries.was_asked(place.id)
-        return returns or self._components.gate.accepts_requests(place.id)
+        holder = run_memory.upstream
+        is_source = holder.id == run_memory.source.id
+        if is_source and not tries.was_asked(holder.id):
+            return self._clock() < self._takes_memory_until(holder)
+        return self._may_return_to(holder)
 
     async def _permit(self, run_memory: RunMemory) -> Permit | None:
         """Return the permit for a run that continues, None if the upstream's limit allows none."""
         upstream = run_memory.upstream
         admitted = await self._components.gate.admit(upstream, self._request.need)
-        return Permit(upstream.id, holds_memory=True) if admitted is not None else None
+        return self.memory_permit(upstream) if admitted is not None else None
 
     def _spend(self, handover: Handover) -> bool:
         if handover.retries is not None:
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -215,6 +215,9 @@
     async def _may_retry(self, end: AttemptEnd, check: asyncio.Task[None] | None) -> bool:
         now = self._clock()
         service = self._request.service.name
+        if self.runs and not self._request.route.repeatable:
+            # The end may be that of an attempt to continue the run, which must not start anew.
+            return False
         if end.kind is EndKind.BARRED:
             return True
         if end.kind is EndKind.NOT_SENT:
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -31,7 +31,7 @@
 
 NO_ANSWER = "no answer"
 _MAX_CALLS = 4
-"""Maximum number of calls for one step of a handover."""
+"""Maximum number of calls for the copy, and of busy answers to the call that stops the run."""
 _BUSY_RETRY_INTERVAL_SECONDS = 0.03
 """Interval between calls while another call for the run is in progress."""
 _CALL_TIMEOUT_MARGIN_SECONDS = 0.4
@@ -47,7 +47,6 @@
 rest of the memory may wait behind other copies; without it the target reads what it lacks."""
 _COPY_TIMEOUT_SECONDS = 0.2
 """Longest wait for the copy after an interruption: the source and its calls have ended as well."""
-NO_RETRY_LEFT = "no repeat left"
 
 
 class Phase(Enum):
@@ -110,7 +109,7 @@
         self._is_finished = False
         """Whether the memory is no longer needed: the run continued, ended or lost its client."""
         self._is_continuing = False
-        """Whether the run was sent to an upstream that holds its memory, and must not stop."""
+        """Whether the run was sent on from its memory, so that no further call may stop it."""
         self._stream_end = asyncio.Event()
         self._calls_done = asyncio.Event()
         self.retries: ReservedRetries | None = None
@@ -195,7 +194,7 @@
         if await self._ask_to_stop(silence):
             self.phase = Phase.STOPPED
             self._close_stopped_stream()
-        elif not silence.unanswered and not self._is_finished:
+        elif not (silence.unanswered or self._is_finished or self._is_continuing):
             self._give_up(self.reason)
 
     async def _ask_to_stop(self, silence: SourceSilence) -> bool:
@@ -211,9 +210,10 @@
                 answer = await self._call_to_stop(silence)
             except NoAnswerError as error:
                 self.reason = f"{NO_ANSWER}: {error}"
-                await self._note_no_answer(silence)
+                await self._check_source(silence)
                 answer = None
             if answer is None:
+                silence.unanswered = True
                 if silence.is_lost(_now()):
                     self._close_if_open()
                     return True
@@ -239,16 +239,17 @@
         call = asyncio.create_task(self._call(last=True, timeout_seconds=_STOP_CALL_SECONDS))
         try:
             while not (await asyncio.wait((call,), timeout=self._call_timeout_seconds))[0]:
-                await self._note_no_answer(silence)
+                await self._check_source(silence)
                 if self._is_finished or silence.is_lost(_now()):
                     return None
             return call.result()
         finally:
             call.cancel()
 
-    async def _note_no_answer(self, silence: SourceSilence) -> None:
+    async def _check_source(self, silence: SourceSilence) -> None:
+        """Look for signs of life of a source that has not answered a call yet."""
         is_reachable = await self._is_reachable(self._source)
-        silence.note_no_answer(self._event_count(), is_reachable, _now())
+        silence.note_check(self._event_count(), is_reachable, _now())
 
     async def _note_stop_answer(self, answer: Copied | NotCopied, asked_before: bool) -> bool:
         """Return whether an answer means that the run has stopped."""
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -11,6 +11,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from lotushill.availability.retry_budget import NO_RETRY_LEFT
 from lotushill.availability.stated_limits import NO_LIMIT
 from lotushill.moves.move_links import MoveLinks
 from lotushill.moves.move_plan import Move
@@ -23,7 +24,6 @@
 from lotushill.moves.stop_conditions import StopConditions
 from lotushill.moves.stop_conditions import stop_obstacle
 from lotushill.requests.handover import NO_ANSWER
-from lotushill.requests.handover import NO_RETRY_LEFT
 from lotushill.requests.handover import Handover
 from lotushill.requests.handover import Phase
 from lotushill.scheduling.placement import Placement
@@ -107,6 +107,10 @@
         """Time before which no stream counts as stalled, since this process itself was blocked."""
         self.blocked_seconds = 0.0
         """Time for which this process was blocked so far, in which it read no events."""
+        self.continuing: dict[str, Handover] = {}
+        """Handovers whose stopped runs are being continued, by the key of their request."""
+        self._noted_view: tuple[int, tuple[str, ...]] = (-1, ())
+        """Revision and announcements of the view whose leaving upstreams are noted."""
         self.notices = Notices()
         self.stalls = StallThresholds()
         """Statistics of the pauses between the events of streams."""
@@ -164,6 +168,7 @@
             if math.isfinite(self._checked_at):
                 self.blocked_seconds += now - self._checked_at
         self._checked_at = now
+        self._note_leaving(now)
         if not self._runs:
             return
         check_all = now - self._all_checked_at >= _CHECK_INTERVAL_SECONDS
@@ -181,6 +186,22 @@
         for key, move in sort_by_urgency((key, move) for key, (_, move) in planned.items()):
             self._start(planned[key][0], move, now)
 
+    def note_continued(self, key: str) -> None:
+        """Return the unused retries of a stopped run whose first event has arrived."""
+        handover = self.continuing.get(key)
+        if handover is not None and handover.retries is not None:
+            handover.retries.release()
+
+    def _note_leaving(self, now: float) -> None:
+        """Note when upstreams leave as soon as the view states it, with or without runs there."""
+        view = (self._upstreams.revision, self._upstreams.announced_leaving)
+        if view == self._noted_view:
+            return
+        self._noted_view = view
+        for upstream in self._upstreams.all():
+            if upstream.draining:
+                self.notices.note(upstream.id, upstream.leaves_seconds, now)
+
     def seconds_until_shutdown(self, upstream_id: str, now: float) -> float | None:
         """Return the seconds until an upstream shuts down, None if it does not."""
         known = self._upstreams.find(upstream_id)
@@ -214,7 +235,12 @@
     def _spawn(self, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.note("move.fault", error=repr(task.exception()))
 
     async def _move(self, run: MovableRun, move: Move, seconds: float) -> None:
         started_at = self._clock()
@@ -222,6 +248,10 @@
         try:
             tried = {run.upstream.id}
             for _ in range(_MAX_TARGETS):
+                service = run.request.service.name
+                if not self._budgets.has_left(service, self._clock(), RETRIES_PER_STOP):
+                    reason = NO_RETRY_LEFT
+                    break
                 if run.ended or self._clock() - started_at >= move.time_limit:
                     break
                 placed = await self._reserve_target(run.request, frozenset(tried))
--- a/src/lotushill/requests/replacement_search.py
+++ b/src/lotushill/requests/replacement_search.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
-from lotushill.availability.replacement_conditions import NO_RETRY_LEFT
 from lotushill.availability.replacement_conditions import ReplacementConditions
 from lotushill.availability.replacement_conditions import replacement_obstacle
+from lotushill.availability.retry_budget import NO_RETRY_LEFT
 from lotushill.requests.attempt_end import ReplacedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
@@ -38,7 +37,7 @@
 
 T = TypeVar("T")
 
-_REFUSAL_SECONDS = 0.08
+_REFUSAL_SECONDS = 0.05
 """Longest time for which a replacement may still refuse the request before the silent upstream is
 given up. Refusals are answered at once. An upstream drops a run 0.3 seconds after the end of its
 connection at the latest, and no run may be executed at two upstreams for more than 0.4 seconds."""
@@ -89,6 +88,9 @@
             if error is not None and self._decision is not None:
                 # The request is sent to a third upstream only if the second one refuses it.
                 await self._decision.wait()
+            if replacing.done() and replacing.exception() is not None:
+                self._log_fault(replacing.exception())
+                return await reading
             if not isinstance(error, UpstreamError) or not replacing.done():
                 return reading.result()
             successor = replacing.result()
@@ -175,7 +177,10 @@
                 self._search.defer(upstream.id)
                 return "no permit"
             if placement.choice.moved is not None:
-                permit = replace(permit, holds_memory=True)
+                permit = self._continuation.memory_permit(upstream)
+            if not retries.try_spend(self._components.clock()):
+                permit = None
+                return NO_RETRY_LEFT
             return await self._send(self._tracker.begin(placement, permit), retries)
         finally:
             retries.release()
@@ -194,10 +199,13 @@
         decision = asyncio.Event()
         try:
             end = await attempt.send()
-            if end is None:
-                retries.try_spend(self._components.clock())
+            if end is not None:
+                retries.take_back()
+            else:
                 self._decision = decision
-                if not await attempt.is_refused(_REFUSAL_SECONDS):
+                # A handle serves once, so both connections may stay open until a head arrives.
+                is_moved = attempt.choice.moved is not None
+                if not await attempt.is_refused(None if is_moved else _REFUSAL_SECONDS):
                     return attempt
                 self._refusals += 1
                 self._decide(decision)
@@ -223,6 +231,12 @@
             begun = end.answer_started or self._splitter.event_count > 0
             self._components.quarantine.record_interruption(self._request, choice.upstream, begun)
 
+    def _log_fault(self, fault: BaseException | None) -> None:
+        """Log an unexpected exception of the search; the silent upstream is read on."""
+        self._components.log.note(
+            "request.fault", request=self._request.demand.request_id, trace=repr(fault)
+        )
+
     def _log_obstacle(self, silent: Choice, obstacle: str) -> None:
         """Log why a silent upstream is not replaced, once for each reason in turn."""
         if obstacle == self._logged_obstacle:
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -217,7 +217,7 @@
             end = await self._attempt.send()
         return self._record_end(end) if end is not None else None
 
-    async def is_refused(self, seconds: float) -> bool:
+    async def is_refused(self, seconds: float | None) -> bool:
         """Return whether the upstream refuses the written request, or fails, within some seconds.
 
         Return False as soon as it has accepted the request.
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -25,8 +25,8 @@
     """Permission to write one request to one upstream; none is written without it."""
 
     upstream_id: str
-    holds_memory: bool = False
-    """Whether the upstream holds the memory of a stopped run, which it takes even if it leaves."""
+    takes_memory_until: float = 0.0
+    """Time until which the upstream takes a run whose memory it holds, even if it is leaving."""
 
 
 class UpstreamGate:
@@ -88,7 +88,11 @@
         known = self._upstreams.find(upstream_id)
         if known is None or known.draining:
             return False
-        return not self._cooldowns.is_barred(upstream_id, self._clock())
+        return not self.is_in_cooldown(upstream_id)
+
+    def is_in_cooldown(self, upstream_id: str) -> bool:
+        """Return whether an upstream has asked for a cooldown that still lasts."""
+        return self._cooldowns.is_barred(upstream_id, self._clock())
 
     async def admit(self, upstream: Upstream, need: Need) -> Permit | None:
         """Return the permit for one request, None if it has to be sent elsewhere.
@@ -105,7 +109,8 @@
 
     def authorize_send(self, permit: Permit) -> bool:
         """Return whether a request may be written now, and record it as sent if so."""
-        if not permit.holds_memory and not self.accepts_requests(permit.upstream_id):
+        takes_memory = self._clock() < permit.takes_memory_until
+        if not takes_memory and not self.accepts_requests(permit.upstream_id):
             self.blocked_sends += 1
             return False
         self._cooldowns.note_sent(permit.upstream_id, self._clock())
