--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -43,7 +43,7 @@
 _SUCCESS = range(200, 300)
 _MIN_HEAD_TIMEOUT_SECONDS = 0.8
 """Minimum wait for the head of an answer before the upstream counts as silent."""
-_MOVED_HEAD_FRACTION = 0.5
+_SOURCE_ASKED_AFTER_FRACTION = 0.5
 """Fraction of the time for which a client waits for an event, after which the source of a moved run
 is asked whether it still holds the memory, as its target has not answered."""
 _HEAD_TIMEOUT_FACTOR = 4.0
@@ -254,7 +254,7 @@
         A run that continues from its memory is let in before others, and its source holds the
         memory as well until it is used.
         """
-        patience = _MOVED_HEAD_FRACTION * self._request.need.event_timeout
+        patience = _SOURCE_ASKED_AFTER_FRACTION * self._request.need.event_timeout
         try:
             async with asyncio.timeout(self.sent_at + patience - self._clock()):
                 return await connection.read_head()
--- a/src/lotushill/requests/continuation_tries.py
+++ b/src/lotushill/requests/continuation_tries.py
@@ -27,7 +27,7 @@
         self._asked: set[str] = set()
         self._gone: set[str] = set()
         self._lost_connection: tuple[str, float] | None = None
-        """Upstream whose connection was lost last after it had been sent the run, and when."""
+        """Upstream that may have run it last, and when the connection to it ended."""
         self._losses = 0
         """Connections to that upstream that were lost in a row."""
 
@@ -54,18 +54,17 @@
         """Return whether an upstream is left that may still hold the memory of the run."""
         return any(memory.upstream.id not in self._gone for memory in memories)
 
-    def note_refusal(
-        self, upstream_id: str, connection_lost: bool, is_gone: bool, now: float
-    ) -> None:
+    def note_refusal(self, upstream_id: str, may_have_run: bool, is_gone: bool, now: float) -> None:
         """Record that an upstream has not continued the run.
 
-        `is_gone` states that it has ended with its memory, so that it does not work on the run.
+        `may_have_run` states that it was sent the run and did not refuse it, so that it may still
+        work on it; `is_gone` that it has ended with its memory.
         """
         self._asked.add(upstream_id)
         lost_id = self._lost_connection[0] if self._lost_connection is not None else ""
         if is_gone:
             self._gone.add(upstream_id)
-        if connection_lost and not is_gone:
+        if may_have_run and not is_gone:
             self._losses = self._losses + 1 if lost_id == upstream_id else 1
             self._lost_connection = (upstream_id, now)
         elif is_gone or lost_id != upstream_id:
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -39,10 +39,11 @@
 _STOP_CALL_SECONDS = 5.0
 """Longest wait for the answer to one call that stops a run; longer than copies queue for a link."""
 _CLOSE_TIMEOUT_SECONDS = 0.1
-"""Time for the source to close the stream of a stopped run before this gateway closes it."""
+"""Time within which a source closes the stream of a run that it has stopped. A stream that is open
+after that is closed if the run is known to be stopped; otherwise it was not."""
 _SILENCE_TIMEOUT_SECONDS = 0.5
 """Time without events after which the stream of a run that its source does not know is closed."""
-_STOP_TIMEOUT_SECONDS = 0.1
+_SETTLE_SECONDS = 0.1
 """Longest wait, after the end of a stopped stream, for the answer of the call that stopped it. The
 rest of the memory may wait behind other copies; without it the target reads what it lacks."""
 _COPY_TIMEOUT_SECONDS = 0.2
@@ -265,9 +266,8 @@
             self._is_at_target = False
             return True
         if answer.reason is NoCopyReason.UNKNOWN_RUN and asked_before:
-            # An earlier call has stopped the run, or it has ended by itself. Events that the source
-            # sent before may still arrive.
-            return await self._is_silent() or await self._is_silent()
+            # An earlier call has stopped the run, or it has ended by itself.
+            return await self._becomes_silent()
         # A source that has stopped the run closes its stream, even if it names no memory.
         return await self._has_ended(_CLOSE_TIMEOUT_SECONDS)
 
@@ -280,10 +280,16 @@
             return False
         return True
 
-    async def _is_silent(self) -> bool:
-        """Return whether the stream ends, or brings no event for a while."""
-        events = self._event_count()
-        return await self._has_ended(_SILENCE_TIMEOUT_SECONDS) or self._event_count() == events
+    async def _becomes_silent(self) -> bool:
+        """Return whether the stream ends, or brings no event in one of two periods.
+
+        Events that the source sent before may still arrive in the first one.
+        """
+        for _ in range(2):
+            events = self._event_count()
+            if await self._has_ended(_SILENCE_TIMEOUT_SECONDS) or self._event_count() == events:
+                return True
+        return False
 
     def _close_stopped_stream(self) -> None:
         """Close the stream of a stopped run if its end does not arrive soon."""
@@ -321,7 +327,7 @@
         """Wait, for a limited time, until it is settled where the memory of the run is."""
         try:
             async with asyncio.timeout(
-                _STOP_TIMEOUT_SECONDS if self.run_stopped else _COPY_TIMEOUT_SECONDS
+                _SETTLE_SECONDS if self.run_stopped else _COPY_TIMEOUT_SECONDS
             ):
                 await self._calls_done.wait()
         except TimeoutError:
--- a/src/lotushill/requests/replacement_search.py
+++ b/src/lotushill/requests/replacement_search.py
@@ -67,7 +67,7 @@
         self._continuation = continuation
         self._tracker = tracker
         self._refusals = 0
-        self._decision: asyncio.Event | None = None
+        self._acceptance_known: asyncio.Event | None = None
         """Set once a replacement that has the request accepts or refuses it; None if none has."""
         self._logged_obstacle = ""
 
@@ -85,9 +85,9 @@
         try:
             await asyncio.wait((reading, replacing), return_when=asyncio.FIRST_COMPLETED)
             error = reading.exception() if reading.done() else SilentUpstreamError("no event")
-            if error is not None and self._decision is not None:
+            if error is not None and self._acceptance_known is not None:
                 # The request is sent to a third upstream only if the second one refuses it.
-                await self._decision.wait()
+                await self._acceptance_known.wait()
             if replacing.done() and replacing.exception() is not None:
                 self._log_fault(replacing.exception())
                 return await reading
@@ -202,7 +202,7 @@
             if end is not None:
                 retries.take_back()
             else:
-                self._decision = decision
+                self._acceptance_known = decision
                 # A handle serves once, so both connections may stay open until a head arrives.
                 is_moved = attempt.choice.moved is not None
                 if not await attempt.is_refused(None if is_moved else _REFUSAL_SECONDS):
@@ -223,7 +223,7 @@
     def _decide(self, decision: asyncio.Event) -> None:
         """Record that the replacement has accepted or refused the request, or was given up."""
         decision.set()
-        self._decision = None
+        self._acceptance_known = None
 
     def _check_upstream(self, choice: Choice, end: AttemptEnd) -> None:
         """Start a check whether the upstream itself failed, if its connection was lost."""
--- a/tests/requests/test_continuation_tries.py
+++ b/tests/requests/test_continuation_tries.py
@@ -49,14 +49,14 @@
 
     def test_after_a_refusal_both_may_be_asked_at_once(self) -> None:
         tries = new_tries()
-        tries.note_refusal("target", connection_lost=False, is_gone=False, now=NOW)
+        tries.note_refusal("target", may_have_run=False, is_gone=False, now=NOW)
         self.assertTrue(tries.may_ask("source", NOW))
         self.assertTrue(tries.may_ask("target", NOW))
         self.assertEqual((True, False), (tries.was_asked("target"), tries.was_asked("source")))
 
     def test_after_a_lost_connection_only_the_same_one_may_be_asked_at_once(self) -> None:
         tries = new_tries()
-        tries.note_refusal("target", connection_lost=True, is_gone=False, now=NOW)
+        tries.note_refusal("target", may_have_run=True, is_gone=False, now=NOW)
         self.assertTrue(tries.may_ask("target", NOW))
         self.assertFalse(tries.may_ask("source", NOW))
         self.assertFalse(tries.may_ask("source", NOW + DROP_SECONDS - 0.01))
@@ -64,15 +64,15 @@
 
     def test_a_refusal_does_not_end_the_wait_after_a_lost_connection(self) -> None:
         tries = new_tries()
-        tries.note_refusal("target", connection_lost=True, is_gone=False, now=NOW)
-        tries.note_refusal("target", connection_lost=False, is_gone=False, now=NOW + 0.03)
+        tries.note_refusal("target", may_have_run=True, is_gone=False, now=NOW)
+        tries.note_refusal("target", may_have_run=False, is_gone=False, now=NOW + 0.03)
         self.assertFalse(tries.may_ask("source", NOW + 0.03))
         self.assertTrue(tries.may_ask("source", NOW + DROP_SECONDS))
 
     def test_each_lost_connection_begins_the_wait_anew(self) -> None:
         tries = new_tries()
-        tries.note_refusal("target", connection_lost=True, is_gone=False, now=NOW)
-        tries.note_refusal("target", connection_lost=True, is_gone=False, now=NOW + 0.3)
+        tries.note_refusal("target", may_have_run=True, is_gone=False, now=NOW)
+        tries.note_refusal("target", may_have_run=True, is_gone=False, now=NOW + 0.3)
         self.assertFalse(tries.may_ask("source", NOW + DROP_SECONDS))
         self.assertTrue(tries.may_ask("source", NOW + 0.3 + DROP_SECONDS))
 
@@ -81,29 +81,29 @@
         tries = new_tries()
         for at in (NOW, NOW + 0.03):
             self.assertTrue(tries.may_ask("target", at))
-            tries.note_refusal("target", connection_lost=True, is_gone=False, now=at)
+            tries.note_refusal("target", may_have_run=True, is_gone=False, now=at)
         self.assertFalse(tries.may_ask("target", NOW + 0.03 + DROP_SECONDS))
         self.assertTrue(tries.may_ask("source", NOW + 0.03 + DROP_SECONDS))
-        tries.note_refusal("source", connection_lost=False, is_gone=False, now=NOW + 0.6)
+        tries.note_refusal("source", may_have_run=False, is_gone=False, now=NOW + 0.6)
         self.assertTrue(tries.may_ask("target", NOW + 0.6))
 
     def test_one_that_is_gone_is_not_asked_again_and_the_other_one_at_once(self) -> None:
         tries = new_tries()
-        tries.note_refusal("target", connection_lost=True, is_gone=True, now=NOW)
+        tries.note_refusal("target", may_have_run=True, is_gone=True, now=NOW)
         self.assertFalse(tries.may_ask("target", NOW + PATIENCE_SECONDS))
         self.assertTrue(tries.may_ask("source", NOW))
         self.assertTrue(tries.any_left(MEMORIES))
 
     def test_one_that_is_gone_later_ends_the_wait_for_its_lost_connection(self) -> None:
         tries = new_tries()
-        tries.note_refusal("target", connection_lost=True, is_gone=False, now=NOW)
-        tries.note_refusal("target", connection_lost=False, is_gone=True, now=NOW + 0.03)
+        tries.note_refusal("target", may_have_run=True, is_gone=False, now=NOW)
+        tries.note_refusal("target", may_have_run=False, is_gone=True, now=NOW + 0.03)
         self.assertTrue(tries.may_ask("source", NOW + 0.03))
 
     def test_none_is_left_once_all_are_gone(self) -> None:
         tries = new_tries()
         for name in ("source", "target"):
-            tries.note_refusal(name, connection_lost=False, is_gone=True, now=NOW)
+            tries.note_refusal(name, may_have_run=False, is_gone=True, now=NOW)
         self.assertFalse(tries.any_left(MEMORIES))
 
     def test_pauses_double_up_to_the_longest(self) -> None:
