--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1147,7 +1147,7 @@
     Break(
         "a replacement in progress is looked after if the silent stream ends",
         "requests/replacement_search.py",
-        "                await self._decision.wait()\n",
+        "                await self._acceptance_known.wait()\n",
         "                pass\n",
         "tests.requests.test_silent_upstream",
     ),
