--- a/src/lotushill/availability/retry_budget.py
+++ b/src/lotushill/availability/retry_budget.py
@@ -79,9 +79,9 @@
             self._retries.remove(spent_at)
         self._reserved += 1
 
-    def has_left(self, count: int, gateways: int, now: float) -> bool:
-        """Return whether `count` retries are left."""
-        return self._left(gateways, now) >= count
+    def has_left(self, gateways: int, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._left(gateways, now) >= 1
 
     def release(self, count: int) -> None:
         """Return reserved retries that are not made."""
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -248,10 +248,6 @@
         try:
             tried = {run.upstream.id}
             for _ in range(_MAX_TARGETS):
-                service = run.request.service.name
-                if not self._budgets.has_left(service, self._clock(), RETRIES_PER_STOP):
-                    reason = NO_RETRY_LEFT
-                    break
                 if run.ended or self._clock() - started_at >= move.time_limit:
                     break
                 placed = await self._reserve_target(run.request, frozenset(tried))
@@ -262,7 +258,8 @@
                 if handover is None:
                     break
                 reason = handover.reason or handover.phase.value
-                if handover.phase is not Phase.GIVEN_UP or reason.startswith(NO_ANSWER):
+                is_given_up = handover.phase is Phase.GIVEN_UP
+                if not is_given_up or reason.startswith(NO_ANSWER) or reason == NO_RETRY_LEFT:
                     break
         finally:
             run.end_handover(self._clock())
--- a/src/lotushill/requests/retry_budgets.py
+++ b/src/lotushill/requests/retry_budgets.py
@@ -45,9 +45,9 @@
         """Spend one retry if one is left; return whether it was spent."""
         return self._budget(service).try_spend(self._gateways(), now)
 
-    def has_left(self, service: str, now: float, count: int = 1) -> bool:
-        """Return whether `count` retries are left."""
-        return self._budget(service).has_left(count, self._gateways(), now)
+    def has_left(self, service: str, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._budget(service).has_left(self._gateways(), now)
 
     def try_reserve(self, service: str, count: int, now: float) -> ReservedRetries | None:
         """Reserve `count` retries for one request; return None if fewer are left."""
