Log and report how old and how far behind each view is

The logs could not tell a watch that lasts too long from a pull that nobody answered. dependency.lost says how long the failed call waited, dependency.regained how many calls failed; view.behind and view.current name views that stay behind although they were pulled, and how often. /status and two gauges give the age of each view. No decision changes.

--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from lotushill import clock as clocks
+from lotushill.links.messages import ViewKind
 from lotushill.routing.team import team_number
 
 if TYPE_CHECKING:
@@ -246,6 +247,16 @@
         "Log lines dropped by the rate limit",
         lambda: gateway.log.total_left_out,
     )
+    add_gauge(
+        "view_unconfirmed_seconds",
+        "Longest time for which the store has not confirmed a view that this gateway reads there",
+        lambda: max(gateway.views.seconds_unconfirmed(kind) or 0.0 for kind in ViewKind),
+    )
+    add_gauge(
+        "view_behind_seconds",
+        "Longest time for which another gateway has been known to have a newer view",
+        lambda: max(gateway.peers.seconds_behind(kind) for kind in ViewKind),
+    )
     add_gauge(
         "configuration_revision",
         "Revision of the configuration in force",
@@ -274,6 +285,7 @@
                 for item in gateway.fleet.engine_paces.deviating_paces()
             },
         },
+        "views": {kind.value: _view(gateway, kind) for kind in ViewKind},
         "over_share": _over_share(gateway),
         "settings": {
             "revision": gateway.views.settings.revision,
@@ -299,6 +311,16 @@
     }
 
 
+def _view(gateway: ReportedGateway, kind: ViewKind) -> dict[str, object]:
+    """Return the revision of a view in force and how old it is."""
+    unconfirmed = gateway.views.seconds_unconfirmed(kind)
+    return {
+        "revision": gateway.views.revision(kind),
+        "unconfirmed_seconds": None if unconfirmed is None else round(unconfirmed, 3),
+        "behind_seconds": round(gateway.peers.seconds_behind(kind), 3),
+    }
+
+
 def _over_share(gateway: ReportedGateway) -> list[dict[str, object]]:
     """Return the teams over their share, which yield to others while a service is overloaded."""
     table = gateway.views.configuration.table
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -163,7 +163,9 @@
         )
         self.model_sync = ModelSync(self.schedulers)
         self._hall_contact = HallContact(self.schedulers)
-        self._views = ViewExchange(self.membership, self.links, rng, hooks.view_text, hooks.on_view)
+        self._views = ViewExchange(
+            self.membership, self.links, rng, hooks.view_text, hooks.on_view, log
+        )
         self._relay = LoadRelay(settings.name, self.schedulers, self.send_message)
         self._transport: asyncio.DatagramTransport | None = None
         self._unreachable_halls: set[str] = set()
@@ -198,6 +200,10 @@
         """Return the number of known gateways, including lost ones."""
         return self.membership.count
 
+    def seconds_behind(self, kind: ViewKind) -> float:
+        """Return for how long another gateway has been known to have a newer view of a kind."""
+        return self._views.seconds_behind(kind, self._clock())
+
     def is_hall_unreachable(self, hall: str) -> bool:
         """Return whether gateways of a hall are known but none of them is reachable."""
         if self.membership.version != self._unreachable_version:
--- a/src/lotushill/peering/view_exchange.py
+++ b/src/lotushill/peering/view_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lotushill.links.exceptions import MalformedFrameError
@@ -18,6 +19,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from lotushill.event_log import EventLog
     from lotushill.links.messages import MemberState
     from lotushill.links.peer_links import PeerLinks
     from lotushill.membership.membership import Membership
@@ -26,6 +28,21 @@
 """Time for which a view has to be behind before it is pulled. Within it, this gateway's watch of
 the store or another gateway of the hall normally delivers the newer view."""
 _PULL_INTERVAL_SECONDS = 0.5
+_REPORT_DELAY_SECONDS = 1.0
+"""Time for which a view has to be behind before a log line says so."""
+
+
+@dataclass
+class _Lag:
+    """A view of which another gateway has a newer revision; times are seconds of the clock."""
+
+    since: float
+    next_pull_at: float
+    newest: int
+    """Highest revision that another gateway is known to have."""
+    pulls: int = 0
+    """Number of pulls sent so far."""
+    is_reported: bool = False
 
 
 class ViewExchange:
@@ -38,6 +55,7 @@
         rng: random.Random,
         view_text: Callable[[ViewKind], tuple[int, str]],
         on_view: Callable[[ViewKind, int, str], None],
+        log: EventLog,
     ) -> None:
         """Exchange views as JSON text.
 
@@ -48,7 +66,9 @@
         self._rng = rng
         self._view_text = view_text
         self._on_view = on_view
-        self._behind_since: dict[ViewKind, float] = {}
+        self._log = log
+        self._lags: dict[ViewKind, _Lag] = {}
+        """Views that are behind, by kind."""
         self._packed: dict[ViewKind, tuple[str, bytes]] = {}
         """Latest text of each view that was sent, with its packed form."""
         self._compared_version = -1
@@ -56,7 +76,7 @@
 
     def pull_newer(self, revisions: dict[ViewKind, int], now: float) -> None:
         """Pull the views that other gateways have at a higher revision."""
-        if self._membership.version == self._compared_version and not self._behind_since:
+        if self._membership.version == self._compared_version and not self._lags:
             return
         self._compared_version = self._membership.version
         members = self._membership.live()
@@ -69,16 +89,45 @@
         """Pull one view from a member with a higher revision, preferably one of the same hall."""
         newer = [item for item in members if _revision(item, kind) > revision]
         if not newer:
-            self._behind_since.pop(kind, None)
+            self._end_lag(kind, revision, now)
             return
         same_hall = [item for item in newer if item.hall == self._membership.own.hall]
-        delay = self._pull_delay(revision, bool(same_hall))
-        since = self._behind_since.setdefault(kind, now)
-        if now - since < delay:
+        lag = self._lags.get(kind)
+        if lag is None:
+            lag = self._lags[kind] = _Lag(now, now + self._pull_delay(revision, bool(same_hall)), 0)
+        lag.newest = max(_revision(item, kind) for item in newer)
+        self._report_lag(kind, revision, lag, now)
+        if now < lag.next_pull_at:
             return
-        self._behind_since[kind] = now + _PULL_INTERVAL_SECONDS - delay
+        lag.next_pull_at = now + _PULL_INTERVAL_SECONDS
+        lag.pulls += 1
         self._links.post(self._rng.choice(same_hall or newer).name, ViewPull(kind, revision))
 
+    def seconds_behind(self, kind: ViewKind, now: float) -> float:
+        """Return for how long another gateway has been known to have a newer revision."""
+        lag = self._lags.get(kind)
+        return now - lag.since if lag is not None else 0.0
+
+    def _report_lag(self, kind: ViewKind, revision: int, lag: _Lag, now: float) -> None:
+        """Log once that a view remains behind although it was pulled."""
+        if lag.is_reported or now - lag.since < _REPORT_DELAY_SECONDS:
+            return
+        lag.is_reported = True
+        self._log.note(
+            "view.behind", kind=kind.value, revision=revision, newest=lag.newest, pulls=lag.pulls
+        )
+
+    def _end_lag(self, kind: ViewKind, revision: int, now: float) -> None:
+        lag = self._lags.pop(kind, None)
+        if lag is not None and lag.is_reported:
+            self._log.note(
+                "view.current",
+                kind=kind.value,
+                revision=revision,
+                behind_seconds=round(now - lag.since, 3),
+                pulls=lag.pulls,
+            )
+
     def _pull_delay(self, revision: int, in_own_hall: bool) -> float:
         """Return how long others may have a higher revision before their view is pulled."""
         if revision < 0:
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -121,6 +121,10 @@
         """Whether this gateway reads the kind from the store itself."""
         self.failing = False
         """Whether the last call failed."""
+        self._failed_calls = 0
+        """Number of calls that failed since the last answer."""
+        self.answered_at: float | None = None
+        """Time of the last answer of the store, up to which the view is known to be current."""
         self.answering_since: float | None = None
         """Time since which every call was answered, None while the last one was not."""
 
@@ -206,18 +210,32 @@
 
     def _note_answer(self) -> None:
         self._pause = _FIRST_PAUSE_SECONDS
+        self.answered_at = self._clock()
         if self.answering_since is None:
-            self.answering_since = self._clock()
+            self.answering_since = self.answered_at
         if self.failing:
             self.failing = False
-            self._log.note("dependency.regained", name="store", kind=self._kind.name)
+            self._log.note(
+                "dependency.regained",
+                name="store",
+                kind=self._kind.name,
+                failed_calls=self._failed_calls,
+            )
 
     async def _back_off(self, error: StoreError) -> None:
         self._last_failure_at = self._call_sent_at
         self.answering_since = None
         if not self.failing:
             self.failing = True
-            self._log.note("dependency.lost", name="store", kind=self._kind.name, error=repr(error))
+            self._failed_calls = 0
+            self._log.note(
+                "dependency.lost",
+                name="store",
+                kind=self._kind.name,
+                error=repr(error),
+                waited_seconds=round(self._clock() - self._call_sent_at, 3),
+            )
+        self._failed_calls += 1
         max_pause = (
             _MAX_SUBSTITUTE_PAUSE_SECONDS
             if self._read_policy.is_substitute_reader()
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -282,7 +282,7 @@
         behind._views.pull_if_behind(ViewKind.CONFIGURATION, 1, behind.membership.live(), now)
         self.assertEqual(["gw-0"], posted)
         behind.membership.set_views(1, 1, 1, StoreContact.READING)
-        behind._views._behind_since.clear()
+        behind._views._lags.clear()
         behind._views.pull_if_behind(ViewKind.CONFIGURATION, 1, behind.membership.live(), now + 10)
         self.assertEqual(["gw-0"], posted)
         behind._views.pull_if_behind(ViewKind.CONFIGURATION, 1, behind.membership.live(), now + 11)
--- a/tests/peering/test_view_exchange.py
+++ b/tests/peering/test_view_exchange.py
@@ -15,6 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lotushill.event_log import EventLog
 from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.messages import MemberPhase
 from lotushill.links.messages import MemberState
@@ -77,6 +78,7 @@
             random.Random(1),
             lambda _: (15, TEXT),
             lambda _kind, _revision, text: self.received.append(text),
+            EventLog("a", lambda _: None),
         )
 
     def test_a_thousand_routes_reach_a_hall_over_a_narrow_link_in_time(self) -> None:
