--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,7 @@
 """Runs the soak test with many seeds, several at a time, and prints a line for each.
 
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
-        [--moves] [--mild] [--trace]
+        [--moves] [--mild] [--silences] [--trace]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
 Exits with 1 if an invariant was violated, or if less than 0.97 of the ordinary requests at the end
@@ -34,22 +34,36 @@
 
 
 def run_seed(
-    seed: int, seconds: float, engine_signals: bool, limits: bool, moves: MovesOptions | None
+    seed: int,
+    seconds: float,
+    engine_signals: bool,
+    limits: bool,
+    moves: MovesOptions | None,
+    silences: bool,
 ) -> Result:
     """Run one seed; a run that does not end in time prints its stack traces."""
     faulthandler.dump_traceback_later(seconds + _SPARE_SECONDS, exit=True)
     try:
-        return asyncio.run(_run_with_timeout(seed, seconds, engine_signals, limits, moves))
+        return asyncio.run(
+            _run_with_timeout(seed, seconds, engine_signals, limits, moves, silences)
+        )
     finally:
         faulthandler.cancel_dump_traceback_later()
 
 
 async def _run_with_timeout(
-    seed: int, seconds: float, engine_signals: bool, limits: bool, moves: MovesOptions | None
+    seed: int,
+    seconds: float,
+    engine_signals: bool,
+    limits: bool,
+    moves: MovesOptions | None,
+    silences: bool,
 ) -> Result:
     try:
         async with asyncio.timeout(seconds + _SPARE_SECONDS / 2):
-            return await Soak(seed, seconds, engine_signals, limits, moves=moves).run()
+            return await Soak(
+                seed, seconds, engine_signals, limits, moves=moves, silences=silences
+            ).run()
     except TimeoutError:
         for task in asyncio.all_tasks():
             task.print_stack()
@@ -74,6 +88,11 @@
         action="store_true",
         help="with long streams that are moved between engines, and faults of their moves only",
     )
+    parser.add_argument(
+        "--silences",
+        action="store_true",
+        help="with open connections of gateways that fall silent, and checks of what they know",
+    )
     parser.add_argument(
         "--trace", action="store_true", help="print what happened to the requests of violations"
     )
@@ -96,6 +115,7 @@
             [not options.plain] * options.seeds,
             [options.limits] * options.seeds,
             [moves] * options.seeds,
+            [options.silences] * options.seeds,
         )
         for seed, result in zip(seeds, results):
             failed_count += _print_result(seed, result)
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -91,7 +91,8 @@
     def restore_entry(self) -> None:
         """Restore the correct entry if the engine is running."""
         if self._server is not None:
-            self.write_entry()
+            is_drained = self.incarnation in self._ledger.views.drained_at
+            self.write_entry(**({"state": "draining"} if is_drained else {}))
 
     async def terminate(self) -> None:
         """Terminate without a further announcement and restart after a delay."""
@@ -101,11 +102,12 @@
         await server.close()
         self._start_task(self._restart())
 
-    async def drain(self) -> None:
-        """Mark the entry as draining and shut down after a delay."""
+    async def drain(self, seconds: float = _DRAIN_DELAY_SECONDS + 0.5) -> None:
+        """Mark the entry as draining and shut down after some seconds."""
         if self._server is not None:
             self.write_entry(state="draining")
-            self._start_task(self._terminate_after_drain())
+            self._ledger.views.drained_at.setdefault(self.incarnation, time.monotonic())
+            self._start_task(self._terminate_after_drain(self.incarnation, seconds))
 
     def reject_for(self, seconds: float) -> None:
         """Reject all requests for `seconds` with a Retry-After header of the same length."""
@@ -137,9 +139,10 @@
         if self._server is not None:
             await self._server.close()
 
-    async def _terminate_after_drain(self) -> None:
-        await asyncio.sleep(_DRAIN_DELAY_SECONDS + 0.5)
-        await self.terminate()
+    async def _terminate_after_drain(self, incarnation: str, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        if self.incarnation == incarnation:
+            await self.terminate()
 
     async def _restart(self) -> None:
         await asyncio.sleep(_RESTART_DELAY_SECONDS)
--- a/tests/soak/engine_steps.py
+++ b/tests/soak/engine_steps.py
@@ -23,6 +23,8 @@
             await engine.terminate()
         case Action.DRAIN_ENGINE:
             await engine.drain()
+        case Action.DRAIN_SLOWLY:
+            await engine.drain(step.seconds)
         case Action.REJECT_AT_ENGINE:
             engine.reject_for(step.seconds)
         case Action.REJECT_AT_ALL_ENGINES:
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -14,6 +14,7 @@
 
 from tests.console.test_gateway_program import free_address
 from tests.console.test_gateway_program import get_status
+from tests.soak.proxied_gateway import PROXY_VARIABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,27 +43,40 @@
     """Starts gateways and restarts each one that has ended."""
 
     def __init__(
-        self, folder: Path, store: str, count: int, changed_settings: dict[str, object]
+        self,
+        folder: Path,
+        store: str,
+        count: int,
+        changed_settings: dict[str, object],
+        halls: int,
+        proxy: str = "",
     ) -> None:
+        """Prepare gateways in some halls; their connections pass `proxy` (IP:PORT) if given."""
         self._folder = folder
+        self._halls = halls
+        self._module = "tests.soak.proxied_gateway" if proxy else "lotushill.console.gateway"
+        self._environment = {**os.environ, PROXY_VARIABLE: proxy} if proxy else dict(os.environ)
         self._changed_settings = changed_settings
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
-        self.all = [self._create(f"gw-{number}", store) for number in range(count)]
+        self.all = [self._create(number, store) for number in range(count)]
         self.log_lines: list[dict[str, object]] = []
         """Log lines of all gateways."""
         self.on_absence: Callable[[str, float, float], None] = lambda *_: None
         """Called after a kill or freeze with the address of the gateway, its start and its end."""
+        self.on_signal: Callable[[str, float], None] = lambda *_: None
+        """Called with the address of a gateway that gets a signal, and the time."""
         self.on_restart: Callable[[str, float], None] = lambda *_: None
         """Called with the address of a gateway that starts with empty state, and the time."""
         self.errors: list[str] = []
         """Tracebacks on standard error, and processes that ended by themselves."""
 
-    def _create(self, name: str, store: str) -> Gateway:
+    def _create(self, number: int, store: str) -> Gateway:
+        name = f"gw-{number}"
         clients, readiness = free_address(), free_address()
         settings = {
             "name": name,
-            "hall": f"hall-{name[-1]}",
+            "hall": f"hall-{number % self._halls}",
             "region": "r",
             "clients": clients,
             "readiness": readiness,
@@ -90,8 +104,8 @@
         gateway.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "lotushill.console.gateway",
-            env={**os.environ, "LOTUSHILL_NODE_FILE": str(gateway.settings)},
+            self._module,
+            env={**self._environment, "LOTUSHILL_NODE_FILE": str(gateway.settings)},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
@@ -135,6 +149,7 @@
             return
         if number in _HANDLED_SIGNALS and not _handles_signal(gateway.process.pid, number):
             gateway.unhandled_signal = number
+        self.on_signal(gateway.clients, time.monotonic())
         gateway.process.send_signal(number)
 
     async def freeze(self, gateway: Gateway, seconds: float) -> None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -12,6 +12,7 @@
 from tests.soak.move_checks import move_violations
 from tests.soak.move_checks import truncation_causes
 from tests.soak.run_memory import RunMemories
+from tests.soak.view_checks import ViewChecks
 
 if TYPE_CHECKING:
     from tests.soak.records import Absence
@@ -59,6 +60,8 @@
     """Starts of gateways, which begin with empty state."""
     memories: RunMemories = field(default_factory=RunMemories)
     """Runs of long streams, and the memory that engines held for them."""
+    views: ViewChecks = field(default_factory=ViewChecks)
+    """What gateways had in force; observed only in a run with silenced connections."""
     decoy_targets: Counter[str] = field(default_factory=Counter)
     """Names of the upstreams for which requests to the decoy were meant."""
     decoy_requests: int = 0
@@ -92,6 +95,7 @@
         violations += [f"{answer.attempt}: answered after the deadline" for answer in self._late()]
         violations += self._violated_cooldowns() + self._sent_to_leaving() + self.over_limits()
         violations += move_violations(self.memories, self.answers, self._was_absent_between)
+        violations += self._outdated_views()
         if self.decoy_requests:
             violations.append(
                 f"{self.decoy_requests} requests sent to an address from a malformed entry, for "
@@ -104,6 +108,12 @@
             )
         return violations
 
+    def _outdated_views(self) -> list[str]:
+        if not self.views.observed:
+            return []
+        gateways = {answer.attempt: answer.gateway for answer in self.answers}
+        return self.views.violations(self.arrivals, gateways)
+
     def truncation_causes(self) -> Counter[str]:
         """Return how many answers of long streams were truncated, by cause."""
         return truncation_causes(self.memories, self.answers, self._was_absent_between)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -36,6 +36,8 @@
     SLOW_ENGINE = "make an engine generate events slowly for a while"
     STALL_ENGINE = "make an engine generate no events for a moment"
     DISTURB_CALLS = "disturb the calls for moving memory at half of the engines for a while"
+    DRAIN_SLOWLY = "drain an engine that continues to serve for a while, then end it"
+    SILENCE_CONNECTIONS = "silence all open connections of all gateways"
     DISTURB_HANDLES = "disturb first requests with a handle at half of the engines for a while"
 
 
@@ -94,6 +96,25 @@
 gateways assume if none is stated, and cooldowns are shorter than clients wait for an event."""
 
 
+_CHANGES = (Action.CHANGE_CONFIGURATION, Action.CHANGE_CONFIGURATION, Action.DRAIN_SLOWLY)
+_DRAIN_SECONDS = 7.0
+"""Time for which an engine serves after its entry says that it leaves: until well after a gateway
+that was disturbed in that moment has to know it."""
+_MAX_CHANGE_DELAY_SECONDS = 3.5
+_MIN_SILENCE_INTERVAL_SECONDS = 5.5
+_MAX_SILENCE_INTERVAL_SECONDS = 7.0
+_SILENCE_WEIGHTS = {
+    Action.KILL_GATEWAY: 2,
+    Action.STOP_GATEWAY: 2,
+    Action.FREEZE_GATEWAY: 2,
+    Action.RELOAD_GATEWAY: 2,
+    Action.TERMINATE_ENGINE: 2,
+    Action.CORRUPT_ENTRY: 2,
+    Action.INJECT_STORE_FAULT: 1,
+    Action.ANNOUNCE_LEAVING: 1,
+}
+
+
 @dataclass(frozen=True)
 class Step:
     """A planned step, at a time in seconds from the start of the run.
@@ -151,6 +172,30 @@
     return steps
 
 
+def draw_silences(seed: int, seconds: float) -> list[Step]:
+    """Return steps in which all open connections fall silent, with changes and other faults after.
+
+    Every second silence is followed by changes alone: other faults excuse a gateway for a while.
+    """
+    rng = random.Random(f"{seed} silences")
+    steps = []
+    at = rng.uniform(2.0, 3.0)
+    others = False
+    while at < seconds - QUIET_SECONDS - _MAX_CHANGE_DELAY_SECONDS:
+        steps.append(Step(at, Action.SILENCE_CONNECTIONS, 0, 0.0))
+        for action in _CHANGES:
+            delay = rng.uniform(0.0, _MAX_CHANGE_DELAY_SECONDS)
+            steps.append(Step(at + delay, action, rng.randrange(1_000), _DRAIN_SECONDS))
+        if others:
+            action = rng.choices(list(_SILENCE_WEIGHTS), list(_SILENCE_WEIGHTS.values()))[0]
+            delay = rng.uniform(0.0, _MAX_CHANGE_DELAY_SECONDS)
+            length = rng.uniform(0.5, _MAX_FAULT_SECONDS)
+            steps.append(Step(at + delay, action, rng.randrange(1_000), length))
+        others = not others
+        at += rng.uniform(_MIN_SILENCE_INTERVAL_SECONDS, _MAX_SILENCE_INTERVAL_SECONDS)
+    return steps
+
+
 def draw_limits(seed: int, seconds: float) -> list[Step]:
     """Return steps in which engines state limits; all limits end before the quiet time.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,10 +32,16 @@
 from tests.soak.plan import draw_faults
 from tests.soak.plan import draw_limits
 from tests.soak.plan import draw_moves
+from tests.soak.plan import draw_silences
 from tests.soak.records import Absence
 from tests.soak.result import Result
 from tests.soak.result import count_moves
+from tests.soak.silencing_proxy import SilencingProxy
 from tests.soak.trace import trace
+from tests.soak.view_checks import EVERY_GATEWAY
+from tests.soak.view_checks import Disturbance
+from tests.soak.view_checks import StoredVersion
+from tests.soak.view_observer import observe_views
 
 if TYPE_CHECKING:
     from tests.requests.rig import ReceivedRequest
@@ -44,6 +50,10 @@
     from tests.soak.plan import Step
 
 _GATEWAY_COUNT = 4
+_PROXIED_GATEWAY_COUNT = 6
+"""Gateways of a run with silenced connections: three in a hall, one of which does not read the
+store."""
+_PROXIED_HALL_COUNT = 2
 _ENGINE_COUNT = 8
 _CLIENT_COUNT = 16
 _LONG_CLIENT_COUNT = 36
@@ -80,6 +90,7 @@
         limits: bool = False,
         plan: list[Step] | None = None,
         moves: MovesOptions | None = None,
+        silences: bool = False,
     ) -> None:
         """Prepare a run with the plan drawn from `seed`.
 
@@ -87,9 +98,13 @@
         sends deadly requests with varying bodies. With `limits`, engines state limits as well.
         Neither changes the other steps of a seed. With an explicit `plan`, only ordinary clients
         send requests. With `moves`, engines move the memory of long streams, which clients of their
-        own request, and the plan without an explicit one consists of faults of moves.
+        own request, and the plan without an explicit one consists of faults of moves. With
+        `silences`, open connections of gateways fall silent, and the views in force are checked.
         """
         self._moves = moves
+        self._proxy = SilencingProxy() if silences else None
+        if silences and plan is None:
+            plan = draw_silences(seed, seconds)
         if moves is not None and plan is None:
             plan = draw_moves(seed, seconds)
         self._has_engine_signals = engine_signals and plan is None
@@ -123,6 +138,8 @@
         self._gateways: Gateways | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._version = 3
+        self.silenced: list[dict[str, int]] = []
+        """Connections silenced at each time, by the address to which they led."""
         self._task_errors: list[str] = []
         self._max_lag = 0.0
 
@@ -135,12 +152,17 @@
         for engine in self._engines:
             await engine.start()
         with tempfile.TemporaryDirectory(prefix="lotushill-soak-") as folder:
+            if self._proxy is not None:
+                await self._proxy.start()
             self._gateways = Gateways(
                 Path(folder),
                 self._server.address,
-                _GATEWAY_COUNT,
+                _GATEWAY_COUNT if self._proxy is None else _PROXIED_GATEWAY_COUNT,
                 MOVES_GATEWAY_SETTINGS if self._moves is not None else {},
+                halls=_GATEWAY_COUNT if self._proxy is None else _PROXIED_HALL_COUNT,
+                proxy=self._proxy.address if self._proxy is not None else "",
             )
+            self._gateways.on_signal = self._note_disturbance
             self._gateways.on_absence = self._note_absence
             self._gateways.on_restart = self._note_restart
             await self._gateways.start()
@@ -151,6 +173,8 @@
                     task.cancel()
                 await asyncio.gather(*self._tasks, return_exceptions=True)
                 await self._gateways.kill_all()
+                if self._proxy is not None:
+                    self._proxy.close()
                 for engine in self._engines:
                     await engine.stop()
                 await self._decoy.close()
@@ -169,6 +193,8 @@
             client = Client(addresses, self._ledger, random.Random(100 + number))
             self._start_task(client.run(_LONG_INTERVAL_SECONDS, "long"))
         self._start_task(self._measure_lag())
+        for gateway in self._gateways.all if self._proxy is not None else ():
+            self._start_task(observe_views(gateway, self._ledger.views))
         began = time.monotonic()
         if self._has_deadly_client:
             deadly = Client(addresses, self._ledger, random.Random(99))
@@ -225,12 +251,24 @@
     def _note_absence(self, gateway: str, since: float, until: float) -> None:
         self._ledger.absences.append(Absence(gateway, since, until))
 
+        self._ledger.views.disturbances.append(Disturbance(gateway, since, until))
+
     def _note_restart(self, gateway: str, at: float) -> None:
         self._ledger.restarts.append(Absence(gateway, at, at))
+        self._note_disturbance(gateway, at)
+
+    def _note_disturbance(self, gateway: str, at: float) -> None:
+        self._ledger.views.disturbances.append(Disturbance(gateway, at, at))
+
+    def _silence_connections(self) -> None:
+        assert self._proxy is not None, "only runs with silences have a proxy"
+        now = time.monotonic()
+        self.silenced.append(self._proxy.silence())
+        self._ledger.views.disturbances.append(Disturbance(EVERY_GATEWAY, now, now, True))
 
     async def _perform(self, step: Step) -> None:
         assert self._gateways is not None
-        gateway = self._gateways.all[step.pick % _GATEWAY_COUNT]
+        gateway = self._gateways.all[step.pick % len(self._gateways.all)]
         engine = self._engines[step.pick % _ENGINE_COUNT]
         match step.action:
             case Action.KILL_GATEWAY:
@@ -251,10 +289,16 @@
             case Action.CHANGE_CONFIGURATION:
                 self._version += 1
                 self._put_configuration()
+            case Action.SILENCE_CONNECTIONS:
+                self._silence_connections()
             case Action.INJECT_STORE_FAULT:
+                since = time.monotonic()
                 self._app.fault = _STORE_FAULTS[step.pick % len(_STORE_FAULTS)]
                 await asyncio.sleep(step.seconds)
                 self._app.fault = StoreFault.NONE
+                self._ledger.views.disturbances.append(
+                    Disturbance(EVERY_GATEWAY, since, time.monotonic())
+                )
             case _:
                 await perform_engine_step(step, engine, self._engines)
 
@@ -271,6 +315,7 @@
     def _put_configuration(self) -> None:
         spec = soak_configuration(self._version, self._moves)
         self._store.put("config", "main", spec)
+        self._ledger.views.stored.append(StoredVersion(self._version, time.monotonic()))
 
     async def _count_decoy_request(self, seen: ReceivedRequest) -> None:
         self._ledger.decoy_requests += 1
