A watch on a silent connection ends in time, and its gateway renews all connections to the store

Callers saw: requests handled by an older configuration, or sent to an upstream that leaves, up to nine seconds after connections had fallen silent. Cause: a watch waited up to 3 s and its answer was awaited for 2 s more, the next call took another connection that was open before, and the other watches waited on theirs. Evidence: dependency.lost after 2.9 to 5.0 s in the soak, and a second time-out right after the first. A watch now waits 2.3 s at most and its answer is awaited for 0.25 s more, longer at a store that answers slowly; after one silent call no connection from before is used again, and all open calls are repeated on new ones. Most watches are nearly as long as the longest, so that their mean (1.95 s) and the number of calls stay as they were.

Silence between gateways still fails its tests.

--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -62,7 +62,9 @@
     """Add the gauges, which are read at each scrape."""
     add_gauge = gateway.metrics.add_gauge
     add_gauge("in_progress", "Requests in progress", lambda: gateway.client_application.in_progress)
-    add_gauge("store_calls", "Calls to the store since the start", lambda: gateway.store.calls)
+    add_gauge(
+        "store_calls", "Calls to the store since the start", lambda: gateway.store.client.calls
+    )
     add_gauge(
         "peer_bytes",
         "Bytes of datagrams sent to peers since the start",
@@ -303,7 +305,7 @@
         "places_kept": len(gateway.fleet.shedding.returns),
         "moves": gateway.mover.status(),
         "in_progress": gateway.client_application.in_progress,
-        "store_calls": gateway.store.calls,
+        "store_calls": gateway.store.client.calls,
         "connections_opened": gateway.pool.opened,
         "peer_bytes": gateway.peers.bytes_sent,
         "waiting": _waiting(gateway.queue_runner),
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -78,7 +78,9 @@
             ViewKind.HOLDS: self._holds,
         }
         self._watchers = {
-            kind: Watcher(store, item.watched_kind(), rng, log, reader_role, clock)
+            kind: Watcher(
+                store, item.watched_kind(), rng, log, reader_role, clock, self._restart_calls
+            )
             for kind, item in self._followed.items()
         }
         self.configuration = self._configuration.view
@@ -136,6 +138,14 @@
         for watcher in self._watchers.values():
             watcher.relist()
 
+    def _restart_calls(self) -> None:
+        """Repeat all calls in progress on new connections, since one connection was silent.
+
+        What silenced it, such as a restarted firewall, usually affects all that were open then.
+        """
+        for watcher in self._watchers.values():
+            watcher.restart_call()
+
     def is_confirmed_since(self, since: float) -> bool:
         """Return whether this gateway has read configuration and upstreams since a given time."""
         return all(watcher.last_list_sent_at >= since for watcher in self._essential_watchers())
--- a/src/lotushill/links/exceptions.py
+++ b/src/lotushill/links/exceptions.py
@@ -30,3 +30,7 @@
 
 class NoAnswerError(Exception):
     """A call got no answer, or one that cannot be parsed; it may have been executed."""
+
+
+class SilentConnectionError(NoAnswerError):
+    """A call on an open connection was not answered in time; the connection may be dead."""
--- a/src/lotushill/links/json_client.py
+++ b/src/lotushill/links/json_client.py
@@ -7,9 +7,13 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import anyio
 import httpcore
 
+from lotushill import clock as clocks
+from lotushill.links.answer_timeout import AnswerTimeout
 from lotushill.links.exceptions import NoAnswerError
+from lotushill.links.exceptions import SilentConnectionError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,6 +43,40 @@
             raise NoAnswerError(repr(error)) from error
 
 
+class _Pool:
+    """Connections that were opened since the last renewal, and the calls that use them."""
+
+    def __init__(self, max_connections: int, keepalive_seconds: float) -> None:
+        self._connections = httpcore.AsyncConnectionPool(
+            max_connections=max_connections, keepalive_expiry=keepalive_seconds
+        )
+        self._calls = 0
+        self._is_retired = False
+
+    async def request(
+        self, method: str, url: str, headers: list[tuple[bytes, bytes]], body: bytes, timeout: Any
+    ) -> httpcore.Response:
+        """Make one call and return its complete answer."""
+        self._calls += 1
+        try:
+            return await self._connections.request(
+                method, url, headers=headers, content=body, extensions={"timeout": timeout}
+            )
+        finally:
+            self._calls -= 1
+            await self._close_if_unused()
+
+    async def retire(self) -> None:
+        """Close the connections as soon as no call uses them."""
+        self._is_retired = True
+        await self._close_if_unused()
+
+    async def _close_if_unused(self) -> None:
+        if self._is_retired and not self._calls:
+            with anyio.CancelScope(shield=True):
+                await self._connections.aclose()
+
+
 class JsonClient:
     """Client of the server at `address` (IP:PORT) that keeps a small pool of connections open."""
 
@@ -47,12 +85,18 @@
     ) -> None:
         self._host = address
         self._connect_seconds = connect_seconds
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections, keepalive_expiry=keepalive_seconds
-        )
+        self._max_connections = max_connections
+        self._keepalive_seconds = keepalive_seconds
+        self._pool = _Pool(max_connections, keepalive_seconds)
+        self._answer_timeout = AnswerTimeout()
         self.calls = 0
         """Number of calls made so far."""
 
+    async def renew_connections(self) -> None:
+        """Send all further calls on new connections; calls in progress keep theirs."""
+        former, self._pool = self._pool, _Pool(self._max_connections, self._keepalive_seconds)
+        await former.retire()
+
     async def call(
         self,
         method: str,
@@ -60,9 +104,16 @@
         content: Any = None,
         timeout_seconds: float = 2.0,
         headers: Iterable[Header] = (),
+        wait_seconds: float | None = None,
     ) -> JsonAnswer:
-        """Make one call and return its answer; raise NoAnswerError if none arrives in time."""
+        """Make one call and return its answer; raise NoAnswerError if none arrives in time.
+
+        With `wait_seconds`, for which the call asks the server to wait, the time allowed beyond it
+        follows from how fast the server answers such calls.
+        """
         self.calls += 1
+        if wait_seconds is not None:
+            timeout_seconds = wait_seconds + self._answer_timeout.seconds
         sent_headers = [("host", self._host), *headers]
         body = b""
         if content is not None:
@@ -77,14 +128,24 @@
             "write": _WRITE_TIMEOUT_SECONDS,
             "pool": _WRITE_TIMEOUT_SECONDS,
         }
+        pool, sent_at = self._pool, clocks.now()
         try:
-            response = await self._pool.request(
+            response = await pool.request(
                 method,
                 f"http://{self._host}{path}",
-                headers=[(name.encode(), value.encode()) for name, value in sent_headers],
-                content=body,
-                extensions={"timeout": timeout},
+                [(name.encode(), value.encode()) for name, value in sent_headers],
+                body,
+                timeout,
             )
+        except (httpcore.ReadTimeout, httpcore.WriteTimeout) as error:
+            if wait_seconds is not None:
+                self._answer_timeout.note_timeout()
+            if pool is self._pool:
+                # The other connections that were open may be as dead as this one.
+                await self.renew_connections()
+            raise SilentConnectionError(repr(error)) from error
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             raise NoAnswerError(repr(error)) from error
+        if wait_seconds is not None:
+            self._answer_timeout.note_answer(max(0.0, clocks.now() - sent_at - wait_seconds))
         return JsonAnswer(response.status, response.content)
--- a/src/lotushill/platform/object_store.py
+++ b/src/lotushill/platform/object_store.py
@@ -9,10 +9,12 @@
 from urllib.parse import quote
 
 from lotushill.links.exceptions import NoAnswerError
+from lotushill.links.exceptions import SilentConnectionError
 from lotushill.links.json_client import JsonClient
 from lotushill.views.exceptions import HistoryGoneError
 from lotushill.views.exceptions import MalformedEntryError
 from lotushill.views.exceptions import RevisionConflictError
+from lotushill.views.exceptions import SilentStoreError
 from lotushill.views.exceptions import StoreUnavailableError
 from lotushill.views.fields import Fields
 from lotushill.views.fields import parse_readable
@@ -25,7 +27,6 @@
 
 Item = TypeVar("Item")
 
-_TIMEOUT_SECONDS = 2.0
 _CONNECT_SECONDS = 1.0
 _MAX_CONNECTIONS = 8
 _KEEPALIVE_SECONDS = 5.0
@@ -46,12 +47,7 @@
     """Client of the store at `address` (IP:PORT)."""
 
     def __init__(self, address: str) -> None:
-        self._client = JsonClient(address, _MAX_CONNECTIONS, _KEEPALIVE_SECONDS, _CONNECT_SECONDS)
-
-    @property
-    def calls(self) -> int:
-        """Return the number of calls made so far."""
-        return self._client.calls
+        self.client = JsonClient(address, _MAX_CONNECTIONS, _KEEPALIVE_SECONDS, _CONNECT_SECONDS)
 
     async def list_kind(self, kind: str, stale: bool = False) -> ObjectList:
         """Return all objects of a kind and the store's revision."""
@@ -60,7 +56,8 @@
         first_revision: int | None = None
         while True:
             query = ([f"sinceRev={quote(after)}"] if after else []) + ["stale=1"] * stale
-            answer = await self._call("GET", f"/objects/{kind}?{'&'.join(query)}".removesuffix("?"))
+            path = f"/objects/{kind}?{'&'.join(query)}".removesuffix("?")
+            answer = await self._call("GET", path, wait_seconds=0.0)
             page = _parse(_parse_page, answer.body)
             objects += page.objects
             # Later pages may be newer than the first: a watch continues from the oldest revision.
@@ -78,7 +75,7 @@
     async def watch(self, kind: str, revision: int, seconds: float) -> tuple[list[Change], int]:
         """Wait for changes after a revision; return them and the revision to continue from."""
         path = f"/objects/{kind}?watch={revision}&waitMs={int(seconds * _MS)}"
-        answer = await self._call("GET", path, timeout=seconds + _TIMEOUT_SECONDS)
+        answer = await self._call("GET", path, wait_seconds=seconds)
         return _parse(_parse_events, answer.body)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
@@ -105,14 +102,16 @@
         return _parse(_parse_object, answer.body)
 
     async def _call(
-        self, method: str, path: str, content: Any = None, timeout: float = _TIMEOUT_SECONDS
+        self, method: str, path: str, content: Any = None, wait_seconds: float | None = None
     ) -> _Answer:
         try:
-            answer = await self._client.call(method, path, content, timeout)
+            answer = await self.client.call(method, path, content, wait_seconds=wait_seconds)
             if answer.status == _NOT_FOUND:
                 return _Answer(answer.status, {"items": [], "events": [], "at": 0})
             if answer.status in _OK:
                 return _Answer(answer.status, answer.read())
+        except SilentConnectionError as error:
+            raise SilentStoreError(str(error)) from error
         except NoAnswerError as error:
             raise StoreUnavailableError(str(error)) from error
         raise _ERRORS.get(answer.status, StoreUnavailableError)(f"store status {answer.status}")
--- a/src/lotushill/views/exceptions.py
+++ b/src/lotushill/views/exceptions.py
@@ -11,6 +11,10 @@
     """The store did not answer or answered that it is unavailable; a write may have been done."""
 
 
+class SilentStoreError(StoreUnavailableError):
+    """A call on an open connection was not answered in time; the connection may be dead."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer has the history of changes since the requested revision."""
 
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -5,28 +5,39 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
+from typing import TypeVar
 
 import anyio
 
 from lotushill import clock as clocks
 from lotushill.views.exceptions import HistoryGoneError
+from lotushill.views.exceptions import SilentStoreError
 from lotushill.views.exceptions import StoreError
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from lotushill.event_log import EventLog
     from lotushill.views.stored_object import Change
     from lotushill.views.stored_object import ObjectList
 
-_MAX_WATCH_SECONDS = 3.0
-_MIN_WATCH_FRACTION = 0.3
-"""Shortest watch as a fraction of the longest.
+Answer = TypeVar("Answer")
+
+_MAX_WATCH_SECONDS = 2.3
+"""Longest watch. A dead connection shows only by a watch that does not end in time. Detection, a
+new call and the relay to other gateways together have to take less than three seconds."""
+_MAX_SHORTENING = 0.6
+"""Greatest part by which a watch is shorter than the longest.
 
 A store that drops its history may not report a change to the watches that are open, which are then
 out of date until they end. Watches are therefore short, and end at different times in the fleet:
 the first gateway whose watch ends notifies the others."""
+_SHORTENING_EXPONENT = 3
+"""Exponent by which most watches are nearly as long as the longest, which saves calls."""
+_PROBE_WATCH_SECONDS = 0.05
+"""Length of the watch after one that was not answered: it soon shows whether the store answers."""
 _FIRST_PAUSE_SECONDS = 0.05
 _MAX_PAUSE_SECONDS = 0.8
 _MAX_SUBSTITUTE_PAUSE_SECONDS = 4.0
@@ -101,14 +112,22 @@
         log: EventLog,
         read_policy: ReadPolicy | None = None,
         clock: Callable[[], float] = clocks.now,
+        on_silence: Callable[[], None] = lambda: None,
     ) -> None:
-        """Follow `kind` while `read_policy` selects this gateway as a reader."""
+        """Follow `kind` while `read_policy` selects this gateway as a reader.
+
+        `on_silence` is called when a call on an open connection was not answered in time.
+        """
         self._store = store
         self._kind = kind
         self._rng = rng
         self._log = log
         self._read_policy = read_policy or AlwaysReader()
         self._clock = clock
+        self._on_silence = on_silence
+        self._is_unconfirmed = False
+        """Whether a call was not answered and no other has been since."""
+        self._is_calling = False
         self._revision = -1
         self._history_gone = False
         self._pause = _FIRST_PAUSE_SECONDS
@@ -144,6 +163,12 @@
         if self._step_scope is not None:
             self._step_scope.cancel()
 
+    def restart_call(self) -> None:
+        """Repeat the call in progress on a new connection: the one that it uses may be dead."""
+        if self._is_calling and self._step_scope is not None:
+            self._is_unconfirmed = True
+            self._step_scope.cancel()
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
@@ -162,6 +187,8 @@
                 self._log.note("watch.gap", kind=self._kind.name, revision=self._revision)
                 self._history_gone = True
                 await anyio.sleep(self._jitter(_FIRST_PAUSE_SECONDS))
+            except SilentStoreError as error:
+                await self._handle_silence(error)
             except StoreError as error:
                 await self._back_off(error)
             except Exception as error:
@@ -173,6 +200,7 @@
     def _reset(self) -> None:
         """Reset, so that reading later resumes from the revision received from other gateways."""
         self.failing = False
+        self._is_unconfirmed = False
         self._revision = -1
         self._pause = _FIRST_PAUSE_SECONDS
 
@@ -188,8 +216,7 @@
         await anyio.sleep(self._jitter(kind.interval))
 
     async def _list(self) -> None:
-        self._call_sent_at = self._clock()
-        listed = await self._store.list_kind(self._kind.name)
+        listed = await self._call(self._store.list_kind(self._kind.name))
         self._note_answer()
         self._history_gone = False
         self._revision = listed.revision
@@ -198,9 +225,8 @@
 
     async def _watch(self) -> None:
         kind = self._kind
-        self._call_sent_at = self._clock()
-        watch_seconds = kind.max_watch_seconds * self._rng.uniform(_MIN_WATCH_FRACTION, 1.0)
-        changes, revision = await self._store.watch(kind.name, self._revision, watch_seconds)
+        watch = self._store.watch(kind.name, self._revision, self._watch_seconds())
+        changes, revision = await self._call(watch)
         self._note_answer()
         if changes:
             kind.on_changes(changes, revision)
@@ -208,8 +234,24 @@
         # Without changes the revision stays as it is: an impaired store may withhold events while
         # its revision increases, and would not deliver them after that revision.
 
+    def _watch_seconds(self) -> float:
+        if self._is_unconfirmed:
+            return _PROBE_WATCH_SECONDS
+        shortening = _MAX_SHORTENING * self._rng.random() ** _SHORTENING_EXPONENT
+        return self._kind.max_watch_seconds * (1.0 - shortening)
+
+    async def _call(self, call: Awaitable[Answer]) -> Answer:
+        """Make a call that `restart_call` may cancel."""
+        self._call_sent_at = self._clock()
+        self._is_calling = True
+        try:
+            return await call
+        finally:
+            self._is_calling = False
+
     def _note_answer(self) -> None:
         self._pause = _FIRST_PAUSE_SECONDS
+        self._is_unconfirmed = False
         self.answered_at = self._clock()
         if self.answering_since is None:
             self.answering_since = self.answered_at
@@ -222,6 +264,20 @@
                 failed_calls=self._failed_calls,
             )
 
+    async def _handle_silence(self, error: SilentStoreError) -> None:
+        """Repeat the call at once on a new connection; back off if that has no answer either."""
+        if self._is_unconfirmed:
+            await self._back_off(error)
+            return
+        self._is_unconfirmed = True
+        self._last_failure_at = self._call_sent_at
+        self._log.note(
+            "watch.silent",
+            kind=self._kind.name,
+            waited_seconds=round(self._clock() - self._call_sent_at, 3),
+        )
+        self._on_silence()
+
     async def _back_off(self, error: StoreError) -> None:
         self._last_failure_at = self._call_sent_at
         self.answering_since = None
--- a/tests/peering/silent_network.py
+++ b/tests/peering/silent_network.py
@@ -17,6 +17,7 @@
 
 from lotushill.event_log import EventLog
 from lotushill.gateway.store_views import StoreViews
+from lotushill.links.answer_timeout import AnswerTimeout
 from lotushill.links.messages import UNREADY
 from lotushill.links.messages import PlacementAnswer
 from lotushill.peering.peers import PeerHooks
@@ -26,7 +27,7 @@
 from lotushill.standin.metadata_store import MetadataStore
 from lotushill.standin.metadata_store import StoreStatusError
 from lotushill.views.exceptions import HistoryGoneError
-from lotushill.views.exceptions import StoreUnavailableError
+from lotushill.views.exceptions import SilentStoreError
 from lotushill.views.stored_object import Change
 from lotushill.views.stored_object import ObjectList
 from lotushill.views.stored_object import StoredObject
@@ -39,8 +40,6 @@
 _LATENCY_SECONDS = 0.001
 _TICK_SECONDS = 0.05
 _STORE_SECONDS = 0.004
-_CALL_TIMEOUT_SECONDS = 2.0
-"""Time after which the client of the store gives up a call, beyond the time that a watch waits."""
 UPSTREAM = "i-1"
 CONFIGURATION: dict[str, Any] = {
     "version": 1,
@@ -102,12 +101,17 @@
 
 
 class StoreConnections:
-    """Connections of one gateway to the store; each call takes an idle one, or opens another."""
+    """Connections of one gateway to the store; each call takes an idle one, or opens another.
+
+    As in the real client, a call without an answer in time closes all connections but those of
+    other calls in progress.
+    """
 
     def __init__(self, store: MetadataStore) -> None:
         self._store = store
         self._idle_silent = 0
         self._idle = 0
+        self._timeout = AnswerTimeout()
         self._open_calls: set[asyncio.Event] = set()
         self.calls = 0
         self.unanswered = False
@@ -120,10 +124,6 @@
         for silenced in self._open_calls:
             silenced.set()
 
-    async def renew_connections(self) -> None:
-        """Forget the idle connections."""
-        self._idle = self._idle_silent = 0
-
     async def list_kind(self, kind: str, stale: bool = False) -> ObjectList:
         del stale
         listed = await self._call(lambda: self._list(kind), 0.0)
@@ -141,11 +141,16 @@
         self, answer: Callable[[], Awaitable[dict[str, Any]]], wait_seconds: float
     ) -> dict[str, Any]:
         self.calls += 1
+        sent_at = anyio.current_time()
         try:
-            with anyio.fail_after(wait_seconds + _CALL_TIMEOUT_SECONDS):
-                return await self._exchange(answer)
+            with anyio.fail_after(wait_seconds + self._timeout.seconds):
+                result = await self._exchange(answer)
         except TimeoutError as error:
-            raise StoreUnavailableError(repr(error)) from error
+            self._timeout.note_timeout()
+            self._idle = self._idle_silent = 0
+            raise SilentStoreError(repr(error)) from error
+        self._timeout.note_answer(max(0.0, anyio.current_time() - sent_at - wait_seconds))
+        return result
 
     async def _exchange(self, answer: Callable[[], Awaitable[dict[str, Any]]]) -> dict[str, Any]:
         if self._idle_silent:
--- a/tests/views/test_watcher.py
+++ b/tests/views/test_watcher.py
@@ -7,6 +7,7 @@
 from lotushill import clock as clocks
 from lotushill.event_log import EventLog
 from lotushill.views.exceptions import HistoryGoneError
+from lotushill.views.exceptions import SilentStoreError
 from lotushill.views.exceptions import StoreUnavailableError
 from lotushill.views.stored_object import Change
 from lotushill.views.stored_object import ObjectList
@@ -201,3 +202,36 @@
     async def test_without_a_failed_call_there_is_no_outage(self) -> None:
         await self.follow(ScriptedStore(([change("a", 12)], 12), HistoryGoneError()))
         self.assertIsNone(self.watcher.last_failure_at)
+
+    async def test_watches_are_not_more_frequent_than_every_two_seconds(self) -> None:
+        """Every call to the store costs, so a dead connection must not be found by more calls."""
+        store = ScriptedStore(*[([], 13)] * 2_000)
+        await self.follow(store)
+        self.assertGreaterEqual(sum(store.waits) / len(store.waits), 1.95)
+
+    async def test_a_silent_watch_is_repeated_at_once_and_soon_shows_whether_the_store_answers(
+        self,
+    ) -> None:
+        store = ScriptedStore(SilentStoreError("x"), ([change("a", 12)], 12))
+        self.assertEqual(["list@10", "['a']@12"], await self.follow(store))
+        self.assertEqual([10, 10, 12], store.watched)
+        self.assertLess(store.waits[1], 0.1)
+        self.assertFalse(self.watcher.failing)
+
+    async def test_a_store_that_leaves_two_calls_unanswered_counts_as_failing(self) -> None:
+        store = ScriptedStore(SilentStoreError("x"), SilentStoreError("x"))
+        await self.follow(store)
+        self.assertTrue(self.watcher.failing)
+
+    async def test_a_silent_call_of_another_kind_restarts_the_call_in_progress(self) -> None:
+        store = ScriptedStore()
+        kind = WatchedKind("k", lambda _: None, lambda *_: None, lambda: 10, 0.0)
+        watcher = Watcher(store, kind, random.Random(1), EventLog("gw", lambda _: None))
+        task = asyncio.create_task(watcher.run())
+        await store.done.wait()
+        store.done.clear()
+        watcher.restart_call()
+        await store.done.wait()
+        self.assertEqual([10, 10], store.watched)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
