Connections between gateways are closed when nothing comes on them; the newest one is used

Callers saw: a gateway that does not read the store kept an old configuration and sent to upstreams that leave for as long as its hall's connections were silent. Cause: a connection between gateways had no time-out, so that each pull was written into the silent one, and a peer answered on a silent connection of its own although the pull came on a new one. Evidence: view.behind with 14 and 17 pulls in 7 and 9 s, while the newer revision was known by datagrams. Now the side that opened a connection closes it 0.8 s after the last bytes or the first unanswered frame, the other one after 2 s; the connection that a peer opened last is used; a second pull goes to another gateway.

--- a/src/lotushill/links/channel.py
+++ b/src/lotushill/links/channel.py
@@ -28,6 +28,8 @@
 _HEADER = struct.Struct("!I")
 _FRAME_NUMBER = struct.Struct("!Q")
 _MAX_READ_BYTES = 65_536
+_MAX_SEND_SECONDS = 10.0
+"""Time for which a frame may be in transmission: a large one over a slow network."""
 
 
 class Channel:
@@ -44,6 +46,11 @@
         self._received = 0
         self._buffer = bytearray()
         self._lock = anyio.Lock()
+        self._quiet_since = anyio.current_time()
+        """Time of the last received bytes, or of the first frame that was sent after them."""
+        self._has_sent_since = False
+        """Whether a frame was sent since the last received bytes."""
+        self._sending_since: float | None = None
 
     @classmethod
     async def open(cls, stream: ByteStream, seal: Seal, challenge: bytes) -> Channel:
@@ -61,10 +68,16 @@
         """Send messages in one write; raise LinkClosedError if the connection is closed."""
         async with self._lock:
             data = b"".join(self._frame(message) for message in messages)
+            is_first, self._has_sent_since = not self._has_sent_since, True
+            self._sending_since = anyio.current_time()
             try:
                 await self._stream.send(data)
             except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
                 raise LinkClosedError from error
+            finally:
+                self._sending_since = None
+                if is_first:
+                    self._quiet_since = anyio.current_time()
 
     async def receive(self) -> Message:
         """Return the next message; raise a LinkError if the connection is no longer usable."""
@@ -76,6 +89,20 @@
         self._received += 1
         return decode(self._seal.open(sealed, context))
 
+    async def wait_until_quiet(self, seconds: float) -> None:
+        """Return once nothing has been received for some seconds.
+
+        The time counts from the first frame that was sent since, so that a peer has the whole time
+        for its answer, and so that repeated frames do not prolong the life of a dead connection.
+        """
+        while (remaining := self._quiet_at(seconds) - anyio.current_time()) > 0:
+            await anyio.sleep(remaining)
+
+    def _quiet_at(self, seconds: float) -> float:
+        if self._sending_since is not None:
+            return max(self._quiet_since + seconds, self._sending_since + _MAX_SEND_SECONDS)
+        return self._quiet_since + seconds
+
     async def close(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
@@ -96,6 +123,8 @@
                 anyio.ClosedResourceError,
             ) as error:
                 raise LinkClosedError from error
+            self._quiet_since = anyio.current_time()
+            self._has_sent_since = False
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
         return data
--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -33,6 +33,14 @@
 _MAX_MESSAGES_PER_WRITE = 64
 _CONNECT_TIMEOUT_SECONDS = 0.5
 _HELLO_TIMEOUT_SECONDS = 2.0
+_DIALED_QUIET_SECONDS = 0.8
+"""Time without received bytes after which a connection that this process opened is closed.
+
+An open connection may be dead without a sign. Gateways exchange messages on connections rarely, so
+that opening another one costs less than to find out."""
+_ACCEPTED_QUIET_SECONDS = 2.0
+"""The same for accepted connections; longer, so that normally the side that opened one closes it,
+which does not send on it afterwards."""
 
 
 @dataclass
@@ -116,10 +124,10 @@
             with anyio.fail_after(_CONNECT_TIMEOUT_SECONDS):
                 stream = await anyio.connect_tcp(host, port)
             async with stream:
-                with anyio.fail_after(_HELLO_TIMEOUT_SECONDS):
+                with anyio.fail_after(_DIALED_QUIET_SECONDS):
                     channel = await self._open(stream)
                     await channel.send(Ping(self._own_name, 0, "", ()))
-                await self._pump(peer, channel, inbox)
+                await self._pump(peer, channel, inbox, _DIALED_QUIET_SECONDS)
         except (OSError, ValueError, LinkError):
             log.info("Connection to a peer failed or was lost. peer=%s", peer)
         finally:
@@ -130,18 +138,24 @@
         """Serve an accepted channel, and use it for messages that are posted to that peer."""
         outbox, inbox = anyio.create_memory_object_stream["Message"](_MAX_QUEUED_MESSAGES)
         link = _Link(outbox)
-        self._links.setdefault(peer, link)
+        # The newest connection is used: a peer opens another one when the former is dead.
+        self._links[peer] = link
         try:
-            await self._pump(peer, channel, inbox)
+            await self._pump(peer, channel, inbox, _ACCEPTED_QUIET_SECONDS)
         finally:
             inbox.close()
             self._drop(peer, link)
 
     async def _pump(
-        self, peer: str, channel: Channel, inbox: MemoryObjectReceiveStream[Message]
+        self,
+        peer: str,
+        channel: Channel,
+        inbox: MemoryObjectReceiveStream[Message],
+        max_quiet_seconds: float,
     ) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self._write, channel, inbox, group.cancel_scope)
+            group.start_soon(_cancel_when_quiet, channel, max_quiet_seconds, group.cancel_scope)
             try:
                 while True:
                     self._on_message(peer, await channel.receive())
@@ -167,6 +181,11 @@
             self._on_down(peer)
 
 
+async def _cancel_when_quiet(channel: Channel, seconds: float, scope: anyio.CancelScope) -> None:
+    await channel.wait_until_quiet(seconds)
+    scope.cancel()
+
+
 def _queued_messages(inbox: MemoryObjectReceiveStream[Message]) -> list[Message]:
     """Return messages that are queued already, so that one write sends all of them."""
     messages: list[Message] = []
--- a/src/lotushill/peering/view_exchange.py
+++ b/src/lotushill/peering/view_exchange.py
@@ -42,6 +42,8 @@
     """Highest revision that another gateway is known to have."""
     pulls: int = 0
     """Number of pulls sent so far."""
+    asked: str = ""
+    """Name of the gateway that the last pull was sent to."""
     is_reported: bool = False
 
 
@@ -100,8 +102,12 @@
         if now < lag.next_pull_at:
             return
         lag.next_pull_at = now + _PULL_INTERVAL_SECONDS
+        sources = same_hall if same_hall and not lag.pulls else newer
+        # The gateway that was asked last may be frozen or unreachable.
+        others = [item.name for item in sources if item.name != lag.asked]
+        lag.asked = self._rng.choice(others) if others else lag.asked
         lag.pulls += 1
-        self._links.post(self._rng.choice(same_hall or newer).name, ViewPull(kind, revision))
+        self._links.post(lag.asked, ViewPull(kind, revision))
 
     def seconds_behind(self, kind: ViewKind, now: float) -> float:
         """Return for how long another gateway has been known to have a newer revision."""
--- a/tests/peering/silent_network.py
+++ b/tests/peering/silent_network.py
@@ -48,32 +48,37 @@
 }
 
 
-class _Pipe:
+class Pipe:
     """Both directions of one connection between gateways."""
 
     def __init__(self) -> None:
         self.is_silent = False
-        self.ends = (_Stream(self), _Stream(self))
+        self.latency_seconds = _LATENCY_SECONDS
+        self.trickles = False
+        """Whether data arrives byte by byte, spread over the latency."""
+        self.ends = (Stream(self), Stream(self))
 
-    def other(self, end: _Stream) -> _Stream:
+    def other(self, end: Stream) -> Stream:
         return self.ends[1] if end is self.ends[0] else self.ends[0]
 
 
-class _Stream(anyio.abc.ByteStream):
+class Stream(anyio.abc.ByteStream):
     """One end of a connection."""
 
-    def __init__(self, pipe: _Pipe) -> None:
+    def __init__(self, pipe: Pipe) -> None:
         self._pipe = pipe
         self._received: deque[bytes] = deque()
         self._arrived = anyio.Event()
-        self._is_closed = False
+        self.is_closed = False
 
     async def send(self, item: bytes) -> None:
-        if self._is_closed:
+        if self.is_closed:
             raise anyio.ClosedResourceError
-        await anyio.sleep(_LATENCY_SECONDS)
-        if not self._pipe.is_silent:
-            self._pipe.other(self).deliver(item)
+        parts = [bytes((byte,)) for byte in item] if self._pipe.trickles else [item]
+        for part in parts:
+            await anyio.sleep(self._pipe.latency_seconds / len(parts))
+            if not self._pipe.is_silent:
+                self._pipe.other(self).deliver(part)
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         while not self._received:
@@ -94,8 +99,8 @@
         raise NotImplementedError
 
     async def aclose(self) -> None:
-        if not self._is_closed:
-            self._is_closed = True
+        if not self.is_closed:
+            self.is_closed = True
             if not self._pipe.is_silent:
                 self._pipe.other(self).deliver(b"")
 
@@ -192,7 +197,7 @@
             VirtualGateway(self, f"gw-{index}", f"hall-{index % halls}", f"10.0.0.{index}:7")
             for index in range(gateways)
         ]
-        self._pipes: list[_Pipe] = []
+        self._pipes: list[Pipe] = []
 
     def silence(self, store: bool = True, peers: bool = True) -> None:
         """Silence the open connections to the store, and those between gateways."""
@@ -209,10 +214,10 @@
             await play(self)
             group.cancel_scope.cancel()
 
-    async def connect(self, host: str, port: int) -> _Stream:
+    async def connect(self, host: str, port: int) -> Stream:
         """Open a connection to a gateway."""
         await anyio.sleep(_LATENCY_SECONDS)
-        pipe = _Pipe()
+        pipe = Pipe()
         self._pipes.append(pipe)
         address = f"{host}:{port}"
         next(item for item in self.gateways if item.address == address).accept(pipe.ends[1])
@@ -279,7 +284,7 @@
         for watcher in self.views._watchers.values():
             group.start_soon(watcher.run)
 
-    def accept(self, stream: _Stream) -> None:
+    def accept(self, stream: Stream) -> None:
         """Serve a connection that another gateway has opened."""
         assert self._group is not None
         self._group.start_soon(self.peers.links.accept, stream)
