A gateway that knows of a newer configuration does not call its own fresh

Callers could see a 404 or 401 for a route or key that had just been added, from a gateway that knew from datagrams that it lacked the newest configuration: a reader with an open, silent watch counted as fresh. The test fails before (fresh while behind).

--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -118,12 +118,13 @@
 
     def is_fresh(self) -> bool:
         """Return whether no newer configuration is known anywhere than the one in force."""
+        role, revision = self._reader_role, self.configuration.revision
+        if role is not None and role.knows_newer(revision):
+            return False
         watcher = self._watchers[ViewKind.CONFIGURATION]
         if watcher.active and not watcher.failing:
             return watcher.last_list_sent_at >= self._relisted_at
-        return self._reader_role is not None and self._reader_role.has_current_reader(
-            self.configuration.revision
-        )
+        return role is not None and role.has_current_reader(revision)
 
     def seconds_unconfirmed(self, kind: ViewKind) -> float | None:
         """Return for how long the store has not confirmed a view, None if others read it."""
--- a/src/lotushill/peering/reader_role.py
+++ b/src/lotushill/peering/reader_role.py
@@ -56,3 +56,7 @@
             for member in membership.live()
             if member.name != membership.own.name
         )
+
+    def knows_newer(self, configuration: int) -> bool:
+        """Return whether another gateway is known to have a newer configuration."""
+        return any(item.configuration > configuration for item in self._membership().live())
--- a/tests/peering/test_silent_connections.py
+++ b/tests/peering/test_silent_connections.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from lotushill.links.messages import ViewKind
 from tests.entries import entry
 from tests.peering.silent_network import CONFIGURATION
 from tests.peering.silent_network import UPSTREAM
@@ -131,6 +132,38 @@
             with self.subTest(seed=seed):
                 self.assertEqual([], late_gateways(SMALL, seed, store=False))
 
+    def test_a_gateway_that_knows_of_a_newer_configuration_is_not_fresh(self) -> None:
+        """A route unknown to it may exist, so that it must not answer that there is none."""
+        fresh: list[bool] = []
+
+        async def play_stale(network: SilentNetwork) -> None:
+            await anyio.sleep(_SETTLE_SECONDS)
+            former = {item.name: item.version() for item in network.gateways}
+            network.silence()
+            network.store.put("config", "main", {**CONFIGURATION, "version": 2})
+            for _ in range(400):
+                await anyio.sleep(0.01)
+                known = max(
+                    item.configuration
+                    for gateway in network.gateways
+                    for item in gateway.peers.membership.live()
+                )
+                fresh.extend(
+                    gateway.views.is_fresh()
+                    for gateway in network.gateways
+                    if gateway.version() == former[gateway.name]
+                    and gateway.views.configuration.revision < known
+                    and gateway.peers.seconds_behind(ViewKind.CONFIGURATION) > 0
+                )
+
+        async def main() -> None:
+            network = SilentNetwork(SMALL.halls, SMALL.gateways, 1)
+            with patch("lotushill.links.peer_links.anyio.connect_tcp", network.connect):
+                await network.run(play_stale)
+
+        run_virtually(main())
+        self.assertEqual({False}, set(fresh))
+
     def test_a_lone_reader_has_changes_in_force_in_time(self) -> None:
         for seed in _SEEDS:
             with self.subTest(seed=seed):
