After a silent request, no connection to that engine from before it is used

Callers saw: a request that is sent on an idle connection which fell silent waits 0.8 s or more, and each further one on the next such connection as well. Cause: the silence of one request said nothing about the other connections that were open when it was sent. They are closed now; those that were used since stay. The test fails before: the next request has no answer.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -240,6 +240,7 @@
                 return await connection.read_head()
         except TimeoutError as error:
             self._reporter.report_silence()
+            self._components.pool.close_unused_since(self._choice.upstream, self.sent_at)
             if self._request.route.repeatable:
                 return await self._read_unless_replaced(
                     connection.read_head(), SilentUpstreamError(f"no answer head: {error!r}")
--- a/src/lotushill/requests/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -74,6 +74,17 @@
                 connection.close()
         self._idle.clear()
 
+    def close_unused_since(self, upstream: Upstream, at: float) -> None:
+        """Close the connections to an upstream that have been idle since before a time.
+
+        If a request that was sent at that time has no answer, the connections that were open then
+        may be dead.
+        """
+        idle = self._idle.get(upstream.id, [])
+        for connection in [item for item in idle if item.idle_since <= at]:
+            connection.close()
+            idle.remove(connection)
+
     def close_expired(self, known: set[str]) -> None:
         """Close connections that were idle too long or whose upstreams are not in `known`."""
         now = self._clock()
--- a/tests/requests/test_silent_upstream.py
+++ b/tests/requests/test_silent_upstream.py
@@ -88,6 +88,11 @@
     seen.answer_whole(b"slow")
 
 
+async def answers(seen: ReceivedRequest) -> None:
+    """Send a plain answer."""
+    seen.answer_whole()
+
+
 async def rejects(seen: ReceivedRequest) -> None:
     """State that the request is not run."""
     seen.answer("503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n")
@@ -424,3 +429,30 @@
         self.assertEqual([], site.memory.executed_twice)
         self.assertEqual([], site.memory.unreleased())
         self.assertEqual(0, site.resumed_count())
+
+
+class TestSilentConnections(SilentUpstreamTest):
+    async def test_after_a_silent_request_no_connection_that_was_open_before_is_used(self) -> None:
+        """Open connections to an upstream may fall silent together, while new ones work."""
+        both_arrived = asyncio.Event()
+
+        async def waits(seen: ReceivedRequest) -> None:
+            await both_arrived.wait()
+            seen.answer_whole()
+
+        async def arrives(seen: ReceivedRequest) -> None:
+            both_arrived.set()
+            await waits(seen)
+
+        upstream = ScriptedUpstream([waits, arrives, silent, answers])
+        async with Rig([upstream], RouteKind.NON_IDEMPOTENT) as rig:
+            await asyncio.gather(rig.call(), rig.call())
+            self.assertEqual(2, upstream.connections)
+            waiting = asyncio.create_task(rig.call())
+            async with asyncio.timeout(4.0):
+                while upstream.closed == 0:
+                    await asyncio.sleep(0.01)
+            answer = await rig.call()
+            self.assertEqual((200, 3), (answer.status, upstream.connections))
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
