The soak silences, resets and delays connections, in one direction or both, and checks the age of views

Half of the disturbances strike all connections in both directions, the others a part of them, those to the store only, or one direction; others are resets and delays.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -38,6 +38,8 @@
     DISTURB_CALLS = "disturb the calls for moving memory at half of the engines for a while"
     DRAIN_SLOWLY = "drain an engine that continues to serve for a while, then end it"
     SILENCE_CONNECTIONS = "silence all open connections of all gateways"
+    DISTURB_CONNECTIONS = "silence or reset open connections, those to the store only or a part"
+    DELAY_CONNECTIONS = "delay the bytes on all connections of gateways for a while"
     DISTURB_HANDLES = "disturb first requests with a handle at half of the engines for a while"
 
 
@@ -104,6 +106,8 @@
 _MIN_SILENCE_INTERVAL_SECONDS = 5.5
 _MAX_SILENCE_INTERVAL_SECONDS = 7.0
 _SILENCE_WEIGHTS = {
+    Action.DISTURB_CONNECTIONS: 3,
+    Action.DELAY_CONNECTIONS: 2,
     Action.KILL_GATEWAY: 2,
     Action.STOP_GATEWAY: 2,
     Action.FREEZE_GATEWAY: 2,
@@ -173,7 +177,7 @@
 
 
 def draw_silences(seed: int, seconds: float) -> list[Step]:
-    """Return steps in which all open connections fall silent, with changes and other faults after.
+    """Return steps in which open connections fall silent, with changes and other faults after.
 
     Every second silence is followed by changes alone: other faults excuse a gateway for a while.
     """
@@ -182,7 +186,8 @@
     at = rng.uniform(2.0, 3.0)
     others = False
     while at < seconds - QUIET_SECONDS - _MAX_CHANGE_DELAY_SECONDS:
-        steps.append(Step(at, Action.SILENCE_CONNECTIONS, 0, 0.0))
+        first = rng.choice((Action.SILENCE_CONNECTIONS, Action.DISTURB_CONNECTIONS))
+        steps.append(Step(at, first, rng.randrange(1_000), 0.0))
         for action in _CHANGES:
             delay = rng.uniform(0.0, _MAX_CHANGE_DELAY_SECONDS)
             steps.append(Step(at + delay, action, rng.randrange(1_000), _DRAIN_SECONDS))
--- a/tests/soak/silencing_proxy.py
+++ b/tests/soak/silencing_proxy.py
@@ -1,4 +1,4 @@
-"""Loopback proxy whose open connections can be silenced, while new ones work.
+"""Loopback proxy whose open connections can be silenced, delayed or reset, while new ones work.
 
 A silenced connection stays open on both sides: bytes are accepted and dropped, and neither an end
 nor a reset of one side reaches the other. Only a timeout of either side detects it.
@@ -7,12 +7,29 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+import time
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
 
 CONNECTED = b"+"
 REFUSED = b"-"
 _MAX_READ_BYTES = 65_536
+_DELAY_SECONDS = 0.3
+
+
+class Disturbance(enum.Enum):
+    """What happens to an open connection."""
+
+    SILENCE = "silent in both directions"
+    SILENCE_TO_TARGET = "silent towards the target"
+    SILENCE_FROM_TARGET = "silent towards the gateway"
+    RESET = "reset"
 
 
 @dataclass(eq=False)
@@ -21,7 +38,17 @@
 
     target: str
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
-    is_silent: bool = False
+    is_silent_to_target: bool = False
+    is_silent_from_target: bool = False
+
+    def disturb(self, disturbance: Disturbance) -> None:
+        if disturbance is Disturbance.RESET:
+            for writer in self.writers:
+                writer.transport.abort()
+        if disturbance is not Disturbance.SILENCE_FROM_TARGET:
+            self.is_silent_to_target = True
+        if disturbance is not Disturbance.SILENCE_TO_TARGET:
+            self.is_silent_from_target = True
 
 
 class SilencingProxy:
@@ -30,6 +57,7 @@
     def __init__(self) -> None:
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
+        self._delayed_until = 0.0
         self.address = ""
 
     async def start(self) -> None:
@@ -38,14 +66,22 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
-    def silence(self) -> dict[str, int]:
-        """Silence all open connections; return how many there were to each target."""
-        counts: dict[str, int] = {}
-        for connection in self._connections:
-            if not connection.is_silent:
-                connection.is_silent = True
-                counts[connection.target] = counts.get(connection.target, 0) + 1
-        return counts
+    def disturb(
+        self, disturbance: Disturbance, share: float, rng: random.Random, target: str = ""
+    ) -> int:
+        """Disturb a share of the open connections, those to `target` only if given."""
+        chosen = [
+            item
+            for item in self._connections
+            if target in ("", item.target) and rng.random() < share
+        ]
+        for item in chosen:
+            item.disturb(disturbance)
+        return len(chosen)
+
+    def delay(self, seconds: float) -> None:
+        """Delay the bytes on all connections for some seconds."""
+        self._delayed_until = time.monotonic() + seconds
 
     def close(self) -> None:
         """Stop listening and abort all connections."""
@@ -69,8 +105,8 @@
             connection.writers.append(target_writer)
             writer.write(CONNECTED)
             await asyncio.gather(
-                _forward(connection, reader, target_writer),
-                _forward(connection, target_reader, writer),
+                self._forward(reader, target_writer, lambda: connection.is_silent_to_target),
+                self._forward(target_reader, writer, lambda: connection.is_silent_from_target),
             )
         except (OSError, ValueError):
             # The process on the other side was killed while it connected.
@@ -80,27 +116,31 @@
             for each in connection.writers:
                 each.close()
 
-
-async def _forward(
-    connection: _Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Forward bytes and the end of one direction, a reset included, until silenced."""
-    while True:
-        try:
-            data = await reader.read(_MAX_READ_BYTES)
-        except OSError:
-            if not connection.is_silent:
-                writer.transport.abort()
-            return
-        if connection.is_silent:
-            if data:
-                continue
-            return
-        if not data:
-            writer.close()
-            return
-        writer.write(data)
-        try:
-            await writer.drain()
-        except OSError:
-            return
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_silent: Callable[[], bool],
+    ) -> None:
+        """Forward bytes and the end of one direction, a reset included, until silenced."""
+        while True:
+            try:
+                data = await reader.read(_MAX_READ_BYTES)
+            except OSError:
+                if not is_silent():
+                    writer.transport.abort()
+                return
+            if time.monotonic() < self._delayed_until:
+                await asyncio.sleep(_DELAY_SECONDS)
+            if is_silent():
+                if data:
+                    continue
+                return
+            if not data:
+                writer.close()
+                return
+            writer.write(data)
+            try:
+                await writer.drain()
+            except OSError:
+                return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
 from tests.soak.records import Absence
 from tests.soak.result import Result
 from tests.soak.result import count_moves
+from tests.soak.silencing_proxy import Disturbance as ConnectionDisturbance
 from tests.soak.silencing_proxy import SilencingProxy
 from tests.soak.trace import trace
 from tests.soak.view_checks import EVERY_GATEWAY
@@ -138,8 +139,6 @@
         self._gateways: Gateways | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._version = 3
-        self.silenced: list[dict[str, int]] = []
-        """Connections silenced at each time, by the address to which they led."""
         self._task_errors: list[str] = []
         self._max_lag = 0.0
 
@@ -260,11 +259,21 @@
     def _note_disturbance(self, gateway: str, at: float) -> None:
         self._ledger.views.disturbances.append(Disturbance(gateway, at, at))
 
-    def _silence_connections(self) -> None:
+    def _disturb_connections(self, step: Step) -> None:
         assert self._proxy is not None, "only runs with silences have a proxy"
-        now = time.monotonic()
-        self.silenced.append(self._proxy.silence())
-        self._ledger.views.disturbances.append(Disturbance(EVERY_GATEWAY, now, now, True))
+        now = until = time.monotonic()
+        match step.action:
+            case Action.SILENCE_CONNECTIONS:
+                self._proxy.disturb(ConnectionDisturbance.SILENCE, 1.0, self._rng)
+            case Action.DISTURB_CONNECTIONS:
+                kinds = list(ConnectionDisturbance)
+                target = self._server.address if step.pick % 3 == 0 else ""
+                share = 0.5 if step.pick % 3 == 1 else 1.0
+                self._proxy.disturb(kinds[step.pick % len(kinds)], share, self._rng, target)
+            case _:
+                self._proxy.delay(step.seconds)
+                until += step.seconds
+        self._ledger.views.disturbances.append(Disturbance(EVERY_GATEWAY, now, until, True))
 
     async def _perform(self, step: Step) -> None:
         assert self._gateways is not None
@@ -289,8 +298,8 @@
             case Action.CHANGE_CONFIGURATION:
                 self._version += 1
                 self._put_configuration()
-            case Action.SILENCE_CONNECTIONS:
-                self._silence_connections()
+            case Action.SILENCE_CONNECTIONS | Action.DISTURB_CONNECTIONS | Action.DELAY_CONNECTIONS:
+                self._disturb_connections(step)
             case Action.INJECT_STORE_FAULT:
                 since = time.monotonic()
                 self._app.fault = _STORE_FAULTS[step.pick % len(_STORE_FAULTS)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -30,3 +30,8 @@
         self.assertEqual(([], []), (result.faults, result.errors))
         self.assertGreater(len(result.limited_runs), 0)
         self.assertGreater(result.served[0], 0)
+
+    async def test_views_are_current_after_open_connections_fell_silent(self) -> None:
+        result = await Soak(_SEED, _SECONDS, silences=True).run()
+        self.assertEqual(([], []), (result.faults, result.errors))
+        self.assertGreater(result.served[0], 0)
--- a/tests/soak/view_checks.py
+++ b/tests/soak/view_checks.py
@@ -26,13 +26,13 @@
 
 @dataclass(frozen=True)
 class Disturbance:
-    """Period in which a gateway, or every one, is not held to any time bound."""
+    """Period in which a gateway, or every one, is not held to time bounds."""
 
     gateway: str
     since: float
     until: float
     is_silence: bool = False
-    """Whether it silenced all open connections, and nothing else."""
+    """Whether it disturbed connections, and nothing else."""
 
 
 @dataclass(frozen=True)
@@ -50,6 +50,10 @@
     gateway: str
     at: float
     version: int
+    unconfirmed_seconds: float = 0.0
+    """Longest time for which the store had not confirmed a view that the gateway reads there."""
+    behind_seconds: float = 0.0
+    """Longest time for which the gateway had known that another one had a newer view."""
 
 
 @dataclass
@@ -69,17 +73,10 @@
         return [
             *self._late_configurations(),
             *self._older_configurations(),
+            *self._old_views(),
             *self._sent_to_drained(arrivals, gateways_by_attempt),
         ]
 
-    def checked_after_silence(self) -> int:
-        """Return how many versions were stored while the last silence was still excused."""
-        silences = [item.since for item in self.disturbances if item.is_silence]
-        return sum(
-            any(since < item.at < since + IN_TOUCH_SECONDS for since in silences)
-            for item in self.stored
-        )
-
     def is_in_touch(self, gateway: str, at: float) -> bool:
         """Return whether a gateway was undisturbed long enough at a time."""
         return not any(
@@ -118,6 +115,22 @@
                     )
         return found
 
+    def _old_views(self) -> list[str]:
+        """Return gateways whose view was unconfirmed, or known to be behind, for too long."""
+        found: dict[str, str] = {}
+        for view in self.observed:
+            is_old = view.unconfirmed_seconds > IN_TOUCH_SECONDS
+            if (is_old or view.behind_seconds > APPLY_SECONDS) and self.is_in_touch(
+                view.gateway, view.at
+            ):
+                found.setdefault(
+                    view.gateway,
+                    f"{view.gateway}: view unconfirmed for {view.unconfirmed_seconds:.2f} s and "
+                    f"behind for {view.behind_seconds:.2f} s at {view.at:.3f}"
+                    f"{self._last_silence(view.at)}",
+                )
+        return list(found.values())
+
     def _sent_to_drained(
         self, arrivals: Iterable[Arrival], gateways_by_attempt: Mapping[str, str]
     ) -> list[str]:
--- a/tests/soak/view_observer.py
+++ b/tests/soak/view_observer.py
@@ -15,6 +15,8 @@
     from tests.soak.gateways import Gateway
     from tests.soak.view_checks import ViewChecks
 
+_ESSENTIAL_VIEWS = ("configuration", "upstreams")
+"""Views that every request needs; the others are watched for longer at a time."""
 _INTERVAL_SECONDS = 0.1
 _TIMEOUT_SECONDS = 2.0
 """Time after which a query is given up: the gateway is frozen."""
@@ -27,7 +29,17 @@
         status = await _query_status(gateway.readiness)
         version = status.get("configuration", {}).get("version")
         if version is not None:
-            checks.observed.append(ObservedView(gateway.clients, sent_at, version))
+            views = status["views"].values()
+            essential = [status["views"][name] for name in _ESSENTIAL_VIEWS]
+            checks.observed.append(
+                ObservedView(
+                    gateway.clients,
+                    sent_at,
+                    version,
+                    max(view["unconfirmed_seconds"] or 0.0 for view in essential),
+                    max(view["behind_seconds"] for view in views),
+                )
+            )
         await asyncio.sleep(_INTERVAL_SECONDS)
 
 
