The age of a view counts from when its gateway began to read it; lists keep their time-out

Lists wait 2 s for their answer again: they are made at a start, when a busy host may take longer than the time allowed for the end of a watch, and hardly ever on an old connection.

--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -128,10 +128,8 @@
 
     def seconds_unconfirmed(self, kind: ViewKind) -> float | None:
         """Return for how long the store has not confirmed a view, None if others read it."""
-        watcher = self._watchers[kind]
-        if not watcher.active or watcher.answered_at is None:
-            return None
-        return self._clock() - watcher.answered_at
+        since = self._watchers[kind].unanswered_since
+        return None if since is None else self._clock() - since
 
     def relist(self) -> None:
         """Read all views of this gateway from the store again, because they may be stale."""
--- a/src/lotushill/platform/object_store.py
+++ b/src/lotushill/platform/object_store.py
@@ -56,8 +56,7 @@
         first_revision: int | None = None
         while True:
             query = ([f"sinceRev={quote(after)}"] if after else []) + ["stale=1"] * stale
-            path = f"/objects/{kind}?{'&'.join(query)}".removesuffix("?")
-            answer = await self._call("GET", path, wait_seconds=0.0)
+            answer = await self._call("GET", f"/objects/{kind}?{'&'.join(query)}".removesuffix("?"))
             page = _parse(_parse_page, answer.body)
             objects += page.objects
             # Later pages may be newer than the first: a watch continues from the oldest revision.
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -126,7 +126,7 @@
         self._clock = clock
         self._on_silence = on_silence
         self._is_unconfirmed = False
-        """Whether a call was not answered and no other has been since."""
+        """Whether a call had no answer, and none has been answered since."""
         self._is_calling = False
         self._revision = -1
         self._history_gone = False
@@ -142,8 +142,9 @@
         """Whether the last call failed."""
         self._failed_calls = 0
         """Number of calls that failed since the last answer."""
-        self.answered_at: float | None = None
-        """Time of the last answer of the store, up to which the view is known to be current."""
+        self.unanswered_since: float | None = None
+        """Time of the last answer of the store, or at which this gateway began to read it; None
+        while it does not."""
         self.answering_since: float | None = None
         """Time since which every call was answered, None while the last one was not."""
 
@@ -200,6 +201,7 @@
     def _reset(self) -> None:
         """Reset, so that reading later resumes from the revision received from other gateways."""
         self.failing = False
+        self.unanswered_since = None
         self._is_unconfirmed = False
         self._revision = -1
         self._pause = _FIRST_PAUSE_SECONDS
@@ -243,6 +245,8 @@
     async def _call(self, call: Awaitable[Answer]) -> Answer:
         """Make a call that `restart_call` may cancel."""
         self._call_sent_at = self._clock()
+        if self.unanswered_since is None:
+            self.unanswered_since = self._call_sent_at
         self._is_calling = True
         try:
             return await call
@@ -252,9 +256,9 @@
     def _note_answer(self) -> None:
         self._pause = _FIRST_PAUSE_SECONDS
         self._is_unconfirmed = False
-        self.answered_at = self._clock()
+        self.unanswered_since = self._clock()
         if self.answering_since is None:
-            self.answering_since = self.answered_at
+            self.answering_since = self.unanswered_since
         if self.failing:
             self.failing = False
             self._log.note(
