Gateways of a killed soak run end with it, and call no other test

Seen: test_a_client_that_disconnects_during_a_move_leaves_no_memory_held failed once beside a soak, with a request without an id at its engine. Cause: gateways of a run that was killed went on calling the address of their store, an ephemeral port that the kernel gave to the next test. The store of a run now has a port outside that range, and the kernel ends the gateways with their parent. The failing test itself is not changed.

--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -117,7 +117,7 @@
 class TestGatewayProgram(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.store = MetadataStore()
-        self.server = HttpServer(MetadataApp(self.store), "127.0.0.1:0")
+        self.server = HttpServer(MetadataApp(self.store), free_address())
         self.task = asyncio.create_task(self.server.serve())
         await self.server.wait_started()
         self.may_answer = asyncio.Event()
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -264,7 +264,7 @@
 
     async def asyncSetUp(self) -> None:
         self.store = MetadataStore()
-        self.server = HttpServer(MetadataApp(self.store), "127.0.0.1:0")
+        self.server = HttpServer(MetadataApp(self.store), free_address())
         self.task = asyncio.create_task(self.server.serve())
         await self.server.wait_started()
         route = {**SPEC["routes"][0], "kind": "idempotent", "maxAttempts": 2}  # type: ignore[index]
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -19,6 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+_LIBC = ctypes.CDLL(None)
+_SET_PARENT_DEATH_SIGNAL = 1
+"""Option of prctl(2)."""
 _HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 _RESTART_DELAY_SECONDS = 0.3
 _ABSENCE_MARGIN_SECONDS = 1.0
@@ -108,6 +112,7 @@
             env={**self._environment, "LOTUSHILL_NODE_FILE": str(gateway.settings)},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
+            preexec_fn=_end_with_parent,
         )
         gateway.unhandled_signal = 0
         self._start_task(self._supervise(gateway, gateway.process))
@@ -180,6 +185,14 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _end_with_parent() -> None:
+    """Let the kernel kill this process when its parent ends, even if that is killed itself.
+
+    A gateway that outlives its run calls whatever listens on the former addresses of that run.
+    """
+    _LIBC.prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
 def _handles_signal(pid: int, number: int) -> bool:
     """Return whether a process has a handler for a signal."""
     status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_app import StoreFault
 from lotushill.standin.metadata_store import MetadataStore
+from tests.console.test_gateway_program import free_address
 from tests.entries import entry
 from tests.requests.rig import ScriptedUpstream
 from tests.soak.client import Client
@@ -119,7 +120,7 @@
         self._plan = sorted(steps if plan is None else plan, key=lambda step: step.at)
         self._store = MetadataStore()
         self._app = MetadataApp(self._store)
-        self._server = HttpServer(self._app, "127.0.0.1:0")
+        self._server = HttpServer(self._app, free_address())
         self._ledger = Ledger()
         by_address: dict[str, MovingEngine] = {}
         self._engines = [
