--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -10,6 +10,7 @@
 
 _REQUEST_PATH = "tests.requests.test_request_path"
 _STORE = "tests.platform.test_object_store"
+_SILENT_CONNECTIONS = "tests.peering.test_silent_connections.TestSilentConnections"
 _MEMBER = "tests.membership.test_membership.TestMembership"
 _FLEET = "tests.placement.test_fleet.TestEngines"
 _TIERS = "tests.requests.test_tiers"
@@ -733,6 +734,45 @@
                     "test_watches_end_soon_and_at_different_times",
                 ),
             ),
+            Case(
+                "open connections to the store and between gateways fall silent without a reset",
+                (
+                    f"{_SILENT_CONNECTIONS}.test_changes_are_in_force_in_time_after_every_connection_fell_silent",
+                    f"{_SILENT_CONNECTIONS}.test_changes_are_in_force_in_time_with_one_reader_in_each_hall",
+                    f"{_SILENT_CONNECTIONS}.test_an_edit_of_the_settings_tree_is_in_force_in_time_after_silence",
+                    "tests.soak.test_soak.TestSoak."
+                    "test_views_are_current_after_open_connections_fell_silent",
+                ),
+            ),
+            Case(
+                "only those to the store, or only those between gateways, fall silent",
+                (
+                    f"{_SILENT_CONNECTIONS}.test_changes_are_in_force_in_time_after_connections_to_the_store_fell_silent",
+                    f"{_SILENT_CONNECTIONS}.test_changes_are_in_force_in_time_after_peer_connections_fell_silent",
+                    f"{_SILENT_CONNECTIONS}.test_a_lone_reader_has_changes_in_force_in_time",
+                ),
+            ),
+            Case(
+                "idle connections of the store's client are dead",
+                (
+                    "tests.links.test_json_client.TestJsonClient."
+                    "test_after_a_silent_call_the_next_one_uses_no_connection_from_before",
+                ),
+            ),
+            Case(
+                "the connection on which a peer would answer is dead",
+                (
+                    "tests.links.test_peer_links.TestPeerLinks."
+                    "test_an_answer_is_sent_on_the_connection_that_the_peer_has_opened_last",
+                ),
+            ),
+            Case(
+                "a slow store is not taken for a silent one",
+                (
+                    "tests.links.test_json_client.TestAnswerTimeout."
+                    "test_calls_to_a_slow_server_are_not_given_up",
+                ),
+            ),
             Case(
                 "a peer sent changes that the gateway's own watch has not received",
                 (
@@ -757,6 +797,7 @@
             Case(
                 "a route or key that this gateway may not have received yet",
                 (
+                    f"{_SILENT_CONNECTIONS}.test_a_gateway_that_knows_of_a_newer_configuration_is_not_fresh",
                     f"{_REQUEST_PATH}.TestDenials."
                     "test_while_the_view_may_be_stale_unknown_requests_get_a_retry_after",
                     f"{_REQUEST_PATH}.TestDenials.test_without_a_configuration_nothing_is_denied",
--- a/tests/peering/test_silent_connections.py
+++ b/tests/peering/test_silent_connections.py
@@ -22,6 +22,8 @@
 from tests.virtual_time import run_virtually
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 _IN_TOUCH_SECONDS = 3.0
@@ -98,14 +100,21 @@
 ) -> Sequence[Late]:
     """Return the gateways that did not have a change in force in time."""
     found: list[Late] = []
+    run_fleet(fleet, seed, lambda network: play(network, store, peers, found))
+    return found
+
+
+def run_fleet(
+    fleet: Fleet, seed: int, play_fleet: Callable[[SilentNetwork], Awaitable[None]]
+) -> None:
+    """Run a fleet in virtual time until `play_fleet` returns."""
 
     async def main() -> None:
         network = SilentNetwork(fleet.halls, fleet.gateways, seed)
         with patch("lotushill.links.peer_links.anyio.connect_tcp", network.connect):
-            await network.run(lambda network: play(network, store, peers, found))
+            await network.run(play_fleet)
 
     run_virtually(main())
-    return found
 
 
 class TestSilentConnections(unittest.TestCase):
@@ -134,35 +143,44 @@
 
     def test_a_gateway_that_knows_of_a_newer_configuration_is_not_fresh(self) -> None:
         """A route unknown to it may exist, so that it must not answer that there is none."""
-        fresh: list[bool] = []
+        fresh: set[bool] = set()
 
         async def play_stale(network: SilentNetwork) -> None:
             await anyio.sleep(_SETTLE_SECONDS)
-            former = {item.name: item.version() for item in network.gateways}
             network.silence()
             network.store.put("config", "main", {**CONFIGURATION, "version": 2})
             for _ in range(400):
                 await anyio.sleep(0.01)
-                known = max(
-                    item.configuration
-                    for gateway in network.gateways
-                    for item in gateway.peers.membership.live()
-                )
-                fresh.extend(
+                fresh.update(
                     gateway.views.is_fresh()
                     for gateway in network.gateways
-                    if gateway.version() == former[gateway.name]
-                    and gateway.views.configuration.revision < known
+                    if gateway.version() == 1
                     and gateway.peers.seconds_behind(ViewKind.CONFIGURATION) > 0
                 )
 
-        async def main() -> None:
-            network = SilentNetwork(SMALL.halls, SMALL.gateways, 1)
-            with patch("lotushill.links.peer_links.anyio.connect_tcp", network.connect):
-                await network.run(play_stale)
+        run_fleet(SMALL, 1, play_stale)
+        self.assertEqual({False}, fresh)
 
-        run_virtually(main())
-        self.assertEqual({False}, set(fresh))
+    def test_an_edit_of_the_settings_tree_is_in_force_in_time_after_silence(self) -> None:
+        """The settings tree is watched for up to 25 seconds at a time."""
+        late: list[str] = []
+
+        async def play_edits(network: SilentNetwork) -> None:
+            await anyio.sleep(_SETTLE_SECONDS)
+            for number in range(_SILENCES):
+                network.silence()
+                stored = network.store.put("lotushill-settings", "root", {"number": number})
+                await anyio.sleep(_IN_TOUCH_SECONDS)
+                late.extend(
+                    gateway.name
+                    for gateway in network.gateways
+                    if gateway.views.settings.revision < stored["metadata"]["revision"]
+                )
+                await anyio.sleep(network.rng.uniform(0.0, 4.0))
+
+        for seed in _SEEDS:
+            run_fleet(SMALL, seed, play_edits)
+        self.assertEqual([], late)
 
     def test_a_lone_reader_has_changes_in_force_in_time(self) -> None:
         for seed in _SEEDS:
