Calls to the store are repeated on new connections once the store answers, not during an outage

Cause: a watch that the store left unanswered restarted the watches of all kinds, so that in an outage the two that are watched for 25 s were repeated as well. They are restarted when the store answers again; retries after a probe without an answer begin with a pause of 0.4 s.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -225,7 +225,7 @@
     Break(
         "gateway: a silent call to the store repeats the others in progress",
         "gateway/store_views.py",
-        "            watcher.restart_call()",
+        "            watcher.restart_call(sent_before)",
         "            pass",
         "tests.peering.test_silent_connections",
     ),
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -137,13 +137,14 @@
         for watcher in self._watchers.values():
             watcher.relist()
 
-    def _restart_calls(self) -> None:
-        """Repeat all calls in progress on new connections, since one connection was silent.
+    def _restart_calls(self, sent_before: float) -> None:
+        """Repeat the calls in progress on new connections, since one connection was silent.
 
-        What silenced it, such as a restarted firewall, usually affects all that were open then.
+        What silenced it, such as a restarted firewall, usually affects all that were open then. In
+        an outage of the store the calls are left alone until it answers again.
         """
         for watcher in self._watchers.values():
-            watcher.restart_call()
+            watcher.restart_call(sent_before)
 
     def is_confirmed_since(self, since: float) -> bool:
         """Return whether this gateway has read configuration and upstreams since a given time."""
--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -40,6 +40,8 @@
 """Length of the watch after one that was not answered: it soon shows whether the store answers."""
 _FIRST_PAUSE_SECONDS = 0.05
 _MAX_PAUSE_SECONDS = 0.8
+_SILENT_STORE_PAUSE_SECONDS = 0.4
+"""Shortest pause after a call that a silent store left unanswered on a new connection."""
 _MAX_SUBSTITUTE_PAUSE_SECONDS = 4.0
 """Longest pause of a substitute reader, which reads only while others cannot reach the store."""
 _START_CHECK_INTERVAL_SECONDS = 0.01
@@ -112,11 +114,12 @@
         log: EventLog,
         read_policy: ReadPolicy | None = None,
         clock: Callable[[], float] = clocks.now,
-        on_silence: Callable[[], None] = lambda: None,
+        on_reconnection: Callable[[float], None] = lambda _: None,
     ) -> None:
         """Follow `kind` while `read_policy` selects this gateway as a reader.
 
-        `on_silence` is called when a call on an open connection was not answered in time.
+        `on_reconnection` is called when the store answers after a call on an open connection had no
+        answer in time, with the time at which that was noticed.
         """
         self._store = store
         self._kind = kind
@@ -124,9 +127,9 @@
         self._log = log
         self._read_policy = read_policy or AlwaysReader()
         self._clock = clock
-        self._on_silence = on_silence
-        self._is_unconfirmed = False
-        """Whether a call had no answer, and none has been answered since."""
+        self._on_reconnection = on_reconnection
+        self._silent_since: float | None = None
+        """Time at which a call without an answer was noticed, None if one was answered since."""
         self._is_calling = False
         self._revision = -1
         self._history_gone = False
@@ -164,10 +167,10 @@
         if self._step_scope is not None:
             self._step_scope.cancel()
 
-    def restart_call(self) -> None:
-        """Repeat the call in progress on a new connection: the one that it uses may be dead."""
-        if self._is_calling and self._step_scope is not None:
-            self._is_unconfirmed = True
+    def restart_call(self, sent_before: float) -> None:
+        """Repeat a call that was sent before a time: the connection that it uses may be dead."""
+        is_older = self._is_calling and self._call_sent_at < sent_before
+        if is_older and self._step_scope is not None:
             self._step_scope.cancel()
 
     async def run(self) -> None:
@@ -202,7 +205,7 @@
         """Reset, so that reading later resumes from the revision received from other gateways."""
         self.failing = False
         self.unanswered_since = None
-        self._is_unconfirmed = False
+        self._silent_since = None
         self._revision = -1
         self._pause = _FIRST_PAUSE_SECONDS
 
@@ -237,7 +240,7 @@
         # its revision increases, and would not deliver them after that revision.
 
     def _watch_seconds(self) -> float:
-        if self._is_unconfirmed:
+        if self._silent_since is not None:
             return _PROBE_WATCH_SECONDS
         shortening = _MAX_SHORTENING * self._rng.random() ** _SHORTENING_EXPONENT
         return self._kind.max_watch_seconds * (1.0 - shortening)
@@ -255,8 +258,10 @@
 
     def _note_answer(self) -> None:
         self._pause = _FIRST_PAUSE_SECONDS
-        self._is_unconfirmed = False
         self.unanswered_since = self._clock()
+        if self._silent_since is not None:
+            self._on_reconnection(self._silent_since)
+            self._silent_since = None
         if self.answering_since is None:
             self.answering_since = self.unanswered_since
         if self.failing:
@@ -270,17 +275,17 @@
 
     async def _handle_silence(self, error: SilentStoreError) -> None:
         """Repeat the call at once on a new connection; back off if that has no answer either."""
-        if self._is_unconfirmed:
+        if self._silent_since is not None:
+            self._pause = max(self._pause, _SILENT_STORE_PAUSE_SECONDS)
             await self._back_off(error)
             return
-        self._is_unconfirmed = True
+        self._silent_since = self._clock()
         self._last_failure_at = self._call_sent_at
         self._log.note(
             "watch.silent",
             kind=self._kind.name,
-            waited_seconds=round(self._clock() - self._call_sent_at, 3),
+            waited_seconds=round(self._silent_since - self._call_sent_at, 3),
         )
-        self._on_silence()
 
     async def _back_off(self, error: StoreError) -> None:
         self._last_failure_at = self._call_sent_at
--- a/tests/views/test_watcher.py
+++ b/tests/views/test_watcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from typing import TYPE_CHECKING
 
 from lotushill import clock as clocks
 from lotushill.event_log import EventLog
@@ -17,6 +18,9 @@
 from lotushill.views.watcher import WatchedKind
 from lotushill.views.watcher import Watcher
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class ScriptedStore:
     """A store whose watches follow a script; after its last step they wait without end."""
@@ -80,7 +84,9 @@
     """Revision of the view, as received from other gateways."""
     read_policy: ReadPolicy = AlwaysReader()
 
-    async def follow(self, store: ScriptedStore) -> list[str]:
+    async def follow(
+        self, store: ScriptedStore, on_reconnection: Callable[[float], None] = lambda _: None
+    ) -> list[str]:
         seen: list[str] = []
         watcher = Watcher(
             store,
@@ -95,6 +101,7 @@
             EventLog("gw", lambda line: None),
             self.read_policy,
             lambda: store.now,
+            on_reconnection,
         )
         self.watcher = watcher
         task = asyncio.create_task(watcher.run())
@@ -223,14 +230,24 @@
         await self.follow(store)
         self.assertTrue(self.watcher.failing)
 
-    async def test_a_silent_call_of_another_kind_restarts_the_call_in_progress(self) -> None:
+    async def test_an_answer_after_a_silent_call_is_reported_for_the_other_kinds(self) -> None:
+        noticed: list[float] = []
+        store = ScriptedStore(SilentStoreError("x"), SilentStoreError("x"), ([change("a", 12)], 12))
+        store.seconds_per_watch = 2.5
+        await self.follow(store, noticed.append)
+        self.assertEqual([2.5], noticed)
+
+    async def test_calls_that_began_before_a_silence_was_noticed_are_restarted(self) -> None:
         store = ScriptedStore()
         kind = WatchedKind("k", lambda _: None, lambda *_: None, lambda: 10, 0.0)
         watcher = Watcher(store, kind, random.Random(1), EventLog("gw", lambda _: None))
         task = asyncio.create_task(watcher.run())
         await store.done.wait()
         store.done.clear()
-        watcher.restart_call()
+        watcher.restart_call(0.0)
+        await asyncio.sleep(0)
+        self.assertEqual([10], store.watched)
+        watcher.restart_call(clocks.now())
         await store.done.wait()
         self.assertEqual([10, 10], store.watched)
         task.cancel()
