--- a/src/lotushill/views/watcher.py
+++ b/src/lotushill/views/watcher.py
@@ -40,7 +40,7 @@
 """Length of the watch after one that was not answered: it soon shows whether the store answers."""
 _FIRST_PAUSE_SECONDS = 0.05
 _MAX_PAUSE_SECONDS = 0.8
-_SILENT_STORE_PAUSE_SECONDS = 0.4
+_SILENT_STORE_PAUSE_SECONDS = 0.8
 """Shortest pause after a call that a silent store left unanswered on a new connection."""
 _MAX_SUBSTITUTE_PAUSE_SECONDS = 4.0
 """Longest pause of a substitute reader, which reads only while others cannot reach the store."""
