--- a/tests/soak/silencing_proxy.py
+++ b/tests/soak/silencing_proxy.py
@@ -23,7 +23,7 @@
 _DELAY_SECONDS = 0.3
 
 
-class Disturbance(enum.Enum):
+class ConnectionFault(enum.Enum):
     """What happens to an open connection."""
 
     SILENCE = "silent in both directions"
@@ -41,13 +41,13 @@
     is_silent_to_target: bool = False
     is_silent_from_target: bool = False
 
-    def disturb(self, disturbance: Disturbance) -> None:
-        if disturbance is Disturbance.RESET:
+    def disturb(self, fault: ConnectionFault) -> None:
+        if fault is ConnectionFault.RESET:
             for writer in self.writers:
                 writer.transport.abort()
-        if disturbance is not Disturbance.SILENCE_FROM_TARGET:
+        if fault is not ConnectionFault.SILENCE_FROM_TARGET:
             self.is_silent_to_target = True
-        if disturbance is not Disturbance.SILENCE_TO_TARGET:
+        if fault is not ConnectionFault.SILENCE_TO_TARGET:
             self.is_silent_from_target = True
 
 
@@ -67,7 +67,7 @@
         self.address = f"{host}:{port}"
 
     def disturb(
-        self, disturbance: Disturbance, share: float, rng: random.Random, target: str = ""
+        self, fault: ConnectionFault, share: float, rng: random.Random, target: str = ""
     ) -> int:
         """Disturb a share of the open connections, those to `target` only if given."""
         chosen = [
@@ -76,7 +76,7 @@
             if target in ("", item.target) and rng.random() < share
         ]
         for item in chosen:
-            item.disturb(disturbance)
+            item.disturb(fault)
         return len(chosen)
 
     def delay(self, seconds: float) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -37,7 +37,7 @@
 from tests.soak.records import Absence
 from tests.soak.result import Result
 from tests.soak.result import count_moves
-from tests.soak.silencing_proxy import Disturbance as ConnectionDisturbance
+from tests.soak.silencing_proxy import ConnectionFault
 from tests.soak.silencing_proxy import SilencingProxy
 from tests.soak.trace import trace
 from tests.soak.view_checks import EVERY_GATEWAY
@@ -265,9 +265,9 @@
         now = until = time.monotonic()
         match step.action:
             case Action.SILENCE_CONNECTIONS:
-                self._proxy.disturb(ConnectionDisturbance.SILENCE, 1.0, self._rng)
+                self._proxy.disturb(ConnectionFault.SILENCE, 1.0, self._rng)
             case Action.DISTURB_CONNECTIONS:
-                kinds = list(ConnectionDisturbance)
+                kinds = list(ConnectionFault)
                 target = self._server.address if step.pick % 3 == 0 else ""
                 share = 0.5 if step.pick % 3 == 1 else 1.0
                 self._proxy.disturb(kinds[step.pick % len(kinds)], share, self._rng, target)
--- a/tests/soak/view_checks.py
+++ b/tests/soak/view_checks.py
@@ -19,9 +19,13 @@
     from tests.soak.records import Arrival
 
 IN_TOUCH_SECONDS = 3.0
+"""Time since the last disturbance after which a gateway is held to the other bounds."""
 APPLY_SECONDS = 2.0
+"""Time in which a configuration that the store took is in force."""
 DRAIN_SECONDS = 2.0
+"""Time after which nothing reaches an engine that the store knows to leave."""
 EVERY_GATEWAY = ""
+"""Name that stands for all gateways in a disturbance."""
 
 
 @dataclass(frozen=True)
