--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -81,7 +81,7 @@
     added = [
         (names.TARGET_INSTANCE.encode(), instance.encode()),
         (names.DEADLINE_MS.encode(), str(milliseconds_left).encode()),
-        (names.PRIORITY.encode(), str(_engine_priority(urgency)).encode()),
+        (names.PRIORITY.encode(), str(engine_priority(urgency)).encode()),
     ]
     if team:
         added.append((names.TENANT.encode(), team.encode("latin-1")))
@@ -96,8 +96,8 @@
     return added
 
 
-def _engine_priority(urgency: Urgency) -> int:
-    """Map the tier and the team rank to one of the few priorities that engines distinguish."""
+def engine_priority(urgency: Urgency) -> int:
+    """Return the priority that engines are told: one of the few that they distinguish."""
     team = min(_TEAM_LEVELS - 1, max(0, urgency.team_rank))
     return min(_LOWEST_ENGINE_PRIORITY, max(0, _TEAM_LEVELS * urgency.tier + team))
 
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
+from lotushill.platform import request_head
 from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt import Attempt
 from lotushill.requests.attempt_end import EndKind
@@ -172,6 +173,7 @@
             returned=choice.returned,
             tier=self._request.need.tier,
             team_rank=self._request.route.urgency.team_rank,
+            engine_priority=request_head.engine_priority(self._request.route.urgency),
             ahead=choice.total_prefill_tokens,
             running=choice.running,
             memory=placement.memory,
--- a/tests/requests/test_tiers.py
+++ b/tests/requests/test_tiers.py
@@ -40,6 +40,7 @@
 from lotushill.routing.upstream import Upstream
 from lotushill.routing.urgency import Urgency
 from lotushill.scheduling.shared_load import SharedLoad
+from lotushill.standin.batch import Batch
 from tests.placement.placing import placed
 from tests.requests.rig import ReceivedRequest
 from tests.requests.rig import Rig
@@ -211,6 +212,17 @@
             await rig.call()
         return int(upstream.requests[0].headers["request-priority"])
 
+    async def test_a_full_engine_preempts_no_stream_for_a_team_of_the_same_tier(self) -> None:
+        # A full engine takes the slots of streams that it was told are less urgent, although they
+        # have begun and another team's prompt of a lower tier is still being read there.
+        batch = Batch(slots=4, prefill_per_step=1_000.0)
+        for number in range(batch.slots):
+            batch.add(f"running {number}", await self.sent_priority(tier=0, team=1), 100.0, 50)
+        batch.step()
+        begun = {sequence.request for sequence in batch.running()}
+        batch.add("of another team", await self.sent_priority(tier=0, team=0), 100.0, 50)
+        self.assertEqual(begun, {sequence.request for sequence in batch.running()})
+
     async def test_engine_priorities_are_ordered_by_the_tier_of_the_route_first(self) -> None:
         priorities = [
             await self.sent_priority(tier, team) for tier in range(3) for team in range(3)
