Engines are told the tier alone; teams are ordered by rank while they wait

Callers saw streams of the most urgent kind break off for a moment, or come late, where few engines were left: up to 60 preempted in 30 s, most of them with 1 to 6 events brought.

Cause: the priority that engines are told held the tier and the rank of the team. A full engine takes the slot of the newest stream with the lowest priority for a request with a higher one, so that each request of a team with a better rank threw out a stream of another team of the same tier, which was read anew.

Why this works: within a tier no run has a priority over another. The rank of a team orders requests in the admission queue, after the tier and after teams over their share; a gateway sends it along when it asks a scheduler.

Ruled out: memory (its count agrees with the reports within a tenth), ranks that change with the configuration (none did).

--- a/src/lotushill/contracts/effective.py
+++ b/src/lotushill/contracts/effective.py
@@ -9,6 +9,7 @@
 
 from lotushill.routing.rate_limit import RateLimit
 from lotushill.routing.urgency import DEFAULT_TEAM_RANK
+from lotushill.routing.urgency import LAST_TEAM_RANK
 from lotushill.routing.urgency import Urgency
 
 if TYPE_CHECKING:
@@ -102,7 +103,9 @@
 
 
 def _team_rank(team: Team | None) -> int:
-    return DEFAULT_TEAM_RANK if team is None or team.priority is None else team.priority
+    if team is None or team.priority is None:
+        return DEFAULT_TEAM_RANK
+    return min(LAST_TEAM_RANK, max(0, team.priority))
 
 
 def _rate_limit(origin: Origin, team: Team | None) -> RateLimit | None:
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lotushill.routing.urgency import DEFAULT_TEAM_RANK
+
 if TYPE_CHECKING:
     from lotushill.routing.demand import PromptPart
 
@@ -34,6 +36,8 @@
     """Tier; 0 is the most urgent."""
     team: str = ""
     """Team of the request, empty if requests need no key."""
+    team_rank: int = DEFAULT_TEAM_RANK
+    """Rank of its team within the tier; 0 goes first."""
     share: float = 1.0
     """Weight of its team's share of the service, relative to other teams of the tier."""
     waited: float = 0.0
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -18,8 +18,6 @@
 _BEARER = "bearer "
 _LOWEST_ENGINE_PRIORITY = 9
 """Lowest of the ten priorities that engines distinguish, 0 being the highest."""
-_TEAM_LEVELS = 3
-"""Engine priorities for each tier: the three tiers that operators use keep their full order."""
 Headers = list[tuple[bytes, bytes]]
 
 _GATEWAY_HEADERS = frozenset(
@@ -97,9 +95,12 @@
 
 
 def engine_priority(urgency: Urgency) -> int:
-    """Return the priority that engines are told: one of the few that they distinguish."""
-    team = min(_TEAM_LEVELS - 1, max(0, urgency.team_rank))
-    return min(_LOWEST_ENGINE_PRIORITY, max(0, _TEAM_LEVELS * urgency.tier + team))
+    """Return the priority that engines are told: one of the few that they distinguish.
+
+    It depends on the tier alone. A full engine interrupts the streams of lower priority, so that
+    teams are only ordered where requests wait in gateways.
+    """
+    return min(_LOWEST_ENGINE_PRIORITY, max(0, urgency.tier))
 
 
 def without_last_event_id(headers: Headers) -> Headers:
--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -294,6 +294,7 @@
         parts=demand.parts,
         tier=route.urgency.tier,
         team=team.name if team else "",
+        team_rank=route.urgency.team_rank,
         share=route.share,
         caller=caller,
     )
--- a/src/lotushill/routing/urgency.py
+++ b/src/lotushill/routing/urgency.py
@@ -7,6 +7,9 @@
 DEFAULT_TEAM_RANK = 1
 """Rank of a team without a setting: between the teams served first and those served last."""
 
+LAST_TEAM_RANK = 255
+"""Largest rank that gateways tell each other."""
+
 
 @dataclass(frozen=True, order=True)
 class Urgency:
--- a/src/lotushill/scheduling/placement_responder.py
+++ b/src/lotushill/scheduling/placement_responder.py
@@ -190,6 +190,7 @@
         parts=tuple(PromptPart(*part) for part in zip(ask.part_ids, ask.part_tokens)),
         tier=ask.tier,
         team=ask.team,
+        team_rank=ask.team_rank,
         share=ask.share,
         waited=ask.waited,
         caller=ask.caller,
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -317,6 +317,7 @@
             tier=need.tier,
             excluded=(*excluded, *self._unreachable(request, excluded)),
             team=need.team,
+            team_rank=need.team_rank,
             share=need.share,
             waited=self._clock() - request.arrived,
             caller=need.caller,
--- a/src/lotushill/waiting/admission_queue.py
+++ b/src/lotushill/waiting/admission_queue.py
@@ -38,7 +38,7 @@
     from lotushill.waiting.ordering_inputs import TeamStandings
     from lotushill.waiting.slot_turns import RemoteQueues
 
-    SortKey = tuple[int, bool, bool, float, float]
+    SortKey = tuple[int, bool, bool, float, int, float]
 
 _SWEEP_INTERVAL_SECONDS = 0.03
 """Interval between two sweeps for entries that can no longer be served."""
@@ -266,6 +266,7 @@
             # Returning requests of a team over its share do not go before new ones of other teams.
             is_new=standing > 0.0 or not self._returns.is_due(need.caller, now),
             standing=standing,
+            team_rank=need.team_rank,
             arrived_at=entry.arrived_at,
         )
         late = now >= self._wait_limits.on_time_until(entry) and not self._is_under_pressure(
@@ -276,6 +277,7 @@
             late,
             precedence.is_new,
             precedence.standing,
+            precedence.team_rank,
             precedence.arrived_at,
         )
 
--- a/tests/waiting/test_admission_queue.py
+++ b/tests/waiting/test_admission_queue.py
@@ -130,6 +130,21 @@
         self.end(1_003, late)
         self.assertEqual([(2, True)], self.due(late))
 
+    def test_teams_within_their_share_are_ordered_by_rank(self) -> None:
+        """Engines are not told the rank, so that only the queue orders teams of a tier by it."""
+        self.queue = AdmissionQueue(self.fleet, RemoteQueues("s0"), FakeTeamStandings())
+        needs = (
+            replace(chat(team="had much"), team_rank=0),
+            replace(chat(team="last"), team_rank=2),
+            replace(chat(team="first"), team_rank=0),
+            triage(),
+        )
+        for key, need in enumerate(needs):
+            self.place(queue_entry(key, need))
+        for number in range(1_002, 1_006):
+            self.end(number, START + 0.01)
+        self.assertEqual([2, 1, 0, 3], [key for key, _ in self.due(START + 0.01)])
+
     def test_order_by_team_standing_and_promised_return(self) -> None:
         """A returning caller precedes equal teams only, and none if its team is over its share."""
         for first, needs in (
