--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -15,6 +15,7 @@
 
 from tests.console.test_gateway_program import free_address
 from tests.console.test_gateway_program import get_status
+from tests.soak.proxied_gateway import NAME_VARIABLE
 from tests.soak.proxied_gateway import PROXY_VARIABLE
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
     name: str
     clients: str
     readiness: str
+    peers: str
     settings: Path
     process: asyncio.subprocess.Process | None = None
     frozen: bool = False
@@ -77,14 +79,14 @@
 
     def _create(self, number: int, store: str) -> Gateway:
         name = f"gw-{number}"
-        clients, readiness = free_address(), free_address()
+        clients, readiness, peers = free_address(), free_address(), free_address()
         settings = {
             "name": name,
             "hall": f"hall-{number % self._halls}",
             "region": "r",
             "clients": clients,
             "readiness": readiness,
-            "peers": free_address(),
+            "peers": peers,
             "store": store,
             "leave_seconds": 0.3,
             "grace_seconds": 4.0,
@@ -93,7 +95,7 @@
         }
         path = self._folder / f"{name}.yaml"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        return Gateway(name, clients, readiness, path)
+        return Gateway(name, clients, readiness, peers, path)
 
     async def start(self) -> None:
         """Start all gateways and wait until they are ready."""
@@ -109,7 +111,11 @@
             sys.executable,
             "-m",
             self._module,
-            env={**self._environment, "LOTUSHILL_NODE_FILE": str(gateway.settings)},
+            env={
+                **self._environment,
+                NAME_VARIABLE: gateway.name,
+                "LOTUSHILL_NODE_FILE": str(gateway.settings),
+            },
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
             preexec_fn=_end_with_parent,
--- a/tests/soak/proxied_gateway.py
+++ b/tests/soak/proxied_gateway.py
@@ -1,7 +1,7 @@
 """Runs `lotushill-gateway` with every outgoing TCP connection led through a silencing proxy.
 
-The program itself is unchanged: its event loop connects to the proxy, names the target in a first
-line, and reports a refused connection as one.
+The program itself is unchanged: its event loop connects to the proxy, names the target and itself
+in a first line, and reports a refused connection as one.
 """
 
 from __future__ import annotations
@@ -17,6 +17,8 @@
 
 PROXY_VARIABLE = "LOTUSHILL_TEST_PROXY"
 """Environment variable that names the proxy's address (IP:PORT)."""
+NAME_VARIABLE = "LOTUSHILL_TEST_GATEWAY"
+"""Environment variable with the name by which the proxy knows the gateway."""
 
 
 class _ProxiedLoop(uvloop.Loop):
@@ -33,7 +35,7 @@
         sock.setblocking(False)
         try:
             await self.sock_connect(sock, (proxy_host, int(proxy_port)))
-            await self.sock_sendall(sock, f"{host}:{port}\n".encode())
+            await self.sock_sendall(sock, f"{host}:{port} {os.environ[NAME_VARIABLE]}\n".encode())
             if await self.sock_recv(sock, 1) != CONNECTED:
                 raise ConnectionRefusedError
         except BaseException:
--- a/tests/soak/silencing_proxy.py
+++ b/tests/soak/silencing_proxy.py
@@ -1,5 +1,7 @@
 """Loopback proxy whose open connections can be silenced, delayed or reset, while new ones work.
 
+It can also part gateways from targets, so that new connections do not work either.
+
 A silenced connection stays open on both sides: bytes are accepted and dropped, and neither an end
 nor a reset of one side reaches the other. Only a timeout of either side detects it.
 """
@@ -32,11 +34,21 @@
     RESET = "reset"
 
 
+class Partition(enum.Enum):
+    """What happens to the connections of a gateway to the targets from which it is parted."""
+
+    HANG = "open connections are silent, new ones hang"
+    RESET = "open connections are reset, new ones refused"
+    REFUSE_NEW = "open connections live on, new ones are refused"
+
+
 @dataclass(eq=False)
 class _Connection:
     """A pair of streams; whatever arrives on one is written to the other until it is silenced."""
 
     target: str
+    gateway: str = ""
+    """Name of the gateway that opened it."""
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     is_silent_to_target: bool = False
     is_silent_from_target: bool = False
@@ -52,12 +64,15 @@
 
 
 class SilencingProxy:
-    """Forwards each connection to the address that its first line names (IP:PORT)."""
+    """Forwards each connection to the address in its first line (IP:PORT, name of the gateway)."""
 
     def __init__(self) -> None:
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._delayed_until = 0.0
+        self._partitions: dict[str, Partition] = {}
+        """Kinds of the current partitions, by the name of the gateway."""
+        self._reachable_targets: frozenset[str] = frozenset()
         self.address = ""
 
     async def start(self) -> None:
@@ -83,6 +98,25 @@
         """Delay the bytes on all connections for some seconds."""
         self._delayed_until = time.monotonic() + seconds
 
+    def part(self, gateways: set[str], kind: Partition, reachable_targets: set[str]) -> None:
+        """Part gateways from all targets but some, until `heal` is called."""
+        self._reachable_targets = frozenset(reachable_targets)
+        self._partitions.update(dict.fromkeys(gateways, kind))
+        fault = ConnectionFault.RESET if kind is Partition.RESET else ConnectionFault.SILENCE
+        for item in list(self._connections):
+            if kind is not Partition.REFUSE_NEW and self._partition_of(item) is not None:
+                item.disturb(fault)
+
+    def heal(self, gateways: set[str]) -> None:
+        """End the partition of some gateways; silent connections stay silent."""
+        for name in gateways:
+            self._partitions.pop(name, None)
+
+    def _partition_of(self, connection: _Connection) -> Partition | None:
+        if connection.target in self._reachable_targets:
+            return None
+        return self._partitions.get(connection.gateway)
+
     def close(self) -> None:
         """Stop listening and abort all connections."""
         if self._server is not None:
@@ -92,10 +126,17 @@
                 writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = _Connection("", [writer])
+        connection = _Connection("", writers=[writer])
         self._connections.add(connection)
         try:
-            connection.target = (await reader.readline()).decode().strip()
+            connection.target, connection.gateway = (await reader.readline()).decode().split()
+            partition = self._partition_of(connection)
+            if partition is Partition.HANG:
+                await reader.read()
+                return
+            if partition is not None:
+                writer.write(REFUSED)
+                return
             host, _, port = connection.target.partition(":")
             try:
                 target_reader, target_writer = await asyncio.open_connection(host, int(port))
