An ask of a gateway that sends no team rank means the usual rank

Found by the recorded datagrams (tests.recorded): an ask of a build before the rank was sent was read as rank 0, that of the teams that go first, so that during an update requests of old gateways would have gone before those of new ones. The rank is sent plus one, and 0 stands for none. The recorded bytes are unchanged and still read and written alike; their fields name the new one with 0.

--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -60,7 +60,7 @@
   caller @19 :UInt64;
   waits @20 :Bool;
   leaves @21 :Bool;
-  teamRank @22 :UInt8;
+  teamPlace @22 :UInt8;
 }
 
 struct PlacementAnswer {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lotushill.routing.urgency import DEFAULT_TEAM_RANK
-
 
 class ViewKind(Enum):
     """A view of the store that gateways send to each other."""
@@ -103,8 +101,8 @@
     number keeps the request's place in the queue."""
     leaves: bool = False
     """Whether the request has left the queue, so that nothing is to be placed."""
-    team_rank: int = DEFAULT_TEAM_RANK
-    """Rank of the team within the tier."""
+    team_place: int = 0
+    """Rank of the team within the tier plus 1, 0 in messages of versions that send no rank."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/routing/urgency.py
+++ b/src/lotushill/routing/urgency.py
@@ -7,7 +7,7 @@
 DEFAULT_TEAM_RANK = 1
 """Rank of a team without a setting: between the teams served first and those served last."""
 
-LAST_TEAM_RANK = 255
+LAST_TEAM_RANK = 254
 """Largest rank that gateways tell each other."""
 
 
--- a/src/lotushill/scheduling/placement_responder.py
+++ b/src/lotushill/scheduling/placement_responder.py
@@ -14,6 +14,7 @@
 from lotushill.placement.need import Need
 from lotushill.placement.placed_message import placed_message
 from lotushill.routing.demand import PromptPart
+from lotushill.routing.urgency import DEFAULT_TEAM_RANK
 from lotushill.waiting.entry import Queued
 from lotushill.waiting.entry import QueueEntry
 
@@ -190,7 +191,7 @@
         parts=tuple(PromptPart(*part) for part in zip(ask.part_ids, ask.part_tokens)),
         tier=ask.tier,
         team=ask.team,
-        team_rank=ask.team_rank,
+        team_rank=ask.team_place - 1 if ask.team_place else DEFAULT_TEAM_RANK,
         share=ask.share,
         waited=ask.waited,
         caller=ask.caller,
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -317,7 +317,7 @@
             tier=need.tier,
             excluded=(*excluded, *self._unreachable(request, excluded)),
             team=need.team,
-            team_rank=need.team_rank,
+            team_place=need.team_rank + 1,
             share=need.share,
             waited=self._clock() - request.arrived,
             caller=need.caller,
