A gateway that cannot reach upstreams sends its requests through another gateway

Cause: a gateway had one way to an upstream, its own connection. Each attempt waited for 0.35 s at one upstream after another and was given up, although the other gateways reached all of them.

What is parted is told apart from what is dead by the answers of other gateways, so that an upstream counts as ended, and a request as one that makes upstreams fail, only if they find it dead too. Silence of all upstreams is checked after 0.2 s; requests that may be repeated and wait on dead connections are sent again.

Seven rules that are broken on purpose fail their proofs.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,55 @@
 
 
 BREAKS = (
+    Break(
+        "relays: a connection that hangs is tried through another gateway",
+        "requests/upstream_dialer.py",
+        "            if _is_open(direct) or self._relays is None:\n",
+        "            if True:\n",
+        "tests.requests.test_upstream_dialer",
+    ),
+    Break(
+        "relays: an upstream that nobody reaches is not parted",
+        "requests/upstream_dialer.py",
+        "            if not _is_open(relayed):\n",
+        "            if self.reachability.note_parted(address, 0.0) or not _is_open(relayed):\n",
+        "tests.requests.test_upstream_dialer",
+    ),
+    Break(
+        "relays: only addresses of known upstreams are connected to",
+        "relaying/relay_server.py",
+        "if not self._is_upstream_address(address):",
+        "if False:",
+        "tests.relaying.test_relay_server",
+    ),
+    Break(
+        "relays: the end of a relay is not the end of an answer",
+        "requests/relayed_connection.py",
+        '        """Close the connection; without an end frame the answer is truncated."""\n',
+        "        if self._connection is not None:\n            self._connection.eof_received()\n",
+        "tests.relaying.test_relay_server",
+    ),
+    Break(
+        "relays: bytes of an upstream that is not parted tell that not all are",
+        "relaying/reachability.py",
+        "            self._parted_from_all_since = None\n\n    def due",
+        "\n    def due",
+        "tests.relaying.test_reachability",
+    ),
+    Break(
+        "relays: one that cannot serve is left alone for a while",
+        "relaying/relay_choice.py",
+        "if now >= self._failed_until.get(peer.name, 0.0)]",
+        "if True]",
+        "tests.relaying.test_relay_choice",
+    ),
+    Break(
+        "relays: a blocked process does not take itself for parted",
+        "relaying/silence_watch.py",
+        "            self._unblocked_at = now\n",
+        "            pass\n",
+        "tests.relaying.test_silence_watch",
+    ),
     Break(
         "gateways without a model spread their requests",
         "starting/draw.py",
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -44,6 +44,7 @@
 from lotushill.process.metrics import Metrics
 from lotushill.process.side_tasks import SideTasks
 from lotushill.process.suspension import SuspensionWatch
+from lotushill.relaying.relay_server import RelayServer
 from lotushill.requests.client_application import ClientApplication
 from lotushill.requests.client_protocol import ClientProtocol
 from lotushill.requests.engine_memory_client import EngineMemoryClient
@@ -52,6 +53,7 @@
 from lotushill.requests.isolation_policy import IsolationPolicy
 from lotushill.requests.mover import Mover
 from lotushill.requests.retry_budgets import RetryBudgets
+from lotushill.requests.upstream_dialer import UpstreamDialer
 from lotushill.requests.upstream_gate import UpstreamGate
 from lotushill.requests.upstream_pool import UpstreamPool
 from lotushill.routing.limits import ClientLimits
@@ -188,7 +190,15 @@
             self._has_full_model,
             self.queue_runner,
         )
-        self.pool = UpstreamPool(request_head.answer_request_id, self._max_idle_connections)
+        self.dialer = UpstreamDialer(
+            request_head.answer_request_id, clocks.now, self.peers.relays(rng), self.log
+        )
+        self.pool = UpstreamPool(
+            request_head.answer_request_id, self._max_idle_connections, dialer=self.dialer
+        )
+        self.relay_server = RelayServer(
+            self._is_upstream_address, lambda: not self.dialer.reachability.is_parted_from_all
+        )
         self.quarantine = FleetQuarantine(
             settings.name, self.views, self.pool, self.peers, self.store, self.log, rng
         )
@@ -325,6 +335,7 @@
             await anyio.sleep(_SWEEP_INTERVAL_SECONDS)
             known = {upstream.id for upstream in self.views.upstreams.all()}
             self.pool.close_expired(known)
+            self.dialer.retain_only({upstream.address for upstream in self.views.upstreams.all()})
             self.fleet.evict_unused(known, clocks.now())
             self._log_pace_changes()
             self.cooldowns.retain_only(known, clocks.now())
@@ -372,6 +383,7 @@
         self.log.note("process.stopping", in_progress=self.client_application.in_progress)
         await anyio.sleep(self.settings.leave_seconds)
         self.client_application.accepts_requests = False
+        self.relay_server.accepts_connections = False
         self.client_listener.stop()
         while self._has_unfinished_work() and clocks.now() < deadline:
             await anyio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
@@ -381,6 +393,7 @@
                 "process.cut",
                 in_progress=self.client_application.in_progress,
                 connections=self.client_listener.connections(),
+                relayed=self.relay_server.open_count,
             )
 
     def _has_unfinished_work(self) -> bool:
@@ -392,7 +405,8 @@
         """
         is_connected = self.client_listener.connections() > 0
         is_moving = self.mover.handovers_in_progress > 0
-        return self.client_application.in_progress > 0 or is_connected or is_moving
+        is_relaying = self.relay_server.busy_count() > 0
+        return self.client_application.in_progress > 0 or is_connected or is_moving or is_relaying
 
     def _hooks(self) -> PeerHooks:
         """Return the callbacks from peering into components that are created after it."""
@@ -418,6 +432,9 @@
             on_permit_answer=lambda answer: self.limits.client.receive(answer),
             on_returns=lambda update: self.return_gossip.receive(update),
             on_tick=self._on_tick,
+            serve_relay=lambda request, channel, stream: self.relay_server.serve(
+                request, channel, stream
+            ),
             on_queue_counts=lambda update: self.queue_runner.receive(update),
         )
 
@@ -440,6 +457,7 @@
         self.limits.gossip.send_due()
         self.return_gossip.send_due()
         self.mover.start_due_handovers()
+        self.pool.watch_paths()
 
     def _has_full_model(self) -> bool:
         """Return whether the own model covers the requests that the whole fleet runs."""
@@ -461,6 +479,9 @@
         registered_count = self.registration.registered_count
         return max(registered_count, self.peers.count()) if registered_count else 0
 
+    def _is_upstream_address(self, address: str) -> bool:
+        return any(item.address == address for item in self.views.upstreams.all())
+
     def _service_named(self, name: str) -> Service | None:
         table = self.views.configuration.table
         return table.services.get(name) if table is not None else None
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -26,8 +26,10 @@
     from lotushill.process.metrics import Metrics
     from lotushill.process.settings import GatewaySettings
     from lotushill.process.side_tasks import SideTasks
+    from lotushill.relaying.relay_server import RelayServer
     from lotushill.requests.client_application import ClientApplication
     from lotushill.requests.mover import Mover
+    from lotushill.requests.upstream_dialer import UpstreamDialer
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
     from lotushill.scheduling.queue_runner import QueueRunner
@@ -49,6 +51,8 @@
     fleet: Fleet
     upstream_gate: UpstreamGate
     pool: UpstreamPool
+    dialer: UpstreamDialer
+    relay_server: RelayServer
     mover: Mover
     quarantine: FleetQuarantine
     side_tasks: SideTasks
@@ -240,6 +244,26 @@
         "Connections to upstreams opened since the start",
         lambda: gateway.pool.opened,
     )
+    add_gauge(
+        "parted_upstreams",
+        "Upstreams that other gateways reach and this one does not",
+        lambda: gateway.dialer.reachability.parted_count,
+    )
+    add_gauge(
+        "parted_from_all",
+        "Whether this gateway reaches no upstream itself",
+        lambda: gateway.dialer.reachability.is_parted_from_all,
+    )
+    add_gauge(
+        "connections_through_others",
+        "Connections to upstreams opened through other gateways since the start",
+        lambda: gateway.dialer.opened["relayed"],
+    )
+    add_gauge(
+        "connections_for_others",
+        "Connections to upstreams open on behalf of other gateways",
+        lambda: gateway.relay_server.open_count,
+    )
     add_gauge(
         "task_faults",
         "Exceptions in background tasks since the start",
@@ -306,6 +330,7 @@
         ],
         "places_kept": len(gateway.fleet.shedding.returns),
         "moves": gateway.mover.status(),
+        "relays": _relays(gateway),
         "in_progress": gateway.client_application.in_progress,
         "store_calls": gateway.store.client.calls,
         "connections_opened": gateway.pool.opened,
@@ -315,6 +340,20 @@
     }
 
 
+def _relays(gateway: ReportedGateway) -> dict[str, object]:
+    """Return whether upstreams are reached through other gateways, and what is done for others."""
+    reachability = gateway.dialer.reachability
+    return {
+        "parted_upstreams": reachability.parted_count,
+        "parted_seconds": round(reachability.parted_seconds(clocks.now()), 3),
+        "opened": dict(gateway.dialer.opened),
+        "open_for_others": gateway.relay_server.open_count,
+        "answers_to_others": {
+            outcome.value: count for outcome, count in gateway.relay_server.answers.items()
+        },
+    }
+
+
 def _view(gateway: ReportedGateway, kind: ViewKind) -> dict[str, object]:
     """Return the revision of a view in force and how old it is."""
     unconfirmed = gateway.views.seconds_unconfirmed(kind)
--- a/src/lotushill/links/channel.py
+++ b/src/lotushill/links/channel.py
@@ -26,12 +26,36 @@
 CHALLENGE_BYTES = 16
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 _HEADER = struct.Struct("!I")
+FRAME_HEADER_BYTES = _HEADER.size
 _FRAME_NUMBER = struct.Struct("!Q")
 _MAX_READ_BYTES = 65_536
 _MAX_SEND_SECONDS = 10.0
 """Time for which a frame may be in transmission: a large one over a slow network."""
 
 
+def seal_frame(seal: Seal, context: bytes, number: int, message: Message) -> bytes:
+    """Return the frame of a message.
+
+    `context` is the challenge of the receiver and then that of the sender, `number` that of the
+    frame among those of its sender, from 0.
+    """
+    sealed = seal.sign(encode(message), context + _FRAME_NUMBER.pack(number))
+    return _HEADER.pack(len(sealed)) + sealed
+
+
+def read_frame_size(header: bytes) -> int:
+    """Return the number of bytes that follow the header; raise FrameTooLargeError if too many."""
+    size: int = _HEADER.unpack(header)[0]
+    if not CODE_BYTES <= size <= MAX_FRAME_BYTES:
+        raise FrameTooLargeError(size, MAX_FRAME_BYTES)
+    return size
+
+
+def open_frame(seal: Seal, context: bytes, number: int, sealed: bytes) -> Message:
+    """Return the message of a frame without its header; raise a LinkError for an invalid one."""
+    return decode(seal.open(sealed, context + _FRAME_NUMBER.pack(number)))
+
+
 class Channel:
     """One connection; frames are received in the order in which they were sent."""
 
@@ -81,13 +105,11 @@
 
     async def receive(self) -> Message:
         """Return the next message; raise a LinkError if the connection is no longer usable."""
-        size = _HEADER.unpack(await self._read_exactly(_HEADER.size))[0]
-        if not CODE_BYTES <= size <= MAX_FRAME_BYTES:
-            raise FrameTooLargeError(size, MAX_FRAME_BYTES)
+        size = read_frame_size(await self._read_exactly(FRAME_HEADER_BYTES))
         sealed = await self._read_exactly(size)
-        context = self._in_context + _FRAME_NUMBER.pack(self._received)
+        number = self._received
         self._received += 1
-        return decode(self._seal.open(sealed, context))
+        return open_frame(self._seal, self._in_context, number, sealed)
 
     async def wait_until_quiet(self, seconds: float) -> None:
         """Return once nothing has been received for some seconds.
@@ -108,10 +130,9 @@
         await self._stream.aclose()
 
     def _frame(self, message: Message) -> bytes:
-        context = self._out_context + _FRAME_NUMBER.pack(self._sent)
+        frame = seal_frame(self._seal, self._out_context, self._sent, message)
         self._sent += 1
-        sealed = self._seal.sign(encode(message), context)
-        return _HEADER.pack(len(sealed)) + sealed
+        return frame
 
     async def _read_exactly(self, size: int) -> bytes:
         while len(self._buffer) < size:
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -36,6 +36,8 @@
 from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.links.quarantine_messages import GroupNews
 from lotushill.links.quarantine_messages import SuspectNews
+from lotushill.links.relay_messages import RelayAnswer
+from lotushill.links.relay_messages import RelayOpen
 from lotushill.links.return_messages import ReturnNews
 
 Message = (
@@ -60,6 +62,8 @@
     | PermitAnswer
     | ReturnNews
     | WaitingNews
+    | RelayOpen
+    | RelayAnswer
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -210,6 +214,8 @@
     PermitAnswer,
     ReturnNews,
     WaitingNews,
+    RelayOpen,
+    RelayAnswer,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _MESSAGE_TYPES}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -237,6 +237,15 @@
   promises @1 :List(PromiseState);
 }
 
+struct RelayOpen {
+  sender @0 :Text;
+  address @1 :Text;
+}
+
+struct RelayAnswer {
+  outcome @0 :Text;
+}
+
 struct Frame {
   union {
     ping @0 :Ping;
@@ -260,5 +269,7 @@
     permitanswer @18 :PermitAnswer;
     returnnews @19 :ReturnNews;
     waitingnews @20 :WaitingNews;
+    relayopen @21 :RelayOpen;
+    relayanswer @22 :RelayAnswer;
   }
 }
--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -15,8 +15,10 @@
 from lotushill.links.exceptions import LinkClosedError
 from lotushill.links.exceptions import LinkError
 from lotushill.links.messages import Ping
+from lotushill.links.relay_messages import RelayOpen
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from anyio.abc import ByteStream
@@ -58,12 +60,18 @@
         find_address: Callable[[str], str | None],
         on_message: Callable[[str, Message], None],
         on_down: Callable[[str], None],
+        serve_relay: Callable[[RelayOpen, Channel, ByteStream], Awaitable[None]] | None = None,
     ) -> None:
+        """Pass received messages to `on_message`, and lost peers to `on_down`.
+
+        `serve_relay` serves a connection on which a peer asks for one to an upstream.
+        """
         self._own_name = own_name
         self._seal = seal
         self._find_address = find_address
         self._on_message = on_message
         self._on_down = on_down
+        self._serve_relay = serve_relay
         self._links: dict[str, _Link] = {}
         self._group: TaskGroup | None = None
         self.dropped = 0
@@ -90,10 +98,12 @@
                 with anyio.fail_after(_HELLO_TIMEOUT_SECONDS):
                     channel = await self._open(stream)
                     hello = await channel.receive()
-                if not isinstance(hello, Ping):
+                if isinstance(hello, Ping):
+                    await self._run(hello.sender, channel)
+                elif isinstance(hello, RelayOpen) and self._serve_relay is not None:
+                    await self._serve_relay(hello, channel, stream)
+                else:
                     self.dropped += 1
-                    return
-                await self._run(hello.sender, channel)
             except TimeoutError:
                 self.dropped += 1
             except LinkClosedError:
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -55,6 +55,8 @@
 from lotushill.membership.schedulers import Schedulers
 from lotushill.peering.member_log import MemberLog
 from lotushill.peering.view_exchange import ViewExchange
+from lotushill.relaying.relay_choice import Peer
+from lotushill.relaying.relays import Relays
 from lotushill.scheduling.hall_contact import HallContact
 from lotushill.scheduling.load_relay import BATCH_INTERVAL_SECONDS
 from lotushill.scheduling.load_relay import LoadRelay
@@ -63,14 +65,18 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
 
     from lotushill.event_log import EventLog
+    from lotushill.links.channel import Channel
     from lotushill.links.codec import Message
     from lotushill.links.datagram import Datagram
+    from lotushill.links.relay_messages import RelayOpen
     from lotushill.membership.membership import OutgoingPacket
     from lotushill.placement.engine_pace import LongTermPace
     from lotushill.placement.messages import Load
@@ -123,6 +129,8 @@
     """Receives updates on refused callers with a promised retry time."""
     on_tick: Callable[[], None]
     """Runs about twenty times a second."""
+    serve_relay: Callable[[RelayOpen, Channel, ByteStream], Awaitable[None]]
+    """Serves a connection on which a gateway asks for one to an upstream."""
     on_queue_counts: Callable[[WaitingNews], None] = lambda _: None
     """Receives the number of requests in the queue of another scheduler."""
 
@@ -155,7 +163,12 @@
         )
         self.membership = Membership(own, (), MembershipOptions(), rng)
         self.links = PeerLinks(
-            settings.name, self._seal, self._address_of, self._on_message, lambda _: None
+            settings.name,
+            self._seal,
+            self._address_of,
+            self._on_message,
+            lambda _: None,
+            hooks.serve_relay,
         )
         self.schedulers = Schedulers(self.membership)
         self.client = PlacementClient(
@@ -213,6 +226,19 @@
             self._unreachable_halls = {item.hall for item in members} - reachable
         return hall in self._unreachable_halls or self._hall_contact.is_silent(hall, self._clock())
 
+    def relays(self, rng: random.Random) -> Relays:
+        """Return the access to the gateways through which upstreams may be reached."""
+        own = self.membership.own
+        return Relays(own.name, own.hall, self._live_peers, self._seal, rng)
+
+    def _live_peers(self) -> list[Peer]:
+        own = self.membership.own.name
+        return [
+            Peer(item.name, item.address, item.hall)
+            for item in self.membership.live()
+            if item.name != own
+        ]
+
     def is_same_hall(self, name: str) -> bool:
         """Return whether a gateway is in the same hall as this one."""
         member = self.membership.find(name)
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -16,6 +16,7 @@
 from lotushill.requests.attempt_pauses import AttemptPauses
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
+from lotushill.requests.exceptions import PartedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
@@ -24,6 +25,7 @@
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from lotushill.placement.choice import Choice
@@ -62,7 +64,9 @@
         splitter: EventSplitter,
         reporter: AttemptReporter,
         permit: Permit,
+        may_repeat: Callable[[], bool],
     ) -> None:
+        """Prepare the attempt; `may_repeat` returns whether the request may be sent once more."""
         self._components = components
         self._request = request
         self._choice = choice
@@ -70,6 +74,7 @@
         self._splitter = splitter
         self._reporter = reporter
         self._permit = permit
+        self._may_repeat = may_repeat
         self._clock = components.clock
         self._initial_suspension_count = components.suspension.suspension_count
         self.sent_at = 0.0
@@ -104,6 +109,14 @@
             connection.close()
             return AttemptEnd(EndKind.BARRED)
         self._connection = connection
+        connection.may_repeat = self._may_repeat
+        if connection.relay:
+            self._components.log.note(
+                "attempt.relayed",
+                request=self._request.demand.request_id,
+                upstream=upstream.id,
+                relay=connection.relay,
+            )
         self.sent_at = self._clock()
         last_event_id = self._splitter.last_id if self._splitter.event_count else ""
         data = encode_request(self._request, self._choice, last_event_id, self.sent_at)
@@ -176,7 +189,7 @@
     def _end_as_broken(
         self, error: UpstreamError, successor: Successor | None = None
     ) -> AttemptEnd:
-        silent = isinstance(error, SilentUpstreamError)
+        silent = isinstance(error, SilentUpstreamError | PartedError)
         return AttemptEnd(
             EndKind.BROKEN,
             repr(error),
@@ -239,7 +252,8 @@
             async with asyncio.timeout(timeout_seconds):
                 return await connection.read_head()
         except TimeoutError as error:
-            self._reporter.report_silence()
+            if not self._components.pool.is_parted(self._choice.upstream):
+                self._reporter.report_silence()
             self._components.pool.close_unused_since(self._choice.upstream, self.sent_at)
             if self._request.route.repeatable:
                 return await self._read_unless_replaced(
--- a/src/lotushill/requests/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -19,5 +19,9 @@
     """The connection ended before the answer was complete."""
 
 
+class PartedError(BrokenAnswerError):
+    """The upstream can only be reached through another gateway since the request was written."""
+
+
 class SilentUpstreamError(UpstreamError):
     """The upstream sent nothing within the timeout."""
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
@@ -79,9 +80,23 @@
             self._splitter,
             reporter,
             permit,
+            functools.partial(self._may_repeat, placement.choice),
         )
         return TrackedAttempt(self, placement.choice, attempt, reporter)
 
+    def _may_repeat(self, choice: Choice) -> bool:
+        """Return whether the request may be sent to another upstream instead of `choice`."""
+        route, service = self._request.route, self._request.service.name
+        has_attempt = route.repeatable and self.runs < route.max_attempts
+        has_copy = choice.backup is not None and self._splitter.event_count > 0
+        return (has_attempt or has_copy) and self._components.budgets.has_left(
+            service, self._clock()
+        )
+
+    def is_parted(self, choice: Choice) -> bool:
+        """Return whether the failure of an attempt may lie in the path from this gateway."""
+        return self._components.pool.is_parted(choice.upstream)
+
     def record_times(self, attempt: Attempt) -> float:
         """Record the time to the first event of an ended attempt; return how long it ran."""
         self.first_ms = round((attempt.first_event_at - attempt.sent_at) * 1000, 1)
@@ -264,4 +279,6 @@
         if self._is_recorded:
             return
         self._is_recorded = True
+        if kind is EndKind.BROKEN and self._tracker.is_parted(self.choice):
+            kind = None
         self._reporter.report_end(kind, self._tracker.record_times(self._attempt))
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -19,6 +19,7 @@
 
 from lotushill.requests.exceptions import BrokenAnswerError
 from lotushill.requests.exceptions import LostConnectionError
+from lotushill.requests.exceptions import PartedError
 from lotushill.requests.exceptions import SilentUpstreamError
 
 if TYPE_CHECKING:
@@ -52,8 +53,22 @@
 class UpstreamConnection(asyncio.Protocol):
     """Connection to an upstream that carries one request at a time."""
 
-    def __init__(self, answer_request_id: Callable[[Headers], str]) -> None:
-        """Create the protocol; `answer_request_id` returns the id of the answered request."""
+    def __init__(
+        self, answer_request_id: Callable[[Headers], str], address: str = "", relay: str = ""
+    ) -> None:
+        """Create the protocol of a connection to an upstream at `address` (IP:PORT).
+
+        `answer_request_id` returns the id of the answered request; `relay` is the name of the
+        gateway through which the connection is opened, empty if it is direct.
+        """
+        self.address = address
+        self.relay = relay
+        self.may_repeat: Callable[[], bool] = lambda: False
+        """Returns whether the request on this connection may be sent to an upstream once more."""
+        self.sent_at = 0.0
+        """When the request was sent, on the clock of the event loop."""
+        self.received_at = 0.0
+        """When bytes were last received, on the same clock."""
         self._answer_request_id = answer_request_id
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -92,9 +107,20 @@
         """Return the head of the answer, None if it has not arrived."""
         return self._head
 
+    @property
+    def quiet_since(self) -> float:
+        """Return when bytes were last sent or received, on the clock of the event loop."""
+        return max(self.sent_at, self.received_at)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a request was written whose answer is not complete."""
+        return self.is_open and not self._idle and not self._complete
+
     def send(self, request_id: str, method: bytes, data: bytes) -> None:
         """Write the head and body of one request."""
         assert self._transport is not None
+        self.sent_at = asyncio.get_running_loop().time()
         self._request_id = request_id
         self._bodiless = method == b"HEAD"
         self._idle = False
@@ -134,6 +160,13 @@
         self._idle = True
         self.idle_since = now
 
+    def give_up(self) -> None:
+        """Close the connection, and end the wait for its answer with a PartedError."""
+        if self._error is None:
+            self._error = PartedError("the upstream cannot be reached any more")
+        self.close()
+        self._wake()
+
     def close(self) -> None:
         """Close the connection immediately, without sending buffered data."""
         if self._transport is not None:
@@ -181,6 +214,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if they belong to no request."""
+        self.received_at = asyncio.get_running_loop().time()
         if self._idle or self._complete:
             self._fail("unexpected bytes after a complete answer")
             return
--- a/src/lotushill/requests/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -3,27 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from lotushill import clock as clocks
-from lotushill.links.address import split_address
+from lotushill.relaying.silence_watch import SilenceWatch
 from lotushill.requests.exceptions import NotSentError
-from lotushill.requests.upstream_connection import UpstreamConnection
+from lotushill.requests.upstream_dialer import UpstreamDialer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lotushill.requests.upstream_connection import Headers
+    from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.routing.upstream import Upstream
 
-CONNECT_TIMEOUT_SECONDS = 0.35
-"""Timeout for opening a connection.
-
-Opening takes a few milliseconds; if it takes longer than this, the upstream is unreachable or
-overloaded.
-"""
 _MAX_IDLE_CONNECTIONS = 32
 """Maximum number of idle connections kept to one upstream."""
+_MAX_PATHS_CHECKED = 2
+"""Number of upstreams that are tried when nothing arrives from any of them."""
+_MIN_QUIET_SECONDS = 0.2
+"""Time without bytes on a connection from which its request is given up if the upstream cannot be
+reached any more."""
 
 
 class UpstreamPool:
@@ -34,17 +35,35 @@
         answer_request_id: Callable[[Headers], str],
         max_idle: Callable[[Upstream], int] = lambda _: _MAX_IDLE_CONNECTIONS,
         clock: Callable[[], float] = clocks.now,
+        dialer: UpstreamDialer | None = None,
     ) -> None:
-        """Create an empty pool; `max_idle` returns the limit of idle connections to an upstream."""
-        self._answer_request_id = answer_request_id
+        """Create an empty pool; `max_idle` returns the limit of idle connections to an upstream.
+
+        Without a `dialer`, all connections are direct.
+        """
+        self.dialer = dialer or UpstreamDialer(answer_request_id, clock)
+        self.dialer.on_parted = self._give_up_direct
+        self.dialer.on_reached = self._close_idle_relayed
         self._max_idle = max_idle
         self._clock = clock
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._in_use: dict[UpstreamConnection, Upstream] = {}
+        self._silence_watch = SilenceWatch()
+        self._received_at = 0.0
+        """When the last bytes of any upstream arrived, on the event loop's clock."""
+        self._watched_at = 0.0
+        """When the connections were last looked at, on the same clock."""
+        self._path_checks: set[asyncio.Task[None]] = set()
         self.opened = 0
         """Number of connections that the pool tried to open so far."""
 
     async def acquire(self, upstream: Upstream) -> UpstreamConnection:
         """Return a connection without a request; raise NotSentError if none can be opened."""
+        connection = self._take_idle(upstream) or await self._open(upstream)
+        self._in_use[connection] = upstream
+        return connection
+
+    def _take_idle(self, upstream: Upstream) -> UpstreamConnection | None:
         idle = self._idle.get(upstream.id, [])
         while idle:
             connection = idle.pop()
@@ -54,14 +73,20 @@
             ):
                 return connection
             connection.close()
-        return await self._open(upstream)
+        return None
 
     def release(self, upstream: Upstream, connection: UpstreamConnection) -> None:
         """Keep a connection for reuse if its answer was complete and there is room, or close it."""
+        self._received_at = max(self._received_at, connection.received_at)
+        self._in_use.pop(connection, None)
+        if not connection.is_reusable:
+            connection.close()
+            return
+        self._keep(upstream, connection)
+
+    def _keep(self, upstream: Upstream, connection: UpstreamConnection) -> None:
         idle = self._idle.setdefault(upstream.id, [])
-        if not connection.is_reusable or len(idle) >= min(
-            _MAX_IDLE_CONNECTIONS, self._max_idle(upstream)
-        ):
+        if len(idle) >= min(_MAX_IDLE_CONNECTIONS, self._max_idle(upstream)):
             connection.close()
             return
         connection.mark_idle(self._clock())
@@ -107,15 +132,67 @@
         connection.close()
         return False
 
+    def is_parted(self, upstream: Upstream) -> bool:
+        """Return whether an upstream can only be reached through other gateways."""
+        return self.dialer.reachability.is_parted(upstream.address)
+
+    def watch_paths(self) -> None:
+        """Check the way to some upstreams if nothing has arrived from any; called often.
+
+        Parted ones are tried again from time to time.
+        """
+        self.dialer.probe_due()
+        waiting: dict[str, tuple[float, Upstream]] = {}
+        for connection, upstream in list(self._in_use.items()):
+            if not connection.is_waiting:
+                del self._in_use[connection]
+                continue
+            if connection.relay:
+                continue
+            if connection.received_at > self._watched_at:
+                self.dialer.reachability.note_heard(upstream.address, self._clock())
+            self._received_at = max(self._received_at, connection.received_at)
+            since = min(connection.quiet_since, waiting.get(upstream.id, (math.inf,))[0])
+            waiting[upstream.id] = (since, upstream)
+        oldest = sorted(waiting.values(), key=lambda item: item[0])
+        now = self._watched_at = asyncio.get_running_loop().time()
+        waiting_since = oldest[0][0] if oldest else None
+        if self._silence_watch.is_check_due(self._received_at, waiting_since, now):
+            for _, upstream in oldest[:_MAX_PATHS_CHECKED]:
+                task = asyncio.create_task(self._check_path(upstream))
+                self._path_checks.add(task)
+                task.add_done_callback(self._path_checks.discard)
+
+    async def _check_path(self, upstream: Upstream) -> None:
+        self.opened += 1
+        connection = await self.dialer.check(upstream.address)
+        if connection is not None:
+            self._keep(upstream, connection)
+
+    def _give_up_direct(self, address: str) -> None:
+        """Close the direct connections to an upstream that seem dead.
+
+        Requests that must not run twice wait on, as it is not known whether they have run.
+        """
+        for connection, upstream in list(self._in_use.items()):
+            if upstream.address != address or connection.relay or not connection.is_waiting:
+                continue
+            quiet_seconds = asyncio.get_running_loop().time() - connection.quiet_since
+            if quiet_seconds >= _MIN_QUIET_SECONDS and connection.may_repeat():
+                connection.give_up()
+        self._close_idle_where(lambda item: item.address == address and not item.relay)
+
+    def _close_idle_relayed(self) -> None:
+        """Close the idle connections through other gateways to upstreams that can be reached."""
+        parted = self.dialer.reachability.is_parted
+        self._close_idle_where(lambda item: bool(item.relay) and not parted(item.address))
+
+    def _close_idle_where(self, is_obsolete: Callable[[UpstreamConnection], bool]) -> None:
+        for idle in self._idle.values():
+            for connection in [item for item in idle if is_obsolete(item)]:
+                connection.close()
+                idle.remove(connection)
+
     async def _open(self, upstream: Upstream) -> UpstreamConnection:
-        host, port = split_address(upstream.address)
-        loop = asyncio.get_running_loop()
         self.opened += 1
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._answer_request_id), host, port
-                )
-        except (OSError, TimeoutError) as error:
-            raise NotSentError(repr(error)) from error
-        return connection
+        return await self.dialer.open(upstream.address)
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -10,6 +10,9 @@
 
 _REQUEST_PATH = "tests.requests.test_request_path"
 _STORE = "tests.platform.test_object_store"
+_PARTITIONS = "tests.soak.test_partitions.TestPartitions"
+_DIALER = "tests.requests.test_upstream_dialer.TestUpstreamDialer"
+_RELAY = "tests.relaying.test_relay_server.TestRelayServer"
 _SILENT_CONNECTIONS = "tests.peering.test_silent_connections.TestSilentConnections"
 _MEMBER = "tests.membership.test_membership.TestMembership"
 _FLEET = "tests.placement.test_fleet.TestEngines"
@@ -752,6 +755,41 @@
                     f"{_SILENT_CONNECTIONS}.test_a_lone_reader_has_changes_in_force_in_time",
                 ),
             ),
+            Case(
+                "connections of some or most gateways to all engines hang",
+                (
+                    f"{_PARTITIONS}.test_most_gateways_serve_while_their_connections_to_engines_hang",
+                    f"{_PARTITIONS}.test_all_gateways_of_a_hall_serve_while_their_connections_hang",
+                    f"{_DIALER}.test_a_hanging_connection_is_overtaken_by_a_relayed_one",
+                ),
+            ),
+            Case(
+                "they are reset, or live on while new ones are refused",
+                (
+                    f"{_PARTITIONS}.test_most_gateways_serve_while_their_connections_to_engines_are_reset",
+                    f"{_PARTITIONS}.test_one_gateway_serves_while_new_connections_to_engines_are_refused",
+                    f"{_DIALER}.test_a_refused_connection_is_relayed_at_once",
+                ),
+            ),
+            Case(
+                "an engine is dead, and no gateway reaches it",
+                (f"{_DIALER}.test_an_upstream_that_nobody_reaches_is_dead_and_not_parted",),
+            ),
+            Case(
+                "the gateway that carries a connection ends, or the engine behind it resets",
+                (
+                    f"{_RELAY}.test_an_answer_without_a_length_is_truncated_if_the_relay_ends",
+                    f"{_RELAY}.test_an_answer_without_a_length_is_truncated_if_the_upstream_resets",
+                ),
+            ),
+            Case(
+                "other gateways are parted as well, or stop",
+                (f"{_RELAY}.test_a_gateway_that_is_parted_or_stops_says_so_at_once",),
+            ),
+            Case(
+                "the partition from the engines ends",
+                (f"{_DIALER}.test_the_end_of_a_partition_is_found_by_a_probe",),
+            ),
             Case(
                 "idle connections of the store's client are dead",
                 (
--- a/tests/peering/silent_network.py
+++ b/tests/peering/silent_network.py
@@ -320,6 +320,7 @@
         on_gateway_gone=ignore,
         answer_placement=lambda ask, _: PlacementAnswer(name, ask.request, refusal=UNREADY),
         on_late_placement=ignore,
+        serve_relay=ignore,
         on_work_pull=none,
         on_work_page=ignore,
         on_suspects=ignore,
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -28,6 +28,10 @@
 LOAD = Load("gw-0", False, ended=(Ended(1),))
 
 
+async def _serve_no_relay(*_: object) -> None:
+    """Serve no connection on behalf of another gateway."""
+
+
 class FakeTransport:
     """Delivers datagrams immediately through the network, which counts them."""
 
@@ -96,6 +100,7 @@
             on_gateway_gone=lambda name: None,
             answer_placement=lambda ask, now: PlacementAnswer(name, ask.request, refusal=UNREADY),
             on_late_placement=lambda request: None,
+            serve_relay=_serve_no_relay,
         )
         peers = Peers(
             settings,
--- /dev/null
+++ b/tests/relaying/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of lotushill.relaying."""
+
+from __future__ import annotations
--- a/tests/requests/virtual_network.py
+++ b/tests/requests/virtual_network.py
@@ -14,8 +14,8 @@
 from lotushill.platform import memory_calls
 from lotushill.platform import request_head
 from lotushill.requests.engine_memory_client import EngineMemoryClient
-from lotushill.requests.exceptions import NotSentError
 from lotushill.requests.upstream_connection import UpstreamConnection
+from lotushill.requests.upstream_dialer import UpstreamDialer
 from lotushill.requests.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
@@ -23,7 +23,6 @@
 
     from lotushill.moves.memory_copy import Copied
     from lotushill.moves.memory_copy import NotCopied
-    from lotushill.routing.upstream import Upstream
 
 LATENCY_SECONDS = 0.001
 _FREE_TIMEOUT_SECONDS = 0.5
@@ -166,22 +165,27 @@
     raise ConnectionRefusedError
 
 
-class VirtualPool(UpstreamPool):
-    """Pool of connections over a virtual network."""
+class VirtualDialer(UpstreamDialer):
+    """Opens connections over a virtual network."""
 
     def __init__(self, network: Network, clock: Callable[[], float]) -> None:
-        super().__init__(request_head.answer_request_id, clock=clock)
+        super().__init__(request_head.answer_request_id, clock)
         self._network = network
 
-    async def _open(self, upstream: Upstream) -> UpstreamConnection:
-        connection = UpstreamConnection(self._answer_request_id)
-        try:
-            await self._network.connect(upstream.address, connection)
-        except ConnectionRefusedError as error:
-            raise NotSentError(repr(error)) from error
+    async def _connect(self, address: str) -> UpstreamConnection:
+        connection = UpstreamConnection(request_head.answer_request_id, address)
+        await self._network.connect(address, connection)
         return connection
 
 
+class VirtualPool(UpstreamPool):
+    """Pool of connections over a virtual network."""
+
+    def __init__(self, network: Network, clock: Callable[[], float]) -> None:
+        dialer = VirtualDialer(network, clock)
+        super().__init__(request_head.answer_request_id, clock=clock, dialer=dialer)
+
+
 class _Call(asyncio.Protocol):
     """Collects the answer to one call, which ends with its connection or its length."""
 
--- a/tests/test_directions.py
+++ b/tests/test_directions.py
@@ -16,7 +16,7 @@
     ("shares",),
     ("placement", "starting"),
     ("availability", "links", "views", "contracts", "moves", "waiting"),
-    ("membership", "quarantine", "platform", "standin"),
+    ("membership", "quarantine", "platform", "standin", "relaying"),
     ("process",),
     ("limits", "duties", "following"),
     ("scheduling",),
