Upstreams that state that they are brittle are sent no more than they have slots

What callers saw: nothing read the statement.

Cause: gateways send on what is over the slots of an upstream and count on its rejection; all together made each engine reject more than it bears.

Change: a service one of whose upstreams has stated so within 3 s is sent only what its upstreams have slots for, by the load that all gateways share. What finds no slot waits as long as a request without room does and is refused as not run, with a Retry-After time.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,20 @@
 
 
 BREAKS = (
+    Break(
+        "the statement of brittle upstreams is read",
+        "platform/upstream_answer.py",
+        "parse_brittle(values(names.SERVER_BRITTLE))",
+        "False",
+        "tests.platform.test_upstream_answer",
+    ),
+    Break(
+        "brittle upstreams are sent no more requests than they have slots",
+        "placement/fleet.py",
+        "if self.brittle.is_brittle(need.service, now):",
+        "if False:",
+        "tests.placement.test_brittle_services",
+    ),
     Break(
         "relays: a connection that hangs is tried through another gateway",
         "requests/upstream_dialer.py",
@@ -874,8 +888,8 @@
     Break(
         "a cooldown stated in an answer is read",
         "platform/upstream_answer.py",
-        "refused = status == _UNAVAILABLE",
-        "refused = False",
+        "values(names.RETRY_AFTER) if status == _UNAVAILABLE else []",
+        "[]",
         "tests.requests.test_cooldowns",
     ),
     Break(
@@ -930,8 +944,8 @@
     Break(
         "an upstream that announces that it leaves gets no more requests",
         "platform/upstream_answer.py",
-        "name == _SERVER_LEAVING and",
-        "False and",
+        "values(names.SERVER_LEAVING)",
+        "[]",
         "tests.requests.test_leaving",
     ),
     Break(
@@ -958,8 +972,8 @@
     Break(
         "a limit that an upstream states is read",
         "platform/upstream_answer.py",
-        "if name == _SERVER_LIMIT]",
-        "if False]",
+        "parse_limit(values(names.SERVER_LIMIT))",
+        "parse_limit([])",
         "tests.requests.test_limit",
     ),
     Break(
--- a/src/lotushill/availability/statement.py
+++ b/src/lotushill/availability/statement.py
@@ -41,6 +41,8 @@
     """
     unreadable_limit: str = ""
     """Text of a limit that could not be parsed."""
+    brittle: bool = False
+    """Whether the upstream falls over if it has to reject many requests for want of room."""
 
 
 EMPTY_STATEMENT = Statement()
@@ -103,6 +105,11 @@
     return ParsedLimit(None, unreadable_texts[-1] or _EMPTY_TEXT)
 
 
+def parse_brittle(values: list[bytes]) -> bool:
+    """Return whether an upstream states the rejections a second that it bears."""
+    return any(_parse_decimal(value) is not None for value in values)
+
+
 def _parse_decimal(value: bytes) -> float | None:
     """Parse a decimal number of at least 0; return None for anything else."""
     text = value.strip()
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -216,6 +216,7 @@
             self.leaving_gossip.note_answer,
             self.log,
             clocks.now,
+            self._on_brittle,
         )
         self.retry_budgets = RetryBudgets(
             settings.retry, self._possible_gateway_count, clocks.now()
@@ -482,6 +483,15 @@
     def _is_upstream_address(self, address: str) -> bool:
         return any(item.address == address for item in self.views.upstreams.all())
 
+    def _on_brittle(self, upstream_id: str) -> None:
+        """Record that an upstream falls over if all gateways make it reject too many requests."""
+        service, now = self._service_of(upstream_id), clocks.now()
+        if service is None:
+            return
+        if not self.fleet.brittle.is_brittle(service.name, now):
+            self.log.note("service.brittle", service=service.name, upstream=upstream_id)
+        self.fleet.brittle.note_stated(service.name, now)
+
     def _service_named(self, name: str) -> Service | None:
         table = self.views.configuration.table
         return table.services.get(name) if table is not None else None
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -14,6 +14,7 @@
 
 from lotushill.placement.backup import backup_target
 from lotushill.placement.backup import is_worth_copying
+from lotushill.placement.brittle_services import BrittleServices
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
@@ -95,6 +96,7 @@
         self._is_hall_unreachable = is_hall_unreachable
         self.recent = RecentParts(recent_seconds)
         self.shedding = Shedding()
+        self.brittle = BrittleServices()
         self.shares = TeamShares()
         self.engine_paces = FleetPaces()
         self._loads: dict[str, UpstreamLoad] = {}
@@ -233,6 +235,10 @@
                 self.shedding.refuse_for_others(need, withheld, now), need, now
             )
         with_room = [item for item in reachable or candidates if item.id not in closed_engines]
+        if self.brittle.is_brittle(need.service, now):
+            with_room = [item for item in with_room if len(self.load(item.id).running) < item.slots]
+            if not with_room:
+                return self.shedding.refuse_for_others(need, Refusal.NO_ROOM, now)
         if not with_room:
             return self.shedding.refuse_without_room(need)
         weighed = shortlist(need, with_room)
--- a/src/lotushill/placement/shedding.py
+++ b/src/lotushill/placement/shedding.py
@@ -118,7 +118,7 @@
         )
 
     def refuse_for_others(self, need: Need, refusal: Refusal, now: float) -> NoChoice:
-        """Return the refusal of a long request if the remaining slots are reserved for others."""
+        """Return the refusal of a request for which there is no slot, or none left for its kind."""
         return self._refusal_or_early(need, refusal, 0.0, 0.0, now)
 
     def refuse_for_teams(self, need: Need, choices: Sequence[Choice], now: float) -> NoChoice:
--- a/src/lotushill/platform/names.py
+++ b/src/lotushill/platform/names.py
@@ -30,6 +30,7 @@
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
+SERVER_BRITTLE = "server-brittle"
 INSTANCE_ID = "instance-id"
 
 # Kinds, objects and fields of the store.
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -95,10 +95,9 @@
 
 
 def engine_priority(urgency: Urgency) -> int:
-    """Return the priority that engines are told: one of the few that they distinguish.
+    """Return the priority that engines are told: that of the tier, without the rank of the team.
 
-    It depends on the tier alone. A full engine interrupts the streams of lower priority, so that
-    teams are only ordered where requests wait in gateways.
+    A full engine interrupts streams of lower priority; teams are ordered while requests wait.
     """
     return min(_LOWEST_ENGINE_PRIORITY, max(0, urgency.tier))
 
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -46,14 +46,20 @@
         on_leaving: Callable[[str], None],
         log: EventLog,
         clock: Callable[[], float],
+        on_brittle: Callable[[str], None],
     ) -> None:
-        """Create the gate; `on_leaving` is called for each upstream that states that it leaves."""
+        """Create the gate.
+
+        `on_leaving` is called for each upstream that states that it leaves, `on_brittle` for each
+        answer of one that states that it is brittle.
+        """
         self._upstreams = upstreams
         self._cooldowns = cooldowns
         self._limits = limits
         self._on_leaving = on_leaving
         self._log = log
         self._clock = clock
+        self._on_brittle = on_brittle
         self.blocked_sends = 0
         """Number of sends blocked so far after the upstream had been chosen."""
         self.unreadable_cooldowns = 0
@@ -75,6 +81,8 @@
             self._cooldowns.note_accepted(upstream_id, now)
         if statement.leaving:
             self._on_leaving(upstream_id)
+        if statement.brittle:
+            self._on_brittle(upstream_id)
         if statement.unreadable_limit:
             self.unreadable_limits += 1
             self._log.note(
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -790,6 +790,15 @@
                 "the partition from the engines ends",
                 (f"{_DIALER}.test_the_end_of_a_partition_is_found_by_a_probe",),
             ),
+            Case(
+                "overloaded engines fall over if all gateways make them reject too many requests",
+                (
+                    "tests.soak.test_brittle.TestBrittle."
+                    "test_overloaded_engines_that_are_brittle_do_not_fall_over",
+                    "tests.placement.test_brittle_services.TestBrittleServices."
+                    "test_brittle_upstreams_are_sent_no_more_than_they_have_slots",
+                ),
+            ),
             Case(
                 "idle connections of the store's client are dead",
                 (
--- a/tests/platform/test_upstream_answer.py
+++ b/tests/platform/test_upstream_answer.py
@@ -15,6 +15,7 @@
 
 RETRY = b"retry-after"
 LIMIT = b"server-limit"
+BRITTLE = b"server-brittle"
 
 
 class TestNotExecuted(unittest.TestCase):
@@ -128,3 +129,16 @@
             or limit == NO_LIMIT
             or MIN_REQUESTS_PER_SECOND <= limit <= MAX_REQUESTS_PER_SECOND
         )
+
+
+class TestBrittle(unittest.TestCase):
+    def test_numbers_state_that_the_upstream_is_brittle(self) -> None:
+        for text in (b"6", b" 0 ", b"2.5"):
+            with self.subTest(text=text):
+                self.assertTrue(read_statement(200, [(BRITTLE, text)]).brittle)
+
+    def test_other_values_and_none_do_not(self) -> None:
+        for text in (b"", b"very", b"-1", b"nan", b"1e3"):
+            with self.subTest(text=text):
+                self.assertFalse(read_statement(503, [(BRITTLE, text)]).brittle)
+        self.assertFalse(read_statement(200, []).brittle)
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -336,7 +336,13 @@
         metrics = Metrics()
         isolation_policy = IsolationPolicy(self.isolation, self.view, self.clock)
         gate = UpstreamGate(
-            self.view, cooldowns, self.limits, self.leaving.note_answer, log, self.clock
+            self.view,
+            cooldowns,
+            self.limits,
+            self.leaving.note_answer,
+            log,
+            self.clock,
+            lambda _: None,
         )
         self.mover = Mover(
             self.make_memory_client(), placer, shared_load, self.view, isolation_policy,
