A request that was not written by its deadline is answered as not run

A request that must not run twice is not tried again after that.

Cause: an attempt counted as one that may have run from its beginning; cancelled while the connection was opened, it was not counted out. Now it is, once, unless the request was written.

The test gets 504 without the change and 503 with a Retry-After time with it. Elsewhere: the attempt that is to replace a silent one was counted out already.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,13 @@
 
 
 BREAKS = (
+    Break(
+        "a request that was not written by its deadline is reported as not run",
+        "requests/tracked_attempt.py",
+        "        except asyncio.CancelledError:\n            self._record_if_unsent()\n",
+        "        except asyncio.CancelledError:\n",
+        "tests.requests.test_request_path",
+    ),
     Break(
         "the statement of brittle upstreams is read",
         "platform/upstream_answer.py",
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import functools
 from typing import TYPE_CHECKING
@@ -149,10 +150,13 @@
             target_gap_ms=round(self._request.need.target_gap * 1000, 1),
         )
 
+    def record_unsent(self, choice: Choice) -> None:
+        """Record that an attempt was cancelled before its request was written."""
+        if not choice.resumes_from_copy:
+            self.runs -= 1
+
     def record_abandoned(self, choice: Choice, was_sent: bool) -> None:
         """Log that the answer of an attempt is not needed; it may have run if it `was_sent`."""
-        if not was_sent and not choice.resumes_from_copy:
-            self.runs -= 1
         self._note("attempt.abandoned", upstream=choice.upstream.id, sent=was_sent)
 
     def _identity(self, end: AttemptEnd) -> str:
@@ -222,6 +226,8 @@
         self._reporter = reporter
         self._is_recorded = False
         """Whether the end of the attempt is recorded."""
+        self._is_unsent = False
+        """Whether it is recorded that the request was not written."""
 
     async def run(self, replacements: Replacements) -> AttemptEnd:
         """Send the request and relay its answer, unless another upstream replaces this one."""
@@ -230,8 +236,12 @@
 
     async def send(self) -> AttemptEnd | None:
         """Write the request; return the end of the attempt if it is not written."""
-        with self._recorded_if_raised():
-            end = await self._attempt.send()
+        try:
+            with self._recorded_if_raised():
+                end = await self._attempt.send()
+        except asyncio.CancelledError:
+            self._record_if_unsent()
+            raise
         return self._record_end(end) if end is not None else None
 
     async def is_refused(self, seconds: float | None) -> bool:
@@ -254,8 +264,14 @@
         """Close the connection of an attempt whose answer is not needed."""
         self._attempt.close()
         self._report_end(None)
+        self._record_if_unsent()
         self._tracker.record_abandoned(self.choice, was_sent=bool(self._attempt.sent_at))
 
+    def _record_if_unsent(self) -> None:
+        if not self._attempt.sent_at and not self._is_unsent:
+            self._is_unsent = True
+            self._tracker.record_unsent(self.choice)
+
     @contextlib.contextmanager
     def _recorded_if_raised(self) -> Iterator[None]:
         try:
--- a/tests/requests/test_request_path.py
+++ b/tests/requests/test_request_path.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from lotushill.routing.route import RouteKind
 from tests.requests.rig import KEY
@@ -18,6 +20,9 @@
 from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
 
+if TYPE_CHECKING:
+    from lotushill.requests.upstream_connection import UpstreamConnection
+
 
 async def whole(seen: ReceivedRequest) -> None:
     seen.answer_whole()
@@ -431,6 +436,20 @@
             got = await rig.call()
         self.assertEqual(504, got.status)
 
+    async def test_a_request_that_was_not_written_by_its_deadline_is_reported_as_not_run(
+        self,
+    ) -> None:
+        # The timeout strikes while a connection is still being opened.
+        async def hang(_: str) -> UpstreamConnection:
+            await asyncio.sleep(30)
+            raise AssertionError("the request has ended long ago")
+
+        async with Rig([ScriptedUpstream([whole])], RouteKind.NON_IDEMPOTENT, timeout=0.3) as rig:
+            with patch.object(rig.components.pool.dialer, "_connect", hang):
+                answer = await rig.call()
+        self.assertEqual(503, answer.status)
+        self.assertIn("retry-after", answer.headers)
+
     async def test_the_clients_deadline_counts_if_it_is_shorter(self) -> None:
         async with Rig([ScriptedUpstream([silent])], RouteKind.NON_IDEMPOTENT) as rig:
             async with asyncio.timeout(3):
