--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -2,10 +2,12 @@
 
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
         [--moves] [--mild] [--silences] [--trace]
+    python scripts/soak.py --partitions [--seeds 50] [--first 1] [--seconds 40] [--jobs 4]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
 Exits with 1 if an invariant was violated, or if less than 0.97 of the ordinary requests at the end
-of a run were served.
+of a run were served. With --partitions, some gateways are parted from all engines instead, and they
+have to serve nearly as often as the others.
 """
 
 from __future__ import annotations
@@ -21,11 +23,13 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from tests.soak.configuration import MovesOptions
+from tests.soak.partition_run import run_drawn_partition
 from tests.soak.soak import Soak
 
 if TYPE_CHECKING:
     from collections import Counter
 
+    from tests.soak.partition_run import PartitionResult
     from tests.soak.result import Result
 
 _MIN_SERVED_FRACTION = 0.97
@@ -101,7 +105,14 @@
         action="store_true",
         help="with --moves: no call arrives long after its timeout, and clients are known to wait",
     )
+    parser.add_argument(
+        "--partitions",
+        action="store_true",
+        help="with gateways that are parted from all engines, and kills on both sides, only",
+    )
     options = parser.parse_args()
+    if options.partitions:
+        return _run_partitions(options.first, options.seeds, options.seconds, options.jobs)
     mild = MovesOptions(late_stops=False, patient=True)
     moves = (mild if options.mild else MovesOptions()) if options.moves else None
     seeds = range(options.first, options.first + options.seeds)
@@ -127,6 +138,32 @@
     return 1 if failed_count else 0
 
 
+def _run_partitions(first: int, count: int, seconds: float, jobs: int) -> int:
+    """Run some seeds of partitions; return 1 if any of them showed a fault."""
+    seeds = range(first, first + count)
+    failed_count = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for seed, result in zip(seeds, pool.map(_run_partition_seed, seeds, [seconds] * count)):
+            problems = [*result.faults, *result.errors]
+            if not result.serves_parted:
+                problems.append("too few first tries were served at parted gateways")
+            failed_count += bool(problems)
+            print(
+                f"seed {seed}: served at parted gateways {result.early.served}/{result.early.sent} "
+                f"before 3 s, {result.parted.served}/{result.parted.sent} after, at others "
+                f"{result.others.served}/{result.others.sent}, when it has ended "
+                f"{result.after.served}/{result.after.sent}; {result.relayed} requests relayed"
+                f"{'; WRONG: ' if problems else ''}{'; '.join(problems)}",
+                flush=True,
+            )
+    print(f"{count - failed_count} of {count} seeds without a fault")
+    return 1 if failed_count else 0
+
+
+def _run_partition_seed(seed: int, seconds: float) -> PartitionResult:
+    return asyncio.run(run_drawn_partition(seed, seconds))
+
+
 def _print_result(seed: int, result: Result) -> bool:
     problems = [*result.faults, *result.errors]
     if result.served_fraction < _MIN_SERVED_FRACTION:
--- a/tests/soak/partition_run.py
+++ b/tests/soak/partition_run.py
@@ -18,6 +18,7 @@
 from tests.soak.gateways import Gateways
 from tests.soak.ledger import Ledger
 from tests.soak.moving_engine import MovingEngine
+from tests.soak.records import Absence
 from tests.soak.silencing_proxy import Partition
 from tests.soak.silencing_proxy import SilencingProxy
 
@@ -78,10 +79,34 @@
         return self.parted.fraction >= 2 / 3 * self.others.fraction or failed <= allowed
 
 
+async def run_drawn_partition(seed: int, seconds: float, gateways: int = 9) -> PartitionResult:
+    """Part gateways drawn from a seed in one of the three ways, and kill one of each side."""
+    rng = random.Random(f"{seed} partitions")
+    halls = [set(range(hall, gateways, HALLS)) for hall in range(HALLS)]
+    parted = rng.choice(
+        [
+            set(rng.sample(range(gateways), rng.randint(1, gateways - 2))),
+            rng.choice(halls),
+            set(range(gateways)) - rng.choice(halls),
+        ]
+    )
+    others = sorted(set(range(gateways)) - parted)
+    kills = (rng.choice(sorted(parted)), rng.choice(others))
+    return await run_partition(parted, rng.choice(list(Partition)), seconds, gateways, seed, kills)
+
+
 async def run_partition(
-    parted: set[int], kind: Partition, seconds: float, gateways: int = 9, seed: int = 1
+    parted: set[int],
+    kind: Partition,
+    seconds: float,
+    gateways: int = 9,
+    seed: int = 1,
+    kills: tuple[int, ...] = (),
 ) -> PartitionResult:
-    """Part the gateways with the numbers `parted` from all engines for some seconds."""
+    """Part the gateways with the numbers `parted` from all engines for some seconds.
+
+    Those with the numbers `kills` are killed half way.
+    """
     store = MetadataStore()
     server = HttpServer(MetadataApp(store), free_address())
     serving = asyncio.create_task(server.serve())
@@ -102,6 +127,7 @@
         fleet = Gateways(
             Path(folder), server.address, gateways, {}, halls=HALLS, proxy=proxy.address
         )
+        fleet.on_absence = lambda *absence: ledger.absences.append(Absence(*absence))
         await fleet.start()
         try:
             addresses = [gateway.clients for gateway in fleet.all]
@@ -113,7 +139,10 @@
             reachable = {server.address, *(gateway.peers for gateway in fleet.all)}
             began = time.monotonic()
             proxy.part(names, kind, reachable)
-            await asyncio.sleep(seconds)
+            await asyncio.sleep(seconds / 2)
+            for number in kills:
+                fleet.kill(fleet.all[number])
+            await asyncio.sleep(seconds / 2)
             ended = time.monotonic()
             proxy.heal(names)
             await asyncio.sleep(_AFTER_SECONDS)
