A partition from all upstreams ends when the parted ones are gone, and its end is logged

Found by reading: probes go to upstreams known to be parted. Where all of these were replaced during a partition, nothing was probed any more, and the gateway sent everything through others, and refused to relay, for good. The test fails without the change. Where bytes of another upstream end the partition, `upstreams.reached` is logged as well, and idle connections through others are closed.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -84,8 +84,8 @@
     Break(
         "relays: bytes of an upstream that is not parted tell that not all are",
         "relaying/reachability.py",
-        "            self._parted_from_all_since = None\n\n    def due",
-        "\n    def due",
+        "        return self._end_partition()\n\n    def due",
+        "        return False\n\n    def due",
         "tests.relaying.test_reachability",
     ),
     Break(
--- a/src/lotushill/relaying/reachability.py
+++ b/src/lotushill/relaying/reachability.py
@@ -52,11 +52,15 @@
         since = self._parted_from_all_since
         return 0.0 if since is None else now - since
 
-    def note_heard(self, address: str, now: float) -> None:
-        """Record bytes on a direct connection: if that is not parted, not all upstreams are."""
-        if address not in self._parted:
-            self._heard_at = now
-            self._parted_from_all_since = None
+    def note_heard(self, address: str, now: float) -> bool:
+        """Record bytes on a direct connection; return whether this ends a partition from all.
+
+        An open connection to a parted upstream may live on, which says nothing of new ones.
+        """
+        if address in self._parted:
+            return False
+        self._heard_at = now
+        return self._end_partition()
 
     def due_probes(self, now: float) -> list[str]:
         """Return the upstreams to which a direct connection is to be tried now.
@@ -83,6 +87,10 @@
         self._parted.pop(address, None)
         for other in self._parted:
             self._parted[other] = _Parted(next_probe_at=0.0)
+        return self._end_partition()
+
+    def _end_partition(self) -> bool:
+        """End a partition from all upstreams; return whether there was one."""
         was_parted_from_all = self.is_parted_from_all
         self._parted_from_all_since = None
         return was_parted_from_all
@@ -103,6 +111,11 @@
         return True
 
     def retain_only(self, known: set[str]) -> None:
-        """Drop the upstreams whose addresses are not in `known`."""
+        """Drop the upstreams whose addresses are not in `known`.
+
+        Without any parted one left, nothing would be probed: the others count as reachable again.
+        """
         for address in self._parted.keys() - known:
             del self._parted[address]
+        if not self._parted:
+            self._end_partition()
--- a/src/lotushill/requests/upstream_dialer.py
+++ b/src/lotushill/requests/upstream_dialer.py
@@ -155,9 +155,20 @@
             return
         seconds = self.reachability.parted_seconds(self._clock())
         if self.reachability.note_reached(address):
-            self._note("upstreams.reached", parted_seconds=round(seconds, 3))
+            self._note_end(seconds)
         self.on_reached()
 
+    def note_heard(self, address: str) -> None:
+        """Record bytes on a direct connection: unless that upstream is parted, not all are."""
+        now = self._clock()
+        seconds = self.reachability.parted_seconds(now)
+        if self.reachability.note_heard(address, now):
+            self._note_end(seconds)
+            self.on_reached()
+
+    def _note_end(self, parted_seconds: float) -> None:
+        self._note("upstreams.reached", parted_seconds=round(parted_seconds, 3))
+
     def probe_due(self) -> None:
         """Try in the background whether parted upstreams can be reached again; called often."""
         for address in self.reachability.due_probes(self._clock()):
--- a/src/lotushill/requests/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -150,7 +150,7 @@
             if connection.relay:
                 continue
             if connection.received_at > self._watched_at:
-                self.dialer.reachability.note_heard(upstream.address, self._clock())
+                self.dialer.note_heard(upstream.address)
             self._received_at = max(self._received_at, connection.received_at)
             since = min(connection.quiet_since, waiting.get(upstream.id, (math.inf,))[0])
             waiting[upstream.id] = (since, upstream)
--- a/tests/relaying/test_reachability.py
+++ b/tests/relaying/test_reachability.py
@@ -70,6 +70,12 @@
         self.reachability.retain_only({ADDRESSES[1]})
         self.assertEqual(0, self.reachability.parted_count)
 
+    def test_a_partition_ends_when_all_upstreams_known_to_be_parted_are_gone(self) -> None:
+        # Nothing would be probed any more, and the partition would never end.
+        self.part_from_two()
+        self.reachability.retain_only(set(ADDRESSES[2:]))
+        self.assertFalse(self.reachability.is_parted(ADDRESSES[2]))
+
     @given(
         st.lists(
             st.tuples(st.sampled_from(("parted", "reached", "heard")), st.sampled_from(ADDRESSES)),
