--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -61,10 +61,10 @@
         "tests.requests.test_upstream_dialer",
     ),
     Break(
-        "relays: an upstream that nobody reaches is not parted",
+        "relays: an upstream that nobody reaches is not partitioned",
         "requests/upstream_dialer.py",
         "            if not _is_open(relayed):\n",
-        "            if self.reachability.note_parted(address, 0.0) or not _is_open(relayed):\n",
+        "            if self.reachability.note_partitioned(address, 0) or not _is_open(relayed):\n",
         "tests.requests.test_upstream_dialer",
     ),
     Break(
@@ -82,7 +82,7 @@
         "tests.relaying.test_relay_server",
     ),
     Break(
-        "relays: bytes of an upstream that is not parted tell that not all are",
+        "relays: bytes of an upstream that is not partitioned tell that not all are",
         "relaying/reachability.py",
         "        return self._end_partition()\n\n    def due",
         "        return False\n\n    def due",
@@ -96,7 +96,7 @@
         "tests.relaying.test_relay_choice",
     ),
     Break(
-        "relays: a blocked process does not take itself for parted",
+        "relays: a blocked process does not take itself for partitioned",
         "relaying/silence_watch.py",
         "            self._unblocked_at = now\n",
         "            pass\n",
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -6,8 +6,8 @@
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
 Exits with 1 if an invariant was violated, or if less than 0.97 of the ordinary requests at the end
-of a run were served. With --partitions, some gateways are parted from all engines instead, and they
-have to serve nearly as often as the others.
+of a run were served. With --partitions, some gateways are partitioned from all engines instead, and
+they have to serve nearly as often as the others.
 """
 
 from __future__ import annotations
@@ -108,7 +108,7 @@
     parser.add_argument(
         "--partitions",
         action="store_true",
-        help="with gateways that are parted from all engines, and kills on both sides, only",
+        help="with gateways that are partitioned from all engines, and kills on both sides, only",
     )
     options = parser.parse_args()
     if options.partitions:
@@ -145,13 +145,13 @@
     with ProcessPoolExecutor(jobs) as pool:
         for seed, result in zip(seeds, pool.map(_run_partition_seed, seeds, [seconds] * count)):
             problems = [*result.faults, *result.errors]
-            if not result.serves_parted:
-                problems.append("too few first tries were served at parted gateways")
+            if not result.serves_partitioned:
+                problems.append("too few first tries were served at partitioned gateways")
             failed_count += bool(problems)
             print(
-                f"seed {seed}: served at parted gateways {result.early.served}/{result.early.sent} "
-                f"before 3 s, {result.parted.served}/{result.parted.sent} after, at others "
-                f"{result.others.served}/{result.others.sent}, when it has ended "
+                f"seed {seed}: served behind partitions {result.early.served}/{result.early.sent} "
+                f"before 3 s, {result.partitioned.served}/{result.partitioned.sent} after, "
+                f"at others {result.others.served}/{result.others.sent}, when it has ended "
                 f"{result.after.served}/{result.after.sent}; {result.relayed} requests relayed"
                 f"{'; WRONG: ' if problems else ''}{'; '.join(problems)}",
                 flush=True,
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -197,7 +197,7 @@
             request_head.answer_request_id, self._max_idle_connections, dialer=self.dialer
         )
         self.relay_server = RelayServer(
-            self._is_upstream_address, lambda: not self.dialer.reachability.is_parted_from_all
+            self._is_upstream_address, lambda: not self.dialer.reachability.is_partitioned_from_all
         )
         self.quarantine = FleetQuarantine(
             settings.name, self.views, self.pool, self.peers, self.store, self.log, rng
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -245,14 +245,14 @@
         lambda: gateway.pool.opened,
     )
     add_gauge(
-        "parted_upstreams",
+        "partitioned_upstreams",
         "Upstreams that other gateways reach and this one does not",
-        lambda: gateway.dialer.reachability.parted_count,
+        lambda: gateway.dialer.reachability.partitioned_count,
     )
     add_gauge(
-        "parted_from_all",
+        "partitioned_from_all",
         "Whether this gateway reaches no upstream itself",
-        lambda: gateway.dialer.reachability.is_parted_from_all,
+        lambda: gateway.dialer.reachability.is_partitioned_from_all,
     )
     add_gauge(
         "connections_through_others",
@@ -344,8 +344,8 @@
     """Return whether upstreams are reached through other gateways, and what is done for others."""
     reachability = gateway.dialer.reachability
     return {
-        "parted_upstreams": reachability.parted_count,
-        "parted_seconds": round(reachability.parted_seconds(clocks.now()), 3),
+        "partitioned_upstreams": reachability.partitioned_count,
+        "partitioned_seconds": round(reachability.partitioned_seconds(clocks.now()), 3),
         "opened": dict(gateway.dialer.opened),
         "open_for_others": gateway.relay_server.open_count,
         "answers_to_others": {
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -16,7 +16,7 @@
 from lotushill.requests.attempt_pauses import AttemptPauses
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
-from lotushill.requests.exceptions import PartedError
+from lotushill.requests.exceptions import PartitionedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
@@ -189,7 +189,7 @@
     def _end_as_broken(
         self, error: UpstreamError, successor: Successor | None = None
     ) -> AttemptEnd:
-        silent = isinstance(error, SilentUpstreamError | PartedError)
+        silent = isinstance(error, SilentUpstreamError | PartitionedError)
         return AttemptEnd(
             EndKind.BROKEN,
             repr(error),
@@ -252,7 +252,7 @@
             async with asyncio.timeout(timeout_seconds):
                 return await connection.read_head()
         except TimeoutError as error:
-            if not self._components.pool.is_parted(self._choice.upstream):
+            if not self._components.pool.is_partitioned(self._choice.upstream):
                 self._reporter.report_silence()
             self._components.pool.close_unused_since(self._choice.upstream, self.sent_at)
             if self._request.route.repeatable:
--- a/src/lotushill/requests/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -19,7 +19,7 @@
     """The connection ended before the answer was complete."""
 
 
-class PartedError(BrokenAnswerError):
+class PartitionedError(BrokenAnswerError):
     """The upstream can only be reached through another gateway since the request was written."""
 
 
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -94,9 +94,9 @@
             service, self._clock()
         )
 
-    def is_parted(self, choice: Choice) -> bool:
+    def is_partitioned(self, choice: Choice) -> bool:
         """Return whether the failure of an attempt may lie in the path from this gateway."""
-        return self._components.pool.is_parted(choice.upstream)
+        return self._components.pool.is_partitioned(choice.upstream)
 
     def record_times(self, attempt: Attempt) -> float:
         """Record the time to the first event of an ended attempt; return how long it ran."""
@@ -295,6 +295,6 @@
         if self._is_recorded:
             return
         self._is_recorded = True
-        if kind is EndKind.BROKEN and self._tracker.is_parted(self.choice):
+        if kind is EndKind.BROKEN and self._tracker.is_partitioned(self.choice):
             kind = None
         self._reporter.report_end(kind, self._tracker.record_times(self._attempt))
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -19,7 +19,7 @@
 
 from lotushill.requests.exceptions import BrokenAnswerError
 from lotushill.requests.exceptions import LostConnectionError
-from lotushill.requests.exceptions import PartedError
+from lotushill.requests.exceptions import PartitionedError
 from lotushill.requests.exceptions import SilentUpstreamError
 
 if TYPE_CHECKING:
@@ -161,9 +161,9 @@
         self.idle_since = now
 
     def give_up(self) -> None:
-        """Close the connection, and end the wait for its answer with a PartedError."""
+        """Close the connection, and end the wait for its answer with a PartitionedError."""
         if self._error is None:
-            self._error = PartedError("the upstream cannot be reached any more")
+            self._error = PartitionedError("the upstream cannot be reached any more")
         self.close()
         self._wake()
 
--- a/src/lotushill/requests/upstream_dialer.py
+++ b/src/lotushill/requests/upstream_dialer.py
@@ -1,7 +1,7 @@
 """Opens connections to upstreams, directly or through another gateway.
 
-Where it is not known that an upstream is parted from this gateway, both ways are tried a tenth of a
-second apart, so that a request does not wait for the timeout of the direct one.
+Where it is not known that an upstream is partitioned from this gateway, both ways are tried a tenth
+of a second apart, so that a request does not wait for the timeout of the direct one.
 """
 
 from __future__ import annotations
@@ -46,7 +46,7 @@
 
 
 class UpstreamDialer:
-    """Opens connections to upstreams by address, and keeps which of them are parted from here."""
+    """Opens connections to upstreams by address; keeps which are partitioned from this gateway."""
 
     def __init__(
         self,
@@ -63,10 +63,10 @@
         self._choice = RelayChoice(relays.hall if relays is not None else "")
         self._tasks: set[asyncio.Task[object]] = set()
         self.reachability = Reachability()
-        self.on_parted: Callable[[str], None] = lambda _: None
+        self.on_partitioned: Callable[[str], None] = lambda _: None
         """Called with the address of an upstream to which open connections seem dead."""
         self.on_reached: Callable[[], None] = lambda: None
-        """Called when upstreams that were parted are reached directly again."""
+        """Called when upstreams that were partitioned are reached directly again."""
         self.opened: Counter[str] = Counter()
         """Number of connections that were opened, by way."""
 
@@ -75,7 +75,7 @@
 
         Its cause is a ConnectionRefusedError if nothing listens at the address.
         """
-        if self._relays is None or not self.reachability.is_parted(address):
+        if self._relays is None or not self.reachability.is_partitioned(address):
             return await self._open_direct_first(address)
         try:
             return await self._open_relayed(address)
@@ -144,33 +144,33 @@
             self._note_reached(address)
             direct.result().close()
             return
-        if self.reachability.note_parted(address, self._clock()):
-            self._note("upstreams.parted", upstreams=self.reachability.parted_count)
+        if self.reachability.note_partitioned(address, self._clock()):
+            self._note("upstreams.partitioned", upstreams=self.reachability.partitioned_count)
         if not isinstance(error, ConnectionError):
             # Where new connections hang, open ones are probably dead as well.
-            self.on_parted(address)
+            self.on_partitioned(address)
 
     def _note_reached(self, address: str) -> None:
-        if not self.reachability.is_parted(address):
+        if not self.reachability.is_partitioned(address):
             return
-        seconds = self.reachability.parted_seconds(self._clock())
+        seconds = self.reachability.partitioned_seconds(self._clock())
         if self.reachability.note_reached(address):
             self._note_end(seconds)
         self.on_reached()
 
     def note_heard(self, address: str) -> None:
-        """Record bytes on a direct connection: unless that upstream is parted, not all are."""
+        """Record bytes on a direct connection: unless that upstream is partitioned, not all are."""
         now = self._clock()
-        seconds = self.reachability.parted_seconds(now)
+        seconds = self.reachability.partitioned_seconds(now)
         if self.reachability.note_heard(address, now):
             self._note_end(seconds)
             self.on_reached()
 
-    def _note_end(self, parted_seconds: float) -> None:
-        self._note("upstreams.reached", parted_seconds=round(parted_seconds, 3))
+    def _note_end(self, partitioned_seconds: float) -> None:
+        self._note("upstreams.reached", partitioned_seconds=round(partitioned_seconds, 3))
 
     def probe_due(self) -> None:
-        """Try in the background whether parted upstreams can be reached again; called often."""
+        """Try in the background to reach partitioned upstreams again; called often."""
         for address in self.reachability.due_probes(self._clock()):
             direct = self._start(self._connect(address))
             direct.add_done_callback(functools.partial(self._note_direct, address=address))
--- a/src/lotushill/requests/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -42,7 +42,7 @@
         Without a `dialer`, all connections are direct.
         """
         self.dialer = dialer or UpstreamDialer(answer_request_id, clock)
-        self.dialer.on_parted = self._give_up_direct
+        self.dialer.on_partitioned = self._give_up_direct
         self.dialer.on_reached = self._close_idle_relayed
         self._max_idle = max_idle
         self._clock = clock
@@ -132,14 +132,14 @@
         connection.close()
         return False
 
-    def is_parted(self, upstream: Upstream) -> bool:
+    def is_partitioned(self, upstream: Upstream) -> bool:
         """Return whether an upstream can only be reached through other gateways."""
-        return self.dialer.reachability.is_parted(upstream.address)
+        return self.dialer.reachability.is_partitioned(upstream.address)
 
     def watch_paths(self) -> None:
         """Check the way to some upstreams if nothing has arrived from any; called often.
 
-        Parted ones are tried again from time to time.
+        Partitioned ones are tried again from time to time.
         """
         self.dialer.probe_due()
         waiting: dict[str, tuple[float, Upstream]] = {}
@@ -184,8 +184,8 @@
 
     def _close_idle_relayed(self) -> None:
         """Close the idle connections through other gateways to upstreams that can be reached."""
-        parted = self.dialer.reachability.is_parted
-        self._close_idle_where(lambda item: bool(item.relay) and not parted(item.address))
+        partitioned = self.dialer.reachability.is_partitioned
+        self._close_idle_where(lambda item: bool(item.relay) and not partitioned(item.address))
 
     def _close_idle_where(self, is_obsolete: Callable[[UpstreamConnection], bool]) -> None:
         for idle in self._idle.values():
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -773,7 +773,7 @@
             ),
             Case(
                 "an engine is dead, and no gateway reaches it",
-                (f"{_DIALER}.test_an_upstream_that_nobody_reaches_is_dead_and_not_parted",),
+                (f"{_DIALER}.test_an_upstream_that_nobody_reaches_is_dead_and_not_partitioned",),
             ),
             Case(
                 "the gateway that carries a connection ends, or the engine behind it resets",
@@ -783,8 +783,8 @@
                 ),
             ),
             Case(
-                "other gateways are parted as well, or stop",
-                (f"{_RELAY}.test_a_gateway_that_is_parted_or_stops_says_so_at_once",),
+                "other gateways are partitioned as well, or stop",
+                (f"{_RELAY}.test_a_gateway_that_is_partitioned_or_stops_says_so_at_once",),
             ),
             Case(
                 "the partition from the engines ends",
--- a/tests/relaying/test_relay_server.py
+++ b/tests/relaying/test_relay_server.py
@@ -162,7 +162,7 @@
         self.known.clear()
         self.assertIs(RelayOutcome.UNKNOWN, await self.outcome(address))
 
-    async def test_a_gateway_that_is_parted_or_stops_says_so_at_once(self) -> None:
+    async def test_a_gateway_that_is_partitioned_or_stops_says_so_at_once(self) -> None:
         self.known.add(address := free_address())
         self.reaches = False
         self.assertIs(RelayOutcome.UNAVAILABLE, await self.outcome(address))
--- a/tests/requests/test_upstream_dialer.py
+++ b/tests/requests/test_upstream_dialer.py
@@ -100,7 +100,7 @@
             for address in UPSTREAMS[:2]:
                 await dialer.open(address)
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
-            self.assertTrue(dialer.reachability.is_parted_from_all)
+            self.assertTrue(dialer.reachability.is_partitioned_from_all)
             began, tries = loop.time(), dialer.direct_tries
             connection = await dialer.open(UPSTREAMS[2])
             self.assertTrue(connection.relay)
@@ -117,11 +117,11 @@
             self.assertTrue((await dialer.open(UPSTREAMS[0])).relay)
             self.assertLess(loop.time() - began, 5 * ROUND_TRIP_SECONDS)
             await asyncio.sleep(ROUND_TRIP_SECONDS)
-            self.assertTrue(dialer.reachability.is_parted(UPSTREAMS[0]))
+            self.assertTrue(dialer.reachability.is_partitioned(UPSTREAMS[0]))
 
         run(play)
 
-    def test_an_upstream_that_nobody_reaches_is_dead_and_not_parted(self) -> None:
+    def test_an_upstream_that_nobody_reaches_is_dead_and_not_partitioned(self) -> None:
         async def play() -> None:
             for direct, relayed, refused in (
                 ("refused", RelayOutcome.REFUSED, True),
@@ -136,7 +136,7 @@
                         await dialer.open(UPSTREAMS[0])
                     is_refused = isinstance(raised.exception.__cause__, ConnectionRefusedError)
                     self.assertEqual(refused, is_refused)
-                    self.assertEqual(0, dialer.reachability.parted_count)
+                    self.assertEqual(0, dialer.reachability.partitioned_count)
 
         run(play)
 
@@ -151,8 +151,8 @@
             for _ in range(25):
                 dialer.probe_due()
                 await asyncio.sleep(0.05)
-            self.assertFalse(dialer.reachability.is_parted_from_all)
-            self.assertEqual(0, dialer.reachability.parted_count)
+            self.assertFalse(dialer.reachability.is_partitioned_from_all)
+            self.assertEqual(0, dialer.reachability.partitioned_count)
             self.assertEqual("", (await dialer.open(UPSTREAMS[2])).relay)
 
         run(play)
--- a/tests/soak/partition_run.py
+++ b/tests/soak/partition_run.py
@@ -50,16 +50,16 @@
 
 @dataclass(frozen=True)
 class PartitionResult:
-    """First tries at the parted gateways and at the others."""
+    """First tries at the partitioned gateways and at the others."""
 
     early: Served
-    """At the parted gateways, before the partition has to be detected."""
-    parted: Served
-    """At the parted gateways, from then to its end."""
+    """At the partitioned gateways, before the partition has to be detected."""
+    partitioned: Served
+    """At the partitioned gateways, from then to its end."""
     others: Served
     """At the others in the same time."""
     after: Served
-    """At the parted gateways after the partition has ended."""
+    """At the partitioned gateways after the partition has ended."""
     faults: list[str]
     errors: list[str]
     relayed: int
@@ -68,42 +68,44 @@
     """Number of requests that were sent through a peer after the partition had ended."""
 
     @property
-    def serves_parted(self) -> bool:
+    def serves_partitioned(self) -> bool:
         """Return whether the stated bound is kept.
 
-        The parted gateways serve at least two thirds as often as the others, or no more than 10 and
-        one in 50 of all first tries fail there.
+        The partitioned gateways serve at least two thirds as often as the others, or no more than
+        10 and one in 50 of all first tries fail there.
         """
-        failed = self.parted.sent - self.parted.served
-        allowed = 10 + (self.parted.sent + self.others.sent) / 50
-        return self.parted.fraction >= 2 / 3 * self.others.fraction or failed <= allowed
+        failed = self.partitioned.sent - self.partitioned.served
+        allowed = 10 + (self.partitioned.sent + self.others.sent) / 50
+        return self.partitioned.fraction >= 2 / 3 * self.others.fraction or failed <= allowed
 
 
 async def run_drawn_partition(seed: int, seconds: float, gateways: int = 9) -> PartitionResult:
-    """Part gateways drawn from a seed in one of the three ways, and kill one of each side."""
+    """Partition gateways drawn from a seed in one of the three ways, and kill one of each side."""
     rng = random.Random(f"{seed} partitions")
     halls = [set(range(hall, gateways, HALLS)) for hall in range(HALLS)]
-    parted = rng.choice(
+    partitioned = rng.choice(
         [
             set(rng.sample(range(gateways), rng.randint(1, gateways - 2))),
             rng.choice(halls),
             set(range(gateways)) - rng.choice(halls),
         ]
     )
-    others = sorted(set(range(gateways)) - parted)
-    kills = (rng.choice(sorted(parted)), rng.choice(others))
-    return await run_partition(parted, rng.choice(list(Partition)), seconds, gateways, seed, kills)
+    others = sorted(set(range(gateways)) - partitioned)
+    kills = (rng.choice(sorted(partitioned)), rng.choice(others))
+    return await run_partition(
+        partitioned, rng.choice(list(Partition)), seconds, gateways, seed, kills
+    )
 
 
 async def run_partition(
-    parted: set[int],
+    partitioned: set[int],
     kind: Partition,
     seconds: float,
     gateways: int = 9,
     seed: int = 1,
     kills: tuple[int, ...] = (),
 ) -> PartitionResult:
-    """Part the gateways with the numbers `parted` from all engines for some seconds.
+    """Partition the gateways with the numbers `partitioned` from all engines for some seconds.
 
     Those with the numbers `kills` are killed half way.
     """
@@ -135,10 +137,10 @@
                 client = Client(addresses, ledger, random.Random(seed * 1_000 + number))
                 tasks.append(asyncio.create_task(client.run(_REQUEST_INTERVAL_SECONDS)))
             await asyncio.sleep(_WARM_UP_SECONDS)
-            names = {fleet.all[number].name for number in parted}
+            names = {fleet.all[number].name for number in partitioned}
             reachable = {server.address, *(gateway.peers for gateway in fleet.all)}
             began = time.monotonic()
-            proxy.part(names, kind, reachable)
+            proxy.partition(names, kind, reachable)
             await asyncio.sleep(seconds / 2)
             for number in kills:
                 fleet.kill(fleet.all[number])
@@ -157,7 +159,7 @@
             server.abort()
             serving.cancel()
             await asyncio.gather(serving, return_exceptions=True)
-    clients = {fleet.all[number].clients for number in parted}
+    clients = {fleet.all[number].clients for number in partitioned}
     everyone = set(addresses)
     in_force = began + IN_FORCE_SECONDS
     relayed = [line for line in fleet.log_lines if line.get("event") == "attempt.relayed"]
@@ -165,7 +167,7 @@
     newest = max((_seconds(line) for line in fleet.log_lines), default=0.0)
     return PartitionResult(
         early=_served(ledger, clients, began, in_force),
-        parted=_served(ledger, clients, in_force, ended),
+        partitioned=_served(ledger, clients, in_force, ended),
         others=_served(ledger, everyone - clients, in_force, ended),
         after=_served(ledger, clients, ended + _HEALED_SECONDS, time.monotonic()),
         faults=ledger.faults(),
--- a/tests/soak/silencing_proxy.py
+++ b/tests/soak/silencing_proxy.py
@@ -1,6 +1,6 @@
 """Loopback proxy whose open connections can be silenced, delayed or reset, while new ones work.
 
-It can also part gateways from targets, so that new connections do not work either.
+It can also partition gateways from targets, so that new connections do not work either.
 
 A silenced connection stays open on both sides: bytes are accepted and dropped, and neither an end
 nor a reset of one side reaches the other. Only a timeout of either side detects it.
@@ -35,7 +35,7 @@
 
 
 class Partition(enum.Enum):
-    """What happens to the connections of a gateway to the targets from which it is parted."""
+    """What happens to the connections of a gateway to the targets from which it is partitioned."""
 
     HANG = "open connections are silent, new ones hang"
     RESET = "open connections are reset, new ones refused"
@@ -98,8 +98,8 @@
         """Delay the bytes on all connections for some seconds."""
         self._delayed_until = time.monotonic() + seconds
 
-    def part(self, gateways: set[str], kind: Partition, reachable_targets: set[str]) -> None:
-        """Part gateways from all targets but some, until `heal` is called."""
+    def partition(self, gateways: set[str], kind: Partition, reachable_targets: set[str]) -> None:
+        """Partition gateways from all targets but some, until `heal` is called."""
         self._reachable_targets = frozenset(reachable_targets)
         self._partitions.update(dict.fromkeys(gateways, kind))
         fault = ConnectionFault.RESET if kind is Partition.RESET else ConnectionFault.SILENCE
--- a/tests/soak/test_partitions.py
+++ b/tests/soak/test_partitions.py
@@ -17,11 +17,11 @@
 
 
 class TestPartitions(unittest.IsolatedAsyncioTestCase):
-    async def check(self, parted: set[int], kind: Partition) -> None:
-        result = await run_partition(parted, kind, _SECONDS, _GATEWAYS)
+    async def check(self, partitioned: set[int], kind: Partition) -> None:
+        result = await run_partition(partitioned, kind, _SECONDS, _GATEWAYS)
         self.assertEqual(([], []), (result.faults, result.errors))
-        self.assertGreater(result.parted.sent, 0)
-        self.assertTrue(result.serves_parted, result)
+        self.assertGreater(result.partitioned.sent, 0)
+        self.assertTrue(result.serves_partitioned, result)
         self.assertEqual(result.after.sent, result.after.served)
 
     async def test_most_gateways_serve_while_their_connections_to_engines_hang(self) -> None:
