A relay that is refused itself does not make an upstream count as dead

First tries served there: 0 of 67 and 0 of 57 before 3 s, 30 of 102 and 25 of 118 after; at the others 316 of 320 and 303 of 307.

Cause: the first gateway asked is of the own hall, partitioned as well and not aware of it; its connection is refused, and its answer "refused" was taken for the word of one that reaches the host. Nobody further was asked, so that nobody ever learned of the partition.

Now the next gateways are asked, and an upstream counts as dead only if all that were asked are refused. A refusal here alone, beside peers that cannot tell, leaves it unknown, so that no request is blamed for it; without peers it counts.

--- a/src/lotushill/requests/upstream_dialer.py
+++ b/src/lotushill/requests/upstream_dialer.py
@@ -126,15 +126,18 @@
         try:
             connection = await direct
         except (OSError, TimeoutError) as error:
-            if isinstance(relay_error, RelayFailedError):
-                # The answer of a gateway that reaches the host tells more than a timeout here.
+            if isinstance(relay_error, RelayFailedError) and self._has_peers():
+                # What other gateways find tells more than a refusal or a timeout here.
                 refused = relay_error.outcome is RelayOutcome.REFUSED
-                cause = ConnectionRefusedError() if refused else error
+                cause = ConnectionRefusedError() if refused else relay_error
                 raise NotSentError(repr(error)) from cause
             raise NotSentError(repr(error)) from error
         self._note_reached(address)
         return connection
 
+    def _has_peers(self) -> bool:
+        return self._relays is not None and bool(self._relays.peers())
+
     def _note_direct(self, direct: asyncio.Task[UpstreamConnection], address: str) -> None:
         """Record how the direct connection ended that a relayed one has overtaken."""
         if direct.cancelled():
@@ -188,7 +191,7 @@
     async def _open_relayed(self, address: str) -> UpstreamConnection:
         """Ask other gateways, one after another, and return the first connection.
 
-        Raise RelayFailedError with the most telling answer if none opens one.
+        Raise RelayFailedError if none opens one; its outcome tells if all of them were refused.
         """
         assert self._relays is not None
         peers = self._choice.candidates(self._relays.peers(), self._clock(), self._relays.rng)
@@ -208,15 +211,14 @@
                         asked |= done - {opened}
                         return opened.result()
                     outcomes |= {_outcome(task) for task in done}
-                    if RelayOutcome.REFUSED in outcomes:
-                        break
         except TimeoutError:
             pass
         finally:
             for task in asked:
                 task.add_done_callback(_close_result)
-        refused = RelayOutcome.REFUSED if RelayOutcome.REFUSED in outcomes else None
-        raise RelayFailedError(refused)
+        # A gateway that is partitioned itself, and does not know it yet, is refused as well.
+        all_refused = outcomes == {RelayOutcome.REFUSED}
+        raise RelayFailedError(RelayOutcome.REFUSED if all_refused else None)
 
     async def _ask(self, peer: Peer, address: str) -> UpstreamConnection:
         assert self._relays is not None
--- a/tests/requests/test_upstream_dialer.py
+++ b/tests/requests/test_upstream_dialer.py
@@ -45,6 +45,8 @@
         """What happens to direct connections: "open", "hangs" or "refused"."""
         self.relayed: RelayOutcome | None = RelayOutcome.OPEN
         """Answer of the relays; None for none."""
+        self.answers: dict[str, RelayOutcome] = {}
+        """Answers of single relays, by name."""
         self.direct_tries = 0
         self.asked: list[str] = []
 
@@ -61,8 +63,9 @@
     async def _ask(self, peer: Peer, address: str) -> UpstreamConnection:
         self.asked.append(peer.name)
         await asyncio.sleep(2 * ROUND_TRIP_SECONDS)
-        if self.relayed is not RelayOutcome.OPEN:
-            raise RelayFailedError(self.relayed)
+        outcome = self.answers.get(peer.name, self.relayed)
+        if outcome is not RelayOutcome.OPEN:
+            raise RelayFailedError(outcome)
         return UpstreamConnection(request_head.answer_request_id, address, peer.name)
 
 
@@ -140,6 +143,38 @@
 
         run(play)
 
+    def test_peers_that_are_refused_as_well_do_not_make_an_upstream_dead(self) -> None:
+        # All gateways of a hall are partitioned and do not know it yet; those of another are not.
+        async def play() -> None:
+            dialer = ScriptedDialer()
+            dialer.direct = "refused"
+            dialer.answers = {"gw-0": RelayOutcome.REFUSED, "gw-2": RelayOutcome.REFUSED}
+            for _ in range(5):
+                self.assertTrue((await dialer.open(UPSTREAMS[0])).relay)
+
+        run(play)
+
+    def test_a_refusal_here_alone_does_not_make_an_upstream_dead(self) -> None:
+        async def play() -> None:
+            for outcome in (RelayOutcome.UNREACHABLE, RelayOutcome.UNAVAILABLE, None):
+                dialer = ScriptedDialer()
+                dialer.direct, dialer.relayed = "refused", outcome
+                with self.assertRaises(NotSentError) as raised:
+                    await dialer.open(UPSTREAMS[0])
+                self.assertNotIsInstance(raised.exception.__cause__, ConnectionRefusedError)
+
+        run(play)
+
+    def test_without_peers_a_refusal_here_makes_an_upstream_dead(self) -> None:
+        async def play() -> None:
+            dialer = ScriptedDialer(has_peers=False)
+            dialer.direct = "refused"
+            with self.assertRaises(NotSentError) as raised:
+                await dialer.open(UPSTREAMS[0])
+            self.assertIsInstance(raised.exception.__cause__, ConnectionRefusedError)
+
+        run(play)
+
     def test_the_end_of_a_partition_is_found_by_a_probe(self) -> None:
         async def play() -> None:
             dialer = ScriptedDialer()
--- a/tests/soak/test_partitions.py
+++ b/tests/soak/test_partitions.py
@@ -33,5 +33,8 @@
     async def test_one_gateway_serves_while_new_connections_to_engines_are_refused(self) -> None:
         await self.check({4}, Partition.REFUSE_NEW)
 
+    async def test_all_gateways_of_a_hall_serve_while_their_connections_are_reset(self) -> None:
+        await self.check(set(range(0, _GATEWAYS, HALLS)), Partition.RESET)
+
     async def test_all_gateways_of_a_hall_serve_while_their_connections_hang(self) -> None:
         await self.check(set(range(0, _GATEWAYS, HALLS)), Partition.HANG)
