Tests of requests under way at a partition, and of relays whose answers differ

Cause: nothing but the runs with real gateways held that waiting requests are given up only if they may be repeated, on quiet direct connections; and nothing that relays with different answers leave it unknown whether an upstream is dead.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,20 @@
 
 
 BREAKS = (
+    Break(
+        "relays: only what may be repeated is given up on a dead connection",
+        "requests/upstream_pool.py",
+        " and connection.may_repeat():",
+        ":",
+        "tests.requests.test_partitioned_connections",
+    ),
+    Break(
+        "relays: one refused relay does not make an upstream dead",
+        "requests/upstream_dialer.py",
+        "outcomes == {RelayOutcome.REFUSED}",
+        "RelayOutcome.REFUSED in outcomes",
+        "tests.requests.test_upstream_dialer",
+    ),
     Break(
         "a request that was not written by its deadline is reported as not run",
         "requests/tracked_attempt.py",
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -771,6 +771,20 @@
                     f"{_DIALER}.test_a_refused_connection_is_relayed_at_once",
                 ),
             ),
+            Case(
+                "requests are under way on connections that a partition has made dead",
+                (
+                    "tests.requests.test_partitioned_connections.TestPartitionedConnections."
+                    "test_only_what_may_be_repeated_is_given_up_and_only_on_quiet_direct_connections",
+                ),
+            ),
+            Case(
+                "all gateways of a hall are refused by engines, and do not know that of each other",
+                (
+                    f"{_PARTITIONS}.test_all_gateways_of_a_hall_serve_while_their_connections_are_reset",
+                    f"{_DIALER}.test_peers_that_are_refused_as_well_do_not_make_an_upstream_dead",
+                ),
+            ),
             Case(
                 "an engine is dead, and no gateway reaches it",
                 (f"{_DIALER}.test_an_upstream_that_nobody_reaches_is_dead_and_not_partitioned",),
--- a/tests/requests/test_upstream_dialer.py
+++ b/tests/requests/test_upstream_dialer.py
@@ -154,6 +154,19 @@
 
         run(play)
 
+    def test_answers_of_peers_that_differ_leave_it_unknown_whether_an_upstream_is_dead(
+        self,
+    ) -> None:
+        async def play() -> None:
+            dialer = ScriptedDialer()
+            dialer.direct, dialer.relayed = "refused", RelayOutcome.UNREACHABLE
+            dialer.answers = {"gw-0": RelayOutcome.REFUSED, "gw-2": RelayOutcome.REFUSED}
+            with self.assertRaises(NotSentError) as raised:
+                await dialer.open(UPSTREAMS[0])
+            self.assertNotIsInstance(raised.exception.__cause__, ConnectionRefusedError)
+
+        run(play)
+
     def test_a_refusal_here_alone_does_not_make_an_upstream_dead(self) -> None:
         async def play() -> None:
             for outcome in (RelayOutcome.UNREACHABLE, RelayOutcome.UNAVAILABLE, None):
