Log where a stream ends whose end only its connection states

Callers saw streams framed as complete whose bodies were short. The log did not tell whether the engine had stated the end of the answer, nor whether the answer ended inside an event, so that the hypotheses of docs/incidents/unframed.md could not be told apart. Behaviour is unchanged.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -14,6 +14,7 @@
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.attempt_end import ReplacedError
 from lotushill.requests.attempt_pauses import AttemptPauses
+from lotushill.requests.event_stream import EventSplitter
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
 from lotushill.requests.exceptions import PartitionedError
@@ -33,7 +34,6 @@
     from lotushill.requests.attempt_end import Successor
     from lotushill.requests.attempt_reporter import AttemptReporter
     from lotushill.requests.client_answer import ClientAnswer
-    from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
     from lotushill.requests.upstream_connection import AnswerHead
     from lotushill.requests.upstream_connection import UpstreamConnection
@@ -313,16 +313,31 @@
 
     async def _relay_stream(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Relay each piece of a stream as it arrives, without splitting it into events."""
+        splitter = EventSplitter()
         while piece := await connection.read():
+            splitter.feed(piece)
             self._note_event()
             if not self._answer.started:
                 await self._answer.start(head.status, head.headers)
             await self._answer.write(piece)
         if not self._answer.started:
             await self._answer.start(head.status, head.headers)
+        self._note_unframed_end(connection, splitter)
         await self._answer.finish()
         return AttemptEnd(EndKind.WHOLE)
 
+    def _note_unframed_end(self, connection: UpstreamConnection, splitter: EventSplitter) -> None:
+        """Log where a stream has ended whose end is stated by that of its connection alone."""
+        if connection.is_framed:
+            return
+        self._components.log.note(
+            "attempt.unframed_end",
+            request=self._request.demand.request_id,
+            upstream=self._choice.upstream.id,
+            events=splitter.event_count,
+            partial_bytes=len(splitter.partial),
+        )
+
     def _can_continue(self) -> bool:
         """Return whether the stream can continue after its connection to the upstream has ended."""
         return self._request.route.resumable or self._choice.backup is not None
@@ -353,6 +368,7 @@
             await self._answer.write(complete_events)
             if self._movable_run is not None:
                 self._movable_run.note_delivered(self._clock())
+        self._note_unframed_end(connection, self._splitter)
         await self._start_chunked(head)
         await self._answer.finish(self._splitter.partial)
         return AttemptEnd(EndKind.WHOLE)
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -107,6 +107,14 @@
         """Return the head of the answer, None if it has not arrived."""
         return self._head
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether a length or chunks state where the answer ends.
+
+        Otherwise only the end of the connection does, which may also be that of a broken answer.
+        """
+        return not self._ends_with_connection
+
     @property
     def quiet_since(self) -> float:
         """Return when bytes were last sent or received, on the clock of the event loop."""
