--- a/tests/requests/moving_upstream.py
+++ b/tests/requests/moving_upstream.py
@@ -89,6 +89,10 @@
         """Whether the end of a stopped stream does not reach the gateway."""
         self.stalls_after: int | None = None
         """Number of events after which it generates no more, None if it continues."""
+        self.frames_events = True
+        """Whether its streams are sent in chunks; otherwise they end with their connection."""
+        self.stopped_bytes = 5
+        """Number of bytes of the next event that it sends of a run that was stopped."""
 
     def resumed_handles(self) -> list[str]:
         """Return the handles with which runs were to be continued at this upstream."""
@@ -158,6 +162,7 @@
             self.memory.executed_twice.append(run)
 
     async def _stream(self, run: Run) -> None:
+        run.seen.frames_events = self.frames_events
         run.seen.start_events()
         while run.made < EVENTS:
             if run.made == self.crashes_after and self.memory.crashes:
@@ -172,8 +177,8 @@
             if run.seen.reader.at_eof():
                 raise ConnectionResetError
             if run.stopped:
-                # An incomplete event, without the end of the stream.
-                run.seen.chunk(event(run.made)[:5])
+                # The stream is closed without its end.
+                run.seen.chunk(event(run.made)[: self.stopped_bytes])
                 await run.seen.writer.drain()
                 if self.hides_stream_end:
                     self.memory.working[run.seen.id].discard(self.address)
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -91,6 +91,8 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     id: str = ""
+    frames_events: bool = True
+    """Whether its stream of events is sent in chunks; otherwise it ends with the connection."""
 
     def __post_init__(self) -> None:
         self.id = self.headers.get("attempt-id", "")
@@ -107,19 +109,29 @@
 
     def start_events(self) -> None:
         """Write the head of a stream of events."""
-        self.answer(f"200 OK\r\nTransfer-Encoding: chunked\r\n{SIGNED}")
+        framing = "Transfer-Encoding: chunked\r\n" if self.frames_events else ""
+        self.answer(f"200 OK\r\n{framing}{SIGNED}")
 
     def event(self, number: int) -> None:
         """Write one event."""
         self.chunk(event(number))
 
     def chunk(self, data: bytes) -> None:
-        """Write one chunk."""
-        self.writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        """Write a piece of the stream, as one chunk if it is sent in chunks."""
+        self.writer.write(
+            f"{len(data):x}\r\n".encode() + data + b"\r\n" if self.frames_events else data
+        )
 
     def end_events(self) -> None:
         """Write the end of the stream."""
-        self.writer.write(b"0\r\n\r\n")
+        if self.frames_events:
+            self.writer.write(b"0\r\n\r\n")
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """End the connection in order."""
+        self.writer.close()
 
     def reset(self) -> None:
         """End the connection with a reset."""
