A stream without framing that ends inside an event is truncated, and continues

Their answers had neither a length nor chunks, so that they ended with their connection; an orderly close counted as the end of the answer, and the gateway added the last chunk of its own framing.

Now every stream is split into events, also where it cannot continue. The end of an unframed stream inside an event, or before the first one, is that of a lost connection: the run is continued where it may be, otherwise the client's answer is visibly truncated, and the failure rate, the retry budget and the quarantine count it. The stream of a run that is being stopped for a move ends between events as well; it is complete only if the engine did not know the run any more when it was first asked.

An empty line after LF and with CRLF ends an event too.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,34 @@
 
 
 BREAKS = (
+    Break(
+        "a stream that ends with its connection inside an event is truncated",
+        "requests/attempt.py",
+        "        if splitter.is_inside_event:",
+        "        if False:",
+        "tests.requests.test_unframed_streams",
+    ),
+    Break(
+        "a stream that ends with its connection before the first event is truncated",
+        "requests/attempt.py",
+        '        if not self.first_event_at:\n            raise TruncatedStreamError("connection',
+        '        if False:\n            raise TruncatedStreamError("connection',
+        "tests.requests.test_unframed_streams",
+    ),
+    Break(
+        "a stream that ends between events after its run was stopped is not complete",
+        "requests/handover.py",
+        "return self.run_stopped and (self._silence.unanswered or not is_unknown)",
+        "return False",
+        "tests.requests.test_unframed_streams",
+    ),
+    Break(
+        "a run that had ended before it was asked to stop is complete",
+        "requests/handover.py",
+        "return self.run_stopped and (self._silence.unanswered or not is_unknown)",
+        "return self.run_stopped",
+        "tests.requests.test_unframed_streams",
+    ),
     Break(
         "relays: only what may be repeated is given up on a dead connection",
         "requests/upstream_pool.py",
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -14,11 +14,11 @@
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.attempt_end import ReplacedError
 from lotushill.requests.attempt_pauses import AttemptPauses
-from lotushill.requests.event_stream import EventSplitter
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
 from lotushill.requests.exceptions import PartitionedError
 from lotushill.requests.exceptions import SilentUpstreamError
+from lotushill.requests.exceptions import TruncatedStreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
 from lotushill.requests.movable_run import MovableRun
@@ -34,6 +34,7 @@
     from lotushill.requests.attempt_end import Successor
     from lotushill.requests.attempt_reporter import AttemptReporter
     from lotushill.requests.client_answer import ClientAnswer
+    from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
     from lotushill.requests.upstream_connection import AnswerHead
     from lotushill.requests.upstream_connection import UpstreamConnection
@@ -235,9 +236,7 @@
             return AttemptEnd(EndKind.BROKEN, "content-encoding")
         if self._request.route.kind is not RouteKind.STREAM:
             return await self._relay_complete(connection, head)
-        if self._can_continue() or self._choice.resumes_from_copy or self._is_movable:
-            return await self._relay_events(connection, head)
-        return await self._relay_stream(connection, head)
+        return await self._relay_events(connection, head)
 
     async def _read_head(self, connection: UpstreamConnection) -> AnswerHead:
         """Return the head of the answer; raise ReplacedError if another upstream sends it.
@@ -311,33 +310,6 @@
         await self._answer.finish(body)
         return AttemptEnd(EndKind.WHOLE)
 
-    async def _relay_stream(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
-        """Relay each piece of a stream as it arrives, without splitting it into events."""
-        splitter = EventSplitter()
-        while piece := await connection.read():
-            splitter.feed(piece)
-            self._note_event()
-            if not self._answer.started:
-                await self._answer.start(head.status, head.headers)
-            await self._answer.write(piece)
-        if not self._answer.started:
-            await self._answer.start(head.status, head.headers)
-        self._note_unframed_end(connection, splitter)
-        await self._answer.finish()
-        return AttemptEnd(EndKind.WHOLE)
-
-    def _note_unframed_end(self, connection: UpstreamConnection, splitter: EventSplitter) -> None:
-        """Log where a stream has ended whose end is stated by that of its connection alone."""
-        if connection.is_framed:
-            return
-        self._components.log.note(
-            "attempt.unframed_end",
-            request=self._request.demand.request_id,
-            upstream=self._choice.upstream.id,
-            events=splitter.event_count,
-            partial_bytes=len(splitter.partial),
-        )
-
     def _can_continue(self) -> bool:
         """Return whether the stream can continue after its connection to the upstream has ended."""
         return self._request.route.resumable or self._choice.backup is not None
@@ -357,7 +329,11 @@
         return self._components.mover.stalls.threshold(self._request.service.name, gap)
 
     async def _relay_events(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
-        """Relay only complete events, so that another upstream can continue after any of them."""
+        """Relay only complete events, so that another upstream can continue after any of them.
+
+        The client's answer is framed in chunks also if that of the upstream is not framed, so that
+        the client can tell a truncated answer from a complete one if this gateway ends.
+        """
         while piece := await self._read_piece(connection):
             complete_events = self._splitter.feed(piece)
             if not complete_events:
@@ -368,11 +344,36 @@
             await self._answer.write(complete_events)
             if self._movable_run is not None:
                 self._movable_run.note_delivered(self._clock())
-        self._note_unframed_end(connection, self._splitter)
+        if not connection.is_framed:
+            await self._check_unframed_end()
         await self._start_chunked(head)
         await self._answer.finish(self._splitter.partial)
         return AttemptEnd(EndKind.WHOLE)
 
+    async def _check_unframed_end(self) -> None:
+        """Raise TruncatedStreamError if a stream that ended with its connection is not complete.
+
+        An upstream that breaks a stream off does so inside an event. The stream of a run that is
+        stopped in order to be moved may end between events as well.
+        """
+        splitter = self._splitter
+        self._components.log.note(
+            "attempt.unframed_end",
+            request=self._request.demand.request_id,
+            upstream=self._choice.upstream.id,
+            last_event=splitter.last_id,
+            partial_bytes=len(splitter.partial),
+        )
+        if not self.first_event_at:
+            raise TruncatedStreamError("connection ended before the first event")
+        if splitter.is_inside_event:
+            raise TruncatedStreamError(
+                f"connection ended {len(splitter.partial)} bytes into an event"
+            )
+        handover = self._movable_run.handover if self._movable_run is not None else None
+        if handover is not None and await handover.has_stopped_run():
+            raise TruncatedStreamError("the run may have been stopped")
+
     async def _read_piece(self, connection: UpstreamConnection) -> bytes:
         """Return the next piece of the stream; raise ReplacedError if another upstream sends it."""
         try:
--- a/src/lotushill/requests/event_stream.py
+++ b/src/lotushill/requests/event_stream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 _ID = b"id:"
+_BLANK_LINES = (b"\n\n", b"\n\r\n")
+"""Ends of an event: the end of its last line, then an empty line."""
 
 
 class EventSplitter:
@@ -18,9 +20,10 @@
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those of all events that are complete now."""
         buffered = self._buffer + data
-        lf_end = buffered.rfind(b"\n\n")
-        crlf_end = buffered.rfind(b"\r\n\r\n")
-        complete_size = max(lf_end + 2 if lf_end >= 0 else 0, crlf_end + 4 if crlf_end >= 0 else 0)
+        complete_size = max(
+            buffered.rfind(blank_line) + len(blank_line) if blank_line in buffered else 0
+            for blank_line in _BLANK_LINES
+        )
         complete, self._buffer = buffered[:complete_size], buffered[complete_size:]
         if complete:
             self._count_events(complete)
@@ -30,6 +33,11 @@
         """Discard the incomplete event of a broken run; the next run sends it in full."""
         self._buffer = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether more than empty lines follows the last complete event."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     @property
     def partial(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/src/lotushill/requests/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -19,6 +19,10 @@
     """The connection ended before the answer was complete."""
 
 
+class TruncatedStreamError(LostConnectionError):
+    """The connection of a stream ended in order, but the stream was not complete."""
+
+
 class PartitionedError(BrokenAnswerError):
     """The upstream can only be reached through another gateway since the request was written."""
 
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -113,6 +113,8 @@
         """Whether the run was sent on from its memory, so that no further call may stop it."""
         self._stream_end = asyncio.Event()
         self._calls_done = asyncio.Event()
+        self._stop_answered = asyncio.Event()
+        self._silence = SourceSilence()
         self.retries: ReservedRetries | None = None
         """Retries for continuing the run, None unless the source was asked to stop it."""
         self.stop_answer = ""
@@ -156,6 +158,7 @@
             self._give_up(f"{NO_ANSWER}: {error}")
         finally:
             self._calls_done.set()
+            self._stop_answered.set()
         if self._is_finished or self.phase is Phase.GIVEN_UP:
             await self.free()
 
@@ -191,14 +194,13 @@
         self.retries = retries
         self.phase = Phase.STOPPING
         self.events_at_stop = self._event_count()
-        silence = SourceSilence()
-        if await self._ask_to_stop(silence):
+        if await self._ask_to_stop():
             self.phase = Phase.STOPPED
             self._close_stopped_stream()
-        elif not (silence.unanswered or self._is_finished or self._is_continuing):
+        elif not (self._silence.unanswered or self._is_finished or self._is_continuing):
             self._give_up(self.reason)
 
-    async def _ask_to_stop(self, silence: SourceSilence) -> bool:
+    async def _ask_to_stop(self) -> bool:
         """Ask the source to stop the run until it is known whether it has; return whether it has.
 
         A call without an answer may take effect at any time, so it is repeated until the source
@@ -208,30 +210,31 @@
         busy = 0
         while not self._is_finished and not self._is_continuing:
             try:
-                answer = await self._call_to_stop(silence)
+                answer = await self._call_to_stop()
             except NoAnswerError as error:
                 self.reason = f"{NO_ANSWER}: {error}"
-                await self._check_source(silence)
+                await self._check_source()
                 answer = None
             if answer is None:
-                silence.unanswered = True
-                if silence.is_lost(_now()):
+                self._silence.unanswered = True
+                if self._silence.is_lost(_now()):
                     self._close_if_open()
                     return True
-                await asyncio.sleep(silence.next_pause())
+                await asyncio.sleep(self._silence.next_pause())
                 continue
             self.stop_answer = "copied" if isinstance(answer, Copied) else answer.reason.value
             self.stop_named_handle = bool(answer.handle)
             if isinstance(answer, Copied) or answer.reason is not NoCopyReason.BUSY:
-                return await self._note_stop_answer(answer, silence.unanswered)
+                self._stop_answered.set()
+                return await self._note_stop_answer(answer)
             busy += 1
-            if busy >= _MAX_CALLS and not silence.unanswered and not self.stream_ended:
+            if busy >= _MAX_CALLS and not self._silence.unanswered and not self.stream_ended:
                 self.reason = answer.reason.value
                 return False
             await asyncio.sleep(_BUSY_RETRY_INTERVAL_SECONDS)
         return False
 
-    async def _call_to_stop(self, silence: SourceSilence) -> Copied | NotCopied | None:
+    async def _call_to_stop(self) -> Copied | NotCopied | None:
         """Make one call to stop the run; return None if it is not needed or the source is lost.
 
         A late answer is awaited rather than the call repeated, since each call that was sent may
@@ -240,19 +243,19 @@
         call = asyncio.create_task(self._call(last=True, timeout_seconds=_STOP_CALL_SECONDS))
         try:
             while not (await asyncio.wait((call,), timeout=self._call_timeout_seconds))[0]:
-                await self._check_source(silence)
-                if self._is_finished or silence.is_lost(_now()):
+                await self._check_source()
+                if self._is_finished or self._silence.is_lost(_now()):
                     return None
             return call.result()
         finally:
             call.cancel()
 
-    async def _check_source(self, silence: SourceSilence) -> None:
+    async def _check_source(self) -> None:
         """Look for signs of life of a source that has not answered a call yet."""
         is_reachable = await self._is_reachable(self._source)
-        silence.note_check(self._event_count(), is_reachable, _now())
+        self._silence.note_check(self._event_count(), is_reachable, _now())
 
-    async def _note_stop_answer(self, answer: Copied | NotCopied, asked_before: bool) -> bool:
+    async def _note_stop_answer(self, answer: Copied | NotCopied) -> bool:
         """Return whether an answer means that the run has stopped."""
         if isinstance(answer, Copied):
             self._handle = answer.handle
@@ -265,7 +268,7 @@
             self._handle = answer.handle
             self._is_at_target = False
             return True
-        if answer.reason is NoCopyReason.UNKNOWN_RUN and asked_before:
+        if answer.reason is NoCopyReason.UNKNOWN_RUN and self._silence.unanswered:
             # An earlier call has stopped the run, or it has ended by itself.
             return await self._becomes_silent()
         # A source that has stopped the run closes its stream, even if it names no memory.
@@ -319,6 +322,20 @@
         """Record that the stream from the source ended before its answer was complete."""
         self._stream_end.set()
 
+    async def has_stopped_run(self) -> bool:
+        """Return whether a stream that ended between events may be that of a stopped run.
+
+        Otherwise the source has answered that it did not know the run any more when it was first
+        asked to stop it, so that the run had ended by itself.
+        """
+        try:
+            async with asyncio.timeout(_SETTLE_SECONDS if self.run_stopped else 0.0):
+                await self._stop_answered.wait()
+        except TimeoutError:
+            return self.run_stopped
+        is_unknown = self.stop_answer == NoCopyReason.UNKNOWN_RUN.value
+        return self.run_stopped and (self._silence.unanswered or not is_unknown)
+
     def events_after_stop(self) -> int:
         """Return the number of events that arrived after the source was asked to stop the run."""
         return self._event_count() - self.events_at_stop if self.run_stopped else 0
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 _REQUEST_PATH = "tests.requests.test_request_path"
+_UNFRAMED = "tests.requests.test_unframed_streams.TestUnframedStreams"
 _STORE = "tests.platform.test_object_store"
 _PARTITIONS = "tests.soak.test_partitions.TestPartitions"
 _DIALER = "tests.requests.test_upstream_dialer.TestUpstreamDialer"
@@ -91,6 +92,25 @@
                     f"{_REQUEST_PATH}.TestCompleteAnswers.test_a_reset_answer_without_length_is_not_complete",
                 ),
             ),
+            Case(
+                "a stream without length and chunks that its upstream closes inside an event",
+                (
+                    f"{_UNFRAMED}.test_a_stream_that_ends_inside_an_event_is_not_complete",
+                    f"{_UNFRAMED}.test_a_stream_that_ends_before_its_first_event_is_not_complete",
+                    f"{_UNFRAMED}.test_a_resumable_stream_that_ends_inside_an_event_continues",
+                    f"{_UNFRAMED}."
+                    "test_a_run_that_continued_from_its_backup_is_not_complete_inside_an_event",
+                ),
+            ),
+            Case(
+                "such a stream of a run that is stopped in order to be moved",
+                (
+                    f"{_UNFRAMED}ThatMove."
+                    "test_a_stopped_stream_that_ends_between_events_continues_at_its_target",
+                    f"{_UNFRAMED}ThatMove."
+                    "test_a_run_that_ends_by_itself_while_it_is_to_be_stopped_is_complete",
+                ),
+            ),
             Case(
                 "an encoded body",
                 (f"{_REQUEST_PATH}.TestCompleteAnswers.test_an_encoded_body_is_not_forwarded",),
--- a/tests/requests/test_event_stream.py
+++ b/tests/requests/test_event_stream.py
@@ -40,3 +40,21 @@
         splitter.drop_partial()
         out += splitter.feed(event(before) + event(before + 1))
         self.assertEqual(b"".join(event(n) for n in range(before + 2)), out)
+
+    def test_an_event_ends_at_an_empty_line_of_either_line_ending(self) -> None:
+        for end in (b"\n\n", b"\r\n\r\n", b"\n\r\n"):
+            data = b"id: 7\ndata: x" + end
+            for size in range(1, len(data)):
+                splitter = EventSplitter()
+                self.assertEqual(b"", splitter.feed(data[:size]), data[:size])
+                self.assertTrue(splitter.is_inside_event)
+                self.assertEqual(data, splitter.feed(data[size:]))
+                self.assertFalse(splitter.is_inside_event)
+
+    def test_empty_lines_between_events_are_not_inside_an_event(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(event(0))
+        for empty_line in (b"\n", b"\r", b"\r\n"):
+            splitter.drop_partial()
+            splitter.feed(empty_line)
+            self.assertFalse(splitter.is_inside_event)
