The log states the version of each upstream that is chosen, and what a request takes up

An entry's version was checked for its type and dropped, and a request that takes a stream up looked like any other, so that the log of streams of two versions could not tell a move from a client that returned. Behaviour is unchanged.

--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -53,6 +53,7 @@
         output_hint=_non_negative_integer(by_name.get(names.LENGTH_HINT, "")),
         parts=_parts(by_name.get(names.PROMPT_PARTS, "")),
         last_event_id=by_name.get(names.LAST_EVENT_ID, ""),
+        resumed_request_id=by_name.get(names.RESUMES, ""),
     )
 
 
--- a/src/lotushill/platform/upstreams.py
+++ b/src/lotushill/platform/upstreams.py
@@ -28,7 +28,6 @@
     fields = Fields(spec)
     if not is_header_text(name) or _INCARNATION_SEPARATOR in name:
         raise MalformedEntryError("name", "is not valid in a header")
-    fields.text("version")
     fields.integer(names.SEQUENCE, 0, _MAX_INTEGER)
     return Upstream(
         id=_incarnation_id(name, fields),
@@ -39,6 +38,7 @@
         slots=fields.integer("slots", 1, _MAX_SLOTS),
         draining=fields.choice("state", names.STATES) == names.DRAINING,
         slow_seconds=fields.number(names.COLD_MS, 0.0, _MAX_MILLISECONDS) / _MS,
+        version=fields.text("version"),
         leaves_seconds=fields.optional_number(names.LEAVES_MS, 0.0, _MAX_MILLISECONDS, _MS),
     )
 
--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -184,6 +184,7 @@
             request=request.demand.request_id,
             route=request.route.name,
             team=request.team,
+            resumes=request.demand.resumed_request_id,
             outcome=exchange.outcome,
             answer=answer.state.value,
             cut_by=cut_by.value if truncated else "",
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -176,6 +176,7 @@
         self._note(
             "placement.chosen",
             upstream=choice.upstream.id,
+            version=choice.upstream.version,
             service=self._request.service.name,
             cost=round(choice.cost, 4),
             first_ms=round(choice.first_event_seconds * 1000, 1),
--- a/src/lotushill/routing/demand.py
+++ b/src/lotushill/routing/demand.py
@@ -30,3 +30,6 @@
     parts: tuple[PromptPart, ...]
     """Parts of the prompt, in order."""
     last_event_id: str
+    """Id of the last event that the client has of a stream; empty for a new stream."""
+    resumed_request_id: str = ""
+    """Id of the client's request that brought the first event of the stream that it takes up."""
--- a/src/lotushill/routing/upstream.py
+++ b/src/lotushill/routing/upstream.py
@@ -23,7 +23,8 @@
     instance: str = ""
     """Name of the instance on the platform, which later incarnations may share; empty if it equals
     `id`."""
-
+    version: str = ""
+    """Version of its software; a stream goes on only at the version that began it."""
     leaves_seconds: float | None = None
     """Seconds until it ends, as stated when it wrote its entry; None if not stated."""
 
