Failing test: streams of two software versions, in one answer and over takes-up

A soak with engines of two versions that write their version into each event, versions that are rolled, gateways and engines that are killed, and clients that leave streams and take them up at any gateway.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,7 @@
 """Runs the soak test with many seeds, several at a time, and prints a line for each.
 
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
-        [--moves] [--mild] [--silences] [--breaks] [--trace]
+        [--moves] [--mild] [--silences] [--breaks] [--versions] [--trace]
     python scripts/soak.py --partitions [--seeds 50] [--first 1] [--seconds 40] [--jobs 4]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
@@ -89,6 +89,11 @@
         action="store_true",
         help="with engines that do not frame streams, and break off some of them inside an event",
     )
+    parser.add_argument(
+        "--versions",
+        action="store_true",
+        help="with engines of two versions that are rolled, and clients that take streams up again",
+    )
     parser.add_argument(
         "--trace", action="store_true", help="print what happened to the requests of violations"
     )
@@ -113,6 +118,7 @@
         "moves": moves,
         "silences": options.silences,
         "breaks": options.breaks,
+        "versions": options.versions,
     }
     seeds = range(options.first, options.first + options.seeds)
     failed_count = 0
@@ -124,6 +130,8 @@
             failed_count += _print_result(seed, result)
             if options.moves:
                 _print_moves(seed, result)
+            if options.versions:
+                _print_versions(seed, result)
             if options.trace:
                 _print_traces(seed, result)
     print(f"{len(seeds) - failed_count} of {len(seeds)} seeds without a fault")
@@ -175,6 +183,15 @@
     return bool(problems)
 
 
+def _print_versions(seed: int, result: Result) -> None:
+    counts = result.versions
+    print(
+        f"seed {seed}: streams of two versions: {counts.begun} of {counts.streams} began; "
+        f"{counts.went_on} of {counts.taken_up} that were taken up again went on",
+        flush=True,
+    )
+
+
 def _print_moves(seed: int, result: Result) -> None:
     moves = result.moves
     print(
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -13,6 +13,10 @@
 from tests.soak.records import Arrival
 from tests.soak.records import Cooldown
 from tests.soak.records import StatedLimit
+from tests.soak.version_streams import EVENT_COUNT
+from tests.soak.version_streams import VERSIONED_PATH
+from tests.soak.version_streams import VERSIONS
+from tests.soak.version_streams import versioned_event
 
 if TYPE_CHECKING:
     import random
@@ -58,6 +62,7 @@
         self._ledger = ledger
         self._rng = rng
         self._born = 0
+        self._running_version = VERSIONS[0]
         self._server: ScriptedUpstream | None = None
         self._rejects_until = 0.0
         self._cooldown_seconds = 0.0
@@ -67,10 +72,14 @@
         """Requests per second that the engine states as its limit; infinite for no limit."""
         self._limited_incarnation = ""
         """Incarnation that states the limit; empty if none."""
+        self.version = VERSIONS[0]
+        """Software version of this and of later incarnations."""
         self.frames_events = True
         """Whether its streams are sent in chunks; otherwise they end with their connection."""
         self._breaks_until = 0.0
         """When it stops breaking off streams inside an event."""
+        self._leaving: set[str] = set()
+        """Incarnations that are being replaced by another version."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -84,13 +93,18 @@
         server = ScriptedUpstream([self._handle])
         await server.start()
         self._server = server
+        self._running_version = self.version
         self.write_entry()
 
     def write_entry(self, **changes: object) -> None:
         """Write the entry to the store, with some fields changed."""
         assert self._server is not None
         spec = entry(
-            "app", self._server.address, born=self._born, **{"slots": self.slots, **changes}
+            "app",
+            self._server.address,
+            born=self._born,
+            version=self._running_version,
+            **{"slots": self.slots, **changes},
         )
         self._store.put(KIND, self.name, spec)
 
@@ -119,6 +133,18 @@
             self._ledger.views.drained_at.setdefault(self.incarnation, time.monotonic())
             self._start_task(self._terminate_after_drain(self.incarnation, seconds))
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether it runs and does not leave."""
+        return self._server is not None and self.incarnation not in self._leaving
+
+    async def roll(self, version: str, seconds: float) -> None:
+        """Drain for some seconds, then end and start again at a version."""
+        self.version = version
+        if self._running_version != version:
+            self._leaving.add(self.incarnation)
+            await self.drain(seconds)
+
     def reject_for(self, seconds: float) -> None:
         """Reject all requests for `seconds` with a Retry-After header of the same length."""
         self._cooldown_seconds = round(seconds, _COOLDOWN_DECIMALS)
@@ -199,7 +225,11 @@
             self._start_task(self._restart())
             server.crash(seen)
         self._ledger.runs.append(Arrival(seen.id, self.incarnation, now))
-        if seen.line.split()[1].startswith(_STREAM_PATH):
+        path = seen.line.split()[1]
+        if path.startswith(VERSIONED_PATH):
+            await self._stream_versions(seen)
+            return
+        if path.startswith(_STREAM_PATH):
             await self._stream_events(seen)
             return
         await asyncio.sleep(self._rng.uniform(0.01, 0.15))
@@ -246,6 +276,21 @@
             seen.reset()
             raise
 
+    async def _stream_versions(self, seen: ReceivedRequest) -> None:
+        """Send events that name the version, after the one in the Last-Event-ID header."""
+        self._start_events(seen)
+        done = int(seen.headers.get("last-event-id") or 0)
+        with self._reset_if_cancelled(seen):
+            for number in range(done + 1, EVENT_COUNT + 1):
+                event = versioned_event(number, seen.id, self._running_version)
+                await self._break_if_due(seen, event)
+                seen.chunk(event)
+                await seen.writer.drain()
+                await asyncio.sleep(self._rng.uniform(0.02, 0.08))
+                if seen.reader.at_eof():
+                    raise ConnectionResetError
+            seen.end_events()
+
     def _start_events(self, seen: ReceivedRequest) -> None:
         """Write the head of a stream, with or without chunks."""
         seen.frames_events = self.frames_events
--- a/tests/soak/engine_steps.py
+++ b/tests/soak/engine_steps.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING
 
 from tests.soak.plan import Action
+from tests.soak.version_streams import VERSIONS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -46,6 +48,8 @@
             engine.slow_down(step.seconds)
         case Action.STALL_ENGINE:
             engine.stall(step.seconds)
+        case Action.ROLL_VERSION:
+            await _roll(step, engines)
         case Action.BREAK_STREAMS:
             for each_engine in engines[step.pick % 2 :: 2]:
                 each_engine.break_streams_for(step.seconds)
@@ -55,3 +59,18 @@
         case Action.DISTURB_HANDLES:
             for each_engine in engines[step.pick % 2 :: 2]:
                 each_engine.faults.disturb_handles(step.seconds)
+
+
+async def _roll(step: Step, engines: Sequence[MovingEngine]) -> None:
+    """Replace a part of the engines by ones of a version, and leave two of the other one."""
+    version = VERSIONS[step.pick % len(VERSIONS)]
+    others = [item for item in engines if item.version != version]
+    for engine in others[: max(0, len(others) - _KEPT_ENGINES)]:
+        await engine.roll(version, _ROLL_DRAIN_SECONDS)
+        await asyncio.sleep(_ROLL_INTERVAL_SECONDS)
+
+
+_KEPT_ENGINES = 2
+"""Number of engines that keep the version that is rolled away from."""
+_ROLL_INTERVAL_SECONDS = 0.4
+_ROLL_DRAIN_SECONDS = 1.5
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -12,6 +12,8 @@
 from tests.soak.move_checks import move_violations
 from tests.soak.move_checks import truncation_causes
 from tests.soak.run_memory import RunMemories
+from tests.soak.version_streams import ServingVersions
+from tests.soak.version_streams import version_violations
 from tests.soak.view_checks import ViewChecks
 
 if TYPE_CHECKING:
@@ -20,6 +22,7 @@
     from tests.soak.records import Arrival
     from tests.soak.records import Cooldown
     from tests.soak.records import StatedLimit
+    from tests.soak.version_streams import VersionedStream
 
 _DEADLINE_TOLERANCE_SECONDS = 1.0
 """Time that an answer may take beyond the deadline, since other runs share the machine."""
@@ -57,6 +60,8 @@
     stated_limits: list[StatedLimit] = field(default_factory=list)
     broken_streams: list[Arrival] = field(default_factory=list)
     """Streams that an engine broke off inside an event, with the time of the break."""
+    versioned_streams: list[VersionedStream] = field(default_factory=list)
+    serving_versions: ServingVersions = field(default_factory=ServingVersions)
     absences: list[Absence] = field(default_factory=list)
     restarts: list[Absence] = field(default_factory=list)
     """Starts of gateways, which begin with empty state."""
@@ -98,6 +103,7 @@
         violations += self._violated_cooldowns() + self._sent_to_leaving() + self.over_limits()
         violations += move_violations(self.memories, self.answers, self._was_absent_between)
         violations += self._outdated_views()
+        violations += version_violations(self.versioned_streams)
         if self.decoy_requests:
             violations.append(
                 f"{self.decoy_requests} requests sent to an address from a malformed entry, for "
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -40,6 +40,7 @@
     SILENCE_CONNECTIONS = "silence all open connections of all gateways"
     DISTURB_CONNECTIONS = "silence or reset open connections, those to the store only or a part"
     DELAY_CONNECTIONS = "delay the bytes on all connections of gateways for a while"
+    ROLL_VERSION = "replace some engines by ones of the other version, one after the other"
     BREAK_STREAMS = "make half of the engines break off streams inside an event for a while"
     DISTURB_HANDLES = "disturb first requests with a handle at half of the engines for a while"
 
@@ -71,6 +72,16 @@
     Action.REJECT_AT_ALL_ENGINES,
     Action.ANNOUNCE_LEAVING,
 )
+_VERSION_ACTIONS = (
+    Action.ROLL_VERSION,
+    Action.ROLL_VERSION,
+    Action.TERMINATE_ENGINE,
+    Action.KILL_GATEWAY,
+    Action.STOP_GATEWAY,
+    Action.FREEZE_GATEWAY,
+    Action.BREAK_STREAMS,
+    Action.INJECT_STORE_FAULT,
+)
 _MOVE_WEIGHTS = {
     Action.LEAVE_WITH_NOTICE: 8,
     Action.SLOW_ENGINE: 8,
@@ -174,6 +185,20 @@
     return steps
 
 
+def draw_versions(seed: int, seconds: float) -> list[Step]:
+    """Return steps in which versions are rolled, beside crashes of engines and gateways."""
+    rng = random.Random(f"{seed} versions")
+    steps = []
+    at = 2.0
+    while at < seconds - QUIET_SECONDS - _MAX_FAULT_SECONDS:
+        for action in rng.sample(_VERSION_ACTIONS, rng.randint(1, 3)):
+            length = rng.uniform(0.5, _MAX_FAULT_SECONDS)
+            steps.append(Step(at, action, rng.randrange(1_000), length))
+            at += rng.uniform(0.0, 0.8)
+        at += rng.uniform(0.5, 2.0)
+    return steps
+
+
 def draw_moves(seed: int, seconds: float) -> list[Step]:
     """Return steps in overlapping series by which runs are moved and their moves are disturbed."""
     rng = random.Random(f"{seed} moves")
--- a/tests/soak/result.py
+++ b/tests/soak/result.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from tests.soak.ledger import Ledger
+    from tests.soak.version_streams import VersionCounts
 
 
 @dataclass(frozen=True)
@@ -59,6 +60,7 @@
     leaving_answers: int
     limited_runs: dict[str, int]
     """Requests run at each engine incarnation that ever stated a limit."""
+    versions: VersionCounts
     broken_streams: int
     """Number of streams that engines broke off inside an event."""
     served: tuple[int, int]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,6 +7,7 @@
 import signal
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -35,12 +36,16 @@
 from tests.soak.plan import draw_limits
 from tests.soak.plan import draw_moves
 from tests.soak.plan import draw_silences
+from tests.soak.plan import draw_versions
 from tests.soak.records import Absence
 from tests.soak.result import Result
 from tests.soak.result import count_moves
 from tests.soak.silencing_proxy import ConnectionFault
 from tests.soak.silencing_proxy import SilencingProxy
 from tests.soak.trace import trace
+from tests.soak.version_streams import VERSIONS
+from tests.soak.version_streams import ResumingClient
+from tests.soak.version_streams import count_versions
 from tests.soak.view_checks import EVERY_GATEWAY
 from tests.soak.view_checks import Disturbance
 from tests.soak.view_checks import StoredVersion
@@ -61,6 +66,7 @@
 _CLIENT_COUNT = 16
 _LONG_CLIENT_COUNT = 36
 """Number of clients of long streams in a run with moves."""
+_RESUMING_CLIENT_COUNT = 12
 _LONG_INTERVAL_SECONDS = 0.1
 _REQUEST_INTERVAL_SECONDS = 0.25
 _DEADLY_INTERVAL_SECONDS = 0.35
@@ -95,6 +101,7 @@
         moves: MovesOptions | None = None,
         silences: bool = False,
         breaks: bool = False,
+        versions: bool = False,
     ) -> None:
         """Prepare a run with the plan drawn from `seed`.
 
@@ -104,12 +111,17 @@
         send requests. With `moves`, engines move the memory of long streams, which clients of their
         own request, and the plan without an explicit one consists of faults of moves. With
         `silences`, open connections of gateways fall silent, and the views in force are checked.
-        With `breaks`, most engines send streams without framing and break some of them off.
+        With `breaks`, most engines send streams without framing and break some of them off. With
+        `versions`, engines of two software versions serve side by side, and clients leave streams
+        and take them up again; the plan without an explicit one rolls the versions.
         """
         self._moves = moves
         self._proxy = SilencingProxy() if silences else None
         if silences and plan is None:
             plan = draw_silences(seed, seconds)
+        self._has_versions = versions
+        if versions and plan is None:
+            plan = draw_versions(seed, seconds)
         if moves is not None and plan is None:
             plan = draw_moves(seed, seconds)
         self._has_engine_signals = engine_signals and plan is None
@@ -140,6 +152,8 @@
         ]
         for engine in self._engines if moves is not None else ():
             engine.slots = MOVES_SLOTS
+        for number, engine in enumerate(self._engines if versions else ()):
+            engine.version = VERSIONS[number % len(VERSIONS)]
         for number, engine in enumerate(self._engines if breaks else ()):
             engine.frames_events = number % 3 == 0
         self._decoy = ScriptedUpstream([self._count_decoy_request])
@@ -198,6 +212,13 @@
         for number in range(_LONG_CLIENT_COUNT if self._moves is not None else 0):
             client = Client(addresses, self._ledger, random.Random(100 + number))
             self._start_task(client.run(_LONG_INTERVAL_SECONDS, "long"))
+        for number in range(_RESUMING_CLIENT_COUNT if self._has_versions else 0):
+            resuming = ResumingClient(
+                addresses, self._ledger.versioned_streams, random.Random(200 + number)
+            )
+            self._start_task(resuming.run(_REQUEST_INTERVAL_SECONDS))
+        if self._has_versions:
+            self._start_task(self._note_serving_versions())
         self._start_task(self._measure_lag())
         for gateway in self._gateways.all if self._proxy is not None else ():
             self._start_task(observe_views(gateway, self._ledger.views))
@@ -218,6 +239,12 @@
         self._ledger.memories.observed_until = time.monotonic()
         return since
 
+    async def _note_serving_versions(self) -> None:
+        while True:
+            counts = Counter(item.version for item in self._engines if item.is_serving)
+            self._ledger.serving_versions.note(dict(counts), time.monotonic())
+            await asyncio.sleep(_LAG_CHECK_SECONDS)
+
     async def _measure_lag(self) -> None:
         while True:
             due_at = time.monotonic() + _LAG_CHECK_SECONDS
@@ -245,6 +272,7 @@
             cooldowns=len(self._ledger.cooldowns),
             leaving_answers=len(self._ledger.leaving_answers),
             limited_runs=self._ledger.limited_runs(),
+            versions=count_versions(self._ledger.versioned_streams, self._ledger.serving_versions),
             broken_streams=len(self._ledger.broken_streams),
             served=(once + other + streams, sent_once + sent_other + sent_streams),
             common_served=self._ledger.served("common", since),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,3 +41,10 @@
         self.assertEqual(([], []), (result.faults, result.errors))
         self.assertGreater(result.broken_streams, 0)
         self.assertGreater(result.served[0], 0)
+
+    async def test_no_stream_goes_on_at_another_version_than_the_one_that_began_it(self) -> None:
+        result = await Soak(_SEED, _SECONDS, versions=True).run()
+        self.assertEqual(([], []), (result.faults, result.errors))
+        versions = result.versions
+        self.assertGreater(versions.taken_up, 0)
+        self.assertGreaterEqual(versions.went_on_fraction, 0.5 * versions.begun_fraction)
