--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -110,7 +110,8 @@
 
 def answer_request_id(headers: Headers) -> str:
     """Return the id of the request to which an answer belongs."""
-    return _value(headers, names.REQUEST_ID)
+    wanted = names.REQUEST_ID.encode()
+    return next((value.decode("latin-1") for key, value in headers if key == wanted), "")
 
 
 def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
@@ -123,14 +124,6 @@
     return [(names.REQUEST_ID.encode(), request_id.encode("latin-1"))] if request_id else []
 
 
-def _value(headers: Headers, name: str) -> str:
-    wanted = name.encode()
-    for key, value in headers:
-        if key == wanted:
-            return value.decode("latin-1")
-    return ""
-
-
 def _api_key(value: str) -> str:
     if value[: len(_BEARER)].lower() != _BEARER:
         return ""
