Within one answer, a stream goes on only at the version that began it

From its first event a stream has a version. The search, the model of schedulers and the admission queue place it at upstreams of that version, backups and moves stay within it, copies of prompt memory as well, and the attempt compares the versions once more right before it writes the request, so that no way that is added later can mix them. A stream that waits for its version holds up no request that may go elsewhere, and new streams leave a reserve at a version with two engines at most.

Recorded datagrams: PlacementAsk has one field more.

--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -61,6 +61,7 @@
   waits @20 :Bool;
   leaves @21 :Bool;
   teamPlace @22 :UInt8;
+  version @23 :Text;
 }
 
 struct PlacementAnswer {
--- a/src/lotushill/links/messages.py
+++ b/src/lotushill/links/messages.py
@@ -103,6 +103,8 @@
     """Whether the request has left the queue, so that nothing is to be placed."""
     team_place: int = 0
     """Rank of the team within the tier plus 1, 0 in messages of versions that send no rank."""
+    version: str = ""
+    """Software version of the upstreams that may serve it; empty for any."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/placement/backup.py
+++ b/src/lotushill/placement/backup.py
@@ -54,8 +54,8 @@
 ) -> Upstream | None:
     """Return the upstream with the most free memory for a copy of a run, None if none has enough.
 
-    The run is on `chosen`. Among upstreams with enough free memory, those in another hall are
-    preferred, since a hall can fail as a whole.
+    The run is on `chosen` and may go on only at its version. Among upstreams with enough free
+    memory, those in another hall are preferred, since a hall can fail as a whole.
     """
     tokens = need.prompt_tokens + need.output_tokens
     max_held_tokens = _MAX_MEMORY_FRACTION * engine.memory_tokens - tokens
@@ -66,6 +66,7 @@
         is_healthy = load is None or not (
             load.is_unreachable(now) or load.failures.rate(now) > _MAX_FAILURE_RATE
         )
-        if item.id != chosen.id and is_healthy and held_tokens < max_held_tokens:
+        is_usable = item.id != chosen.id and item.version == chosen.version
+        if is_usable and is_healthy and held_tokens < max_held_tokens:
             suitable.append((item.hall == chosen.hall, held_tokens, item.id, item))
     return min(suitable, key=lambda entry: entry[:3])[3] if suitable else None
--- a/src/lotushill/placement/choice.py
+++ b/src/lotushill/placement/choice.py
@@ -69,6 +69,8 @@
     """Reason why a request is not placed."""
 
     NO_UPSTREAM = "no upstream"
+    NO_VERSION = "no upstream of its version"
+    """No upstream has the software version at which the stream began."""
     OVERLOAD = "overload"
     """The route has the longest prompts of its service, and the request would wait too long."""
     RESTING = "all rest"
--- a/src/lotushill/placement/fetch.py
+++ b/src/lotushill/placement/fetch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -43,31 +44,31 @@
         cached_tokens: Mapping[str, int],
         upstreams: Mapping[str, Upstream],
     ) -> None:
-        """Prepare copies between upstreams.
+        """Prepare copies between upstreams of one software version.
 
         `cached_tokens` maps each healthy upstream to the number of leading prompt tokens that it
         caches.
         """
         self._engine = engine
-        self._cached_tokens = max(cached_tokens.values(), default=0)
-        sources = [
-            upstreams[name]
-            for name, tokens in cached_tokens.items()
-            if tokens == self._cached_tokens
-        ]
-        sources.sort(key=lambda item: item.id)
-        self._source = sources[0] if sources else None
-        self._sources_by_hall = {item.hall: item for item in reversed(sources)}
+        by_version: dict[str, dict[str, int]] = defaultdict(dict)
+        for name, tokens in cached_tokens.items():
+            by_version[upstreams[name].version][name] = tokens
+        self._sources = {
+            version: _Sources(tokens, upstreams) for version, tokens in by_version.items()
+        }
 
     def plan(self, target: Upstream, own_tokens: int, prefill_rate: float) -> Fetch | None:
         """Return the copy that saves `target` the most tokens, None if no copy is worthwhile.
 
         The target itself caches `own_tokens`. `prefill_rate` is in tokens per second.
         """
-        tokens = self._cached_tokens - own_tokens
-        source = self._sources_by_hall.get(target.hall, self._source)
-        if source is None or not self._engine.link_rate or tokens < _MIN_TOKENS:
+        sources = self._sources.get(target.version)
+        if sources is None or not self._engine.link_rate:
+            return None
+        tokens = sources.cached_tokens - own_tokens
+        if tokens < _MIN_TOKENS:
             return None
+        source = sources.nearest(target)
         seconds = self._copy_seconds(tokens, source.hall == target.hall)
         if seconds > _MAX_TIME_FRACTION * tokens / prefill_rate:
             return None
@@ -76,3 +77,22 @@
     def _copy_seconds(self, tokens: int, same_hall: bool) -> float:
         factor = 1.0 if same_hall else _OTHER_HALL_FACTOR
         return _SETUP_SECONDS + factor * tokens * self._engine.token_bytes / self._engine.link_rate
+
+
+class _Sources:
+    """The upstreams of one version that cache the most tokens of the prompt."""
+
+    def __init__(self, cached_tokens: Mapping[str, int], upstreams: Mapping[str, Upstream]) -> None:
+        self.cached_tokens = max(cached_tokens.values())
+        sources = [
+            upstreams[name]
+            for name, tokens in cached_tokens.items()
+            if tokens == self.cached_tokens
+        ]
+        sources.sort(key=lambda item: item.id)
+        self._first = sources[0]
+        self._by_hall = {item.hall: item for item in reversed(sources)}
+
+    def nearest(self, target: Upstream) -> Upstream:
+        """Return a source in the target's hall, or the first one of all."""
+        return self._by_hall.get(target.hall, self._first)
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -32,6 +32,7 @@
 from lotushill.placement.team_reserve import has_to_wait
 from lotushill.placement.team_reserve import reserved_slots
 from lotushill.placement.upstream_load import UpstreamLoad
+from lotushill.placement.version_reserve import without_reserved
 from lotushill.placement.weigher import EngineWeigher
 from lotushill.placement.weigher import Location
 from lotushill.placement.weigher import PlainWeigher
@@ -66,6 +67,9 @@
 gateway may be what is disconnected."""
 _MAX_RANKED = 10_000
 _RANKS_CACHE_SIZE = 32
+_NO_VERSION_RETRY_AFTER_SECONDS = 2.0
+"""Retry-After time if no upstream has the version of a stream: one that crashed is back with its
+version within some seconds, if at all."""
 NO_UPSTREAM_RETRY_AFTER_SECONDS = 1.0
 """Retry-After time if there is no upstream; one may have been registered by then."""
 
@@ -225,8 +229,11 @@
         self.shares.note_demand(need, now)
         by_id = {item.id: item for item in upstreams}
         ranks = _ranks(need.service, tuple(by_id)) if service.engine else {}
-        candidates = [item for item in by_id.values() if item.id not in excluded]
+        serving = by_id.values()
+        candidates = [item for item in serving if item.id not in excluded and need.accepts(item)]
         reachable = [item for item in candidates if not self.load(item.id).is_unreachable(now)]
+        if need.version and not any(need.accepts(item) for item in serving):
+            return NoChoice(Refusal.NO_VERSION, _NO_VERSION_RETRY_AFTER_SECONDS, final=True)
         if not candidates:
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER_SECONDS)
         withheld = self._withheld_slots_refusal(need, service, reachable, now)
@@ -235,6 +242,8 @@
                 self.shedding.refuse_for_others(need, withheld, now), need, now
             )
         with_room = [item for item in reachable or candidates if item.id not in closed_engines]
+        if not need.version:
+            with_room = without_reserved(with_room, serving, self._free_slots)
         if self.brittle.is_brittle(need.service, now):
             with_room = [item for item in with_room if len(self.load(item.id).running) < item.slots]
             if not with_room:
@@ -265,6 +274,9 @@
         returned = self.shedding.returns.has_due_promise(need.caller, now)
         return replace(best, returned=True) if returned else best
 
+    def _free_slots(self, upstream: Upstream) -> int:
+        return upstream.slots - len(self.load(upstream.id).running)
+
     def note_choice_used(self, need: Need, now: float) -> None:
         """Record that a choice is used, which uses up the reserved place of its caller."""
         self.shares.note_placed(need, now)
--- a/src/lotushill/placement/need.py
+++ b/src/lotushill/placement/need.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from lotushill.routing.demand import PromptPart
+    from lotushill.routing.upstream import Upstream
 
 
 _OUTPUT_WORTH = 10.0
@@ -45,6 +46,12 @@
     caller: int = 0
     """Number that identifies the caller, the same when its client sends the request again; 0 if
     unknown."""
+    version: str = ""
+    """Software version at which its stream began; empty if any upstream may serve it."""
+
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has the required version."""
+        return not self.version or upstream.version == self.version
 
     @property
     def size(self) -> float:
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -36,6 +36,7 @@
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
+    from lotushill.requests.stream_version import StreamVersion
     from lotushill.requests.upstream_connection import AnswerHead
     from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.requests.upstream_gate import Permit
@@ -63,6 +64,7 @@
         choice: Choice,
         answer: ClientAnswer,
         splitter: EventSplitter,
+        version: StreamVersion,
         reporter: AttemptReporter,
         permit: Permit,
         may_repeat: Callable[[], bool],
@@ -73,6 +75,7 @@
         self._choice = choice
         self._answer = answer
         self._splitter = splitter
+        self._version = version
         self._reporter = reporter
         self._permit = permit
         self._may_repeat = may_repeat
@@ -95,6 +98,8 @@
     async def send(self) -> AttemptEnd | None:
         """Write the request; return the end of the attempt if it is not written."""
         upstream = self._choice.upstream
+        if not self._version.accepts(upstream):
+            return AttemptEnd(EndKind.BARRED, f"other version: {upstream.version}")
         load = self._components.fleet.load(upstream.id)
         try:
             connection = await self._components.pool.acquire(upstream)
@@ -339,6 +344,7 @@
             if not complete_events:
                 continue
             self._note_event()
+            self._version.note_event(self._choice.upstream)
             self._track_run(connection)
             await self._start_chunked(head)
             await self._answer.write(complete_events)
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -26,6 +26,7 @@
     from lotushill.requests.gateway_components import GatewayComponents
     from lotushill.requests.handover import Handover
     from lotushill.requests.handover import RunMemory
+    from lotushill.requests.stream_version import StreamVersion
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.placement import Placement
     from lotushill.scheduling.request import Request
@@ -56,16 +57,20 @@
         components: GatewayComponents,
         request: Request,
         splitter: EventSplitter,
+        version: StreamVersion,
         attempt: SendAttempt,
         may_repeat: Callable[[], bool],
     ) -> None:
-        """Continue after the events of `splitter`; `attempt` sends the request to an upstream.
+        """Continue after the events of `splitter`, at their `version`.
+
+        `attempt` sends the request to an upstream.
 
         `may_repeat` returns whether the request may be repeated without its memory.
         """
         self._components = components
         self._request = request
         self._splitter = splitter
+        self._version = version
         self._attempt = attempt
         self._may_repeat = may_repeat
         self._clock = components.clock
@@ -125,7 +130,9 @@
         sources = [
             item
             for item in self._components.upstreams.all()
-            if item.address == silent.moved.source and item.service == silent.upstream.service
+            if item.address == silent.moved.source
+            and item.service == silent.upstream.service
+            and self._version.accepts(item)
         ]
         if not sources or not self._may_return_to(sources[0]):
             return None
@@ -158,6 +165,7 @@
         failures = self._components.fleet.load(backup.id).failures
         is_healthy = failures.rate(self._clock()) < _MAX_FAILURE_RATE
         is_accepting = self._components.gate.accepts_requests(backup.id)
+        is_accepting = is_accepting and self._version.accepts(backup)
         return is_known and is_healthy and is_accepting and self._splitter.event_count > 0
 
     async def continue_from_handover(
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -12,6 +12,7 @@
 from lotushill.requests.continuation import Continuation
 from lotushill.requests.event_stream import EventSplitter
 from lotushill.requests.replacement_search import ReplacementSearch
+from lotushill.requests.stream_version import StreamVersion
 from lotushill.requests.tracked_attempt import AttemptTracker
 from lotushill.requests.upstream_search import UpstreamSearch
 from lotushill.scheduling.placement import Placement
@@ -58,11 +59,12 @@
         self._retry_after_seconds = _RETRY_AFTER_SECONDS
         self._unsent_count = 0
         self._rejection_count = 0
-        self._search = UpstreamSearch(components, request)
+        version = StreamVersion(request.need.version)
+        self._search = UpstreamSearch(components, request, version)
         self._continuation = Continuation(
-            components, request, self._splitter, self._attempt, self._has_repeat_left
+            components, request, self._splitter, version, self._attempt, self._has_repeat_left
         )
-        self._tracker = AttemptTracker(components, request, answer, self._splitter)
+        self._tracker = AttemptTracker(components, request, answer, self._splitter, version)
         self._replacements = ReplacementSearch(
             components,
             request,
--- a/src/lotushill/requests/mover.py
+++ b/src/lotushill/requests/mover.py
@@ -26,6 +26,7 @@
 from lotushill.requests.handover import NO_ANSWER
 from lotushill.requests.handover import Handover
 from lotushill.requests.handover import Phase
+from lotushill.requests.stream_version import StreamVersion
 from lotushill.scheduling.placement import Placement
 
 if TYPE_CHECKING:
@@ -250,7 +251,7 @@
             for _ in range(_MAX_TARGETS):
                 if run.ended or self._clock() - started_at >= move.time_limit:
                     break
-                placed = await self._reserve_target(run.request, frozenset(tried))
+                placed = await self._reserve_target(run, frozenset(tried))
                 if placed is None:
                     break
                 tried.add(placed.upstream)
@@ -323,11 +324,13 @@
         """Return whether an upstream accepts a new connection."""
         return await self._pool.has_ended(upstream) is False
 
-    async def _reserve_target(self, request: Request, tried: frozenset[str]) -> Placed | None:
+    async def _reserve_target(self, run: MovableRun, tried: frozenset[str]) -> Placed | None:
         """Reserve room for a run at an upstream that is not leaving; return None if there is none.
 
-        Upstreams with a limit are excluded, as permits are only given for requests of clients.
+        The run goes on at the software version that began its stream. Upstreams with a limit are
+        excluded, as permits are only given for requests of clients.
         """
+        request = StreamVersion(run.upstream.version).bind(run.request)
         known = self._upstreams.of(request.service.name)
         limited = {item.id for item in known if self._rate_limit(item.id) != NO_LIMIT}
         excluded = tried | limited | self._isolation_policy.excluded_upstreams(request)
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -23,6 +23,7 @@
     from lotushill.requests.client_answer import ClientAnswer
     from lotushill.requests.event_stream import EventSplitter
     from lotushill.requests.gateway_components import GatewayComponents
+    from lotushill.requests.stream_version import StreamVersion
     from lotushill.requests.upstream_gate import Permit
     from lotushill.scheduling.placement import Placement
     from lotushill.scheduling.request import Request
@@ -39,12 +40,14 @@
         request: Request,
         answer: ClientAnswer,
         splitter: EventSplitter,
+        version: StreamVersion,
     ) -> None:
-        """Relay the events of `splitter` to the client with `answer`."""
+        """Relay the events of `splitter` to the client with `answer`, all of one `version`."""
         self._components = components
         self._request = request
         self._answer = answer
         self._splitter = splitter
+        self._version = version
         self._clock = components.clock
         self._start_counted = False
         """Whether the request was counted as started."""
@@ -79,6 +82,7 @@
             placement.choice,
             self._answer,
             self._splitter,
+            self._version,
             reporter,
             permit,
             functools.partial(self._may_repeat, placement.choice),
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from lotushill.requests.gateway_components import GatewayComponents
+    from lotushill.requests.stream_version import StreamVersion
     from lotushill.scheduling.request import Request
 
 _MAX_WAIT_FRACTION = 0.2
@@ -31,9 +32,12 @@
 class UpstreamSearch:
     """Finds the next upstream for one request."""
 
-    def __init__(self, components: GatewayComponents, request: Request) -> None:
+    def __init__(
+        self, components: GatewayComponents, request: Request, version: StreamVersion
+    ) -> None:
         self._components = components
         self._request = request
+        self._version = version
         self._clock = components.clock
         self._gives_up_at = min(
             request.arrived + _MAX_WAIT_FRACTION * request.route.target,
@@ -90,7 +94,9 @@
             return NoChoice(Refusal.TEAM_LIMIT, wait)
         excluded = policy.excluded_upstreams(request) | self._excluded | self._without_permit()
         excluded |= also_excluded
-        result = await self._components.placer.place(request, excluded, self._placement_requested)
+        result = await self._components.placer.place(
+            self._version.bind(request), excluded, self._placement_requested
+        )
         self._placement_requested = True
         if isinstance(result, Placement) and not policy.admits(request, result.choice):
             self._components.shared_load.give_up(result.placed.request)
--- a/src/lotushill/scheduling/placement_responder.py
+++ b/src/lotushill/scheduling/placement_responder.py
@@ -195,4 +195,5 @@
         share=ask.share,
         waited=ask.waited,
         caller=ask.caller,
+        version=ask.version,
     )
--- a/src/lotushill/scheduling/placer.py
+++ b/src/lotushill/scheduling/placer.py
@@ -121,7 +121,7 @@
         if self._client is None or self.has_full_model():
             if not again:
                 self._note_arrival(request.need)
-            candidates = self._upstreams.of(request.service.name)
+            candidates = self._candidates(request)
             if self._schedulers is not None and not self._has_fleet_model():
                 return self._place_drawn(request, excluded)
             if self._queue_runner is None or not waits:
@@ -156,11 +156,19 @@
         return NoChoice(Refusal.NO_UPSTREAM, _UNKNOWN_RETRY_AFTER_SECONDS)
 
     def _are_all_barred(self, request: Request, barred: frozenset[str]) -> bool:
-        return all(item.id in barred for item in self._upstreams.of(request.service.name))
+        candidates = self._candidates(request)
+        return bool(candidates) and all(item.id in barred for item in candidates)
+
+    def _candidates(self, request: Request) -> list[Upstream]:
+        """Return the upstreams of the service that have the version of the request's stream."""
+        known = self._upstreams.of(request.service.name)
+        if not request.need.version:
+            return known
+        return [item for item in known if request.need.accepts(item)]
 
     def _refuse_barred(self, request: Request, barred: frozenset[str]) -> NoChoice:
         """Refuse until the first upstream may be sent a request, or for lack of any upstream."""
-        known = [item.id for item in self._upstreams.of(request.service.name)]
+        known = [item.id for item in self._candidates(request)]
         barred_ids = [name for name in known if name in barred]
         if not barred_ids:
             return NoChoice(Refusal.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER_SECONDS)
@@ -208,7 +216,7 @@
                     return self._own_placement(request, decision, candidates)
                 if self._client is not None and not self.has_full_model():
                     return None
-                candidates = self._upstreams.of(request.service.name)
+                candidates = self._candidates(request)
                 excluded |= self._barred.names(request.need.route, self._clock())
         finally:
             queue_runner.drop(key)
@@ -263,7 +271,7 @@
         now = self._clock()
         loads = {
             item: self._fleet.load(item.id)
-            for item in self._upstreams.of(request.service.name)
+            for item in self._candidates(request)
             if item.id not in excluded
         }
         reachable = {
@@ -282,9 +290,7 @@
         return replace(outcome, alone=True) if isinstance(outcome, Placement) else outcome
 
     def _sample(self, request: Request, excluded: frozenset[str]) -> list[Upstream]:
-        eligible = [
-            item for item in self._upstreams.of(request.service.name) if item.id not in excluded
-        ]
+        eligible = [item for item in self._candidates(request) if item.id not in excluded]
         count = max(_MIN_SAMPLE, round(_SAMPLE_FRACTION * len(eligible)))
         return self._rng.sample(eligible, min(count, len(eligible)))
 
@@ -322,6 +328,7 @@
             waited=self._clock() - request.arrived,
             caller=need.caller,
             waits=waits,
+            version=need.version,
         )
 
     def _unreachable(self, request: Request, excluded: frozenset[str]) -> list[str]:
@@ -335,7 +342,8 @@
 
     def _from_answer(self, request: Request, answer: PlacementAnswer) -> Placement | None:
         upstream = self._candidate(request, answer.upstream)
-        if upstream is None:
+        if upstream is None or not request.need.accepts(upstream):
+            # A scheduler of a build without software versions chooses among all upstreams.
             return None
         choice = Choice(
             upstream,
@@ -349,8 +357,8 @@
             reread_tokens=answer.again,
             running=answer.running,
             returned=answer.returned,
-            fetch=self._fetch(answer),
-            backup=self._candidate(request, answer.backup),
+            fetch=self._fetch(answer, upstream),
+            backup=self._backup(request, answer, upstream),
         )
         message = self._placed_message(answer.request, request, choice)
         return Placement(choice, message, answer.memory, answer.sender)
@@ -359,9 +367,15 @@
         known = self._upstreams.of(request.service.name)
         return next((item for item in known if item.id == upstream_id), None)
 
-    def _fetch(self, answer: PlacementAnswer) -> Fetch | None:
+    def _backup(
+        self, request: Request, answer: PlacementAnswer, upstream: Upstream
+    ) -> Upstream | None:
+        backup = self._candidate(request, answer.backup)
+        return backup if backup is not None and backup.version == upstream.version else None
+
+    def _fetch(self, answer: PlacementAnswer, target: Upstream) -> Fetch | None:
         source = self._upstreams.find(answer.fetch_from)
-        if source is None:
+        if source is None or source.version != target.version:
             return None
         return Fetch(source, answer.fetch_tokens, answer.fetch_seconds)
 
--- a/src/lotushill/waiting/admission_queue.py
+++ b/src/lotushill/waiting/admission_queue.py
@@ -158,7 +158,9 @@
         if self._is_under_pressure(entry, now) and self._fleet.shedding.is_long(entry.need):
             return _OVERLOAD
         need = entry.need_at(now)
-        usable = [item for item in upstreams if item.id not in entry.excluded]
+        usable = [
+            item for item in upstreams if item.id not in entry.excluded and need.accepts(item)
+        ]
         closed = self.engines.closed_engines(service, need.tier, usable, now)
         if usable and len(closed) == len(usable):
             return _NO_ROOM
@@ -188,11 +190,12 @@
         entries = sorted(
             self.requests.for_service(service.name), key=lambda entry: self._sort_key(entry, now)
         )
-        passed_over: set[tuple[int, str]] = set()
+        passed_over: set[tuple[int, str, str]] = set()
         choices = 0
         for entry in entries:
-            tier_and_route = (entry.need.tier, entry.need.route)
-            if tier_and_route in passed_over:
+            # A stream that finds no room at its version holds up no request that may go elsewhere.
+            kind = (entry.need.tier, entry.need.route, entry.need.version)
+            if kind in passed_over:
                 continue
             choices += 1
             if choices > _MAX_CHOICES_PER_PASS:
@@ -201,7 +204,7 @@
             if isinstance(decision, Choice) and self._is_excluded_by_reserve(
                 entry, decision, service, upstreams
             ):
-                passed_over.add(tier_and_route)
+                passed_over.add(kind)
             elif isinstance(decision, Choice) and not self._wait_limits.is_too_late(
                 entry, decision, now
             ):
@@ -211,7 +214,7 @@
                 self._note_placed(entry, decision, now)
                 yield entry, decision
             elif isinstance(decision, NoChoice) and not entry.excluded:
-                passed_over.add(tier_and_route)
+                passed_over.add(kind)
         yield from self._refuse_overdue(service, now)
 
     def _is_excluded_by_reserve(
--- a/tests/placement/test_fetch.py
+++ b/tests/placement/test_fetch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -36,6 +37,12 @@
         fetch = planner.plan(UPSTREAMS["b1"], 3000, READ_RATE)
         self.assertEqual(2000, fetch.tokens if fetch else 0)
 
+    def test_parts_that_another_version_cached_are_not_copied(self) -> None:
+        upstreams = {**UPSTREAMS, "b2": replace(UPSTREAMS["b2"], version="v2")}
+        planner = FetchPlanner(ENGINE_WITH_TRANSFER, {"b1": 0, "b2": 5000, "b3": 3000}, upstreams)
+        fetch = planner.plan(upstreams["b1"], 0, READ_RATE)
+        self.assertEqual(("b3", 3000), (fetch.source.id, fetch.tokens) if fetch else None)
+
     def test_few_tokens_are_not_copied(self) -> None:
         planner = FetchPlanner(ENGINE_WITH_TRANSFER, {"b2": 200}, UPSTREAMS)
         self.assertIsNone(planner.plan(UPSTREAMS["b1"], 0, READ_RATE))
--- /dev/null
+++ b/tests/requests/test_stream_versions.py
@@ -0,0 +1,201 @@
+"""A stream goes on, within one answer, at another software version than the one that began it.
+
+Each way to go on (another attempt, the replacement of a silent upstream, a backup, a move) chose
+its upstream by load alone, and the client received events that do not fit together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from dataclasses import replace
+
+from lotushill.requests.stream_version import StreamVersion
+from lotushill.routing.route import RouteKind
+from lotushill.routing.upstream import Upstream
+from tests.requests.rig import ReceivedRequest
+from tests.requests.rig import Rig
+from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import event
+from tests.requests.test_cooldowns import prefer
+from tests.requests.test_moves import LONG
+from tests.requests.test_moves import Site
+from tests.requests.test_silent_upstream import resumes
+from tests.requests.test_silent_upstream import stalls
+
+WHOLE = b"".join(event(number) for number in range(3))
+_LONG_ENOUGH_FOR_A_BACKUP = "Token-Usage: 50,20\r\n"
+
+
+def set_versions(rig: Rig, *versions: str, leaving: int | None = None) -> None:
+    """Give the upstreams their versions, and let one of them leave."""
+    rig.view.replace(
+        [
+            Upstream(
+                f"b{number}", "s", item.address, "z", 8, number == leaving, version=version,
+                leaves_seconds=0.4 if number == leaving else None,
+            )
+            for number, (item, version) in enumerate(zip(rig.upstreams, versions))
+        ],
+        rig.view.revision + 1,
+    )  # fmt: skip
+
+
+async def breaks(seen: ReceivedRequest) -> None:
+    """Send an event and reset the connection."""
+    seen.start_events()
+    seen.event(0)
+    await seen.writer.drain()
+    await asyncio.sleep(0.05)
+    seen.reset()
+
+
+async def breaks_before_an_event(seen: ReceivedRequest) -> None:
+    """Reset the connection before any event."""
+    seen.reset()
+
+
+def served(rig: Rig) -> list[int]:
+    """Return the numbers of the upstreams that received a request."""
+    return [number for number, item in enumerate(rig.upstreams) if item.requests]
+
+
+def rig_of(first: ScriptedUpstream, others: int = 2, max_attempts: int = 3) -> Rig:
+    upstreams = [first, *(ScriptedUpstream([resumes]) for _ in range(others))]
+    return Rig(upstreams, RouteKind.STREAM, True, engine=True, max_attempts=max_attempts)
+
+
+class TestStreamVersions(unittest.IsolatedAsyncioTestCase):
+    async def test_another_attempt_is_made_at_the_version_that_began_the_stream(self) -> None:
+        for version in ("v1", "v2"):
+            async with rig_of(ScriptedUpstream([breaks])) as rig:
+                others = ["v2", "v1"] if version == "v1" else ["v1", "v2"]
+                set_versions(rig, version, *others)
+                prefer(rig, "b0")
+                got = await rig.call()
+            self.assertEqual((True, WHOLE), (got.whole, got.body))
+            self.assertEqual([0, 2], served(rig))
+
+    async def test_without_an_upstream_of_its_version_a_stream_is_truncated(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks])) as rig:
+            set_versions(rig, "v1", "v2", "v2")
+            prefer(rig, "b0")
+            got = await rig.call()
+        self.assertEqual((False, event(0)), (got.whole, got.body))
+        self.assertEqual([0], served(rig))
+
+    async def test_before_the_first_event_any_version_will_do(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks_before_an_event]), others=1) as rig:
+            set_versions(rig, "v1", "v2")
+            prefer(rig, "b0")
+            got = await rig.call()
+        self.assertEqual((True, WHOLE), (got.whole, got.body))
+        self.assertEqual([0, 1], served(rig))
+
+    async def test_a_silent_upstream_is_replaced_at_the_version_that_began_the_stream(self) -> None:
+        async with rig_of(ScriptedUpstream([stalls])) as rig:
+            set_versions(rig, "v1", "v2", "v1")
+            prefer(rig, "b0")
+            got = await rig.call()
+        self.assertEqual((True, WHOLE), (got.whole, got.body))
+        self.assertEqual([0, 2], served(rig))
+
+    async def test_a_backup_is_kept_at_the_version_of_its_run(self) -> None:
+        async def either(seen: ReceivedRequest) -> None:
+            await (resumes if "kv-from" in seen.headers else breaks)(seen)
+
+        upstreams = [ScriptedUpstream([either]) for _ in range(4)]
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            set_versions(rig, "v1", "v2", "v1", "v2")
+            got = await rig.call(headers=_LONG_ENOUGH_FOR_A_BACKUP)
+            versions = {f"b{n}": "v1" if n % 2 == 0 else "v2" for n in range(4)}
+        self.assertEqual((True, WHOLE), (got.whole, got.body))
+        self.assertEqual(1, len({versions[f"b{number}"] for number in served(rig)}))
+
+    async def test_without_another_upstream_of_its_version_a_run_has_no_backup(self) -> None:
+        upstreams = [ScriptedUpstream([breaks]), ScriptedUpstream([breaks])]
+        async with Rig(upstreams, RouteKind.STREAM, engine=True, backups=True) as rig:
+            set_versions(rig, "v1", "v2")
+            got = await rig.call(headers=_LONG_ENOUGH_FOR_A_BACKUP)
+        (seen,) = [seen for item in upstreams for seen in item.requests]
+        self.assertNotIn("kv-backup", seen.headers)
+        self.assertFalse(got.whole)
+
+    async def test_a_run_is_moved_to_the_version_that_began_its_stream(self) -> None:
+        for target in (1, 2):
+            site = Site()
+            async with site.open():
+                versions = ["v1", "v2", "v2"]
+                versions[target] = "v1"
+                set_versions(site.rig, *versions)
+                prefer(site.rig, "b0")
+                calling = asyncio.create_task(site.rig.call(headers=LONG))
+                await site.wait_started()
+                set_versions(site.rig, *versions, leaving=0)
+                got = await calling
+                await site.wait_idle()
+            self.assertTrue(got.whole)
+            self.assertEqual([0, target], served(site.rig))
+
+    async def test_a_run_without_a_target_of_its_version_is_not_stopped(self) -> None:
+        site = Site()
+        async with site.open():
+            set_versions(site.rig, "v1", "v2", "v2")
+            prefer(site.rig, "b0")
+            calling = asyncio.create_task(site.rig.call(headers=LONG))
+            await site.wait_started()
+            set_versions(site.rig, "v1", "v2", "v2", leaving=0)
+            got = await calling
+            await site.wait_idle()
+        self.assertTrue(got.whole)
+        self.assertEqual([], site.source.calls)
+        self.assertEqual([0], served(site.rig))
+
+    async def test_a_placement_at_another_version_is_not_sent(self) -> None:
+        # A scheduler may name any upstream; the check right before the request is written is last.
+        async with rig_of(ScriptedUpstream([breaks])) as rig:
+            set_versions(rig, "v1", "v2", "v1")
+            prefer(rig, "b1")
+            prefer(rig, "b0")
+            got = await rig.call()
+            lines = [json.loads(line) for line in rig.lines]
+        self.assertEqual((True, WHOLE), (got.whole, got.body))
+        self.assertEqual([0, 2], served(rig))
+        barred = [line for line in lines if line.get("why") == "other version: v2"]
+        self.assertEqual(["b1"], [line["upstream"] for line in barred])
+
+    async def test_a_later_incarnation_of_another_version_is_another_upstream(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks, resumes]), others=0) as rig:
+            set_versions(rig, "v1")
+            prefer(rig, "b0")
+            calling = asyncio.create_task(rig.call())
+            while not rig.upstreams[0].requests:
+                await asyncio.sleep(0.005)
+            restarted = [replace(item, id=f"{item.id}@2", version="v2") for item in rig.view.all()]
+            rig.view.replace(restarted, rig.view.revision + 1)
+            got = await calling
+        self.assertEqual((False, event(0)), (got.whole, got.body))
+        self.assertEqual(1, len(rig.upstreams[0].requests))
+
+
+class TestStreamVersion(unittest.TestCase):
+    def upstream(self, version: str) -> Upstream:
+        return Upstream("b0", "s", "10.0.0.1:80", "z", 8, False, version=version)
+
+    def test_the_first_event_decides_and_is_reported_once(self) -> None:
+        begun: list[str] = []
+        version = StreamVersion("", begun.append)
+        self.assertTrue(version.accepts(self.upstream("v1")))
+        self.assertTrue(version.accepts(self.upstream("v2")))
+        version.note_event(self.upstream("v1"))
+        version.note_event(self.upstream("v1"))
+        self.assertEqual((["v1"], "v1"), (begun, version.value))
+        self.assertFalse(version.accepts(self.upstream("v2")))
+
+    def test_a_stream_that_is_taken_up_has_its_version_before_any_event(self) -> None:
+        begun: list[str] = []
+        version = StreamVersion("v1", begun.append)
+        self.assertFalse(version.accepts(self.upstream("v2")))
+        version.note_event(self.upstream("v1"))
+        self.assertEqual(["v1"], begun)
--- a/tests/waiting/test_admission_queue.py
+++ b/tests/waiting/test_admission_queue.py
@@ -20,6 +20,7 @@
 from lotushill.waiting.entry import QueueEntry
 from lotushill.waiting.slot_turns import RemoteQueues
 from tests.waiting.entries import SERVICE
+from tests.waiting.entries import SLOTS
 from tests.waiting.entries import UPSTREAMS
 from tests.waiting.entries import chat
 from tests.waiting.entries import filled_fleet
@@ -123,6 +124,22 @@
         )
         self.assertEqual([(1, True)], self.due(START + 0.03))
 
+    def test_a_stream_bound_to_a_full_version_does_not_hold_up_others(self) -> None:
+        upstreams = [
+            replace(item, version=f"v{index}") for index, item in enumerate(UPSTREAMS, start=1)
+        ]
+        for key, version in ((1, "v1"), (2, ""), (3, "v2")):
+            need = replace(chat(), version=version)
+            entry = queue_entry(key, need, START + 0.01 * key)
+            self.queue.place(entry, SERVICE, upstreams, START + 0.01 * key)
+        self.fleet.end(Ended(1_000 + 2 + SLOTS), START + 0.1)
+        due = [
+            (entry.key, decision.upstream.version)
+            for entry, decision in self.queue.due(SERVICE, upstreams, START + 0.2)
+            if isinstance(decision, Choice)
+        ]
+        self.assertEqual([(2, "v2")], due[:1])
+
     def test_requests_that_can_be_on_time_precede_late_ones(self) -> None:
         self.place(queue_entry(1, chat(), START))
         late = START + 0.7
