A stream that its client takes up goes on at the version that began it

Callers had events of two software versions in one stream (ORDER) when they came back to any gateway: it chose an engine by load alone, and the gateway that had the stream, which alone knew the version, might be gone.

The gateway that passes the first event on now tells the origin of the stream to an owner in each of up to four halls, chosen by rendezvous over the id of the client's request, right before the event. The gateway to which the client comes asks the owners, in a small fleet all gateways, three times within 120 ms. What nobody knows goes on only where one version has served for longer than a stream lasts; otherwise it is refused as not run, and so is a stream whose version has no engine left (docs/design/stream-versions.md).

Clients that name no request go on where one version has served in all views, as before.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,76 @@
 
 
 BREAKS = (
+    Break(
+        "versions: a placement at another version is not sent",
+        "requests/attempt.py",
+        "        if not self._version.accepts(upstream):",
+        "        if False:",
+        "tests.requests.test_stream_versions",
+    ),
+    Break(
+        "versions: the search asks for the version of the stream",
+        "requests/upstream_search.py",
+        "self._version.bind(request), excluded",
+        "request, excluded",
+        "tests.requests.test_stream_versions",
+    ),
+    Break(
+        "versions: a run is moved within its version",
+        "requests/mover.py",
+        "request = StreamVersion(run.upstream.version).bind(run.request)",
+        "request = run.request",
+        "tests.requests.test_stream_versions",
+    ),
+    Break(
+        "versions: a backup is kept within its version",
+        "placement/backup.py",
+        " and item.version == chosen.version",
+        "",
+        "tests.requests.test_stream_versions",
+    ),
+    Break(
+        "versions: prompt memory is copied within a version",
+        "placement/fetch.py",
+        "by_version[upstreams[name].version][name]",
+        'by_version[""][name]',
+        "tests.placement.test_fetch",
+    ),
+    Break(
+        "versions: a bound stream holds up no others in the queue",
+        "waiting/admission_queue.py",
+        "kind = (entry.need.tier, entry.need.route, entry.need.version)",
+        'kind = (entry.need.tier, entry.need.route, "")',
+        "tests.waiting.test_admission_queue",
+    ),
+    Break(
+        "versions: the owners of a stream are told",
+        "versions/stream_origins.py",
+        "            if owner.name != self._members.own.name:",
+        "            if False:",
+        "tests.versions.test_stream_origins",
+    ),
+    Break(
+        "versions: an inquiry is repeated",
+        "versions/origin_inquiries.py",
+        "_ROUNDS = 3",
+        "_ROUNDS = 1",
+        "tests.versions.test_stream_origins",
+    ),
+    Break(
+        "versions: a sole version counts after the life of a stream",
+        "versions/sole_versions.py",
+        " or now - known.since < seconds:",
+        ":",
+        "tests.versions.test_stream_origins",
+    ),
+    Break(
+        "versions: a record that exists is not changed",
+        "versions/origin_records.py",
+        "origin, until = known[0], max(known[1], until)",
+        "until = max(known[1], until)",
+        "tests.versions.test_stream_origins",
+    ),
     Break(
         "a stream that ends with its connection inside an event is truncated",
         "requests/attempt.py",
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -31,6 +31,7 @@
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.limits.team_limits import TeamLimits
 from lotushill.links.http_server import HttpServer
+from lotushill.links.messages import ViewKind
 from lotushill.membership.schedulers import MAX_SMALL_FLEET_GATEWAYS
 from lotushill.peering.leaving_gossip import LeavingGossip
 from lotushill.peering.peers import PeerHooks
@@ -62,6 +63,7 @@
 from lotushill.scheduling.queue_runner import QueueRunner
 from lotushill.scheduling.shared_load import SharedLoad
 from lotushill.starting.startup_phase import StartupPhase
+from lotushill.versions.stream_origins import StreamOrigins
 from lotushill.waiting.admission_queue import AdmissionQueue
 from lotushill.waiting.slot_turns import RemoteQueues
 
@@ -82,6 +84,9 @@
 _EXIT_RESERVE_SECONDS = 1.0
 """Part of the grace time reserved at its end, so that the process exits before it is killed."""
 _DRAIN_POLL_INTERVAL_SECONDS = 0.05
+_MAX_UNCONFIRMED_SECONDS = 3.0
+"""Time without an answer of the store by which the view of upstreams counts as confirmed; longer
+than a watch lasts."""
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _FIXED_SETTINGS = ("name", "hall", "region", "clients", "readiness", "peers", "store", "duties")
 """Settings whose change requires a restart of the process."""
@@ -203,6 +208,13 @@
             settings.name, self.views, self.pool, self.peers, self.store, self.log, rng
         )
         self.registration = Registration(settings, self.store, self.peers, self.log, rng)
+        self.stream_origins = StreamOrigins(
+            self.peers.membership,
+            self.views.upstreams,
+            self.peers.send_message,
+            self._is_upstream_view_confirmed,
+            clocks.now,
+        )
         self.suspension = SuspensionWatch(
             clocks.now, time.monotonic, self._on_suspension, self.views.is_confirmed_since
         )
@@ -257,6 +269,7 @@
                 mover=self.mover,
                 budgets=self.retry_budgets,
                 quarantine=self.quarantine.gossip,
+                stream_origins=self.stream_origins,
                 work=self.duties.request_counter,
                 log=self.log,
                 metrics=self.metrics,
@@ -432,6 +445,9 @@
             on_permit_ask=self._on_permit_ask,
             on_permit_answer=lambda answer: self.limits.client.receive(answer),
             on_returns=lambda update: self.return_gossip.receive(update),
+            on_origin=lambda update: self.stream_origins.receive(update),
+            on_origin_ask=lambda ask: self.stream_origins.answer(ask),
+            on_origin_answer=lambda answer: self.stream_origins.inquiries.receive(answer),
             on_tick=self._on_tick,
             serve_relay=lambda request, channel, stream: self.relay_server.serve(
                 request, channel, stream
@@ -457,6 +473,7 @@
         self.leaving_gossip.send_due()
         self.limits.gossip.send_due()
         self.return_gossip.send_due()
+        self.stream_origins.observe_view()
         self.mover.start_due_handovers()
         self.pool.watch_paths()
 
@@ -480,6 +497,11 @@
         registered_count = self.registration.registered_count
         return max(registered_count, self.peers.count()) if registered_count else 0
 
+    def _is_upstream_view_confirmed(self) -> bool:
+        """Return whether the view of upstreams is as new as the store's, within some seconds."""
+        seconds = self.views.seconds_unconfirmed(ViewKind.UPSTREAMS)
+        return self.views.is_fresh() and (seconds or 0.0) < _MAX_UNCONFIRMED_SECONDS
+
     def _is_upstream_address(self, address: str) -> bool:
         return any(item.address == address for item in self.views.upstreams.all())
 
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -33,6 +33,7 @@
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
     from lotushill.scheduling.queue_runner import QueueRunner
+    from lotushill.versions.stream_origins import StreamOrigins
 
 
 class ReportedGateway(Protocol):
@@ -54,6 +55,7 @@
     dialer: UpstreamDialer
     relay_server: RelayServer
     mover: Mover
+    stream_origins: StreamOrigins
     quarantine: FleetQuarantine
     side_tasks: SideTasks
     client_application: ClientApplication
@@ -75,6 +77,22 @@
         "Bytes of datagrams sent to peers since the start",
         lambda: gateway.peers.bytes_sent,
     )
+    gateway.metrics.add_gauge_by(
+        "streams",
+        "Streams that have begun and not ended, by the software version of their upstreams",
+        "version",
+        lambda: gateway.stream_origins.running,
+    )
+    add_gauge(
+        "stream_origins",
+        "Streams whose version this gateway knows",
+        lambda: len(gateway.stream_origins.records),
+    )
+    add_gauge(
+        "streams_unknown",
+        "Streams that were refused since the start, as nobody knew their version",
+        lambda: gateway.stream_origins.unknown,
+    )
     add_gauge("members", "Gateways that are alive", lambda: len(gateway.peers.membership.live()))
     add_gauge(
         "schedules",
@@ -330,6 +348,7 @@
         ],
         "places_kept": len(gateway.fleet.shedding.returns),
         "moves": gateway.mover.status(),
+        "streams": gateway.stream_origins.status(),
         "relays": _relays(gateway),
         "in_progress": gateway.client_application.in_progress,
         "store_calls": gateway.store.client.calls,
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -33,6 +33,9 @@
 from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.origin_messages import OriginAnswer
+from lotushill.links.origin_messages import OriginAsk
+from lotushill.links.origin_messages import OriginNews
 from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.links.quarantine_messages import GroupNews
 from lotushill.links.quarantine_messages import SuspectNews
@@ -64,6 +67,9 @@
     | WaitingNews
     | RelayOpen
     | RelayAnswer
+    | OriginNews
+    | OriginAsk
+    | OriginAnswer
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -216,6 +222,9 @@
     WaitingNews,
     RelayOpen,
     RelayAnswer,
+    OriginNews,
+    OriginAsk,
+    OriginAnswer,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _MESSAGE_TYPES}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -247,6 +247,30 @@
   outcome @0 :Text;
 }
 
+struct StreamOrigin {
+  request @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  seconds @3 :Float32;
+}
+
+struct OriginNews {
+  origin @0 :StreamOrigin;
+}
+
+struct OriginAsk {
+  sender @0 :Text;
+  number @1 :UInt64;
+  request @2 :Text;
+}
+
+struct OriginAnswer {
+  sender @0 :Text;
+  number @1 :UInt64;
+  service @2 :Text;
+  version @3 :Text;
+}
+
 struct Frame {
   union {
     ping @0 :Ping;
@@ -272,5 +296,8 @@
     waitingnews @20 :WaitingNews;
     relayopen @21 :RelayOpen;
     relayanswer @22 :RelayAnswer;
+    originnews @23 :OriginNews;
+    originask @24 :OriginAsk;
+    originanswer @25 :OriginAnswer;
   }
 }
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -42,6 +42,9 @@
 from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.origin_messages import OriginAnswer
+from lotushill.links.origin_messages import OriginAsk
+from lotushill.links.origin_messages import OriginNews
 from lotushill.links.pace_records import pack_paces
 from lotushill.links.pace_records import unpack_paces
 from lotushill.links.peer_links import PeerLinks
@@ -127,6 +130,11 @@
     on_permit_answer: Callable[[PermitAnswer], None]
     on_returns: Callable[[ReturnNews], None]
     """Receives updates on refused callers with a promised retry time."""
+    on_origin: Callable[[OriginNews], None]
+    """Receives where a stream began of which this gateway is an owner."""
+    on_origin_ask: Callable[[OriginAsk], OriginAnswer]
+    """Answers where a stream began."""
+    on_origin_answer: Callable[[OriginAnswer], None]
     on_tick: Callable[[], None]
     """Runs about twenty times a second."""
     serve_relay: Callable[[RelayOpen, Channel, ByteStream], Awaitable[None]]
@@ -324,6 +332,12 @@
             self._hooks.on_permit_answer(message)
         elif isinstance(message, ReturnNews):
             self._hooks.on_returns(message)
+        elif isinstance(message, OriginNews):
+            self._hooks.on_origin(message)
+        elif isinstance(message, OriginAsk):
+            self.send_message(self._hooks.on_origin_ask(message), f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, OriginAnswer):
+            self._hooks.on_origin_answer(message)
         elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
             source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
--- a/src/lotushill/process/metrics.py
+++ b/src/lotushill/process/metrics.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from prometheus_client.core import Metric
 
@@ -73,6 +74,16 @@
     read: Callable[[], float]
 
 
+@dataclass(frozen=True)
+class _GaugeBy:
+    """A gauge with a value for each value of a label, which are read at each scrape."""
+
+    name: str
+    text: str
+    label: str
+    read: Callable[[], Mapping[str, float]]
+
+
 class Metrics:
     """All metrics of one gateway.
 
@@ -130,11 +141,18 @@
             _RATIO_BUCKETS,
         )
         self._gauges: list[_Gauge] = []
+        self._gauges_by: list[_GaugeBy] = []
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value `read` returns at each scrape."""
         self._gauges.append(_Gauge(f"lotushill_{name}", text, read))
 
+    def add_gauge_by(
+        self, name: str, text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add a gauge whose values `read` returns at each scrape, by the value of `label`."""
+        self._gauges_by.append(_GaugeBy(f"lotushill_{name}", text, label, read))
+
     def record_request(self, service: str, outcome: str, seconds: float) -> None:
         """Record the outcome and the duration of a request."""
         self._requests.values[service, outcome.partition(":")[0]] += 1
@@ -206,6 +224,11 @@
             yield family
         for gauge in self._gauges:
             yield GaugeMetricFamily(gauge.name, gauge.text, value=gauge.read())
+        for gauge_by in self._gauges_by:
+            labelled = GaugeMetricFamily(gauge_by.name, gauge_by.text, labels=(gauge_by.label,))
+            for label, value in gauge_by.read().items():
+                labelled.add_metric((label,), value)
+            yield labelled
 
 
 def _cumulative(bounds: tuple[float, ...], buckets: _Buckets) -> list[tuple[str, float]]:
--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -23,6 +23,7 @@
 from lotushill.requests.client_protocol import CONNECTION
 from lotushill.requests.client_protocol import TARGET
 from lotushill.requests.exchange import Exchange
+from lotushill.requests.stream_version import stream_lifetime
 from lotushill.routing.route import RouteKind
 from lotushill.scheduling.request import Request
 from lotushill.starting.ready_wait import MAX_WAITING_REQUESTS
@@ -39,9 +40,13 @@
     from lotushill.routing.route import Route
     from lotushill.routing.table import RoutingTable
     from lotushill.routing.team import Team
+    from lotushill.versions.stream_origins import FoundOrigin
 
 _BODY_TIMEOUT_SECONDS = 10.0
 _READY_POLL_INTERVAL_SECONDS = 0.02
+_UNKNOWN_VERSION_RETRY_AFTER_SECONDS = 0.3
+"""Retry-After of a stream whose version nobody knows here; another gateway, to which the client
+comes next, may know it or reach one that does."""
 _DEFAULT_OUTPUT_FRACTION = 0.5
 """Fraction of the largest allowed output that is expected if the client gives no hint."""
 
@@ -173,6 +178,7 @@
     ) -> None:
         """Count and log the end of a request; `cut_by` applies if its answer is truncated."""
         elapsed = self._components.clock() - request.arrived
+        exchange.note_ended()
         service = request.service.name
         truncated = answer.state is AnswerState.TRUNCATED
         self._components.work.decrement_running(service)
@@ -209,7 +215,8 @@
         team = self._team(table, route, demand)
         body = await _read_request_body(receive, table)
         has_body = any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
-        service = table.services[route.service_for(self._components.rng.random())]
+        origin = await self._find_origin(route, demand)
+        service = table.services[self._service_name(route, origin)]
         route = self._components.settings.route_for(route, team, service.name)
         limit = min(demand.time_left or route.timeout, route.timeout)
         caller = caller_hash(team.name if team else "", scope[TARGET], body)
@@ -222,12 +229,49 @@
             body=body,
             route=route,
             service=service,
-            need=_need(route, demand, service.name, limit, team, caller),
+            need=_need(
+                route, demand, service.name, limit, team, caller, origin.version if origin else ""
+            ),
             team=team.name if team else "",
             arrived=arrived,
             ends=arrived + limit,
         )
 
+    async def _find_origin(self, route: Route, demand: Demand) -> FoundOrigin | None:
+        """Return where the stream began that a request takes up, None for a new one.
+
+        Refuse a stream whose version nobody knows: what two versions write does not fit together.
+        """
+        is_taken_up = bool(demand.resumed_request_id or demand.last_event_id)
+        if route.kind is not RouteKind.STREAM or not is_taken_up:
+            return None
+        services = [item.service for item in route.services]
+        origin = await self._components.stream_origins.find(
+            demand.resumed_request_id, services, stream_lifetime(route)
+        )
+        if origin is None:
+            self._note_resumed("stream.refused", demand, why="unknown version")
+            raise _TurnedAwayError(503, _UNKNOWN_VERSION_RETRY_AFTER_SECONDS)
+        self._note_resumed(
+            "stream.resumed", demand, version=origin.version, known_by=origin.known_by.value
+        )
+        return origin
+
+    def _note_resumed(self, event: str, demand: Demand, **fields: object) -> None:
+        self._components.log.note(
+            event,
+            request=demand.request_id,
+            resumes=demand.resumed_request_id,
+            last_event=demand.last_event_id,
+            **fields,
+        )
+
+    def _service_name(self, route: Route, origin: FoundOrigin | None) -> str:
+        """Return the service of a request: where its stream began, if that is on the route."""
+        if origin is not None and any(item.service == origin.service for item in route.services):
+            return origin.service
+        return route.service_for(self._components.rng.random())
+
     def _is_ready(self) -> bool:
         return (
             self._components.configuration.table is not None and self._components.holds_are_known()
@@ -280,7 +324,13 @@
 
 
 def _need(
-    route: Route, demand: Demand, service: str, limit: float, team: Team | None, caller: int
+    route: Route,
+    demand: Demand,
+    service: str,
+    limit: float,
+    team: Team | None,
+    caller: int,
+    version: str,
 ) -> Need:
     expected = demand.output_hint or int(demand.output_limit * _DEFAULT_OUTPUT_FRACTION)
     return Need(
@@ -298,4 +348,5 @@
         team_rank=route.urgency.team_rank,
         share=route.share,
         caller=caller,
+        version=version,
     )
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
+from lotushill.links.origin_messages import StreamOrigin
 from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.continuation import Continuation
 from lotushill.requests.event_stream import EventSplitter
 from lotushill.requests.replacement_search import ReplacementSearch
 from lotushill.requests.stream_version import StreamVersion
+from lotushill.requests.stream_version import stream_lifetime
 from lotushill.requests.tracked_attempt import AttemptTracker
 from lotushill.requests.upstream_search import UpstreamSearch
 from lotushill.scheduling.placement import Placement
@@ -59,7 +61,7 @@
         self._retry_after_seconds = _RETRY_AFTER_SECONDS
         self._unsent_count = 0
         self._rejection_count = 0
-        version = StreamVersion(request.need.version)
+        self.stream_version = version = StreamVersion(request.need.version, self._note_begun)
         self._search = UpstreamSearch(components, request, version)
         self._continuation = Continuation(
             components, request, self._splitter, version, self._attempt, self._has_repeat_left
@@ -91,6 +93,11 @@
         """Return the milliseconds to the first event in the last attempt, negative without one."""
         return self._tracker.first_ms
 
+    def note_ended(self) -> None:
+        """Record that the request has ended; called once."""
+        if self.stream_version.has_begun:
+            self._components.stream_origins.note_ended(self.stream_version.value)
+
     async def run(self) -> None:
         """Try upstreams until the request is answered or given up."""
         request = self._request
@@ -254,5 +261,14 @@
         else:
             await self._answer.send_own_answer(_UNAVAILABLE, self._retry_after_seconds)
 
+    def _note_begun(self, version: str) -> None:
+        """Tell the fleet where a stream begins, as its client may take it up at any gateway."""
+        request, origins = self._request, self._components.stream_origins
+        origins.note_begun(version)
+        if request.route.resumable:
+            first_request = request.demand.resumed_request_id or request.demand.request_id
+            lifetime = stream_lifetime(request.route)
+            origins.tell(StreamOrigin(first_request, request.service.name, version, lifetime))
+
     def _note(self, event: str, **fields: object) -> None:
         self._components.log.note(event, request=self._request.demand.request_id, **fields)
--- a/src/lotushill/requests/gateway_components.py
+++ b/src/lotushill/requests/gateway_components.py
@@ -25,6 +25,7 @@
     from lotushill.requests.upstream_pool import UpstreamPool
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.shared_load import SharedLoad
+    from lotushill.versions.stream_origins import StreamOrigins
     from lotushill.views.configuration_view import ConfigurationView
     from lotushill.views.upstream_view import UpstreamView
 
@@ -48,6 +49,7 @@
     mover: Mover
     budgets: RetryBudgets
     quarantine: QuarantineGossip
+    stream_origins: StreamOrigins
     work: RequestCounter
     log: EventLog
     metrics: Metrics
--- a/src/lotushill/requests/stream_version.py
+++ b/src/lotushill/requests/stream_version.py
@@ -8,10 +8,21 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.routing.route import Route
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.request import Request
 
 
+_LIFETIME_FACTOR = 2.0
+"""Longest life of a stream over all requests of its client, as a multiple of the time limit of one
+of them: the last one may begin right before the client's own deadline."""
+
+
+def stream_lifetime(route: Route) -> float:
+    """Return the seconds for which a stream may be taken up after it has begun."""
+    return _LIFETIME_FACTOR * route.timeout
+
+
 class StreamVersion:
     """Version of the upstream that brought the first event; empty while there is none."""
 
@@ -22,13 +33,14 @@
         """
         self.value = version
         self._on_begun = on_begun
-        self._has_begun = False
+        self.has_begun = False
+        """Whether an event was passed to the client in this answer."""
 
     def note_event(self, upstream: Upstream) -> None:
         """Record that an event of `upstream` is about to be passed to the client."""
-        if self._has_begun:
+        if self.has_begun:
             return
-        self._has_begun = True
+        self.has_begun = True
         self.value = self.value or upstream.version
         self._on_begun(self.value)
 
--- /dev/null
+++ b/src/lotushill/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of upstreams, and the version at which each stream began."""
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -10,6 +10,8 @@
 
 _REQUEST_PATH = "tests.requests.test_request_path"
 _UNFRAMED = "tests.requests.test_unframed_streams.TestUnframedStreams"
+_VERSIONS = "tests.requests.test_stream_versions"
+_ORIGINS = "tests.versions.test_stream_origins.TestStreamOrigins"
 _STORE = "tests.platform.test_object_store"
 _PARTITIONS = "tests.soak.test_partitions.TestPartitions"
 _DIALER = "tests.requests.test_upstream_dialer.TestUpstreamDialer"
@@ -154,6 +156,84 @@
             ),
         ),
     ),
+    Promise(
+        "A stream goes on at the software version that began it, or is refused as not run.",
+        "ORDER, LOST",
+        (
+            Case(
+                "its upstream breaks off, falls silent or leaves, and others have another version",
+                (
+                    f"{_VERSIONS}.TestStreamVersions."
+                    "test_another_attempt_is_made_at_the_version_that_began_the_stream",
+                    f"{_VERSIONS}.TestStreamVersions."
+                    "test_a_silent_upstream_is_replaced_at_the_version_that_began_the_stream",
+                    f"{_VERSIONS}.TestStreamVersions."
+                    "test_a_backup_is_kept_at_the_version_of_its_run",
+                    f"{_VERSIONS}.TestStreamVersions."
+                    "test_a_run_is_moved_to_the_version_that_began_its_stream",
+                ),
+            ),
+            Case(
+                "no upstream of its version is left",
+                (
+                    f"{_VERSIONS}.TestStreamVersions."
+                    "test_without_an_upstream_of_its_version_a_stream_is_truncated",
+                    f"{_VERSIONS}.TestTakeUps."
+                    "test_a_stream_without_an_upstream_of_its_version_is_refused_at_once",
+                ),
+            ),
+            Case(
+                "its version is full, or has two upstreams left under high load",
+                (
+                    "tests.waiting.test_admission_queue.TestAdmissionQueue."
+                    "test_a_stream_bound_to_a_full_version_does_not_hold_up_others",
+                    "tests.placement.test_version_reserve.TestVersionReserve."
+                    "test_the_last_slots_of_a_scarce_version_are_left_to_its_streams",
+                ),
+            ),
+            Case(
+                "an instance restarts under its name with another version",
+                (
+                    f"{_VERSIONS}.TestStreamVersions."
+                    "test_a_later_incarnation_of_another_version_is_another_upstream",
+                ),
+            ),
+            Case(
+                "its client takes it up at another gateway, after the one that had it was killed",
+                (
+                    f"{_ORIGINS}.test_every_gateway_finds_the_version",
+                    f"{_ORIGINS}.test_the_version_outlives_the_gateway_and_all_owners_but_one",
+                    f"{_ORIGINS}.test_a_gateway_that_has_just_started_finds_the_version",
+                ),
+            ),
+            Case(
+                "a hall is cut off, or datagrams between gateways are lost",
+                (
+                    f"{_ORIGINS}.test_a_hall_that_is_cut_off_finds_what_began_before",
+                    f"{_ORIGINS}.test_lost_datagrams_are_made_up_for",
+                ),
+            ),
+            Case(
+                "nobody knows its version",
+                (
+                    f"{_ORIGINS}.test_what_nobody_knows_is_refused_at_once",
+                    f"{_VERSIONS}.TestTakeUps."
+                    "test_a_stream_whose_version_nobody_knows_is_refused_as_not_run",
+                ),
+            ),
+            Case(
+                "versions are rolled while clients leave and gateways and engines are killed",
+                (
+                    "tests.soak.test_soak.TestSoak."
+                    "test_no_stream_goes_on_at_another_version_than_the_one_that_began_it",
+                ),
+            ),
+            Case(
+                "all gateways are lost within the life of a stream",
+                note="its version is not known any more; it goes on with one version in service",
+            ),
+        ),
+    ),
     Promise(
         "An upstream runs what the client sent, for the team of the client's key.",
         "UNASKED, ROUTE",
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -27,6 +27,9 @@
 from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.origin_messages import OriginAnswer
+from lotushill.links.origin_messages import OriginAsk
+from lotushill.links.origin_messages import OriginNews
 from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.links.quarantine_messages import GroupNews
 from lotushill.links.quarantine_messages import SuspectNews
@@ -57,6 +60,9 @@
     LeavingNews,
     GroupNews,
     WaitingNews,
+    OriginNews,
+    OriginAsk,
+    OriginAnswer,
 ]
 
 
--- a/tests/peering/silent_network.py
+++ b/tests/peering/silent_network.py
@@ -329,5 +329,8 @@
         on_permit_ask=ignore,
         on_permit_answer=ignore,
         on_returns=ignore,
+        on_origin=ignore,
+        on_origin_ask=ignore,
+        on_origin_answer=ignore,
         on_tick=ignore,
     )
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -15,6 +15,7 @@
 from lotushill.links.messages import PlacementAnswer
 from lotushill.links.messages import StoreContact
 from lotushill.links.messages import ViewKind
+from lotushill.links.origin_messages import OriginAnswer
 from lotushill.membership.schedulers import SCHEDULERS_PER_HALL
 from lotushill.peering.peers import PeerHooks
 from lotushill.peering.peers import Peers
@@ -96,6 +97,9 @@
             on_permit_ask=lambda ask: PermitAnswer(ask.number, True, 0.0, 0),
             on_permit_answer=lambda _: None,
             on_returns=lambda _: None,
+            on_origin=lambda _: None,
+            on_origin_ask=lambda ask: OriginAnswer(name, ask.number),
+            on_origin_answer=lambda _: None,
             on_tick=lambda: None,
             on_gateway_gone=lambda name: None,
             answer_placement=lambda ask, now: PlacementAnswer(name, ask.request, refusal=UNREADY),
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -61,6 +61,7 @@
 from lotushill.routing.urgency import Urgency
 from lotushill.scheduling.placer import Placer
 from lotushill.scheduling.shared_load import SharedLoad
+from lotushill.versions.stream_origins import StreamOrigins
 from lotushill.views.configuration_view import ConfigurationView
 from lotushill.views.upstream_view import UpstreamView
 
@@ -361,6 +362,9 @@
             self.quarantine_gossip, budgets, gate, pool, fleet, stated.rate, metrics, log,
             self.clock,
         )  # fmt: skip
+        self.stream_origins = StreamOrigins(
+            members, self.view, lambda *_: None, lambda: self.fresh, self.clock
+        )
         self.components = GatewayComponents(
             name="gw",
             configuration=self.configuration,
@@ -376,6 +380,7 @@
             limits=self.limits,
             team_limits=TeamLimits(limit_owners, self.limits.client, random.Random(8), self.clock),
             quarantine=self.quarantine_gossip,
+            stream_origins=self.stream_origins,
             budgets=budgets,
             work=RequestCounter("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
             log=log,
--- a/tests/requests/test_stream_versions.py
+++ b/tests/requests/test_stream_versions.py
@@ -77,6 +77,15 @@
             self.assertEqual((True, WHOLE), (got.whole, got.body))
             self.assertEqual([0, 2], served(rig))
 
+    async def test_other_versions_are_not_even_tried(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks]), others=7) as rig:
+            set_versions(rig, "v1", *["v2"] * 6, "v1")
+            prefer(rig, "b0")
+            got = await rig.call()
+            whys = [json.loads(line).get("why", "") for line in rig.lines]
+        self.assertEqual((True, WHOLE), (got.whole, got.body))
+        self.assertEqual([], [why for why in whys if why.startswith("other version")])
+
     async def test_without_an_upstream_of_its_version_a_stream_is_truncated(self) -> None:
         async with rig_of(ScriptedUpstream([breaks])) as rig:
             set_versions(rig, "v1", "v2", "v2")
@@ -179,6 +188,83 @@
         self.assertEqual(1, len(rig.upstreams[0].requests))
 
 
+class TestTakeUps(unittest.IsolatedAsyncioTestCase):
+    """A client takes a stream up with a request of its own."""
+
+    def rig(self, count: int = 3) -> Rig:
+        upstreams = [ScriptedUpstream([resumes]) for _ in range(count)]
+        return Rig(upstreams, RouteKind.STREAM, True, engine=True)
+
+    def headers(self, first_request: str = "r1") -> str:
+        return f"Last-Event-Id: 0\r\nResumes: {first_request}\r\n"
+
+    async def test_a_stream_that_is_taken_up_goes_on_at_its_version(self) -> None:
+        for version in ("v1", "v2"):
+            async with self.rig() as rig:
+                set_versions(rig, version, "v2", "v1")
+                place = rig.components.placer.place
+                prefer(rig, "b0")
+                await rig.call("r1")
+                rig.components.placer.place = place  # type: ignore[method-assign]
+                prefer(rig, "b1" if version == "v1" else "b2")
+                set_versions(rig, "other", "v2", "v1")
+                got = await rig.call("r2", self.headers())
+                lines = [json.loads(line) for line in rig.lines]
+            self.assertEqual((True, event(1) + event(2)), (got.whole, got.body))
+            self.assertEqual([0, 2 if version == "v1" else 1], served(rig))
+            (resumed,) = [line for line in lines if line["event"] == "stream.resumed"]
+            self.assertEqual(
+                ("r1", version, "this gateway"),
+                (resumed["resumes"], resumed["version"], resumed["known_by"]),
+            )
+
+    async def test_a_stream_that_is_taken_up_twice_is_known_by_its_first_request(self) -> None:
+        async with self.rig() as rig:
+            set_versions(rig, "v1", "v2", "v2")
+            prefer(rig, "b0")
+            await rig.call("r1")
+            await rig.call("r2", self.headers("r1"))
+            await rig.call("r3", self.headers("r1"))
+        self.assertEqual([0], served(rig))
+        self.assertEqual(3, len(rig.upstreams[0].requests))
+        self.assertEqual({}, rig.stream_origins.running)
+
+    async def test_a_stream_whose_version_nobody_knows_is_refused_as_not_run(self) -> None:
+        async with self.rig() as rig:
+            set_versions(rig, "v1", "v2", "v2")
+            for headers in (self.headers("r0"), "Last-Event-Id: 0\r\n"):
+                got = await rig.call("r2", headers)
+                self.assertEqual(503, got.status)
+                self.assertIn("retry-after", got.headers)
+            lines = [json.loads(line) for line in rig.lines]
+        self.assertEqual([], served(rig))
+        refused = [line for line in lines if line["event"] == "stream.refused"]
+        self.assertEqual(["unknown version"] * 2, [line["why"] for line in refused])
+
+    async def test_a_stream_without_an_upstream_of_its_version_is_refused_at_once(self) -> None:
+        async with self.rig(2) as rig:
+            set_versions(rig, "v1", "v2")
+            prefer(rig, "b0")
+            await rig.call("r1")
+            set_versions(rig, "v1", "v2", leaving=0)
+            prefer(rig, "b1")
+            began = asyncio.get_running_loop().time()
+            got = await rig.call("r2", self.headers())
+            elapsed = asyncio.get_running_loop().time() - began
+            lines = [json.loads(line) for line in rig.lines]
+        self.assertEqual((503, "2.00"), (got.status, got.headers["retry-after"]))
+        self.assertLess(elapsed, 0.3)
+        self.assertEqual([0], served(rig))
+        (none,) = [line for line in lines if line["event"] == "placement.none"]
+        self.assertEqual("no upstream of its version", none["reason"])
+
+    async def test_a_client_that_names_no_request_goes_on_while_there_is_one_version(self) -> None:
+        async with self.rig() as rig:
+            set_versions(rig, "v1", "v1", "v1")
+            got = await rig.call("r2", "Last-Event-Id: 0\r\n")
+        self.assertEqual((True, event(1) + event(2)), (got.whole, got.body))
+
+
 class TestStreamVersion(unittest.TestCase):
     def upstream(self, version: str) -> Upstream:
         return Upstream("b0", "s", "10.0.0.1:80", "z", 8, False, version=version)
