A client that leaves while its stream's origin is looked up reaches no upstream

The callback for a lost connection is set when the request is placed, after the look-up of up to 120 ms; a connection that was lost before was never noticed, and its stream ran to its end at an engine (GONE). Found by reading; the test fails without the check.

--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -151,6 +151,9 @@
             disconnect_handler = _DisconnectHandler(cancel_scope)
             connection.on_lost = disconnect_handler.on_disconnect
             self._scopes.add(cancel_scope)
+            if connection.is_lost:
+                # The client left while the origin of its stream was looked up.
+                disconnect_handler.on_disconnect()
             try:
                 await exchange.run()
             except Exception as error:
--- a/src/lotushill/requests/client_protocol.py
+++ b/src/lotushill/requests/client_protocol.py
@@ -32,6 +32,8 @@
         super().__init__(*arguments, **options)
         self.on_lost: Callable[[], None] | None = None
         """Callback for the end of the connection, None if there is none."""
+        self.is_lost = False
+        """Whether the connection has ended."""
         self._limits = limits
         self._timer: asyncio.TimerHandle | None = None
 
@@ -56,6 +58,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timeout and call `on_lost`."""
         self._stop_timer()
+        self.is_lost = True
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost()
--- a/tests/requests/test_stream_versions.py
+++ b/tests/requests/test_stream_versions.py
@@ -10,14 +10,18 @@
 import json
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from lotushill.requests.stream_version import StreamVersion
 from lotushill.routing.route import RouteKind
 from lotushill.routing.upstream import Upstream
+from lotushill.versions.stream_origins import FoundOrigin
+from lotushill.versions.stream_origins import KnownBy
 from tests.requests.rig import ReceivedRequest
 from tests.requests.rig import Rig
 from tests.requests.rig import ScriptedUpstream
 from tests.requests.rig import event
+from tests.requests.rig import request_bytes
 from tests.requests.test_cooldowns import prefer
 from tests.requests.test_moves import LONG
 from tests.requests.test_moves import Site
@@ -258,6 +262,29 @@
         (none,) = [line for line in lines if line["event"] == "placement.none"]
         self.assertEqual("no upstream of its version", none["reason"])
 
+    async def test_a_client_that_leaves_while_its_version_is_looked_up_reaches_no_upstream(
+        self,
+    ) -> None:
+        async with self.rig() as rig:
+            set_versions(rig, "v1", "v2", "v2")
+            looked_up = asyncio.Event()
+
+            async def find(request: str, *_: object) -> FoundOrigin:
+                del request
+                await looked_up.wait()
+                return FoundOrigin("s", "v1", KnownBy.PEER)
+
+            with patch.object(rig.stream_origins, "find", find):
+                _, writer = await rig.connect()
+                writer.write(request_bytes("r2", self.headers()))
+                await asyncio.sleep(0.05)
+                writer.close()
+                await asyncio.sleep(0.05)
+                looked_up.set()
+                while rig.front.in_progress:
+                    await asyncio.sleep(0.005)
+        self.assertEqual([], served(rig))
+
     async def test_a_client_that_names_no_request_goes_on_while_there_is_one_version(self) -> None:
         async with self.rig() as rig:
             set_versions(rig, "v1", "v1", "v1")
