Placement at one version costs as much as before

Upstreams are compared by version only for streams that have one, and versions are counted only where there are two. Plain services, whose requests never go on, have no reserve for versions. No change in what is chosen.

--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -230,7 +230,9 @@
         by_id = {item.id: item for item in upstreams}
         ranks = _ranks(need.service, tuple(by_id)) if service.engine else {}
         serving = by_id.values()
-        candidates = [item for item in serving if item.id not in excluded and need.accepts(item)]
+        candidates = [item for item in serving if item.id not in excluded]
+        if need.version:
+            candidates = [item for item in candidates if need.accepts(item)]
         reachable = [item for item in candidates if not self.load(item.id).is_unreachable(now)]
         if need.version and not any(need.accepts(item) for item in serving):
             return NoChoice(Refusal.NO_VERSION, _NO_VERSION_RETRY_AFTER_SECONDS, final=True)
@@ -242,7 +244,7 @@
                 self.shedding.refuse_for_others(need, withheld, now), need, now
             )
         with_room = [item for item in reachable or candidates if item.id not in closed_engines]
-        if not need.version:
+        if service.engine is not None and not need.version:
             with_room = without_reserved(with_room, serving, self._free_slots)
         if self.brittle.is_brittle(need.service, now):
             with_room = [item for item in with_room if len(self.load(item.id).running) < item.slots]
--- a/src/lotushill/placement/version_reserve.py
+++ b/src/lotushill/placement/version_reserve.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from lotushill.routing.upstream import Upstream
 
@@ -25,7 +25,7 @@
 
 def without_reserved(
     upstreams: list[Upstream],
-    serving: Iterable[Upstream],
+    serving: Collection[Upstream],
     free_slots: Callable[[Upstream], int],
 ) -> list[Upstream]:
     """Return the upstreams that a request may use which is not bound to a version.
@@ -34,9 +34,9 @@
     version with no more free slots than the reserve are left out, as long as another version has an
     upstream with a free slot.
     """
-    counts = Counter(item.version for item in serving)
-    if len(counts) < 2:
+    if _has_one_version(serving):
         return upstreams
+    counts = Counter(item.version for item in serving)
     by_version: dict[str, list[Upstream]] = defaultdict(list)
     for item in upstreams:
         by_version[item.version].append(item)
@@ -54,5 +54,11 @@
     ]
 
 
+def _has_one_version(upstreams: Collection[Upstream]) -> bool:
+    """Return whether all upstreams have the same version, without counting them."""
+    first = next(iter(upstreams), None)
+    return first is None or all(item.version == first.version for item in upstreams)
+
+
 def _reserve(upstream: Upstream) -> int:
     return max(1, int(_RESERVED_FRACTION * upstream.slots))
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -165,8 +165,8 @@
         failures = self._components.fleet.load(backup.id).failures
         is_healthy = failures.rate(self._clock()) < _MAX_FAILURE_RATE
         is_accepting = self._components.gate.accepts_requests(backup.id)
-        is_accepting = is_accepting and self._version.accepts(backup)
-        return is_known and is_healthy and is_accepting and self._splitter.event_count > 0
+        is_usable = is_healthy and is_accepting and self._version.accepts(backup)
+        return is_known and is_usable and self._splitter.event_count > 0
 
     async def continue_from_handover(
         self,
