The look-up of streams that clients take up is a module of its own

client_application.py checks requests; where a stream began is found in take_ups.py. The rule for a sole version is one function, and the wait for the answer of a stop begins only if there was one. No change in behaviour.

--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -23,7 +23,8 @@
 from lotushill.requests.client_protocol import CONNECTION
 from lotushill.requests.client_protocol import TARGET
 from lotushill.requests.exchange import Exchange
-from lotushill.requests.stream_version import stream_lifetime
+from lotushill.requests.take_ups import TakeUps
+from lotushill.requests.take_ups import UnknownOriginError
 from lotushill.routing.route import RouteKind
 from lotushill.scheduling.request import Request
 from lotushill.starting.ready_wait import MAX_WAITING_REQUESTS
@@ -44,8 +45,8 @@
 
 _BODY_TIMEOUT_SECONDS = 10.0
 _READY_POLL_INTERVAL_SECONDS = 0.02
-_UNKNOWN_VERSION_RETRY_AFTER_SECONDS = 0.3
-"""Retry-After of a stream whose version nobody knows here; another gateway, to which the client
+_UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS = 0.3
+"""Retry-After of a stream whose origin this gateway cannot find; another one, to which the client
 comes next, may know it or reach one that does."""
 _DEFAULT_OUTPUT_FRACTION = 0.5
 """Fraction of the largest allowed output that is expected if the client gives no hint."""
@@ -77,6 +78,7 @@
 
     def __init__(self, components: GatewayComponents) -> None:
         self._components = components
+        self._take_ups = TakeUps(components)
         self._request_numbers = itertools.count()
         self._scopes: set[anyio.CancelScope] = set()
         """Cancel scopes of the requests in progress."""
@@ -152,7 +154,7 @@
             connection.on_lost = disconnect_handler.on_disconnect
             self._scopes.add(cancel_scope)
             if connection.is_lost:
-                # The client left while the origin of its stream was looked up.
+                # The client left while its request was checked.
                 disconnect_handler.on_disconnect()
             try:
                 await exchange.run()
@@ -219,7 +221,7 @@
         body = await _read_request_body(receive, table)
         has_body = any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
         origin = await self._find_origin(route, demand)
-        service = table.services[self._service_name(route, origin)]
+        service = table.services[self._take_ups.service_name(route, origin)]
         route = self._components.settings.route_for(route, team, service.name)
         limit = min(demand.time_left or route.timeout, route.timeout)
         caller = caller_hash(team.name if team else "", scope[TARGET], body)
@@ -241,39 +243,10 @@
         )
 
     async def _find_origin(self, route: Route, demand: Demand) -> FoundOrigin | None:
-        """Return where the stream began that a request takes up, None for a new one.
-
-        Refuse a stream whose version nobody knows: what two versions write does not fit together.
-        """
-        is_taken_up = bool(demand.resumed_request_id or demand.last_event_id)
-        if route.kind is not RouteKind.STREAM or not is_taken_up:
-            return None
-        services = [item.service for item in route.services]
-        origin = await self._components.stream_origins.find(
-            demand.resumed_request_id, services, stream_lifetime(route)
-        )
-        if origin is None:
-            self._note_resumed("stream.refused", demand, why="unknown version")
-            raise _TurnedAwayError(503, _UNKNOWN_VERSION_RETRY_AFTER_SECONDS)
-        self._note_resumed(
-            "stream.resumed", demand, version=origin.version, known_by=origin.known_by.value
-        )
-        return origin
-
-    def _note_resumed(self, event: str, demand: Demand, **fields: object) -> None:
-        self._components.log.note(
-            event,
-            request=demand.request_id,
-            resumes=demand.resumed_request_id,
-            last_event=demand.last_event_id,
-            **fields,
-        )
-
-    def _service_name(self, route: Route, origin: FoundOrigin | None) -> str:
-        """Return the service of a request: where its stream began, if that is on the route."""
-        if origin is not None and any(item.service == origin.service for item in route.services):
-            return origin.service
-        return route.service_for(self._components.rng.random())
+        try:
+            return await self._take_ups.find_origin(route, demand)
+        except UnknownOriginError as error:
+            raise _TurnedAwayError(503, _UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS) from error
 
     def _is_ready(self) -> bool:
         return (
--- a/src/lotushill/requests/handover.py
+++ b/src/lotushill/requests/handover.py
@@ -114,6 +114,7 @@
         self._stream_end = asyncio.Event()
         self._calls_done = asyncio.Event()
         self._stop_answered = asyncio.Event()
+        """Set once it is known whether the call to stop the run was understood, or was not made."""
         self._silence = SourceSilence()
         self.retries: ReservedRetries | None = None
         """Retries for continuing the run, None unless the source was asked to stop it."""
@@ -325,14 +326,16 @@
     async def has_stopped_run(self) -> bool:
         """Return whether a stream that ended between events may be that of a stopped run.
 
-        Otherwise the source has answered that it did not know the run any more when it was first
-        asked to stop it, so that the run had ended by itself.
+        The run had ended by itself if the source did not know it any more when it was first asked
+        to stop it. The answer to that call may arrive shortly after the end of the stream.
         """
+        if not self.run_stopped:
+            return False
         try:
-            async with asyncio.timeout(_SETTLE_SECONDS if self.run_stopped else 0.0):
+            async with asyncio.timeout(_SETTLE_SECONDS):
                 await self._stop_answered.wait()
         except TimeoutError:
-            return self.run_stopped
+            return True
         is_unknown = self.stop_answer == NoCopyReason.UNKNOWN_RUN.value
         return self.run_stopped and (self._silence.unanswered or not is_unknown)
 
--- a/src/lotushill/versions/stream_origins.py
+++ b/src/lotushill/versions/stream_origins.py
@@ -142,16 +142,22 @@
             if answer is not None:
                 return FoundOrigin(answer.service, answer.version, KnownBy.PEER)
         self.observe_view()
-        now, seconds = self._clock(), lifetime + _VIEW_DELAY_SECONDS
-        versions: set[str] = set()
-        if not request:
-            versions = {self._sole_versions.find_unchanged(name) for name in services}
-        elif self._view_is_confirmed():
-            versions = {self._sole_versions.find(name, seconds, now) for name in services}
+        versions = {self._sole_version(name, bool(request), lifetime) for name in services}
         if len(versions) != 1 or "" in versions:
             return None
         return FoundOrigin("", versions.pop(), KnownBy.SOLE_VERSION)
 
+    def _sole_version(self, service: str, is_named: bool, lifetime: float) -> str:
+        """Return the only version at which a stream may have begun, empty if there are several.
+
+        `is_named` states whether the client names its first request.
+        """
+        if not is_named:
+            return self._sole_versions.find_unchanged(service)
+        if not self._view_is_confirmed():
+            return ""
+        return self._sole_versions.find(service, lifetime + _VIEW_DELAY_SECONDS, self._clock())
+
     def observe_view(self) -> None:
         """Follow the versions in the view; called often."""
         now = self._clock()
