--- a/tests/soak/engine_steps.py
+++ b/tests/soak/engine_steps.py
@@ -15,6 +15,11 @@
     from tests.soak.moving_engine import MovingEngine
     from tests.soak.plan import Step
 
+_KEPT_ENGINES = 2
+"""Number of engines that keep the version that is rolled away from."""
+_ROLL_INTERVAL_SECONDS = 0.4
+_ROLL_DRAIN_SECONDS = 1.5
+
 
 async def perform_engine_step(
     step: Step, engine: MovingEngine, engines: Sequence[MovingEngine]
@@ -68,9 +73,3 @@
     for engine in others[: max(0, len(others) - _KEPT_ENGINES)]:
         await engine.roll(version, _ROLL_DRAIN_SECONDS)
         await asyncio.sleep(_ROLL_INTERVAL_SECONDS)
-
-
-_KEPT_ENGINES = 2
-"""Number of engines that keep the version that is rolled away from."""
-_ROLL_INTERVAL_SECONDS = 0.4
-_ROLL_DRAIN_SECONDS = 1.5
--- a/tests/soak/version_streams.py
+++ b/tests/soak/version_streams.py
@@ -30,6 +30,8 @@
 _MAX_AWAY_SECONDS = 1.0
 _MAX_TAKE_UPS = 4
 _REFUSED_PAUSE_SECONDS = 0.3
+_VIEW_SECONDS = 1.0
+"""Time within which gateways know of a change of the engines."""
 _EVENT = re.compile(r"id: (\d+)\ndata: (\S+) (\S+)\n\n")
 
 
@@ -38,6 +40,21 @@
     return f"id: {number}\ndata: {attempt} {version}\n\n".encode()
 
 
+@dataclass(frozen=True)
+class TakeUp:
+    """One attempt of a client to go on with a stream."""
+
+    attempt: str
+    gateway: str
+    at: float
+    version: str
+    """Version at which the stream had begun."""
+    status: int
+    """Status of the answer, 0 if none came."""
+    went_on: bool
+    """Whether it brought an event."""
+
+
 @dataclass
 class VersionedStream:
     """What a client has of one stream, over all its attempts."""
@@ -49,7 +66,7 @@
     versions: list[str] = field(default_factory=list)
     """Version of each event."""
     take_ups: list[TakeUp] = field(default_factory=list)
-    is_new_answered: bool = False
+    has_begun_at_once: bool = False
     """Whether the first attempt brought an event."""
 
     @property
@@ -63,21 +80,6 @@
         return self.numbers == list(range(1, len(self.numbers) + 1))
 
 
-@dataclass(frozen=True)
-class TakeUp:
-    """One attempt of a client to go on with a stream."""
-
-    attempt: str
-    gateway: str
-    at: float
-    version: str
-    """Version at which the stream had begun."""
-    status: int
-    """Status of the answer, 0 if none came."""
-    went_on: bool
-    """Whether it brought an event."""
-
-
 class ResumingClient:
     """Reads one stream after another, and takes them up again where they ended early."""
 
@@ -109,7 +111,7 @@
             status = await self._read_attempt(stream, attempt, gateway, leave_after)
             has_events = len(stream.numbers) > events
             if number == 0:
-                stream.is_new_answered = has_events
+                stream.has_begun_at_once = has_events
             elif events:
                 version = stream.versions[0]
                 stream.take_ups.append(
@@ -235,11 +237,7 @@
     ]
     return VersionCounts(
         streams=len(streams),
-        begun=sum(stream.is_new_answered for stream in streams),
+        begun=sum(stream.has_begun_at_once for stream in streams),
         taken_up=len(due),
         went_on=sum(item.went_on for item in due),
     )
-
-
-_VIEW_SECONDS = 1.0
-"""Time within which gateways know of a change of the engines."""
