--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -533,15 +533,15 @@
     Break(
         "gateway: a run is continued only after its first event",
         "requests/continuation.py",
-        "return is_known and is_healthy and is_accepting and self._splitter.event_count > 0",
-        "return is_known and is_healthy and is_accepting",
+        "return is_known and is_usable and self._splitter.event_count > 0",
+        "return is_known and is_usable",
         "tests.requests.test_request_path",
     ),
     Break(
         "gateway: a run is not continued at an upstream that has just failed",
         "requests/continuation.py",
-        "return is_known and is_healthy and is_accepting and self._splitter.event_count > 0",
-        "return is_known and is_accepting and self._splitter.event_count > 0",
+        "is_usable = is_healthy and is_accepting and self._version.accepts(backup)",
+        "is_usable = is_accepting and self._version.accepts(backup)",
         "tests.requests.test_request_path",
     ),
     Break(
@@ -568,8 +568,8 @@
     Break(
         "moves: a run that may have been stopped is not closed while its source is reachable",
         "requests/handover.py",
-        "if silence.is_lost(_now()):",
-        "if silence.unanswered:",
+        "if self._silence.is_lost(_now()):",
+        "if self._silence.unanswered:",
         "tests.requests.test_truncated_by_gateway",
     ),
     Break(
--- a/tests/requests/virtual_site.py
+++ b/tests/requests/virtual_site.py
@@ -128,7 +128,7 @@
         """Number of retries that were left at the end."""
         self.retries_reserved = 0
         """Number of retries that stayed reserved."""
-        self._connection = SimpleNamespace(on_lost=None)
+        self._connection = SimpleNamespace(on_lost=None, is_lost=False)
 
     async def play(self) -> None:
         """Send the request, and wait until nothing is in progress any more."""
