Tests: streams without framing that break off behind a relay

Ends through another gateway had tests of the connection alone. A stream that ends between events through a relay is complete; one that ends inside an event (seven places) or is reset between two is truncated.

--- a/tests/requests/test_unframed_streams.py
+++ b/tests/requests/test_unframed_streams.py
@@ -7,10 +7,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 from typing import TYPE_CHECKING
-
+from unittest.mock import patch
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from lotushill.links.peer_links import PeerLinks
+from lotushill.links.relay_messages import RelayOpen
+from lotushill.links.seal import Seal
+from lotushill.platform import request_head
+from lotushill.relaying.relay_server import RelayServer
+from lotushill.requests.relayed_connection import open_relayed
+from lotushill.requests.upstream_connection import UpstreamConnection
 from lotushill.routing.route import RouteKind
 from tests.requests.rig import ReceivedAnswer
 from tests.requests.rig import ReceivedRequest
@@ -23,6 +35,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tests.requests.rig import Script
+
+_SEAL = Seal((b"k" * 16,))
 _EVENTS = 4
 _BROKEN_AFTER = 2
 """Number of complete events of a stream that is broken off."""
@@ -158,6 +173,52 @@
         self.assertGreater(rate, 0.0)
 
 
+class TestRelayedUnframedStreams(unittest.IsolatedAsyncioTestCase):
+    """The connection to the upstream is opened by another gateway, which passes its end on."""
+
+    async def asyncSetUp(self) -> None:
+        relay = RelayServer(lambda _: True, lambda: True)
+        links = PeerLinks(
+            "relay", _SEAL, lambda _: None, lambda *_: None, lambda _: None, relay.serve
+        )
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.relay_address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        serving = asyncio.create_task(listener.serve(links.accept))
+        self.addCleanup(serving.cancel)
+
+    async def open(self, upstream: str) -> UpstreamConnection:
+        return await open_relayed(
+            self.relay_address,
+            RelayOpen("gw", upstream),
+            _SEAL,
+            lambda: UpstreamConnection(request_head.answer_request_id, upstream, "relay"),
+        )
+
+    async def call(self, script: Script) -> ReceivedAnswer:
+        async with Rig([ScriptedUpstream([script])], RouteKind.STREAM, engine=True) as rig:
+            with patch.object(rig.components.pool.dialer, "open", self.open):
+                return await rig.call()
+
+    async def test_a_relayed_stream_is_complete_between_events_only(self) -> None:
+        got = await self.call(goes_on)
+        self.assertEqual((200, True), (got.status, got.whole))
+        for place, partial in _PARTIAL_EVENTS.items():
+            with self.subTest(place):
+                got = await self.call(_Breaks(partial))
+                self.assertEqual((200, False), (got.status, got.whole))
+
+    async def test_a_relayed_stream_that_is_reset_between_events_is_not_complete(self) -> None:
+        async def resets(seen: ReceivedRequest) -> None:
+            _write_head(seen)
+            seen.event(0)
+            await seen.writer.drain()
+            await asyncio.sleep(0.05)
+            seen.reset()
+
+        got = await self.call(resets)
+        self.assertEqual((200, False), (got.status, got.whole))
+
+
 class TestUnframedStreamsThatMove(unittest.IsolatedAsyncioTestCase):
     def site(self, scripted_answers: list[int | str] | None = None) -> Site:
         site = Site(scripted_answers)
