Stand-in engines have a version, in their entry and in each event

Their entry always said v1, so that no fleet of stand-ins could serve two versions, and a stream of two did not show. The setting defaults to v1. The recorded settings have the new field with its default; data of events has one word more.

--- a/src/lotushill/standin/engine_app.py
+++ b/src/lotushill/standin/engine_app.py
@@ -104,7 +104,8 @@
             if produced % self._settings.tokens_per_event and produced < length:
                 continue
             number = -(-produced // self._settings.tokens_per_event)
-            event = f"id: {number}\ndata: {demand.request_id} {number}\n\n".encode()
+            data = f"{demand.request_id} {number} {self._settings.version}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if self.fault is Fault.CUT:
                 # The HTTP server breaks the answer off, since no last body message follows.
                 await send({"type": "http.response.body", "body": event[:5], "more_body": True})
--- a/src/lotushill/standin/registration.py
+++ b/src/lotushill/standin/registration.py
@@ -51,6 +51,7 @@
             settings.slots,
             self._started_at_ms,
             state,
+            settings.version,
         )
         try:
             if await self._store.get(names.BACKEND_KIND, settings.name) is None:
@@ -63,14 +64,20 @@
 
 
 def upstream_spec(
-    service: str, address: str, hall: str, slots: int, born: int, state: str = "ready"
+    service: str,
+    address: str,
+    hall: str,
+    slots: int,
+    born: int,
+    state: str = "ready",
+    version: str = "v1",
 ) -> dict[str, object]:
     """Return the entry of an upstream; `born` is its start in milliseconds since 1970."""
     return {
         "service": service,
         "address": address,
         "zone": hall,
-        "version": "v1",
+        "version": version,
         "slots": slots,
         "state": state,
         names.COLD_MS: 0,
--- a/src/lotushill/standin/settings.py
+++ b/src/lotushill/standin/settings.py
@@ -21,6 +21,8 @@
     service: str = ""
     """Service of an upstream."""
     hall: str = "zone"
+    version: str = "v1"
+    """Software version of an upstream, which a model engine writes into its events."""
     slots: int = 16
     step: float = 0.01
     """Duration of one engine step in seconds."""
