The log of an upstream failure names the prompt parts of the interrupted request

quarantine.end said nothing of the prompt, so that a part at any place, or of any caller, could not be told from a caller's group. It now lists the parts that other requests may share, and whether an event had arrived; only requests without one can be the cause. Tested with a crashing upstream.

--- a/src/lotushill/peering/quarantine_gossip.py
+++ b/src/lotushill/peering/quarantine_gossip.py
@@ -121,7 +121,14 @@
         """
         path = request.target.partition(b"?")[0].decode("latin-1")[:_MAX_PATH_LENGTH]
         groups = () if answer_started else request.groups
-        interrupted = InterruptedRequest(request.identity, request.team, path, upstream.id, groups)
+        interrupted = InterruptedRequest(
+            request.identity,
+            request.team,
+            path,
+            upstream.id,
+            groups,
+            tuple(part.id for part in request.shared_parts),
+        )
         task = asyncio.create_task(self._check_failure(interrupted, upstream))
         self._check_tasks.add(task)
         task.add_done_callback(self._check_tasks.discard)
@@ -163,6 +170,8 @@
             team=interrupted.team,
             path=interrupted.path,
             upstream=interrupted.upstream,
+            parts=[f"{part:x}" for part in interrupted.shared_parts],
+            begun=not interrupted.groups,
             ends=self._quarantine.failure_count(interrupted.identity),
             held=self._quarantine.is_held(interrupted.identity, now),
         )
--- a/src/lotushill/quarantine/failure_watch.py
+++ b/src/lotushill/quarantine/failure_watch.py
@@ -41,6 +41,8 @@
 
     Only a request without any event can be the cause of the upstream failure.
     """
+    shared_parts: tuple[int, ...] = ()
+    """The ids of the parts of its prompt that other requests may share."""
 
 
 class FailureWatch:
--- a/src/lotushill/scheduling/request.py
+++ b/src/lotushill/scheduling/request.py
@@ -14,6 +14,7 @@
     from lotushill.platform.upstream_answer import Headers
     from lotushill.quarantine.group import Group
     from lotushill.routing.demand import Demand
+    from lotushill.routing.demand import PromptPart
     from lotushill.routing.route import Route
     from lotushill.routing.service import Service
 
@@ -44,6 +45,11 @@
         """Return a hash that stays the same when the caller sends the request again."""
         return identity_of(self.team, self.demand.host, self.method, self.target, self.body)
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts of the prompt that other requests may share: all but the last one."""
+        return self.need.parts[:-1]
+
     @cached_property
     def groups(self) -> tuple[Group, ...]:
         """Return the quarantine groups that the caller's next request may share with this one."""
--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -29,6 +29,7 @@
     from lotushill.links.quarantine_messages import ClearedNews
     from lotushill.links.quarantine_messages import GroupNews
     from lotushill.links.quarantine_messages import SuspectNews
+    from lotushill.routing.demand import PromptPart
     from lotushill.scheduling.request import Request
 
 TICK = 0.02
@@ -66,6 +67,7 @@
     team: str = "team"
     target: bytes = b"/p"
     demand: Demand = field(default_factory=lambda: Demand("r"))
+    parts: tuple[PromptPart, ...] = ()
     sent: int = 0
     sent_at: float = 0.0
 
@@ -77,7 +79,12 @@
     @property
     def groups(self) -> tuple[Group, ...]:
         """Return the groups of the request, all on one route."""
-        return groups_of(SERVICE.name, self.team, "route", self.target, ())
+        return groups_of(SERVICE.name, self.team, "route", self.target, self.parts)
+
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts of the prompt that other requests may share."""
+        return self.parts[:-1]
 
     def as_request(self) -> Request:
         """Return this arrival with the type that the quarantine expects."""
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -77,6 +77,17 @@
         self.assertGreater(float(last.headers["retry-after"]), 1.0)
 
 
+    async def test_the_log_names_the_shared_parts_of_the_prompt_of_an_interrupted_request(
+        self,
+    ) -> None:
+        ended: list[ScriptedUpstream] = []
+        async with Rig([crashing_upstream(ended) for _ in range(2)], max_attempts=1) as rig:
+            parts = "Token-Usage: 100,10\r\nPrompt-Prefix: 5c1e07a2:40,91bd3f06:40,e4402b7d:20\r\n"
+            await rig.call("deadly", headers=parts, body=DEADLY)
+        (line,) = [line for line in map(json.loads, rig.lines) if line["event"] == "quarantine.end"]
+        self.assertEqual((["5c1e07a2", "91bd3f06"], False), (line["parts"], line["begun"]))
+
+
 class TestBeforeTheHoldsAreKnown(unittest.IsolatedAsyncioTestCase):
     async def test_no_request_is_sent_although_the_configuration_is_known(self) -> None:
         upstream = ScriptedUpstream([whole])
