Tests: a prompt part that crashes upstreams, from any caller and at any place

The fleet of the tests now has the platform's store, so that what is held outlives gateways as it does outside of tests.

--- a/tests/quarantine/virtual_fleet.py
+++ b/tests/quarantine/virtual_fleet.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import cast
 
 from lotushill.event_log import EventLog
@@ -18,11 +19,15 @@
 from lotushill.placement.choice import Choice
 from lotushill.quarantine.group import Group
 from lotushill.quarantine.group import groups_of
+from lotushill.quarantine.hold_store import HoldStore
+from lotushill.quarantine.hold_view import HoldView
 from lotushill.quarantine.isolation import Isolation
 from lotushill.quarantine.quarantine import Quarantine
 from lotushill.requests.isolation_policy import IsolationPolicy
 from lotushill.routing.service import Service
 from lotushill.routing.upstream import Upstream
+from lotushill.views.exceptions import RevisionConflictError
+from lotushill.views.exceptions import StoreUnavailableError
 from lotushill.views.upstream_view import UpstreamView
 
 if TYPE_CHECKING:
@@ -43,11 +48,13 @@
 SERVICE = Service("s", 50, None)
 SAME_TEAM = b"mate"
 """Identity prefix of harmless requests of the same team on another path."""
-
-
-def is_deadly(identity: bytes) -> bool:
-    """Return whether a request crashes its upstream."""
-    return identity == DEADLY or identity.startswith(VARYING)
+WITH_DEADLY_PART = b"with deadly part"
+"""Identity prefix of requests with a prompt part that crashes upstreams, no two alike."""
+SOUND = b"sound prompt"
+"""Identity prefix of requests that share the caller and all other parts with those."""
+_KINDS = (VARYING, SAME_TEAM, WITH_DEADLY_PART, SOUND)
+_RECONCILE_TICKS = 25
+"""Number of ticks between two reconciliations with the store."""
 
 
 @dataclass(frozen=True)
@@ -68,6 +75,8 @@
     target: bytes = b"/p"
     demand: Demand = field(default_factory=lambda: Demand("r"))
     parts: tuple[PromptPart, ...] = ()
+    begun: bool = False
+    """Whether the first event of the current attempt has arrived."""
     sent: int = 0
     sent_at: float = 0.0
 
@@ -86,11 +95,48 @@
         """Return the parts of the prompt that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def kind(self) -> bytes:
+        """Return the kind under which the outcome is counted."""
+        if self.identity in (DEADLY, COMMON):
+            return self.identity
+        return next((kind for kind in _KINDS if self.identity.startswith(kind)), b"other")
+
+    @property
+    def is_deadly(self) -> bool:
+        """Return whether the request crashes the upstream that begins it."""
+        return self.kind in (DEADLY, VARYING, WITH_DEADLY_PART)
+
     def as_request(self) -> Request:
         """Return this arrival with the type that the quarantine expects."""
         return cast("Request", self)
 
 
+class VirtualStore:
+    """The platform's store of the fleet: holds by identity, and whether it answers."""
+
+    def __init__(self) -> None:
+        self.specs: dict[str, Any] = {}
+        self.is_away = False
+
+    async def create(self, kind: str, name: str, spec: Any) -> object:
+        """Create an object."""
+        del kind
+        if self.is_away:
+            raise StoreUnavailableError("the store is away")
+        if name in self.specs:
+            raise RevisionConflictError("it exists")
+        self.specs[name] = spec
+        return None
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        del kind
+        if self.is_away:
+            raise StoreUnavailableError("the store is away")
+        self.specs.pop(name, None)
+
+
 class VirtualFleet:
     """Gateways that exchange updates over a network that loses datagrams."""
 
@@ -103,12 +149,17 @@
         self._running: dict[str, list[Arrival]] = {}
         self._restarts: list[float] = []
         self._revision = 0
+        self.store = VirtualStore()
+        self._hold_revision = 0
+        self._ticks = 0
         self.quarantines = [Quarantine() for _ in range(gateways)]
         self.isolations = [Isolation() for _ in range(gateways)]
         self.isolation_policies = [
             IsolationPolicy(item, self._view, lambda: self.now) for item in self.isolations
         ]
         self.gossips = [self._new_gossip(number) for number in range(gateways)]
+        self._hold_views = [HoldView() for _ in range(gateways)]
+        self._hold_stores = [self._new_hold_store(number) for number in range(gateways)]
         self.alive = set(range(gateways))
         self.outcomes: Counter[tuple[bytes, str]] = Counter()
         """Number of arrivals by identity (or "other") and outcome."""
@@ -147,6 +198,34 @@
             self.isolations[number], self._view, lambda: self.now
         )
         self.gossips[number] = self._new_gossip(number)
+        self._hold_views[number] = HoldView()
+        self._hold_stores[number] = self._new_hold_store(number)
+        self._read_store()
+
+    def _new_hold_store(self, number: int) -> HoldStore:
+        return HoldStore(
+            self.store,
+            self.quarantines[number],
+            self._hold_views[number],
+            EventLog("gw", lambda _: None),
+            random.Random(number),
+            lambda: self.now,
+            lambda: self.now,
+        )
+
+    async def _reconcile(self) -> None:
+        """Let all gateways write their holds, and read those of the store."""
+        for number in self.alive:
+            await self._hold_stores[number].reconcile()
+        self._read_store()
+
+    def _read_store(self) -> None:
+        if self.store.is_away:
+            return
+        self._hold_revision += 1
+        for number in self.alive:
+            if self._hold_views[number].replace(dict(self.store.specs), self._hold_revision):
+                self.gossips[number].replace_stored(self._hold_views[number].holds)
 
     async def _has_failed(self, upstream: Upstream) -> bool:
         return upstream.id not in self._running
@@ -188,6 +267,13 @@
         team = "team" if kind == b"p" else "caller"
         await self._send(Arrival(identity, gateway, seconds, team, b"/" + kind))
 
+    async def arrive_with_prompt(
+        self, identity: bytes, team: str, parts: tuple[PromptPart, ...], seconds: float
+    ) -> None:
+        """Send a request with a prompt, which runs for `seconds`, to a random gateway."""
+        gateway = self.rng.choice(sorted(self.alive))
+        await self._send(Arrival(identity, gateway, seconds, team, b"/prompt", parts=parts))
+
     async def _send(self, arrival: Arrival) -> None:
         gossip = self.gossips[arrival.gateway]
         if gossip.is_held(arrival.as_request()):
@@ -198,10 +284,12 @@
         if name is None:
             return self._count_outcome(arrival, "isolated")
         arrival.sent += 1
-        if is_deadly(arrival.identity):
+        if arrival.is_deadly:
             self.deadly_sent.append(self.now)
-        seconds = 0.1 if is_deadly(arrival.identity) else arrival.ends
-        self._running[name].append(replace(arrival, ends=self.now + seconds, sent_at=self.now))
+        seconds = 0.1 if arrival.is_deadly else arrival.ends
+        self._running[name].append(
+            replace(arrival, ends=self.now + seconds, sent_at=self.now, begun=False)
+        )
         return None
 
     def _choose(self, arrival: Arrival) -> str | None:
@@ -223,8 +311,8 @@
         found = self._view.find(upstream)
         if arrival.gateway not in self.alive or found is None:
             return
-        begun = self.now - arrival.sent_at >= _FIRST_EVENT_SECONDS
-        await asyncio.wait((gossip.record_interruption(arrival.as_request(), found, begun),))
+        request = arrival.as_request()
+        await asyncio.wait((gossip.record_interruption(request, found, arrival.begun),))
         gossip.send_due()
         if arrival.sent < 2 and gossip.may_retry(arrival.as_request()):
             arrival.ends = 0.5
@@ -233,14 +321,7 @@
             self._count_outcome(arrival, "cut")
 
     def _count_outcome(self, arrival: Arrival, outcome: str) -> None:
-        kind = b"other"
-        if arrival.identity in (DEADLY, COMMON):
-            kind = arrival.identity
-        elif is_deadly(arrival.identity):
-            kind = VARYING
-        elif arrival.identity.startswith(SAME_TEAM):
-            kind = SAME_TEAM
-        self.outcomes[kind, outcome] += 1
+        self.outcomes[arrival.kind, outcome] += 1
 
     async def step(self) -> None:
         """Advance the time by one tick."""
@@ -254,10 +335,18 @@
         for number in self.alive:
             if self.gossips[number].next_due() <= self.now:
                 self.gossips[number].send_due()
+        self._ticks += 1
+        if self._ticks % _RECONCILE_TICKS == 0:
+            for number in self.alive:
+                self.gossips[number].process_pending()
+            await self._reconcile()
 
     async def _finish_at(self, name: str) -> None:
+        for arrival in self._running.get(name, []):
+            if not arrival.begun and self.now - arrival.sent_at >= _FIRST_EVENT_SECONDS:
+                arrival.begun = True
         done = [item for item in self._running.get(name, []) if item.ends <= self.now]
-        if any(is_deadly(item.identity) for item in done):
+        if any(item.is_deadly for item in done):
             self.deadly_failures.append(self.now)
             await self.fail_upstream(name)
             self._list_upstreams()
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -76,7 +76,6 @@
         self.assertEqual(503, last.status)
         self.assertGreater(float(last.headers["retry-after"]), 1.0)
 
-
     async def test_the_log_names_the_shared_parts_of_the_prompt_of_an_interrupted_request(
         self,
     ) -> None:
