Soak: prompts with parts that crash engines, beside sound ones with the same other parts

Two such parts at any shared place, no two prompts alike, under kills of single gateways and of all, freezes, outages of the store and replaced engines.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,7 @@
 """Runs the soak test with many seeds, several at a time, and prints a line for each.
 
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
-        [--moves] [--mild] [--silences] [--breaks] [--versions] [--trace]
+        [--moves] [--mild] [--silences] [--breaks] [--versions] [--parts] [--trace]
     python scripts/soak.py --partitions [--seeds 50] [--first 1] [--seconds 40] [--jobs 4]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
@@ -94,6 +94,11 @@
         action="store_true",
         help="with engines of two versions that are rolled, and clients that take streams up again",
     )
+    parser.add_argument(
+        "--parts",
+        action="store_true",
+        help="with prompts that hold a part which crashes engines, and sound ones beside them",
+    )
     parser.add_argument(
         "--trace", action="store_true", help="print what happened to the requests of violations"
     )
@@ -119,6 +124,7 @@
         "silences": options.silences,
         "breaks": options.breaks,
         "versions": options.versions,
+        "parts": options.parts,
     }
     seeds = range(options.first, options.first + options.seeds)
     failed_count = 0
@@ -130,6 +136,12 @@
             failed_count += _print_result(seed, result)
             if options.moves:
                 _print_moves(seed, result)
+            if options.parts:
+                served, sent = result.prompts_served
+                print(
+                    f"seed {seed}: {result.crashed_by_parts} engines crashed by deadly parts; "
+                    f"sound prompts at the end: {served}/{sent}"
+                )
             if options.versions:
                 _print_versions(seed, result)
             if options.trace:
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -10,6 +10,7 @@
 from tests.requests.rig import ReceivedAnswer
 from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
+from tests.soak.deadly_parts import prompt_headers
 from tests.soak.engine import DEADLY_BODY
 from tests.soak.engine import VARYING_PREFIX
 from tests.soak.engine import events
@@ -34,7 +35,10 @@
     "deadly": "/p/deadly",
     "varying": "/p/varying",
     "long": f"{LONG_PATH}x",
+    "prompt": "/stream/x",
+    "deadly part": "/stream/x",
 }
+_STREAM_KINDS = ("stream", "long", "prompt", "deadly part")
 _KINDS = ("any", "any", "common", "once", "stream")
 _TIMEOUT_MARGIN_SECONDS = 2.0
 """Time beyond its deadline for which a client waits for an answer."""
@@ -75,7 +79,7 @@
         answer = await self._exchange(attempt, body, kind)
         signed = "response-signature" in answer.headers
         expected = _expected_body(attempt, kind)
-        is_stream = kind in ("stream", "long")
+        is_stream = kind in _STREAM_KINDS
         in_order = not is_stream or not signed or expected.startswith(answer.body)
         self._ledger.answers.append(
             Answer(
@@ -97,6 +101,8 @@
         headers = f"Deadline-Ms: {int(seconds * 1000)}\r\n"
         if kind == "long":
             headers += _LONG_USAGE
+        if kind in ("prompt", "deadly part"):
+            headers += prompt_headers(kind == "deadly part", self._rng)
         try:
             async with asyncio.timeout(seconds + _TIMEOUT_MARGIN_SECONDS):
                 reader, writer = self._stream or await self._connect()
@@ -129,4 +135,4 @@
     """Return the complete answer to a request."""
     if kind == "long":
         return b"".join(events(attempt, LONG_EVENT_COUNT))
-    return b"".join(events(attempt)) if kind == "stream" else f"{attempt} done".encode()
+    return b"".join(events(attempt)) if kind in _STREAM_KINDS else f"{attempt} done".encode()
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -10,6 +10,7 @@
 
 from tests.entries import entry
 from tests.requests.rig import ScriptedUpstream
+from tests.soak.deadly_parts import deadly_part
 from tests.soak.records import Arrival
 from tests.soak.records import Cooldown
 from tests.soak.records import StatedLimit
@@ -220,10 +221,12 @@
             sends.append(now)
             await asyncio.sleep(self._rng.uniform(0.03, 0.1))
             crashes = self._ledger.varying_crashes if varying else self._ledger.deadly_crashes
-            crashes.append(time.monotonic())
-            self._server = None
-            self._start_task(self._restart())
-            server.crash(seen)
+            self._crash(seen, server, crashes)
+        part = deadly_part(seen.headers)
+        if part is not None:
+            self._ledger.parts.sends[part].append(now)
+            await asyncio.sleep(self._rng.uniform(0.02, 0.08))
+            self._crash(seen, server, self._ledger.parts.crashes[part])
         self._ledger.runs.append(Arrival(seen.id, self.incarnation, now))
         path = seen.line.split()[1]
         if path.startswith(VERSIONED_PATH):
@@ -235,6 +238,14 @@
         await asyncio.sleep(self._rng.uniform(0.01, 0.15))
         seen.answer_whole(f"{seen.id} done".encode(), f"200 OK{self._statement_headers(seen)}")
 
+    def _crash(self, seen: ReceivedRequest, server: ScriptedUpstream, crashes: list[float]) -> None:
+        """End with all that runs here, and start again after a delay."""
+        crashes.append(time.monotonic())
+        if self._server is server:
+            self._server = None
+            self._start_task(self._restart())
+        server.crash(seen)
+
     def _statement_headers(self, seen: ReceivedRequest) -> str:
         """Return the headers on leaving and on the limit, and record what they state."""
         now, headers = time.monotonic(), ""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from tests.soak.deadly_parts import PartLedger
 from tests.soak.move_checks import move_violations
 from tests.soak.move_checks import truncation_causes
 from tests.soak.run_memory import RunMemories
@@ -69,6 +70,8 @@
     """Runs of long streams, and the memory that engines held for them."""
     views: ViewChecks = field(default_factory=ViewChecks)
     """What gateways had in force; observed only in a run with silenced connections."""
+    parts: PartLedger = field(default_factory=PartLedger)
+    """Requests with prompt parts that crash engines; none in a run without such parts."""
     decoy_targets: Counter[str] = field(default_factory=Counter)
     """Names of the upstreams for which requests to the decoy were meant."""
     decoy_requests: int = 0
@@ -104,6 +107,7 @@
         violations += move_violations(self.memories, self.answers, self._was_absent_between)
         violations += self._outdated_views()
         violations += version_violations(self.versioned_streams)
+        violations += self.parts.violations()
         if self.decoy_requests:
             violations.append(
                 f"{self.decoy_requests} requests sent to an address from a malformed entry, for "
--- a/tests/soak/result.py
+++ b/tests/soak/result.py
@@ -56,6 +56,10 @@
     """Number of engines crashed by the deadly request."""
     crashed_by_varying: int
     """Number of engines crashed by deadly requests with varying bodies."""
+    crashed_by_parts: int
+    """Number of engines crashed by requests with a deadly part in their prompts."""
+    prompts_served: tuple[int, int]
+    """Sound requests with the same other parts in the quiet time: number served, number sent."""
     cooldowns: int
     leaving_answers: int
     limited_runs: dict[str, int]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -67,6 +67,7 @@
 _LONG_CLIENT_COUNT = 36
 """Number of clients of long streams in a run with moves."""
 _RESUMING_CLIENT_COUNT = 12
+_PROMPT_CLIENT_COUNT = 8
 _LONG_INTERVAL_SECONDS = 0.1
 _REQUEST_INTERVAL_SECONDS = 0.25
 _DEADLY_INTERVAL_SECONDS = 0.35
@@ -102,6 +103,7 @@
         silences: bool = False,
         breaks: bool = False,
         versions: bool = False,
+        parts: bool = False,
     ) -> None:
         """Prepare a run with the plan drawn from `seed`.
 
@@ -113,12 +115,14 @@
         `silences`, open connections of gateways fall silent, and the views in force are checked.
         With `breaks`, most engines send streams without framing and break some of them off. With
         `versions`, engines of two software versions serve side by side, and clients leave streams
-        and take them up again; the plan without an explicit one rolls the versions.
+        and take them up again; the plan without an explicit one rolls the versions. With `parts`,
+        some prompts hold a part that crashes engines, beside sound ones with the same other parts.
         """
         self._moves = moves
         self._proxy = SilencingProxy() if silences else None
         if silences and plan is None:
             plan = draw_silences(seed, seconds)
+        self._has_parts = parts
         self._has_versions = versions
         if versions and plan is None:
             plan = draw_versions(seed, seconds)
@@ -229,6 +233,8 @@
         if self._has_engine_signals:
             varying = Client(addresses, self._ledger, random.Random(98))
             self._start_task(varying.run(_DEADLY_INTERVAL_SECONDS, "varying"))
+        if self._has_parts:
+            self._start_prompt_clients(addresses)
         for step in self._plan:
             await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
             self._start_task(self._perform(step))
@@ -239,6 +245,13 @@
         self._ledger.memories.observed_until = time.monotonic()
         return since
 
+    def _start_prompt_clients(self, addresses: list[str]) -> None:
+        for number in range(_PROMPT_CLIENT_COUNT):
+            client = Client(addresses, self._ledger, random.Random(300 + number))
+            self._start_task(client.run(_REQUEST_INTERVAL_SECONDS, "prompt"))
+        deadly = Client(addresses, self._ledger, random.Random(97))
+        self._start_task(deadly.run(_DEADLY_INTERVAL_SECONDS, "deadly part"))
+
     async def _note_serving_versions(self) -> None:
         while True:
             counts = Counter(item.version for item in self._engines if item.is_serving)
@@ -269,6 +282,8 @@
             late_sends=self._ledger.late_sends(),
             engines_crashed=len(self._ledger.deadly_crashes),
             crashed_by_varying=len(self._ledger.varying_crashes),
+            crashed_by_parts=self._ledger.parts.crash_count,
+            prompts_served=self._ledger.served("prompt", since),
             cooldowns=len(self._ledger.cooldowns),
             leaving_answers=len(self._ledger.leaving_answers),
             limited_runs=self._ledger.limited_runs(),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -42,6 +42,15 @@
         self.assertGreater(result.broken_streams, 0)
         self.assertGreater(result.served[0], 0)
 
+    async def test_hardly_any_request_with_a_deadly_part_is_sent_after_the_fifth_crash(
+        self,
+    ) -> None:
+        result = await Soak(_SEED, _SECONDS, engine_signals=False, parts=True).run()
+        self.assertEqual(([], []), (result.faults, result.errors))
+        self.assertGreater(result.crashed_by_parts, 0)
+        served, sent = result.prompts_served
+        self.assertGreaterEqual(served, 0.9 * sent)
+
     async def test_no_stream_goes_on_at_another_version_than_the_one_that_began_it(self) -> None:
         result = await Soak(_SEED, _SECONDS, versions=True).run()
         self.assertEqual(([], []), (result.faults, result.errors))
