--- a/src/lotushill/console/quarantine_commands.py
+++ b/src/lotushill/console/quarantine_commands.py
@@ -1,4 +1,4 @@
-"""Commands of `lotushill` for requests that are held because upstreams failed during them."""
+"""Commands of `lotushill` for requests and prompt parts that are held as upstreams failed."""
 
 from __future__ import annotations
 
@@ -25,21 +25,21 @@
         self._store = store
 
     async def held(self, options: argparse.Namespace) -> Result:
-        """List the held requests, with the start of each hold and the upstreams that failed."""
+        """List the held requests and prompt parts, with the start of each hold and the failures."""
         del options
         holds = await self._holds()
         value = {identity.hex(): hold.to_spec() for identity, hold in holds.items()}
         if not holds:
-            return Result("no request is held", value)
+            return Result("no request and no prompt part is held", value)
         lines = [_hold_line(identity, hold) for identity, hold in holds.items()]
         return Result("\n".join(lines), value)
 
     async def release(self, options: argparse.Namespace) -> Result:
-        """Release a held request; it is held again after three more upstreams have failed."""
+        """Release a held request or part; it is held again after as many failures as before."""
         names = [item.hex() for item in await self._holds()]
         matches = [name for name in names if name.startswith(options.identity)]
         if len(matches) != 1:
-            quantity = "no request" if not matches else f"{len(matches)} requests"
+            quantity = "nothing is" if not matches else f"{len(matches)} requests or parts are"
             return Result(
                 f"{quantity} held with an identity that starts with {options.identity}",
                 None,
--- a/src/lotushill/gateway/fleet_quarantine.py
+++ b/src/lotushill/gateway/fleet_quarantine.py
@@ -56,9 +56,13 @@
         self._hold_store = HoldStore(store, self.suspects, views.holds, log, rng)
 
     def held_identities(self) -> list[bytes]:
-        """Return the identities of all requests that are currently held."""
+        """Return the identities of all requests and parts that are currently held."""
         return self.suspects.held_identities(clocks.now())
 
+    def held_parts(self) -> list[str]:
+        """Return the names of the parts of prompts that are held."""
+        return self.suspects.held_parts()
+
     def isolated_groups(self) -> list[Group]:
         """Return the groups of requests that are currently isolated."""
         return self.isolation.isolated_groups(clocks.now())
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -147,12 +147,12 @@
     )
     add_gauge(
         "requests_held",
-        "Requests that are held, counted by caller, path and body",
+        "Requests, by caller, path and body, and parts of prompts that are held",
         lambda: len(gateway.quarantine.held_identities()),
     )
     add_gauge(
         "requests_suspected",
-        "Requests during which upstreams failed",
+        "Requests and parts of prompts during which upstreams failed",
         lambda: len(gateway.quarantine.suspects),
     )
     add_gauge(
@@ -343,6 +343,7 @@
             item.hex(): gateway.quarantine.suspects.failure_count(item)
             for item in gateway.quarantine.held_identities()
         },
+        "held_parts": gateway.quarantine.held_parts(),
         "isolated_groups": [
             f"{group.label} ({group.service})" for group in gateway.quarantine.isolated_groups()
         ],
--- a/src/lotushill/quarantine/part_suspects.py
+++ b/src/lotushill/quarantine/part_suspects.py
@@ -63,6 +63,10 @@
         part = self._parts.get(identity)
         return part is not None and part.convicted
 
+    def convicted_labels(self) -> list[str]:
+        """Return the names of the parts that are held."""
+        return [part.path for part in self._parts.values() if part.convicted]
+
     def is_acquitted(self, identity: bytes) -> bool:
         """Return whether an event has disproved a verdict on the part."""
         part = self._parts.get(identity)
--- a/src/lotushill/quarantine/quarantine.py
+++ b/src/lotushill/quarantine/quarantine.py
@@ -74,6 +74,15 @@
         known = {*self._suspects, *self.parts, *self._stored}
         return [item for item in known if self.is_held(item, now)]
 
+    def held_parts(self) -> list[str]:
+        """Return the names of the parts that this gateway holds by evidence or by the store."""
+        stored = [
+            hold.path
+            for identity, hold in self._stored.items()
+            if hold.is_part and not self.parts.is_acquitted(identity)
+        ]
+        return sorted({*stored, *self.parts.convicted_labels()})
+
     def record_upstream_failure(
         self, identity: bytes, team: str, path: str, upstream: str, now: float
     ) -> bool:
--- a/src/lotushill/quarantine/shared_part.py
+++ b/src/lotushill/quarantine/shared_part.py
@@ -7,6 +7,9 @@
 
 from lotushill.quarantine.identity import part_identity
 
+PART_LABEL = "prompt part"
+"""Start of the names of all parts; paths of requests start with a slash."""
+
 
 @dataclass(frozen=True)
 class SharedPart:
@@ -23,4 +26,4 @@
     @property
     def label(self) -> str:
         """Return the name of the part for operators."""
-        return f"prompt part {self.id:x}" + (f" for {self.model}" if self.model else "")
+        return f"{PART_LABEL} {self.id:x}" + (f" for {self.model}" if self.model else "")
--- a/src/lotushill/quarantine/stored_hold.py
+++ b/src/lotushill/quarantine/stored_hold.py
@@ -1,4 +1,4 @@
-"""A held request as an object of the platform's store."""
+"""A held request or prompt part as an object of the platform's store."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import Any
 
 from lotushill.quarantine.identity import IDENTITY_BYTES
+from lotushill.quarantine.shared_part import PART_LABEL
 
 KIND = "lotushill-quarantine"
 """The kind in the store that has one object for each held request, named by its identity."""
@@ -15,15 +16,21 @@
 
 @dataclass(frozen=True)
 class StoredHold:
-    """The sender of a held request, and the evidence against the request."""
+    """The sender of a held request or the name of a held part, and the evidence against it."""
 
     team: str
     path: str
+    """Path of a request, or the name of a part."""
     upstreams: tuple[str, ...]
     """The upstreams that failed while they had the request."""
     since: float
     """Time of the hold in seconds since 1970, by the clock of the gateway that wrote it."""
 
+    @property
+    def is_part(self) -> bool:
+        """Return whether this is a part of prompts, which has no team and no path."""
+        return not self.team and self.path.startswith(PART_LABEL)
+
     def to_spec(self) -> dict[str, object]:
         """Return the spec of the stored object."""
         return {
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -109,10 +109,7 @@
         if self._was_suspended():
             connection.close()
             return AttemptEnd(EndKind.NOT_SENT, "the host was suspended")
-        if (
-            self._components.quarantine.is_held(self._request)
-            and not self._choice.returned_to_source
-        ):
+        if self._is_held():
             connection.close()
             return AttemptEnd(EndKind.BARRED, "quarantined")
         # The placement may be older than the upstream's statement that it takes no requests, or
@@ -135,6 +132,15 @@
         connection.send(self._request.demand.request_id, self._request.method, data)
         return None
 
+    def _is_held(self) -> bool:
+        """Return whether the request must not reach an upstream since it was placed.
+
+        A run that returns to its source was begun there, which shows that it does no harm there.
+        """
+        return not self._choice.returned_to_source and self._components.quarantine.is_held(
+            self._request
+        )
+
     async def is_refused(self, seconds: float | None) -> bool:
         """Return whether the upstream refuses the request, or fails, within some seconds.
 
--- a/src/lotushill/standin/engine_app.py
+++ b/src/lotushill/standin/engine_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -15,6 +16,8 @@
 from lotushill.standin.upstream_app import UpstreamApp
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lotushill.links.asgi import Send
     from lotushill.routing.demand import Demand
     from lotushill.standin.settings import StandinSettings
@@ -32,11 +35,19 @@
     progress: asyncio.Queue[int] = field(default_factory=asyncio.Queue)
 
 
+def _end_process() -> None:
+    """End like a process that crashes: without closing its connections in order."""
+    os._exit(1)
+
+
 class EngineApp(UpstreamApp):
     """Prefills prompts in chunks and produces one token per step for each running request."""
 
-    def __init__(self, settings: StandinSettings) -> None:
+    def __init__(self, settings: StandinSettings, end: Callable[[], None] = _end_process) -> None:
+        """Call `end`, which ends the process, on a prompt with one of the deadly parts."""
         super().__init__(settings.name)
+        self._end = end
+        self._deadly_parts = frozenset(int(part, 16) for part in settings.deadly_parts)
         self._settings = settings
         self._batch = Batch(settings.slots, settings.prefill_per_step)
         self._prefix_cache = PrefixCacheModel()
@@ -101,6 +112,8 @@
         produced = 0
         while produced < length:
             produced = await job.progress.get()
+            if any(part.id in self._deadly_parts for part in demand.parts[:-1]):
+                self._end()
             if produced % self._settings.tokens_per_event and produced < length:
                 continue
             number = -(-produced // self._settings.tokens_per_event)
--- a/src/lotushill/standin/settings.py
+++ b/src/lotushill/standin/settings.py
@@ -29,5 +29,7 @@
     prefill_per_step: float = 2048.0
     memory_tokens: int = 400_000
     tokens_per_event: int = 4
+    deadly_parts: list[str] = []
+    """Hexadecimal ids of prompt parts under which a model engine ends as it begins to answer."""
     work: float = 0.005
     """Seconds that a plain service takes for one request."""
--- a/tests/console/test_quarantine_commands.py
+++ b/tests/console/test_quarantine_commands.py
@@ -46,4 +46,4 @@
 
     async def test_without_holds_a_message_is_shown(self) -> None:
         result = await self.commands.held(argparse.Namespace())
-        self.assertEqual("no request is held", result.text)
+        self.assertEqual("no request and no prompt part is held", result.text)
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -54,6 +54,12 @@
 _SILENT = "tests.requests.test_silent_upstream"
 _TEAMS = "tests.load.policy.test_teams"
 _TEAM_LIMITS = "tests.limits.test_team_limits.TestTeamLimits"
+_DEADLY_PARTS = "tests.quarantine.test_deadly_parts.TestDeadlyParts"
+_DEADLY_PARTS_SOAK = (
+    "tests.soak.test_soak.TestSoak"
+    ".test_hardly_any_request_with_a_deadly_part_is_sent_after_the_fifth_crash"
+)
+_PART_VERDICT = "tests.quarantine.test_part_suspects.TestVerdict"
 _ISOLATION = "tests.requests.test_isolation_policy.TestIsolationPolicy"
 
 
@@ -1392,7 +1398,40 @@
                 ),
             ),
             Case(
-                "a client whose team has one upstream left, or that varies team, path and prompt",
+                "one part of prompts crashes them, at any place, from any client, two at once",
+                (
+                    f"{_DEADLY_PARTS}.test_it_is_found_at_any_place_and_from_any_caller",
+                    f"{_DEADLY_PARTS}.test_two_parts_at_once_are_both_found",
+                    f"{_DEADLY_PARTS}.test_it_is_found_in_larger_fleets",
+                    f"{_DEADLY_PARTS}.test_a_part_that_was_sound_before_is_found_as_well",
+                    f"{_QUARANTINE}.TestHeldPart.test_only_requests_with_the_part_are_refused_as_not_run",
+                    f"{_QUARANTINE}.TestHeldPart.test_a_request_that_was_placed_before_the_verdict_is_not_written",
+                    _DEADLY_PARTS_SOAK,
+                ),
+            ),
+            Case(
+                "such a part, while engines fail by themselves or all gateways are killed",
+                (
+                    f"{_DEADLY_PARTS}.test_it_is_found_while_engines_fail_by_themselves",
+                    f"{_DEADLY_PARTS}.test_few_requests_reach_upstreams_after_all_gateways_were_killed",
+                ),
+            ),
+            Case(
+                "sound parts at the same failures, or at failures that no request causes",
+                (
+                    f"{_PART_VERDICT}.test_a_part_beside_some_of_the_failures_of_the_cause_is_not_held",
+                    f"{_PART_VERDICT}.test_failures_at_the_same_moment_are_one_round",
+                    "tests.quarantine.test_deadly_parts.TestUnrelatedFailures.test_no_sound_part_is_held_when_engines_fail_by_themselves",
+                ),
+            ),
+            Case(
+                "very many parts, made up by a client",
+                (
+                    "tests.quarantine.test_part_suspects.TestBounds.test_made_up_parts_do_not_push_out_the_cause",
+                ),
+            ),
+            Case(
+                "a client without prompt parts that has one upstream left or varies team and path",
                 (),
                 "with one upstream nothing can be isolated; varying all of these is not detected",
             ),
--- a/tests/quarantine/test_part_suspects.py
+++ b/tests/quarantine/test_part_suspects.py
@@ -107,7 +107,7 @@
 
     def test_the_group_of_the_caller_is_not_isolated(self) -> None:
         isolation = Isolation(self.parts.explains_group)
-        for upstream in "abcdefgh":
+        for upstream in "abcdefghijklmnop":
             self.fail_beside(upstream, CAUSE)
             isolation.record_upstream_failure(Group("s", "t on r"), upstream, "gw", 0, self.now)
         self.assertEqual([], isolation.isolated_groups(self.now))
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -19,10 +19,12 @@
 import unittest
 from pathlib import Path
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from lotushill.links.http_server import HttpServer
 from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.quarantine.identity import identity_of
+from lotushill.quarantine.shared_part import SharedPart
 from lotushill.routing.route import RouteKind
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
@@ -40,6 +42,7 @@
 from tests.requests.rig import request_bytes
 
 if TYPE_CHECKING:
+    from lotushill.requests.upstream_connection import UpstreamConnection
     from lotushill.routing.upstream import Upstream
     from tests.requests.rig import Script
 
@@ -87,6 +90,55 @@
         self.assertEqual((["5c1e07a2", "91bd3f06"], False), (line["parts"], line["begun"]))
 
 
+class TestHeldPart(unittest.IsolatedAsyncioTestCase):
+    """Four upstreams failed one after the other beside one part of prompts."""
+
+    PARTS = "Token-Usage: 100,10\r\nPrompt-Prefix: {}:40,91bd3f06:40,e4402b7d:20\r\n"
+
+    def hold(self, rig: Rig) -> None:
+        now = rig.clock()
+        for number in range(4):
+            part, at = SharedPart("", 0xDEAD), now - 3.0 + number / 2
+            rig.quarantine.record_part_failure(part, f"former{number}", at, now)
+        self.assertEqual(1, len(rig.quarantine.judge_parts(now + 1.0)))
+
+    async def test_only_requests_with_the_part_are_refused_as_not_run(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            self.hold(rig)
+            refused = await rig.call("r1", headers=self.PARTS.format("dead"))
+            sound = await rig.call("r2", headers=self.PARTS.format("5c1e07a2"))
+        self.assertEqual((503, 200, ["r2"]), (refused.status, sound.status, ids(upstream)))
+        self.assertGreater(float(refused.headers["retry-after"]), 1.0)
+        (line,) = [x for x in map(json.loads, rig.lines) if x["event"] == "quarantine.kept_back"]
+        self.assertEqual(["prompt part dead"], line["parts"])
+
+    async def test_a_request_that_was_placed_before_the_verdict_is_not_written(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            acquire = rig.components.pool.acquire
+
+            async def acquire_late(chosen: Upstream) -> UpstreamConnection:
+                connection = await acquire(chosen)
+                self.hold(rig)
+                return connection
+
+            with patch.object(rig.components.pool, "acquire", acquire_late):
+                refused = await rig.call("r1", headers=self.PARTS.format("dead"))
+        self.assertEqual((503, []), (refused.status, ids(upstream)))
+
+    async def test_an_answer_clears_the_parts_of_its_prompt(self) -> None:
+        upstream = ScriptedUpstream([whole])
+        async with Rig([upstream]) as rig:
+            part = SharedPart("", 0xDEAD)
+            rig.quarantine.record_part_failure(part, "former", rig.clock(), rig.clock())
+            await rig.call("r1", headers=self.PARTS.format("dead"))
+            rig.quarantine_gossip.send_due()
+            suspect = rig.quarantine.parts.find(part.identity)
+        assert suspect is not None
+        self.assertEqual({}, suspect.failed_upstreams)
+
+
 class TestBeforeTheHoldsAreKnown(unittest.IsolatedAsyncioTestCase):
     async def test_no_request_is_sent_although_the_configuration_is_known(self) -> None:
         upstream = ScriptedUpstream([whole])
