A connection that was reset before its request was written counts as not sent

It is now an attempt that was not sent, so that another upstream gets it. The new test gave 502 before; on the other event loop the write is dropped in silence, with the same end.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -106,6 +106,11 @@
         except NotSentError as error:
             load.note_unreachable(self._clock())
             return AttemptEnd(EndKind.NOT_SENT, str(error))
+        if not connection.is_open:
+            # It was reset between its opening and the moment at which this task runs on.
+            connection.close()
+            load.note_unreachable(self._clock())
+            return AttemptEnd(EndKind.NOT_SENT, "the connection was closed before the request")
         if self._was_suspended():
             connection.close()
             return AttemptEnd(EndKind.NOT_SENT, "the host was suspended")
--- a/tests/requests/test_request_path.py
+++ b/tests/requests/test_request_path.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from lotushill.requests.upstream_connection import UpstreamConnection
+    from lotushill.routing.upstream import Upstream
 
 
 async def whole(seen: ReceivedRequest) -> None:
@@ -45,6 +46,28 @@
     await asyncio.sleep(30)
 
 
+class TestConnectionClosedBeforeTheRequest(unittest.IsolatedAsyncioTestCase):
+    """An upstream resets a connection right after it was opened, as one that has just failed."""
+
+    async def test_a_request_that_must_not_run_twice_is_sent_on_a_further_connection(self) -> None:
+        upstreams = [ScriptedUpstream([whole]) for _ in range(2)]
+        async with Rig(upstreams, RouteKind.NON_IDEMPOTENT) as rig:
+            acquire = rig.components.pool.acquire
+            closed: list[UpstreamConnection] = []
+
+            async def acquire_closed(chosen: Upstream) -> UpstreamConnection:
+                connection = await acquire(chosen)
+                if not closed:
+                    closed.append(connection)
+                    connection.close()
+                return connection
+
+            with patch.object(rig.components.pool, "acquire", acquire_closed):
+                got = await rig.call("r1")
+        runs = sum(len(upstream.requests) for upstream in upstreams)
+        self.assertEqual((200, 1, 1), (got.status, len(closed), runs))
+
+
 class TestForwarding(unittest.IsolatedAsyncioTestCase):
     async def test_method_target_and_body_are_unchanged_and_the_key_is_removed(self) -> None:
         upstream = ScriptedUpstream([whole])
