--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1216,7 +1216,7 @@
     ),
     Break(
         "a first event clears the failures beside a part",
-        "peering/quarantine_gossip.py",
+        "peering/part_gossip.py",
         "if self._quarantine.parts.record_local_event(part.identity, now):",
         "if False:",
         "tests.quarantine.test_deadly_parts",
--- a/src/lotushill/peering/quarantine_gossip.py
+++ b/src/lotushill/peering/quarantine_gossip.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from lotushill.links.quarantine_messages import BegunPart
 from lotushill.links.quarantine_messages import ClearedNews
 from lotushill.links.quarantine_messages import GroupNews
 from lotushill.links.quarantine_messages import SuspectNews
 from lotushill.links.quarantine_messages import SuspectState
+from lotushill.peering.part_gossip import PartGossip
 from lotushill.quarantine.failure_watch import FailureWatch
 from lotushill.quarantine.failure_watch import InterruptedRequest
 from lotushill.quarantine.failure_watch import Listing
@@ -41,8 +41,6 @@
 _MAX_PATH_LENGTH = 120
 _MAX_UPSTREAMS_SENT = 4
 """Maximum number of failed upstreams sent with a suspect, which suffices to hold it."""
-_MAX_PART_UPSTREAMS_SENT = 8
-"""The same for a part, of which several failures may count as one round."""
 
 
 class QuarantineGossip:
@@ -73,6 +71,7 @@
         self._log = log
         self._clock = clock
         self._update_schedule = UpdateSchedule(rng)
+        self._parts = PartGossip(quarantine, self._update_schedule, log, clock)
         self._failure_watch = FailureWatch()
         self._failure_checks: dict[str, asyncio.Task[bool | None]] = {}
         """Pending queries whether an upstream has failed, by upstream."""
@@ -100,10 +99,7 @@
             return True
         if self._quarantine.failure_count(request.identity) >= _FAILURES_TO_STOP_RETRIES:
             return False
-        parts = self._quarantine.parts
-        if any(parts.is_doubtful(part.identity) for part in request.shared_parts):
-            return False
-        return not self.is_held(request)
+        return not self._parts.has_doubtful(request) and not self.is_held(request)
 
     def record_held(self, request: Request) -> None:
         """Record that a held request was sent to no upstream."""
@@ -113,24 +109,13 @@
             request=request.demand.request_id,
             identity=request.identity.hex(),
             team=request.team,
-            parts=self._held_parts(request),
+            parts=self._parts.held_labels(request),
         )
 
-    def _held_parts(self, request: Request) -> list[str]:
-        now = self._clock()
-        return [
-            part.label
-            for part in request.shared_parts
-            if self._quarantine.is_held(part.identity, now)
-        ]
-
     def record_begun(self, request: Request) -> None:
         """Record the first event of a run that began anew: no part of its prompt is at fault."""
-        now = self._clock()
-        for part in request.shared_parts:
-            if self._quarantine.parts.record_local_event(part.identity, now):
-                self._update_schedule.schedule_begun(part.identity, now)
-                self._new_update.set()
+        if self._parts.record_begun(request):
+            self._new_update.set()
 
     def record_completion(self, request: Request) -> None:
         """Record a completed request."""
@@ -185,7 +170,7 @@
     def _record_failure(self, interrupted: InterruptedRequest) -> None:
         now = self._clock()
         if interrupted.groups:
-            self._record_part_failures(interrupted, now)
+            self._parts.record_failure(interrupted)
             self._groups.record_upstream_failure(interrupted.groups, interrupted.upstream)
             self._new_update.set()
         if not self._quarantine.record_upstream_failure(
@@ -208,21 +193,6 @@
         self._schedule_known_good(interrupted.identity, now)
         self._new_update.set()
 
-    def _record_part_failures(self, interrupted: InterruptedRequest, now: float) -> None:
-        """Record the failure beside each part of the prompt of a request without an event."""
-        for part in interrupted.shared_parts:
-            if self._quarantine.record_part_failure(
-                part, interrupted.upstream, interrupted.at, now
-            ):
-                self._update_schedule.schedule_failure(part.identity, now)
-            self._schedule_begun(part.identity, now)
-
-    def _schedule_begun(self, identity: bytes, now: float) -> None:
-        """Schedule an update if this gateway knows an event that may clear a failure."""
-        part = self._quarantine.parts.find(identity)
-        if part is not None and part.has_untold_event:
-            self._update_schedule.schedule_begun(identity, now)
-
     def _schedule_known_good(self, identity: bytes, now: float) -> None:
         if self._quarantine.has_completed(identity, now):
             self._update_schedule.schedule_known_good(identity, now)
@@ -245,22 +215,13 @@
             self._quarantine.mark_known_good(identity, now)
             self._update_schedule.cancel_known_good(identity)
         for begun in update.begun:
-            self._receive_begun(begun, now)
-
-    def _receive_begun(self, begun: BegunPart, now: float) -> None:
-        was_held = self._quarantine.is_held(begun.identity, now)
-        self._quarantine.parts.record_peer_event(begun.identity, now - begun.age)
-        if was_held and not self._quarantine.is_held(begun.identity, now):
-            self._log.note("quarantine.cleared", identity=begun.identity.hex())
-        part = self._quarantine.parts.find(begun.identity)
-        if part is not None and not part.has_untold_event:
-            self._update_schedule.cancel_begun(begun.identity)
+            self._parts.receive_begun(begun)
 
     def _merge(self, state: SuspectState, now: float) -> None:
         was_held = self._quarantine.is_held(state.identity, now)
         is_new = self._quarantine.merge_peer_state(state, now)
         if state.ages:
-            self._schedule_begun(state.identity, now)
+            self._parts.schedule_begun(state.identity)
             self._new_update.set()
         if not is_new:
             return
@@ -311,59 +272,24 @@
 
     def send_due(self) -> None:
         """Judge the parts and send the updates that are due."""
-        now = self._clock()
-        self._judge_parts(now)
-        due = self._update_schedule.pop_due(now)
+        self._parts.judge()
+        due = self._update_schedule.pop_due(self._clock())
         states = [
             state for item in due.suspects if (state := self._suspect_state(item)) is not None
         ]
         for start in range(0, len(states), _MAX_SUSPECTS_PER_DATAGRAM):
             batch = tuple(states[start : start + _MAX_SUSPECTS_PER_DATAGRAM])
             self._broadcast(SuspectNews(self._name, batch))
-        begun = self._begun_parts(due.begun, now)
+        begun = self._parts.pop_begun(due.begun)
         if due.cleared_since or due.cleared_before or begun:
             self._broadcast(ClearedNews(self._name, due.cleared_since, due.cleared_before, begun))
         self._groups.send_due()
 
-    def _judge_parts(self, now: float) -> None:
-        for identity in self._quarantine.judge_parts(now):
-            self._update_schedule.schedule_failure(identity, now)
-            part = self._quarantine.parts.find(identity)
-            if part is not None:
-                self._log.note(
-                    "quarantine.part_held",
-                    identity=identity.hex(),
-                    part=part.path,
-                    upstreams=list(part.failed_upstreams),
-                )
-
-    def _begun_parts(self, identities: tuple[bytes, ...], now: float) -> tuple[BegunPart, ...]:
-        parts = self._quarantine.parts
-        begun = []
-        for identity in identities:
-            part = parts.find(identity)
-            if part is not None and part.known_good:
-                part.told_begun_at = part.begun_at
-                begun.append(BegunPart(identity, now - part.begun_at))
-        return tuple(begun)
-
     def _suspect_state(self, identity: bytes) -> SuspectState | None:
         suspect = self._quarantine.find(identity)
         if suspect is None or not suspect.failed_upstreams:
             return None
         if isinstance(suspect, SuspectedPart):
-            return _part_state(identity, suspect, self._clock())
+            return self._parts.state(identity, suspect)
         upstreams = tuple(suspect.failed_upstreams)[-_MAX_UPSTREAMS_SENT:]
         return SuspectState(identity, suspect.team, suspect.path, upstreams)
-
-
-def _part_state(identity: bytes, part: SuspectedPart, now: float) -> SuspectState:
-    latest = list(part.failed_upstreams.items())[-_MAX_PART_UPSTREAMS_SENT:]
-    return SuspectState(
-        identity,
-        part.team,
-        part.path,
-        tuple(upstream for upstream, _ in latest),
-        tuple(now - at for _, at in latest),
-        part.convicted,
-    )
--- a/src/lotushill/quarantine/part_suspects.py
+++ b/src/lotushill/quarantine/part_suspects.py
@@ -205,17 +205,11 @@
         may not know yet, wait for what tells them apart: an event or a failure. They do not wait
         forever.
         """
-        waits = len(part.failed_upstreams) < _FAILURES_TO_CONVICT_EQUALS
-        stronger = [
-            other
-            for other in self._parts.values()
-            if other is not part
-            and (
-                other.weight(int(waits)) >= part.weight()
-                if waits
-                else other.weight() > part.weight()
-            )
-        ]
+        others = [other for other in self._parts.values() if other is not part]
+        if len(part.failed_upstreams) < _FAILURES_TO_CONVICT_EQUALS:
+            stronger = [other for other in others if other.weight(1) >= part.weight()]
+        else:
+            stronger = [other for other in others if other.weight() > part.weight()]
         return _explain(stronger, part.failed_upstreams)
 
     def _get_or_add(self, identity: bytes, label: str) -> SuspectedPart:
