A connection that has waited too long is closed unread, so that its client tries another gateway

Callers: while a balancer sent nearly all new connections to one gateway with little processor time, 492 of 1,800 requests were served (95 of 1,200 with half of that), and before 160 of 160. Cause: connections wait in the system's queue, in order of arrival; each is read later than the one before, until all are answered after their deadlines.

Linux tells when data last arrived on a connection. New: a soak run (300 connections a second, which failed before), tests of the limit and of the server, a gauge and a log line.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1256,6 +1256,13 @@
         "if False:",
         "tests.quarantine.test_part_suspects",
     ),
+    Break(
+        "a connection that has waited too long is closed unread",
+        "requests/unread_limit.py",
+        "if unread_seconds <= MAX_UNREAD_SECONDS or not self._has_peers():",
+        "if True:",
+        "tests.requests.test_unread_limit",
+    ),
     Break(
         "isolated requests run one at a time",
         "requests/isolation_policy.py",
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -54,6 +54,7 @@
 from lotushill.requests.isolation_policy import IsolationPolicy
 from lotushill.requests.mover import Mover
 from lotushill.requests.retry_budgets import RetryBudgets
+from lotushill.requests.unread_limit import UnreadLimit
 from lotushill.requests.upstream_dialer import UpstreamDialer
 from lotushill.requests.upstream_gate import UpstreamGate
 from lotushill.requests.upstream_pool import UpstreamPool
@@ -280,7 +281,10 @@
                 holds_are_known=self.views.holds_are_known,
             )
         )
-        protocol = functools.partial(ClientProtocol, limits=self._client_limits)
+        self.unread_limit = UnreadLimit(lambda: self.peers.count() > 1)
+        protocol = functools.partial(
+            ClientProtocol, limits=self._client_limits, admits=self.unread_limit.admits
+        )
         self.client_listener = HttpServer(
             self.client_application, settings.clients, protocol=protocol
         )
@@ -292,6 +296,8 @@
         )
         add_gauges(self)
         self._stopping = False
+        self._closed_unread_logged = 0
+        """Number of connections closed unread that the log tells of."""
         self._view_tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -352,6 +358,7 @@
             self.dialer.retain_only({upstream.address for upstream in self.views.upstreams.all()})
             self.fleet.evict_unused(known, clocks.now())
             self._log_pace_changes()
+            self._log_closed_unread()
             self.cooldowns.retain_only(known, clocks.now())
             self.limits.retain_only(known)
             self.team_limits.drop_idle()
@@ -363,6 +370,13 @@
             for load in self.shared_load.due_snapshots(self.peers.count()):
                 self.peers.publish_load(load)
 
+    def _log_closed_unread(self) -> None:
+        """Log how many connections were closed unread since the last time, if any were."""
+        count = self.unread_limit.closed_count - self._closed_unread_logged
+        if count:
+            self._closed_unread_logged += count
+            self.log.note("connections.closed_unread", count=count)
+
     def _reload(self) -> None:
         """Read the settings file again; keep the values that cannot change in a running process."""
         try:
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -29,6 +29,7 @@
     from lotushill.relaying.relay_server import RelayServer
     from lotushill.requests.client_application import ClientApplication
     from lotushill.requests.mover import Mover
+    from lotushill.requests.unread_limit import UnreadLimit
     from lotushill.requests.upstream_dialer import UpstreamDialer
     from lotushill.requests.upstream_gate import UpstreamGate
     from lotushill.requests.upstream_pool import UpstreamPool
@@ -57,6 +58,7 @@
     mover: Mover
     stream_origins: StreamOrigins
     quarantine: FleetQuarantine
+    unread_limit: UnreadLimit
     side_tasks: SideTasks
     client_application: ClientApplication
     queue_runner: QueueRunner
@@ -170,6 +172,11 @@
         "Upstream failures during requests of this gateway since the start, one for each request",
         lambda: gateway.quarantine.gossip.upstream_failures,
     )
+    add_gauge(
+        "connections_closed_unread",
+        "Client connections closed unread since the start, as they had waited too long",
+        lambda: gateway.unread_limit.closed_count,
+    )
     add_gauge(
         "rests_asked",
         "Cooldowns that upstreams requested, since the start",
--- a/src/lotushill/requests/client_protocol.py
+++ b/src/lotushill/requests/client_protocol.py
@@ -7,6 +7,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from lotushill.links.unread_time import unread_seconds
 from lotushill.routing.limits import ClientLimits
 
 if TYPE_CHECKING:
@@ -26,20 +27,35 @@
     """Notifies the request path of a lost client, and limits idle time and time to send a head."""
 
     def __init__(
-        self, *arguments: Any, limits: Callable[[], ClientLimits] = ClientLimits, **options: Any
+        self,
+        *arguments: Any,
+        limits: Callable[[], ClientLimits] = ClientLimits,
+        admits: Callable[[float], bool] = lambda unread_seconds: True,
+        **options: Any,
     ) -> None:
-        """Create the protocol of one connection; `limits` returns the limits in force."""
+        """Create the protocol of one connection; `limits` returns the limits in force.
+
+        `admits` returns whether a connection is read whose first bytes have waited for some
+        seconds; another one is closed before anything is read from it.
+        """
         super().__init__(*arguments, **options)
         self.on_lost: Callable[[], None] | None = None
         """Callback for the end of the connection, None if there is none."""
         self.is_lost = False
         """Whether the connection has ended."""
         self._limits = limits
+        self._admits = admits
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the idle timeout, which closes a connection on which nothing is sent."""
+        """Start the idle timeout, which closes a connection on which nothing is sent.
+
+        A connection that has waited too long is reset, so that its client tries another gateway.
+        """
         super().connection_made(transport)  # type: ignore[arg-type]
+        if not self._admits(unread_seconds(transport.get_extra_info("socket"))):
+            self.transport.abort()
+            return
         self._set_timer(self._limits().idle_seconds, self.transport.close)
 
     def on_message_begin(self) -> None:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -1253,6 +1253,14 @@
                     ".test_a_gateway_that_has_just_started_spreads_its_requests",
                 ),
             ),
+            Case(
+                "nearly all new connections go to one gateway, which cannot read them in time",
+                (
+                    "tests.soak.test_funnel.TestFunnel.test_requests_are_served_while_most_connections_go_to_a_slow_gateway",
+                    "tests.requests.test_unread_limit.TestClosedConnections.test_a_late_connection_is_closed_unread_and_an_open_one_is_served_on",
+                    "tests.requests.test_unread_limit.TestUnreadLimit.test_nothing_is_closed_without_another_gateway",
+                ),
+            ),
             Case(
                 "requests arrive just before a gateway is ready",
                 (
