Attempts are logged with the rejections a second that their upstream bears

The number that a brittle upstream states was dropped when its answer was read, so that no log line showed how near a rejection brought it to a fall. It is parsed and kept (the lowest of several), and attempt.ended states it.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -154,8 +154,8 @@
     Break(
         "the statement of brittle upstreams is read",
         "platform/upstream_answer.py",
-        "parse_brittle(values(names.SERVER_BRITTLE))",
-        "False",
+        "parse_max_rejections(values(names.SERVER_BRITTLE))",
+        "None",
         "tests.platform.test_upstream_answer",
     ),
     Break(
--- a/src/lotushill/availability/statement.py
+++ b/src/lotushill/availability/statement.py
@@ -41,8 +41,11 @@
     """
     unreadable_limit: str = ""
     """Text of a limit that could not be parsed."""
-    brittle: bool = False
-    """Whether the upstream falls over if it has to reject many requests for want of room."""
+    max_rejections: float | None = None
+    """Requests per second that it can reject for want of room; one more and it falls over.
+
+    None if it states no such number.
+    """
 
 
 EMPTY_STATEMENT = Statement()
@@ -105,9 +108,10 @@
     return ParsedLimit(None, unreadable_texts[-1] or _EMPTY_TEXT)
 
 
-def parse_brittle(values: list[bytes]) -> bool:
-    """Return whether an upstream states the rejections a second that it bears."""
-    return any(_parse_decimal(value) is not None for value in values)
+def parse_max_rejections(values: list[bytes]) -> float | None:
+    """Return the lowest of several numbers of rejections per second, None if there is none."""
+    numbers = [number for value in values if (number := _parse_decimal(value)) is not None]
+    return min(numbers, default=None)
 
 
 def _parse_decimal(value: bytes) -> float | None:
--- a/src/lotushill/platform/upstream_answer.py
+++ b/src/lotushill/platform/upstream_answer.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from lotushill.availability.statement import Statement
-from lotushill.availability.statement import parse_brittle
 from lotushill.availability.statement import parse_cooldown
 from lotushill.availability.statement import parse_limit
+from lotushill.availability.statement import parse_max_rejections
 from lotushill.platform import names
 
 Headers = list[tuple[bytes, bytes]]
@@ -27,4 +27,5 @@
     leaving = any(value.strip() == _TRUE for value in values(names.SERVER_LEAVING))
     stated = (cooldown.seconds, leaving, cooldown.unreadable, limit.rate, limit.unreadable)
     not_executed = any(values(names.NOT_EXECUTED)) or status == _MISDIRECTED
-    return Statement(not_executed, *stated, parse_brittle(values(names.SERVER_BRITTLE)))
+    max_rejections = parse_max_rejections(values(names.SERVER_BRITTLE))
+    return Statement(not_executed, *stated, max_rejections)
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -130,6 +130,7 @@
                 leaving=end.statement.leaving,
                 unreadable=end.statement.unreadable_cooldown,
                 limit=finite_or_none(end.statement.limit),
+                max_rejections=end.statement.max_rejections,
                 closed_here=end.handover is not None and end.handover.closed_by_gateway,
                 after_stop=end.handover.events_after_stop() if end.handover is not None else 0,
                 replaced_by=end.successor.choice.upstream.id if end.successor is not None else "",
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -81,7 +81,7 @@
             self._cooldowns.note_accepted(upstream_id, now)
         if statement.leaving:
             self._on_leaving(upstream_id)
-        if statement.brittle:
+        if statement.max_rejections is not None:
             self._on_brittle(upstream_id)
         if statement.unreadable_limit:
             self.unreadable_limits += 1
--- a/tests/platform/test_upstream_answer.py
+++ b/tests/platform/test_upstream_answer.py
@@ -132,13 +132,17 @@
 
 
 class TestBrittle(unittest.TestCase):
-    def test_numbers_state_that_the_upstream_is_brittle(self) -> None:
-        for text in (b"6", b" 0 ", b"2.5"):
+    def test_numbers_state_how_many_rejections_the_upstream_bears(self) -> None:
+        for text, number in ((b"6", 6.0), (b" 0 ", 0.0), (b"2.5", 2.5)):
             with self.subTest(text=text):
-                self.assertTrue(read_statement(200, [(BRITTLE, text)]).brittle)
+                self.assertEqual(number, read_statement(200, [(BRITTLE, text)]).max_rejections)
+
+    def test_the_lowest_of_several_numbers_counts(self) -> None:
+        headers = [(BRITTLE, b"6"), (BRITTLE, b"4"), (BRITTLE, b"very")]
+        self.assertEqual(4.0, read_statement(200, headers).max_rejections)
 
     def test_other_values_and_none_do_not(self) -> None:
         for text in (b"", b"very", b"-1", b"nan", b"1e3"):
             with self.subTest(text=text):
-                self.assertFalse(read_statement(503, [(BRITTLE, text)]).brittle)
-        self.assertFalse(read_statement(200, []).brittle)
+                self.assertIsNone(read_statement(503, [(BRITTLE, text)]).max_rejections)
+        self.assertIsNone(read_statement(200, []).max_rejections)
--- a/tests/soak/brittle_run.py
+++ b/tests/soak/brittle_run.py
@@ -140,16 +140,12 @@
             while count < due:
                 count += 1
                 address = self._rng.choice(self._fleet.all).clients
-                self._start_task(
-                    _send(f"a{count}", address, plan.deadline_seconds, self._statuses)
-                )
+                self._start_task(_send(f"a{count}", address, plan.deadline_seconds, self._statuses))
             await asyncio.sleep(0.005)
 
     def _rate(self, at: float) -> float:
         factors = [
-            burst.factor
-            for burst in self._plan.bursts
-            if burst.at <= at < burst.at + burst.seconds
+            burst.factor for burst in self._plan.bursts if burst.at <= at < burst.at + burst.seconds
         ]
         return self._plan.overload * self._plan.bearable_per_second * max([1.0, *factors])
 
