Slots of brittle engines are permits of one owner, so that no engine is sent more than it has

Cause: each scheduler gives slots away by a model of its own that trails the others by tens of milliseconds, so that several give away the same free slot; what engines state was kept by each gateway alone for three seconds, and was forgotten while all engines were down; and the model holds fewer runs than the engines (silent ones ended in it at once). Class: a sum over all gateways that each bounds by itself.

The owner of an engine's limit counts its slots too; each attempt at a brittle engine needs one of them, however it is placed, and gives it back. What an owner does not know (lost gateways, another owner, a pause of its process, rejections) is doubt: such slots are tried within half of the rejections that the engine bears. What is on its way counts as rejected until some time has passed. Attempts at silent upstreams of brittle services stay in the load model.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -161,7 +161,7 @@
     Break(
         "brittle upstreams are sent no more requests than they have slots",
         "placement/fleet.py",
-        "if self.brittle.is_brittle(need.service, now):",
+        "if self.brittle.is_brittle(need.service):",
         "if False:",
         "tests.placement.test_brittle_services",
     ),
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -27,6 +27,7 @@
 from lotushill.journal import Journal
 from lotushill.limits.barred_upstreams import BarredUpstreams
 from lotushill.limits.fleet_limits import FleetLimits
+from lotushill.limits.fleet_slots import FleetSlots
 from lotushill.limits.limit_owners import LimitOwners
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.limits.team_limits import TeamLimits
@@ -75,6 +76,7 @@
 
     from anyio.abc import TaskGroup
 
+    from lotushill.links.limit_messages import LimitNews
     from lotushill.links.limit_messages import PermitAnswer
     from lotushill.links.limit_messages import PermitAsk
     from lotushill.process.settings import GatewaySettings
@@ -156,6 +158,17 @@
             rng,
             clocks.now,
         )
+        self.slots = FleetSlots(
+            self.views.upstreams,
+            limit_owners,
+            self.fleet.brittle,
+            lambda upstream_id: len(self.fleet.load(upstream_id).running),
+            self.peers.send_message,
+            self.peers.broadcast,
+            self.log,
+            rng,
+            clocks.now,
+        )
         self.team_limits = TeamLimits(limit_owners, self.limits.client, rng, clocks.now)
         self.queue_runner = QueueRunner(
             settings.name,
@@ -229,7 +242,7 @@
             self.leaving_gossip.note_answer,
             self.log,
             clocks.now,
-            self._on_brittle,
+            self.slots,
         )
         self.retry_budgets = RetryBudgets(
             settings.retry, self._possible_gateway_count, clocks.now()
@@ -361,6 +374,7 @@
             self._log_closed_unread()
             self.cooldowns.retain_only(known, clocks.now())
             self.limits.retain_only(known)
+            self.slots.retain_only(known)
             self.team_limits.drop_idle()
             self.mover.retain_only(known)
             self.queue_runner.queue.engines.retain_only(known)
@@ -455,9 +469,10 @@
             on_work_page=self.duties.receive,
             on_suspects=lambda update: self.quarantine.gossip.receive(update),
             on_leaving=lambda update: self.leaving_gossip.receive(update),
-            on_limits=lambda update: self.limits.gossip.receive(update),
+            on_limits=self._on_limits,
             on_permit_ask=self._on_permit_ask,
             on_permit_answer=lambda answer: self.limits.client.receive(answer),
+            on_slots=lambda message, address: self.slots.receive(message, address),
             on_returns=lambda update: self.return_gossip.receive(update),
             on_origin=lambda update: self.stream_origins.receive(update),
             on_origin_ask=lambda ask: self.stream_origins.answer(ask),
@@ -473,7 +488,12 @@
         limits = self.team_limits if self.team_limits.is_team_limit(ask) else self.limits
         return limits.answer(ask)
 
+    def _on_limits(self, update: LimitNews) -> None:
+        gossip = self.slots.gossip if update.on_rejections else self.limits.gossip
+        gossip.receive(update)
+
     def _on_gateway_gone(self, name: str) -> None:
+        self.slots.drop_gateway(name)
         self.shared_load.drop_sender(name)
         self.queue_runner.drop_gateway(name)
 
@@ -486,6 +506,7 @@
         self.suspension.check()
         self.leaving_gossip.send_due()
         self.limits.gossip.send_due()
+        self.slots.process_due()
         self.return_gossip.send_due()
         self.stream_origins.observe_view()
         self.mover.start_due_handovers()
@@ -519,15 +540,6 @@
     def _is_upstream_address(self, address: str) -> bool:
         return any(item.address == address for item in self.views.upstreams.all())
 
-    def _on_brittle(self, upstream_id: str) -> None:
-        """Record that an upstream falls over if all gateways make it reject too many requests."""
-        service, now = self._service_of(upstream_id), clocks.now()
-        if service is None:
-            return
-        if not self.fleet.brittle.is_brittle(service.name, now):
-            self.log.note("service.brittle", service=service.name, upstream=upstream_id)
-        self.fleet.brittle.note_stated(service.name, now)
-
     def _service_named(self, name: str) -> Service | None:
         table = self.views.configuration.table
         return table.services.get(name) if table is not None else None
--- a/src/lotushill/limits/limit_gossip.py
+++ b/src/lotushill/limits/limit_gossip.py
@@ -37,14 +37,19 @@
         log: EventLog,
         rng: random.Random,
         clock: Callable[[], float],
+        on_rejections: bool = False,
     ) -> None:
-        """Create it for the gateway `name`; `on_change` gets each upstream whose limit changed."""
+        """Create it for the gateway `name`; `on_change` gets each upstream whose limit changed.
+
+        `on_rejections` states whether the limits are on the requests that upstreams reject.
+        """
         self._name = name
         self._limits = limits
         self._broadcast = broadcast
         self._on_change = on_change
         self._log = log
         self._clock = clock
+        self._on_rejections = on_rejections
         self._schedule = AnnouncementSchedule(rng)
 
     def note_answer(self, upstream_id: str, report: LimitReport) -> None:
@@ -57,7 +62,7 @@
         report = LimitReport(
             state.rate, now - state.asked_age - _GOSSIP_DELAY_SECONDS, now - state.heard_age
         )
-        if report.rate > 0.0 and report.sent_at <= report.received_at <= now:
+        if report.rate >= 0.0 and report.sent_at <= report.received_at <= now:
             self._merge(state.upstream, report, source)
 
     def receive(self, update: LimitNews) -> None:
@@ -82,12 +87,14 @@
         names = self._schedule.due_names(reports, self._clock())
         if names:
             states = tuple(self.state(name, reports[name]) for name in names)
-            self._broadcast(LimitNews(self._name, states, len(names) == len(reports)))
+            complete = len(names) == len(reports)
+            self._broadcast(LimitNews(self._name, states, complete, self._on_rejections))
 
     def _merge(self, upstream_id: str, report: LimitReport, source: str) -> None:
         if not self._limits.merge(upstream_id, report):
             return
         rate = finite_or_none(report.rate)
-        self._log.note("upstream.limits", upstream=upstream_id, rate=rate, source=source)
+        event = "upstream.brittle" if self._on_rejections else "upstream.limits"
+        self._log.note(event, upstream=upstream_id, rate=rate, source=source)
         self._on_change(upstream_id)
         self._schedule.note(upstream_id, self._clock())
--- a/src/lotushill/limits/limit_owners.py
+++ b/src/lotushill/limits/limit_owners.py
@@ -55,6 +55,14 @@
         """Return whether this gateway is the owner for an upstream."""
         return self.owner_of(upstream).name == self.own_name
 
+    def find(self, name: str) -> MemberState | None:
+        """Return a gateway by its name, None if it is not known."""
+        return self._membership.own if name == self.own_name else self._membership.find(name)
+
+    def is_in_hall(self, upstream: Upstream) -> bool:
+        """Return whether this gateway is in the hall of an upstream."""
+        return upstream.hall == self._membership.own.hall
+
     def usable_fraction(self) -> float:
         """Return the fraction of a limit that the gateways alive in this one's view may use."""
         live = len(self._membership.live())
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -42,6 +42,10 @@
 from lotushill.links.relay_messages import RelayAnswer
 from lotushill.links.relay_messages import RelayOpen
 from lotushill.links.return_messages import ReturnNews
+from lotushill.links.slot_messages import SlotAnswer
+from lotushill.links.slot_messages import SlotAsk
+from lotushill.links.slot_messages import SlotReport
+from lotushill.links.slot_messages import SlotReportAck
 
 Message = (
     Ping
@@ -70,6 +74,10 @@
     | OriginNews
     | OriginAsk
     | OriginAnswer
+    | SlotAsk
+    | SlotAnswer
+    | SlotReport
+    | SlotReportAck
 )
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frame.capnp")))
@@ -225,6 +233,10 @@
     OriginNews,
     OriginAsk,
     OriginAnswer,
+    SlotAsk,
+    SlotAnswer,
+    SlotReport,
+    SlotReportAck,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _MESSAGE_TYPES}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -194,6 +194,7 @@
   sender @0 :Text;
   limits @1 :List(LimitState);
   complete @2 :Bool;
+  onRejections @3 :Bool;
 }
 
 struct PermitAsk {
@@ -212,6 +213,42 @@
   rank @3 :UInt8;
 }
 
+struct SlotAsk {
+  sender @0 :Text;
+  number @1 :UInt64;
+  upstream @2 :Text;
+  maxRejections @3 :Float64;
+  tier @4 :UInt8;
+  seconds @5 :Float64;
+}
+
+struct SlotAnswer {
+  number @0 :UInt64;
+  granted @1 :Bool;
+}
+
+struct HeldSlot {
+  number @0 :UInt64;
+  seconds @1 :Float64;
+}
+
+struct EndedSlot {
+  number @0 :UInt64;
+  how @1 :Text;
+}
+
+struct SlotReport {
+  sender @0 :Text;
+  sequence @1 :UInt64;
+  upstream @2 :Text;
+  held @3 :List(HeldSlot);
+  ended @4 :List(EndedSlot);
+}
+
+struct SlotReportAck {
+  sequence @0 :UInt64;
+}
+
 struct GroupEnd {
   service @0 :Text;
   label @1 :Text;
@@ -307,5 +344,9 @@
     originnews @23 :OriginNews;
     originask @24 :OriginAsk;
     originanswer @25 :OriginAnswer;
+    slotask @26 :SlotAsk;
+    slotanswer @27 :SlotAnswer;
+    slotreport @28 :SlotReport;
+    slotreportack @29 :SlotReportAck;
   }
 }
--- a/src/lotushill/links/limit_messages.py
+++ b/src/lotushill/links/limit_messages.py
@@ -26,6 +26,8 @@
     limits: tuple[LimitState, ...]
     complete: bool
     """Whether the list contains all limits known to the sender."""
+    on_rejections: bool = False
+    """Whether they limit the requests per second that are rejected, not those that are sent."""
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -53,6 +53,10 @@
 from lotushill.links.quarantine_messages import SuspectNews
 from lotushill.links.return_messages import ReturnNews
 from lotushill.links.seal import Seal
+from lotushill.links.slot_messages import SlotAnswer
+from lotushill.links.slot_messages import SlotAsk
+from lotushill.links.slot_messages import SlotReport
+from lotushill.links.slot_messages import SlotReportAck
 from lotushill.membership.membership import Membership
 from lotushill.membership.membership_options import MembershipOptions
 from lotushill.membership.schedulers import Schedulers
@@ -128,6 +132,8 @@
     on_permit_ask: Callable[[PermitAsk], PermitAnswer]
     """Answers a permit request for an upstream with a limit."""
     on_permit_answer: Callable[[PermitAnswer], None]
+    on_slots: Callable[[SlotAsk | SlotAnswer | SlotReport | SlotReportAck, str], None]
+    """Receives messages on the slots of brittle upstreams, with the address of the sender."""
     on_returns: Callable[[ReturnNews], None]
     """Receives updates on refused callers with a promised retry time."""
     on_origin: Callable[[OriginNews], None]
@@ -330,6 +336,8 @@
             self.send_message(self._hooks.on_permit_ask(message), f"{addr[0]}:{addr[1]}")
         elif isinstance(message, PermitAnswer):
             self._hooks.on_permit_answer(message)
+        elif isinstance(message, SlotAsk | SlotAnswer | SlotReport | SlotReportAck):
+            self._hooks.on_slots(message, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, ReturnNews):
             self._hooks.on_returns(message)
         elif isinstance(message, OriginNews):
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -12,9 +12,9 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
+from lotushill.availability.brittle_services import BrittleServices
 from lotushill.placement.backup import backup_target
 from lotushill.placement.backup import is_worth_copying
-from lotushill.placement.brittle_services import BrittleServices
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
@@ -246,7 +246,7 @@
         with_room = [item for item in reachable or candidates if item.id not in closed_engines]
         if service.engine is not None and not need.version:
             with_room = without_reserved(with_room, serving, self._free_slots)
-        if self.brittle.is_brittle(need.service, now):
+        if self.brittle.is_brittle(need.service):
             with_room = [item for item in with_room if len(self.load(item.id).running) < item.slots]
             if not with_room:
                 return self.shedding.refuse_for_others(need, Refusal.NO_ROOM, now)
--- a/src/lotushill/requests/attempt_reporter.py
+++ b/src/lotushill/requests/attempt_reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from lotushill.placement.learning import PACE_SAMPLE_PAUSES
@@ -11,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lotushill.placement.messages import Placed
+    from lotushill.routing.service import Service
     from lotushill.scheduling.shared_load import SharedLoad
 
 _REPORTED_PAUSE_INDEX = 2
@@ -32,11 +35,26 @@
 class AttemptReporter:
     """Reports the progress and end of one attempt under the number of its request."""
 
-    def __init__(self, shared_load: SharedLoad, request: int, on_ran: Callable[[], None]) -> None:
-        """Report the attempt numbered `request`; `on_ran` is called when an upstream has run it."""
+    def __init__(
+        self,
+        shared_load: SharedLoad,
+        placed: Placed,
+        service: Service,
+        on_ran: Callable[[], None],
+        new_number: Callable[[], int] | None = None,
+    ) -> None:
+        """Report the attempt that was started as `placed`.
+
+        `on_ran` is called when an upstream has run it. With `new_number`, an attempt at a silent
+        upstream goes on occupying a slot there, under another number.
+        """
         self._shared_load = shared_load
-        self._request = request
+        self._placed = placed
+        self._service = service
+        self._request = placed.request
         self._on_ran = on_ran
+        self._new_number = new_number
+        self._is_silent = False
         self._pauses: list[float] = []
         self._has_started = False
 
@@ -44,7 +62,8 @@
         """Report the first event, `seconds` after the request was sent."""
         self._has_started = True
         self._on_ran()
-        self._shared_load.begin(self._request, seconds)
+        if not self._is_silent:
+            self._shared_load.begin(self._request, seconds)
 
     def report_pause(self, seconds: float) -> None:
         """Record a pause between two events; the first few give the pace of the upstream."""
@@ -57,6 +76,10 @@
     def report_silence(self) -> None:
         """Report that the upstream is silent, although an answer may still arrive."""
         self._shared_load.end(self._request, Outcome.FAILED)
+        if self._new_number is not None and not self._is_silent:
+            self._request = self._new_number()
+            self._shared_load.start(replace(self._placed, request=self._request), self._service)
+        self._is_silent = True
 
     def report_end(self, kind: EndKind | None, seconds: float) -> None:
         """Report the end after `seconds`; `kind` is None if the attempt was cancelled."""
@@ -68,4 +91,7 @@
             outcome = _OUTCOMES[kind]
             if kind is EndKind.FAILED:
                 self._on_ran()
+        if self._is_silent:
+            # The failure is reported, and an answer that arrives late is no measure of its pace.
+            outcome = Outcome.UNKNOWN
         self._shared_load.end(self._request, outcome, seconds)
--- a/src/lotushill/requests/continuation.py
+++ b/src/lotushill/requests/continuation.py
@@ -11,11 +11,11 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lotushill.links.slot_messages import SlotEnd
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import MovedMemory
 from lotushill.requests.attempt_end import EndKind
 from lotushill.requests.continuation_tries import ContinuationTries
-from lotushill.requests.upstream_gate import Permit
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -27,6 +27,7 @@
     from lotushill.requests.handover import Handover
     from lotushill.requests.handover import RunMemory
     from lotushill.requests.stream_version import StreamVersion
+    from lotushill.requests.upstream_gate import Permit
     from lotushill.routing.upstream import Upstream
     from lotushill.scheduling.placement import Placement
     from lotushill.scheduling.request import Request
@@ -104,11 +105,17 @@
         """Ask the backup to continue the run; return None if it must not be asked now."""
         if not self._components.gate.accepts_requests(backup.id):
             return None
-        permit = await self._components.gate.admit(backup, self._request.need)
-        if permit is None or not self._spend_retry():
+        permit = await self._admit(backup)
+        if permit is None:
+            return None
+        if not self._spend_retry():
+            self._components.gate.release(permit, SlotEnd.UNSENT)
             return None
         return await self._continue_run(self._choice(backup), permit)
 
+    async def _admit(self, upstream: Upstream) -> Permit | None:
+        return await self._components.gate.admit(upstream, self._request.need, self._request.ends)
+
     async def _may_ask_again(self, backup: Upstream, end: AttemptEnd) -> bool:
         """Return whether a backup certainly did not run the request and may still have the copy."""
         is_refused = end.kind in (*_NOT_SENT, EndKind.REJECTED)
@@ -150,9 +157,9 @@
         seconds_left = self._components.mover.seconds_until_shutdown(upstream.id, now)
         return math.inf if seconds_left is None else now + seconds_left - _NOTICE_MARGIN_SECONDS
 
-    def memory_permit(self, upstream: Upstream) -> Permit:
-        """Return the permit for a run at an upstream without a limit that holds its memory."""
-        return Permit(upstream.id, takes_memory_until=self._takes_memory_until(upstream))
+    def memory_permit(self, upstream: Upstream, admitted: Permit) -> Permit:
+        """Return the permit for a run that was admitted at an upstream that holds its memory."""
+        return replace(admitted, takes_memory_until=self._takes_memory_until(upstream))
 
     def _can_continue_at(self, backup: Upstream) -> bool:
         """Return whether the upstream should have the copy, or will report that it has not.
@@ -237,7 +244,10 @@
             if not may_ask or not self._takes_run(run_memory, tries):
                 continue
             permit = await self._permit(run_memory)
-            if permit is None or not self._spend(handover):
+            if permit is None:
+                continue
+            if not self._spend(handover):
+                self._components.gate.release(permit, SlotEnd.UNSENT)
                 continue
             events = self._splitter.event_count
             handover.note_continuing()
@@ -270,8 +280,8 @@
     async def _permit(self, run_memory: RunMemory) -> Permit | None:
         """Return the permit for a run that continues, None if the upstream's limit allows none."""
         upstream = run_memory.upstream
-        admitted = await self._components.gate.admit(upstream, self._request.need)
-        return self.memory_permit(upstream) if admitted is not None else None
+        admitted = await self._admit(upstream)
+        return self.memory_permit(upstream, admitted) if admitted is not None else None
 
     def _spend(self, handover: Handover) -> bool:
         if handover.retries is not None:
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -118,7 +118,9 @@
                 if self._clock() >= request.ends:
                     return await self.time_out()
                 choice = placement.choice
-                permit = await self._components.gate.admit(choice.upstream, request.need)
+                permit = await self._components.gate.admit(
+                    choice.upstream, request.need, request.ends
+                )
                 if permit is None:
                     self._defer(placement)
                     continue
--- a/src/lotushill/requests/replacement_search.py
+++ b/src/lotushill/requests/replacement_search.py
@@ -14,6 +14,7 @@
 from lotushill.availability.replacement_conditions import ReplacementConditions
 from lotushill.availability.replacement_conditions import replacement_obstacle
 from lotushill.availability.retry_budget import NO_RETRY_LEFT
+from lotushill.links.slot_messages import SlotEnd
 from lotushill.requests.attempt_end import ReplacedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import UpstreamError
@@ -172,13 +173,16 @@
             return NO_RETRY_LEFT
         permit = None
         try:
-            permit = await self._components.gate.admit(upstream, self._request.need)
+            permit = await self._components.gate.admit(
+                upstream, self._request.need, self._request.ends
+            )
             if permit is None:
                 self._search.defer(upstream.id)
                 return "no permit"
             if placement.choice.moved is not None:
-                permit = self._continuation.memory_permit(upstream)
+                permit = self._continuation.memory_permit(upstream, permit)
             if not retries.try_spend(self._components.clock()):
+                self._components.gate.release(permit, SlotEnd.UNSENT)
                 permit = None
                 return NO_RETRY_LEFT
             return await self._send(self._tracker.begin(placement, permit), retries)
--- a/src/lotushill/requests/tracked_attempt.py
+++ b/src/lotushill/requests/tracked_attempt.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.availability.stated_limits import finite_or_none
+from lotushill.links.slot_messages import SlotEnd
 from lotushill.platform import request_head
 from lotushill.requests.answer_state import CutBy
 from lotushill.requests.attempt import Attempt
@@ -29,6 +30,8 @@
     from lotushill.scheduling.request import Request
 
 _NOT_RUN = (EndKind.NOT_SENT, EndKind.BARRED, EndKind.REJECTED)
+_FULL_STATUSES = ("429", "503")
+"""Statuses by which an upstream rejects a request for want of room."""
 
 
 class AttemptTracker:
@@ -73,8 +76,13 @@
         )
         if not placement.choice.resumes_from_copy:
             self.runs += 1
+        is_brittle = self._components.fleet.brittle.is_brittle(self._request.service.name)
         reporter = AttemptReporter(
-            self._components.shared_load, placement.placed.request, self._note_started
+            self._components.shared_load,
+            placement.placed,
+            self._request.service,
+            self._note_started,
+            self._components.placer.new_attempt_number if is_brittle else None,
         )
         attempt = Attempt(
             self._components,
@@ -87,7 +95,7 @@
             permit,
             functools.partial(self._may_repeat, placement.choice),
         )
-        return TrackedAttempt(self, placement.choice, attempt, reporter)
+        return TrackedAttempt(self, placement.choice, attempt, reporter, permit)
 
     def _may_repeat(self, choice: Choice) -> bool:
         """Return whether the request may be sent to another upstream instead of `choice`."""
@@ -102,6 +110,10 @@
         """Return whether the failure of an attempt may lie in the path from this gateway."""
         return self._components.pool.is_partitioned(choice.upstream)
 
+    def release(self, permit: Permit, end: AttemptEnd | None) -> None:
+        """Give back the permit of an ended attempt; `end` is None if it was cancelled."""
+        self._components.gate.release(permit, _slot_end(end))
+
     def record_times(self, attempt: Attempt) -> float:
         """Record the time to the first event of an ended attempt; return how long it ran."""
         self.first_ms = round((attempt.first_event_at - attempt.sent_at) * 1000, 1)
@@ -223,10 +235,16 @@
     """One attempt at the upstream of `choice`."""
 
     def __init__(
-        self, tracker: AttemptTracker, choice: Choice, attempt: Attempt, reporter: AttemptReporter
+        self,
+        tracker: AttemptTracker,
+        choice: Choice,
+        attempt: Attempt,
+        reporter: AttemptReporter,
+        permit: Permit,
     ) -> None:
         """Record the progress and end of `attempt` with `tracker` and `reporter`."""
         self.choice = choice
+        self._permit = permit
         self._tracker = tracker
         self._attempt = attempt
         self._reporter = reporter
@@ -269,7 +287,7 @@
     def abandon(self) -> None:
         """Close the connection of an attempt whose answer is not needed."""
         self._attempt.close()
-        self._report_end(None)
+        self._report_end(None, None)
         self._record_if_unsent()
         self._tracker.record_abandoned(self.choice, was_sent=bool(self._attempt.sent_at))
 
@@ -285,22 +303,34 @@
         except Exception:
             # A fault of the gateway counts against the upstream at which it occurs. Otherwise that
             # upstream, failing at once and always idle, would attract all requests.
-            self._report_end(EndKind.BROKEN)
+            self._report_end(EndKind.BROKEN, None)
             raise
         except BaseException:
-            self._report_end(None)
+            self._report_end(None, None)
             raise
 
     def _record_end(self, end: AttemptEnd) -> AttemptEnd:
-        self._report_end(end.kind)
+        self._report_end(end.kind, end)
         self._tracker.record_resumption(self.choice, self._attempt)
         self._tracker.record_end(self.choice, end)
         return end
 
-    def _report_end(self, kind: EndKind | None) -> None:
+    def _report_end(self, kind: EndKind | None, end: AttemptEnd | None) -> None:
         if self._is_recorded:
             return
         self._is_recorded = True
+        self._tracker.release(self._permit, end)
         if kind is EndKind.BROKEN and self._tracker.is_partitioned(self.choice):
             kind = None
         self._reporter.report_end(kind, self._tracker.record_times(self._attempt))
+
+
+def _slot_end(end: AttemptEnd | None) -> SlotEnd:
+    """Return what the end of an attempt means for the slot that it held."""
+    if end is None:
+        return SlotEnd.CUT
+    if end.kind in (EndKind.NOT_SENT, EndKind.BARRED):
+        return SlotEnd.UNSENT
+    if end.kind in (EndKind.REJECTED, EndKind.FAILED) and end.detail in _FULL_STATUSES:
+        return SlotEnd.REJECTED
+    return SlotEnd.CUT if end.kind in (EndKind.BROKEN, EndKind.MOVED) else SlotEnd.SERVED
--- a/src/lotushill/requests/upstream_gate.py
+++ b/src/lotushill/requests/upstream_gate.py
@@ -7,6 +7,7 @@
 
 from lotushill.availability.stated_limits import LimitReport
 from lotushill.limits.permit_request import permit_request
+from lotushill.links.slot_messages import SlotEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +16,7 @@
     from lotushill.availability.statement import Statement
     from lotushill.event_log import EventLog
     from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.limits.fleet_slots import FleetSlots
     from lotushill.placement.need import Need
     from lotushill.routing.upstream import Upstream
     from lotushill.views.upstream_view import UpstreamView
@@ -25,6 +27,8 @@
     """Permission to write one request to one upstream; none is written without it."""
 
     upstream_id: str
+    number: int
+    """Number of the attempt among those that hold slots of upstreams."""
     takes_memory_until: float = 0.0
     """Time until which the upstream takes a run whose memory it holds, even if it is leaving."""
 
@@ -46,20 +50,16 @@
         on_leaving: Callable[[str], None],
         log: EventLog,
         clock: Callable[[], float],
-        on_brittle: Callable[[str], None],
+        slots: FleetSlots,
     ) -> None:
-        """Create the gate.
-
-        `on_leaving` is called for each upstream that states that it leaves, `on_brittle` for each
-        answer of one that states that it is brittle.
-        """
+        """Create the gate; `on_leaving` is called for each upstream that states that it leaves."""
         self._upstreams = upstreams
         self._cooldowns = cooldowns
         self._limits = limits
         self._on_leaving = on_leaving
         self._log = log
         self._clock = clock
-        self._on_brittle = on_brittle
+        self._slots = slots
         self.blocked_sends = 0
         """Number of sends blocked so far after the upstream had been chosen."""
         self.unreadable_cooldowns = 0
@@ -81,8 +81,7 @@
             self._cooldowns.note_accepted(upstream_id, now)
         if statement.leaving:
             self._on_leaving(upstream_id)
-        if statement.max_rejections is not None:
-            self._on_brittle(upstream_id)
+        self._slots.note_answer(upstream_id, statement.max_rejections, sent_at)
         if statement.unreadable_limit:
             self.unreadable_limits += 1
             self._log.note(
@@ -102,19 +101,37 @@
         """Return whether an upstream has asked for a cooldown that still lasts."""
         return self._cooldowns.is_barred(upstream_id, self._clock())
 
-    async def admit(self, upstream: Upstream, need: Need) -> Permit | None:
-        """Return the permit for one request, None if it has to be sent elsewhere.
+    async def admit(self, upstream: Upstream, need: Need, ends: float) -> Permit | None:
+        """Return the permit for one request that ends by `ends`; None if it must be sent elsewhere.
 
         Call this before a connection is opened, a run counted or a retry spent, so that a request
-        that is not admitted costs nothing.
+        that is not admitted costs nothing. The permit has to be given back by `release`.
         """
-        if not self._limits.is_limited(upstream.id):
-            return Permit(upstream.id)
-        if await self._limits.admit(permit_request(upstream, need)):
-            return Permit(upstream.id)
+        number = await self._slots.begin(upstream, need.tier, ends)
+        if number is None:
+            self.requests_without_permit += 1
+            return None
+        is_admitted = False
+        try:
+            is_admitted = not self._limits.is_limited(upstream.id) or await self._limits.admit(
+                permit_request(upstream, need)
+            )
+        finally:
+            if not is_admitted:
+                self._slots.end(number, SlotEnd.UNSENT)
+        if is_admitted:
+            return Permit(upstream.id, number)
         self.requests_without_permit += 1
         return None
 
+    def release(self, permit: Permit, how: SlotEnd) -> None:
+        """Record that the attempt of a permit has ended; repetitions have no effect."""
+        self._slots.end(permit.number, how)
+
+    def is_denied_slot(self, upstream_id: str) -> bool:
+        """Return whether an upstream had no slot a moment ago."""
+        return self._slots.is_denied(upstream_id, self._clock())
+
     def authorize_send(self, permit: Permit) -> bool:
         """Return whether a request may be written now, and record it as sent if so."""
         takes_memory = self._clock() < permit.takes_memory_until
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -119,7 +119,12 @@
         """
         route, denials = self._request.need.route, self._components.limits.denials
         now = self._clock()
-        return {name for name in self._deferred if denials.is_barred(name, route, now)}
+        gate = self._components.gate
+        return {
+            name
+            for name in self._deferred
+            if denials.is_barred(name, route, now) or gate.is_denied_slot(name)
+        }
 
     def _retry_pause(self, refused: NoChoice) -> float | None:
         """Return the seconds until the next try, None to refuse the request now."""
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -13,6 +13,7 @@
 from lotushill.links.codec import encode
 from lotushill.links.exceptions import ForgedFrameError
 from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.limit_messages import LimitNews
 from lotushill.links.messages import LeavingNews
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
@@ -35,6 +36,10 @@
 from lotushill.links.quarantine_messages import SuspectNews
 from lotushill.links.return_messages import ReturnNews
 from lotushill.links.seal import Seal
+from lotushill.links.slot_messages import SlotAnswer
+from lotushill.links.slot_messages import SlotAsk
+from lotushill.links.slot_messages import SlotReport
+from lotushill.links.slot_messages import SlotReportAck
 
 TEXTS = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=12)
 SMALL = st.integers(0, 255)
@@ -63,6 +68,11 @@
     OriginNews,
     OriginAsk,
     OriginAnswer,
+    LimitNews,
+    SlotAsk,
+    SlotAnswer,
+    SlotReport,
+    SlotReportAck,
 ]
 
 
--- a/tests/peering/silent_network.py
+++ b/tests/peering/silent_network.py
@@ -328,6 +328,7 @@
         on_limits=ignore,
         on_permit_ask=ignore,
         on_permit_answer=ignore,
+        on_slots=ignore,
         on_returns=ignore,
         on_origin=ignore,
         on_origin_ask=ignore,
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -96,6 +96,7 @@
             on_limits=lambda _: None,
             on_permit_ask=lambda ask: PermitAnswer(ask.number, True, 0.0, 0),
             on_permit_answer=lambda _: None,
+            on_slots=lambda *_: None,
             on_returns=lambda _: None,
             on_origin=lambda _: None,
             on_origin_ask=lambda ask: OriginAnswer(name, ask.number),
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -21,6 +21,7 @@
 from lotushill.event_log import EventLog
 from lotushill.limits.barred_upstreams import BarredUpstreams
 from lotushill.limits.fleet_limits import FleetLimits
+from lotushill.limits.fleet_slots import FleetSlots
 from lotushill.limits.limit_owners import LimitOwners
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.limits.team_limits import TeamLimits
@@ -324,6 +325,17 @@
             random.Random(7),
             self.clock,
         )
+        self.slots = FleetSlots(
+            self.view,
+            limit_owners,
+            fleet.brittle,
+            lambda upstream_id: len(fleet.load(upstream_id).running),
+            lambda *_: None,
+            lambda _: None,
+            log,
+            random.Random(9),
+            self.clock,
+        )
         self.leaving = LeavingGossip(
             "gw", self.view, self.sent_leaving_messages.append, log, random.Random(5), self.clock
         )
@@ -355,7 +367,7 @@
             self.leaving.note_answer,
             log,
             self.clock,
-            lambda _: None,
+            self.slots,
         )
         self.mover = Mover(
             self.make_memory_client(), placer, shared_load, self.view, isolation_policy,
--- a/tests/requests/test_late_refusals.py
+++ b/tests/requests/test_late_refusals.py
@@ -122,12 +122,12 @@
             budgets, gate = rig.components.budgets, rig.components.gate
             admit = gate.admit
 
-            async def admit_slowly(upstream: Upstream, need: object) -> object:
+            async def admit_slowly(upstream: Upstream, need: object, ends: float) -> object:
                 nonlocal gateways
                 if upstream.id == "b1":
                     await asyncio.sleep(0.02)
                     gateways = 100
-                return await admit(upstream, need)  # type: ignore[arg-type]
+                return await admit(upstream, need, ends)  # type: ignore[arg-type]
 
             budgets._gateways = lambda: gateways
             gate.admit = admit_slowly  # type: ignore[method-assign, assignment]
--- a/tests/requests/test_silent_upstream.py
+++ b/tests/requests/test_silent_upstream.py
@@ -250,9 +250,9 @@
                 assert isinstance(result, Placement)
                 return replace(result, scheduler="g1") if "b0" in excluded else result
 
-            async def never_admitted(upstream: Upstream, need: Need) -> Permit | None:
+            async def never_admitted(upstream: Upstream, need: Need, ends: float) -> Permit | None:
                 if upstream.id == "b0":
-                    return await admit(upstream, need)
+                    return await admit(upstream, need, ends)
                 asked_for_permit.set()
                 await asyncio.sleep(30.0)
                 return None
--- a/tests/soak/brittle_engine.py
+++ b/tests/soak/brittle_engine.py
@@ -105,13 +105,25 @@
         slots = self._slots
         try:
             async with slots:
-                await asyncio.sleep(shape.work_seconds)
+                await self._work(seen)
         finally:
             if slots is self._slots:
                 self._present -= 1
         self.served_at.append(time.monotonic())
         seen.answer(f"200 OK\r\n{stated}Content-Length: 4\r\nResponse-Signature: s1\r\n", b"done")
 
+    async def _work(self, seen: ReceivedRequest) -> None:
+        """Work on a request; stop early if its gateway closes the connection."""
+        closed = asyncio.create_task(seen.reader.read(1))
+        try:
+            async with asyncio.timeout(self._shape.work_seconds):
+                await closed
+        except TimeoutError:
+            return
+        finally:
+            closed.cancel()
+        raise ConnectionResetError
+
     def _reject(self, seen: ReceivedRequest, stated: str, now: float) -> None:
         self.rejected_at.append(now)
         self._last_second.append(now)
--- a/tests/soak/test_brittle.py
+++ b/tests/soak/test_brittle.py
@@ -6,30 +6,34 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from tests.soak.brittle_engine import EngineShape
 from tests.soak.brittle_run import BrittlePlan
 from tests.soak.brittle_run import run_brittle
 
+# Without the debug mode of asyncio, in which the engines and clients of a run take so much time that
+# the load is not the stated one.
 
-class TestBrittle(unittest.IsolatedAsyncioTestCase):
-    async def test_overloaded_engines_that_are_brittle_do_not_fall_over(self) -> None:
+
+class TestBrittle(unittest.TestCase):
+    def test_overloaded_engines_that_are_brittle_do_not_fall_over(self) -> None:
         plan = BrittlePlan(overload=2.2, seconds=16.0)
-        result = await run_brittle(plan)
+        result = asyncio.run(run_brittle(plan))
         self.assertEqual([], result.errors)
         self.assertLessEqual(len(result.falls), plan.max_falls, result.falls)
         self.assertGreater(result.work_fraction, 0.5, result.statuses)
 
 
-class TestManyDeciders(unittest.IsolatedAsyncioTestCase):
+class TestManyDeciders(unittest.TestCase):
     """Several schedulers gave away the same free slot, by models that trail each other.
 
     Engines that were back together after a fall were sent more than they had slots by all at once,
     as what they state had been forgotten while nobody answered.
     """
 
-    async def test_engines_that_end_and_return_together_do_not_fall_over(self) -> None:
+    def test_engines_that_end_and_return_together_do_not_fall_over(self) -> None:
         plan = BrittlePlan(
             seconds=20.0,
             gateways=24,
@@ -37,7 +41,7 @@
             shape=EngineShape(slots=6, work_seconds=0.8, max_rejections=3),
             engine_ends=((8.0, 6), (14.0, 6)),
         )
-        result = await run_brittle(plan)
+        result = asyncio.run(run_brittle(plan))
         self.assertEqual([], result.errors)
         self.assertLessEqual(len(result.falls), plan.max_falls, result.falls)
         self.assertGreater(result.work_fraction, 0.5, result.statuses)
