--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -3,11 +3,14 @@
     python scripts/soak.py [--seeds 50] [--first 1] [--seconds 40] [--jobs 4] [--plain] [--limits]
         [--moves] [--mild] [--silences] [--breaks] [--versions] [--parts] [--trace]
     python scripts/soak.py --partitions [--seeds 50] [--first 1] [--seconds 40] [--jobs 4]
+    python scripts/soak.py --brittle [--seeds 50] [--first 1] [--seconds 20] [--jobs 1]
 
 Real gateways run in front of engines that restart, with one client whose request crashes engines.
 Exits with 1 if an invariant was violated, or if less than 0.97 of the ordinary requests at the end
 of a run were served. With --partitions, some gateways are partitioned from all engines instead, and
-they have to serve nearly as often as the others.
+they have to serve nearly as often as the others. With --brittle, engines state that they fall over
+if they reject many requests, and end, are added and overloaded; they must not fall more often than
+is allowed.
 """
 
 from __future__ import annotations
@@ -24,6 +27,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from tests.soak.brittle_run import draw_plan
+from tests.soak.brittle_run import run_brittle
 from tests.soak.configuration import MovesOptions
 from tests.soak.partition_run import run_drawn_partition
 from tests.soak.soak import Soak
@@ -31,6 +36,7 @@
 if TYPE_CHECKING:
     from collections import Counter
 
+    from tests.soak.brittle_run import BrittleResult
     from tests.soak.partition_run import PartitionResult
     from tests.soak.result import Result
 
@@ -112,7 +118,14 @@
         action="store_true",
         help="with gateways that are partitioned from all engines, and kills on both sides, only",
     )
+    parser.add_argument(
+        "--brittle",
+        action="store_true",
+        help="with engines that fall over if they reject too many requests, only",
+    )
     options = parser.parse_args()
+    if options.brittle:
+        return _run_brittle(options.first, options.seeds, options.seconds, options.jobs)
     if options.partitions:
         return _run_partitions(options.first, options.seeds, options.seconds, options.jobs)
     mild = MovesOptions(late_stops=False, patient=True)
@@ -176,6 +189,33 @@
     return asyncio.run(run_drawn_partition(seed, seconds))
 
 
+def _run_brittle(first: int, count: int, seconds: float, jobs: int) -> int:
+    """Run some seeds of brittle engines; return 1 if any of them showed a fault."""
+    seeds = range(first, first + count)
+    failed_count = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for seed, result in zip(seeds, pool.map(_run_brittle_seed, seeds, [seconds] * count)):
+            plan = draw_plan(seed, seconds)
+            problems = list(result.errors)
+            if len(result.falls) > plan.max_falls:
+                problems.append("engines fell more often than is allowed")
+            failed_count += bool(problems)
+            print(
+                f"seed {seed}: {plan.gateways} gateways, {plan.engines} engines of "
+                f"{plan.shape.slots} slots that bear {plan.shape.max_rejections} rejections, load "
+                f"{plan.overload}: {len(result.falls)} falls, {result.rejections} rejections, "
+                f"{result.work_fraction:.2f} of the work"
+                f"{'; WRONG: ' if problems else ''}{'; '.join(problems)}",
+                flush=True,
+            )
+    print(f"{count - failed_count} of {count} seeds without a fault")
+    return 1 if failed_count else 0
+
+
+def _run_brittle_seed(seed: int, seconds: float) -> BrittleResult:
+    return asyncio.run(run_brittle(draw_plan(seed, seconds)))
+
+
 def _print_result(seed: int, result: Result) -> bool:
     problems = [*result.faults, *result.errors]
     if result.served_fraction < _MIN_SERVED_FRACTION:
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -19,6 +19,7 @@
     from lotushill.gateway.fleet_quarantine import FleetQuarantine
     from lotushill.gateway.store_views import StoreViews
     from lotushill.limits.fleet_limits import FleetLimits
+    from lotushill.limits.fleet_slots import FleetSlots
     from lotushill.limits.team_limits import TeamLimits
     from lotushill.peering.peers import Peers
     from lotushill.placement.fleet import Fleet
@@ -49,6 +50,7 @@
     peers: Peers
     cooldowns: Cooldowns
     limits: FleetLimits
+    slots: FleetSlots
     team_limits: TeamLimits
     fleet: Fleet
     upstream_gate: UpstreamGate
@@ -217,6 +219,21 @@
         "Permit requests that were not answered, since the start",
         lambda: gateway.limits.client.unanswered,
     )
+    add_gauge(
+        "brittle_services",
+        "Services whose upstreams state that they fall over if they reject many requests",
+        lambda: len(gateway.fleet.brittle.services()),
+    )
+    add_gauge(
+        "slots_denied",
+        "Slots of brittle upstreams that this gateway denied as their owner, since the start",
+        lambda: gateway.slots.owner.denied,
+    )
+    add_gauge(
+        "slots_unanswered",
+        "Requests for a slot of a brittle upstream that were not answered, since the start",
+        lambda: gateway.slots.unanswered,
+    )
     add_gauge(
         "limits_unreadable",
         "Limits that could not be parsed, since the start",
--- a/src/lotushill/limits/fleet_slots.py
+++ b/src/lotushill/limits/fleet_slots.py
@@ -10,7 +10,6 @@
 from lotushill.availability.stated_limits import StatedLimits
 from lotushill.limits.limit_gossip import LimitGossip
 from lotushill.limits.slot_holder import SlotHolder
-from lotushill.limits.slot_owner import MAX_WAIT_SECONDS
 from lotushill.limits.slot_owner import SlotOwner
 from lotushill.links.slot_messages import SlotAnswer
 from lotushill.links.slot_messages import SlotAsk
@@ -32,10 +31,11 @@
 
     SlotMessage = SlotAsk | SlotAnswer | SlotReport | SlotReportAck
 
-_RESEND_SECONDS = 0.08
+_RESEND_SECONDS = 0.1
 """Interval at which a request for a slot is repeated until it is answered."""
-_ANSWER_TIMEOUT_SECONDS = MAX_WAIT_SECONDS + 0.08
-"""Time after which the owner counts as lost or unreachable."""
+_ANSWER_TIMEOUT_SECONDS = 0.5
+"""Time after which the owner counts as lost or unreachable. One on a busy host answers late, and a
+request that gave up sooner would get no slot anywhere."""
 _DENIED_SECONDS = 0.1
 """Time for which a request that was denied a slot of an upstream is sent elsewhere."""
 _UPDATE_SECONDS = 0.25
--- a/src/lotushill/limits/slot_owner.py
+++ b/src/lotushill/limits/slot_owner.py
@@ -111,6 +111,11 @@
                 )
         self._serve_waiting(upstream, now)
 
+    def held(self, upstream_id: str) -> int:
+        """Return how many permits for slots of an upstream are in use, as far as known here."""
+        ledger = self._ledgers.get(upstream_id)
+        return ledger.held if ledger is not None else 0
+
     def drop_holder(self, name: str) -> None:
         """Drop the permits and requests of a gateway that is gone."""
         for ledger in self._ledgers.values():
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -122,7 +122,7 @@
                     choice.upstream, request.need, request.ends
                 )
                 if permit is None:
-                    self._defer(placement)
+                    await self._defer(placement)
                     continue
                 end = await self._attempt(placement, permit)
             check = self._check_upstream(choice.upstream, end)
@@ -211,16 +211,16 @@
         has_attempt = route.repeatable and self.runs < route.max_attempts
         return has_attempt and self._components.budgets.has_left(service, self._clock())
 
-    def _defer(self, placement: Placement) -> None:
+    async def _defer(self, placement: Placement) -> None:
         """Exclude an upstream for which there is no permit at present from the search."""
         upstream = placement.choice.upstream
-        self._search.defer(upstream.id)
         rate = self._components.limits.stated.rate(upstream.id)
         self._note(
             "placement.put_off", upstream=upstream.id, why="no permit", limit=finite_or_none(rate)
         )
         if placement.scheduler:
             self._components.shared_load.give_up(placement.placed.request)
+        await self._search.defer(upstream.id)
 
     async def _attempt(self, placement: Placement, permit: Permit) -> AttemptEnd:
         return await self._tracker.begin(placement, permit).run(self._replacements)
--- a/src/lotushill/requests/replacement_search.py
+++ b/src/lotushill/requests/replacement_search.py
@@ -177,7 +177,7 @@
                 upstream, self._request.need, self._request.ends
             )
             if permit is None:
-                self._search.defer(upstream.id)
+                await self._search.defer(upstream.id)
                 return "no permit"
             if placement.choice.moved is not None:
                 permit = self._continuation.memory_permit(upstream, permit)
--- a/src/lotushill/requests/upstream_search.py
+++ b/src/lotushill/requests/upstream_search.py
@@ -54,9 +54,14 @@
         """Exclude an upstream that received the request or did not accept it."""
         self._excluded.add(upstream_id)
 
-    def defer(self, upstream_id: str) -> None:
-        """Exclude an upstream for as long as there is no permit for it."""
+    async def defer(self, upstream_id: str) -> None:
+        """Exclude an upstream for as long as there is no permit for it.
+
+        Waits a moment if its slots are taken: as a rule those of the others are as well.
+        """
         self._deferred.add(upstream_id)
+        if self._components.gate.is_denied_slot(upstream_id):
+            await anyio.sleep(_POLL_INTERVAL_SECONDS * self._components.rng.uniform(0.7, 1.3))
 
     async def find(self) -> Placement | NoChoice:
         """Return a placement, or the refusal once the request must not wait any longer."""
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -917,6 +917,35 @@
                     "test_overloaded_engines_that_are_brittle_do_not_fall_over",
                     "tests.placement.test_brittle_services.TestBrittleServices."
                     "test_brittle_upstreams_are_sent_no_more_than_they_have_slots",
+                    "tests.limits.test_fleet_slots.TestSlots."
+                    "test_all_slots_are_in_use_and_no_engine_falls",
+                    "tests.requests.test_slot_permits.TestSlotPermits."
+                    "test_no_request_is_sent_while_all_slots_are_held",
+                ),
+            ),
+            Case(
+                "brittle engines end and are back together, in turn, or are added",
+                (
+                    "tests.soak.test_brittle.TestManyDeciders."
+                    "test_engines_that_end_and_return_together_do_not_fall_over",
+                    "tests.limits.test_fleet_slots.TestSlots."
+                    "test_engines_that_end_and_return_together_or_in_turn",
+                ),
+            ),
+            Case(
+                "gateways before brittle engines are killed, frozen, cut off or restarted",
+                (
+                    "tests.limits.test_fleet_slots.TestSlots."
+                    "test_gateways_that_are_killed_frozen_cut_off_or_restarted",
+                    "tests.limits.test_slot_ledger.TestRejections."
+                    "test_two_sides_of_a_partition_together_stay_within_half_of_what_it_bears",
+                ),
+            ),
+            Case(
+                "an upstream resets while a relayed connection to it is opened",
+                (
+                    "tests.relaying.test_relay_server.TestRelayServer."
+                    "test_an_upstream_that_resets_while_it_is_connected_to_is_unreachable",
                 ),
             ),
             Case(
--- a/tests/soak/brittle_run.py
+++ b/tests/soak/brittle_run.py
@@ -26,6 +26,8 @@
 
 _STATED_AT_SECONDS = 3.0
 _DEADLINE_SECONDS = 2.0
+_MAX_BEARABLE_PER_SECOND = 80.0
+"""Most requests per second that the engines of a drawn run work on together."""
 
 
 @dataclass(frozen=True)
@@ -185,6 +187,38 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def draw_plan(seed: int, seconds: float) -> BrittlePlan:
+    """Return a plan with sizes, faults and bursts drawn from a seed."""
+    rng = random.Random(f"{seed} brittle")
+    shape = EngineShape(
+        slots=rng.choice((2, 4, 6, 8)),
+        work_seconds=rng.choice((0.3, 0.6, 0.9)),
+        brittle_waiting=rng.choice((0, 1, 2)),
+        max_rejections=rng.choice((0, 1, 3, 6, 20)),
+        down_seconds=rng.uniform(1.0, 3.0),
+    )
+    # One process has to serve all engines and clients of a run.
+    engines = max(2, min(12, int(_MAX_BEARABLE_PER_SECOND * shape.work_seconds / shape.slots)))
+    gateways = rng.choice((6, 9, 18, 24))
+    first = _STATED_AT_SECONDS + BRITTLE_AFTER_SECONDS
+
+    def times(most: int) -> list[float]:
+        return sorted(rng.uniform(first, seconds - 2.0) for _ in range(rng.randint(0, most)))
+
+    return BrittlePlan(
+        seconds=seconds,
+        gateways=gateways,
+        engines=engines,
+        shape=shape,
+        overload=rng.choice((0.7, 1.2, 2.0)),
+        bursts=tuple(Burst(at, 1.0, 2.0) for at in times(2)),
+        engine_ends=tuple((at, rng.randint(1, max(1, engines // 2))) for at in times(3)),
+        engines_added=tuple((at, rng.randint(1, 2)) for at in times(1)),
+        gateway_kills=tuple((at, rng.randint(1, gateways // 3)) for at in times(2)),
+        seed=seed,
+    )
+
+
 async def run_brittle(plan: BrittlePlan) -> BrittleResult:
     """Send requests by a plan to real gateways before engines that become brittle."""
     store = MetadataStore()
