--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1140,7 +1140,7 @@
     Break(
         "no request is sent without a permit",
         "requests/exchange.py",
-        "                    self._defer(placement)\n                    continue\n",
+        "                    await self._defer(placement)\n                    continue\n",
         "                    permit = Permit(choice.upstream.id)\n",
         "tests.requests.test_limit",
     ),
