--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -1141,7 +1141,7 @@
         "no request is sent without a permit",
         "requests/exchange.py",
         "                    await self._defer(placement)\n                    continue\n",
-        "                    permit = Permit(choice.upstream.id)\n",
+        "                    permit = Permit(choice.upstream.id, 0)\n",
         "tests.requests.test_limit",
     ),
     Break(
