--- a/src/lotushill/limits/fleet_slots.py
+++ b/src/lotushill/limits/fleet_slots.py
@@ -21,11 +21,11 @@
     import random
     from collections.abc import Callable
 
-    from lotushill.availability.brittle_services import BrittleServices
     from lotushill.event_log import EventLog
     from lotushill.limits.limit_owners import LimitOwners
     from lotushill.links.limit_messages import LimitNews
     from lotushill.links.messages import MemberState
+    from lotushill.placement.brittle_services import BrittleServices
     from lotushill.routing.upstream import Upstream
     from lotushill.views.upstream_view import UpstreamView
 
@@ -158,7 +158,7 @@
 
     def _update_services(self) -> None:
         self._updated_at = self._clock()
-        self._services.update(self.stated, self._upstreams.find, self._updated_at)
+        self._services.update(self.stated.reports(), self._upstreams.find, self._updated_at)
 
     async def _request(self, ask: SlotAsk, owner: MemberState) -> bool:
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
--- a/src/lotushill/limits/slot_owner.py
+++ b/src/lotushill/limits/slot_owner.py
@@ -14,11 +14,11 @@
     import random
     from collections.abc import Callable
 
-    from lotushill.availability.brittle_services import BrittleServices
     from lotushill.event_log import EventLog
     from lotushill.limits.limit_owners import LimitOwners
     from lotushill.links.slot_messages import SlotAsk
     from lotushill.links.slot_messages import SlotReport
+    from lotushill.placement.brittle_services import BrittleServices
     from lotushill.routing.upstream import Upstream
     from lotushill.views.upstream_view import UpstreamView
 
--- a/src/lotushill/availability/brittle_services.py
+++ b/src/lotushill/placement/brittle_services.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
-
-from lotushill.availability.stated_limits import NO_LIMIT
+from typing import Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
-    from lotushill.availability.stated_limits import StatedLimits
     from lotushill.routing.upstream import Upstream
 
 _GONE_UPSTREAM_SECONDS = 10.0
@@ -21,6 +21,18 @@
 upstreams that fell over are back within it, as new incarnations that have not answered yet."""
 
 
+class RejectionReport(Protocol):
+    """What an upstream stated in its newest answer."""
+
+    @property
+    def rate(self) -> float:
+        """Rejections per second that it bears, infinity if it stated none."""
+
+    @property
+    def received_at(self) -> float:
+        """When its answer was received."""
+
+
 class BrittleServices:
     """Rejections per second that the upstreams of brittle services bear."""
 
@@ -30,27 +42,30 @@
         """Service of each upstream that stated a number, also after it is gone."""
 
     def update(
-        self, stated: StatedLimits, find: Callable[[str], Upstream | None], now: float
+        self,
+        reports: Mapping[str, RejectionReport],
+        find: Callable[[str], Upstream | None],
+        now: float,
     ) -> None:
-        """Recompute which services are brittle from the newest statements of their upstreams.
+        """Recompute which services are brittle from the newest reports by upstream id.
 
         `find` returns the upstream with an id, None if it is in no view.
         """
-        if stated.empty:
+        if not reports:
             if self._max_rejections:
                 self._max_rejections, self._services = {}, {}
             return
         lowest: dict[str, float] = {}
         services: dict[str, str] = {}
-        for upstream_id, report in stated.reports().items():
+        for upstream_id, report in reports.items():
             upstream = find(upstream_id)
             service = upstream.service if upstream else self._services.get(upstream_id)
             if service is None:
                 continue
             services[upstream_id] = service
             is_old = upstream is None and now - report.received_at > _GONE_UPSTREAM_SECONDS
-            if report.rate < NO_LIMIT and not is_old:
-                lowest[service] = min(report.rate, lowest.get(service, NO_LIMIT))
+            if report.rate < math.inf and not is_old:
+                lowest[service] = min(report.rate, lowest.get(service, math.inf))
         self._max_rejections, self._services = lowest, services
 
     def is_brittle(self, service: str) -> bool:
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -12,9 +12,9 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from lotushill.availability.brittle_services import BrittleServices
 from lotushill.placement.backup import backup_target
 from lotushill.placement.backup import is_worth_copying
+from lotushill.placement.brittle_services import BrittleServices
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
--- a/tests/limits/virtual_slots.py
+++ b/tests/limits/virtual_slots.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from lotushill.availability.brittle_services import BrittleServices
 from lotushill.event_log import EventLog
 from lotushill.limits.fleet_slots import FleetSlots
 from lotushill.limits.limit_owners import LimitOwners
@@ -21,6 +20,7 @@
 from lotushill.load.limits.emulated_members import EmulatedMembers
 from lotushill.load.limits.virtual_loop import run_in_virtual_time
 from lotushill.membership.schedulers import Schedulers
+from lotushill.placement.brittle_services import BrittleServices
 from lotushill.routing.upstream import Upstream
 from lotushill.views.upstream_view import UpstreamView
 
--- a/tests/placement/test_brittle_services.py
+++ b/tests/placement/test_brittle_services.py
@@ -36,7 +36,7 @@
         self.update(at)
 
     def update(self, now: float) -> None:
-        self.fleet.brittle.update(self.stated, self.views.get, now)
+        self.fleet.brittle.update(self.stated.reports(), self.views.get, now)
 
     def place_until_refused(self, most: int, now: float = NOW) -> tuple[int, NoChoice | None]:
         """Place requests; return how many were placed, and the refusal that ended it."""
