A process that ends tells its callers whether their requests may have run

Callers whose requests had no answer when the grace time of a process was over got a 500, which does not tell whether the request may have run. Each such request also left a traceback on standard error: the cancellation went through to the server, which logs what an application raises.

The cancellation ends in the application now: 503 with Retry-After if the request was not sent, 502 if it may have run, and the connection is closed if the answer was under way. Three tests, two of which got 500 before.

--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -48,6 +48,8 @@
 _UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS = 0.3
 """Retry-After of a stream whose origin this gateway cannot find; another one, to which the client
 comes next, may know it or reach one that does."""
+_SHUTDOWN_ANSWER_SECONDS = 0.1
+"""Time for which the end of the process waits for a client that does not read its answer."""
 _DEFAULT_OUTPUT_FRACTION = 0.5
 """Fraction of the largest allowed output that is expected if the client gives no hint."""
 
@@ -115,6 +117,9 @@
             request = await self._check(scope, receive, demand, arrived)
         except ClientDisconnectedError:
             return
+        except asyncio.CancelledError:
+            await self._answer_at_shutdown(answer, runs=0)
+            return
         except _TurnedAwayError as error:
             self._components.metrics.record_rejection(error.status)
             self._components.log.note(
@@ -136,11 +141,22 @@
             disconnected = await self._run_exchange(scope, request, answer, exchange)
         except asyncio.CancelledError:
             exchange.outcome = "shutdown"
+            await self._answer_at_shutdown(answer, exchange.runs)
             self._note_end(request, answer, exchange, CutBy.SHUTDOWN)
-            raise
+            return
         cut_by = CutBy.CLIENT if disconnected else exchange.cut_by()
         self._note_end(request, answer, exchange, cut_by)
 
+    async def _answer_at_shutdown(self, answer: ClientAnswer, runs: int) -> None:
+        """Answer a request whose task is cancelled, unless an answer was already started.
+
+        Only the end of the process cancels these tasks. The cancellation is not raised again, as
+        the server would log it as a fault and answer 500, which does not tell whether the request
+        may have run.
+        """
+        with anyio.move_on_after(_SHUTDOWN_ANSWER_SECONDS):
+            await answer.send_own_answer(502 if runs else 503, self._retry_after_seconds())
+
     async def _run_exchange(
         self, scope: Scope, request: Request, answer: ClientAnswer, exchange: Exchange
     ) -> bool:
--- a/tests/requests/test_logs.py
+++ b/tests/requests/test_logs.py
@@ -15,6 +15,7 @@
 from tests.requests.rig import ReceivedRequest
 from tests.requests.rig import Rig
 from tests.requests.rig import ScriptedUpstream
+from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
 from tests.requests.test_cooldowns import prefer
 from tests.requests.test_moves import Site
@@ -53,6 +54,13 @@
     await asyncio.sleep(3.0)
 
 
+def cancel_client_requests() -> None:
+    """Cancel the tasks of all clients' requests, as the end of the process does."""
+    for task in asyncio.all_tasks():
+        if "run_asgi" in repr(task.get_coro()):
+            task.cancel()
+
+
 def logged(rig: Rig, event: str) -> list[dict[str, object]]:
     lines = [json.loads(line) for line in rig.lines]
     return [line for line in lines if line["event"] == event]
@@ -235,12 +243,41 @@
             reader, writer = await rig.connect()
             writer.write(request_bytes())
             await reader.readuntil(b"piece-0")
-            for task in asyncio.all_tasks():
-                if "run_asgi" in repr(task.get_coro()):
-                    task.cancel()
-            await reader.read()
+            with self.assertLogs("uvicorn.error") as server_log:
+                cancel_client_requests()
+                await reader.read()
             writer.close()
         self.assert_ended(rig, "truncated", "shutdown")
+        self.assertNotIn("Traceback", "".join(server_log.output))
+
+    async def test_a_request_that_may_have_run_when_the_process_ends(self) -> None:
+        received = asyncio.Event()
+
+        async def hang(_: ReceivedRequest) -> None:
+            received.set()
+            await asyncio.sleep(3.0)
+
+        async with Rig([ScriptedUpstream([hang])]) as rig:
+            reader, writer = await rig.connect()
+            writer.write(request_bytes())
+            await received.wait()
+            cancel_client_requests()
+            answer = await read_answer(reader)
+            writer.close()
+        self.assertEqual(502, answer.status)
+        self.assert_ended(rig, "own")
+
+    async def test_a_request_whose_body_is_not_complete_when_the_process_ends(self) -> None:
+        async with Rig([ScriptedUpstream([whole])]) as rig:
+            reader, writer = await rig.connect()
+            writer.write(request_bytes(body=b"body")[:-1])
+            while not rig.front.in_progress:
+                await asyncio.sleep(0.01)
+            cancel_client_requests()
+            answer = await read_answer(reader)
+            writer.close()
+        self.assertEqual(503, answer.status)
+        self.assertIn("retry-after", answer.headers)
 
     async def _leave_after_an_event(self, rig: Rig, event: bool = True) -> None:
         """Send a request and close its connection, after the first event of the answer or soon."""
