The soak's engines and clients run without the debug mode of asyncio

Engines, store, clients and proxy share one process. Test cases of IsolatedAsyncioTestCase run it in debug mode, which left it no processor time beside load: gateways seemed late. The checks are the same. scripts/soak.py never used the debug mode.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,6 +30,7 @@
 from tests.soak.brittle_run import draw_plan
 from tests.soak.brittle_run import run_brittle
 from tests.soak.configuration import MovesOptions
+from tests.soak.light_loop import run_light
 from tests.soak.partition_run import run_drawn_partition
 from tests.soak.soak import Soak
 
@@ -52,7 +53,7 @@
     """
     faulthandler.dump_traceback_later(seconds + _SPARE_SECONDS, exit=True)
     try:
-        return asyncio.run(_run_with_timeout(seed, seconds, options))
+        return run_light(_run_with_timeout(seed, seconds, options))
     finally:
         faulthandler.cancel_dump_traceback_later()
 
@@ -186,7 +187,7 @@
 
 
 def _run_partition_seed(seed: int, seconds: float) -> PartitionResult:
-    return asyncio.run(run_drawn_partition(seed, seconds))
+    return run_light(run_drawn_partition(seed, seconds))
 
 
 def _run_brittle(first: int, count: int, seconds: float, jobs: int) -> int:
@@ -213,7 +214,7 @@
 
 
 def _run_brittle_seed(seed: int, seconds: float) -> BrittleResult:
-    return asyncio.run(run_brittle(draw_plan(seed, seconds)))
+    return run_light(run_brittle(draw_plan(seed, seconds)))
 
 
 def _print_result(seed: int, result: Result) -> bool:
--- a/tests/soak/test_brittle.py
+++ b/tests/soak/test_brittle.py
@@ -6,20 +6,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import unittest
 
 from tests.soak.brittle_engine import EngineShape
 from tests.soak.brittle_run import BrittlePlan
 from tests.soak.brittle_run import run_brittle
-
-# The debug mode of asyncio slows the process of engines and clients below the stated load.
+from tests.soak.light_loop import run_light
 
 
 class TestBrittle(unittest.TestCase):
     def test_overloaded_engines_that_are_brittle_do_not_fall_over(self) -> None:
         plan = BrittlePlan(overload=2.2, seconds=16.0)
-        result = asyncio.run(run_brittle(plan))
+        result = run_light(run_brittle(plan))
         self.assertEqual([], result.errors)
         self.assertLessEqual(len(result.falls), plan.max_falls, result.falls)
         self.assertGreater(result.work_fraction, 0.5, result.statuses)
@@ -40,7 +38,7 @@
             shape=EngineShape(slots=6, work_seconds=0.8, max_rejections=3),
             engine_ends=((8.0, 6), (14.0, 6)),
         )
-        result = asyncio.run(run_brittle(plan))
+        result = run_light(run_brittle(plan))
         self.assertEqual([], result.errors)
         self.assertLessEqual(len(result.falls), plan.max_falls, result.falls)
         self.assertGreater(result.work_fraction, 0.5, result.statuses)
--- a/tests/soak/test_limits.py
+++ b/tests/soak/test_limits.py
@@ -10,6 +10,7 @@
 
 import unittest
 
+from tests.soak.light_loop import run_light
 from tests.soak.plan import Action
 from tests.soak.plan import Step
 from tests.soak.soak import Soak
@@ -19,12 +20,12 @@
 _STATED_AT_SECONDS = 1.0
 
 
-class TestLimits(unittest.IsolatedAsyncioTestCase):
-    async def test_all_gateways_together_keep_to_the_limits_of_two_engines(self) -> None:
+class TestLimits(unittest.TestCase):
+    def test_all_gateways_together_keep_to_the_limits_of_two_engines(self) -> None:
         plan = [
             Step(_STATED_AT_SECONDS, Action.LIMIT_ENGINE, engine, 0.0, rate=1.0)
             for engine in (0, 1)
         ]
-        result = await Soak(_SEED, _SECONDS, plan=plan).run()
+        result = run_light(Soak(_SEED, _SECONDS, plan=plan).run())
         self.assertEqual(([], []), (result.faults, result.errors))
         self.assertEqual(result.served[1], result.served[0])
--- a/tests/soak/test_moves.py
+++ b/tests/soak/test_moves.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from tests.soak.configuration import MovesOptions
+from tests.soak.light_loop import run_light
 from tests.soak.soak import Soak
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
 _MIN_STOPPED_RUNS = 10
 
 
-class TestMoves(unittest.IsolatedAsyncioTestCase):
+class TestMoves(unittest.TestCase):
     def assert_sound(self, result: Result) -> None:
         """Assert that nothing is wrong, and that runs were stopped, continued and disturbed."""
         self.assertEqual(([], []), (result.faults, result.errors), result.traces)
@@ -31,6 +32,6 @@
         self.assertGreater(moves.whole, moves.stopped)
         self.assertGreater(moves.faults.total(), 0)
 
-    async def test_no_sound_run_is_given_up_while_engines_leave_and_calls_fail(self) -> None:
+    def test_no_sound_run_is_given_up_while_engines_leave_and_calls_fail(self) -> None:
         mild = MovesOptions(late_stops=False, patient=True)
-        self.assert_sound(await Soak(_SEED, _SECONDS, moves=mild).run())
+        self.assert_sound(run_light(Soak(_SEED, _SECONDS, moves=mild).run()))
--- a/tests/soak/test_partitions.py
+++ b/tests/soak/test_partitions.py
@@ -8,6 +8,7 @@
 
 import unittest
 
+from tests.soak.light_loop import run_light
 from tests.soak.partition_run import HALLS
 from tests.soak.partition_run import run_partition
 from tests.soak.silencing_proxy import Partition
@@ -16,25 +17,25 @@
 _GATEWAYS = 9
 
 
-class TestPartitions(unittest.IsolatedAsyncioTestCase):
-    async def check(self, partitioned: set[int], kind: Partition) -> None:
-        result = await run_partition(partitioned, kind, _SECONDS, _GATEWAYS)
+class TestPartitions(unittest.TestCase):
+    def check(self, partitioned: set[int], kind: Partition) -> None:
+        result = run_light(run_partition(partitioned, kind, _SECONDS, _GATEWAYS))
         self.assertEqual(([], []), (result.faults, result.errors))
         self.assertGreater(result.partitioned.sent, 0)
         self.assertTrue(result.serves_partitioned, result)
         self.assertEqual(result.after.sent, result.after.served)
 
-    async def test_most_gateways_serve_while_their_connections_to_engines_hang(self) -> None:
-        await self.check({0, 1, 2, 3, 4}, Partition.HANG)
+    def test_most_gateways_serve_while_their_connections_to_engines_hang(self) -> None:
+        self.check({0, 1, 2, 3, 4}, Partition.HANG)
 
-    async def test_most_gateways_serve_while_their_connections_to_engines_are_reset(self) -> None:
-        await self.check({0, 1, 2, 3, 4}, Partition.RESET)
+    def test_most_gateways_serve_while_their_connections_to_engines_are_reset(self) -> None:
+        self.check({0, 1, 2, 3, 4}, Partition.RESET)
 
-    async def test_one_gateway_serves_while_new_connections_to_engines_are_refused(self) -> None:
-        await self.check({4}, Partition.REFUSE_NEW)
+    def test_one_gateway_serves_while_new_connections_to_engines_are_refused(self) -> None:
+        self.check({4}, Partition.REFUSE_NEW)
 
-    async def test_all_gateways_of_a_hall_serve_while_their_connections_are_reset(self) -> None:
-        await self.check(set(range(0, _GATEWAYS, HALLS)), Partition.RESET)
+    def test_all_gateways_of_a_hall_serve_while_their_connections_are_reset(self) -> None:
+        self.check(set(range(0, _GATEWAYS, HALLS)), Partition.RESET)
 
-    async def test_all_gateways_of_a_hall_serve_while_their_connections_hang(self) -> None:
-        await self.check(set(range(0, _GATEWAYS, HALLS)), Partition.HANG)
+    def test_all_gateways_of_a_hall_serve_while_their_connections_hang(self) -> None:
+        self.check(set(range(0, _GATEWAYS, HALLS)), Partition.HANG)
