Rejections by brittle engines are told to all gateways that may own their slots

A trace of a fall showed four owners with up to two rejections each.

One more report for each other scheduler of the hall and rejection, none while nothing is rejected.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -186,6 +186,13 @@
         "            pass\n",
         "tests.limits.test_slot_ledger",
     ),
+    Break(
+        "slots of brittle upstreams: rejections are told to all that may become owners",
+        "limits/slot_holder.py",
+        "names = names | self._owners.candidates(hold.upstream)",
+        "names = hold.owners",
+        "tests.limits.test_slot_holder",
+    ),
     Break(
         "slots of brittle upstreams: each attempt needs one",
         "requests/upstream_gate.py",
--- a/src/lotushill/limits/limit_owners.py
+++ b/src/lotushill/limits/limit_owners.py
@@ -44,13 +44,16 @@
 
         It is in the same hall if possible, so that both become unreachable together.
         """
-        halls = self._schedulers.names_by_hall()
-        in_hall = halls.get(upstream.hall)
-        names = in_hall or [name for hall in halls.values() for name in hall]
-        name = owner(upstream.id, names)
+        name = owner(upstream.id, self.candidates(upstream))
         member = self._membership.find(name) if name is not None else None
         return member if member is not None else self._membership.own
 
+    def candidates(self, upstream: Upstream) -> frozenset[str]:
+        """Return the names of the gateways of which one is the owner for an upstream."""
+        halls = self._schedulers.names_by_hall()
+        in_hall = halls.get(upstream.hall)
+        return frozenset(in_hall or (name for hall in halls.values() for name in hall))
+
     def is_own(self, upstream: Upstream) -> bool:
         """Return whether this gateway is the owner for an upstream."""
         return self.owner_of(upstream).name == self.own_name
--- a/src/lotushill/limits/slot_holder.py
+++ b/src/lotushill/limits/slot_holder.py
@@ -9,6 +9,7 @@
 
 from lotushill.links.slot_messages import EndedSlot
 from lotushill.links.slot_messages import HeldSlot
+from lotushill.links.slot_messages import SlotEnd
 from lotushill.links.slot_messages import SlotReport
 
 if TYPE_CHECKING:
@@ -17,7 +18,6 @@
 
     from lotushill.limits.limit_owners import LimitOwners
     from lotushill.links.messages import MemberState
-    from lotushill.links.slot_messages import SlotEnd
     from lotushill.routing.upstream import Upstream
 
 _REPEAT_SECONDS = 0.1
@@ -72,11 +72,18 @@
         self._holds[number] = _Hold(upstream, until, {owner} if owner else set())
 
     def end(self, number: int, how: SlotEnd, now: float) -> None:
-        """Note the end of an attempt and tell the owners that count it."""
+        """Note the end of an attempt and tell the owners that count it.
+
+        A rejection is told to all gateways that may become the owner: while views differ, several
+        grant slots, and together they must not cause more than the upstream bears.
+        """
         hold = self._holds.pop(number, None)
         if hold is None:
             return
-        for name in hold.owners:
+        names = hold.owners
+        if names and how is SlotEnd.REJECTED:
+            names = names | self._owners.candidates(hold.upstream)
+        for name in sorted(names):
             self.report_end(number, hold.upstream.id, name, how, now)
 
     def report_end(
