New owners of slots try them at once if the engine bears it

After owners had been restarted, slots of brittle engines stayed idle: an owner that had just started had not heard what its engine bears when the first request came, took it for next to nothing, and waited up to ten seconds before it tried a slot that might be taken.

The wait is computed from what is known when a slot is asked for. A process that is new takes the engines that it sees first for older ones, so that it counts what other owners may have granted as doubt; before, it did so only after it had seen them for two seconds. Notices of members in the virtual network no longer overtake each other.

--- a/src/lotushill/limits/slot_ledger.py
+++ b/src/lotushill/limits/slot_ledger.py
@@ -75,11 +75,16 @@
     are only tried, so that rejections stay within the budget of this owner.
     """
 
-    def __init__(self, doubt: float, tries_from: float, now: float) -> None:
-        """Create a ledger without permits; doubtful slots are tried from a time on."""
+    def __init__(self, doubt: float, patience: float, now: float) -> None:
+        """Create a ledger without permits.
+
+        If its owner may cause less than one rejection a second, doubtful slots are tried after
+        `patience`, from 0 to 1, of the time in which it may cause one. Owners that do not hear each
+        other draw it, so that they do not all try at once.
+        """
         self.created_at = now
         self._doubt = doubt
-        self._tries_from = tries_from
+        self._patience = patience
         self._cautious_until = float("-inf")
         self._leases: dict[int, _Lease] = {}
         self._tries: dict[int, _Try] = {}
@@ -113,7 +118,7 @@
         if len(self._leases) >= room.slots:
             return False
         is_doubtful = max(len(self._leases) + self.doubt, room.unreported) >= room.slots
-        if is_doubtful and now < self._tries_from:
+        if is_doubtful and now < self._tries_from(room):
             return False
         is_try = is_doubtful or self._is_cautious(now)
         if not self._may_send(room, now) or (is_try and not self._may_try(room, now)):
@@ -160,6 +165,10 @@
         self._doubt = float(slots)
         self._cautious_until = now + _CAUTIOUS_SECONDS
 
+    def _tries_from(self, room: Room) -> float:
+        """Return the time from which doubtful slots are tried."""
+        return self.created_at + (self._patience / room.budget if room.budget < 1.0 else 0.0)
+
     def _is_cautious(self, now: float) -> bool:
         is_rejected = self._rejected_at and now - self._rejected_at[-1] < _CAUTIOUS_SECONDS
         return bool(is_rejected) or now < self._cautious_until
--- a/src/lotushill/limits/slot_owner.py
+++ b/src/lotushill/limits/slot_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,9 @@
 """Time without a turn of this process after which other gateways may have taken it for lost."""
 _NEW_UPSTREAM_SECONDS = 2.0
 """Time after which an upstream that came into view has had an owner."""
+_NEW_PROCESS_SECONDS = 5.0
+"""Time after its first view in which a process takes the upstreams of brittle services that it sees
+for older ones: it has not heard by then what other gateways know."""
 _FRACTION_AGE_SECONDS = 0.05
 """Time for which the fraction of the gateways alive is reused."""
 
@@ -67,8 +71,10 @@
         self._ledgers: dict[str, SlotLedger] = {}
         self._waiting: dict[str, list[_Waiting]] = {}
         self._processed_at = float("-inf")
+        self._view_at = math.inf
+        """Time of the first view."""
         self._seen_at: dict[str, float] = {}
-        """Times at which upstreams of brittle services were first seen in view."""
+        """Times at which upstreams of brittle services came into view, as far as known here."""
         self._lost: set[str] = set()
         """Upstreams with a ledger here that another gateway owns now."""
         self._fraction = 1.0
@@ -152,9 +158,16 @@
 
     def _note_upstreams(self, now: float) -> None:
         """Note when upstreams of brittle services came into view."""
+        if self._upstreams.is_loaded:
+            self._view_at = min(self._view_at, now)
         for service in self._services.services():
             for upstream in self._upstreams.of(service):
-                self._seen_at.setdefault(upstream.id, now)
+                self._in_view_since(upstream.id, now)
+
+    def _in_view_since(self, upstream_id: str, now: float) -> float:
+        """Return when an upstream of a brittle service came into view, as far as known here."""
+        is_new_process = now - self._view_at < _NEW_PROCESS_SECONDS
+        return self._seen_at.setdefault(upstream_id, -math.inf if is_new_process else now)
 
     def _check_ownership(self, now: float) -> None:
         """Distrust the ledgers whose slots another owner may have granted in the meantime.
@@ -217,12 +230,8 @@
         """
         fraction = self._usable_fraction(now)
         unheard = 1.0 - fraction if self._owners.is_in_hall(upstream) else 1.0
-        doubt = unheard * upstream.slots
-        max_rejections = self._services.max_rejections(upstream.service) or 0.0
-        budget = Room(upstream.slots, max_rejections, fraction).budget
-        delay = self._rng.uniform(0.0, 1.0 / budget) if budget < 1.0 and doubt >= 1.0 else 0.0
-        ledger = SlotLedger(doubt, now + delay, now)
-        if now - self._seen_at.get(upstream.id, now) >= _NEW_UPSTREAM_SECONDS:
+        ledger = SlotLedger(unheard * upstream.slots, self._rng.random(), now)
+        if now - self._in_view_since(upstream.id, now) >= _NEW_UPSTREAM_SECONDS:
             ledger.distrust(upstream.slots, now)
         return ledger
 
--- a/tests/limits/test_fleet_slots.py
+++ b/tests/limits/test_fleet_slots.py
@@ -68,3 +68,15 @@
         ):
             with self.subTest(fault=fault):
                 self.run_play(Play(9, fault, seconds=13.0, engines=4, slots=6))
+
+    def test_all_slots_are_in_use_again_three_seconds_after_that(self) -> None:
+        """Owners that had just started did not try slots for up to ten seconds.
+
+        They had not heard what their engines bear when they were first asked, and took it for next
+        to nothing.
+        """
+        for fault in (Fault.KILL_OWNERS, Fault.KILL_HALF, Fault.CUT_HALL, Fault.ROLL):
+            for seed in (1, 2):
+                with self.subTest(fault=fault, seed=seed):
+                    play = Play(9, fault, seed, slots=6, seconds=15.5, measured_from=14.0)
+                    self.assertGreater(self.run_play(play).work_fraction, MIN_WORK_FRACTION)
--- a/tests/limits/test_slot_ledger.py
+++ b/tests/limits/test_slot_ledger.py
@@ -22,7 +22,7 @@
 class LedgerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.numbers = itertools.count(1)
-        self.ledger = SlotLedger(0.0, NOW, NOW)
+        self.ledger = SlotLedger(0.0, 0.0, NOW)
 
     def ask(self, now: float, room: Room = ROOM, holder: str = "gw-1") -> int:
         """Ask for a slot; return the number of the permit, 0 if it is denied."""
@@ -107,7 +107,7 @@
         times = []
         for fraction in (0.75, 0.25):
             self.setUp()
-            self.ledger = SlotLedger(float(SLOTS), NOW, NOW)
+            self.ledger = SlotLedger(float(SLOTS), 0.0, NOW)
             times += self.reject_all(Room(SLOTS, 6.0, fraction), 30.0)
         self.assertLessEqual(len(times), 30 * 6.0 / 2 + 2)
 
@@ -131,18 +131,25 @@
         self.assertEqual(SLOTS - 1, self.ledger.doubt)
 
     def test_all_are_in_use_again_soon_if_nothing_is_rejected(self) -> None:
-        self.ledger = SlotLedger(float(SLOTS), NOW, NOW)
+        self.ledger = SlotLedger(float(SLOTS), 0.0, NOW)
         for step in range(100):
             self.ask(NOW + step * 0.01)
         self.assertEqual(SLOTS, self.ledger.held)
 
     def test_attempts_that_are_reported_are_no_doubt_any_more(self) -> None:
-        self.ledger = SlotLedger(float(SLOTS), NOW, NOW)
+        self.ledger = SlotLedger(float(SLOTS), 0.0, NOW)
         for number in range(100, 100 + SLOTS):
             self.ledger.adopt(number, "gw-2", LATER)
         self.assertEqual(0, self.ledger.doubt)
 
     def test_tries_begin_at_a_time_that_differs_between_small_sides(self) -> None:
-        self.ledger = SlotLedger(float(SLOTS), NOW + 5.0, NOW)
-        self.assertEqual(0, self.ask(NOW + 4.9))
-        self.assertNotEqual(0, self.ask(NOW + 5.1))
+        """A side of a tenth of the gateways may cause one rejection in 10 s: half of 2, a tenth."""
+        side = Room(SLOTS, 2.0, 0.1)
+        self.ledger = SlotLedger(float(SLOTS), 0.5, NOW)
+        self.assertEqual(0, self.ask(NOW + 4.9, room=side))
+        self.assertNotEqual(0, self.ask(NOW + 5.1, room=side))
+
+    def test_tries_do_not_wait_for_what_a_new_process_did_not_know_yet(self) -> None:
+        """An owner whose process has just started hears from the first request what is borne."""
+        self.ledger = SlotLedger(float(SLOTS), 0.9, NOW)
+        self.assertNotEqual(0, self.ask(NOW, room=Room(SLOTS, 6.0, 1.0)))
--- a/tests/limits/virtual_slots.py
+++ b/tests/limits/virtual_slots.py
@@ -78,6 +78,7 @@
     overload: float = 2.0
     loss: float = 0.02
     seconds: float = 14.0
+    measured_from: float = _MEASURED_FROM_SECONDS
     few: int = 0
     """Number of gateways that get all requests, 0 for all gateways."""
 
@@ -89,7 +90,7 @@
 
 @dataclass
 class Outcome:
-    """What was measured from the fifth second on."""
+    """What was measured from `Play.measured_from` on; falls count from the fifth second on."""
 
     falls: int = 0
     max_rejected: int = 0
@@ -175,7 +176,7 @@
         return outcome
 
     async def _measure(self) -> None:
-        await asyncio.sleep(_MEASURED_FROM_SECONDS)
+        await asyncio.sleep(self._play.measured_from)
         while True:
             await asyncio.sleep(0.01)
             for engine in self._engines.values():
@@ -369,7 +370,11 @@
                 self._loop.call_later(delay, self._update_member, name, state, lost)
 
     def _update_member(self, name: str, state: MemberState, lost: bool) -> None:
-        gateway = self._gateways[name]
+        gateway, other = self._gateways[name], self._gateways[state.name]
+        is_cut_off = self._sides.get(name) != self._sides.get(state.name)
+        if lost != (other.down or other.frozen or is_cut_off):
+            # The notice was overtaken by the next one.
+            return
         if lost:
             gateway.members.mark_lost(state.name)
             gateway.slots.drop_gateway(state.name)
