Addresses of started programs are not taken by outgoing connections

scripts/fleet.py drew ports from the range of outgoing connections and gave them free again, so that in 3 of 10 starts of nine to twenty gateways a connection had taken a port before its gateway listened, and the start failed. The drawing that the tests use (a port below that range, reserved at a second address) is a part of the stand-ins now and serves both.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,18 +15,13 @@
 from typing import Any
 from urllib.error import URLError
 
+from lotushill.standin.free_address import free_address
+
 _READY_TIMEOUT_SECONDS = 20.0
 _STOP_TIMEOUT_SECONDS = 15.0
 _POLL_INTERVAL_SECONDS = 0.05
 
 
-def free_address() -> str:
-    """Return a loopback address on which nothing listens at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @dataclass
 class Program:
     """A started program with its settings and its log file."""
--- a/tests/console/test_gateway_program.py
+++ b/tests/console/test_gateway_program.py
@@ -5,15 +5,14 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import tempfile
 import unittest
 from pathlib import Path
 
 from lotushill.links.http_server import HttpServer
+from lotushill.standin.free_address import free_address
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
 from tests.entries import entry
@@ -28,8 +27,6 @@
 
 _MODULE = "lotushill.console.gateway"
 _TIMEOUT_SECONDS = 30.0
-_PORT_RNG = random.SystemRandom()
-_RESERVED_PORTS: list[socket.socket] = []
 
 SPEC = {
     "version": 3,
@@ -80,28 +77,6 @@
         return await super()._copy(run, call, at_target)
 
 
-def free_address() -> str:
-    """Return an address outside the ephemeral port range that no other test process uses.
-
-    An ephemeral port may be taken by a connection before the intended process binds it, which
-    failed two of 50 runs of the soak. A port whose process is down for a moment looks free to a
-    concurrent run, which failed two of 15 runs. So each port is also bound at a second address
-    until the end.
-    """
-    while True:
-        port = _PORT_RNG.randrange(10_240, 32_768)
-        reservation = socket.socket()
-        try:
-            reservation.bind(("127.0.0.2", port))
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", port))
-        except OSError:
-            reservation.close()
-            continue
-        _RESERVED_PORTS.append(reservation)
-        return f"127.0.0.1:{port}"
-
-
 async def get_status(address: str, path: str) -> int:
     host, _, port = address.partition(":")
     try:
--- a/tests/relaying/test_relay_server.py
+++ b/tests/relaying/test_relay_server.py
@@ -22,7 +22,7 @@
 from lotushill.requests.relayed_connection import RelayFailedError
 from lotushill.requests.relayed_connection import open_relayed
 from lotushill.requests.upstream_connection import UpstreamConnection
-from tests.console.test_gateway_program import free_address
+from lotushill.standin.free_address import free_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -26,10 +26,10 @@
 from lotushill.quarantine.identity import identity_of
 from lotushill.quarantine.shared_part import SharedPart
 from lotushill.routing.route import RouteKind
+from lotushill.standin.free_address import free_address
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
 from tests.console.test_gateway_program import SPEC
-from tests.console.test_gateway_program import free_address
 from tests.console.test_gateway_program import get_status
 from tests.entries import entry
 from tests.requests.rig import HOST
--- a/tests/requests/test_unread_limit.py
+++ b/tests/requests/test_unread_limit.py
@@ -14,7 +14,7 @@
 from lotushill.requests.client_protocol import ClientProtocol
 from lotushill.requests.unread_limit import MAX_UNREAD_SECONDS
 from lotushill.requests.unread_limit import UnreadLimit
-from tests.console.test_gateway_program import free_address
+from lotushill.standin.free_address import free_address
 from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
 
--- a/tests/soak/brittle_run.py
+++ b/tests/soak/brittle_run.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 
 from lotushill.links.http_server import HttpServer
+from lotushill.standin.free_address import free_address
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
-from tests.console.test_gateway_program import free_address
 from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
 from tests.soak.brittle_engine import BRITTLE_AFTER_SECONDS
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from tests.console.test_gateway_program import free_address
+from lotushill.standin.free_address import free_address
 from tests.console.test_gateway_program import get_status
 from tests.soak.proxied_gateway import NAME_VARIABLE
 from tests.soak.proxied_gateway import PROXY_VARIABLE
--- a/tests/soak/partition_run.py
+++ b/tests/soak/partition_run.py
@@ -10,9 +10,9 @@
 from pathlib import Path
 
 from lotushill.links.http_server import HttpServer
+from lotushill.standin.free_address import free_address
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
-from tests.console.test_gateway_program import free_address
 from tests.soak.client import Client
 from tests.soak.configuration import soak_configuration
 from tests.soak.gateways import Gateways
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from lotushill.links.http_server import HttpServer
+from lotushill.standin.free_address import free_address
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_app import StoreFault
 from lotushill.standin.metadata_store import MetadataStore
-from tests.console.test_gateway_program import free_address
 from tests.entries import entry
 from tests.requests.rig import ScriptedUpstream
 from tests.soak.client import Client
