A soak run that ends while a gateway is restarted kills that gateway too

Seen: one gateway of a run with moves, alive eight minutes after the others. A process that is created after that is killed at once.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -121,6 +121,9 @@
             preexec_fn=_end_with_parent,
         )
         gateway.unhandled_signal = 0
+        if self._is_stopping:
+            # The process was not there yet when all were killed.
+            gateway.process.kill()
         self._start_task(self._supervise(gateway, gateway.process))
 
     async def _supervise(self, gateway: Gateway, process: asyncio.subprocess.Process) -> None:
