A request that is cut off while it is checked is counted and logged as turned away

Found by reading the change: a request that had no exchange yet when its process ended got its 503, but neither a log line nor a count, as the cancellation was taken before the place that writes them. Both ways use one method now; a test checks the line (none before).

Names of the candidates for an owner are returned as they are kept, not as a new set for each request for a permit of a limit.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -189,7 +189,7 @@
     Break(
         "slots of brittle upstreams: rejections are told to all that may become owners",
         "limits/slot_holder.py",
-        "names = names | self._owners.candidates(hold.upstream)",
+        "names = names.union(self._owners.candidates(hold.upstream))",
         "names = hold.owners",
         "tests.limits.test_slot_holder",
     ),
--- a/src/lotushill/limits/limit_owners.py
+++ b/src/lotushill/limits/limit_owners.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from lotushill.links.messages import MemberState
     from lotushill.membership.members import Members
@@ -48,11 +49,11 @@
         member = self._membership.find(name) if name is not None else None
         return member if member is not None else self._membership.own
 
-    def candidates(self, upstream: Upstream) -> frozenset[str]:
+    def candidates(self, upstream: Upstream) -> Sequence[str]:
         """Return the names of the gateways of which one is the owner for an upstream."""
         halls = self._schedulers.names_by_hall()
         in_hall = halls.get(upstream.hall)
-        return frozenset(in_hall or (name for hall in halls.values() for name in hall))
+        return in_hall or [name for hall in halls.values() for name in hall]
 
     def is_own(self, upstream: Upstream) -> bool:
         """Return whether this gateway is the owner for an upstream."""
--- a/src/lotushill/limits/slot_holder.py
+++ b/src/lotushill/limits/slot_holder.py
@@ -82,7 +82,7 @@
             return
         names = hold.owners
         if names and how is SlotEnd.REJECTED:
-            names = names | self._owners.candidates(hold.upstream)
+            names = names.union(self._owners.candidates(hold.upstream))
         for name in sorted(names):
             self.report_end(number, hold.upstream.id, name, how, now)
 
--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -118,22 +118,27 @@
         except ClientDisconnectedError:
             return
         except asyncio.CancelledError:
+            self._note_turned_away(scope, demand, 503)
             await self._answer_at_shutdown(answer, runs=0)
             return
         except _TurnedAwayError as error:
-            self._components.metrics.record_rejection(error.status)
-            self._components.log.note(
-                "request.turned_away",
-                request=demand.request_id,
-                status=error.status,
-                host=demand.host,
-                target=scope[TARGET].decode("latin-1")[:80],
-                configuration=self._components.configuration.revision,
-            )
+            self._note_turned_away(scope, demand, error.status)
             await answer.send_own_answer(error.status, error.retry_after_seconds)
             return
         await self._answer_request(scope, request, answer)
 
+    def _note_turned_away(self, scope: Scope, demand: Demand, status: int) -> None:
+        """Count and log a request that is answered without an exchange."""
+        self._components.metrics.record_rejection(status)
+        self._components.log.note(
+            "request.turned_away",
+            request=demand.request_id,
+            status=status,
+            host=demand.host,
+            target=scope[TARGET].decode("latin-1")[:80],
+            configuration=self._components.configuration.revision,
+        )
+
     async def _answer_request(self, scope: Scope, request: Request, answer: ClientAnswer) -> None:
         exchange = Exchange(self._components, request, answer)
         self._components.work.increment_running(request.service.name)
--- a/tests/requests/test_logs.py
+++ b/tests/requests/test_logs.py
@@ -278,6 +278,7 @@
             writer.close()
         self.assertEqual(503, answer.status)
         self.assertIn("retry-after", answer.headers)
+        self.assertEqual([503], [line["status"] for line in logged(rig, "request.turned_away")])
 
     async def _leave_after_an_event(self, rig: Rig, event: bool = True) -> None:
         """Send a request and close its connection, after the first event of the answer or soon."""
