--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -55,7 +55,7 @@
 
     def __init__(self, folder: Path) -> None:
         """Write settings and logs into `folder`."""
-        self._folder = folder
+        self.folder = folder
         self.store = Store(HEARTBEAT_SECONDS)
         self.gateways: list[str] = []
         """Addresses for clients."""
@@ -98,7 +98,7 @@
             "recent_seconds": 10,
             "retry": {"ratio": 0.2, "slack": 56, "window_seconds": 10},
         }
-        path = self._folder / f"{name}.json"
+        path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         self._gateway_settings[name] = path
         self.gateways.append(clients)
@@ -121,7 +121,7 @@
     def _spawn(self, name: str, command: list[str], variables: dict[str, str]) -> None:
         environment = {key: os.environ[key] for key in ("PATH", "HOME") if key in os.environ}
         environment |= variables
-        with (self._folder / f"{name}.log").open("ab") as log:
+        with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 command, cwd=REPOSITORY, env=environment, stdout=log, stderr=log
             )
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -1,7 +1,8 @@
 """Stand-in of an engine, a process of its own: streams of events that name its version.
 
 Arguments: a JSON object with `id`, `service`, `address`, `zone`, `version`, `slots`, `store`,
-`heartbeat`, `gap` (seconds between events), `first` (seconds to the first one) and `log`.
+`heartbeat`, `gap` (seconds between events), `first` (seconds to the first one), `log`, and perhaps
+`backlog`, the length of its queue of new connections.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from standins import messages
 
 _QUEUE = 32
+_BACKLOG = 100
 _TOKENS_PER_EVENT = 5
 
 
@@ -37,7 +39,8 @@
     async def run(self) -> None:
         """Serve, and keep the entry in the store, until killed."""
         host, _, port = self._options["address"].partition(":")
-        server = await asyncio.start_server(self._serve, host, int(port))
+        backlog = self._options.get("backlog", _BACKLOG)
+        server = await asyncio.start_server(self._serve, host, int(port), backlog=backlog)
         async with server:
             while True:
                 await self._beat()
--- a/review/standins/small_site.py
+++ b/review/standins/small_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 from standins.deployment import configuration
 from standins.deployment import stream_route
@@ -30,12 +31,19 @@
     return [f"front-{zone}-{n + 1}" for zone, count in ZONES.items() for n in range(count)]
 
 
-async def start_small_site(site: Site, versions: Mapping[str, str]) -> bool:
-    """Start the store, engines with their versions and the gateways; return whether all serve."""
+async def start_small_site(
+    site: Site, versions: Mapping[str, str], resumable: bool = True, **engine_options: Any
+) -> bool:
+    """Start the store, engines with their versions and the gateways; return whether all serve.
+
+    `resumable` tells whether streams may be resumed; other ones have one attempt.
+    """
     await site.store.start()
     engine = {"slots": _SLOTS, "kvCapacity": 638949, "kvTokenBytes": 163840, "stride": 5}
     services = {_SERVICE: {"maxConns": 370, "engine": engine}}
-    routes = [stream_route("r-px5pa2y", PREFIX, _SERVICE)]
+    attempts = 2 if resumable else 1
+    changes = {"streamResume": resumable, "maxAttempts": attempts}
+    routes = [stream_route("r-px5pa2y", PREFIX, _SERVICE, **changes)]
     site.store.put("config", "main", configuration(7, services, routes))
     zones = list(ZONES)
     for number, (name, version) in enumerate(versions.items()):
@@ -47,6 +55,7 @@
             slots=_SLOTS,
             gap=_EVENT_GAP_SECONDS,
             first=_FIRST_EVENT_SECONDS,
+            **engine_options,
         )
     for name in gateway_names():
         site.start_gateway(name, name.removeprefix("front-").rpartition("-")[0])
