--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,7 +25,6 @@
 from standins.runner import Record
 from standins.runner import run_case
 from standins.small_site import DEADLINE_SECONDS
-from standins.small_site import EVENTS
 from standins.small_site import PREFIX
 from standins.small_site import STREAMS_PER_SECOND
 from standins.small_site import gateway_names
@@ -33,7 +32,8 @@
 
 ENGINES = {"i-1": "v1", "i-2": "v2", "i-3": "v1", "i-4": "v2", "i-5": "v1"}
 """Versions of the engines."""
-MAX_TRIES = 5
+EVENTS = 100
+MAX_TRIES = 6
 WARM_UP_SECONDS = 13.0
 SAMPLE_SECONDS = 6.0
 """Time before the kill, in the first half of which some clients lose their connections."""
