The last log line of a gateway says why it ends; exceptions are counted by task

What operators saw: an ended gateway left one of its requests as the last line, and a trace, if any, on another stream.

SIGINT during the start is handled as SIGTERM is. Exceptions that reach the event loop are logged as task.failed, and a new metric counts exceptions by task. SideTasks is named Supervisor, as it no longer runs side tasks alone.

--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -887,10 +887,10 @@
     ),
     Break(
         "a fault in a side task does not end the gateway",
-        "process/side_tasks.py",
+        "process/supervisor.py",
         "except Exception as error:",
         "except ZeroDivisionError as error:",
-        "tests.process.test_side_tasks",
+        "tests.process.test_supervisor",
     ),
     Break(
         "tiers: slots are reserved for requests more urgent than long ones",
@@ -1357,8 +1357,8 @@
     Break(
         "a stop during a start is not lost",
         "console/process_signals.py",
-        "os._exit(0)",
-        "raise SystemExit(0)",
+        "os._exit(EXIT_OK)",
+        "raise SystemExit(EXIT_OK)",
         "tests.console.test_process_signals",
     ),
     Break(
--- a/src/lotushill/console/fleet_commands.py
+++ b/src/lotushill/console/fleet_commands.py
@@ -13,12 +13,12 @@
 import anyio
 import httpcore
 
-from lotushill.console.program import EXIT_FAILED
-from lotushill.console.program import EXIT_OK
 from lotushill.console.result import Result
 from lotushill.gateway.status_app import EXPLAIN_PATH
 from lotushill.gateway.status_app import STATUS_PATH
 from lotushill.peering.registration import KIND
+from lotushill.process.exit_status import EXIT_FAILED
+from lotushill.process.exit_status import EXIT_OK
 
 if TYPE_CHECKING:
     import argparse
--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -1,13 +1,21 @@
-"""The program `lotushill-gateway`: runs one gateway process."""
+"""The program `lotushill-gateway`: runs one gateway process.
+
+It ends only on a stop signal or on unusable settings; its last log line says why. Exceptions of a
+running gateway are handled by `lotushill.process.supervisor`.
+"""
 
 from __future__ import annotations
 
 import gc
 import os
+import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from lotushill.console.process_signals import ProcessSignals
+from lotushill.process.exit_status import EXIT_BAD_SETTINGS
+from lotushill.process.exit_status import EXIT_FAULT
+from lotushill.process.exit_status import PROCESS_STOPPED
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,9 +36,7 @@
     gc.disable()
     from lotushill.console.program import configure_logging
     from lotushill.console.program import new_parser
-    from lotushill.console.program import read_or_exit
     from lotushill.console.program import run
-    from lotushill.process.settings_file import read_settings
 
     parser = new_parser("lotushill-gateway", "Route requests on one host.")
     parser.add_argument(
@@ -43,7 +49,41 @@
     if path is None:
         parser.error(f"--config or ${CONFIG_VARIABLE} is required")
     configure_logging("INFO")
-    run(_serve, read_or_exit(read_settings, Path(path)), Path(path), signals)
+    settings = _read_or_exit(Path(path))
+    try:
+        run(_serve, settings, Path(path), signals)
+    except Exception as error:
+        from lotushill.process.supervisor import trace_of
+
+        _write_last_line(settings.name, "fault", EXIT_FAULT, trace=trace_of(error))
+        raise SystemExit(EXIT_FAULT) from error
+
+
+def _read_or_exit(path: Path) -> GatewaySettings:
+    """Return the settings of a file; exit with all its faults if it is invalid."""
+    from lotushill.contracts.exceptions import SettingsError
+    from lotushill.process.settings_file import read_settings
+
+    try:
+        return read_settings(path)
+    except SettingsError as error:
+        faults = [str(fault) for fault in error.faults]
+        for fault in faults:
+            print(f"{error.source}: {fault}", file=sys.stderr)
+        _write_last_line(
+            os.uname().nodename,
+            "unusable settings",
+            EXIT_BAD_SETTINGS,
+            file=str(path),
+            faults=faults,
+        )
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+
+
+def _write_last_line(name: str, why: str, status: int, **fields: object) -> None:
+    from lotushill.event_log import EventLog
+
+    EventLog(name).note(PROCESS_STOPPED, why=why, status=status, **fields)
 
 
 async def _serve(settings: GatewaySettings, path: Path, signals: ProcessSignals) -> None:
--- a/src/lotushill/console/load.py
+++ b/src/lotushill/console/load.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from lotushill.console.program import EXIT_OK
 from lotushill.console.program import new_parser
 from lotushill.contracts.yaml_text import parse_file
 from lotushill.load.limits.comparison import compare as compare_limits
@@ -18,6 +17,7 @@
 from lotushill.load.slopes import measure
 from lotushill.load.slopes import table
 from lotushill.load.slopes import to_json
+from lotushill.process.exit_status import EXIT_OK
 
 if TYPE_CHECKING:
     import argparse
--- a/src/lotushill/console/operator.py
+++ b/src/lotushill/console/operator.py
@@ -12,10 +12,6 @@
 import anyio
 
 from lotushill.console.fleet_commands import FleetCommands
-from lotushill.console.program import EXIT_BAD_SETTINGS
-from lotushill.console.program import EXIT_CONFLICT
-from lotushill.console.program import EXIT_FAILED
-from lotushill.console.program import EXIT_UNAVAILABLE
 from lotushill.console.program import new_parser
 from lotushill.console.quarantine_commands import QuarantineCommands
 from lotushill.console.settings_commands import SettingsCommands
@@ -25,6 +21,10 @@
 from lotushill.contracts.exceptions import UnknownOutcomeError
 from lotushill.contracts.exceptions import UnknownPathError
 from lotushill.platform.object_store import ObjectStore
+from lotushill.process.exit_status import EXIT_BAD_SETTINGS
+from lotushill.process.exit_status import EXIT_CONFLICT
+from lotushill.process.exit_status import EXIT_FAILED
+from lotushill.process.exit_status import EXIT_UNAVAILABLE
 from lotushill.views.exceptions import StoreError
 
 if TYPE_CHECKING:
--- a/src/lotushill/console/process_signals.py
+++ b/src/lotushill/console/process_signals.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
+import time
 from typing import TYPE_CHECKING
 
+from lotushill.process.exit_status import EXIT_OK
+from lotushill.process.exit_status import PROCESS_STOPPED
+
 if TYPE_CHECKING:
     from types import FrameType
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_STANDARD_OUTPUT = 1
+
 
 class ProcessSignals:
     """Signal handlers for the start and the end of a process.
@@ -24,12 +32,13 @@
     def install(self) -> None:
         """Install handlers for the time until the event loop receives signals."""
         signal.signal(signal.SIGHUP, self._request_reload)
-        signal.signal(signal.SIGTERM, self._exit_at_once)
+        for number in _STOP_SIGNALS:
+            signal.signal(number, self._exit_at_once)
 
     def ignore(self) -> None:
         """Ignore signals, because the process is about to exit by itself."""
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        for number in (signal.SIGHUP, *_STOP_SIGNALS):
+            signal.signal(number, signal.SIG_IGN)
 
     def _request_reload(self, number: int, frame: FrameType | None) -> None:
         self.is_reload_requested = True
@@ -37,4 +46,22 @@
     def _exit_at_once(self, number: int, frame: FrameType | None) -> None:
         # Exits at once, since there are no requests in progress yet. An exception raised here would
         # be lost if the signal arrives during a callback of the import system.
-        os._exit(0)
+        _write_last_line(signal.Signals(number).name)
+        os._exit(EXIT_OK)
+
+
+def _write_last_line(why: str) -> None:
+    """Write the last log line; the log itself may not be imported yet."""
+    line = {
+        "t": round(time.clock_gettime(time.CLOCK_BOOTTIME), 3),
+        "node": os.uname().nodename,
+        "event": PROCESS_STOPPED,
+        "why": why,
+        "status": EXIT_OK,
+    }
+    try:
+        os.set_blocking(_STANDARD_OUTPUT, False)
+        os.write(_STANDARD_OUTPUT, json.dumps(line, separators=(",", ":")).encode() + b"\n")
+    except OSError:
+        # Standard output is closed or its reader is stuck, and nothing else can tell the operator.
+        pass
--- a/src/lotushill/console/program.py
+++ b/src/lotushill/console/program.py
@@ -14,17 +14,12 @@
 
 from lotushill import __version__
 from lotushill.contracts.exceptions import SettingsError
+from lotushill.process.exit_status import EXIT_BAD_SETTINGS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
-EXIT_CONFLICT = 3
-EXIT_UNAVAILABLE = 4
-
 S = TypeVar("S")
 
 _INCOMPLETE_RESPONSE_ERROR = "ASGI callable returned without completing response."
--- a/src/lotushill/console/quarantine_commands.py
+++ b/src/lotushill/console/quarantine_commands.py
@@ -6,8 +6,8 @@
 from datetime import datetime
 from typing import TYPE_CHECKING
 
-from lotushill.console.program import EXIT_FAILED
 from lotushill.console.result import Result
+from lotushill.process.exit_status import EXIT_FAILED
 from lotushill.quarantine.stored_hold import KIND
 from lotushill.quarantine.stored_hold import StoredHold
 from lotushill.quarantine.stored_hold import read_hold
--- a/src/lotushill/console/result.py
+++ b/src/lotushill/console/result.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lotushill.console.program import EXIT_OK
+from lotushill.process.exit_status import EXIT_OK
 
 
 @dataclass(frozen=True)
--- a/src/lotushill/console/settings_commands.py
+++ b/src/lotushill/console/settings_commands.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from lotushill.console.program import EXIT_FAILED
-from lotushill.console.program import EXIT_OK
 from lotushill.console.result import Result
 from lotushill.contracts.document import check
 from lotushill.contracts.editor import Editor
@@ -26,6 +24,8 @@
 from lotushill.contracts.yaml_text import write
 from lotushill.platform import names
 from lotushill.platform.configuration import parse_table
+from lotushill.process.exit_status import EXIT_FAILED
+from lotushill.process.exit_status import EXIT_OK
 
 if TYPE_CHECKING:
     import argparse
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import os
 import random
@@ -43,8 +44,10 @@
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
+from lotushill.process.exit_status import EXIT_OK
+from lotushill.process.exit_status import PROCESS_STOPPED
 from lotushill.process.metrics import Metrics
-from lotushill.process.side_tasks import SideTasks
+from lotushill.process.supervisor import Supervisor
 from lotushill.process.suspension import SuspensionWatch
 from lotushill.relaying.relay_server import RelayServer
 from lotushill.requests.client_application import ClientApplication
@@ -70,7 +73,6 @@
 from lotushill.waiting.slot_turns import RemoteQueues
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
@@ -109,7 +111,7 @@
         self.log = EventLog(settings.name, journal=self.journal)
         rng = random.Random()
         self.duties = FleetDuties(settings)
-        self.side_tasks = SideTasks(self.log, rng)
+        self.supervisor = Supervisor(self.log, rng)
         self.store = ObjectStore(settings.store)
         role = ReaderRole(lambda: self.peers.membership, clocks.now)
         self.views = StoreViews(
@@ -323,33 +325,35 @@
 
         `is_reload_requested` returns whether a reload was requested during the start.
         """
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.supervisor.handle_loop_error)
         # The receiver stays open until the end: a signal that arrives during the shutdown (a reload
         # or a second stop) would otherwise kill the process with all requests in progress.
         with anyio.open_signal_receiver(*_SIGNALS) as signals:
             async with anyio.create_task_group() as group:
                 self._start(group)
                 self.log.note("process.started", pid=os.getpid(), hall=self.settings.hall)
-                await self._wait_for_stop(signals, is_reload_requested)
+                stop_signal = await self._wait_for_stop(signals, is_reload_requested)
                 # Runs concurrently with the drain: a store that does not answer must not use up the
                 # time that requests in progress have to finish.
-                group.start_soon(self.side_tasks.run, "hand over", self.duties.hand_over)
-                await self._drain()
+                group.start_soon(self.supervisor.run, "hand over", self.duties.hand_over)
+                await self.supervisor.contain("drain", self._drain)
                 group.cancel_scope.cancel()
                 for task in self._view_tasks:
                     task.cancel()
                 self.mover.close()
-        self.log.note("process.stopped")
+            self.log.note(PROCESS_STOPPED, why=stop_signal.name, status=EXIT_OK)
 
     def _start(self, group: TaskGroup) -> None:
         group.start_soon(self.status_listener.serve)
         group.start_soon(self.client_listener.serve)
         group.start_soon(self.peers.run, group)
         self._view_tasks = self.views.start_tasks()
-        group.start_soon(self.side_tasks.run, "registration", self.registration.run)
-        group.start_soon(self.side_tasks.run, "waiting line", self.queue_runner.run)
-        group.start_soon(self.side_tasks.run, "sweep", self._sweep)
-        group.start_soon(self.side_tasks.run, "quarantine", self.quarantine.gossip.run)
-        group.start_soon(self.side_tasks.run, "holds", self.quarantine.run_hold_store)
+        group.start_soon(self.supervisor.run, "registration", self.registration.run)
+        group.start_soon(self.supervisor.run, "waiting line", self.queue_runner.run)
+        group.start_soon(self.supervisor.run, "sweep", self._sweep)
+        group.start_soon(self.supervisor.run, "quarantine", self.quarantine.gossip.run)
+        group.start_soon(self.supervisor.run, "holds", self.quarantine.run_hold_store)
         if self.settings.duties is not None:
             dependencies = DutyDependencies(
                 self.is_ready,
@@ -361,7 +365,7 @@
                 self.log,
             )
             run = functools.partial(self.duties.run, dependencies)
-            group.start_soon(self.side_tasks.run, "duties", run)
+            group.start_soon(self.supervisor.run, "duties", run)
 
     async def _sweep(self) -> None:
         while True:
@@ -409,13 +413,15 @@
 
     async def _wait_for_stop(
         self, signals: AsyncIterator[signal.Signals], is_reload_requested: Callable[[], bool]
-    ) -> None:
+    ) -> signal.Signals:
+        """Return the signal by which the process is told to stop; reload on all others."""
         if is_reload_requested():
             self._reload()
         async for received in signals:
             if received != signal.SIGHUP:
-                return
+                return received
             self._reload()
+        raise AssertionError("the signal receiver is open until the process stops")
 
     async def _drain(self) -> None:
         """Wait until the load balancer sends no new clients, then finish requests in progress."""
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -26,7 +26,7 @@
     from lotushill.platform.object_store import ObjectStore
     from lotushill.process.metrics import Metrics
     from lotushill.process.settings import GatewaySettings
-    from lotushill.process.side_tasks import SideTasks
+    from lotushill.process.supervisor import Supervisor
     from lotushill.relaying.relay_server import RelayServer
     from lotushill.requests.client_application import ClientApplication
     from lotushill.requests.mover import Mover
@@ -61,7 +61,7 @@
     stream_origins: StreamOrigins
     quarantine: FleetQuarantine
     unread_limit: UnreadLimit
-    side_tasks: SideTasks
+    supervisor: Supervisor
     client_application: ClientApplication
     queue_runner: QueueRunner
 
@@ -308,8 +308,14 @@
     )
     add_gauge(
         "task_faults",
-        "Exceptions in background tasks since the start",
-        lambda: gateway.side_tasks.failure_count,
+        "Exceptions in tasks, connections and callbacks since the start",
+        lambda: gateway.supervisor.failures.total(),
+    )
+    gateway.metrics.add_gauge_by(
+        "task_faults_by_task",
+        "Exceptions since the start, by the task in which they were raised",
+        "task",
+        lambda: gateway.supervisor.failures,
     )
     add_gauge(
         "log_lines_left_out",
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -29,8 +29,8 @@
 from lotushill.standin.free_address import free_address
 from lotushill.standin.metadata_app import MetadataApp
 from lotushill.standin.metadata_store import MetadataStore
-from tests.console.test_gateway_program import SPEC
-from tests.console.test_gateway_program import get_status
+from tests.console.gateway_program import SPEC
+from tests.console.gateway_program import get_status
 from tests.entries import entry
 from tests.requests.rig import HOST
 from tests.requests.rig import TEAM
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tests.console.test_gateway_program import SPEC
+from tests.console.gateway_program import SPEC
 from tests.soak.records import LONG_DEADLINE_SECONDS
 from tests.soak.run_memory import LONG_PATH
 
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from lotushill.standin.free_address import free_address
-from tests.console.test_gateway_program import get_status
+from tests.console.gateway_program import get_status
 from tests.soak.proxied_gateway import NAME_VARIABLE
 from tests.soak.proxied_gateway import PROXY_VARIABLE
 
