An invalid frame between gateways ends its connection, not the process

What callers saw: every request of a gateway was cut when one peer sent it a frame with a wrong code, one that was too long, or a message that its version does not know, as happens in each rolling upgrade.

Cause: the reader of a connection runs in a task group, which wraps the error of the frame in an exception group; 'except LinkError' does not match a group, so that the error left the connection and ended the task group of the process.

Change: the error is raised outside of the connection's task group. A frame with a valid code and an unknown message costs only that message, since the frames after it can still be found; links count such messages.

--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -14,6 +14,7 @@
 from lotushill.links.channel import Channel
 from lotushill.links.exceptions import LinkClosedError
 from lotushill.links.exceptions import LinkError
+from lotushill.links.exceptions import MalformedFrameError
 from lotushill.links.messages import Ping
 from lotushill.links.relay_messages import RelayOpen
 
@@ -76,6 +77,8 @@
         self._group: TaskGroup | None = None
         self.dropped = 0
         """Connections dropped for malformed or forged frames, or without a valid first message."""
+        self.unreadable = 0
+        """Messages skipped since this version does not know them."""
 
     def start(self, group: TaskGroup) -> None:
         """Set the task group in which connections run."""
@@ -138,8 +141,8 @@
                     channel = await self._open(stream)
                     await channel.send(Ping(self._own_name, 0, "", ()))
                 await self._pump(peer, channel, inbox, _DIALED_QUIET_SECONDS)
-        except (OSError, ValueError, LinkError):
-            log.info("Connection to a peer failed or was lost. peer=%s", peer)
+        except (OSError, ValueError, LinkError) as error:
+            log.info("Connection to a peer failed or was lost. peer=%s error=%r", peer, error)
         finally:
             inbox.close()
             self._drop(peer, link)
@@ -163,14 +166,37 @@
         inbox: MemoryObjectReceiveStream[Message],
         max_quiet_seconds: float,
     ) -> None:
+        """Pass on messages in both directions until the connection ends or falls silent.
+
+        Raise a LinkError for an invalid frame, after which the next frame cannot be found.
+        """
+        failure: LinkError | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self._write, channel, inbox, group.cancel_scope)
             group.start_soon(_cancel_when_quiet, channel, max_quiet_seconds, group.cancel_scope)
             try:
-                while True:
-                    self._on_message(peer, await channel.receive())
+                await self._read(peer, channel)
             except LinkClosedError:
-                group.cancel_scope.cancel()
+                pass
+            except LinkError as error:
+                failure = error
+            group.cancel_scope.cancel()
+        # Raised outside of the task group, which would wrap it in an exception group.
+        if failure is not None:
+            raise failure
+
+    async def _read(self, peer: str, channel: Channel) -> None:
+        """Deliver messages until the connection ends, which raises a LinkError."""
+        while True:
+            try:
+                message = await channel.receive()
+            except MalformedFrameError as error:
+                # The code of the frame is valid: a peer of another version sent a message that this
+                # one does not know, and the frames after it can be read.
+                self.unreadable += 1
+                log.warning("Skipped a message that is not known. peer=%s error=%r", peer, error)
+                continue
+            self._on_message(peer, message)
 
     async def _write(
         self,
--- a/tests/console/gateway_program.py
+++ b/tests/console/gateway_program.py
@@ -78,6 +78,13 @@
     return got.status
 
 
+async def kill(process: asyncio.subprocess.Process) -> None:
+    """End a process that a failed test has left."""
+    if process.returncode is None:
+        process.kill()
+        await process.communicate()
+
+
 class GatewayProgramCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that start the program with a stand-in of the store and one upstream."""
 
@@ -93,6 +100,7 @@
         self.store.create("servers", "i-1", entry("app", self.upstream.address))
         self.folder = tempfile.TemporaryDirectory()
         self.clients, self.readiness = free_address(), free_address()
+        self.peers = free_address()
 
     async def asyncTearDown(self) -> None:
         self.server.abort()
@@ -112,7 +120,7 @@
             "region": "r",
             "clients": self.clients,
             "readiness": self.readiness,
-            "peers": free_address(),
+            "peers": self.peers,
             "store": self.server.address,
             "leave_seconds": 0.2,
             "a field of tomorrow": 1,
@@ -123,7 +131,7 @@
         return await self.spawn(path)
 
     async def spawn(self, settings: Path) -> asyncio.subprocess.Process:
-        return await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             _MODULE,
@@ -131,6 +139,8 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
+        self.addAsyncCleanup(kill, process)
+        return process
 
     async def wait_ready(self, process: asyncio.subprocess.Process) -> None:
         """Wait until the gateway is ready; fail with its output if the process has exited."""
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -3,8 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
+import secrets
 import signal
+import struct
 
+import anyio
+
+from lotushill.links.address import split_address
+from lotushill.links.channel import CHALLENGE_BYTES
+from lotushill.links.channel import MAX_FRAME_BYTES
+from lotushill.links.channel import Channel
+from lotushill.links.messages import Ping
+from lotushill.links.messages import ViewKind
+from lotushill.links.messages import ViewPage
+from lotushill.links.messages import ViewPull
+from lotushill.links.seal import CODE_BYTES
+from lotushill.links.seal import Seal
 from tests.console.gateway_program import TIMEOUT_SECONDS
 from tests.console.gateway_program import GatewayProgramCase
 
@@ -29,3 +44,68 @@
         self.assertEqual(("unusable settings", 2), (last["why"], last["status"]))
         named = [fault.partition(":")[0] for fault in last["faults"]]
         self.assertEqual(["retry.ratio", "store"], sorted(named))
+
+
+class PeerConnection:
+    """A connection to a gateway, opened as another gateway opens one."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, channel: Channel) -> None:
+        self.stream = stream
+        self.channel = channel
+
+    @classmethod
+    async def open(cls, address: str, store: str) -> PeerConnection:
+        """Connect to the gateway at `address`, which uses the store at the address `store`."""
+        digest = hashlib.blake2b(store.encode(), digest_size=16).digest()
+        stream = await anyio.connect_tcp(*split_address(address))
+        challenge = secrets.token_bytes(CHALLENGE_BYTES)
+        channel = await Channel.open(stream, Seal((digest,)), challenge)
+        await channel.send(Ping("gw-9", 0, "", ()))
+        return cls(stream, channel)
+
+    async def send_payload(self, payload: bytes) -> None:
+        """Send a frame with a valid code around bytes that are no message."""
+        channel = self.channel
+        context = channel._out_context + struct.pack("!Q", channel._sent)
+        sealed = channel._seal.sign(payload, context)
+        channel._sent += 1
+        await self.stream.send(struct.pack("!I", len(sealed)) + sealed)
+
+    async def wait_closed(self) -> None:
+        """Wait until the gateway has closed the connection."""
+        try:
+            while True:
+                await self.stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            await self.stream.aclose()
+
+
+class TestPeerConnections(GatewayProgramCase):
+    async def test_an_invalid_frame_costs_only_its_connection(self) -> None:
+        """A frame with a wrong code, or one that was too long, ended the process."""
+        wrong_code = struct.pack("!I", CODE_BYTES) + bytes(CODE_BYTES)
+        too_long = struct.pack("!I", MAX_FRAME_BYTES + 1)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            for frame in (wrong_code, too_long):
+                peer = await PeerConnection.open(self.peers, self.server.address)
+                await peer.stream.send(frame)
+                await peer.wait_closed()
+            await self.wait_ready(process)
+            last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+    async def test_a_message_of_another_version_costs_only_itself(self) -> None:
+        """In a rolling upgrade, a message that one version did not know ended its process."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            peer = await PeerConnection.open(self.peers, self.server.address)
+            await peer.send_payload(b"a message of tomorrow")
+            await peer.channel.send(ViewPull(ViewKind.CONFIGURATION, -1))
+            answer = await peer.channel.receive()
+            await peer.stream.aclose()
+            last, *_ = await self.end(process)
+        self.assertIsInstance(answer, ViewPage)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
