An exception in a task of a gateway ends that task alone

What callers saw: all requests of a gateway were cut when one connection from a peer, the membership or a listener met an exception that nothing expected.

Cause: all tasks ran in one task group, in which the exception of one cancels the others. Only some of them were supervised; the peers' connections, their listener, the membership and both HTTP listeners were not. The tasks that watch the store ran outside of the group, so that an exception ended them for good and left the views of a running gateway as they were.

Change: every task of a gateway starts under the supervisor, each connection of a peer is contained, and the steps of a tick fail one by one. A failing step may run twenty times a second, so a task is logged at most once a second, with the count so far.

The test starts the real program with two faults put into it: before it exited with 1, now it serves, and task.failed names both.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -74,6 +74,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from anyio.abc import TaskGroup
@@ -310,10 +311,20 @@
             settings.readiness,
         )
         add_gauges(self)
+        self._tick_steps: dict[str, Callable[[], object]] = {
+            "suspension": self.suspension.check,
+            "leaving gossip": self.leaving_gossip.send_due,
+            "limit gossip": self.limits.gossip.send_due,
+            "slots": self.slots.process_due,
+            "return gossip": self.return_gossip.send_due,
+            "stream origins": self.stream_origins.observe_view,
+            "moves": self.mover.start_due_handovers,
+            "paths": self.pool.watch_paths,
+        }
+        """Steps of each tick by name; an exception in one of them must not skip the others."""
         self._stopping = False
         self._closed_unread_logged = 0
         """Number of connections closed unread that the log tells of."""
-        self._view_tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send clients to this gateway."""
@@ -339,21 +350,27 @@
                 group.start_soon(self.supervisor.run, "hand over", self.duties.hand_over)
                 await self.supervisor.contain("drain", self._drain)
                 group.cancel_scope.cancel()
-                for task in self._view_tasks:
-                    task.cancel()
                 self.mover.close()
             self.log.note(PROCESS_STOPPED, why=stop_signal.name, status=EXIT_OK)
 
     def _start(self, group: TaskGroup) -> None:
-        group.start_soon(self.status_listener.serve)
-        group.start_soon(self.client_listener.serve)
-        group.start_soon(self.peers.run, group)
-        self._view_tasks = self.views.start_tasks()
-        group.start_soon(self.supervisor.run, "registration", self.registration.run)
-        group.start_soon(self.supervisor.run, "waiting line", self.queue_runner.run)
-        group.start_soon(self.supervisor.run, "sweep", self._sweep)
-        group.start_soon(self.supervisor.run, "quarantine", self.quarantine.gossip.run)
-        group.start_soon(self.supervisor.run, "holds", self.quarantine.run_hold_store)
+        """Start all tasks, each of them supervised: an exception must not end the others."""
+        for name, task in self._tasks(group).items():
+            group.start_soon(self.supervisor.run, name, task)
+
+    def _tasks(self, group: TaskGroup) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks of this gateway by name."""
+        tasks: dict[str, Callable[[], Awaitable[None]]] = {
+            "readiness listener": self.status_listener.serve,
+            "client listener": self.client_listener.serve,
+            "peers": functools.partial(self.peers.run, group, self.supervisor),
+            **self.views.tasks(),
+            "registration": self.registration.run,
+            "waiting line": self.queue_runner.run,
+            "sweep": self._sweep,
+            "quarantine": self.quarantine.gossip.run,
+            "holds": self.quarantine.run_hold_store,
+        }
         if self.settings.duties is not None:
             dependencies = DutyDependencies(
                 self.is_ready,
@@ -364,8 +381,8 @@
                 self.store,
                 self.log,
             )
-            run = functools.partial(self.duties.run, dependencies)
-            group.start_soon(self.supervisor.run, "duties", run)
+            tasks["duties"] = functools.partial(self.duties.run, dependencies)
+        return tasks
 
     async def _sweep(self) -> None:
         while True:
@@ -509,14 +526,8 @@
             self.log.note("upstream.pace", upstream=item.upstream, steps=steps, reading=reading)
 
     def _on_tick(self) -> None:
-        self.suspension.check()
-        self.leaving_gossip.send_due()
-        self.limits.gossip.send_due()
-        self.slots.process_due()
-        self.return_gossip.send_due()
-        self.stream_origins.observe_view()
-        self.mover.start_due_handovers()
-        self.pool.watch_paths()
+        for name, step in self._tick_steps.items():
+            self.supervisor.call(name, step)
 
     def _has_full_model(self) -> bool:
         """Return whether the own model covers the requests that the whole fleet runs."""
--- a/src/lotushill/gateway/store_views.py
+++ b/src/lotushill/gateway/store_views.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,8 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
+    from collections.abc import Coroutine
+    from typing import Any
 
     from lotushill.event_log import EventLog
     from lotushill.following.followed import FollowedKind
@@ -91,9 +92,9 @@
         self.holds = self._holds.view
         self.upstream_faults = self._upstreams.faults
 
-    def start_tasks(self) -> list[asyncio.Task[None]]:
-        """Start the tasks that watch the store; they run until cancelled."""
-        return [asyncio.create_task(watcher.run()) for watcher in self._watchers.values()]
+    def tasks(self) -> dict[str, Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the tasks that watch the store, by name; they run until cancelled."""
+        return {f"watch {kind.value}": watcher.run for kind, watcher in self._watchers.items()}
 
     def expire(self) -> None:
         """Remove the upstreams that stayed absent for too long after an outage of the store."""
--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Coroutine
+    from typing import Any
 
     from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
@@ -30,8 +32,13 @@
     from lotushill.links.codec import Message
     from lotushill.links.seal import Seal
 
+    Contain = Callable[..., Coroutine[Any, Any, None]]
+    """Runs a coroutine function with its arguments under the name of a task, which comes first."""
+
 log = logging.getLogger("links")
 
+_TASK = "peer connection"
+
 _MAX_QUEUED_MESSAGES = 50_000
 _MAX_MESSAGES_PER_WRITE = 64
 _CONNECT_TIMEOUT_SECONDS = 0.5
@@ -46,6 +53,11 @@
 which does not send on it afterwards."""
 
 
+async def run_uncontained(name: str, task: Callable[..., Awaitable[None]], *args: object) -> None:
+    """Run a task whose exceptions leave it."""
+    await task(*args)
+
+
 @dataclass
 class _Link:
     outbox: MemoryObjectSendStream[Message]
@@ -75,14 +87,16 @@
         self._serve_relay = serve_relay
         self._links: dict[str, _Link] = {}
         self._group: TaskGroup | None = None
+        self._contain: Contain = run_uncontained
         self.dropped = 0
         """Connections dropped for malformed or forged frames, or without a valid first message."""
         self.unreadable = 0
         """Messages skipped since this version does not know them."""
 
-    def start(self, group: TaskGroup) -> None:
-        """Set the task group in which connections run."""
+    def start(self, group: TaskGroup, contain: Contain = run_uncontained) -> None:
+        """Set the task group in which connections run, each within `contain`."""
         self._group = group
+        self._contain = contain
 
     def post(self, peer: str, *messages: Message) -> None:
         """Send messages to a peer in order; an unreachable peer is reported as down."""
@@ -123,7 +137,7 @@
         outbox, inbox = anyio.create_memory_object_stream["Message"](_MAX_QUEUED_MESSAGES)
         link = _Link(outbox)
         self._links[peer] = link
-        self._group.start_soon(self._dial, peer, link, inbox)
+        self._group.start_soon(self._contain, _TASK, self._dial, peer, link, inbox)
         return link
 
     async def _dial(
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import hashlib
 import time
 from dataclasses import dataclass
@@ -88,6 +89,7 @@
     from lotushill.placement.engine_pace import LongTermPace
     from lotushill.placement.messages import Load
     from lotushill.process.settings import GatewaySettings
+    from lotushill.process.supervisor import Supervisor
 
 _TICK_INTERVAL_SECONDS = 0.05
 _SEAL_CONTEXT = b"gateway"
@@ -202,18 +204,19 @@
         """Number of packets that were dropped because they could not be decoded."""
         self.bytes_sent = 0
 
-    async def run(self, group: TaskGroup) -> None:
+    async def run(self, group: TaskGroup, supervisor: Supervisor) -> None:
         """Bind the address and run the membership protocol forever."""
         host, port = split_address(self._address)
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
         self._transport = transport
-        self.links.start(group)
+        self.links.start(group, supervisor.contain)
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        group.start_soon(listener.serve, self.links.accept)
-        group.start_soon(self._flush_forever)
+        accept = functools.partial(supervisor.contain, "peer connection", self.links.accept)
+        group.start_soon(listener.serve, accept)
+        group.start_soon(supervisor.run, "load relay", self._flush_forever)
         while True:
-            self._tick(self._clock())
+            supervisor.call("membership", self._tick, self._clock())
             await anyio.sleep(_TICK_INTERVAL_SECONDS)
 
     async def _flush_forever(self) -> None:
@@ -307,7 +310,7 @@
         except (ForgedFrameError, MalformedFrameError):
             self.malformed += 1
             return
-        now = self._clock()
+        now, source = self._clock(), f"{addr[0]}:{addr[1]}"
         if isinstance(message, LoadBatch):
             self._hall_contact.note_batch(message.sender, now)
             self._receive_records(message.records)
@@ -316,14 +319,14 @@
             self._relay.collect(message.records, now)
         elif isinstance(message, PlacementAsk):
             answer = self._hooks.answer_placement(message, now)
-            self.send_message(answer, f"{addr[0]}:{addr[1]}")
+            self.send_message(answer, source)
         elif isinstance(message, PlacementAnswer):
             self.client.receive(message)
         elif isinstance(message, WaitingNews):
             self._hooks.on_queue_counts(message)
         elif isinstance(message, WorkPull):
             for page in self._hooks.on_work_pull(message):
-                self.send_message(page, f"{addr[0]}:{addr[1]}")
+                self.send_message(page, source)
         elif isinstance(message, WorkPage):
             self._hooks.on_work_page(message)
         elif isinstance(message, SuspectNews | ClearedNews | GroupNews):
@@ -333,21 +336,20 @@
         elif isinstance(message, LimitNews):
             self._hooks.on_limits(message)
         elif isinstance(message, PermitAsk):
-            self.send_message(self._hooks.on_permit_ask(message), f"{addr[0]}:{addr[1]}")
+            self.send_message(self._hooks.on_permit_ask(message), source)
         elif isinstance(message, PermitAnswer):
             self._hooks.on_permit_answer(message)
         elif isinstance(message, SlotAsk | SlotAnswer | SlotReport | SlotReportAck):
-            self._hooks.on_slots(message, f"{addr[0]}:{addr[1]}")
+            self._hooks.on_slots(message, source)
         elif isinstance(message, ReturnNews):
             self._hooks.on_returns(message)
         elif isinstance(message, OriginNews):
             self._hooks.on_origin(message)
         elif isinstance(message, OriginAsk):
-            self.send_message(self._hooks.on_origin_ask(message), f"{addr[0]}:{addr[1]}")
+            self.send_message(self._hooks.on_origin_ask(message), source)
         elif isinstance(message, OriginAnswer):
             self._hooks.on_origin_answer(message)
         elif isinstance(message, Ping | Pong | RosterPull | RosterPage):
-            source = f"{addr[0]}:{addr[1]}"
             self._send_all(self.membership.receive(message, source, now))
             self._process_changes(now)
 
--- a/src/lotushill/process/supervisor.py
+++ b/src/lotushill/process/supervisor.py
@@ -12,6 +12,8 @@
 
 import anyio
 
+from lotushill import clock as clocks
+
 if TYPE_CHECKING:
     import asyncio
     import random
@@ -25,6 +27,8 @@
 _MAX_BACKOFF_SECONDS = 10.0
 _MAX_TRACE_CHARACTERS = 2000
 """Number of characters logged from the end of a stack trace."""
+_LOG_INTERVAL_SECONDS = 1.0
+"""Minimum interval between two log lines on one task: a step may fail many times a second."""
 _CALLBACK = "callback"
 """Name under which the failures of callbacks of the event loop are counted."""
 
@@ -37,9 +41,14 @@
 class Supervisor:
     """Logs and counts the exceptions of tasks, and restarts those that have to run forever."""
 
-    def __init__(self, log: EventLog, rng: random.Random) -> None:
+    def __init__(
+        self, log: EventLog, rng: random.Random, clock: Callable[[], float] = clocks.now
+    ) -> None:
         self._log = log
         self._rng = rng
+        self._clock = clock
+        self._logged_at: dict[str, float] = {}
+        """Time of the last log line, by the name of the task."""
         self.failures: Counter[str] = Counter()
         """Number of exceptions so far, by the name of the task that raised them."""
 
@@ -64,7 +73,7 @@
         except Exception as error:
             self._note(name, error)
 
-    def call(self, name: str, step: Callable[..., None], *arguments: object) -> None:
+    def call(self, name: str, step: Callable[..., object], *arguments: object) -> None:
         """Run one step of a task; an exception ends only this step."""
         try:
             step(*arguments)
@@ -81,4 +90,9 @@
 
     def _note(self, name: str, error: Exception, **fields: object) -> None:
         self.failures[name] += 1
-        self._log.note("task.failed", task=name, **fields, trace=trace_of(error))
+        now = self._clock()
+        if now - self._logged_at.get(name, float("-inf")) < _LOG_INTERVAL_SECONDS:
+            return
+        self._logged_at[name] = now
+        count = self.failures[name]
+        self._log.note("task.failed", task=name, count=count, **fields, trace=trace_of(error))
--- a/tests/console/gateway_program.py
+++ b/tests/console/gateway_program.py
@@ -113,7 +113,10 @@
         await self.may_answer.wait()
         seen.answer_whole()
 
-    async def start(self, **changes: object) -> asyncio.subprocess.Process:
+    async def start(
+        self, program: tuple[str, ...] = ("-m", _MODULE), **changes: object
+    ) -> asyncio.subprocess.Process:
+        """Start a gateway with the settings of this case and `changes` of them."""
         settings = {
             "name": "gw-1",
             "hall": "z",
@@ -128,13 +131,14 @@
         }
         path = Path(self.folder.name) / "settings.yaml"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        return await self.spawn(path)
+        return await self.spawn(path, program)
 
-    async def spawn(self, settings: Path) -> asyncio.subprocess.Process:
+    async def spawn(
+        self, settings: Path, program: tuple[str, ...] = ("-m", _MODULE)
+    ) -> asyncio.subprocess.Process:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            _MODULE,
+            *program,
             env={**os.environ, "LOTUSHILL_NODE_FILE": str(settings)},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -7,6 +7,7 @@
 import secrets
 import signal
 import struct
+import textwrap
 
 import anyio
 
@@ -109,3 +110,36 @@
             last, *_ = await self.end(process)
         self.assertIsInstance(answer, ViewPage)
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+
+class TestTasks(GatewayProgramCase):
+    async def test_a_fault_in_a_task_costs_only_that_task(self) -> None:
+        """An exception in the task of a connection or of the membership ended the process."""
+        faulty = textwrap.dedent(
+            """
+            from lotushill.console.gateway import main
+            from lotushill.following.followed import FollowedKind
+            from lotushill.peering.leaving_gossip import LeavingGossip
+            from lotushill.peering.view_exchange import ViewExchange
+
+            def fail(*arguments):
+                raise RuntimeError("broken")
+
+            LeavingGossip.send_due = fail
+            ViewExchange.answer = fail
+            main()
+            """
+        )
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start(program=("-c", faulty))
+            await self.wait_ready(process)
+            peer = await PeerConnection.open(self.peers, self.server.address)
+            await peer.channel.send(ViewPull(ViewKind.CONFIGURATION, -1))
+            await peer.wait_closed()
+            await self.wait_ready(process)
+            self.may_answer.set()
+            self.assertEqual(200, await self.call("r1"))
+            last, *lines = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+        failed = {line["task"] for line in lines if line["event"] == "task.failed"}
+        self.assertEqual({"peer connection", "leaving gossip"}, failed)
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -101,7 +101,7 @@
 
     async def follow(self, *conditions: Any) -> None:
         """Run the views until each condition has been true, one after the other."""
-        tasks = self.views.start_tasks()
+        tasks = [asyncio.create_task(run()) for run in self.views.tasks().values()]
         try:
             async with asyncio.timeout(10):
                 for condition in conditions:
@@ -319,7 +319,7 @@
         self.now = 1000.0
         log = EventLog("gw", self.lines.append)
         views = StoreViews(self.client, random.Random(1), log, lambda: None, clock=lambda: self.now)
-        self.tasks = views.start_tasks()
+        self.tasks = [asyncio.create_task(run()) for run in views.tasks().values()]
         return views
 
     async def stop_following(self) -> None:
@@ -333,7 +333,7 @@
         views = StoreViews(
             self.client, random.Random(1), EventLog("gw", lambda _: None), lambda: None
         )
-        tasks = views.start_tasks()
+        tasks = [asyncio.create_task(run()) for run in views.tasks().values()]
         while views.configuration.table is None:
             await asyncio.sleep(0.005)
         for task in tasks:
--- a/tests/process/test_supervisor.py
+++ b/tests/process/test_supervisor.py
@@ -17,7 +17,10 @@
 class TestSupervisor(unittest.TestCase):
     def setUp(self) -> None:
         self.lines: list[bytes] = []
-        self.supervisor = Supervisor(EventLog("gw", self.lines.append), random.Random(1))
+        self.now = 0.0
+        self.supervisor = Supervisor(
+            EventLog("gw", self.lines.append), random.Random(1), lambda: self.now
+        )
 
     def logged(self) -> int:
         return sum(b"task.failed" in line for line in self.lines)
@@ -27,6 +30,7 @@
 
         async def fails_three_times() -> None:
             starts.append(anyio.current_time())
+            self.now += 1.0
             if len(starts) < 4:
                 raise ValueError("broken")
 
@@ -68,6 +72,13 @@
         self.assertEqual({"step": 1}, dict(self.supervisor.failures))
         self.assertEqual(1, self.logged())
 
+    def test_a_step_that_fails_often_is_logged_once_a_second(self) -> None:
+        for tick in range(50):
+            self.now = tick * 0.05
+            self.supervisor.call("step", int, "one")
+        self.assertEqual({"step": 50}, dict(self.supervisor.failures))
+        self.assertEqual(3, self.logged())
+
     def test_an_exception_that_reaches_the_event_loop_is_logged(self) -> None:
         def callback() -> None:
             raise ValueError("broken")
