An address that is taken at the start is waited for

What callers saw: a gateway whose address for clients, readiness or peers was held by an outgoing connection, its former process or another program exited with 1 at its start, in each of its tries, and nothing served on its host.

Cause: addresses were bound once, two of them in a constructor and two in the task group of the process; the error ended the process.

Change: a binder tries again with pauses of up to a second. It logs address.unavailable and address.bound, and a metric has the number of addresses that are waited for. A gateway is not ready while its address for clients is taken. The membership ticks while its address is taken, since other components depend on the tick; datagrams are received again if their socket is closed.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -32,6 +32,7 @@
 from lotushill.limits.limit_owners import LimitOwners
 from lotushill.limits.permit_rank import PermitRanks
 from lotushill.limits.team_limits import TeamLimits
+from lotushill.links.binder import Binder
 from lotushill.links.http_server import HttpServer
 from lotushill.links.messages import ViewKind
 from lotushill.membership.schedulers import MAX_SMALL_FLEET_GATEWAYS
@@ -113,6 +114,7 @@
         rng = random.Random()
         self.duties = FleetDuties(settings)
         self.supervisor = Supervisor(self.log, rng)
+        self.binder = Binder(self.log, rng)
         self.store = ObjectStore(settings.store)
         role = ReaderRole(lambda: self.peers.membership, clocks.now)
         self.views = StoreViews(
@@ -302,13 +304,17 @@
             ClientProtocol, limits=self._client_limits, admits=self.unread_limit.admits
         )
         self.client_listener = HttpServer(
-            self.client_application, settings.clients, protocol=protocol
+            self.client_application,
+            settings.clients,
+            protocol=protocol,
+            bind=functools.partial(self.binder.bind, "clients"),
         )
         self.status_listener = HttpServer(
             StatusApp(
                 self.is_ready, functools.partial(status, self), self.metrics.text, self.journal
             ),
             settings.readiness,
+            bind=functools.partial(self.binder.bind, "readiness"),
         )
         add_gauges(self)
         self._tick_steps: dict[str, Callable[[], object]] = {
@@ -328,8 +334,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send clients to this gateway."""
-        known = self.views.configuration.table is not None and self.views.upstreams.is_loaded
-        return known and self.views.holds_are_known() and not self._stopping
+        if self._stopping or not self.client_listener.is_bound:
+            return False
+        has_views = self.views.configuration.table is not None and self.views.upstreams.is_loaded
+        return has_views and self.views.holds_are_known()
 
     async def run(self, is_reload_requested: Callable[[], bool] = lambda: False) -> None:
         """Serve until a stop signal arrives, then finish the requests in progress.
@@ -363,7 +371,7 @@
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             "readiness listener": self.status_listener.serve,
             "client listener": self.client_listener.serve,
-            "peers": functools.partial(self.peers.run, group, self.supervisor),
+            **self.peers.tasks(group, self.supervisor, self.binder),
             **self.views.tasks(),
             "registration": self.registration.run,
             "waiting line": self.queue_runner.run,
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -21,6 +21,7 @@
     from lotushill.limits.fleet_limits import FleetLimits
     from lotushill.limits.fleet_slots import FleetSlots
     from lotushill.limits.team_limits import TeamLimits
+    from lotushill.links.binder import Binder
     from lotushill.peering.peers import Peers
     from lotushill.placement.fleet import Fleet
     from lotushill.platform.object_store import ObjectStore
@@ -61,6 +62,7 @@
     stream_origins: StreamOrigins
     quarantine: FleetQuarantine
     unread_limit: UnreadLimit
+    binder: Binder
     supervisor: Supervisor
     client_application: ClientApplication
     queue_runner: QueueRunner
@@ -306,6 +308,11 @@
         "Connections to upstreams open on behalf of other gateways",
         lambda: gateway.relay_server.open_count,
     )
+    add_gauge(
+        "addresses_unavailable",
+        "Addresses of this gateway that are taken or not there yet",
+        lambda: len(gateway.binder.unavailable),
+    )
     add_gauge(
         "task_faults",
         "Exceptions in tasks, connections and callbacks since the start",
--- a/src/lotushill/links/http_server.py
+++ b/src/lotushill/links/http_server.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import contextlib
-import socket
 from typing import TYPE_CHECKING
 
 import anyio
 import uvicorn
 
-from lotushill.links.address import split_address
+from lotushill.links.binder import bind_tcp
 
 if TYPE_CHECKING:
     import asyncio
+    import socket
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterator
 
@@ -23,7 +24,6 @@
 
 ABORT_KEY = "lotushill.cut"
 """Key of an ASGI scope under which the function that aborts its connection is stored."""
-_BACKLOG = 2048
 _KEEP_ALIVE_SECONDS = 75
 
 
@@ -44,12 +44,17 @@
         address: str,
         allow_abort: bool = False,
         protocol: Callable[..., asyncio.Protocol] | None = None,
+        bind: Callable[[str], Awaitable[socket.socket]] | None = None,
     ) -> None:
-        """Bind the address; with `allow_abort` the application may abort its connections."""
-        host, port = split_address(address)
-        self._socket = socket.create_server((host, port), backlog=_BACKLOG)
-        bound_host, bound_port = self._socket.getsockname()[:2]
-        self.address = f"{bound_host}:{bound_port}"
+        """Bind the address, with `bind` when serving starts and otherwise at once.
+
+        With `allow_abort` the application may abort its connections.
+        """
+        self.address = address
+        self._bind = bind
+        self._socket: socket.socket | None = None
+        if bind is None:
+            self._set_socket(bind_tcp(address))
         config = uvicorn.Config(
             self._with_abort(app) if allow_abort else app,
             interface="asgi3",
@@ -65,9 +70,38 @@
         )
         self._server = _QuietServer(config)
 
+    @property
+    def is_bound(self) -> bool:
+        """Return whether clients can connect to the address."""
+        return self._socket is not None
+
     async def serve(self) -> None:
-        """Serve until stopped; every response in progress is finished first."""
-        await self._server.serve(sockets=[self._socket])
+        """Serve until stopped; every response in progress is finished first.
+
+        After an exception the address is no longer bound, and this may be called again.
+        """
+        if self._socket is None:
+            self._set_socket(
+                await self._bind(self.address) if self._bind else bind_tcp(self.address)
+            )
+        assert self._socket is not None
+        try:
+            await self._server.serve(sockets=[self._socket])
+        except Exception:
+            self._close_listeners()
+            raise
+
+    def _set_socket(self, sock: socket.socket) -> None:
+        self._socket = sock
+        host, port = sock.getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def _close_listeners(self) -> None:
+        for server in getattr(self._server, "servers", ()):
+            server.close()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
 
     def stop(self) -> None:
         """Accept no more connections, and end `serve` when all responses are finished."""
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -14,6 +14,7 @@
 
 from lotushill import clock as clocks
 from lotushill.links.address import split_address
+from lotushill.links.binder import bind_udp
 from lotushill.links.datagram import from_datagram
 from lotushill.links.datagram import to_datagram
 from lotushill.links.exceptions import ForgedFrameError
@@ -81,6 +82,7 @@
     from anyio.abc import TaskGroup
 
     from lotushill.event_log import EventLog
+    from lotushill.links.binder import Binder
     from lotushill.links.channel import Channel
     from lotushill.links.codec import Message
     from lotushill.links.datagram import Datagram
@@ -197,6 +199,8 @@
         )
         self._relay = LoadRelay(settings.name, self.schedulers, self.send_message)
         self._transport: asyncio.DatagramTransport | None = None
+        self._closed: asyncio.Future[None] | None = None
+        """Completed by the end of the transport."""
         self._unreachable_halls: set[str] = set()
         self._unreachable_version = -1
         """Version of the membership for which the unreachable halls were computed."""
@@ -204,21 +208,48 @@
         """Number of packets that were dropped because they could not be decoded."""
         self.bytes_sent = 0
 
-    async def run(self, group: TaskGroup, supervisor: Supervisor) -> None:
-        """Bind the address and run the membership protocol forever."""
-        host, port = split_address(self._address)
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
-        self._transport = transport
+    def tasks(
+        self, group: TaskGroup, supervisor: Supervisor, binder: Binder
+    ) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks of the exchange with other gateways, by name."""
         self.links.start(group, supervisor.contain)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        accept = functools.partial(supervisor.contain, "peer connection", self.links.accept)
-        group.start_soon(listener.serve, accept)
-        group.start_soon(supervisor.run, "load relay", self._flush_forever)
+        return {
+            "membership": functools.partial(self._tick_forever, supervisor),
+            "datagrams": functools.partial(self._receive_datagrams, binder),
+            "peer listener": functools.partial(self._listen, group, supervisor, binder),
+            "load relay": self._flush_forever,
+        }
+
+    async def _tick_forever(self, supervisor: Supervisor) -> None:
         while True:
             supervisor.call("membership", self._tick, self._clock())
             await anyio.sleep(_TICK_INTERVAL_SECONDS)
 
+    async def _receive_datagrams(self, binder: Binder) -> None:
+        """Receive datagrams until their socket is closed, which raises its error."""
+        sock = await binder.bind("peers (UDP)", self._address, bind_udp)
+        loop = asyncio.get_running_loop()
+        self._closed = loop.create_future()
+        try:
+            self._transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
+            await self._closed
+        finally:
+            if self._transport is not None:
+                self._transport.close()
+            sock.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the task that receives datagrams, which is then started again."""
+        if self._closed is not None and not self._closed.done():
+            self._closed.set_exception(exc or ConnectionError("the datagram socket was closed"))
+
+    async def _listen(self, group: TaskGroup, supervisor: Supervisor, binder: Binder) -> None:
+        """Accept connections from other gateways forever."""
+        sock = await binder.bind("peers (TCP)", self._address)
+        accept = functools.partial(supervisor.contain, "peer connection", self.links.accept)
+        async with await anyio.abc.SocketListener.from_socket(sock) as listener:
+            await listener.serve(accept, group)
+
     async def _flush_forever(self) -> None:
         """Pass on pending load updates; without any, the task sleeps."""
         while True:
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import hashlib
+import json
 import secrets
 import signal
+import socket
 import struct
 import textwrap
 
@@ -23,6 +25,7 @@
 from lotushill.links.seal import Seal
 from tests.console.gateway_program import TIMEOUT_SECONDS
 from tests.console.gateway_program import GatewayProgramCase
+from tests.console.gateway_program import get_status
 
 
 class TestLastLine(GatewayProgramCase):
@@ -143,3 +146,50 @@
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
         failed = {line["task"] for line in lines if line["event"] == "task.failed"}
         self.assertEqual({"peer connection", "leaving gossip"}, failed)
+
+
+class TestAddresses(GatewayProgramCase):
+    async def check_waits(self, address: str, kind: socket.SocketKind) -> None:
+        """Start a gateway while an address is taken; expect it to serve once it is free."""
+        holder = socket.socket(socket.AF_INET, kind)
+        holder.bind(split_address(address))
+        if kind is socket.SOCK_STREAM:
+            holder.listen()
+        self.may_answer.set()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            assert process.stdout is not None
+            events = []
+            while "address.unavailable" not in events:
+                events.append(json.loads(await process.stdout.readline())["event"])
+            holder.close()
+            while "address.bound" not in events:
+                events.append(json.loads(await process.stdout.readline())["event"])
+            await self.wait_ready(process)
+            self.assertEqual(200, await self.call("r1"))
+            last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+    async def test_a_taken_address_for_clients_is_waited_for(self) -> None:
+        """A gateway whose address was taken at its start ended, and nothing started it again."""
+        await self.check_waits(self.clients, socket.SOCK_STREAM)
+
+    async def test_a_taken_address_for_readiness_is_waited_for(self) -> None:
+        await self.check_waits(self.readiness, socket.SOCK_STREAM)
+
+    async def test_a_taken_address_for_connections_of_peers_is_waited_for(self) -> None:
+        await self.check_waits(self.peers, socket.SOCK_STREAM)
+
+    async def test_a_taken_address_for_datagrams_of_peers_is_waited_for(self) -> None:
+        await self.check_waits(self.peers, socket.SOCK_DGRAM)
+
+    async def test_a_gateway_whose_address_is_taken_is_not_ready(self) -> None:
+        """The load balancer would send its clients to the program that holds the address."""
+        with socket.create_server(split_address(self.clients)):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                process = await self.start()
+                while (status := await get_status(self.readiness, "/readyz")) == 0:
+                    await asyncio.sleep(0.05)
+                self.assertEqual(503, status)
+                last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
