A process without free descriptors goes on accepting peers later

What callers saw: a burst of connections used up the descriptors of a gateway, which then exited with 1 and cut all requests in progress.

Cause: a failed accept (EMFILE) left the loop of the peers' listener, and with it the task group of the process; it also met gateways whose descriptors were used up by clients, as each needs one for the next peer.

Change: the listener stays open, notes the failure, pauses and accepts again.

Tests limit the real program to 64 descriptors and open 100 connections at each address: before, it ended in all three; now it serves clients and peers once the connections are closed.

--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import SocketListener
 
 from lotushill import clock as clocks
 from lotushill.links.address import split_address
@@ -94,6 +95,8 @@
     from lotushill.process.supervisor import Supervisor
 
 _TICK_INTERVAL_SECONDS = 0.05
+_ACCEPT_PAUSE_SECONDS = 0.2
+"""Pause after a connection could not be accepted."""
 _SEAL_CONTEXT = b"gateway"
 _REACHABLE_PHASES = (MemberPhase.ALIVE, MemberPhase.LEAVING)
 
@@ -246,9 +249,17 @@
     async def _listen(self, group: TaskGroup, supervisor: Supervisor, binder: Binder) -> None:
         """Accept connections from other gateways forever."""
         sock = await binder.bind("peers (TCP)", self._address)
-        accept = functools.partial(supervisor.contain, "peer connection", self.links.accept)
-        async with await anyio.abc.SocketListener.from_socket(sock) as listener:
-            await listener.serve(accept, group)
+        async with await SocketListener.from_socket(sock) as listener:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    # The process is out of descriptors or memory; connections that wait in the
+                    # queue of the listener are accepted later.
+                    supervisor.note("peer listener", error)
+                    await anyio.sleep(_ACCEPT_PAUSE_SECONDS)
+                    continue
+                group.start_soon(supervisor.contain, "peer connection", self.links.accept, stream)
 
     async def _flush_forever(self) -> None:
         """Pass on pending load updates; without any, the task sleeps."""
--- a/src/lotushill/process/supervisor.py
+++ b/src/lotushill/process/supervisor.py
@@ -60,7 +60,7 @@
                 await task()
                 return
             except Exception as error:
-                self._note(name, error, again_in=round(backoff, 2))
+                self.note(name, error, again_in=round(backoff, 2))
             await anyio.sleep(backoff * self._rng.uniform(0.7, 1.3))
             backoff = min(_MAX_BACKOFF_SECONDS, 2 * backoff)
 
@@ -71,24 +71,25 @@
         try:
             await task(*arguments)
         except Exception as error:
-            self._note(name, error)
+            self.note(name, error)
 
     def call(self, name: str, step: Callable[..., object], *arguments: object) -> None:
         """Run one step of a task; an exception ends only this step."""
         try:
             step(*arguments)
         except Exception as error:
-            self._note(name, error)
+            self.note(name, error)
 
     def handle_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Record an exception that reached the event loop; see `loop.set_exception_handler`."""
         error = context.get("exception")
         if isinstance(error, Exception):
-            self._note(_CALLBACK, error, message=context.get("message"))
+            self.note(_CALLBACK, error, message=context.get("message"))
         else:
             loop.default_exception_handler(context)
 
-    def _note(self, name: str, error: Exception, **fields: object) -> None:
+    def note(self, name: str, error: Exception, **fields: object) -> None:
+        """Count an exception of a task, and log it unless one was logged a moment ago."""
         self.failures[name] += 1
         now = self._clock()
         if now - self._logged_at.get(name, float("-inf")) < _LOG_INTERVAL_SECONDS:
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import json
+import resource
 import secrets
 import signal
 import socket
@@ -193,3 +194,40 @@
                 self.assertEqual(503, status)
                 last, *_ = await self.end(process)
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+
+class TestDescriptors(GatewayProgramCase):
+    async def check_survives(self, address: str) -> None:
+        """Open more connections than the process has descriptors; expect it to serve later."""
+        self.may_answer.set()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (64, 64))
+            opened = []
+            for _ in range(100):
+                connection = socket.socket()
+                connection.setblocking(False)
+                connection.connect_ex(split_address(address))
+                opened.append(connection)
+            await asyncio.sleep(1.0)
+            for connection in opened:
+                connection.close()
+            await self.wait_ready(process)
+            self.assertEqual(200, await self.call("r1"))
+            peer = await PeerConnection.open(self.peers, self.server.address)
+            await peer.channel.send(ViewPull(ViewKind.CONFIGURATION, -1))
+            self.assertIsInstance(await peer.channel.receive(), ViewPage)
+            await peer.stream.aclose()
+            last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+    async def test_connections_of_peers_that_use_up_all_descriptors_are_survived(self) -> None:
+        """A failed accept of one listener ended the process with all requests in progress."""
+        await self.check_survives(self.peers)
+
+    async def test_connections_of_clients_that_use_up_all_descriptors_are_survived(self) -> None:
+        await self.check_survives(self.clients)
+
+    async def test_connections_for_readiness_that_use_up_all_descriptors_are_survived(self) -> None:
+        await self.check_survives(self.readiness)
