Numbers that callers state are bounded before gateways exchange them

What callers saw: a request with a negative size in Prompt-Prefix was not served, and when another gateway started meanwhile, the one that ran it exited with 1.

Cause: the size was taken as stated, and packing it into a record of 32 bits raised struct.error inside the task of a peer's connection.

Change: a part with a negative size makes the header malformed, as one without a number does; counts of tokens are bounded, and a deadline that is not finite counts as absent. The records clamp every number, since tiers and target pauses come from the configuration.

The test of the real program failed before (the request did not reach its upstream); two property tests cover all numbers.

--- a/src/lotushill/links/load_records.py
+++ b/src/lotushill/links/load_records.py
@@ -21,6 +21,7 @@
 from lotushill.placement.messages import Outcome
 from lotushill.placement.messages import Paced
 from lotushill.placement.messages import Placed
+from lotushill.routing.demand import MAX_TOKENS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,7 +42,8 @@
 _MAX_PARTS = 255
 _MAX_TIER = 255
 """Highest tier in a record; less urgent requests are sent as this tier."""
-_MAX_TOKENS = 2**32 - 1
+_MAX_SINGLE = 3.4e38
+"""Bound of the numbers that a record holds in single precision."""
 
 
 def upstream_number(upstream_id: str) -> int:
@@ -63,9 +65,11 @@
     )
     records = [head, sender]
     records += [_pack_placed(item) for item in load.placed]
-    records += [_TIMED.pack(item.request, item.seconds) for item in load.began]
-    records += [_TIMED.pack(item.request, item.pause) for item in load.paced]
-    records += [_ENDED.pack(item.request, item.outcome, item.seconds) for item in load.ended]
+    records += [_TIMED.pack(item.request, _single(item.seconds)) for item in load.began]
+    records += [_TIMED.pack(item.request, _single(item.pause)) for item in load.paced]
+    records += [
+        _ENDED.pack(item.request, item.outcome, _single(item.seconds)) for item in load.ended
+    ]
     records.append(struct.pack(f"<{len(load.running)}Q", *load.running))
     return b"".join(records)
 
@@ -86,6 +90,16 @@
     return loads
 
 
+def _clamp(value: int, largest: int) -> int:
+    """Return the nearest number that a record can hold: one bad value must not stop all others."""
+    return min(largest, max(0, value))
+
+
+def _single(value: float) -> float:
+    """Return the nearest number that a record can hold in single precision."""
+    return min(_MAX_SINGLE, max(-_MAX_SINGLE, value))
+
+
 def _pack_placed(placed: Placed) -> bytes:
     parts = list(zip(placed.part_ids, placed.part_tokens))[:_MAX_PARTS]
     record = _PLACED.pack(
@@ -93,19 +107,19 @@
         upstream_number(placed.upstream),
         placed.route,
         placed.team,
-        min(_MAX_TOKENS, placed.prompt),
-        min(_MAX_TOKENS, placed.prefill_tokens),
-        min(_MAX_TOKENS, placed.total_prefill_tokens),
-        min(_MAX_TOKENS, placed.memory),
-        placed.target_gap,
-        placed.seconds,
-        placed.age,
-        placed.first_event_seconds,
-        min(_MAX_TIER, placed.tier),
+        _clamp(placed.prompt, MAX_TOKENS),
+        _clamp(placed.prefill_tokens, MAX_TOKENS),
+        _clamp(placed.total_prefill_tokens, MAX_TOKENS),
+        _clamp(placed.memory, MAX_TOKENS),
+        _single(placed.target_gap),
+        _single(placed.seconds),
+        _single(placed.age),
+        _single(placed.first_event_seconds),
+        _clamp(placed.tier, _MAX_TIER),
         placed.began,
         len(parts),
     )
-    return record + b"".join(_PART.pack(part, min(_MAX_TOKENS, size)) for part, size in parts)
+    return record + b"".join(_PART.pack(part, _clamp(size, MAX_TOKENS)) for part, size in parts)
 
 
 def _unpack_load(data: bytes, position: int, upstream_id: UpstreamId) -> tuple[Load, int]:
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -8,6 +8,7 @@
 from lotushill.placement.memory_copies import NO_COPIES
 from lotushill.placement.memory_copies import MemoryCopies
 from lotushill.platform import names
+from lotushill.routing.demand import MAX_TOKENS
 from lotushill.routing.demand import Demand
 from lotushill.routing.demand import PromptPart
 
@@ -48,9 +49,9 @@
         host=by_name.get("host", "").partition(":")[0],
         api_key=_api_key(by_name.get(names.AUTHORIZATION, "")),
         time_left=_seconds(by_name.get(names.DEADLINE_MS, "")),
-        prompt_tokens=_non_negative_integer(usage[0]),
-        output_limit=_non_negative_integer(usage[1]) if len(usage) > 1 else 0,
-        output_hint=_non_negative_integer(by_name.get(names.LENGTH_HINT, "")),
+        prompt_tokens=_token_count(usage[0]),
+        output_limit=_token_count(usage[1]) if len(usage) > 1 else 0,
+        output_hint=_token_count(by_name.get(names.LENGTH_HINT, "")),
         parts=_parts(by_name.get(names.PROMPT_PARTS, "")),
         last_event_id=by_name.get(names.LAST_EVENT_ID, ""),
         resumed_request_id=by_name.get(names.RESUMES, ""),
@@ -133,14 +134,15 @@
 
 def _seconds(value: str) -> float | None:
     try:
-        return max(0.0, float(value) / _MS)
+        seconds = float(value) / _MS
     except ValueError:
         return None
+    return max(0.0, seconds) if abs(seconds) < float("inf") else None
 
 
-def _non_negative_integer(value: str) -> int:
+def _token_count(value: str) -> int:
     try:
-        return max(0, int(float(value)))
+        return min(MAX_TOKENS, max(0, int(float(value))))
     except (ValueError, OverflowError):
         return 0
 
@@ -152,7 +154,7 @@
         if not name:
             continue
         try:
-            parts.append(PromptPart(int(name, 16) & 0xFFFFFFFFFFFFFFFF, int(tokens)))
+            parts.append(PromptPart(int(name, 16) & (2**64 - 1), min(MAX_TOKENS, int(tokens))))
         except ValueError:
             return ()
-    return tuple(parts)
+    return tuple(parts) if all(part.tokens >= 0 for part in parts) else ()
--- a/src/lotushill/routing/demand.py
+++ b/src/lotushill/routing/demand.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+MAX_TOKENS = 2**32 - 1
+"""Largest number of tokens that a request may state; gateways exchange such numbers in 32 bits."""
+
 
 @dataclass(frozen=True)
 class PromptPart:
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -18,6 +18,8 @@
 from lotushill.links.channel import CHALLENGE_BYTES
 from lotushill.links.channel import MAX_FRAME_BYTES
 from lotushill.links.channel import Channel
+from lotushill.links.messages import ModelPage
+from lotushill.links.messages import ModelPull
 from lotushill.links.messages import Ping
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
@@ -27,6 +29,8 @@
 from tests.console.gateway_program import TIMEOUT_SECONDS
 from tests.console.gateway_program import GatewayProgramCase
 from tests.console.gateway_program import get_status
+from tests.requests.rig import read_answer
+from tests.requests.rig import request_bytes
 
 
 class TestLastLine(GatewayProgramCase):
@@ -116,6 +120,30 @@
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
 
 
+class TestRequests(GatewayProgramCase):
+    async def test_a_negative_size_of_a_part_does_not_keep_peers_from_learning_the_load(
+        self,
+    ) -> None:
+        """The size of a part of a prompt, stated by a caller, ended gateways that packed it."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            reader, writer = await asyncio.open_connection(*split_address(self.clients))
+            writer.write(request_bytes("r1", "Prompt-Prefix: 5c1e:-800,91bd:410\r\n"))
+            while not self.upstream.requests:
+                await asyncio.sleep(0.01)
+            peer = await PeerConnection.open(self.peers, self.server.address)
+            await peer.channel.send(ModelPull("gw-9"))
+            answer = await peer.channel.receive()
+            await peer.stream.aclose()
+            self.may_answer.set()
+            self.assertEqual(200, (await read_answer(reader)).status)
+            writer.close()
+            last, *_ = await self.end(process)
+        self.assertIsInstance(answer, ModelPage)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+
 class TestTasks(GatewayProgramCase):
     async def test_a_fault_in_a_task_costs_only_that_task(self) -> None:
         """An exception in the task of a connection or of the membership ended the process."""
--- a/tests/links/test_load_records.py
+++ b/tests/links/test_load_records.py
@@ -63,7 +63,41 @@
 UPSTREAMS_BY_NUMBER = {upstream_number(name): name for name in UPSTREAMS}
 
 
+_UPSTREAM_IDS = {upstream_number(name): name for name in UPSTREAMS}
+ANY_NUMBER = st.integers(-(2**70), 2**70)
+ANY_SECONDS = st.floats()
+ANY_PLACED = st.builds(
+    Placed,
+    NUMBERS,
+    st.sampled_from(UPSTREAMS),
+    ANY_NUMBER,
+    ANY_NUMBER,
+    ANY_SECONDS,
+    ANY_SECONDS,
+    ANY_SECONDS,
+    st.just((7,)),
+    st.tuples(ANY_NUMBER),
+    route=TOKENS,
+    tier=ANY_NUMBER,
+    prompt=ANY_NUMBER,
+    first_event_seconds=ANY_SECONDS,
+    total_prefill_tokens=ANY_NUMBER,
+)
+
+
 class TestLoadRecords(unittest.TestCase):
+    @given(st.lists(ANY_PLACED, max_size=4).map(tuple), st.builds(Began, NUMBERS, ANY_SECONDS))
+    def test_numbers_out_of_range_are_clamped(
+        self, placed: tuple[Placed, ...], began: Began
+    ) -> None:
+        """One request with a negative size stopped the updates of all requests of a gateway."""
+        (load,) = unpack_loads(
+            pack_load(Load("gw", True, placed, (began,), (), (), ())), _UPSTREAM_IDS.get
+        )
+        self.assertEqual([item.request for item in placed], [item.request for item in load.placed])
+        for item in load.placed:
+            self.assertTrue(all(0 <= size < 2**32 for size in (*item.part_tokens, item.prompt)))
+
     @given(st.lists(LOADS, max_size=4))
     def test_loads_are_decoded_as_they_were_encoded(self, loads: list[Load]) -> None:
         data = b"".join(pack_load(load) for load in loads)
--- a/tests/platform/test_request_head.py
+++ b/tests/platform/test_request_head.py
@@ -8,6 +8,7 @@
 from lotushill.links.hop_headers import end_to_end_headers
 from lotushill.placement.memory_copies import MemoryCopies
 from lotushill.platform import request_head
+from lotushill.routing.demand import MAX_TOKENS
 from lotushill.routing.demand import PromptPart
 from lotushill.routing.urgency import Urgency
 
@@ -42,6 +43,25 @@
             demand.parts,
         )
 
+    @given(st.integers(), st.floats(), st.floats())
+    def test_numbers_of_any_size_are_bounded(self, size: int, tokens: float, ms: float) -> None:
+        """A negative size of a part ended gateways that passed it on."""
+        demand = request_head.read_demand(
+            [
+                (b"token-usage", f"{tokens},{size}".encode()),
+                (b"prompt-prefix", f"ab:5,cd:{size}".encode()),
+                (b"deadline-ms", str(ms).encode()),
+            ]
+        )
+        counts = [
+            demand.prompt_tokens,
+            demand.output_limit,
+            *(part.tokens for part in demand.parts),
+        ]
+        self.assertTrue(all(0 <= count <= MAX_TOKENS for count in counts), counts)
+        self.assertEqual(0 if size < 0 else 2, len(demand.parts))
+        self.assertTrue(demand.time_left is None or 0.0 <= demand.time_left < float("inf"))
+
     @given(st.sampled_from([name for name, _ in HEADERS]), st.binary(max_size=20))
     def test_malformed_headers_raise_no_error(self, name: bytes, value: bytes) -> None:
         request_head.read_demand([(name, value)])
