Settings that cannot be used are named, and never end a running gateway

What callers saw: a gateway exited with 1 at SIGHUP when its settings file held a whole number too large for a float; all requests in progress were cut.

Cause: only SettingsError was expected from the check of a reload, and math.isfinite raises OverflowError for such a number; an unexpected error of the reload left the loop that waits for signals.

Change: the check reports such numbers, names that cannot be sent between gateways, and values that cannot be printed; a reload is a supervised step.

The test of the real program reloads six unusable files: before, the first ended it; now each is rejected by name and requests are served.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -441,11 +441,11 @@
     ) -> signal.Signals:
         """Return the signal by which the process is told to stop; reload on all others."""
         if is_reload_requested():
-            self._reload()
+            self.supervisor.call("reload", self._reload)
         async for received in signals:
             if received != signal.SIGHUP:
                 return received
-            self._reload()
+            self.supervisor.call("reload", self._reload)
         raise AssertionError("the signal receiver is open until the process stops")
 
     async def _drain(self) -> None:
--- a/src/lotushill/process/settings_file.py
+++ b/src/lotushill/process/settings_file.py
@@ -82,6 +82,8 @@
 def _check_text(value: Any, is_address: bool) -> str:
     if not isinstance(value, str) or not value:
         raise _InvalidValueError("must be a string that is not empty")
+    if not value.isprintable():
+        raise _InvalidValueError("must consist of printable characters")
     if is_address:
         try:
             split_address(value)
@@ -97,13 +99,23 @@
 
 
 def _check_number(value: Any, may_be_zero: bool) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise _InvalidValueError("must be a finite number")
-    if value < 0 or (value == 0 and not may_be_zero):
+    try:
+        number = float(value)
+    except OverflowError as error:
+        raise _InvalidValueError("must be a finite number") from error
+    if not math.isfinite(number):
+        raise _InvalidValueError("must be a finite number")
+    if number < 0 or (number == 0 and not may_be_zero):
         raise _InvalidValueError("must be 0 or more" if may_be_zero else "must be above 0")
-    return float(value)
+    return number
 
 
 def _abbreviate(value: Any) -> str:
-    text = repr(value)
+    try:
+        text = repr(value)
+    except (ValueError, RecursionError):
+        # A whole number of thousands of digits, or a structure nested thousands of levels deep.
+        text = f"a value of type {type(value).__name__}"
     return text if len(text) <= _MAX_SHOWN_CHARACTERS else text[:_MAX_SHOWN_CHARACTERS] + "..."
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import textwrap
+from pathlib import Path
 
 import anyio
 
@@ -120,6 +121,30 @@
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
 
 
+class TestReload(GatewayProgramCase):
+    async def test_settings_that_cannot_be_used_change_nothing(self) -> None:
+        """A whole number of 401 digits in the settings ended a running gateway at its reload."""
+        unusable = ("9" * 401, "-1", "Infinity", "[" * 100_000, '"\\ud800"', "")
+        self.may_answer.set()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            path = Path(self.folder.name) / "settings.yaml"
+            first = path.read_text(encoding="utf-8")
+            assert process.stdout is not None
+            for value in unusable:
+                path.write_text(f'{first[:-1]}, "grace_seconds": {value}}}', encoding="utf-8")
+                process.send_signal(signal.SIGHUP)
+                while (line := json.loads(await process.stdout.readline())) and (
+                    line["event"] != "process.reload"
+                ):
+                    self.assertNotEqual("task.failed", line["event"])
+                self.assertEqual("rejected", line["outcome"])
+            self.assertEqual(200, await self.call("r1"))
+            last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+
 class TestRequests(GatewayProgramCase):
     async def test_a_negative_size_of_a_part_does_not_keep_peers_from_learning_the_load(
         self,
--- a/tests/process/test_settings_file.py
+++ b/tests/process/test_settings_file.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from lotushill.contracts.exceptions import SettingsError
+from lotushill.contracts.yaml_text import parse
 from lotushill.process.settings import GatewaySettings
 from lotushill.process.settings import RetrySettings
 from lotushill.process.settings_file import check_settings
@@ -73,6 +74,24 @@
         found = faults({**REQUIRED_SETTINGS, key: value})
         self.assertLessEqual(set(found), {key})
 
+    def test_a_number_too_large_for_a_float_is_reported(self) -> None:
+        """A whole number of 401 digits ended a running gateway at the next reload."""
+        for wrong in (10**400, -(10**400), 10**5000):
+            self.assertEqual(
+                {"grace_seconds"}, set(faults({**REQUIRED_SETTINGS, "grace_seconds": wrong}))
+            )
+
+    def test_a_name_that_cannot_be_sent_is_reported(self) -> None:
+        self.assertEqual({"name"}, set(faults({**REQUIRED_SETTINGS, "name": "gw-\ud800"})))
+
+    @given(st.text() | st.text("[]{}:,-!&*?|>'\"%@`# \n\t0.eE", max_size=40))
+    def test_any_text_is_parsed_or_reported(self, text: str) -> None:
+        for prefix in ("", "{"):
+            try:
+                parse(prefix + text, "file")
+            except SettingsError:
+                pass
+
     def test_json_and_yaml_give_equal_settings(self) -> None:
         yaml = "\n".join(f'{key}: "{value}"' for key, value in REQUIRED_SETTINGS.items())
         flow = (
