Signals without a meaning, and signals at the end, do not end a gateway

What operators saw: SIGUSR1, which tools send to let programs open their logs again, killed a gateway at once; a reload signal sent while a planned stop ended killed it with an exit status of 1 by signal, after its last line.

Cause: these signals had their default action; at its end the event loop restores the default actions of all signals, some time before the process has exited.

Change: six signals without a meaning are ignored from the start on, and all are blocked before the event loop gives up its handlers.

--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -93,8 +93,7 @@
     gateway = Gateway(settings, lambda: read_settings(path))
     gc.freeze()
     gc.enable()
-    await gateway.run(lambda: signals.is_reload_requested)
-    signals.ignore()
+    await gateway.run(lambda: signals.is_reload_requested, signals.block)
 
 
 if __name__ == "__main__":
--- a/src/lotushill/console/process_signals.py
+++ b/src/lotushill/console/process_signals.py
@@ -15,6 +15,15 @@
     from types import FrameType
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+IGNORED_SIGNALS = (
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGIO,
+    signal.SIGPWR,
+)
+"""Signals that mean nothing to this program, and that end a process that does not handle them."""
 _STANDARD_OUTPUT = 1
 
 
@@ -34,12 +43,16 @@
         signal.signal(signal.SIGHUP, self._request_reload)
         for number in _STOP_SIGNALS:
             signal.signal(number, self._exit_at_once)
-
-    def ignore(self) -> None:
-        """Ignore signals, because the process is about to exit by itself."""
-        for number in (signal.SIGHUP, *_STOP_SIGNALS):
+        for number in IGNORED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
 
+    def block(self) -> None:
+        """Block signals, because the process is about to exit by itself.
+
+        Ignoring them would not suffice: the event loop restores the default actions at its end.
+        """
+        signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, *_STOP_SIGNALS, *IGNORED_SIGNALS))
+
     def _request_reload(self, number: int, frame: FrameType | None) -> None:
         self.is_reload_requested = True
 
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -94,7 +94,7 @@
 _MAX_UNCONFIRMED_SECONDS = 3.0
 """Time without an answer of the store by which the view of upstreams counts as confirmed; longer
 than a watch lasts."""
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _FIXED_SETTINGS = ("name", "hall", "region", "clients", "readiness", "peers", "store", "duties")
 """Settings whose change requires a restart of the process."""
 
@@ -339,16 +339,21 @@
         has_views = self.views.configuration.table is not None and self.views.upstreams.is_loaded
         return has_views and self.views.holds_are_known()
 
-    async def run(self, is_reload_requested: Callable[[], bool] = lambda: False) -> None:
+    async def run(
+        self,
+        is_reload_requested: Callable[[], bool] = lambda: False,
+        before_end: Callable[[], None] = lambda: None,
+    ) -> None:
         """Serve until a stop signal arrives, then finish the requests in progress.
 
-        `is_reload_requested` returns whether a reload was requested during the start.
+        `is_reload_requested` returns whether a reload was requested during the start; `before_end`
+        is called when this gateway has stopped, while it still handles signals.
         """
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self.supervisor.handle_loop_error)
         # The receiver stays open until the end: a signal that arrives during the shutdown (a reload
         # or a second stop) would otherwise kill the process with all requests in progress.
-        with anyio.open_signal_receiver(*_SIGNALS) as signals:
+        with anyio.open_signal_receiver(*_STOP_SIGNALS, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as group:
                 self._start(group)
                 self.log.note("process.started", pid=os.getpid(), hall=self.settings.hall)
@@ -359,6 +364,7 @@
                 await self.supervisor.contain("drain", self._drain)
                 group.cancel_scope.cancel()
                 self.mover.close()
+            before_end()
             self.log.note(PROCESS_STOPPED, why=stop_signal.name, status=EXIT_OK)
 
     def _start(self, group: TaskGroup) -> None:
@@ -439,11 +445,11 @@
     async def _wait_for_stop(
         self, signals: AsyncIterator[signal.Signals], is_reload_requested: Callable[[], bool]
     ) -> signal.Signals:
-        """Return the signal by which the process is told to stop; reload on all others."""
+        """Return the signal by which the process is told to stop; reload on SIGHUP."""
         if is_reload_requested():
             self.supervisor.call("reload", self._reload)
         async for received in signals:
-            if received != signal.SIGHUP:
+            if received in _STOP_SIGNALS:
                 return received
             self.supervisor.call("reload", self._reload)
         raise AssertionError("the signal receiver is open until the process stops")
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import json
+import os
 import resource
 import secrets
 import signal
@@ -15,6 +17,7 @@
 
 import anyio
 
+from lotushill.console.process_signals import IGNORED_SIGNALS
 from lotushill.links.address import split_address
 from lotushill.links.channel import CHALLENGE_BYTES
 from lotushill.links.channel import MAX_FRAME_BYTES
@@ -121,6 +124,34 @@
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
 
 
+class TestSignals(GatewayProgramCase):
+    async def test_signals_without_a_meaning_do_not_end_the_process(self) -> None:
+        """SIGUSR1, which some tools send to let a program open its log again, killed gateways."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            for number in IGNORED_SIGNALS:
+                process.send_signal(number)
+            await self.wait_ready(process)
+            last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+    async def test_signals_until_the_end_do_not_change_how_it_ends(self) -> None:
+        """A signal between the end of the event loop and that of the process killed it."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                # Not by `send_signal`, which may take the exit status that is awaited.
+                for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM):
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(process.pid, number)
+                await asyncio.sleep(0)
+            last, *_ = await self.end(process)
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+
+
 class TestReload(GatewayProgramCase):
     async def test_settings_that_cannot_be_used_change_nothing(self) -> None:
         """A whole number of 401 digits in the settings ended a running gateway at its reload."""
