A build folder from another machine or interpreter is built anew

Cause: the build compared the list of requirements alone, and installed libraries hold machine code of one interpreter. The environment of the tests had the same fault.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,14 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.installed
+# Installed libraries hold machine code of one interpreter on one kind of machine.
+MACHINE := $(shell $(PYTHON) -c 'import sys, sysconfig; print(sys.implementation.cache_tag, sysconfig.get_platform(), sep="-")')
+STAMP := $(VENV)/.installed-$(MACHINE)
 
 .PHONY: demo test lint format types check clean
 
 $(STAMP): pyproject.toml
-	$(PYTHON) -m venv $(VENV)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --editable '.[dev,load]'
 	touch $(STAMP)
 
