An answer without end costs its attempt, not the memory of the gateway

What callers saw: behind an upstream that sends header lines, a header, interim answers, chunk extensions, trailers or a body without end, a request was held until its deadline, and the gateway collected the bytes until the kernel killed it for its memory, with all requests in progress.

Cause: the parser collects a head and trailers without a bound; plain bodies, errors and events of streams were collected without one; surplus answers were skipped without one. Trailers were added to the headers that clients get.

Change: at most 64 KiB may come without completing a head or a part of a body. Plain answers and surplus answers may have 16 MiB, an event 1 MiB. Beyond that the attempt ends as broken, so that a request that may be repeated goes on at another upstream and another one ends with 502.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -16,12 +16,14 @@
 from lotushill.requests.attempt_pauses import AttemptPauses
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import NotSentError
+from lotushill.requests.exceptions import OversizedAnswerError
 from lotushill.requests.exceptions import PartitionedError
 from lotushill.requests.exceptions import SilentUpstreamError
 from lotushill.requests.exceptions import TruncatedStreamError
 from lotushill.requests.exceptions import UpstreamError
 from lotushill.requests.handover import Phase
 from lotushill.requests.movable_run import MovableRun
+from lotushill.requests.upstream_connection import MAX_ANSWER_BYTES
 from lotushill.requests.wire import encode_request
 from lotushill.routing.route import RouteKind
 
@@ -319,10 +321,13 @@
         return handover is None or handover.phase is not Phase.STOPPED
 
     async def _read_body(self, connection: UpstreamConnection) -> bytes:
-        pieces = []
+        """Return the body of an answer; raise OversizedAnswerError if it is too long."""
+        body = bytearray()
         while piece := await connection.read():
-            pieces.append(piece)
-        return b"".join(pieces)
+            body += piece
+            if len(body) > MAX_ANSWER_BYTES:
+                raise OversizedAnswerError("body", MAX_ANSWER_BYTES)
+        return bytes(body)
 
     async def _relay_complete(self, connection: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Relay a plain answer once it is complete, so that no truncated answer is started."""
--- a/src/lotushill/requests/event_stream.py
+++ b/src/lotushill/requests/event_stream.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from lotushill.requests.exceptions import OversizedAnswerError
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""Longest event; an upstream that sends more without the end of one is faulty."""
 _ID = b"id:"
 _BLANK_LINES = (b"\n\n", b"\n\r\n")
 """Ends of an event: the end of its last line, then an empty line."""
@@ -18,7 +22,10 @@
         """Number of complete events with an id."""
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return those of all events that are complete now."""
+        """Add received bytes and return those of all events that are complete now.
+
+        Raise OversizedAnswerError if the event that is not complete is too long.
+        """
         buffered = self._buffer + data
         complete_size = max(
             buffered.rfind(blank_line) + len(blank_line) if blank_line in buffered else 0
@@ -27,6 +34,8 @@
         complete, self._buffer = buffered[:complete_size], buffered[complete_size:]
         if complete:
             self._count_events(complete)
+        elif len(self._buffer) > MAX_EVENT_BYTES:
+            raise OversizedAnswerError("event", MAX_EVENT_BYTES)
         return complete
 
     def drop_partial(self) -> None:
--- a/src/lotushill/requests/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -15,6 +15,13 @@
     """The connection ended or violated the protocol after the request was written."""
 
 
+class OversizedAnswerError(BrokenAnswerError):
+    """A part of an answer is longer than any upstream in order sends it."""
+
+    def __init__(self, part: str, limit: int) -> None:
+        super().__init__(f"{part} of the answer is longer than {limit} bytes")
+
+
 class LostConnectionError(BrokenAnswerError):
     """The connection ended before the answer was complete."""
 
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -17,6 +17,7 @@
 
 import httptools
 
+from lotushill.links.parse_progress import ParseProgress
 from lotushill.requests.exceptions import BrokenAnswerError
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import PartitionedError
@@ -27,6 +28,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Longest answer that is relayed as a whole, and longest surplus answer that is skipped."""
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Buffered bytes at which reading from the connection is paused."""
 _UNACKNOWLEDGED_TIMEOUT_MS = 3000
@@ -82,6 +85,9 @@
         self._idle = True
         self._head: AnswerHead | None = None
         self._skipping = False
+        self._skipped_bytes = 0
+        """Bytes of the bodies of surplus answers to earlier requests."""
+        self._progress = ParseProgress()
         self._complete = False
         self._ends_with_connection = False
         self._keep_alive = True
@@ -130,6 +136,7 @@
         assert self._transport is not None
         self.sent_at = asyncio.get_running_loop().time()
         self._request_id = request_id
+        self._skipped_bytes = 0
         self._bodiless = method == b"HEAD"
         self._idle = False
         self._head = None
@@ -233,6 +240,8 @@
                 self._fail(f"answer is not valid HTTP: {error!r}")
             else:
                 self._keep_alive = False
+        if self._progress.note_parsed(len(data)) or self._skipped_bytes > MAX_ANSWER_BYTES:
+            self._fail("too many bytes that are neither a head nor a part of the body")
         if (
             self._buffered > _MAX_BUFFERED_BYTES
             and not self._paused
@@ -274,6 +283,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._progress.note_progress()
         self._skipping = self._answer_request_id(self._headers) != self._request_id
         if self._skipping:
             # This is a surplus answer to an earlier request; the next one answers the current one.
@@ -287,13 +297,19 @@
         self._keep_alive = self._parser.should_keep_alive() and not self._ends_with_connection
         self._read_idle_timeout(header_values.get(b"keep-alive", b""))
         self._head = AnswerHead(status, self._headers)
+        # Trailers, which the parser reports as headers, do not belong to the head.
+        self._headers = []
         if self._bodiless:
             self._complete = True
             self._keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of the body."""
-        if self._skipping or self._complete:
+        self._progress.note_progress()
+        if self._skipping:
+            self._skipped_bytes += len(body)
+            return
+        if self._complete:
             return
         self._chunks.append(body)
         self._buffered += len(body)
