Heads of callers and answers of the store are bounded as those of upstreams are

The same cause as that of answers without end, elsewhere: the head of a caller's request was collected without a bound for as long as a head may take, and so was the answer of the store, of an engine's memory interface and of the platform.

Tests send 32 MiB of headers, and 128 MiB of an answer: before, all was read.

--- a/src/lotushill/links/json_client.py
+++ b/src/lotushill/links/json_client.py
@@ -21,6 +21,10 @@
     Header = tuple[str, str]
 
 _WRITE_TIMEOUT_SECONDS = 1.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Longest answer, a bound for servers whose answers do not end."""
+_MAX_TRANSFER_SECONDS = 10.0
+"""Time that a call may take beyond the timeout for its first bytes."""
 
 
 @dataclass(frozen=True)
@@ -55,13 +59,14 @@
 
     async def request(
         self, method: str, url: str, headers: list[tuple[bytes, bytes]], body: bytes, timeout: Any
-    ) -> httpcore.Response:
-        """Make one call and return its complete answer."""
+    ) -> JsonAnswer:
+        """Make one call and return its complete answer; raise NoAnswerError if it is too long."""
         self._calls += 1
         try:
-            return await self._connections.request(
+            async with self._connections.stream(
                 method, url, headers=headers, content=body, extensions={"timeout": timeout}
-            )
+            ) as response:
+                return JsonAnswer(response.status, await _read_content(response))
         finally:
             self._calls -= 1
             await self._close_if_unused()
@@ -77,6 +82,15 @@
                 await self._connections.aclose()
 
 
+async def _read_content(response: httpcore.Response) -> bytes:
+    content = bytearray()
+    async for piece in response.aiter_stream():
+        content += piece
+        if len(content) > MAX_ANSWER_BYTES:
+            raise NoAnswerError(f"body of the answer is longer than {MAX_ANSWER_BYTES} bytes")
+    return bytes(content)
+
+
 class JsonClient:
     """Client of the server at `address` (IP:PORT) that keeps a small pool of connections open."""
 
@@ -130,14 +144,15 @@
         }
         pool, sent_at = self._pool, clocks.now()
         try:
-            response = await pool.request(
-                method,
-                f"http://{self._host}{path}",
-                [(name.encode(), value.encode()) for name, value in sent_headers],
-                body,
-                timeout,
-            )
-        except (httpcore.ReadTimeout, httpcore.WriteTimeout) as error:
+            with anyio.fail_after(timeout_seconds + _MAX_TRANSFER_SECONDS):
+                answer = await pool.request(
+                    method,
+                    f"http://{self._host}{path}",
+                    [(name.encode(), value.encode()) for name, value in sent_headers],
+                    body,
+                    timeout,
+                )
+        except (httpcore.ReadTimeout, httpcore.WriteTimeout, TimeoutError) as error:
             if wait_seconds is not None:
                 self._answer_timeout.note_timeout()
             if pool is self._pool:
@@ -148,4 +163,4 @@
             raise NoAnswerError(repr(error)) from error
         if wait_seconds is not None:
             self._answer_timeout.note_answer(max(0.0, clocks.now() - sent_at - wait_seconds))
-        return JsonAnswer(response.status, response.content)
+        return answer
--- a/src/lotushill/requests/client_protocol.py
+++ b/src/lotushill/requests/client_protocol.py
@@ -7,6 +7,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from lotushill.links.parse_progress import ParseProgress
 from lotushill.links.unread_time import unread_seconds
 from lotushill.routing.limits import ClientLimits
 
@@ -18,6 +19,10 @@
 """Key under which a scope holds the request target in bytes, as the client sent it."""
 CONNECTION = "lotushill.connection"
 """Key under which a scope holds its client connection."""
+_TOO_LONG_ANSWER = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 _REQUEST_TIMEOUT_ANSWER = (
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 )
@@ -46,6 +51,18 @@
         self._limits = limits
         self._admits = admits
         self._timer: asyncio.TimerHandle | None = None
+        self._progress = ParseProgress()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close the connection if a head does not end."""
+        super().data_received(data)
+        if self._progress.note_parsed(len(data)):
+            self._close_with(_TOO_LONG_ANSWER)
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
+        self._progress.note_progress()
+        super().on_body(body)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout, which closes a connection on which nothing is sent.
@@ -66,6 +83,7 @@
     def on_headers_complete(self) -> None:
         """Add the raw target and the connection to the scope."""
         self._stop_timer()
+        self._progress.note_progress()
         scope: dict[str, Any] = self.scope  # type: ignore[assignment]
         scope[TARGET] = bytes(self.url)
         scope[CONNECTION] = self
@@ -84,9 +102,17 @@
             # The answer to the previous request is still being sent and has to be finished first.
             self._set_timer(self._limits().header_seconds, self._close_slow_connection)
             return
-        if not self.transport.is_closing():
-            self.transport.write(_REQUEST_TIMEOUT_ANSWER)
-            self.transport.close()
+        self._close_with(_REQUEST_TIMEOUT_ANSWER)
+
+    def _close_with(self, answer: bytes) -> None:
+        """End the connection with an answer, or at once if another answer is being sent."""
+        if self.transport.is_closing():
+            return
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.transport.abort()
+            return
+        self.transport.write(answer)
+        self.transport.close()
 
     def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
--- a/tests/links/test_json_client.py
+++ b/tests/links/test_json_client.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 
 from lotushill.links.answer_timeout import AnswerTimeout
+from lotushill.links.exceptions import NoAnswerError
 from lotushill.links.exceptions import SilentConnectionError
+from lotushill.links.json_client import MAX_ANSWER_BYTES
 from lotushill.links.json_client import JsonClient
 
 _CONNECTIONS = 3
@@ -58,6 +60,34 @@
             pass
 
 
+class EndlessServer(SilencedServer):
+    """Answers with a head and a body without end."""
+
+    written = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            while self.written < 8 * MAX_ANSWER_BYTES:
+                writer.write(b"x" * 65_536)
+                self.written += 65_536
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+
+class TestEndlessAnswers(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_without_end_is_no_answer(self) -> None:
+        server = EndlessServer()
+        client = JsonClient(await server.start(), _CONNECTIONS, 5.0, 1.0)
+        with self.assertRaises(NoAnswerError):
+            await client.call("GET", "/")
+        await server.close()
+        self.assertLess(server.written, 8 * MAX_ANSWER_BYTES)
+
+
 class TestJsonClient(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.server = SilencedServer()
--- a/tests/requests/test_client_protocol.py
+++ b/tests/requests/test_client_protocol.py
@@ -15,6 +15,8 @@
 from lotushill.routing.limits import ClientLimits
 
 TIMEOUT_SECONDS = 10.0
+_FLOOD_BYTES = 32 * 1024 * 1024
+"""Bytes after which a server takes a head for one that never ends too late."""
 
 
 async def answer(scope: Scope, receive: Receive, send: Send) -> None:
@@ -49,6 +51,44 @@
         got = await self.exchange(b"GET / HTTP/1.1\r\nHost: a")
         self.assertTrue(got.startswith(b"HTTP/1.1 408 "), got)
 
+    async def test_a_head_without_a_bound_is_turned_away(self) -> None:
+        """A head was collected for as long as a client may take to send it."""
+        begin = b"GET / HTTP/1.1\r\nHost: a\r\n"
+        pieces = {
+            "one header": b"x" * 10_000,
+            "headers": b"X: y\r\n" * 2_000,
+            "empty lines": b"\r\n" * 5_000,
+        }
+        for name, piece in pieces.items():
+            with self.subTest(name):
+                first = b"" if name == "empty lines" else begin
+                written = await self.flood(first + (b"X: " if name == "one header" else b""), piece)
+                self.assertLess(written, _FLOOD_BYTES)
+
+    async def flood(self, begin: bytes, piece: bytes) -> int:
+        """Send pieces until the server closes the connection; return the number of bytes."""
+        protocol = functools.partial(ClientProtocol, limits=lambda: ClientLimits(header_seconds=60))
+        server = HttpServer(answer, "127.0.0.1:0", protocol=protocol)
+        serving = asyncio.create_task(server.serve())
+        await server.wait_started()
+        host, _, port = server.address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        written = 0
+        try:
+            writer.write(begin)
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                while written < _FLOOD_BYTES:
+                    writer.write(piece)
+                    written += len(piece)
+                    await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+            server.abort()
+            await serving
+        return written
+
     async def test_a_connection_without_a_request_is_closed(self) -> None:
         self.assertEqual(b"", await self.exchange())
 
