No stream goes on at an upstream that restarted in place as another version

The same happened at a gateway out of step whose view was older than the restart.

Cause: the version of an upstream was taken from its entry alone, which names the former incarnation until the store delivers the new one; a connection to the same address reaches another process. The class: a fact of one incarnation is used for whatever runs at its address.

Change: an address that refuses connections, also to the gateways that are asked to relay, ends its listed incarnation; all gateways are told. No stream that has a version is sent there, and one that begins there goes on nowhere else, until the entry changes or the store has confirmed it for 6 s.

Tests of the request path and of what is told, kept and forgotten fail without the change.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -69,6 +69,7 @@
 from lotushill.scheduling.queue_runner import QueueRunner
 from lotushill.scheduling.shared_load import SharedLoad
 from lotushill.starting.startup_phase import StartupPhase
+from lotushill.versions.ended_incarnations import EndedIncarnations
 from lotushill.versions.stream_origins import StreamOrigins
 from lotushill.waiting.admission_queue import AdmissionQueue
 from lotushill.waiting.slot_turns import RemoteQueues
@@ -234,6 +235,14 @@
             self._is_upstream_view_confirmed,
             clocks.now,
         )
+        self.ended_incarnations = EndedIncarnations(
+            self.views.upstreams,
+            self.peers.broadcast,
+            self._is_upstream_view_confirmed,
+            clocks.now,
+            self.log,
+        )
+        self.pool.on_refused = self.ended_incarnations.note_refused
         self.suspension = SuspensionWatch(
             clocks.now, time.monotonic, self._on_suspension, self.views.is_confirmed_since
         )
@@ -289,6 +298,7 @@
                 budgets=self.retry_budgets,
                 quarantine=self.quarantine.gossip,
                 stream_origins=self.stream_origins,
+                ended_incarnations=self.ended_incarnations,
                 work=self.duties.request_counter,
                 log=self.log,
                 metrics=self.metrics,
@@ -324,6 +334,7 @@
             "slots": self.slots.process_due,
             "return gossip": self.return_gossip.send_due,
             "stream origins": self.stream_origins.observe_view,
+            "ended incarnations": self.ended_incarnations.process_due,
             "moves": self.mover.start_due_handovers,
             "paths": self.pool.watch_paths,
         }
@@ -514,6 +525,7 @@
             on_origin=lambda update: self.stream_origins.receive(update),
             on_origin_ask=lambda ask: self.stream_origins.answer(ask),
             on_origin_answer=lambda answer: self.stream_origins.inquiries.receive(answer),
+            on_ended=lambda update: self.ended_incarnations.receive(update),
             on_tick=self._on_tick,
             serve_relay=lambda request, channel, stream: self.relay_server.serve(
                 request, channel, stream
--- a/src/lotushill/links/codec.py
+++ b/src/lotushill/links/codec.py
@@ -33,6 +33,7 @@
 from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.origin_messages import EndedNews
 from lotushill.links.origin_messages import OriginAnswer
 from lotushill.links.origin_messages import OriginAsk
 from lotushill.links.origin_messages import OriginNews
@@ -72,6 +73,7 @@
     | RelayOpen
     | RelayAnswer
     | OriginNews
+    | EndedNews
     | OriginAsk
     | OriginAnswer
     | SlotAsk
@@ -237,6 +239,7 @@
     SlotAnswer,
     SlotReport,
     SlotReportAck,
+    EndedNews,
 )
 _SHAPES: dict[type[Any], _Shape] = {}
 _TAGS = {kind: kind.__name__.lower() for kind in _MESSAGE_TYPES}
--- a/src/lotushill/links/frame.capnp
+++ b/src/lotushill/links/frame.capnp
@@ -303,6 +303,10 @@
   origin @0 :StreamOrigin;
 }
 
+struct EndedNews {
+  upstreams @0 :List(Text);
+}
+
 struct OriginAsk {
   sender @0 :Text;
   number @1 :UInt64;
@@ -348,5 +352,6 @@
     slotanswer @27 :SlotAnswer;
     slotreport @28 :SlotReport;
     slotreportack @29 :SlotReportAck;
+    endednews @30 :EndedNews;
   }
 }
--- a/src/lotushill/links/origin_messages.py
+++ b/src/lotushill/links/origin_messages.py
@@ -24,6 +24,14 @@
     origin: StreamOrigin
 
 
+@dataclass(frozen=True)
+class EndedNews:
+    """Incarnations whose addresses refuse connections although their entries exist."""
+
+    upstreams: tuple[str, ...]
+    """Ids of the incarnations."""
+
+
 @dataclass(frozen=True)
 class OriginAsk:
     """Asks for the origin of a stream that a client takes up."""
--- a/src/lotushill/peering/peers.py
+++ b/src/lotushill/peering/peers.py
@@ -45,6 +45,7 @@
 from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.origin_messages import EndedNews
 from lotushill.links.origin_messages import OriginAnswer
 from lotushill.links.origin_messages import OriginAsk
 from lotushill.links.origin_messages import OriginNews
@@ -148,6 +149,8 @@
     on_origin_ask: Callable[[OriginAsk], OriginAnswer]
     """Answers where a stream began."""
     on_origin_answer: Callable[[OriginAnswer], None]
+    on_ended: Callable[[EndedNews], None]
+    """Receives which incarnations of upstreams have ended although they are listed."""
     on_tick: Callable[[], None]
     """Runs about twenty times a second."""
     serve_relay: Callable[[RelayOpen, Channel, ByteStream], Awaitable[None]]
@@ -387,6 +390,8 @@
             self._hooks.on_returns(message)
         elif isinstance(message, OriginNews):
             self._hooks.on_origin(message)
+        elif isinstance(message, EndedNews):
+            self._hooks.on_ended(message)
         elif isinstance(message, OriginAsk):
             self.send_message(self._hooks.on_origin_ask(message), source)
         elif isinstance(message, OriginAnswer):
--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -119,6 +119,9 @@
         if self._is_held():
             connection.close()
             return AttemptEnd(EndKind.BARRED, "quarantined")
+        if self._version.value and self._components.ended_incarnations.has_ended(upstream):
+            connection.close()
+            return AttemptEnd(EndKind.BARRED, "the version at the upstream's address is not known")
         # The placement may be older than the upstream's statement that it takes no requests, or
         # have been made without it.
         if not self._components.gate.authorize_send(self._permit):
@@ -366,7 +369,7 @@
             if not complete_events:
                 continue
             self._note_event()
-            self._version.note_event(self._choice.upstream)
+            self._note_version()
             self._track_run(connection)
             await self._start_chunked(head)
             await self._answer.write(complete_events)
@@ -439,6 +442,12 @@
             headers = [item for item in head.headers if item[0] != b"content-length"]
             await self._answer.start(head.status, headers)
 
+    def _note_version(self) -> None:
+        """Record the version that the event came from; it may be that of a later incarnation."""
+        upstream = self._choice.upstream
+        is_known = not self._components.ended_incarnations.has_ended(upstream)
+        self._version.note_event(upstream, is_known)
+
     def _note_event(self) -> None:
         now = self._clock()
         if not self.first_event_at:
--- a/src/lotushill/requests/gateway_components.py
+++ b/src/lotushill/requests/gateway_components.py
@@ -25,6 +25,7 @@
     from lotushill.requests.upstream_pool import UpstreamPool
     from lotushill.scheduling.placer import Placer
     from lotushill.scheduling.shared_load import SharedLoad
+    from lotushill.versions.ended_incarnations import EndedIncarnations
     from lotushill.versions.stream_origins import StreamOrigins
     from lotushill.views.configuration_view import ConfigurationView
     from lotushill.views.upstream_view import UpstreamView
@@ -50,6 +51,7 @@
     budgets: RetryBudgets
     quarantine: QuarantineGossip
     stream_origins: StreamOrigins
+    ended_incarnations: EndedIncarnations
     work: RequestCounter
     log: EventLog
     metrics: Metrics
--- a/src/lotushill/requests/stream_version.py
+++ b/src/lotushill/requests/stream_version.py
@@ -13,6 +13,8 @@
     from lotushill.scheduling.request import Request
 
 
+UNKNOWN_VERSION = "unknown version at "
+"""Begin of the version of a stream that may go on nowhere; no upstream has such a version."""
 _LIFETIME_FACTOR = 2.0
 """Longest life of a stream over all requests of its client, as a multiple of the time limit of one
 of them: the last one may begin right before the client's own deadline."""
@@ -36,12 +38,17 @@
         self.has_begun = False
         """Whether an event was passed to the client in this answer."""
 
-    def note_event(self, upstream: Upstream) -> None:
-        """Record that an event of `upstream` is about to be passed to the client."""
+    def note_event(self, upstream: Upstream, is_known: bool = True) -> None:
+        """Record that an event of `upstream` is about to be passed to the client.
+
+        With `is_known` False another version than the listed one may have sent it; then the stream
+        can go on nowhere else.
+        """
         if self.has_begun:
             return
         self.has_begun = True
-        self.value = self.value or upstream.version
+        version = upstream.version if is_known else f"{UNKNOWN_VERSION}{upstream.id}"
+        self.value = self.value or version
         self._on_begun(self.value)
 
     def accepts(self, upstream: Upstream) -> bool:
--- a/src/lotushill/requests/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -54,6 +54,8 @@
         self._watched_at = 0.0
         """When the connections were last looked at, on the same clock."""
         self._path_checks: set[asyncio.Task[None]] = set()
+        self.on_refused: Callable[[Upstream], None] = lambda _: None
+        """Called with an upstream whose address refuses connections."""
         self.opened = 0
         """Number of connections that the pool tried to open so far."""
 
@@ -195,4 +197,9 @@
 
     async def _open(self, upstream: Upstream) -> UpstreamConnection:
         self.opened += 1
-        return await self.dialer.open(upstream.address)
+        try:
+            return await self.dialer.open(upstream.address)
+        except NotSentError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self.on_refused(upstream)
+            raise
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -28,6 +28,7 @@
 from lotushill.links.messages import WaitingNews
 from lotushill.links.messages import WorkPage
 from lotushill.links.messages import WorkPull
+from lotushill.links.origin_messages import EndedNews
 from lotushill.links.origin_messages import OriginAnswer
 from lotushill.links.origin_messages import OriginAsk
 from lotushill.links.origin_messages import OriginNews
@@ -66,6 +67,7 @@
     GroupNews,
     WaitingNews,
     OriginNews,
+    EndedNews,
     OriginAsk,
     OriginAnswer,
     LimitNews,
--- a/tests/peering/silent_network.py
+++ b/tests/peering/silent_network.py
@@ -333,5 +333,6 @@
         on_origin=ignore,
         on_origin_ask=ignore,
         on_origin_answer=ignore,
+        on_ended=ignore,
         on_tick=ignore,
     )
--- a/tests/peering/test_peers.py
+++ b/tests/peering/test_peers.py
@@ -101,6 +101,7 @@
             on_origin=lambda _: None,
             on_origin_ask=lambda ask: OriginAnswer(name, ask.number),
             on_origin_answer=lambda _: None,
+            on_ended=lambda _: None,
             on_tick=lambda: None,
             on_gateway_gone=lambda name: None,
             answer_placement=lambda ask, now: PlacementAnswer(name, ask.request, refusal=UNREADY),
--- a/tests/requests/rig.py
+++ b/tests/requests/rig.py
@@ -62,6 +62,7 @@
 from lotushill.routing.urgency import Urgency
 from lotushill.scheduling.placer import Placer
 from lotushill.scheduling.shared_load import SharedLoad
+from lotushill.versions.ended_incarnations import EndedIncarnations
 from lotushill.versions.stream_origins import StreamOrigins
 from lotushill.views.configuration_view import ConfigurationView
 from lotushill.views.upstream_view import UpstreamView
@@ -71,6 +72,7 @@
     from collections.abc import Callable
 
     from lotushill.links.messages import LeavingNews
+    from lotushill.links.origin_messages import EndedNews
     from lotushill.links.quarantine_messages import ClearedNews
     from lotushill.links.quarantine_messages import GroupNews
     from lotushill.links.quarantine_messages import SuspectNews
@@ -272,6 +274,7 @@
         self.quarantine = Quarantine()
         self.isolation = Isolation()
         self.sent_leaving_messages: list[LeavingNews] = []
+        self.sent_ended_messages: list[EndedNews] = []
         self.sent_messages: list[SuspectNews | ClearedNews | GroupNews] = []
         """Messages that `quarantine_gossip.send_due` sent to other gateways."""
 
@@ -377,6 +380,10 @@
         self.stream_origins = StreamOrigins(
             members, self.view, lambda *_: None, lambda: self.fresh, self.clock
         )
+        self.ended_incarnations = EndedIncarnations(
+            self.view, self.sent_ended_messages.append, lambda: self.fresh, self.clock, log
+        )
+        pool.on_refused = self.ended_incarnations.note_refused
         self.components = GatewayComponents(
             name="gw",
             configuration=self.configuration,
@@ -393,6 +400,7 @@
             team_limits=TeamLimits(limit_owners, self.limits.client, random.Random(8), self.clock),
             quarantine=self.quarantine_gossip,
             stream_origins=self.stream_origins,
+            ended_incarnations=self.ended_incarnations,
             budgets=budgets,
             work=RequestCounter("gw", 5.0, TrueTime(time.time, self.clock), self.clock),
             log=log,
--- a/tests/requests/test_stream_versions.py
+++ b/tests/requests/test_stream_versions.py
@@ -70,6 +70,44 @@
     return Rig(upstreams, RouteKind.STREAM, True, engine=True, max_attempts=max_attempts)
 
 
+class TestRestartsInPlace(unittest.IsolatedAsyncioTestCase):
+    """An upstream crashes and returns as another version before its entry says so."""
+
+    async def test_a_stream_does_not_go_on_at_an_upstream_that_has_restarted(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks])) as rig:
+            set_versions(rig, "v1", "v1", "v2")
+            prefer(rig, "b0")
+            restarted = rig.view.find("b1")
+            assert restarted is not None
+            rig.ended_incarnations.note_refused(restarted)
+            got = await rig.call()
+        self.assertFalse(got.whole)
+        self.assertEqual([0], served(rig))
+
+    async def test_a_stream_that_began_at_a_restarted_upstream_goes_on_nowhere(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks])) as rig:
+            set_versions(rig, "v1", "v1", "v1")
+            prefer(rig, "b0")
+            restarted = rig.view.find("b0")
+            assert restarted is not None
+            rig.ended_incarnations.note_refused(restarted)
+            got = await rig.call()
+            again = await rig.call("r2", "Resumes: r1\r\nLast-Event-Id: 0\r\n")
+        self.assertFalse(got.whole)
+        self.assertEqual(503, again.status)
+        self.assertEqual([0], served(rig))
+
+    async def test_a_refused_connection_shows_that_an_incarnation_has_ended(self) -> None:
+        async with rig_of(ScriptedUpstream([breaks])) as rig:
+            set_versions(rig, "v1", "v1", "v1")
+            prefer(rig, "b0")
+            rig.upstreams[0].stop()
+            got = await rig.call()
+            rig.ended_incarnations.process_due()
+        self.assertTrue(got.whole)
+        self.assertEqual([("b0",)], [message.upstreams for message in rig.sent_ended_messages])
+
+
 class TestStreamVersions(unittest.IsolatedAsyncioTestCase):
     async def test_another_attempt_is_made_at_the_version_that_began_the_stream(self) -> None:
         for version in ("v1", "v2"):
