A stream that may not be cut is relayed only where no direct connection opens

Cause: a connection that was not open after 0.1 s was tried through another gateway, also where the upstream had merely dropped the opening packet since its queue was full, and whichever opened first was used. A relayed stream ends with its relay, and one that may not run again cannot go on elsewhere.

Change: a direct connection is tried again after 0.05 and 0.1 s; requests that may not be repeated are relayed only after the direct tries have failed, or where the partition is known.

The tests of the dialer fail without the change. Five tests that replace acquire() take its new parameter.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -104,7 +104,9 @@
             return AttemptEnd(EndKind.BARRED, f"other version: {upstream.version}")
         load = self._components.fleet.load(upstream.id)
         try:
-            connection = await self._components.pool.acquire(upstream)
+            connection = await self._components.pool.acquire(
+                upstream, may_be_cut=self._request.route.repeatable
+            )
         except NotSentError as error:
             load.note_unreachable(self._clock())
             return AttemptEnd(EndKind.NOT_SENT, str(error))
--- a/src/lotushill/requests/upstream_dialer.py
+++ b/src/lotushill/requests/upstream_dialer.py
@@ -35,6 +35,10 @@
 Opening takes a few milliseconds; if it takes longer than this, the upstream is unreachable or
 overloaded.
 """
+_NEXT_DIRECT_DELAY_SECONDS = 0.05
+"""Time after which a direct connection that is not open yet is tried once more: an upstream whose
+queue of new connections is full drops the opening packet, which is repeated only after a second."""
+_MAX_DIRECT_TRIES = 3
 _RELAY_DELAY_SECONDS = 0.1
 """Time after which a connection that is not open yet is tried through another gateway as well."""
 _NEXT_RELAY_DELAY_SECONDS = 0.06
@@ -70,19 +74,22 @@
         self.opened: Counter[str] = Counter()
         """Number of connections that were opened, by way."""
 
-    async def open(self, address: str) -> UpstreamConnection:
+    async def open(self, address: str, may_be_cut: bool = True) -> UpstreamConnection:
         """Return a new connection; raise NotSentError if neither way leads to the upstream.
 
-        Its cause is a ConnectionRefusedError if nothing listens at the address.
+        Its cause is a ConnectionRefusedError if nothing listens at the address. A relayed
+        connection ends with the gateway that relays it. With `may_be_cut` False, a relay is
+        therefore used only if no direct connection can be opened.
         """
         if self._relays is None or not self.reachability.is_partitioned(address):
-            return await self._open_direct_first(address)
+            return await self._open_direct_first(address, may_be_cut)
         try:
             return await self._open_relayed(address)
         except RelayFailedError as error:
             if error.outcome is RelayOutcome.REFUSED:
                 raise NotSentError(repr(error)) from ConnectionRefusedError()
-            return await self._direct_result(self._start(self._connect(address)), address)
+            direct = self._start(self._connect_repeatedly(address))
+            return await self._direct_result(direct, address)
 
     async def check(self, address: str) -> UpstreamConnection | None:
         """Try to reach an upstream directly, and through another gateway if that takes long.
@@ -94,12 +101,13 @@
         except NotSentError:
             return None
 
-    async def _open_direct_first(self, address: str) -> UpstreamConnection:
+    async def _open_direct_first(self, address: str, may_be_cut: bool = True) -> UpstreamConnection:
         """Open a connection directly, and after a moment through another gateway as well."""
-        direct = self._start(self._connect(address))
+        direct = self._start(self._connect_repeatedly(address))
+        relay_delay = _RELAY_DELAY_SECONDS if may_be_cut else None
         relayed: asyncio.Task[UpstreamConnection] | None = None
         try:
-            await asyncio.wait((direct,), timeout=_RELAY_DELAY_SECONDS)
+            await asyncio.wait((direct,), timeout=relay_delay)
             if _is_open(direct) or self._relays is None:
                 return await self._direct_result(direct, address)
             relayed = self._start(self._open_relayed(address))
@@ -178,6 +186,25 @@
             direct = self._start(self._connect(address))
             direct.add_done_callback(functools.partial(self._note_direct, address=address))
 
+    async def _connect_repeatedly(self, address: str) -> UpstreamConnection:
+        """Return the first of a few direct connections, which are opened a moment apart."""
+        pending: set[asyncio.Task[UpstreamConnection]] = set()
+        try:
+            for tries in range(1, _MAX_DIRECT_TRIES + 1):
+                pending.add(self._start(self._connect(address)))
+                delay = _NEXT_DIRECT_DELAY_SECONDS if tries < _MAX_DIRECT_TRIES else None
+                done, pending = await asyncio.wait(
+                    pending, timeout=delay, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    ended = sorted(done, key=_is_open)
+                    return ended[-1].result()
+        finally:
+            for task in pending:
+                task.add_done_callback(_close_result)
+                task.cancel()
+        raise AssertionError("the last try is awaited without a timeout")
+
     async def _connect(self, address: str) -> UpstreamConnection:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
--- a/src/lotushill/requests/upstream_pool.py
+++ b/src/lotushill/requests/upstream_pool.py
@@ -59,9 +59,12 @@
         self.opened = 0
         """Number of connections that the pool tried to open so far."""
 
-    async def acquire(self, upstream: Upstream) -> UpstreamConnection:
-        """Return a connection without a request; raise NotSentError if none can be opened."""
-        connection = self._take_idle(upstream) or await self._open(upstream)
+    async def acquire(self, upstream: Upstream, may_be_cut: bool = True) -> UpstreamConnection:
+        """Return a connection without a request; raise NotSentError if none can be opened.
+
+        With `may_be_cut` False, one through another gateway is the last resort.
+        """
+        connection = self._take_idle(upstream) or await self._open(upstream, may_be_cut)
         self._in_use[connection] = upstream
         return connection
 
@@ -195,10 +198,10 @@
                 connection.close()
                 idle.remove(connection)
 
-    async def _open(self, upstream: Upstream) -> UpstreamConnection:
+    async def _open(self, upstream: Upstream, may_be_cut: bool = True) -> UpstreamConnection:
         self.opened += 1
         try:
-            return await self.dialer.open(upstream.address)
+            return await self.dialer.open(upstream.address, may_be_cut)
         except NotSentError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 self.on_refused(upstream)
--- a/tests/requests/test_cooldowns.py
+++ b/tests/requests/test_cooldowns.py
@@ -153,11 +153,11 @@
     acquire = rig.components.pool.acquire
     waited: list[str] = []
 
-    async def wait(upstream: Upstream) -> UpstreamConnection:
+    async def wait(upstream: Upstream, may_be_cut: bool = True) -> UpstreamConnection:
         if upstream.id == upstream_id and not waited:
             waited.append(upstream.id)
             await rig.call("asked")
-        return await acquire(upstream)
+        return await acquire(upstream, may_be_cut)
 
     prefer(rig, upstream_id)
     rig.components.pool.acquire = wait  # type: ignore[method-assign]
--- a/tests/requests/test_logs.py
+++ b/tests/requests/test_logs.py
@@ -110,10 +110,12 @@
         async with Rig(upstreams) as rig:
             take = rig.components.pool.acquire
 
-            async def fail_at_one(upstream: Upstream) -> UpstreamConnection:
+            async def fail_at_one(
+                upstream: Upstream, may_be_cut: bool = True
+            ) -> UpstreamConnection:
                 if upstream.id == "b0":
                     raise ZeroDivisionError
-                return await take(upstream)
+                return await take(upstream, may_be_cut)
 
             rig.components.pool.acquire = fail_at_one  # type: ignore[method-assign]
             statuses = [(await rig.call(f"r{n}")).status for n in range(30)]
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -118,8 +118,8 @@
         async with Rig([upstream]) as rig:
             acquire = rig.components.pool.acquire
 
-            async def acquire_late(chosen: Upstream) -> UpstreamConnection:
-                connection = await acquire(chosen)
+            async def acquire_late(chosen: Upstream, may_be_cut: bool = True) -> UpstreamConnection:
+                connection = await acquire(chosen, may_be_cut)
                 self.hold(rig)
                 return connection
 
--- a/tests/requests/test_request_path.py
+++ b/tests/requests/test_request_path.py
@@ -55,8 +55,10 @@
             acquire = rig.components.pool.acquire
             closed: list[UpstreamConnection] = []
 
-            async def acquire_closed(chosen: Upstream) -> UpstreamConnection:
-                connection = await acquire(chosen)
+            async def acquire_closed(
+                chosen: Upstream, may_be_cut: bool = True
+            ) -> UpstreamConnection:
+                connection = await acquire(chosen, may_be_cut)
                 if not closed:
                     closed.append(connection)
                     connection.close()
--- a/tests/requests/test_suspension.py
+++ b/tests/requests/test_suspension.py
@@ -134,8 +134,8 @@
             take = rig.components.pool.acquire
             chosen: list[str] = []
 
-            async def suspended_while_connecting(upstream):  # type: ignore[no-untyped-def]
-                connection = await take(upstream)
+            async def suspended_while_connecting(upstream, may_be_cut=True):  # type: ignore[no-untyped-def]
+                connection = await take(upstream, may_be_cut)
                 chosen.append(upstream.id)
                 if len(chosen) == 1:
                     rig.suspend(3.0)
--- a/tests/requests/test_upstream_dialer.py
+++ b/tests/requests/test_upstream_dialer.py
@@ -42,7 +42,7 @@
         loop = asyncio.get_running_loop()
         super().__init__(request_head.answer_request_id, loop.time, relays)
         self.direct = "open"
-        """What happens to direct connections: "open", "hangs" or "refused"."""
+        """What happens to direct connections: "open", "hangs", "refused" or "drops the first"."""
         self.relayed: RelayOutcome | None = RelayOutcome.OPEN
         """Answer of the relays; None for none."""
         self.answers: dict[str, RelayOutcome] = {}
@@ -52,6 +52,9 @@
 
     async def _connect(self, address: str) -> UpstreamConnection:
         self.direct_tries += 1
+        if self.direct == "drops the first" and self.direct_tries == 1:
+            await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
+            raise TimeoutError
         if self.direct == "hangs":
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
             raise TimeoutError
@@ -96,6 +99,32 @@
 
         run(play)
 
+    def test_a_dropped_opening_packet_is_sent_again_before_a_relay_is_asked(self) -> None:
+        """Relayed streams ended with the relay, when gateways were stopped in turn."""
+
+        async def play() -> None:
+            dialer = ScriptedDialer()
+            dialer.direct = "drops the first"
+            connection = await dialer.open(UPSTREAMS[0])
+            self.assertEqual(("", []), (connection.relay, dialer.asked))
+
+        run(play)
+
+    def test_what_may_not_be_cut_is_relayed_only_where_no_direct_connection_opens(self) -> None:
+        async def play() -> None:
+            dialer, loop = ScriptedDialer(), asyncio.get_running_loop()
+            dialer.direct = "hangs"
+            opening = asyncio.create_task(dialer.open(UPSTREAMS[0], may_be_cut=False))
+            await asyncio.sleep(0.9 * CONNECT_TIMEOUT_SECONDS)
+            self.assertEqual([], dialer.asked)
+            self.assertTrue((await opening).relay)
+            # From then on the partition is known.
+            began = loop.time()
+            self.assertTrue((await dialer.open(UPSTREAMS[0], may_be_cut=False)).relay)
+            self.assertLess(loop.time() - began, CONNECT_TIMEOUT_SECONDS / 2)
+
+        run(play)
+
     def test_where_the_partition_is_known_nobody_waits_for_a_direct_connection(self) -> None:
         async def play() -> None:
             dialer, loop = ScriptedDialer(), asyncio.get_running_loop()
