In a small fleet every gateway keeps where streams began

Cause: the origin of a stream was told to at most four owners, so that a gateway that is left alone knows a part of the streams.

Change: in fleets of up to 16 gateways, where all are asked already, all are told.

The test of small fleets fails without the change; the one that kills all owners but one keeps the larger fleets, as a small fleet has no gateway that is no owner.

--- a/src/lotushill/versions/stream_origins.py
+++ b/src/lotushill/versions/stream_origins.py
@@ -82,7 +82,7 @@
         self._observed_revision = -1
         self._expired_at = float("-inf")
         self.records = OriginRecords()
-        self.inquiries = OriginInquiries(members.own.name, self._gateways_to_ask, send)
+        self.inquiries = OriginInquiries(members.own.name, self._keepers, send)
         self.running: Counter[str] = Counter()
         """Number of streams of this gateway that have begun and not ended, by version."""
         self.found: Counter[KnownBy] = Counter()
@@ -103,9 +103,8 @@
     def tell(self, origin: StreamOrigin) -> None:
         """Record the origin of a stream whose first event is about to be passed on, and tell it."""
         self.records.note(origin, self._clock())
-        for owner in self._owners.of(origin.request):
-            if owner.name != self._members.own.name:
-                self._send(OriginNews(origin), owner.address)
+        for gateway in self._keepers(origin.request):
+            self._send(OriginNews(origin), gateway.address)
 
     def receive(self, update: OriginNews) -> None:
         """Store an origin as one of the owners of its stream."""
@@ -168,11 +167,14 @@
             self._expired_at = now
             self.records.expire(now)
 
-    def _gateways_to_ask(self, request: str) -> list[MemberState]:
-        """Return the owners of a stream; in a small fleet all, as one has passed the event on."""
+    def _keepers(self, request: str) -> list[MemberState]:
+        """Return the other gateways that keep the origin of a stream: its owners.
+
+        In a small fleet every gateway keeps it, since most of them may be lost at once.
+        """
         live = self._members.live()
-        asked = live if len(live) <= MAX_SMALL_FLEET_GATEWAYS else self._owners.of(request)
-        return [item for item in asked if item.name != self._members.own.name]
+        keepers = live if len(live) <= MAX_SMALL_FLEET_GATEWAYS else self._owners.of(request)
+        return [item for item in keepers if item.name != self._members.own.name]
 
     def status(self) -> dict[str, object]:
         """Return the state as plain data for the status output."""
--- a/tests/versions/test_stream_origins.py
+++ b/tests/versions/test_stream_origins.py
@@ -52,7 +52,7 @@
 
     @virtually
     async def test_the_version_outlives_the_gateway_and_all_owners_but_one(self) -> None:
-        for count, halls in ((9, 4), (30, 3), (60, 6)):
+        for count, halls in ((30, 3), (60, 6)):
             fleet = VirtualGateways(count, halls)
             for number in range(20):
                 request = f"r{number}"
@@ -67,6 +67,30 @@
                     self.assert_version("v1", await fleet.take_up(asker, request))
                     fleet.running |= set(fleet.states)
 
+    @virtually
+    async def test_in_a_small_fleet_any_gateway_that_is_left_knows_the_version(self) -> None:
+        """All gateways but one were killed at once, and it knew a third of the streams."""
+        for count, halls in ((2, 1), (9, 4), (16, 3)):
+            fleet = VirtualGateways(count, halls)
+            for number in range(20):
+                request = f"r{number}"
+                fleet.begin("g0", request)
+                await asyncio.sleep(_PROPAGATION_SECONDS)
+                for survivor in fleet.states:
+                    fleet.kill(*fleet.states.keys() - {survivor})
+                    self.assert_version("v1", await fleet.take_up(survivor, request))
+                    fleet.running |= set(fleet.states)
+
+    @virtually
+    async def test_the_version_outlives_all_gateways(self) -> None:
+        """All gateways are killed at once while two versions serve, and start again."""
+        fleet = VirtualGateways(9, 4)
+        fleet.begin("g0", "r1")
+        await asyncio.sleep(_PROPAGATION_SECONDS)
+        for name in fleet.states:
+            fleet.restart(name)
+        self.assert_version("v1", await fleet.take_up("g1", "r1"))
+
     @virtually
     async def test_a_gateway_that_has_just_started_finds_the_version(self) -> None:
         fleet = VirtualGateways(9, 4)
