A relayed connection that ends while it is set up leaves none to the upstream open

The connection to the upstream was closed only once both were joined; an error of the options that are set on the other one before that left it open for good. No test: the error comes from a socket that its peer resets within that step.

--- a/src/lotushill/relaying/relay_server.py
+++ b/src/lotushill/relaying/relay_server.py
@@ -80,15 +80,15 @@
             return
         if upstream is None:
             return
-        sock = _open_socket(stream)
-        if sock is not None:
-            close_when_peer_is_gone(sock)
-        self._note_passed(stream)
-        try:
-            async with upstream:
+        async with upstream:
+            sock = _open_socket(stream)
+            if sock is not None:
+                close_when_peer_is_gone(sock)
+            self._note_passed(stream)
+            try:
                 await self._join(stream, upstream)
-        finally:
-            del self._passed_at[stream]
+            finally:
+                del self._passed_at[stream]
 
     def _note_passed(self, gateway: ByteStream) -> None:
         self._passed_at[gateway] = anyio.current_time()
