--- a/src/lotushill/links/json_client.py
+++ b/src/lotushill/links/json_client.py
@@ -14,6 +14,7 @@
 from lotushill.links.answer_timeout import AnswerTimeout
 from lotushill.links.exceptions import NoAnswerError
 from lotushill.links.exceptions import SilentConnectionError
+from lotushill.links.tolerant_json import parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -42,8 +43,8 @@
         if not self.content:
             return {}
         try:
-            return json.loads(self.content.decode("utf-8", "replace"), strict=False)
-        except (ValueError, RecursionError) as error:
+            return parse_json(self.content.decode("utf-8", "replace"))
+        except ValueError as error:
             raise NoAnswerError(repr(error)) from error
 
 
