Where streams began outlives all gateways of a small fleet

Cause: the records of streams lived in gateways alone.

Change: each gateway of a fleet of up to 16 writes one object with its open streams to the platform's store, once a second while several versions serve and every four seconds otherwise, and a gateway that starts reads them. Larger fleets are left as they are: reading the objects of all would cost too much.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -70,6 +70,7 @@
 from lotushill.scheduling.shared_load import SharedLoad
 from lotushill.starting.startup_phase import StartupPhase
 from lotushill.versions.ended_incarnations import EndedIncarnations
+from lotushill.versions.stored_origins import StoredOrigins
 from lotushill.versions.stream_origins import StreamOrigins
 from lotushill.waiting.admission_queue import AdmissionQueue
 from lotushill.waiting.slot_turns import RemoteQueues
@@ -235,6 +236,17 @@
             self._is_upstream_view_confirmed,
             clocks.now,
         )
+        self.stored_origins = StoredOrigins(
+            settings.name,
+            self.store,
+            self.stream_origins.records,
+            self.log,
+            clocks.now,
+            time.time,
+            self.stream_origins.is_small_fleet,
+            self.stream_origins.has_several_versions,
+        )
+        self.stream_origins.on_begun = self.stored_origins.note
         self.ended_incarnations = EndedIncarnations(
             self.views.upstreams,
             self.peers.broadcast,
@@ -395,6 +407,7 @@
             "sweep": self._sweep,
             "quarantine": self.quarantine.gossip.run,
             "holds": self.quarantine.run_hold_store,
+            "stream origins": self.stored_origins.run,
         }
         if self.settings.duties is not None:
             dependencies = DutyDependencies(
--- a/src/lotushill/versions/sole_versions.py
+++ b/src/lotushill/versions/sole_versions.py
@@ -39,6 +39,10 @@
             if known is None or known.versions != found:
                 self._observed[service] = _Observed(frozenset(found), now, known is None)
 
+    def has_several(self) -> bool:
+        """Return whether some service has several versions."""
+        return any(len(item.versions) > 1 for item in self._observed.values())
+
     def find(self, service: str, seconds: float, now: float) -> str:
         """Return the version that was the only one for at least `seconds`, empty if none was."""
         known = self._observed.get(service)
--- a/src/lotushill/versions/stream_origins.py
+++ b/src/lotushill/versions/stream_origins.py
@@ -83,6 +83,8 @@
         self._expired_at = float("-inf")
         self.records = OriginRecords()
         self.inquiries = OriginInquiries(members.own.name, self._keepers, send)
+        self.on_begun: Callable[[StreamOrigin], None] = lambda _: None
+        """Called with the origin of each stream that begins at this gateway."""
         self.running: Counter[str] = Counter()
         """Number of streams of this gateway that have begun and not ended, by version."""
         self.found: Counter[KnownBy] = Counter()
@@ -103,6 +105,7 @@
     def tell(self, origin: StreamOrigin) -> None:
         """Record the origin of a stream whose first event is about to be passed on, and tell it."""
         self.records.note(origin, self._clock())
+        self.on_begun(origin)
         for gateway in self._keepers(origin.request):
             self._send(OriginNews(origin), gateway.address)
 
@@ -167,13 +170,21 @@
             self._expired_at = now
             self.records.expire(now)
 
+    def is_small_fleet(self) -> bool:
+        """Return whether every gateway keeps all origins."""
+        return len(self._members.live()) <= MAX_SMALL_FLEET_GATEWAYS
+
+    def has_several_versions(self) -> bool:
+        """Return whether several versions serve side by side in some service."""
+        return self._sole_versions.has_several()
+
     def _keepers(self, request: str) -> list[MemberState]:
         """Return the other gateways that keep the origin of a stream: its owners.
 
         In a small fleet every gateway keeps it, since most of them may be lost at once.
         """
         live = self._members.live()
-        keepers = live if len(live) <= MAX_SMALL_FLEET_GATEWAYS else self._owners.of(request)
+        keepers = live if self.is_small_fleet() else self._owners.of(request)
         return [item for item in keepers if item.name != self._members.own.name]
 
     def status(self) -> dict[str, object]:
