--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -407,7 +407,7 @@
             "sweep": self._sweep,
             "quarantine": self.quarantine.gossip.run,
             "holds": self.quarantine.run_hold_store,
-            "stream origins": self.stored_origins.run,
+            "stored origins": self.stored_origins.run,
         }
         if self.settings.duties is not None:
             dependencies = DutyDependencies(
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -308,6 +308,16 @@
         "Connections to upstreams open on behalf of other gateways",
         lambda: gateway.relay_server.open_count,
     )
+    add_gauge(
+        "peer_connections_dropped",
+        "Connections of peers dropped for invalid frames since the start",
+        lambda: gateway.peers.links.dropped,
+    )
+    add_gauge(
+        "peer_messages_unreadable",
+        "Messages of peers skipped since this version does not know them",
+        lambda: gateway.peers.links.unreadable,
+    )
     add_gauge(
         "addresses_unavailable",
         "Addresses of this gateway that are taken or not there yet",
--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -156,6 +156,8 @@
                     await channel.send(Ping(self._own_name, 0, "", ()))
                 await self._pump(peer, channel, inbox, _DIALED_QUIET_SECONDS)
         except (OSError, ValueError, LinkError) as error:
+            if isinstance(error, LinkError) and not isinstance(error, LinkClosedError):
+                self.dropped += 1
             log.info("Connection to a peer failed or was lost. peer=%s error=%r", peer, error)
         finally:
             inbox.close()
