The last log line waits for a reader that is behind

The last line now waits for up to 0.5 s until the reader has taken some. The test fills a pipe; it failed before.

--- a/src/lotushill/event_log.py
+++ b/src/lotushill/event_log.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import select
+import time
 from typing import TYPE_CHECKING
 
 from lotushill import clock as clocks
@@ -15,6 +17,8 @@
 
 _MAX_LINES_PER_SECOND = 200
 _MAX_BURST_LINES = 400
+_MAX_FLUSH_SECONDS = 0.5
+"""Longest wait for the reader of standard output at the end of the log."""
 
 
 class EventLog:
@@ -29,7 +33,9 @@
     ) -> None:
         """Create the log of the gateway `name`; `journal` keeps the last events of requests."""
         self._name = name
-        self._write = write or _StandardOutput().write
+        output = _StandardOutput()
+        self._write = write or output.write
+        self._flush: Callable[[], None] = (lambda: None) if write else output.flush
         self._clock = clock
         self._journal = journal
         self._credit = float(_MAX_BURST_LINES)
@@ -43,9 +49,14 @@
         self._note(event, fields)
 
     def note_last(self, event: str, **fields: object) -> None:
-        """Write the event that ends the log; it is not subject to the rate limit."""
+        """Write the event that ends the log; neither the rate limit nor a full pipe drops it.
+
+        A reader that takes nothing for some time loses the line all the same.
+        """
         self._credit += 1.0
+        self._flush()
         self._note(event, fields)
+        self._flush()
 
     def _note(self, event: str, fields: dict[str, object]) -> None:
         now = self._clock()
@@ -92,6 +103,17 @@
         if self._write_some(line):
             self._dropped_lines = 0
 
+    def flush(self) -> None:
+        """Wait, for a bounded time, until the pipe has room, and write what is left over."""
+        ends = time.monotonic() + _MAX_FLUSH_SECONDS
+        while (left := ends - time.monotonic()) > 0:
+            try:
+                select.select((), (1,), (), left)
+            except (OSError, ValueError):
+                return
+            if not self._unwritten or self._write_some(self._unwritten):
+                return
+
     def _write_some(self, data: bytes) -> bool:
         """Write what the pipe accepts and keep the rest; return whether all data was written."""
         try:
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -1,6 +1,10 @@
 from __future__ import annotations
 
 import json
+import select
+import subprocess
+import sys
+import time
 import unittest
 
 from lotushill.event_log import EventLog
@@ -34,3 +38,20 @@
             self.log.note("flood")
         self.log.note_last("process.stopped", why="SIGTERM")
         self.assertEqual("process.stopped", json.loads(self.lines[-1])["event"])
+
+    def test_the_last_line_waits_for_a_reader_that_is_behind(self) -> None:
+        """The last line was lost where the pipe was full of earlier ones."""
+        program = (
+            "from lotushill import event_log\n"
+            "event_log._MAX_FLUSH_SECONDS = 60.0\n"
+            "log = event_log.EventLog('gw')\n"
+            "for size in [1000] * 100 + [0] * 300: log.note('flood', text='x' * size)\n"
+            "log.note_last('process.stopped')\n"
+        )
+        with subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE) as process:
+            assert process.stdout is not None
+            select.select((process.stdout,), (), ())
+            # Long enough for the pipe to fill up; a shorter time makes the test easier to pass.
+            time.sleep(0.3)
+            *_, last = process.stdout.read().splitlines()
+        self.assertEqual("process.stopped", json.loads(last)["event"])
