--- a/tests/requests/test_unframed_streams.py
+++ b/tests/requests/test_unframed_streams.py
@@ -186,7 +186,7 @@
         serving = asyncio.create_task(listener.serve(links.accept))
         self.addCleanup(serving.cancel)
 
-    async def open(self, upstream: str) -> UpstreamConnection:
+    async def open(self, upstream: str, may_be_cut: bool = True) -> UpstreamConnection:
         return await open_relayed(
             self.relay_address,
             RelayOpen("gw", upstream),
