The last line of a gateway comes after the ends of requests that are cut off

Cause: process.stopped was written before the event loop was closed, and requests that outlast the grace time log their ends while it is. It is now written after that.

The test cuts a request off; it failed before (the last line was request.ended). The soak quotes the line that it found.

--- a/src/lotushill/console/gateway.py
+++ b/src/lotushill/console/gateway.py
@@ -15,11 +15,14 @@
 from lotushill.console.process_signals import ProcessSignals
 from lotushill.process.exit_status import EXIT_BAD_SETTINGS
 from lotushill.process.exit_status import EXIT_FAULT
+from lotushill.process.exit_status import EXIT_OK
 from lotushill.process.exit_status import PROCESS_STOPPED
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from signal import Signals
 
+    from lotushill.event_log import EventLog
     from lotushill.process.settings import GatewaySettings
 
 CONFIG_VARIABLE = "LOTUSHILL_NODE_FILE"
@@ -51,12 +54,14 @@
     configure_logging("INFO")
     settings = _read_or_exit(Path(path))
     try:
-        run(_serve, settings, Path(path), signals)
+        log, stop_signal = run(_serve, settings, Path(path), signals)
     except Exception as error:
         from lotushill.process.supervisor import trace_of
 
         _write_last_line(settings.name, "fault", EXIT_FAULT, trace=trace_of(error))
         raise SystemExit(EXIT_FAULT) from error
+    # Requests that are cut off log their ends while the event loop is closed.
+    log.note_last(PROCESS_STOPPED, why=stop_signal.name, status=EXIT_OK)
 
 
 def _read_or_exit(path: Path) -> GatewaySettings:
@@ -86,14 +91,18 @@
     EventLog(name).note_last(PROCESS_STOPPED, why=why, status=status, **fields)
 
 
-async def _serve(settings: GatewaySettings, path: Path, signals: ProcessSignals) -> None:
+async def _serve(
+    settings: GatewaySettings, path: Path, signals: ProcessSignals
+) -> tuple[EventLog, Signals]:
+    """Run a gateway until it is told to stop; return its log and the signal that told it."""
     from lotushill.gateway.gateway import Gateway
     from lotushill.process.settings_file import read_settings
 
     gateway = Gateway(settings, lambda: read_settings(path))
     gc.freeze()
     gc.enable()
-    await gateway.run(lambda: signals.is_reload_requested, signals.block)
+    stop_signal = await gateway.run(lambda: signals.is_reload_requested, signals.block)
+    return gateway.log, stop_signal
 
 
 if __name__ == "__main__":
--- a/src/lotushill/console/program.py
+++ b/src/lotushill/console/program.py
@@ -7,7 +7,6 @@
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import TypeVar
 
 import anyio
@@ -63,6 +62,6 @@
     logging.getLogger("uvicorn").setLevel(logging.ERROR)
 
 
-def run(main: Callable[..., Awaitable[Any]], *arguments: object) -> None:
-    """Run an asynchronous main function in an event loop."""
-    anyio.run(main, *arguments, backend="asyncio", backend_options={"use_uvloop": True})
+def run(main: Callable[..., Awaitable[S]], *arguments: object) -> S:
+    """Run an asynchronous main function in an event loop, and return what it returns."""
+    return anyio.run(main, *arguments, backend="asyncio", backend_options={"use_uvloop": True})
--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -45,8 +45,6 @@
 from lotushill.placement.fleet import Fleet
 from lotushill.platform import request_head
 from lotushill.platform.object_store import ObjectStore
-from lotushill.process.exit_status import EXIT_OK
-from lotushill.process.exit_status import PROCESS_STOPPED
 from lotushill.process.metrics import Metrics
 from lotushill.process.supervisor import Supervisor
 from lotushill.process.suspension import SuspensionWatch
@@ -366,8 +364,8 @@
         self,
         is_reload_requested: Callable[[], bool] = lambda: False,
         before_end: Callable[[], None] = lambda: None,
-    ) -> None:
-        """Serve until a stop signal arrives, then finish the requests in progress.
+    ) -> signal.Signals:
+        """Serve until a stop signal arrives, finish the requests in progress, return the signal.
 
         `is_reload_requested` returns whether a reload was requested during the start; `before_end`
         is called when this gateway has stopped, while it still handles signals.
@@ -388,7 +386,7 @@
                 group.cancel_scope.cancel()
                 self.mover.close()
             before_end()
-            self.log.note_last(PROCESS_STOPPED, why=stop_signal.name, status=EXIT_OK)
+        return stop_signal
 
     def _start(self, group: TaskGroup) -> None:
         """Start all tasks, each of them supervised: an exception must not end the others."""
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -36,10 +36,25 @@
                 process = await self.start()
                 await self.wait_ready(process)
                 process.send_signal(number)
+                await process.wait()
                 last, *_ = await self.end(process)
             self.assertEqual(("process.stopped", 0), (last["event"], process.returncode))
             self.assertEqual((number.name, 0), (last["why"], last["status"]))
 
+    async def test_requests_that_are_cut_off_log_their_ends_before_it(self) -> None:
+        """The end of a request that outlasted the grace time was logged after the last line."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start(grace_seconds=1.5)
+            await self.wait_ready(process)
+            _, writer = await asyncio.open_connection(*split_address(self.clients))
+            writer.write(request_bytes("r1"))
+            while not self.upstream.requests:
+                await asyncio.sleep(0.01)
+            last, *lines = await self.end(process)
+            writer.close()
+        self.assertEqual(("process.stopped", "SIGTERM"), (last["event"], last["why"]))
+        self.assertEqual("request.ended", lines[0]["event"])
+
     async def test_the_last_line_names_the_faults_of_the_settings(self) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
             process = await self.start(store="nowhere", retry={"ratio": -1})
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -146,8 +146,9 @@
         status = process.returncode
         if status not in gateway.expected_statuses:
             self.errors.append(f"{gateway.name}: process ended by itself with status {status}")
-        if status == 0 and b'"event":"process.stopped"' not in output.rstrip().rpartition(b"\n")[2]:
-            self.errors.append(f"{gateway.name}: the last line does not say why the process ended")
+        last = output.rstrip().rpartition(b"\n")[2]
+        if status == 0 and b'"event":"process.stopped"' not in last:
+            self.errors.append(f"{gateway.name}: ended with 0, its last line was {last[:400]!r}")
         await asyncio.sleep(_RESTART_DELAY_SECONDS)
         if not self._is_stopping:
             await self._start(gateway)
