--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -14,11 +14,14 @@
 
 from lotushill.console.process_signals import IGNORED_SIGNALS
 from lotushill.links.address import split_address
+from lotushill.links.http_server import HttpServer
 from lotushill.links.messages import ModelPage
 from lotushill.links.messages import ModelPull
 from lotushill.links.messages import ViewKind
 from lotushill.links.messages import ViewPage
 from lotushill.links.messages import ViewPull
+from lotushill.standin.free_address import free_address
+from lotushill.standin.metadata_app import MetadataApp
 from tests.console.gateway_program import TIMEOUT_SECONDS
 from tests.console.gateway_program import GatewayProgramCase
 from tests.console.gateway_program import get_status
@@ -286,3 +289,36 @@
 
     async def test_connections_for_readiness_that_use_up_all_descriptors_are_survived(self) -> None:
         await self.check_survives(self.readiness)
+
+
+class TestStore(GatewayProgramCase):
+    async def test_a_store_that_is_senseless_or_away_at_the_start_is_waited_for(self) -> None:
+        """A gateway that starts during trouble of the store has to serve once that is over."""
+        self.may_answer.set()
+        answers = (b"no HTTP", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[1,2", b"")
+        asked = 0
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal asked
+            asked += 1
+            writer.write(answers[asked % len(answers)])
+            writer.close()
+
+        address = free_address()
+        senseless = await asyncio.start_server(answer, *split_address(address))
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start(store=address)
+            while asked < 4 * len(answers):
+                await asyncio.sleep(0.05)
+            senseless.close()
+            await senseless.wait_closed()
+            self.assertEqual(503, await get_status(self.readiness, "/readyz"))
+            server = HttpServer(MetadataApp(self.store), address)
+            serving = asyncio.create_task(server.serve())
+            await self.wait_ready(process)
+            self.assertEqual(200, await self.call("r1"))
+            last, *lines = await self.end(process)
+            server.abort()
+            await serving
+        self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
+        self.assertNotIn("task.failed", {line["event"] for line in lines})
