Heads at the address for readiness are bounded as well

What operators saw: a head without end at the readiness address was collected for as long as the connection stayed open, until the process was killed for memory.

Cause: the bound of heads belongs to the protocol of the clients' listener, and the readiness listener used the plain one.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -334,6 +334,7 @@
                 self.is_ready, functools.partial(status, self), self.metrics.text, self.journal
             ),
             settings.readiness,
+            protocol=ClientProtocol,
             bind=functools.partial(self.binder.bind, "readiness"),
         )
         add_gauges(self)
--- a/tests/console/test_endings.py
+++ b/tests/console/test_endings.py
@@ -31,6 +31,9 @@
 from tests.requests.rig import read_answer
 from tests.requests.rig import request_bytes
 
+_FLOOD_BYTES = 32 * 1024 * 1024
+"""Bytes after which a gateway takes a head for one that never ends too late."""
+
 
 class TestLastLine(GatewayProgramCase):
     async def test_the_last_line_names_the_stop_signal(self) -> None:
@@ -322,3 +325,23 @@
             await serving
         self.assertEqual((0, "SIGTERM"), (process.returncode, last.get("why")))
         self.assertNotIn("task.failed", {line["event"] for line in lines})
+
+
+class TestHeads(GatewayProgramCase):
+    async def test_a_head_without_end_is_not_collected_at_any_address(self) -> None:
+        """Heads at the address for readiness were collected without a bound."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            process = await self.start()
+            await self.wait_ready(process)
+            for address in (self.clients, self.readiness):
+                _, writer = await asyncio.open_connection(*split_address(address))
+                writer.write(b"GET /readyz HTTP/1.1\r\nX: ")
+                written = 0
+                with contextlib.suppress(ConnectionError):
+                    while written < _FLOOD_BYTES:
+                        writer.write(b"x" * 65_536)
+                        written += 65_536
+                        await writer.drain()
+                writer.close()
+                self.assertLess(written, _FLOOD_BYTES)
+            await self.end(process)
