A long body is not copied in order to be sent to an upstream

Callers saw a gateway that ran out of memory when many sent large bodies. Each body was joined with its head into a second block of the same size, which lasted until the upstream had taken all of it, so that a request of 4 MiB used 8 MiB and more. Head and body are two writes from 16 KiB on; below that one write of a copy is cheaper.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -24,7 +24,7 @@
 from lotushill.requests.handover import Phase
 from lotushill.requests.movable_run import MovableRun
 from lotushill.requests.upstream_connection import MAX_ANSWER_BYTES
-from lotushill.requests.wire import encode_request
+from lotushill.requests.wire import encode_head
 from lotushill.routing.route import RouteKind
 
 if TYPE_CHECKING:
@@ -140,8 +140,10 @@
             )
         self.sent_at = self._clock()
         last_event_id = self._splitter.last_id if self._splitter.event_count else ""
-        data = encode_request(self._request, self._choice, last_event_id, self.sent_at)
-        connection.send(self._request.demand.request_id, self._request.method, data)
+        head = encode_head(self._request, self._choice, last_event_id, self.sent_at)
+        connection.send(
+            self._request.demand.request_id, self._request.method, head, self._request.body
+        )
         return None
 
     def _is_held(self) -> bool:
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -32,6 +32,8 @@
 """Longest answer that is relayed as a whole, and longest surplus answer that is skipped."""
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Buffered bytes at which reading from the connection is paused."""
+_MAX_COPIED_BYTES = 16 * 1024
+"""Longest body that is copied behind its head, so that one write sends both."""
 _UNACKNOWLEDGED_TIMEOUT_MS = 3000
 """Time without acknowledgement of sent data after which the kernel closes the connection."""
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -131,7 +133,7 @@
         """Return whether a request was written whose answer is not complete."""
         return self.is_open and not self._idle and not self._complete
 
-    def send(self, request_id: str, method: bytes, data: bytes) -> None:
+    def send(self, request_id: str, method: bytes, head: bytes, body: bytes = b"") -> None:
         """Write the head and body of one request."""
         assert self._transport is not None
         self.sent_at = asyncio.get_running_loop().time()
@@ -142,7 +144,12 @@
         self._head = None
         self._complete = False
         self._ends_with_connection = False
-        self._transport.write(data)
+        if len(body) <= _MAX_COPIED_BYTES:
+            self._transport.write(head + body)
+        else:
+            # A copy would take the memory of the body a second time until all of it is sent.
+            self._transport.write(head)
+            self._transport.write(body)
 
     async def read_head(self) -> AnswerHead:
         """Return the head of the answer to the request that was sent."""
--- a/src/lotushill/requests/wire.py
+++ b/src/lotushill/requests/wire.py
@@ -1,4 +1,4 @@
-"""Encoding of a request as HTTP bytes for an upstream."""
+"""Encoding of the head of a request as HTTP bytes for an upstream."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
     from lotushill.scheduling.request import Request
 
 
-def encode_request(request: Request, choice: Choice, last_event_id: str, now: float) -> bytes:
-    """Return head and body of one attempt.
+def encode_head(request: Request, choice: Choice, last_event_id: str, now: float) -> bytes:
+    """Return the head of one attempt.
 
     The upstream continues the stream after `last_event_id`, if that is not empty.
     """
@@ -31,7 +31,7 @@
     lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
     for name, value in [*headers, *own_headers]:
         lines += (name, b": ", value, b"\r\n")
-    lines += (b"\r\n", request.body)
+    lines.append(b"\r\n")
     return b"".join(lines)
 
 
