Answers that are collected before they are sent count as held for clients

Callers saw a gateway that ran out of memory when clients asked for long answers and did not take them. A plain answer is collected whole, up to 16 MiB, before it is sent, and then lies in the connection until the client takes it; only the second part was counted.

An answer now holds memory as its bytes arrive. It waits for up to two seconds for some, while clients that hold most for longest give way, and fails like an answer that is too long after that.

--- a/src/lotushill/requests/attempt.py
+++ b/src/lotushill/requests/attempt.py
@@ -328,9 +328,13 @@
         return handover is None or handover.phase is not Phase.STOPPED
 
     async def _read_body(self, connection: UpstreamConnection) -> bytes:
-        """Return the body of an answer; raise OversizedAnswerError if it is too long."""
+        """Return the body of an answer; raise OversizedAnswerError if it is too long.
+
+        Raise NoMemoryError if there is no memory for it.
+        """
         body = bytearray()
         while piece := await connection.read():
+            await self._answer.hold(len(piece))
             body += piece
             if len(body) > MAX_ANSWER_BYTES:
                 raise OversizedAnswerError("body", MAX_ANSWER_BYTES)
--- a/src/lotushill/requests/client_answer.py
+++ b/src/lotushill/requests/client_answer.py
@@ -4,11 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from lotushill.links.hop_headers import end_to_end_headers
 from lotushill.platform import request_head
 from lotushill.requests.answer_state import AnswerState
+from lotushill.requests.exceptions import NoMemoryError
 
 if TYPE_CHECKING:
+    from lotushill.clients.memory_budget import HeldMemory
     from lotushill.links.asgi import Headers
     from lotushill.links.asgi import Send
 
@@ -25,13 +29,17 @@
 }
 _MAX_RETRY_AFTER_SECONDS = 30.0
 """Largest Retry-After value, in seconds, that clients receive."""
+_MEMORY_WAIT_SECONDS = 2.0
+"""Time for which an answer waits for memory that other clients are given up for in the meantime."""
+_MEMORY_POLL_SECONDS = 0.05
 
 
 class ClientAnswer:
     """Sends an answer to one client; with `close_after`, the connection ends after the answer."""
 
-    def __init__(self, send: Send, request_id: str) -> None:
+    def __init__(self, send: Send, request_id: str, memory: HeldMemory) -> None:
         self._send = send
+        self._memory = memory
         self._request_id = request_id
         self.started = False
         self._completed = False
@@ -47,6 +55,17 @@
             return AnswerState.TRUNCATED
         return AnswerState.OWN if self._is_own else AnswerState.WHOLE
 
+    async def hold(self, size: int) -> None:
+        """Hold memory for a part of an answer that is collected before it is sent.
+
+        Raise NoMemoryError if other clients use all of it up for some time.
+        """
+        with anyio.move_on_after(_MEMORY_WAIT_SECONDS):
+            while not self._memory.hold(size):
+                await anyio.sleep(_MEMORY_POLL_SECONDS)
+            return
+        raise NoMemoryError(size)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer from an upstream."""
         self.started = True
--- a/src/lotushill/requests/client_application.py
+++ b/src/lotushill/requests/client_application.py
@@ -116,7 +116,7 @@
         arrived = self._components.clock()
         demand = request_head.read_demand(scope["headers"])
         connection = cast("ClientProtocol", scope[CONNECTION])
-        answer = ClientAnswer(send, demand.request_id)
+        answer = ClientAnswer(send, demand.request_id, connection.memory)
         answer.close_after = self.closes_connections
         try:
             request = await self._check(scope, receive, demand, arrived)
--- a/src/lotushill/requests/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -22,6 +22,13 @@
         super().__init__(f"{part} of the answer is longer than {limit} bytes")
 
 
+class NoMemoryError(BrokenAnswerError):
+    """Clients hold all memory that they may, so that an answer cannot be collected."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(f"no memory for {size} bytes of the answer")
+
+
 class LostConnectionError(BrokenAnswerError):
     """The connection ended before the answer was complete."""
 
