--- a/src/lotushill/event_log.py
+++ b/src/lotushill/event_log.py
@@ -17,6 +17,10 @@
 
 _MAX_LINES_PER_SECOND = 200
 _MAX_BURST_LINES = 400
+_MAX_CALLER_TEXT_CHARACTERS = 256
+"""Longest text that a line takes over from a caller."""
+_CALLER_FIELDS = frozenset(("request", "resumes", "host", "target", "last_event"))
+"""Fields whose texts callers choose; only these are shortened."""
 _MAX_FLUSH_SECONDS = 0.5
 """Longest wait for the reader of standard output at the end of the log."""
 
@@ -60,6 +64,8 @@
 
     def _note(self, event: str, fields: dict[str, object]) -> None:
         now = self._clock()
+        for name in _CALLER_FIELDS & fields.keys():
+            fields[name] = shorten(str(fields[name]))
         line: dict[str, object] = {"t": round(now, 3), "node": self._name, "event": event}
         if self._journal is not None and "request" in fields:
             self._journal.add(str(fields["request"]), {**line, **fields})
@@ -83,6 +89,13 @@
         return True
 
 
+def shorten(text: str) -> str:
+    """Return a text of a caller as it stands in the log: the begin of one that is too long."""
+    if len(text) <= _MAX_CALLER_TEXT_CHARACTERS:
+        return text
+    return text[:_MAX_CALLER_TEXT_CHARACTERS] + "..."
+
+
 class _StandardOutput:
     """Non-blocking standard output; a full pipe drops lines, and the next line counts them."""
 
--- a/src/lotushill/gateway/status_app.py
+++ b/src/lotushill/gateway/status_app.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lotushill.event_log import shorten
 from lotushill.links.asgi import send_json
 from lotushill.links.asgi import send_response
 
@@ -50,7 +51,7 @@
         elif path == _METRICS_PATH:
             await send_response(send, _OK, (_METRICS_TYPE,), self._metrics())
         elif path.startswith(EXPLAIN_PATH):
-            events = self._journal.events_of(path.removeprefix(EXPLAIN_PATH))
+            events = self._journal.events_of(shorten(path.removeprefix(EXPLAIN_PATH)))
             await send_json(send, _OK if events else _NOT_FOUND, events)
         else:
             await send_json(send, _NOT_FOUND, {})
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -8,6 +8,8 @@
 import unittest
 
 from lotushill.event_log import EventLog
+from lotushill.event_log import shorten
+from lotushill.journal import Journal
 
 
 class TestEventLog(unittest.TestCase):
@@ -33,6 +35,18 @@
         self.log.note("after")
         self.assertEqual(missing, json.loads(self.lines[-1])["left_out"])
 
+    def test_a_long_id_of_a_caller_is_shortened_in_lines_and_in_the_journal(self) -> None:
+        """Ids and hosts of the length of a whole head were kept for each of the last requests."""
+        journal = Journal()
+        log = EventLog("node", self.lines.append, lambda: self.now, journal)
+        long_id = "a" * 16_000
+        log.note("request.turned_away", request=long_id, host="h" * 16_000, error="e" * 1_000)
+        line = json.loads(self.lines[0])
+        self.assertEqual((shorten(long_id), shorten("h" * 300)), (line["request"], line["host"]))
+        self.assertEqual(1_000, len(line["error"]))
+        (event,) = journal.events_of(shorten(long_id))
+        self.assertLess(len(json.dumps(event)), 2_000)
+
     def test_the_last_line_is_written_although_the_rate_is_exceeded(self) -> None:
         for _ in range(5000):
             self.log.note("flood")
