Records of streams keep long ids of callers as digests

Where a stream began is kept for up to 50,000 streams, told to other gateways and written to the store, under the id of the client's request. A client may choose an id as long as a head, so that the records of a few thousand streams used up the memory of every gateway and went over the store's limit of a value.

An id of over 64 characters is replaced by its digest where a stream begins and where it is taken up. The new test failed before (a key of 10,000 characters).

--- a/src/lotushill/links/origin_messages.py
+++ b/src/lotushill/links/origin_messages.py
@@ -10,7 +10,7 @@
     """Where a stream began: service and software version of the upstream of its first event."""
 
     request: str
-    """Id of the client's request that brought the first event."""
+    """Key of the stream, from the id of the client's request that brought the first event."""
     service: str
     version: str
     seconds: float
--- a/src/lotushill/requests/exchange.py
+++ b/src/lotushill/requests/exchange.py
@@ -18,6 +18,7 @@
 from lotushill.requests.tracked_attempt import AttemptTracker
 from lotushill.requests.upstream_search import UpstreamSearch
 from lotushill.scheduling.placement import Placement
+from lotushill.versions.stream_key import stream_key
 
 if TYPE_CHECKING:
     from lotushill.placement.choice import Choice
@@ -277,7 +278,8 @@
         if request.route.resumable:
             first_request = request.demand.resumed_request_id or request.demand.request_id
             lifetime = stream_lifetime(request.route)
-            origins.tell(StreamOrigin(first_request, request.service.name, version, lifetime))
+            key = stream_key(first_request)
+            origins.tell(StreamOrigin(key, request.service.name, version, lifetime))
 
     def _note(self, event: str, **fields: object) -> None:
         self._components.log.note(event, request=self._request.demand.request_id, **fields)
--- a/src/lotushill/requests/take_ups.py
+++ b/src/lotushill/requests/take_ups.py
@@ -6,6 +6,7 @@
 
 from lotushill.requests.stream_version import stream_lifetime
 from lotushill.routing.route import RouteKind
+from lotushill.versions.stream_key import stream_key
 
 if TYPE_CHECKING:
     from lotushill.requests.gateway_components import GatewayComponents
@@ -34,7 +35,7 @@
             return None
         services = [item.service for item in route.services]
         origin = await self._components.stream_origins.find(
-            demand.resumed_request_id, services, stream_lifetime(route)
+            stream_key(demand.resumed_request_id), services, stream_lifetime(route)
         )
         if origin is None:
             self._note("stream.refused", demand, why="unknown version")
--- a/tests/requests/test_stream_versions.py
+++ b/tests/requests/test_stream_versions.py
@@ -271,6 +271,20 @@
         self.assertEqual(3, len(rig.upstreams[0].requests))
         self.assertEqual({}, rig.stream_origins.running)
 
+    async def test_a_stream_with_a_long_id_is_kept_under_a_short_key(self) -> None:
+        """Records of streams kept ids of the length of a whole head, and sent them to peers."""
+        long_id = "a" * 10_000
+        async with self.rig() as rig:
+            set_versions(rig, "v1", "v2", "v2")
+            prefer(rig, "b0")
+            told: list[str] = []
+            rig.stream_origins.on_begun = lambda origin: told.append(origin.request)
+            await rig.call(long_id)
+            got = await rig.call("r2", self.headers(long_id))
+        self.assertEqual((True, event(1) + event(2)), (got.whole, got.body))
+        self.assertEqual([0], served(rig))
+        self.assertLessEqual({len(key) for key in told}, set(range(65)))
+
     async def test_a_stream_whose_version_nobody_knows_is_refused_as_not_run(self) -> None:
         async with self.rig() as rig:
             set_versions(rig, "v1", "v2", "v2")
