Parts of prompts that callers make up are bounded where they are kept

Callers state the parts of a prompt and their sizes. Parts of no tokens filled the model of no upstream, so that all of them were kept for ever; the parts of ten seconds were kept without a bound, and a head has room for four thousand. A crowd with a valid key could use up the memory of every gateway that places requests.

The model of an upstream keeps 8,192 parts, and 131,072 count as used recently, the oldest of which give way; of one prompt the first 255 parts are looked at, as many as gateways tell each other of. Usual prompts have some four.

Both new tests fail on the code before, with a method that counts the parts added there.

--- a/src/lotushill/links/load_records.py
+++ b/src/lotushill/links/load_records.py
@@ -21,6 +21,7 @@
 from lotushill.placement.messages import Outcome
 from lotushill.placement.messages import Paced
 from lotushill.placement.messages import Placed
+from lotushill.routing.demand import MAX_PARTS
 from lotushill.routing.demand import MAX_TOKENS
 
 if TYPE_CHECKING:
@@ -39,7 +40,6 @@
 """Fields of a request that ended: request, outcome, seconds."""
 _PART = struct.Struct("<QI")
 _NUMBER_BYTES = 8
-_MAX_PARTS = 255
 _MAX_TIER = 255
 """Highest tier in a record; less urgent requests are sent as this tier."""
 _MAX_SINGLE = 3.4e38
@@ -101,7 +101,7 @@
 
 
 def _pack_placed(placed: Placed) -> bytes:
-    parts = list(zip(placed.part_ids, placed.part_tokens))[:_MAX_PARTS]
+    parts = list(zip(placed.part_ids, placed.part_tokens))[:MAX_PARTS]
     record = _PLACED.pack(
         placed.request,
         upstream_number(placed.upstream),
--- a/src/lotushill/placement/prefix_cache_model.py
+++ b/src/lotushill/placement/prefix_cache_model.py
@@ -16,6 +16,9 @@
 
 _SEED = 0x9E3779B97F4A7C15
 _MASK = (1 << 64) - 1
+_MAX_PARTS = 8192
+"""Number of parts that the model of one upstream keeps: callers state parts of any size, also of
+none, and the parts of usual prompts fill the memory of an engine before there are as many."""
 
 
 class PrefixCacheModel:
@@ -25,6 +28,10 @@
         self._tokens: OrderedDict[int, int] = OrderedDict()
         self._cached_tokens = 0
 
+    def __len__(self) -> int:
+        """Return the number of parts that are kept."""
+        return len(self._tokens)
+
     def matched_tokens(self, parts: Iterable[PromptPart]) -> int:
         """Return how many leading tokens of a prompt are probably cached."""
         return self.matched_chain_tokens(tuple(chain_parts(parts)))
@@ -49,7 +56,7 @@
                 continue
             self._tokens[key] = part.tokens
             self._cached_tokens += part.tokens
-        while self._tokens and self._cached_tokens > capacity:
+        while self._tokens and (self._cached_tokens > capacity or len(self._tokens) > _MAX_PARTS):
             _, tokens = self._tokens.popitem(last=False)
             self._cached_tokens -= tokens
 
--- a/src/lotushill/placement/recent_parts.py
+++ b/src/lotushill/placement/recent_parts.py
@@ -13,6 +13,11 @@
     from lotushill.routing.demand import PromptPart
 
 
+_MAX_PARTS = 131_072
+"""Number of parts that are kept, some 15 MB; ten seconds of 3,000 requests a second with four
+shared parts each, if no two of them share any."""
+
+
 class RecentParts:
     """Times of the last use of each part on any upstream.
 
@@ -23,11 +28,19 @@
         self.seconds = seconds
         """Seconds for which a part counts as recently used."""
         self._used_at: dict[int, float] = {}
+        """Time of the last use by key, the one used longest ago first."""
+
+    def __len__(self) -> int:
+        """Return the number of parts that are kept."""
+        return len(self._used_at)
 
     def note(self, parts: Sequence[PromptPart], now: float) -> None:
         """Record that a prompt is being processed; its last part is not shared."""
         for key, _ in chain_parts(parts[:-1]):
+            self._used_at.pop(key, None)
             self._used_at[key] = now
+        while len(self._used_at) > _MAX_PARTS:
+            del self._used_at[next(iter(self._used_at))]
 
     def reread_tokens(self, parts: Sequence[PromptPart], matched_tokens: int, now: float) -> int:
         """Return the recently used shared tokens after the first `matched_tokens`."""
--- a/src/lotushill/platform/request_head.py
+++ b/src/lotushill/platform/request_head.py
@@ -8,6 +8,7 @@
 from lotushill.placement.memory_copies import NO_COPIES
 from lotushill.placement.memory_copies import MemoryCopies
 from lotushill.platform import names
+from lotushill.routing.demand import MAX_PARTS
 from lotushill.routing.demand import MAX_TOKENS
 from lotushill.routing.demand import Demand
 from lotushill.routing.demand import PromptPart
@@ -16,7 +17,7 @@
     from lotushill.routing.urgency import Urgency
 
 _MS = 1000.0
-_BEARER = "bearer "
+_KEY_SCHEME = "bearer"
 _LOWEST_ENGINE_PRIORITY = 9
 """Lowest of the ten priorities that engines distinguish, 0 being the highest."""
 Headers = list[tuple[bytes, bytes]]
@@ -127,9 +128,8 @@
 
 
 def _api_key(value: str) -> str:
-    if value[: len(_BEARER)].lower() != _BEARER:
-        return ""
-    return value[len(_BEARER) :].strip()
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == _KEY_SCHEME else ""
 
 
 def _seconds(value: str) -> float | None:
@@ -149,7 +149,7 @@
 
 def _parts(value: str) -> tuple[PromptPart, ...]:
     parts = []
-    for item in value.split(","):
+    for item in value.split(",", MAX_PARTS)[:MAX_PARTS]:
         name, _, tokens = item.strip().partition(":")
         if not name:
             continue
--- a/src/lotushill/routing/demand.py
+++ b/src/lotushill/routing/demand.py
@@ -6,6 +6,9 @@
 
 MAX_TOKENS = 2**32 - 1
 """Largest number of tokens that a request may state; gateways exchange such numbers in 32 bits."""
+MAX_PARTS = 255
+"""Number of parts of a prompt, from its begin, that are looked at; gateways tell each other of as
+many."""
 
 
 @dataclass(frozen=True)
--- a/tests/placement/test_prefix_cache_model.py
+++ b/tests/placement/test_prefix_cache_model.py
@@ -31,6 +31,13 @@
         self.assertEqual(0, kept.matched_tokens([PromptPart(2, 10)]))
         self.assertEqual(10, kept.matched_tokens([PromptPart(1, 10), PromptPart(3, 10)]))
 
+    def test_parts_without_tokens_are_bounded(self) -> None:
+        """Parts that callers state to have no tokens filled no cache, and all were kept."""
+        kept = PrefixCacheModel()
+        for prompt in range(400):
+            kept.touch([PromptPart(prompt * 255 + n, 0) for n in range(255)], 500_000)
+        self.assertLess(len(kept), 10_000)
+
     def test_least_recently_used_part_is_evicted(self) -> None:
         kept = PrefixCacheModel()
         for name in (1, 2, 3):
@@ -42,6 +49,16 @@
 
 
 class TestRecentParts(unittest.TestCase):
+    def test_parts_that_callers_make_up_are_bounded(self) -> None:
+        """All parts of ten seconds were kept, of which a caller makes thousands in a request."""
+        recent = RecentParts(10.0)
+        shared = [PromptPart(7, 100), PromptPart(8, 0)]
+        for prompt in range(1_000):
+            recent.note([PromptPart(prompt * 255 + n, 0) for n in range(1_000, 1_255)], 0.0)
+            recent.note(shared, 0.0)
+        self.assertLess(len(recent), 150_000)
+        self.assertEqual(100, recent.reread_tokens(shared, 0, 1.0))
+
     def test_only_recently_used_shared_parts_count(self) -> None:
         recent = RecentParts(10.0)
         prompt = [PromptPart(1, 100), PromptPart(2, 200), PromptPart(3, 300)]
