An answer whose status is none costs its upstream the attempt

Cause: any status below 200 counted as interim, so what came next on the connection was taken for the answer, behind the body of the one before: a client got 200 with the signature of the true answer and the body of both. Without anything behind it the caller waited. Statuses from 600 on reached the library that writes answers, which knows none of them and raised an exception after the answer counted as started.

100, 102 and 103 are interim, 200 to 599 are final, and any other status ends the attempt and its connection. Bytes behind it are not trusted: nobody knows where such an answer ends. A request that may run once more goes to another upstream; one that may not ends with 502.

--- a/src/lotushill/requests/exceptions.py
+++ b/src/lotushill/requests/exceptions.py
@@ -22,6 +22,13 @@
         super().__init__(f"{part} of the answer is longer than {limit} bytes")
 
 
+class InvalidStatusError(BrokenAnswerError):
+    """An answer has a status that HTTP does not know."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status:03} of the answer is not one from 200 to 599")
+
+
 class NoMemoryError(BrokenAnswerError):
     """Clients hold all memory that they may, so that an answer cannot be collected."""
 
--- a/src/lotushill/requests/upstream_connection.py
+++ b/src/lotushill/requests/upstream_connection.py
@@ -19,6 +19,7 @@
 
 from lotushill.links.parse_progress import ParseProgress
 from lotushill.requests.exceptions import BrokenAnswerError
+from lotushill.requests.exceptions import InvalidStatusError
 from lotushill.requests.exceptions import LostConnectionError
 from lotushill.requests.exceptions import PartitionedError
 from lotushill.requests.exceptions import SilentUpstreamError
@@ -37,6 +38,9 @@
 _UNACKNOWLEDGED_TIMEOUT_MS = 3000
 """Time without acknowledgement of sent data after which the kernel closes the connection."""
 _BODILESS_STATUSES = frozenset((204, 304))
+_INTERIM_STATUSES = frozenset((100, 102, 103))
+"""Statuses of answers before the final one. 101 ends the use of HTTP, which is never asked for."""
+_FINAL_STATUSES = range(200, 600)
 _DEFAULT_IDLE_SECONDS = 8.0
 _IDLE_MARGIN_SECONDS = 0.6
 """Time by which an idle connection is closed before the upstream is due to close it."""
@@ -288,8 +292,12 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if status in _INTERIM_STATUSES:
             return
+        if status not in _FINAL_STATUSES:
+            # Where such an answer ends is not known, so no byte behind it is the answer either.
+            self._error = InvalidStatusError(status)
+            raise self._error
         self._progress.note_progress()
         self._skipping = self._answer_request_id(self._headers) != self._request_id
         if self._skipping:
