Upstreams that answer nothing but failures are ejected

Callers got failures in place of answers from engines in trouble while sound ones served: engines that fail at once always have a free slot, so once the sound ones had none, the failing ones got every request. Their rate of failures only raised their cost, which counts among engines with a free slot.

A success between failures ends the row, so that an engine with one bad answer in fifty stays.

--- a/src/lotushill/gateway/gateway.py
+++ b/src/lotushill/gateway/gateway.py
@@ -450,6 +450,7 @@
             self.dialer.retain_only({upstream.address for upstream in self.views.upstreams.all()})
             self.fleet.evict_unused(known, clocks.now())
             self._log_pace_changes()
+            self._log_ejections()
             self._log_closed_unread()
             self._log_bounds("clients", self.client_bounds)
             self._log_bounds("readiness", self.status_bounds)
@@ -598,6 +599,14 @@
             steps, reading = round(item.step_slowness, 2), round(item.prefill_slowness, 2)
             self.log.note("upstream.pace", upstream=item.upstream, steps=steps, reading=reading)
 
+    def _log_ejections(self) -> None:
+        for change in self.fleet.ejections.take_changes():
+            self.log.note(
+                "upstream.ejected" if change.is_ejected else "upstream.readmitted",
+                upstream=change.upstream,
+                failures=round(change.failures, 1),
+            )
+
     def _on_tick(self) -> None:
         for name, step in self._tick_steps.items():
             self.supervisor.call(name, step)
--- a/src/lotushill/gateway/status_report.py
+++ b/src/lotushill/gateway/status_report.py
@@ -354,6 +354,11 @@
         "Longest time for which another gateway has been known to have a newer view",
         lambda: max(gateway.peers.seconds_behind(kind) for kind in ViewKind),
     )
+    add_gauge(
+        "upstreams_ejected",
+        "Upstreams that get no request but probes, as they answer nothing but failures",
+        lambda: len(gateway.fleet.ejections.ejected()),
+    )
     add_gauge(
         "client_memory_bytes",
         "Memory held for clients: heads, bodies, requests sent ahead and answers not taken",
@@ -406,6 +411,7 @@
             "ignored": dict(gateway.views.upstream_faults.current),
             "resting": sorted(gateway.cooldowns.barred(clocks.now())),
             "limited": gateway.limits.stated.limited_rates(),
+            "ejected": gateway.fleet.ejections.ejected(),
             "paces": {
                 item.upstream: [round(item.step_slowness, 2), round(item.prefill_slowness, 2)]
                 for item in gateway.fleet.engine_paces.deviating_paces()
--- a/src/lotushill/placement/fleet.py
+++ b/src/lotushill/placement/fleet.py
@@ -18,6 +18,7 @@
 from lotushill.placement.choice import Choice
 from lotushill.placement.choice import NoChoice
 from lotushill.placement.choice import Refusal
+from lotushill.placement.ejections import Ejections
 from lotushill.placement.fetch import FetchPlanner
 from lotushill.placement.fleet_paces import FleetPaces
 from lotushill.placement.learning import learn_first_event
@@ -103,6 +104,7 @@
         self.brittle = BrittleServices()
         self.shares = TeamShares()
         self.engine_paces = FleetPaces()
+        self.ejections = Ejections()
         self._loads: dict[str, UpstreamLoad] = {}
         self._paces: dict[str, ServicePace] = {}
         self._locations: dict[int, _RunLocation] = {}
@@ -135,6 +137,8 @@
         engine = service.engine
         load = self.load(placed.upstream)
         load.start(placed, engine.memory_tokens if engine else 0, now)
+        if not placed.age:
+            self.ejections.note_started(placed.upstream, now)
         self.engine_paces.for_service(service.name).add(placed.upstream, load.pace)
         parts = [PromptPart(*item) for item in zip(placed.part_ids, placed.part_tokens)]
         self.recent.note(parts, now)
@@ -149,6 +153,7 @@
             return
         load = self._loads[location.upstream]
         load.begin(began.request, now)
+        self.ejections.note_success(location.upstream)
         placed = load.running.get(began.request)
         if placed is not None:
             # It may have waited in the engine's queue for longer than starts are stored.
@@ -187,6 +192,10 @@
             load.failures.note(True, now, _NOT_SENT_WEIGHT * weight)
             return
         load.failures.note(ended.outcome is not Outcome.WHOLE, now, weight)
+        if ended.outcome is Outcome.FAILED:
+            self.ejections.note_failure(location.upstream, now, weight)
+        else:
+            self.ejections.note_success(location.upstream)
         has_run = ended.outcome in (Outcome.WHOLE, Outcome.CUT) and _is_usable_time(ended.seconds)
         if has_run and location.service.engine is not None:
             self.pace(location.service.name).note_end(ended.seconds, ended.outcome, now)
@@ -211,6 +220,7 @@
             if upstream_id not in known and not load.running:
                 del self._loads[upstream_id]
         self.engine_paces.retain(self._loads)
+        self.ejections.retain_only(set(self._loads))
 
     def choose(
         self,
@@ -233,6 +243,8 @@
         candidates = [item for item in serving if item.id not in excluded]
         if need.version:
             candidates = [item for item in candidates if need.accepts(item)]
+        ejected = self.ejections.among([item.id for item in serving if need.accepts(item)], now)
+        candidates = [item for item in candidates if item.id not in ejected] or candidates
         reachable = [item for item in candidates if not self.load(item.id).is_unreachable(now)]
         if need.version and not any(need.accepts(item) for item in serving):
             return NoChoice(Refusal.NO_VERSION, _NO_VERSION_RETRY_AFTER_SECONDS, final=True)
--- a/src/lotushill/waiting/open_engines.py
+++ b/src/lotushill/waiting/open_engines.py
@@ -37,8 +37,11 @@
         if service.engine is None:
             return frozenset()
         contested = self._remote_queues.has_waiting(service.name, now)
-        closed = []
+        ejected = self._fleet.ejections.among([item.id for item in upstreams], now)
+        closed = list(ejected)
         for item in upstreams:
+            if item.id in ejected:
+                continue
             free = _free_slots(self._fleet.load(item.id), tier, service.engine.slots)
             self._turns.note_free_slots(item.id, free, now)
             if free > 0 and contested:
