Strangers at the port of the peers hold little memory and few descriptors

A gateway ran out of memory, or of descriptors for everything else, when others than gateways opened connections to the port for peers: a frame of up to 8 MiB was collected before its code showed who had sent it, and any number of connections could wait for their first frame for two seconds each.

The first frame has 4 KiB at most, which is many times what a gateway sends there, and of 64 connections without one the oldest gives way to the next.

--- a/src/lotushill/links/channel.py
+++ b/src/lotushill/links/channel.py
@@ -43,11 +43,11 @@
     return _HEADER.pack(len(sealed)) + sealed
 
 
-def read_frame_size(header: bytes) -> int:
+def read_frame_size(header: bytes, max_bytes: int = MAX_FRAME_BYTES) -> int:
     """Return the number of bytes that follow the header; raise FrameTooLargeError if too many."""
     size: int = _HEADER.unpack(header)[0]
-    if not CODE_BYTES <= size <= MAX_FRAME_BYTES:
-        raise FrameTooLargeError(size, MAX_FRAME_BYTES)
+    if not CODE_BYTES <= size <= max_bytes:
+        raise FrameTooLargeError(size, max_bytes)
     return size
 
 
@@ -103,9 +103,12 @@
                 if is_first:
                     self._quiet_since = anyio.current_time()
 
-    async def receive(self) -> Message:
-        """Return the next message; raise a LinkError if the connection is no longer usable."""
-        size = read_frame_size(await self._read_exactly(FRAME_HEADER_BYTES))
+    async def receive(self, max_bytes: int = MAX_FRAME_BYTES) -> Message:
+        """Return the next message; raise a LinkError if the connection is no longer usable.
+
+        A frame of more than `max_bytes` is not read.
+        """
+        size = read_frame_size(await self._read_exactly(FRAME_HEADER_BYTES), max_bytes)
         sealed = await self._read_exactly(size)
         number = self._received
         self._received += 1
--- a/src/lotushill/links/peer_links.py
+++ b/src/lotushill/links/peer_links.py
@@ -15,6 +15,8 @@
 from lotushill.links.exceptions import LinkClosedError
 from lotushill.links.exceptions import LinkError
 from lotushill.links.exceptions import MalformedFrameError
+from lotushill.links.greetings import MAX_GREETING_BYTES
+from lotushill.links.greetings import Greetings
 from lotushill.links.messages import Ping
 from lotushill.links.relay_messages import RelayOpen
 
@@ -42,7 +44,6 @@
 _MAX_QUEUED_MESSAGES = 50_000
 _MAX_MESSAGES_PER_WRITE = 64
 _CONNECT_TIMEOUT_SECONDS = 0.5
-_HELLO_TIMEOUT_SECONDS = 2.0
 _DIALED_QUIET_SECONDS = 0.8
 """Time without received bytes after which a connection that this process opened is closed.
 
@@ -63,6 +64,14 @@
     outbox: MemoryObjectSendStream[Message]
 
 
+@dataclass(frozen=True)
+class _Greeting:
+    """The first message of an accepted connection, and its channel."""
+
+    channel: Channel
+    message: Message
+
+
 class PeerLinks:
     """Sends messages to peers and delivers those that are received."""
 
@@ -88,6 +97,7 @@
         self._links: dict[str, _Link] = {}
         self._group: TaskGroup | None = None
         self._contain: Contain = run_uncontained
+        self._greetings = Greetings()
         self.dropped = 0
         """Connections dropped for malformed or forged frames, or without a valid first message."""
         self.unreadable = 0
@@ -109,26 +119,30 @@
 
     async def accept(self, stream: ByteStream) -> None:
         """Serve a connection that a peer has opened."""
-        channel: Channel | None = None
         async with stream:
             try:
-                with anyio.fail_after(_HELLO_TIMEOUT_SECONDS):
-                    channel = await self._open(stream)
-                    hello = await channel.receive()
-                if isinstance(hello, Ping):
-                    await self._run(hello.sender, channel)
-                elif isinstance(hello, RelayOpen) and self._serve_relay is not None:
-                    await self._serve_relay(hello, channel, stream)
+                greeting = await self._greet(stream)
+                if greeting is None:
+                    self.dropped += 1
+                elif isinstance(greeting.message, Ping):
+                    await self._run(greeting.message.sender, greeting.channel)
+                elif isinstance(greeting.message, RelayOpen) and self._serve_relay is not None:
+                    await self._serve_relay(greeting.message, greeting.channel, stream)
                 else:
                     self.dropped += 1
-            except TimeoutError:
-                self.dropped += 1
             except LinkClosedError:
                 pass
             except LinkError as error:
                 self.dropped += 1
                 log.warning("Dropped a connection after an invalid frame. error=%r", error)
 
+    async def _greet(self, stream: ByteStream) -> _Greeting | None:
+        """Return the first message of a connection, None if it does not arrive in time."""
+        with self._greetings.limit():
+            channel = await self._open(stream)
+            return _Greeting(channel, await channel.receive(MAX_GREETING_BYTES))
+        return None
+
     async def _open(self, stream: ByteStream) -> Channel:
         return await Channel.open(stream, self._seal, secrets.token_bytes(CHALLENGE_BYTES))
 
--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -9,12 +9,15 @@
 
 import asyncio
 import contextlib
+import struct
 import textwrap
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
 
 from lotushill.links.address import split_address
+from lotushill.links.channel import CHALLENGE_BYTES
+from lotushill.links.channel import MAX_FRAME_BYTES
 from tests.clients.crowd import Crowd
 from tests.clients.crowd import Member
 from tests.clients.crowd import head
@@ -362,6 +365,31 @@
         await self.check_holds()
 
 
+class TestPeers(CrowdCase):
+    async def test_long_frames_of_strangers_that_stop_just_short_of_their_end(self) -> None:
+        """A frame of up to 8 MiB was collected before its code showed who had sent it."""
+        frame = struct.pack("!I", MAX_FRAME_BYTES) + bytes(MAX_FRAME_BYTES - 1)
+
+        async def behave(member: Member) -> None:
+            await member.send(bytes(CHALLENGE_BYTES) + frame)
+            await asyncio.sleep(1.0)
+
+        strangers = Crowd(self.peers)
+        await strangers.join(60, behave)
+        await self.check_holds()
+        await strangers.leave()
+
+    async def test_connections_of_strangers_that_send_nothing(self) -> None:
+        async def behave(member: Member) -> None:
+            del member
+
+        strangers = Crowd(self.peers)
+        joining = asyncio.create_task(strangers.join(400, behave))
+        await self.check_holds()
+        await joining
+        await strangers.leave()
+
+
 class TestOneLegalRequest(CrowdCase):
     """A single request inside the limits is served, whatever bounds hold for a crowd."""
 
