--- a/scripts/break_rules.py
+++ b/scripts/break_rules.py
@@ -32,6 +32,83 @@
 
 
 BREAKS = (
+    Break(
+        "clients: what is held stays within the budget",
+        "clients/memory_budget.py",
+        "        while self.used + size > limit:",
+        "        while self.used + size > 100 * limit:",
+        "tests.clients.test_memory_budget",
+    ),
+    Break(
+        "clients: bodies that arrive in time are not given up",
+        "clients/memory_budget.py",
+        "            if memory is not asking and now - since >= MIN_SHED_SECONDS",
+        "            if memory is not asking",
+        "tests.clients.test_memory_budget",
+    ),
+    Break(
+        "clients: large clients leave memory for small ones",
+        "clients/memory_budget.py",
+        "self.limit if is_small else int(self.limit * _LARGE_FRACTION)",
+        "self.limit",
+        "tests.clients.test_memory_budget",
+    ),
+    Break(
+        "clients: the connection without a request for longest gives way",
+        "clients/connection_limit.py",
+        "next(iter(self._idle), None)",
+        "next(reversed(self._idle), None)",
+        "tests.clients.test_connection_limit",
+    ),
+    Break(
+        "clients: one request is parsed at a time",
+        "clients/message_splitter.py",
+        "        end = self._end_of_empty_line(data, start)",
+        "        end = None",
+        "tests.clients.test_message_splitter",
+    ),
+    Break(
+        "clients: a refused body is answered as not run",
+        "requests/client_application.py",
+        "            if connection.is_refused:",
+        "            if False:",
+        "tests.requests.test_client_bounds",
+    ),
+    Break(
+        "clients: an answer that is not taken ends",
+        "requests/client_protocol.py",
+        "        if unread >= unread_before:",
+        "        if False:",
+        "tests.requests.test_client_bounds",
+    ),
+    Break(
+        "clients: a trailer is no header",
+        "requests/client_protocol.py",
+        "        if self._is_in_head:\n            super().on_header(name, value)",
+        "        super().on_header(name, value)",
+        "tests.requests.test_client_bounds",
+    ),
+    Break(
+        "answers: a status that is none ends the attempt",
+        "requests/upstream_connection.py",
+        "        if status not in _FINAL_STATUSES:",
+        "        if False:",
+        "tests.requests.test_invalid_status",
+    ),
+    Break(
+        "ejection: upstreams that fail all requests get a few",
+        "placement/fleet.py",
+        "            self.ejections.note_failure(location.upstream, now, weight)",
+        "            pass",
+        "tests.placement.test_ejections",
+    ),
+    Break(
+        "ejection: nothing is ejected while most upstreams fail",
+        "placement/ejections.py",
+        "        if 2 * len(failing) > len(upstreams):",
+        "        if False:",
+        "tests.placement.test_ejections",
+    ),
     Break(
         "versions: a placement at another version is not sent",
         "requests/attempt.py",
@@ -786,10 +863,8 @@
     Break(
         "gateway: a connection with a slow request head is closed",
         "requests/client_protocol.py",
-        "self._set_timer(self._limits().header_seconds, self._close_slow_connection)\n"
-        "\n"
-        "    def on_headers",
-        "pass\n\n    def on_headers",
+        "        self._set_timer(self._limits().header_seconds, self._end_slow_head)",
+        "",
         "tests.requests.test_client_protocol",
     ),
     Break(
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 _REQUEST_PATH = "tests.requests.test_request_path"
+_CROWDS = "tests.clients.test_crowds"
 _UNFRAMED = "tests.requests.test_unframed_streams.TestUnframedStreams"
 _VERSIONS = "tests.requests.test_stream_versions"
 _ORIGINS = "tests.versions.test_stream_origins.TestStreamOrigins"
@@ -405,6 +406,62 @@
             ),
         ),
     ),
+    Promise(
+        "No crowd of clients ends a gateway or keeps it from serving others.",
+        "FAULT, REFUSED",
+        (
+            Case(
+                "heads and empty lines without end",
+                (
+                    f"{_CROWDS}.TestHeads.test_heads_without_end",
+                    f"{_CROWDS}.TestEmptyLines.test_empty_lines_without_end_before_a_request",
+                ),
+            ),
+            Case(
+                "many large bodies, whole or without their end",
+                (
+                    f"{_CROWDS}.TestBodies.test_whole_bodies_at_once",
+                    f"{_CROWDS}.TestBodies.test_bodies_that_stop_just_short_of_their_end",
+                ),
+            ),
+            Case(
+                "requests sent ahead whose answers are not taken",
+                (f"{_CROWDS}.TestSentAhead.test_requests_sent_ahead_whose_answers_are_not_taken",),
+            ),
+            Case(
+                "more connections than descriptors",
+                (f"{_CROWDS}.TestConnections.test_connections_that_send_nothing",),
+            ),
+            Case(
+                "strangers at the port of the peers",
+                (
+                    f"{_CROWDS}.TestPeers"
+                    ".test_long_frames_of_strangers_that_stop_just_short_of_their_end",
+                ),
+            ),
+            Case(
+                "one request of the largest legal size",
+                (f"{_CROWDS}.TestOneLegalRequest.test_with_the_longest_head_and_body",),
+            ),
+        ),
+    ),
+    Promise(
+        "An upstream that answers nothing but failures gets a few requests.",
+        "MIXED",
+        (
+            Case(
+                "two of five upstreams fail at once",
+                (
+                    "tests.placement.test_ejections.TestReplays"
+                    ".test_engines_that_fail_all_requests_get_a_few",
+                ),
+            ),
+            Case(
+                "answers whose status is none",
+                ("tests.requests.test_invalid_status.TestInvalidStatus.test_it_costs_one_attempt",),
+            ),
+        ),
+    ),
     Promise(
         "An upstream that asks for a cooldown gets no requests from this gateway until it ends.",
         "BUDGET",
