Test: the virtual client has what is held for it

The stand-in of a client's connection lacked what the request path reads since the bounds, so that the task of the request failed and the play of moves with faults waited for ever.

--- a/tests/requests/virtual_site.py
+++ b/tests/requests/virtual_site.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from lotushill.clients.memory_budget import MemoryBudget
 from lotushill.requests.client_protocol import CONNECTION
 from lotushill.requests.client_protocol import TARGET
 from lotushill.routing.route import RouteKind
@@ -36,6 +37,8 @@
 """Retries for each request, and the fraction of the budget that is used."""
 _CHECK_SECONDS = 0.01
 _EVENTS_BEFORE_NOTICE = 5
+_MEMORY_BYTES = 16_000_000
+"""Memory that the gateway may hold for clients."""
 _SETTLE_SECONDS = 12.0
 """Time after the end of the answer by which all calls and runs have ended."""
 
@@ -128,7 +131,13 @@
         """Number of retries that were left at the end."""
         self.retries_reserved = 0
         """Number of retries that stayed reserved."""
-        self._connection = SimpleNamespace(on_lost=None, is_lost=False)
+        self._connection = SimpleNamespace(
+            on_lost=None,
+            is_lost=False,
+            is_refused=False,
+            stated_body_bytes=0,
+            memory=MemoryBudget(_MEMORY_BYTES, self.rig.clock).open(lambda: None),
+        )
 
     async def play(self) -> None:
         """Send the request, and wait until nothing is in progress any more."""
