--- a/src/lotushill/requests/client_protocol.py
+++ b/src/lotushill/requests/client_protocol.py
@@ -166,10 +166,7 @@
             self.transport.abort()
             return
         connections = self._bounds.connections
-        closed_before = connections.closed_count
         has_room = connections.make_room() or self._bounds.memory.shed_one()
-        if connections.closed_count > closed_before:
-            self._bounds.note(Bound.IDLE_CONNECTION)
         if not has_room or not self.memory.hold(CONNECTION_BYTES):
             self._bounds.note(Bound.CONNECTION)
             self.transport.abort()
@@ -192,6 +189,7 @@
 
     def close_idle(self) -> None:
         """Close the connection, on which there is no request, for a new one."""
+        self._bounds.note(Bound.IDLE_CONNECTION)
         self.transport.abort()
 
     def close_after_request(self) -> None:
@@ -255,7 +253,7 @@
 
     def _skip_empty_lines(self, data: bytes, position: int) -> int:
         """Return the position behind empty lines; they start and stop no timeout."""
-        while data[position : position + 1] in (b"\r", b"\n"):
+        if data[position : position + 1] in (b"\r", b"\n"):
             rest = data[position:]
             count = len(rest) - len(rest.lstrip(b"\r\n"))
             position += count
