A request whose body is complete is not refused for want of memory

Found by reading. A body for whose last part there was no memory started a wait of half a second, which went on when the rest had arrived with the same read: the request ran, its answer waited for memory beside it, and it was then given up as refused, which took nothing from its caller but the time and counted a refusal that was none. The wait now ends with the body. Answers of up to 64 KiB, which upstreams have made already, are collected whether or not there is memory; a caller got 502 for one of four bytes where the wait was longer.

The new test failed before: two refusals were counted, and each request took half a second.

--- a/src/lotushill/requests/client_answer.py
+++ b/src/lotushill/requests/client_answer.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from lotushill.clients.memory_budget import SMALL_BYTES
 from lotushill.links.hop_headers import end_to_end_headers
 from lotushill.platform import request_head
 from lotushill.requests.answer_state import AnswerState
@@ -40,6 +41,8 @@
     def __init__(self, send: Send, request_id: str, memory: HeldMemory) -> None:
         self._send = send
         self._memory = memory
+        self._held_bytes = 0
+        """Bytes of the answer for which memory was asked."""
         self._request_id = request_id
         self.started = False
         self._completed = False
@@ -58,8 +61,13 @@
     async def hold(self, size: int) -> None:
         """Hold memory for a part of an answer that is collected before it is sent.
 
-        Raise NoMemoryError if other clients use all of it up for some time.
+        Short answers, which the upstreams have made already, are collected in any case. Raise
+        NoMemoryError if other clients use up the memory for a longer one for some time.
         """
+        self._held_bytes += size
+        if self._held_bytes <= SMALL_BYTES:
+            self._memory.hold_unchecked(size)
+            return
         with anyio.move_on_after(_MEMORY_WAIT_SECONDS):
             while not self._memory.hold(size):
                 await anyio.sleep(_MEMORY_POLL_SECONDS)
--- a/src/lotushill/requests/client_protocol.py
+++ b/src/lotushill/requests/client_protocol.py
@@ -365,6 +365,12 @@
         self._is_in_body = False
         self._head_bytes = 0
         self._splitter.end_message()
+        if self._memory_wait_ends:
+            # The rest has arrived meanwhile: a request that is complete is not refused any more.
+            self._stop_timer()
+            self._stop_waiting_for_memory()
+            self.memory.hold_unchecked(max(0, -self._body_memory))
+            self.flow.release_reading()
         is_unread = self._unread_timer is not None
         self.memory.set_sheddable(self._bounds.clock() if is_unread else None)
         super().on_message_complete()
--- a/tests/requests/test_client_bounds.py
+++ b/tests/requests/test_client_bounds.py
@@ -164,6 +164,33 @@
         self.assertEqual(1, self.bounds.reached[Bound.BODY_AFTER_ANSWER])
 
 
+class TestWaitsForMemory(unittest.IsolatedAsyncioTestCase):
+    async def test_a_body_that_is_complete_ends_the_wait_for_its_memory(self) -> None:
+        """The wait went on, and the request that ran already was given up as refused."""
+
+        async def answer_whole(seen: ReceivedRequest) -> None:
+            seen.answer_whole()
+
+        rig = Rig([ScriptedUpstream([answer_whole])])
+        rig.bounds = bounds = ClientBounds(2_000_000, 100, time.monotonic)
+        # Short enough to arrive together, and longer than the memory that its head leaves.
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (35_000, bytes(35_000))
+        async with asyncio.timeout(_TIMEOUT_SECONDS), rig:
+            other = bounds.memory.open(lambda: None)
+            reader, writer = await rig.connect()
+            for number in range(2):
+                other.hold_unchecked(bounds.memory.limit - bounds.memory.used - 40_000)
+                writer.write(head(f"r{number}", "Transfer-Encoding: chunked") + body)
+                got = await read_answer(reader)
+                other.close()
+                self.assertEqual(200, got.status)
+                self.assertEqual((0, 0), (bounds.waiting_for_memory, bounds.reached[Bound.MEMORY]))
+            writer.write(head("last", f"Content-Length: {1_000_000}"))
+            while bounds.memory.used < 1_000_000:
+                await asyncio.sleep(0.01)
+            writer.close()
+
+
 class TestUnreadAnswers(ServerCase):
     async def test_an_answer_that_is_not_taken_ends_with_its_connection(self) -> None:
         _, writer = await self.open()
