--- a/tests/requests/test_client_bounds.py
+++ b/tests/requests/test_client_bounds.py
@@ -235,22 +235,23 @@
         writer.close()
         return got
 
-    async def test_a_body_that_states_more_than_the_limit_is_refused_at_once(self) -> None:
+    async def answer_to(self, sent: bytes) -> ReceivedAnswer:
+        """Return the answer to some bytes of a request that no upstream may get."""
         async with asyncio.timeout(_TIMEOUT_SECONDS), Rig([ScriptedUpstream([])]) as rig:
             reader, writer = await rig.connect()
-            writer.write(head("r1", f"Content-Length: {2**40}"))
+            writer.write(sent)
             got = await read_answer(reader)
             writer.close()
+        return got
+
+    async def test_a_body_that_states_more_than_the_limit_is_refused_at_once(self) -> None:
+        got = await self.answer_to(head("r1", f"Content-Length: {2**40}"))
         self.assertEqual(413, got.status)
 
     async def test_a_body_that_does_not_end_is_answered_as_not_run(self) -> None:
         """It was answered with 400, after which callers do not come back."""
         with unittest.mock.patch.object(client_application, "_BODY_TIMEOUT_SECONDS", 0.2):
-            async with asyncio.timeout(_TIMEOUT_SECONDS), Rig([ScriptedUpstream([])]) as rig:
-                reader, writer = await rig.connect()
-                writer.write(head("r1", "Content-Length: 2") + b"x")
-                got = await read_answer(reader)
-                writer.close()
+            got = await self.answer_to(head("r1", "Content-Length: 2") + b"x")
         self.assertEqual((408, "close"), (got.status, got.headers["connection"]))
 
     async def test_a_stalled_body_is_refused_once_another_needs_its_memory(self) -> None:
